--- /dev/null
+++ b/oakvale/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire: decoding, encoding and hosting instances. No decisions live here."""
--- /dev/null
+++ b/oakvale/logic.py
@@ -0,0 +1,552 @@
+"""Every decision of an oakvale gateway. Its types, events, actions and settings: oakvale/interface.py.
+
+Top-down: the gateway and its events · counting and quota · lending · backends and choice · attempts ·
+list and timers. `handle(now, event)` returns actions; there is no I/O and no clock here.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+from oakvale.interface import (
+    NEVER_RAN,
+    Action,
+    Attempt,
+    Backends,
+    Cancel,
+    Charge,
+    Counted,
+    Effect,
+    Ended,
+    Ending,
+    Entry,
+    Event,
+    Fail,
+    Fetch,
+    Head,
+    ListForm,
+    Plan,
+    Refuse,
+    Request,
+    RequestClass,
+    Settings,
+    State,
+    Timer,
+    Wake,
+    Watch,
+    Withdrawn,
+)
+
+BATCH = 250_000  # DESIGN: the global counts go four times a second
+R_OVER_FLOORS = 1.3  # DESIGN: R starts at 1.3 times the floor sum
+SECOND = 1_000_000
+ASK_LEAST = 0.02  # share of requests still asking a counter that does not answer: finds its return
+RETRY_SHARE = 0.1  # retry budget: further attempts per answer, the customary tenth
+EASE = 0.1  # weight of the newest sample in moving averages: about the last ten answers
+TICK = 0  # timer token of the batch; attempts' checks use tokens above it
+
+
+class Customer:
+    __slots__ = ("plan", "spread", "seen", "window", "level", "own", "unsent", "floored", "lent", "lent_in",
+                 "slot", "out", "open_level")
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan, self.spread, self.seen = plan, 1, 0
+        self.window, self.level, self.own, self.unsent = -1, 0.0, 0.0, 0.0  # own: adds since the last read
+        self.floored, self.lent, self.lent_in = -1, 0.0, -1
+        self.slot, self.out, self.open_level = -1, 0, 0.0
+
+
+class Backend:
+    __slots__ = ("entry", "inflight", "others", "lat", "lat_at", "heard", "limit", "fails", "out_until",
+                 "tokens", "tokens_at")
+
+    def __init__(self, entry: Entry) -> None:
+        self.entry = entry
+        self.inflight: dict[tuple[str, int], float] = {}  # attempt -> units
+        self.fresh()
+
+    def fresh(self) -> None:
+        """What a restarted process did before tells nothing of it now."""
+        self.others = self.lat = 0.0
+        self.lat_at = self.heard = self.fails = self.out_until = self.tokens_at = 0
+        self.limit, self.tokens = 8.0, 0.0
+
+
+class Held:
+    """A request that is owed a final answer, or has attempts out."""
+    __slots__ = ("req", "cls", "cust", "came", "within", "waiting", "hops", "out", "ran", "over", "head",
+                 "tried")
+
+    def __init__(self, req: Request, cls: RequestClass, cust: Customer, now: int) -> None:
+        self.req, self.cls, self.cust, self.came = req, cls, cust, now
+        self.within, self.waiting, self.hops, self.over, self.head = True, 0, 0, False, False
+        self.out: dict[int, tuple[Backend, int]] = {}
+        self.ran: tuple[Backend, int] | None = None  # first attempt that may have run, and when it was sent
+        self.tried: list[int] = []
+
+
+class Gateway:
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.s, self.rng = settings, random.Random(seed)
+        self.now = 0
+        self.do: list[Action] = []
+        self.held: dict[str, Held] = {}
+        self.customers: dict[str, Customer] = {}
+        self.calls: dict[str, deque[tuple[str, str, float]]] = {}  # name -> (kind, id, amount)
+        self.asking, self.asked_less = 1.0, 0  # share of requests that ask the counter; when it last fell
+        windows = [self.window_of(p) for p in settings.plans if p.rate > 0]
+        self.span = max(windows, default=SECOND)  # the one global window: the longest plan window
+        self.lends = settings.may_count and any(p.over_worth > p.over_cost for p in settings.plans)
+        self.gwin, self.flushed = -1, False
+        self.counts = {"floors": 0.0, "total": 0.0, "served": 0.0}  # as last read, this global window
+        self.added = {"floors": 0.0, "total": 0.0, "served": 0.0}  # own, not yet sent
+        self.backends: dict[int, Backend] = {}
+        self.lat, self.lateness = 0.0, 0.0  # latency of a unit; latency as a share of the aim
+        self.budget = 10.0
+        self.sent_units, self.sent_rate, self.sent_at = 0.0, 0.0, 0
+        self.tokens: dict[int, tuple[str, int]] = {}
+        self.next_token, self.ticking = 1, False
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        self.now, self.do = now, []
+        if isinstance(event, Ended):
+            self.on_ended(event)
+        elif isinstance(event, Request):
+            self.on_request(event)
+        elif isinstance(event, Counted):
+            self.on_counted(event)
+        elif isinstance(event, Timer):
+            self.on_timer(event.token)
+        elif isinstance(event, Backends):
+            self.on_backends(event)
+        elif isinstance(event, Head) and event.id in self.held:
+            self.held[event.id].head = True
+        elif isinstance(event, Withdrawn):
+            self.finish(event.id)
+        return self.do
+
+    # ---- counting and quota
+
+    def on_request(self, req: Request) -> None:
+        if not (0 <= req.plan < len(self.s.plans) and 0 <= req.cls < len(self.s.classes)):
+            self.do.append(Refuse(req.id))
+            return
+        cust = self.customers.get(req.customer)
+        if cust is None:
+            cust = self.customers[req.customer] = Customer(self.s.plans[req.plan])
+        cust.seen, cust.spread = self.now, max(1, min(req.spread, self.s.fleet))
+        held = self.held[req.id] = Held(req, self.s.classes[req.cls], cust, self.now)
+        self.roll(cust)
+        ask = (self.s.may_count and req.deadline - self.now > 2 * self.s.counter_timeout
+               and (self.asking >= 1 or self.rng.random() < self.asking))
+        if not ask:
+            self.alone(held, req.units)
+        elif cust.plan.rate > 0:
+            held.waiting += 1
+            amount, cust.unsent = req.units + cust.unsent, 0.0
+            name, ttl = self.quota_name(req.customer, cust), 2 * self.window_of(cust.plan)
+            self.charge(name, amount, ttl, "quota", req.id)
+        if ask and cust.plan.open:
+            held.waiting += 1
+            self.charge(self.open_name(req.customer, cust), 1, 2 * self.open_slot(), "open", req.id)
+        if not held.waiting:
+            self.settle(held)
+
+    def window_of(self, plan: Plan) -> int:
+        return int(plan.burst / plan.rate * SECOND) if plan.rate > 0 else SECOND
+
+    def open_slot(self) -> int:
+        return 2 * max(c.deadline for c in self.s.classes)
+
+    def quota_name(self, customer: str, cust: Customer) -> str:
+        return f"q:{customer}:{cust.window}"
+
+    def open_name(self, customer: str, cust: Customer) -> str:
+        return f"o:{customer}:{cust.slot}"
+
+    def roll(self, cust: Customer) -> None:
+        window = self.now // self.window_of(cust.plan)
+        if window != cust.window:
+            cust.window, cust.level, cust.own, cust.unsent = window, 0.0, 0.0, 0.0
+        cust.slot = self.now // self.open_slot()
+
+    def charge(self, name: str, amount: float, ttl: int, kind: str, rid: str) -> None:
+        self.calls.setdefault(name, deque()).append((kind, rid, amount))
+        self.do.append(Charge(name, amount, min(ttl, 60 * SECOND)))
+
+    def on_counted(self, ev: Counted) -> None:
+        waiting = self.calls.get(ev.name)
+        if not waiting:
+            return
+        kind, rid, amount = waiting.popleft()
+        if not waiting:
+            del self.calls[ev.name]
+        answered = ev.ending is Ending.SERVED
+        self.pace(answered, ev.latency)
+        if kind in self.counts:
+            self.on_batch(kind, ev, amount, answered)
+            return
+        held = self.held.get(rid)
+        if held is None or held.over or not held.waiting:
+            return
+        cust = held.cust
+        if kind == "quota":
+            current = ev.name == self.quota_name(held.req.customer, cust)
+            if answered:
+                if current:
+                    cust.level, cust.own = ev.level, 0.0
+                held.within = held.within and ev.level <= cust.plan.burst
+                if ev.level == amount:
+                    self.add_floor(cust)
+            else:
+                self.alone(held, held.req.units)
+                if ev.ending is not Ending.TIMEOUT and held.within and current:
+                    cust.unsent += amount  # nothing was added: it goes with the next call
+        elif kind == "open":
+            if answered:
+                cust.open_level = ev.level
+                held.within = held.within and ev.level <= cust.plan.open
+            else:
+                held.within = held.within and cust.out < max(1, cust.plan.open / cust.spread)
+        held.waiting -= 1
+        if not held.waiting:
+            self.settle(held)
+
+    def pace(self, answered: bool, latency: int) -> None:
+        """A counter that does not answer is asked far less, then more by and by: no herd on return."""
+        if answered and latency < self.s.counter_timeout // 2:
+            self.asking = min(1.0, self.asking + 0.02)
+        elif not answered and self.now - self.asked_less > 2 * self.s.counter_timeout:
+            self.asking, self.asked_less = max(ASK_LEAST, self.asking / 2), self.now
+
+    def alone(self, held: Held, units: float) -> None:
+        """DESIGN: unanswered, a request passes only within its gateway's part of the room left."""
+        cust = held.cust
+        if cust.plan.rate > 0:
+            room = max(0.0, cust.plan.burst - cust.level) / cust.spread
+            if cust.own + units <= room:
+                cust.own += units
+                if not held.waiting:
+                    cust.unsent += units
+            else:
+                held.within = False
+        if cust.plan.open and not held.waiting:
+            held.within = held.within and cust.out < max(1, cust.plan.open / cust.spread)
+
+    def settle(self, held: Held) -> None:
+        """Floor first; then borrowing; else refused at once with a time to come back."""
+        if held.within or self.borrow(held):
+            self.launch(held)
+            return
+        window = self.window_of(held.cust.plan)
+        self.refuse(held, window - self.now % window)
+
+    # ---- lending
+
+    def add_floor(self, cust: Customer) -> None:
+        self.roll_global()
+        if cust.floored != self.gwin:
+            cust.floored = self.gwin
+            self.added["floors"] += cust.plan.rate * self.span / SECOND
+
+    def roll_global(self) -> None:
+        if self.now // self.span != self.gwin:
+            self.gwin, self.flushed = self.now // self.span, False
+            for k in self.counts:
+                self.counts[k] = self.added[k] = 0.0
+
+    def batch(self) -> None:
+        self.roll_global()
+        for k, amount in self.added.items():
+            if not self.calls.get(f"g:{k}:{self.gwin}"):
+                self.charge(f"g:{k}:{self.gwin}", amount, 2 * self.span, k, "")
+                self.counts[k] += amount
+                self.added[k] = 0.0
+
+    def on_batch(self, kind: str, ev: Counted, amount: float, answered: bool) -> None:
+        if ev.name != f"g:{kind}:{self.gwin}":
+            return
+        if answered:
+            if ev.level < self.counts[kind] - 1e-3 * self.counts[kind] - 1e-6:
+                self.flushed = True  # emptied: slack would look wide, so nothing is lent in this window
+            self.counts[kind] = max(ev.level, self.counts[kind])
+        elif ev.ending is not Ending.TIMEOUT:
+            self.counts[kind] -= amount
+            self.added[kind] += amount
+
+    def borrow(self, held: Held) -> bool:
+        cust, units = held.cust, held.req.units
+        if cust.plan.over_worth <= cust.plan.over_cost or not self.lends or self.pressed():
+            return False
+        self.roll_global()
+        if self.flushed or self.asking < 1:
+            return False
+        floors, total, served = (self.counts[k] + self.added[k] for k in self.counts)
+        elapsed = self.now % self.span / self.span
+        if R_OVER_FLOORS * floors * elapsed - total - max(0.0, floors - served) <= 0:
+            return False
+        weights = sum(c.plan.price for c in self.customers.values())
+        share = (R_OVER_FLOORS - 1) * floors * cust.plan.price / weights
+        if cust.lent_in != self.gwin:
+            cust.lent, cust.lent_in = 0.0, self.gwin
+        if cust.lent + units > share:
+            return False
+        cust.lent += units
+        return True
+
+    # ---- backends and choice
+
+    def pressed(self) -> bool:
+        """Answers take over half the aim: no lending while servers slow."""
+        return self.lateness > 0.5
+
+    def lat_of(self, b: Backend) -> float:
+        """Latency of a unit; what was seen long ago fades, so that a slow one is tried again."""
+        if not b.lat:
+            return self.lat or 1.0
+        fade: float = 0.5 ** ((self.now - b.lat_at) / (5 * SECOND))
+        return self.lat + (b.lat - self.lat) * fade
+
+    def stalled(self, b: Backend) -> bool:
+        """It holds work and has answered nothing for longer than that work should take."""
+        if not b.inflight:
+            return False
+        patience = max(3 * self.lat * max(b.inflight.values()), 0.25 * self.aim())
+        return self.now - b.heard > patience
+
+    def aim(self) -> int:
+        return min(c.aim for c in self.s.classes)
+
+    def coldness(self, b: Backend) -> float:
+        """The part of its capacity that a fresh backend is sure to have; 1 when warm."""
+        age = self.now - b.entry.started
+        if not b.entry.started or age >= self.s.ramp:
+            return 1.0
+        return self.s.cold_from + (1 - self.s.cold_from) * max(0, age) / self.s.ramp
+
+    def cold_room(self, b: Backend, units: float, warm: float) -> bool:
+        """A cold backend gets this gateway's mean flow to a warm one, times its warmth; bursts stay small."""
+        n = sum(1 for x in self.backends.values() if x.entry.state is State.READY)
+        rate = self.sent_rate / max(1, n) * warm
+        cap = max(rate * self.s.fall_span / SECOND / 2, 0.5 * self.s.largest)
+        b.tokens = min(cap, b.tokens + rate * (self.now - (b.tokens_at or self.now)) / SECOND)
+        b.tokens_at = self.now
+        return b.tokens >= units
+
+    def choose(self, held: Held) -> Backend | None:
+        ready = [b for b in self.backends.values() if b.entry.state is State.READY and self.in_group(held, b)]
+        up = [b for b in ready if b.out_until <= self.now and not self.stalled(b)]
+        if 2 * len(up) < len(ready):
+            up = ready  # many ejected: distrust ejection
+        fresh = [b for b in up if b.entry.backend not in held.tried] or up
+        best, best_cost = None, 0.0
+        for b in fresh:
+            if len(b.inflight) >= (1 if b.fails else b.limit):
+                continue
+            warm = self.coldness(b)
+            if warm < 1 and not self.cold_room(b, held.req.units, warm):
+                continue
+            cost = (len(b.inflight) + b.others + 1) * self.lat_of(b) / max(b.entry.weight, 1e-3) / warm
+            if b.entry.zone != self.s.zone and self.s.cross_zone_price > 0:
+                cost *= 1.3
+            cost *= 1 + 0.05 * self.rng.random()
+            if best is None or cost < best_cost:
+                best, best_cost = b, cost
+        return best
+
+    def in_group(self, held: Held, b: Backend) -> bool:
+        """Rule: a keyed request that may have run stays with those that discard its repeats."""
+        if held.ran is None or held.cls.effect is not Effect.KEYED or held.cls.group == "all":
+            return True
+        first = held.ran[0].entry
+        same = b.entry.zone == first.zone
+        return same and (held.cls.group == "zone" or b.entry.cell == first.cell)
+
+    def learn(self, b: Backend, ev: Ended, units: float) -> None:
+        """Passive health: latency, limit and ejection from how an attempt ended."""
+        per = ev.latency / max(units, 1.0)
+        if ev.ending is Ending.SERVED:
+            b.heard, b.fails, b.out_until = self.now, 0, 0
+            b.lat = b.lat + 2 * EASE * (per - b.lat) if b.lat else per
+            b.lat_at = self.now
+            self.lat = self.lat + EASE * (per - self.lat) if self.lat else per
+            share = ev.latency / self.aim()
+            self.lateness += EASE * (share - self.lateness)
+            self.budget = min(10.0, self.budget + RETRY_SHARE)
+            if share > 1:
+                b.limit = max(1.0, b.limit * 0.9)
+            elif len(b.inflight) + 1 >= b.limit / 2:
+                b.limit += 1 / b.limit
+            if "inflight" in self.s.report and ev.report:
+                seen = ev.report[self.s.report.index("inflight")]
+                b.others += 0.5 * (max(0.0, seen - len(b.inflight)) - b.others)
+        elif ev.ending is Ending.FULL:
+            b.heard = self.now
+            b.limit = max(1.0, len(b.inflight) * 0.8)
+        elif ev.ending in (Ending.NO_CONNECTION, Ending.RESET):
+            self.eject(b)
+        elif ev.ending is Ending.ERROR:
+            b.heard = self.now
+        elif ev.ending in (Ending.TIMEOUT, Ending.CANCELLED) and per > b.lat:
+            b.lat = b.lat + 2 * EASE * (per - b.lat) if b.lat else per
+            b.lat_at = self.now
+
+    def eject(self, b: Backend) -> None:
+        if b.out_until <= self.now:
+            b.fails = min(b.fails + 1, 4)
+            b.out_until = self.now + (SECOND << b.fails) // 2
+
+    # ---- attempts
+
+    def launch(self, held: Held) -> None:
+        b = self.choose(held)
+        if b is None:
+            self.refuse(held, SECOND // 2)
+            return
+        req, hop = held.req, held.hops
+        self.do.append(Attempt(req.id, b.entry.backend))
+        if not hop:
+            self.note_sent(held)
+        if not b.inflight:
+            b.heard = self.now
+        b.inflight[(req.id, hop)] = req.units
+        b.tokens -= req.units
+        held.hops += 1
+        held.out[hop] = (b, self.now)
+        held.tried.append(b.entry.backend)
+        held.cust.out += 1
+        if self.may_move(held):
+            self.check_later(held, hop, int(max(2.5 * self.lat_of(b) * req.units, 0.3 * held.cls.aim)))
+
+    def note_sent(self, held: Held) -> None:
+        units = held.req.units
+        self.roll_global()
+        self.added["total"] += units
+        if held.within:
+            self.added["served"] += units
+        self.sent_units += units
+
+    def may_move(self, held: Held) -> bool:
+        return self.s.may_cancel and held.hops < self.s.max_attempts and held.cls.effect is not Effect.UNSAFE
+
+    def check_later(self, held: Held, hop: int, delay: int) -> None:
+        token, self.next_token = self.next_token, self.next_token + 1
+        self.tokens[token] = (held.req.id, hop)
+        self.do.append(Wake(token, delay))
+
+    def check(self, rid: str, hop: int) -> None:
+        """Time-out by evidence: move off a backend that fell silent or is far slower than the fleet."""
+        held = self.held.get(rid)
+        if held is None or held.over or held.head or hop not in held.out:
+            return
+        b, _ = held.out[hop]
+        left = held.came + held.cls.aim - self.now
+        if left < self.lat * held.req.units or self.budget < 1:
+            return
+        if self.stalled(b) or self.lat_of(b) > 3 * self.lat:
+            if self.stalled(b):
+                self.eject(b)
+            self.do.append(Cancel(rid, hop))
+        else:
+            self.check_later(held, hop, int(0.2 * held.cls.aim))
+
+    def on_ended(self, ev: Ended) -> None:
+        held = self.held.get(ev.id)
+        if held is None or ev.hop not in held.out:
+            return
+        b, sent = held.out.pop(ev.hop)
+        units = b.inflight.pop((ev.id, ev.hop), 1.0)
+        self.learn(b, ev, units)
+        self.close_open(held)
+        if held.ran is None and ev.ending not in NEVER_RAN:
+            held.ran = (b, sent)
+        if ev.over or held.over:
+            self.finish(ev.id)
+        elif not held.out:
+            self.again(held, ev.ending)
+
+    def close_open(self, held: Held) -> None:
+        cust = held.cust
+        cust.out -= 1
+        if cust.plan.open and self.s.may_count and self.asking >= 1:
+            name = self.open_name(held.req.customer, cust)
+            self.charge(name, -1, 2 * self.open_slot(), "close", held.req.id)
+
+    def again(self, held: Held, ending: Ending) -> None:
+        """Another attempt where effect, budget and aim allow one; else the final answer at once."""
+        useful = held.came + held.cls.aim - self.now > self.lat * held.req.units / 2
+        if ending not in NEVER_RAN:
+            useful = useful and self.budget >= 1
+        if useful and held.hops < self.s.max_attempts and self.repeatable(held):
+            if ending not in NEVER_RAN:
+                self.budget -= 1
+            self.launch(held)
+        else:
+            self.refuse(held, SECOND // 2)
+
+    def repeatable(self, held: Held) -> bool:
+        if held.ran is None or held.cls.effect is Effect.SAFE:
+            return True
+        return held.cls.effect is Effect.KEYED and self.now - held.ran[1] < held.cls.memory
+
+    def refuse(self, held: Held, wait: int) -> None:
+        harmless = held.ran is None or held.cls.effect is Effect.SAFE or (
+            held.cls.effect is Effect.KEYED and held.cls.group == "all")
+        if harmless:
+            wait = min(max(wait, 1), SECOND, self.s.max_retry_after) if self.s.retry_after else 0
+            self.do.append(Refuse(held.req.id, wait))
+        else:
+            self.do.append(Fail(held.req.id))
+        self.finish(held.req.id)
+
+    def finish(self, rid: str) -> None:
+        held = self.held.get(rid)
+        if held is not None:
+            held.over = True
+            if not held.out:
+                del self.held[rid]
+
+    # ---- list and timers
+
+    def on_backends(self, ev: Backends) -> None:
+        if not self.ticking:
+            self.ticking = True
+            self.do.append(Wake(TICK, BATCH))
+            if self.s.on_request:
+                self.do.append(Watch(True))
+        if ev.form is ListForm.FAILED:
+            self.do.append(Watch(True))
+            return
+        if ev.form is not ListForm.DELTA:
+            listed = {e.backend for e in ev.entries}
+            for key, b in self.backends.items():
+                if key not in listed:
+                    b.entry = Entry(key, b.entry.zone, b.entry.kind, b.entry.cell, State.GONE, b.entry.weight)
+        for e in ev.entries:
+            known = self.backends.get(e.backend)
+            if known is None:
+                self.backends[e.backend] = Backend(e)
+            else:
+                if e.started > known.entry.started:
+                    known.fresh()
+                known.entry = e
+
+    def on_timer(self, token: int) -> None:
+        if token != TICK:
+            rid, hop = self.tokens.pop(token, ("", 0))
+            self.check(rid, hop)
+            return
+        self.do.append(Wake(TICK, BATCH))
+        if self.sent_at:
+            rate = self.sent_units * SECOND / max(1, self.now - self.sent_at)
+            self.sent_rate += EASE * (rate - self.sent_rate)
+        self.sent_units, self.sent_at = 0.0, self.now
+        if self.lends and (self.asking >= 1 or self.rng.random() < self.asking):
+            self.batch()
+        for name in [k for k, c in self.customers.items()
+                     if not c.out and self.now - c.seen > 2 * self.span]:
+            del self.customers[name]
+        if not self.backends:
+            self.do.append(Fetch())
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Lint, types, tests (module size and width are among the tests).
+set -eu
+cd "$(dirname "$0")"
+ruff check .
+mypy
+python -m pytest -q
