The floor slides: room kept from count deltas, refused units handed back

Now each gateway keeps the customer's room: refilled at the plan's rate, less own units and the others' adds read off the count; what is refused rides back with the next call; a count that fell is a flush and leaves local knowledge. One call a request as before. It should also cover counters emptied or back late; it may hurt where the others' use lies far back, as then the room is taken as fuller than it was.

--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -48,14 +48,15 @@
 
 
 class Customer:
-    __slots__ = ("plan", "spread", "seen", "window", "level", "own", "unsent", "floored", "lent", "lent_in",
-                 "slot", "out", "open_level")
+    __slots__ = ("name", "plan", "spread", "seen", "store", "at", "window", "level", "read", "unsent",
+                 "alone", "part", "floored", "lent", "lent_in", "out")
 
-    def __init__(self, plan: Plan) -> None:
-        self.plan, self.spread, self.seen = plan, 1, 0
-        self.window, self.level, self.own, self.unsent = -1, 0.0, 0.0, 0.0  # own: adds since the last read
-        self.floored, self.lent, self.lent_in = -1, 0.0, -1
-        self.slot, self.out, self.open_level = -1, 0, 0.0
+    def __init__(self, name: str, plan: Plan, now: int) -> None:
+        self.name, self.plan, self.spread, self.seen = name, plan, 1, now
+        self.store, self.at = plan.burst, now  # room under the sliding floor, as far as known here
+        self.window, self.level, self.read = -1, 0.0, 0  # the count as last read or added to, and when
+        self.unsent, self.alone, self.part = 0.0, False, 0.0  # part: own share of the room while unanswered
+        self.floored, self.lent, self.lent_in, self.out = -1, 0.0, -1, 0
 
 
 class Backend:
@@ -77,7 +78,7 @@
 class Held:
     """A request that is owed a final answer, or has attempts out."""
     __slots__ = ("req", "cls", "cust", "came", "within", "waiting", "hops", "out", "ran", "over", "head",
-                 "tried")
+                 "tried", "taken")
 
     def __init__(self, req: Request, cls: RequestClass, cust: Customer, now: int) -> None:
         self.req, self.cls, self.cust, self.came = req, cls, cust, now
@@ -85,6 +86,7 @@
         self.out: dict[int, tuple[Backend, int]] = {}
         self.ran: tuple[Backend, int] | None = None  # first attempt that may have run, and when it was sent
         self.tried: list[int] = []
+        self.taken = False  # its units are out of the customer's room
 
 
 class Gateway:
@@ -96,7 +98,7 @@
         self.customers: dict[str, Customer] = {}
         self.calls: dict[str, deque[tuple[str, str, float]]] = {}  # name -> (kind, id, amount)
         self.asking, self.asked_less = 1.0, 0  # share of requests that ask the counter; when it last fell
-        windows = [self.window_of(p) for p in settings.plans if p.rate > 0]
+        windows = [int(p.burst / p.rate * SECOND) for p in settings.plans if p.rate > 0]
         self.span = max(windows, default=SECOND)  # the one global window: the longest plan window
         self.lends = settings.may_count and any(p.over_worth > p.over_cost for p in settings.plans)
         self.gwin, self.flushed = -1, False
@@ -135,47 +137,71 @@
             return
         cust = self.customers.get(req.customer)
         if cust is None:
-            cust = self.customers[req.customer] = Customer(self.s.plans[req.plan])
+            cust = self.customers[req.customer] = Customer(req.customer, self.s.plans[req.plan], self.now)
         cust.seen, cust.spread = self.now, max(1, min(req.spread, self.s.fleet))
         held = self.held[req.id] = Held(req, self.s.classes[req.cls], cust, self.now)
-        self.roll(cust)
+        self.roll_global()
         ask = (self.s.may_count and req.deadline - self.now > 2 * self.s.counter_timeout
                and (self.asking >= 1 or self.rng.random() < self.asking))
-        if not ask:
-            self.alone(held, req.units)
-        elif cust.plan.rate > 0:
-            held.waiting += 1
-            amount, cust.unsent = req.units + cust.unsent, 0.0
-            name, ttl = self.quota_name(req.customer, cust), 2 * self.window_of(cust.plan)
-            self.charge(name, amount, ttl, "quota", req.id)
-        if ask and cust.plan.open:
+        if cust.plan.rate > 0:
+            self.refill(cust)
+            if ask and cust.store >= req.units:
+                held.waiting += 1
+                amount, cust.unsent = req.units + cust.unsent, 0.0
+                self.charge(self.quota_name(cust), amount, "quota", req.id)
+            elif ask and self.now - cust.read > BATCH:  # no room even by what was known: read only
+                self.charge(self.quota_name(cust), cust.unsent, "read", req.customer)
+                cust.unsent, held.within = 0.0, False
+            else:
+                self.alone(held)
+                cust.unsent += req.units if held.taken else 0.0
+        if cust.plan.open and ask:
             held.waiting += 1
-            self.charge(self.open_name(req.customer, cust), 1, 2 * self.open_slot(), "open", req.id)
+            self.charge(self.open_name(cust), 1, "open", req.id)
+        elif cust.plan.open:
+            held.within = held.within and cust.out < max(1, cust.plan.open / cust.spread)
         if not held.waiting:
             self.settle(held)
 
-    def window_of(self, plan: Plan) -> int:
-        return int(plan.burst / plan.rate * SECOND) if plan.rate > 0 else SECOND
-
     def open_slot(self) -> int:
         return 2 * max(c.deadline for c in self.s.classes)
 
-    def quota_name(self, customer: str, cust: Customer) -> str:
-        return f"q:{customer}:{cust.window}"
-
-    def open_name(self, customer: str, cust: Customer) -> str:
-        return f"o:{customer}:{cust.slot}"
+    def quota_name(self, cust: Customer) -> str:
+        return f"q:{cust.name}:{self.gwin}"
 
-    def roll(self, cust: Customer) -> None:
-        window = self.now // self.window_of(cust.plan)
-        if window != cust.window:
-            cust.window, cust.level, cust.own, cust.unsent = window, 0.0, 0.0, 0.0
-        cust.slot = self.now // self.open_slot()
+    def open_name(self, cust: Customer) -> str:
+        return f"o:{cust.name}:{self.now // self.open_slot()}"
 
-    def charge(self, name: str, amount: float, ttl: int, kind: str, rid: str) -> None:
+    def charge(self, name: str, amount: float, kind: str, rid: str) -> None:
         self.calls.setdefault(name, deque()).append((kind, rid, amount))
+        ttl = 2 * (self.open_slot() if kind in ("open", "close") else self.span)
         self.do.append(Charge(name, amount, min(ttl, 60 * SECOND)))
 
+    def refill(self, cust: Customer) -> None:
+        """The floor slides: room comes back at the plan's rate, up to its burst, as quotas are judged. Guards
+        against two bursts around a fixed window's boundary and against refusals late in a used-up window."""
+        gained = cust.plan.rate * (self.now - cust.at) / SECOND
+        cust.store = min(cust.plan.burst, cust.store + gained)
+        cust.part = min(cust.plan.burst / cust.spread, cust.part + gained / cust.spread)
+        cust.at = self.now
+
+    def counted(self, cust: Customer, ev: Counted, amount: float) -> None:
+        """Takes what the others added since the last read out of the room. A count that fell by more than
+        units handed back was emptied: then only what is known here counts."""
+        current = ev.name == self.quota_name(cust)
+        if current and cust.window != self.gwin:
+            cust.window, cust.level = self.gwin, 0.0
+        if ev.ending is Ending.TIMEOUT and current:
+            cust.level += amount  # it may have been added
+        elif ev.ending is not Ending.SERVED and ev.ending is not Ending.TIMEOUT:
+            cust.unsent += amount
+        elif current:
+            self.refill(cust)
+            others = ev.level - cust.level - amount
+            cust.level, cust.read, cust.alone = ev.level, self.now, False
+            if others > -self.s.largest:
+                cust.store = min(cust.plan.burst, cust.store - others)
+
     def on_counted(self, ev: Counted) -> None:
         waiting = self.calls.get(ev.name)
         if not waiting:
@@ -188,28 +214,28 @@
         if kind in self.counts:
             self.on_batch(kind, ev, amount, answered)
             return
+        if kind == "read":
+            if rid in self.customers:
+                self.counted(self.customers[rid], ev, amount)
+            return
         held = self.held.get(rid)
         if held is None or held.over or not held.waiting:
             return
         cust = held.cust
         if kind == "quota":
-            current = ev.name == self.quota_name(held.req.customer, cust)
+            self.counted(cust, ev, amount)
             if answered:
-                if current:
-                    cust.level, cust.own = ev.level, 0.0
-                held.within = held.within and ev.level <= cust.plan.burst
-                if ev.level == amount:
-                    self.add_floor(cust)
+                self.take(held, cust.store >= held.req.units)
             else:
-                self.alone(held, held.req.units)
-                if ev.ending is not Ending.TIMEOUT and held.within and current:
-                    cust.unsent += amount  # nothing was added: it goes with the next call
+                self.alone(held)
+            if not held.taken:
+                cust.unsent -= held.req.units  # handed back with the next call
+            if answered and ev.level == amount:
+                self.add_floor(cust)
+        elif kind == "open" and answered:
+            held.within = held.within and ev.level <= cust.plan.open
         elif kind == "open":
-            if answered:
-                cust.open_level = ev.level
-                held.within = held.within and ev.level <= cust.plan.open
-            else:
-                held.within = held.within and cust.out < max(1, cust.plan.open / cust.spread)
+            held.within = held.within and cust.out < max(1, cust.plan.open / cust.spread)
         held.waiting -= 1
         if not held.waiting:
             self.settle(held)
@@ -221,27 +247,38 @@
         elif not answered and self.now - self.asked_less > 2 * self.s.counter_timeout:
             self.asking, self.asked_less = max(ASK_LEAST, self.asking / 2), self.now
 
-    def alone(self, held: Held, units: float) -> None:
-        """DESIGN: unanswered, a request passes only within its gateway's part of the room left."""
-        cust = held.cust
-        if cust.plan.rate > 0:
-            room = max(0.0, cust.plan.burst - cust.level) / cust.spread
-            if cust.own + units <= room:
-                cust.own += units
-                if not held.waiting:
-                    cust.unsent += units
-            else:
-                held.within = False
-        if cust.plan.open and not held.waiting:
-            held.within = held.within and cust.out < max(1, cust.plan.open / cust.spread)
+    def alone(self, held: Held) -> None:
+        """DESIGN: unanswered, a request passes only within its gateway's part of the room left. The part is
+        rounded by lot, or a part smaller than a request would never pass one."""
+        cust, units = held.cust, held.req.units
+        if not cust.alone:
+            cust.alone, cust.part = True, cust.store / cust.spread
+        self.take(held, cust.store >= units and cust.part >= units * self.rng.random())
+        if held.taken:
+            cust.part -= units
+
+    def take(self, held: Held, room: bool) -> None:
+        held.taken, held.within = room, held.within and room
+        if room:
+            held.cust.store -= held.req.units
+
+    def give_back(self, held: Held) -> None:
+        """Units counted but not sent on inside the quota: the judging store holds them still."""
+        if held.taken and not held.hops:
+            held.taken = False
+            held.cust.store += held.req.units
+            held.cust.unsent -= held.req.units
 
     def settle(self, held: Held) -> None:
         """Floor first; then borrowing; else refused at once with a time to come back."""
+        if not held.within:
+            self.give_back(held)
         if held.within or self.borrow(held):
             self.launch(held)
             return
-        window = self.window_of(held.cust.plan)
-        self.refuse(held, window - self.now % window)
+        cust = held.cust
+        wait = (held.req.units - cust.store) / cust.plan.rate * SECOND if cust.plan.rate > 0 else SECOND
+        self.refuse(held, int(wait))
 
     # ---- lending
 
@@ -261,7 +298,7 @@
         self.roll_global()
         for k, amount in self.added.items():
             if not self.calls.get(f"g:{k}:{self.gwin}"):
-                self.charge(f"g:{k}:{self.gwin}", amount, 2 * self.span, k, "")
+                self.charge(f"g:{k}:{self.gwin}", amount, k, "")
                 self.counts[k] += amount
                 self.added[k] = 0.0
 
@@ -470,8 +507,7 @@
         cust = held.cust
         cust.out -= 1
         if cust.plan.open and self.s.may_count and self.asking >= 1:
-            name = self.open_name(held.req.customer, cust)
-            self.charge(name, -1, 2 * self.open_slot(), "close", held.req.id)
+            self.charge(self.open_name(cust), -1, "close", held.req.id)
 
     def left(self, held: Held) -> int:
         """Time in which an answer is still worth something: to the aim, or to an earlier deadline. Sending
@@ -496,6 +532,7 @@
         return held.cls.effect is Effect.KEYED and self.now - held.ran[1] < held.cls.memory
 
     def refuse(self, held: Held, wait: int) -> None:
+        self.give_back(held)
         harmless = held.ran is None or held.cls.effect is Effect.SAFE or (
             held.cls.effect is Effect.KEYED and held.cls.group == "all")
         if harmless:
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,134 @@
+"""The quota decision: every branch, by what the counter answers or fails to answer."""
+
+from oakvale.interface import Attempt, Charge, Ending, Refuse, Request
+from tests.helpers import HARD, Drive, of
+
+
+def passes(actions: list[object]) -> bool:
+    return any(isinstance(a, Attempt) for a in actions)
+
+
+def spend(d: Drive, n: int, **kw: object) -> list[bool]:
+    return [passes(list(d.ask(**kw)[1])) for _ in range(n)]  # type: ignore[arg-type]
+
+
+def test_each_request_asks_the_counter_before_it_is_sent() -> None:
+    d = Drive()
+    _, actions = d.request(units=2)
+    [call] = of(actions, Charge)
+    assert call.amount == 2 and not passes(list(actions))
+    assert passes(list(d.count(actions)))
+
+
+def test_floor_passes_and_the_next_is_refused_with_advice() -> None:
+    d = Drive()
+    assert spend(d, 8) == [True] * 8
+    _, actions = d.ask()
+    [refused] = of(actions, Refuse)
+    assert 0 < refused.retry_after <= 1_000_000
+
+
+def test_the_floor_slides_across_a_window_boundary() -> None:
+    """A burst on each side of a boundary: the second finds only what has come back since."""
+    d = Drive()
+    span = int(HARD.burst / HARD.rate * 1_000_000)
+    d.now += span - d.now % span - 100_000
+    assert all(spend(d, 8))
+    d.now += 200_000  # into the next window
+    assert not any(spend(d, 3))
+    d.now += 1_000_000  # two units have come back
+    assert spend(d, 4) == [True, True, False, False]
+
+
+def test_what_others_add_is_taken_out_of_the_room() -> None:
+    d = Drive()
+    spend(d, 1)
+    [name] = d.numbers
+    d.numbers[name] += 6
+    assert spend(d, 3) == [True, False, False]
+
+
+def test_units_of_a_refused_request_are_handed_back() -> None:
+    d = Drive()
+    spend(d, 1)
+    [name] = d.numbers
+    d.numbers[name] += 7  # leaves none, and this gateway cannot know
+    d.ask()
+    d.now += 1_000_000
+    d.ask(units=1)
+    assert d.numbers[name] == 9  # 1 + 7 + 1: the refused unit went back with the next call
+
+
+def test_an_emptied_counter_does_not_widen_the_room() -> None:
+    d = Drive()
+    assert all(spend(d, 8, units=1))
+    d.numbers.clear()
+    assert not any(spend(d, 4))
+
+
+def test_unanswered_calls_pass_within_the_part_of_this_gateway() -> None:
+    d = Drive()
+    passed = sum(spend(d, 40, ending=Ending.TIMEOUT))
+    assert 3 <= passed <= 5  # 8 units over two gateways
+
+
+def test_unanswered_use_is_told_when_the_counter_answers_again() -> None:
+    d = Drive()
+    passed = sum(spend(d, 3, ending=Ending.FULL))
+    d.gw.asking = 1.0
+    d.ask()
+    [total] = d.numbers.values()
+    assert passed and total == passed + 1
+
+
+def test_a_silent_counter_is_asked_far_less_and_again_when_it_answers() -> None:
+    d = Drive()
+    calls = 0
+    for k in range(400):
+        d.now += 20_000
+        _, actions = d.request(customer=f"c{k}")
+        calls += len(of(actions, Charge))
+        d.count(actions, Ending.TIMEOUT)
+    assert calls < 100
+    for k in range(5000):
+        d.now += 20_000
+        d.ask(customer=f"d{k}")
+    assert d.gw.asking == 1.0
+
+
+def test_no_counter_at_all() -> None:
+    d = Drive(may_count=False)
+    passed = 0
+    for _ in range(20):
+        _, actions = d.request()
+        assert not of(actions, Charge)
+        passed += passes(list(actions))
+    assert 3 <= passed <= 5
+
+
+def test_an_unknown_plan_or_class_gets_a_final_answer() -> None:
+    d = Drive()
+    for plan, cls in ((9, 0), (0, 9), (-1, 0)):
+        _, actions = d.request(plan=plan, cls=cls)
+        assert of(actions, Refuse)
+
+
+def test_idle_customers_are_dropped() -> None:
+    d = Drive()
+    for k in range(500):
+        d.ask(customer=f"one-off-{k}")
+        rid = f"r{d.n}"
+        d.end(rid, d.gw.held[rid].out[0][0].entry.backend)
+    assert len(d.gw.customers) == 500
+    from oakvale.interface import Timer
+    d.now += 60_000_000
+    d.send(Timer(0))
+    assert not d.gw.customers and not d.gw.held
+
+
+def test_nothing_usable_still_ends_in_time() -> None:
+    d = Drive(backends=0)
+    _, actions = d.ask()
+    assert of(actions, Refuse)
+    late = d.send(Request("x", "a", 0, 0, 1, 2, 0, d.now + 1_000))
+    assert of(late, Refuse)  # no time for a call: decided at once
