A backend's limit shrinks when its mean latency passes a good part of the aim

Now a backend whose expected latency for a mean request passes 0.4 of the aim holds less. Covers any shortage of capacity, some or all servers. It may hurt where latency is long for other reasons than load.

--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -106,6 +106,7 @@
         self.added = {"floors": 0.0, "total": 0.0, "served": 0.0}  # own, not yet sent
         self.backends: dict[int, Backend] = {}
         self.lat, self.lateness = 0.0, 0.0  # latency of a unit; latency as a share of the aim
+        self.units = 1.0  # mean units of a request
         self.budget = 10.0
         self.sent_units, self.sent_rate, self.sent_at = 0.0, 0.0, 0
         self.tokens: dict[int, tuple[str, int]] = {}
@@ -346,6 +347,10 @@
         fade: float = 0.5 ** ((self.now - b.lat_at) / (5 * SECOND))
         return self.lat + (b.lat - self.lat) * fade
 
+    def slow(self, b: Backend) -> bool:
+        """A request of mean size would take a good part of the aim there: it holds too much."""
+        return self.lat_of(b) * self.units > 0.4 * self.aim()
+
     def stalled(self, b: Backend) -> bool:
         """It holds work and has answered nothing for longer than that work should take."""
         if not b.inflight:
@@ -412,8 +417,8 @@
             share = ev.latency / self.aim()
             self.lateness += EASE * (share - self.lateness)
             self.budget = min(10.0, self.budget + RETRY_SHARE)
-            if share > 1:
-                b.limit = max(1.0, b.limit * 0.9)
+            if self.slow(b) or share > 1:
+                b.limit = max(1.0, b.limit * 0.95)
             elif len(b.inflight) + 1 >= b.limit / 2:
                 b.limit += 1 / b.limit
             if "inflight" in self.s.report and ev.report:
@@ -459,7 +464,7 @@
 
     def note_sent(self, held: Held) -> None:
         units = held.req.units
-        self.roll_global()
+        self.units += EASE * (units - self.units)
         self.added["total"] += units
         if held.within:
             self.added["served"] += units
