Open counts tell what each gateway holds, for one deadline at a time

Now a call brings the count to what the gateway holds, a turned-away call rides with the next, and each slot starts from what the living hold, so a dead gateway's part ends with it. Just after a slot begins the others' part may be missing for one call, which lets a little too much in.

--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -49,14 +49,15 @@
 
 class Customer:
     __slots__ = ("name", "plan", "spread", "seen", "store", "at", "window", "level", "read", "unsent",
-                 "alone", "part", "floored", "lent", "lent_in", "out")
+                 "alone", "part", "floored", "lent", "lent_in", "out", "asked", "slot", "told")
 
     def __init__(self, name: str, plan: Plan, now: int) -> None:
         self.name, self.plan, self.spread, self.seen = name, plan, 1, now
         self.store, self.at = plan.burst, now  # room under the sliding floor, as far as known here
         self.window, self.level, self.read = -1, 0.0, 0  # the count as last read or added to, and when
         self.unsent, self.alone, self.part = 0.0, False, 0.0  # part: own share of the room while unanswered
-        self.floored, self.lent, self.lent_in, self.out = -1, 0.0, -1, 0
+        self.floored, self.lent, self.lent_in = -1, 0.0, -1
+        self.out, self.asked, self.slot, self.told = 0, 0, -1, 0  # attempts out; those the counter knows of
 
 
 class Backend:
@@ -158,14 +159,15 @@
                 cust.unsent += req.units if held.taken else 0.0
         if cust.plan.open and ask:
             held.waiting += 1
-            self.charge(self.open_name(cust), 1, "open", req.id)
+            cust.asked += 1
+            self.tell_open(cust, req.id)
         elif cust.plan.open:
-            held.within = held.within and cust.out < max(1, cust.plan.open / cust.spread)
+            held.within = held.within and self.open_part(cust) >= 1
         if not held.waiting:
             self.settle(held)
 
     def open_slot(self) -> int:
-        return 2 * max(c.deadline for c in self.s.classes)
+        return max(c.deadline for c in self.s.classes)
 
     def quota_name(self, cust: Customer) -> str:
         return f"q:{cust.name}:{self.gwin}"
@@ -173,9 +175,32 @@
     def open_name(self, cust: Customer) -> str:
         return f"o:{cust.name}:{self.now // self.open_slot()}"
 
+    def told_less(self, cust: Customer) -> None:
+        if cust.plan.open and self.s.may_count and self.asking >= 1:
+            self.tell_open(cust)
+
+    def open_part(self, cust: Customer) -> float:
+        return max(1, cust.plan.open / cust.spread) - cust.out
+
+    def tell_open(self, cust: Customer, rid: str = "") -> None:
+        """Brings the count of attempts out to what this gateway holds. A count lives for one slot, the
+        longest deadline, and starts anew from what the living hold: a dead gateway's part ends with it."""
+        slot = self.now // self.open_slot()
+        if slot != cust.slot:
+            cust.slot, cust.told = slot, 0
+        amount = cust.out + cust.asked - cust.told
+        if amount or rid:
+            cust.told += amount
+            self.charge(self.open_name(cust), amount, "open" if rid else "told", rid or cust.name)
+
+    def told(self, cust: Customer, ev: Counted, amount: float) -> None:
+        """A call that was turned away told nothing: what it held goes with the next."""
+        if ev.ending not in (Ending.SERVED, Ending.TIMEOUT) and ev.name == self.open_name(cust):
+            cust.told -= int(amount)
+
     def charge(self, name: str, amount: float, kind: str, rid: str) -> None:
         self.calls.setdefault(name, deque()).append((kind, rid, amount))
-        ttl = 2 * (self.open_slot() if kind in ("open", "close") else self.span)
+        ttl = 2 * (self.open_slot() if kind in ("open", "told") else self.span)
         self.do.append(Charge(name, amount, min(ttl, 60 * SECOND)))
 
     def refill(self, cust: Customer) -> None:
@@ -215,30 +240,35 @@
         if kind in self.counts:
             self.on_batch(kind, ev, amount, answered)
             return
-        if kind == "read":
+        if kind in ("read", "told"):  # for these, rid is the customer's name
             if rid in self.customers:
-                self.counted(self.customers[rid], ev, amount)
+                (self.counted if kind == "read" else self.told)(self.customers[rid], ev, amount)
             return
         held = self.held.get(rid)
-        if held is None or held.over or not held.waiting:
+        if held is None or not held.waiting:
             return
-        cust = held.cust
+        cust, units = held.cust, held.req.units
+        held.waiting -= 1
         if kind == "quota":
             self.counted(cust, ev, amount)
-            if answered:
-                self.take(held, cust.store >= held.req.units)
+            if held.over:
+                held.within = False
+            elif answered:
+                self.take(held, cust.store >= units)
             else:
                 self.alone(held)
             if not held.taken:
-                cust.unsent -= held.req.units  # handed back with the next call
+                cust.unsent -= units  # handed back with the next call
             if answered and ev.level == amount:
                 self.add_floor(cust)
-        elif kind == "open" and answered:
-            held.within = held.within and ev.level <= cust.plan.open
         elif kind == "open":
-            held.within = held.within and cust.out < max(1, cust.plan.open / cust.spread)
-        held.waiting -= 1
-        if not held.waiting:
+            cust.asked -= 1
+            self.told(cust, ev, amount)
+            room = cust.plan.open - ev.level if answered else self.open_part(cust) - 1
+            held.within = held.within and room >= 0
+        if held.over:
+            self.finish(rid)
+        elif not held.waiting:
             self.settle(held)
 
     def pace(self, answered: bool, latency: int) -> None:
@@ -500,7 +530,8 @@
         b, sent = held.out.pop(ev.hop)
         units = b.inflight.pop((ev.id, ev.hop), 1.0)
         self.learn(b, ev, units)
-        self.close_open(held)
+        held.cust.out -= 1
+        self.told_less(held.cust)
         if held.ran is None and ev.ending not in NEVER_RAN:
             held.ran = (b, sent)
         if ev.over or held.over:
@@ -508,12 +539,6 @@
         elif not held.out:
             self.again(held, ev.ending)
 
-    def close_open(self, held: Held) -> None:
-        cust = held.cust
-        cust.out -= 1
-        if cust.plan.open and self.s.may_count and self.asking >= 1:
-            self.charge(self.open_name(cust), -1, "close", held.req.id)
-
     def left(self, held: Held) -> int:
         """Time in which an answer is still worth something: to the aim, or to an earlier deadline. Sending
         on at the very end of impatient clients left requests without a final answer."""
@@ -538,6 +563,7 @@
 
     def refuse(self, held: Held, wait: int) -> None:
         self.give_back(held)
+        self.told_less(held.cust)
         harmless = held.ran is None or held.cls.effect is Effect.SAFE or (
             held.cls.effect is Effect.KEYED and held.cls.group == "all")
         if harmless:
@@ -551,7 +577,7 @@
         held = self.held.get(rid)
         if held is not None:
             held.over = True
-            if not held.out:
+            if not held.out and not held.waiting:
                 del self.held[rid]
 
     # ---- list and timers
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,6 +1,8 @@
 """The quota decision: every branch, by what the counter answers or fails to answer."""
 
-from oakvale.interface import Attempt, Charge, Ending, Refuse, Request
+from dataclasses import replace
+
+from oakvale.interface import Attempt, Charge, Ending, Refuse, Request, Withdrawn
 from tests.helpers import HARD, Drive, of
 
 
@@ -132,3 +134,46 @@
     assert of(actions, Refuse)
     late = d.send(Request("x", "a", 0, 0, 1, 2, 0, d.now + 1_000))
     assert of(late, Refuse)  # no time for a call: decided at once
+
+
+def open_drive() -> Drive:
+    return Drive(plans=(replace(HARD, rate=0.0, burst=0.0, open=2),))
+
+
+def test_attempts_out_are_limited_across_gateways() -> None:
+    d = open_drive()
+    assert spend(d, 3) == [True, True, False]
+    d.count(d.end("r1", d.gw.held["r1"].out[0][0].entry.backend))
+    [name] = d.numbers
+    assert d.numbers[name] == 1
+    d.numbers[name] += 1  # another gateway's
+    assert spend(d, 1) == [False]
+
+
+def test_a_count_lost_on_the_way_does_not_leak() -> None:
+    """A close that the counter never took goes with the next call; a new slot starts from what is held."""
+    d = open_drive()
+    assert spend(d, 2) == [True, True]
+    for rid in ("r1", "r2"):
+        d.count(d.end(rid, d.gw.held[rid].out[0][0].entry.backend), Ending.FULL)
+    d.gw.asking = 1.0
+    assert spend(d, 2) == [True, True]
+    assert list(d.numbers.values()) == [2]
+    d.now += 4_000_000
+    d.gw.asking = 1.0
+    assert spend(d, 1) == [False]  # two are still out, and are told in the new slot
+    assert d.numbers[max(d.numbers)] <= 3
+
+
+def test_open_limit_without_an_answer_is_split() -> None:
+    d = open_drive()
+    assert spend(d, 3, ending=Ending.TIMEOUT) == [True, False, False]
+
+
+def test_a_client_that_leaves_while_the_counter_is_asked_keeps_its_units() -> None:
+    d = Drive()
+    rid, actions = d.request(units=4)
+    assert d.send(Withdrawn(rid)) == []
+    assert not passes(list(d.count(actions)))
+    assert spend(d, 8, units=1) == [True] * 8
+    assert not d.gw.calls
