Use told late meets the refill that a full room spilt meanwhile

While the counter is asked less, such a lump first meets what was spilt. It may let a little more in when the others' use really came last.

--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -25,12 +25,13 @@
 
 
 class Customer:
-    __slots__ = ("name", "plan", "spread", "seen", "store", "at", "window", "level", "read", "unsent",
-                 "alone", "part", "floored", "lent", "lent_in", "out", "asked", "slot", "told")
+    __slots__ = ("name", "plan", "spread", "seen", "store", "at", "spilt", "window", "level", "read",
+                 "unsent", "alone", "part", "floored", "lent", "lent_in", "out", "asked", "slot", "told")
 
     def __init__(self, name: str, plan: Plan, now: int) -> None:
         self.name, self.plan, self.spread, self.seen = name, plan, 1, now
         self.store, self.at = plan.burst, now  # room under the sliding floor, as far as known here
+        self.spilt = 0.0  # what came back to a full room since the last read
         self.window, self.level, self.read = -1, 0.0, 0  # the count as last read or added to, and when
         self.unsent, self.alone, self.part = 0.0, False, 0.0  # part: own share of the room while unanswered
         self.floored, self.lent, self.lent_in = -1, 0.0, -1
@@ -185,13 +186,15 @@
         """The floor slides: room comes back at the plan's rate, up to its burst, as quotas are judged. Guards
         against two bursts around a fixed window's boundary and against refusals late in a used-up window."""
         gained = cust.plan.rate * (self.now - cust.at) / SECOND
+        cust.spilt += max(0.0, cust.store + gained - cust.plan.burst)
         cust.store = min(cust.plan.burst, cust.store + gained)
         cust.part = min(cust.plan.burst / cust.spread, cust.part + gained / cust.spread)
         cust.at = self.now
 
     def counted(self, cust: Customer, ev: Counted, amount: float) -> None:
-        """Takes what the others added since the last read out of the room. A count that fell by more than
-        units handed back was emptied: then only what is known here counts."""
+        """Takes what the others added since the last read out of the room. While use is told late, for
+        a counter that answers few, it first meets what came back meanwhile to a full room. A count that fell
+        by more than units handed back was emptied: then only what is known here counts."""
         current = ev.name == self.quota_name(cust)
         if current and cust.window != self.gwin:
             cust.window, cust.level = self.gwin, 0.0
@@ -204,7 +207,9 @@
             others = ev.level - cust.level - amount
             cust.level, cust.read, cust.alone = ev.level, self.now, False
             if others > -self.s.largest:
-                cust.store = min(cust.plan.burst, cust.store - others)
+                met = min(cust.spilt, max(0.0, others)) if self.asking < 1 else 0.0
+                cust.store = min(cust.plan.burst, cust.store - others + met)
+            cust.spilt = 0.0
 
     def on_counted(self, ev: Counted) -> None:
         waiting = self.calls.get(ev.name)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -177,3 +177,19 @@
     assert not passes(list(d.count(actions)))
     assert spend(d, 8, units=1) == [True] * 8
     assert not d.gw.calls
+
+
+def test_use_told_late_is_not_taken_from_a_room_that_was_full_meanwhile() -> None:
+    """After an outage the others tell seconds of use at once; their room had come back all that time."""
+    d = Drive()
+    spend(d, 1)
+    [name] = d.numbers
+    d.gw.asking = 0.99
+    d.now += 2_000_000
+    d.gw.refill(d.gw.customers["a"])  # full again; three of four units that came back were spilt
+    before = d.gw.customers["a"].spilt
+    assert before == 3
+    d.numbers[name] += 3  # used by others in that time, told only now
+    d.gw.rng.random = lambda: 0.0  # type: ignore[method-assign]
+    spend(d, 1)
+    assert d.gw.customers["a"].store == 7  # 8, less this request alone
