--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -80,13 +80,13 @@
         self.asking, self.asked_less = 1.0, 0  # share of requests that ask the counter; when it last fell
         windows = [int(p.burst / p.rate * SECOND) for p in settings.plans if p.rate > 0]
         self.span = max(windows, default=SECOND)  # the one global window: the longest plan window
-        self.lends = settings.may_count and any(p.over_worth > p.over_cost for p in settings.plans)
+        self.lends = settings.may_count and any(map(self.soft, settings.plans))
         self.gwin, self.flushed = -1, False
         self.counts = {"floors": 0.0, "total": 0.0, "served": 0.0}  # as last read, this global window
         self.added = {"floors": 0.0, "total": 0.0, "served": 0.0}  # own, not yet sent
         self.backends: dict[int, Backend] = {}
-        self.lat, self.lateness = 0.0, 0.0  # latency of a unit; latency as a share of the aim
-        self.units, self.base = 1.0, 0.0  # mean units of a request; least latency of a unit, slowly forgotten
+        self.units = 1.0  # mean units of a request
+        self.lat = self.base = 0.0  # latency of a unit in the fleet: lately, and the least, slowly forgotten
         self.budget = 10.0
         self.sent_units, self.sent_rate, self.sent_at = 0.0, 0.0, 0
         self.tokens: dict[int, tuple[str, int]] = {}
@@ -327,18 +327,21 @@
             self.counts[kind] -= amount
             self.added[kind] += amount
 
+    def soft(self, plan: Plan) -> bool:
+        return plan.over_worth > plan.over_cost  # lending earns more than it costs
+
     def borrow(self, held: Held) -> bool:
         cust, units = held.cust, held.req.units
-        if cust.plan.over_worth <= cust.plan.over_cost or not self.lends or self.pressed():
+        if not self.soft(cust.plan) or not self.lends or self.pressed():
             return False
         self.roll_global()
         if self.flushed or self.asking < 1:
             return False
         floors, total, served = (self.counts[k] + self.added[k] for k in self.counts)
         elapsed = self.now % self.span / self.span
-        if R_OVER_FLOORS * floors * elapsed - total - max(0.0, floors - served) <= 0:
+        if R_OVER_FLOORS * floors * elapsed - total - max(0.0, floors * elapsed - served) <= 0:
             return False
-        weights = sum(c.plan.price for c in self.customers.values())
+        weights = sum(c.plan.price for c in self.customers.values() if self.soft(c.plan))
         share = (R_OVER_FLOORS - 1) * floors * cust.plan.price / weights
         if cust.lent_in != self.gwin:
             cust.lent, cust.lent_in = 0.0, self.gwin
@@ -350,8 +353,8 @@
     # ---- backends and choice
 
     def pressed(self) -> bool:
-        """Answers take over half the aim: no lending while servers slow."""
-        return self.lateness > 0.5
+        """Work takes half as long again as at best: nothing is lent while servers slow."""
+        return self.lat > 1.5 * self.base
 
     def lat_of(self, b: Backend) -> float:
         """Latency of a unit; what was seen long ago fades, so that a slow one is tried again."""
@@ -424,8 +427,6 @@
             b.lat_at = self.now
             self.lat = self.lat + EASE * (per - self.lat) if self.lat else per
             self.base = min(self.base, self.lat) if self.base else self.lat
-            share = ev.latency / self.aim()
-            self.lateness += EASE * (share - self.lateness)
             self.budget = min(10.0, self.budget + RETRY_SHARE)
             self.fit(b)
             if "inflight" in self.s.report and ev.report:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -186,6 +186,7 @@
     [name] = d.numbers
     d.gw.asking = 0.9
     d.now += 2_000_000
+    d.gw.now = d.now
     d.gw.refill(d.gw.customers["a"])  # full again; three of four units that came back were spilt
     before = d.gw.customers["a"].spilt
     assert before == 3
