Best latency only after fifty answers; limits below one for many gateways; ceilings

Two causes, told apart by latency: with many gateways a least limit of one out per backend and gateway is far more than the cores; and the best latency was learned from the first answers, which are the short requests, so small fleets shed with servers idle. Hard ceilings: each gateway keeps its own part, filled from empty at its start; post-paid units are put right.

--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -17,7 +17,8 @@
 BATCH = 250_000  # DESIGN: the global counts go four times a second
 R_OVER_FLOORS = 1.3  # DESIGN: R starts at 1.3 times the floor sum
 SECOND = 1_000_000
-CROWDED = 2.0  # a backend this much slower than the fleet at its best holds more than it has cores for
+CROWDED = 1.3  # a backend this much slower than the fleet at its best holds more than it has cores for
+FIRST_OUT = 2.0  # out at a backend from all gateways before its latency is known: two keep the least one busy
 ASK_LEAST = 0.02  # share of requests still asking a counter that does not answer: finds its return
 RETRY_SHARE = 0.1  # retry budget: further attempts per answer, the customary tenth
 EASE = 0.1  # weight of the newest sample in moving averages: about the last ten answers
@@ -25,12 +26,10 @@
 
 
 class Customer:
-    __slots__ = ("name", "plan", "spread", "seen", "store", "at", "spilt", "window", "level", "read",
-                 "unsent", "alone", "part", "floored", "lent", "lent_in", "out", "asked", "slot", "told")
-
     def __init__(self, name: str, plan: Plan, now: int) -> None:
         self.name, self.plan, self.spread, self.seen = name, plan, 1, now
         self.store, self.at = plan.burst, now  # room under the sliding floor, as far as known here
+        self.cap, self.cap_at = 0.0, 0  # own part of a hard ceiling
         self.spilt = 0.0  # what came back to a full room since the last read
         self.window, self.level, self.read = -1, 0.0, 0  # the count as last read or added to, and when
         self.unsent, self.alone, self.part = 0.0, False, 0.0  # part: own share of the room while unanswered
@@ -39,27 +38,21 @@
 
 
 class Backend:
-    __slots__ = ("entry", "inflight", "others", "lat", "lat_at", "heard", "limit", "growing", "fails",
-                 "out_until", "fulls", "rest_until", "tokens", "tokens_at")
-
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, entry: Entry, limit: float) -> None:
         self.entry = entry
         self.inflight: dict[tuple[str, int], float] = {}  # attempt -> units
-        self.fresh()
+        self.fresh(limit)
 
-    def fresh(self) -> None:
+    def fresh(self, limit: float) -> None:
         """What a restarted process did before tells nothing of it now."""
         self.others = self.lat = 0.0
         self.lat_at = self.heard = self.fails = self.out_until = self.tokens_at = 0
-        self.limit, self.growing, self.tokens = 2.0, True, 0.0
+        self.limit, self.growing, self.tokens = limit, True, 0.0
         self.rest_until = self.fulls = 0  # turned work away: left alone until then
 
 
 class Held:
     """A request that is owed a final answer, or has attempts out."""
-    __slots__ = ("req", "cls", "cust", "came", "within", "waiting", "hops", "out", "ran", "over", "head",
-                 "tried", "taken")
-
     def __init__(self, req: Request, cls: RequestClass, cust: Customer, now: int) -> None:
         self.req, self.cls, self.cust, self.came = req, cls, cust, now
         self.within, self.waiting, self.hops, self.over, self.head = True, 0, 0, False, False
@@ -72,7 +65,7 @@
 class Gateway:
     def __init__(self, settings: Settings, seed: int) -> None:
         self.s, self.rng = settings, random.Random(seed)
-        self.now = 0
+        self.now = self.born = 0
         self.do: list[Action] = []
         self.held: dict[str, Held] = {}
         self.customers: dict[str, Customer] = {}
@@ -86,7 +79,8 @@
         self.added = {"floors": 0.0, "total": 0.0, "served": 0.0}  # own, not yet sent
         self.backends: dict[int, Backend] = {}
         self.units = 1.0  # mean units of a request
-        self.lat = self.base = 0.0  # latency of a unit in the fleet: lately, and the least, slowly forgotten
+        self.lat = self.mean = 0.0  # latency of a unit in the fleet, lately and over more answers
+        self.base, self.heard = 0.0, 0  # the least that this mean was, slowly forgotten; answers in it
         self.budget = 10.0
         self.sent_units, self.sent_rate, self.sent_at = 0.0, 0.0, 0
         self.tokens: dict[int, tuple[str, int]] = {}
@@ -114,8 +108,7 @@
 
     def on_request(self, req: Request) -> None:
         if not (0 <= req.plan < len(self.s.plans) and 0 <= req.cls < len(self.s.classes)):
-            self.do.append(Refuse(req.id))
-            return
+            return self.do.append(Refuse(req.id))
         cust = self.customers.get(req.customer)
         if cust is None:
             cust = self.customers[req.customer] = Customer(req.customer, self.s.plans[req.plan], self.now)
@@ -154,16 +147,14 @@
     def open_name(self, cust: Customer) -> str:
         return f"o:{cust.name}:{self.now // self.open_slot()}"
 
-    def told_less(self, cust: Customer) -> None:
-        if cust.plan.open and self.s.may_count and self.asking >= 1:
-            self.tell_open(cust)
-
     def open_part(self, cust: Customer) -> float:
         return max(1, cust.plan.open / cust.spread) - cust.out
 
     def tell_open(self, cust: Customer, rid: str = "") -> None:
         """Brings the count of attempts out to what this gateway holds. A count lives for one slot, the
         longest deadline, and starts anew from what the living hold: a dead gateway's part ends with it."""
+        if not rid and (not cust.plan.open or not self.s.may_count or self.asking < 1):
+            return
         slot = self.now // self.open_slot()
         if slot != cust.slot:
             cust.slot, cust.told = slot, 0
@@ -221,8 +212,7 @@
         answered = ev.ending is Ending.SERVED
         self.pace(answered, ev.latency)
         if kind in self.counts:
-            self.on_batch(kind, ev, amount, answered)
-            return
+            return self.on_batch(kind, ev, amount, answered)
         if kind in ("read", "told"):  # for these, rid is the customer's name
             if rid in self.customers:
                 (self.counted if kind == "read" else self.told)(self.customers[rid], ev, amount)
@@ -283,11 +273,24 @@
             held.cust.store += held.req.units
             held.cust.unsent -= held.req.units
 
+    def under_ceiling(self, held: Held) -> bool:
+        """Rule: each gateway keeps its own part of a hard ceiling, filled from empty at its own start, as an
+        earlier life may have spent it. A customer not known here has let its part fill since then."""
+        cust, plan, units = held.cust, held.cust.plan, held.req.units
+        if plan.ceiling_rate <= 0:
+            return True
+        gained = plan.ceiling_rate / cust.spread * (self.now - max(cust.cap_at, self.born)) / SECOND
+        cust.cap, cust.cap_at = min(plan.ceiling_burst / cust.spread, cust.cap + gained), self.now
+        if cust.cap < units:
+            return False
+        cust.cap -= units
+        return True
+
     def settle(self, held: Held) -> None:
         """Floor first; then borrowing; else refused at once with a time to come back."""
         if not held.within:
             self.give_back(held)
-        if held.within or self.borrow(held):
+        if (held.within or self.borrow(held)) and self.under_ceiling(held):
             self.launch(held)
             return
         cust = held.cust
@@ -354,7 +357,7 @@
 
     def pressed(self) -> bool:
         """Work takes half as long again as at best: nothing is lent while servers slow."""
-        return self.lat > 1.5 * self.base
+        return self.lat > 1.5 * (self.base or self.lat)
 
     def lat_of(self, b: Backend) -> float:
         """Latency of a unit; what was seen long ago fades, so that a slow one is tried again."""
@@ -395,9 +398,11 @@
         if 2 * len(up) < len(ready):
             up = ready  # many ejected: distrust ejection
         fresh = [b for b in up if b.entry.backend not in held.tried] or up
+        if sum(len(b.inflight) for b in up) >= max(1.0, sum(b.limit for b in up)):
+            return None  # limits under one, as many gateways need, hold for all backends together
         best, best_cost = None, 0.0
         for b in fresh:
-            if len(b.inflight) >= (1 if b.fails else b.limit) or b.rest_until > self.now:
+            if len(b.inflight) >= (1 if b.fails else max(1.0, b.limit)) or b.rest_until > self.now:
                 continue
             warm = self.coldness(b)
             if warm < 1 and not self.cold_room(b, held.req.units, warm):
@@ -426,7 +431,10 @@
             b.lat = b.lat + 2 * EASE * (per - b.lat) if b.lat else per
             b.lat_at = self.now
             self.lat = self.lat + EASE * (per - self.lat) if self.lat else per
-            self.base = min(self.base, self.lat) if self.base else self.lat
+            self.heard = min(self.heard + 1, 50)
+            self.mean += (per - self.mean) / self.heard
+            if self.heard == 50:  # the first to answer are the short ones: no measure of the best
+                self.base = min(self.base or self.mean, self.mean)
             self.budget = min(10.0, self.budget + RETRY_SHARE)
             self.fit(b)
             if "inflight" in self.s.report and ev.report:
@@ -434,14 +442,14 @@
                 b.others += 0.5 * (max(0.0, seen - len(b.inflight)) - b.others)
         elif ev.ending is Ending.FULL:
             b.heard = self.now
-            b.limit, b.growing = max(1.0, len(b.inflight) * 0.8), False
+            b.limit, b.growing = max(1 / self.s.fleet, len(b.inflight) * 0.8), False
             b.fulls = min(b.fulls + 1, 4)
             b.rest_until = self.now + (self.aim() >> 5 << b.fulls)
         elif ev.ending in (Ending.NO_CONNECTION, Ending.RESET):
             self.eject(b)
         elif ev.ending is Ending.ERROR:
             b.heard = self.now
-        elif self.base and ev.ending in (Ending.TIMEOUT, Ending.CANCELLED) and per > b.lat:
+        elif ev.ending in (Ending.TIMEOUT, Ending.CANCELLED) and per > b.lat:
             b.lat = b.lat + 2 * EASE * (per - b.lat) if b.lat else per
             b.lat_at = self.now
             self.fit(b)
@@ -450,12 +458,12 @@
         """What may be out at a backend follows its latency: cut towards what would be answered in 0.4 of the
         aim; doubled at first, then raised by one a round while answers are quick. Guards against jams, where
         all is served but late, whatever brought them: load, slowness, lost servers, many gateways."""
-        excess = self.lat_of(b) / min(0.4 * self.aim() / self.units, CROWDED * self.base)
+        excess = self.lat_of(b) / min(0.4 * self.aim() / self.units, CROWDED * self.base or 1e9)
         if excess > 1:
-            held = min(b.limit, len(b.inflight) + 1.0)
-            b.limit, b.growing = max(1.0, held * (1 - 0.2 * (1 - 1 / excess))), False
-        elif len(b.inflight) + 1 >= b.limit / 2:
-            b.limit += 1 if b.growing else 1 / b.limit
+            held = min(b.limit, len(b.inflight) + 1)
+            b.limit, b.growing = max(1 / self.s.fleet, held * (1 - 0.2 * (1 - 1 / excess))), False
+        elif self.base and len(b.inflight) + 1 >= b.limit / 2:
+            b.limit += min(1.0, b.limit) if b.growing else min(b.limit / 2, 1 / b.limit)
 
     def eject(self, b: Backend) -> None:
         if b.out_until <= self.now:
@@ -467,8 +475,7 @@
     def launch(self, held: Held) -> None:
         b = self.choose(held)
         if b is None:
-            self.refuse(held, SECOND // 2)
-            return
+            return self.refuse(held, SECOND // 2)
         req, hop = held.req, held.hops
         self.do.append(Attempt(req.id, b.entry.backend))
         if not hop:
@@ -521,9 +528,12 @@
             return
         b, sent = held.out.pop(ev.hop)
         units = b.inflight.pop((ev.id, ev.hop), 1.0)
+        if self.s.post_paid and ev.true_units and held.taken:  # the guess is put right
+            held.cust.store -= ev.true_units - held.req.units
+            held.cust.unsent += ev.true_units - held.req.units
         self.learn(b, ev, units)
         held.cust.out -= 1
-        self.told_less(held.cust)
+        self.tell_open(held.cust)
         if held.ran is None and ev.ending not in NEVER_RAN:
             held.ran = (b, sent)
         if ev.over or held.over:
@@ -555,7 +565,7 @@
 
     def refuse(self, held: Held, wait: int) -> None:
         self.give_back(held)
-        self.told_less(held.cust)
+        self.tell_open(held.cust)
         harmless = held.ran is None or held.cls.effect is Effect.SAFE or (
             held.cls.effect is Effect.KEYED and held.cls.group == "all")
         if harmless:
@@ -576,26 +586,23 @@
 
     def on_backends(self, ev: Backends) -> None:
         if not self.ticking:
-            self.ticking = True
+            self.ticking, self.born = True, self.now
             self.do.append(Wake(TICK, BATCH))
             if self.s.on_request:
                 self.do.append(Watch(True))
         if ev.form is ListForm.FAILED:
-            self.do.append(Watch(True))
-            return
+            return self.do.append(Watch(True))
         if ev.form is not ListForm.DELTA:
             listed = {e.backend for e in ev.entries}
             for key, b in self.backends.items():
                 if key not in listed:
                     b.entry = Entry(key, b.entry.zone, b.entry.kind, b.entry.cell, State.GONE, b.entry.weight)
         for e in ev.entries:
-            known = self.backends.get(e.backend)
-            if known is None:
-                self.backends[e.backend] = Backend(e)
-            else:
-                if e.started > known.entry.started:
-                    known.fresh()
-                known.entry = e
+            start = FIRST_OUT / self.s.fleet
+            known = self.backends.setdefault(e.backend, Backend(e, start))
+            if e.started > known.entry.started:
+                known.fresh(start)
+            known.entry = e
 
     def on_timer(self, token: int) -> None:
         if token != TICK:
@@ -610,8 +617,13 @@
         self.sent_units, self.sent_at = 0.0, self.now
         if self.lends and (self.asking >= 1 or self.rng.random() < self.asking):
             self.batch()
-        for name in [k for k, c in self.customers.items()
-                     if not c.out and self.now - c.seen > 2 * self.span]:
+        for name in [k for k, c in self.customers.items() if self.idle(c)]:
             del self.customers[name]
         if not self.backends:
             self.do.append(Fetch())
+
+    def idle(self, cust: Customer) -> bool:
+        """DESIGN: dropped after a window, or once a ceiling's part is sure to be full again."""
+        plan = cust.plan
+        fills = plan.ceiling_burst / plan.ceiling_rate * SECOND if plan.ceiling_rate > 0 else 0.0
+        return not cust.out and not cust.asked and self.now - cust.seen > max(self.span, fills)
