--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -18,7 +18,7 @@
 R_OVER_FLOORS = 1.3  # DESIGN: R starts at 1.3 times the floor sum
 SECOND = 1_000_000
 CROWDED = 1.3  # a backend this much slower than the fleet at its best holds more than it has cores for
-FIRST_OUT = 2.0  # out at a backend from all gateways before its latency is known: two keep the least one busy
+LEAST_OUT = 2.0  # limits start at and stay above this, over all gateways: it keeps the smallest one busy
 ASK_LEAST = 0.02  # share of requests still asking a counter that does not answer: finds its return
 RETRY_SHARE = 0.1  # retry budget: further attempts per answer, the customary tenth
 EASE = 0.1  # weight of the newest sample in moving averages: about the last ten answers
@@ -78,7 +78,7 @@
         self.counts = {"floors": 0.0, "total": 0.0, "served": 0.0}  # as last read, this global window
         self.added = {"floors": 0.0, "total": 0.0, "served": 0.0}  # own, not yet sent
         self.backends: dict[int, Backend] = {}
-        self.units = 1.0  # mean units of a request
+        self.units, self.least = 1.0, LEAST_OUT / settings.fleet  # mean units of a request; least limit
         self.lat = self.mean = 0.0  # latency of a unit in the fleet, lately and over more answers
         self.base, self.heard = 0.0, 0  # the least that this mean was, slowly forgotten; answers in it
         self.budget = 10.0
@@ -293,9 +293,8 @@
         if (held.within or self.borrow(held)) and self.under_ceiling(held):
             self.launch(held)
             return
-        cust = held.cust
-        wait = (held.req.units - cust.store) / cust.plan.rate * SECOND if cust.plan.rate > 0 else SECOND
-        self.refuse(held, int(wait))
+        rate = held.cust.plan.rate
+        self.refuse(held, int((held.req.units - held.cust.store) / rate * SECOND) if rate > 0 else SECOND)
 
     # ---- lending
 
@@ -442,7 +441,7 @@
                 b.others += 0.5 * (max(0.0, seen - len(b.inflight)) - b.others)
         elif ev.ending is Ending.FULL:
             b.heard = self.now
-            b.limit, b.growing = max(1 / self.s.fleet, len(b.inflight) * 0.8), False
+            b.limit, b.growing = max(self.least, len(b.inflight) * 0.8), False
             b.fulls = min(b.fulls + 1, 4)
             b.rest_until = self.now + (self.aim() >> 5 << b.fulls)
         elif ev.ending in (Ending.NO_CONNECTION, Ending.RESET):
@@ -461,7 +460,7 @@
         excess = self.lat_of(b) / min(0.4 * self.aim() / self.units, CROWDED * self.base or 1e9)
         if excess > 1:
             held = min(b.limit, len(b.inflight) + 1)
-            b.limit, b.growing = max(1 / self.s.fleet, held * (1 - 0.2 * (1 - 1 / excess))), False
+            b.limit, b.growing = max(self.least, held * (1 - 0.2 * (1 - 1 / excess))), False
         elif self.base and len(b.inflight) + 1 >= b.limit / 2:
             b.limit += min(1.0, b.limit) if b.growing else min(b.limit / 2, 1 / b.limit)
 
@@ -598,10 +597,9 @@
                 if key not in listed:
                     b.entry = Entry(key, b.entry.zone, b.entry.kind, b.entry.cell, State.GONE, b.entry.weight)
         for e in ev.entries:
-            start = FIRST_OUT / self.s.fleet
-            known = self.backends.setdefault(e.backend, Backend(e, start))
+            known = self.backends.setdefault(e.backend, Backend(e, self.least))
             if e.started > known.entry.started:
-                known.fresh(start)
+                known.fresh(self.least)
             known.entry = e
 
     def on_timer(self, token: int) -> None:
