Load reports out of the choice; lending ends with a refusal for want of room

Now own out and latency alone choose, and nothing is lent for a second after a passed request was turned away for want of room, or while latency is crowded. Should also cover reports that stop or lie. It may hurt where only reports could show a server that other gateways fill.

--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -45,7 +45,7 @@
 
     def fresh(self, limit: float) -> None:
         """What a restarted process did before tells nothing of it now."""
-        self.others = self.lat = 0.0
+        self.lat = 0.0
         self.lat_at = self.heard = self.fails = self.out_until = self.tokens_at = 0
         self.limit, self.growing, self.tokens = limit, True, 0.0
         self.rest_until = self.fulls = 0  # turned work away: left alone until then
@@ -66,6 +66,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.s, self.rng = settings, random.Random(seed)
         self.now = self.born = 0
+        self.shed_at = -SECOND  # when a request was last refused for want of room
         self.do: list[Action] = []
         self.held: dict[str, Held] = {}
         self.customers: dict[str, Customer] = {}
@@ -355,8 +356,8 @@
     # ---- backends and choice
 
     def pressed(self) -> bool:
-        """Work takes half as long again as at best: nothing is lent while servers slow."""
-        return self.lat > 1.5 * (self.base or self.lat)
+        """Nothing is lent while a passed request was lately turned away, or was crowded, for want of room."""
+        return self.now - self.shed_at < SECOND or self.lat > CROWDED * (self.base or self.lat)
 
     def lat_of(self, b: Backend) -> float:
         """Latency of a unit; what was seen long ago fades, so that a slow one is tried again."""
@@ -406,7 +407,7 @@
             warm = self.coldness(b)
             if warm < 1 and not self.cold_room(b, held.req.units, warm):
                 continue
-            cost = (len(b.inflight) + b.others + 1) * self.lat_of(b) / max(b.entry.weight, 1e-3) / warm
+            cost = (len(b.inflight) + 1) * self.lat_of(b) / max(b.entry.weight, 1e-3) / warm
             if b.entry.zone != self.s.zone and self.s.cross_zone_price > 0:
                 cost *= 1.3
             cost *= 1 + 0.05 * self.rng.random()
@@ -436,9 +437,6 @@
                 self.base = min(self.base or self.mean, self.mean)
             self.budget = min(10.0, self.budget + RETRY_SHARE)
             self.fit(b)
-            if "inflight" in self.s.report and ev.report:
-                seen = ev.report[self.s.report.index("inflight")]
-                b.others += 0.5 * (max(0.0, seen - len(b.inflight)) - b.others)
         elif ev.ending is Ending.FULL:
             b.heard = self.now
             b.limit, b.growing = max(self.least, len(b.inflight) * 0.8), False
@@ -474,6 +472,7 @@
     def launch(self, held: Held) -> None:
         b = self.choose(held)
         if b is None:
+            self.shed_at = self.now
             return self.refuse(held, SECOND // 2)
         req, hop = held.req, held.hops
         self.do.append(Attempt(req.id, b.entry.backend))
