Rest and ejection folded into one

Now one that is full, down or breaking off rests for a 32nd of the aim, doubling to the aim; an attempt that was out of time is no fault of its backend. It may cost a connection time-out more often on a dead backend the list still shows.

--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -48,7 +48,6 @@
         self.lat = 0.0
         self.lat_at = self.heard = self.fails = self.out_until = self.tokens_at = 0
         self.limit, self.growing, self.tokens = limit, True, 0.0
-        self.rest_until = self.fulls = 0  # turned work away: left alone until then
 
 
 class Held:
@@ -402,7 +401,7 @@
             return None  # limits under one, as many gateways need, hold for all backends together
         best, best_cost = None, 0.0
         for b in fresh:
-            if len(b.inflight) >= (1 if b.fails else max(1.0, b.limit)) or b.rest_until > self.now:
+            if len(b.inflight) >= (1 if b.fails else max(1.0, b.limit)):
                 continue
             warm = self.coldness(b)
             if warm < 1 and not self.cold_room(b, held.req.units, warm):
@@ -427,7 +426,7 @@
         """Passive health: latency, limit and ejection from how an attempt ended."""
         per = ev.latency / max(units, 1.0)
         if ev.ending is Ending.SERVED:
-            b.heard, b.fails, b.out_until, b.fulls = self.now, 0, 0, 0
+            b.heard, b.fails, b.out_until = self.now, 0, 0
             b.lat = b.lat + 2 * EASE * (per - b.lat) if b.lat else per
             b.lat_at = self.now
             self.lat = self.lat + EASE * (per - self.lat) if self.lat else per
@@ -437,12 +436,7 @@
                 self.base = min(self.base or self.mean, self.mean)
             self.budget = min(10.0, self.budget + RETRY_SHARE)
             self.fit(b)
-        elif ev.ending is Ending.FULL:
-            b.heard = self.now
-            b.limit, b.growing = max(self.least, len(b.inflight) * 0.8), False
-            b.fulls = min(b.fulls + 1, 4)
-            b.rest_until = self.now + (self.aim() >> 5 << b.fulls)
-        elif ev.ending in (Ending.NO_CONNECTION, Ending.RESET):
+        elif ev.ending in (Ending.FULL, Ending.NO_CONNECTION, Ending.RESET):
             self.eject(b)
         elif ev.ending is Ending.ERROR:
             b.heard = self.now
@@ -463,9 +457,11 @@
             b.limit += min(1.0, b.limit) if b.growing else min(b.limit / 2, 1 / b.limit)
 
     def eject(self, b: Backend) -> None:
+        """One that fails at once (down, full, breaking off) looks idle and would draw all traffic: it is left
+        alone for a 32nd of the aim, doubling up to the aim, as is one that went silent."""
         if b.out_until <= self.now:
-            b.fails = min(b.fails + 1, 4)
-            b.out_until = self.now + (SECOND << b.fails) // 2
+            b.fails = min(b.fails + 1, 5)
+            b.out_until = self.now + (self.aim() << b.fails >> 5)
 
     # ---- attempts
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,6 +1,6 @@
 """Backends: choice, limits, ejection, cold starts, drains."""
 
-from oakvale.interface import Attempt, Ending
+from oakvale.interface import Attempt, Ending, Timer
 from tests.helpers import Drive, of
 
 
@@ -41,3 +41,23 @@
     for k in range(5):
         _, actions = d.request(customer=f"c{k}")
         assert all(a.backend != first.backend for a in of(actions, Attempt))
+
+
+def test_an_attempt_that_was_out_of_time_is_no_fault_of_its_backend() -> None:
+    d = Drive(backends=1, may_count=False)
+    rid, actions = d.request()
+    d.end(rid, 1, ending=Ending.MOOT)
+    assert not d.gw.backends[1].fails
+
+
+def test_lending_ends_with_a_refusal_for_want_of_room() -> None:
+    d = Drive(backends=1)
+    while of(d.ask(customer=f"c{d.n}")[1], Attempt):
+        pass
+    d.now += 100_000
+    for token in list(d.gw.tokens):
+        d.send(Timer(token))
+    assert d.gw.pressed()
+    d.now += 2_000_000
+    d.send(Timer(0))
+    assert not d.gw.pressed()
