Tidy: one latency average, aim and slot settled once, one cost of a retry

The moving average of a backend's latency stood twice, aim and open slot were worked out anew for every backend of every choice, and the retry budget was asked about in two places.

--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -73,6 +73,8 @@
         self.asking, self.asked_less = 1.0, 0  # share of requests that ask the counter; when it last fell
         windows = [int(p.burst / p.rate * SECOND) for p in settings.plans if p.rate > 0]
         self.span = max(windows, default=SECOND)  # the one global window: the longest plan window
+        self.aim = min((c.aim for c in settings.classes), default=SECOND)
+        self.open_slot = max((c.deadline for c in settings.classes), default=SECOND)
         self.lends = settings.may_count and any(map(self.soft, settings.plans))
         self.gwin, self.flushed = -1, False
         self.counts = {"floors": 0.0, "total": 0.0, "served": 0.0}  # as last read, this global window
@@ -138,14 +140,11 @@
         if not held.waiting:
             self.settle(held)
 
-    def open_slot(self) -> int:
-        return max(c.deadline for c in self.s.classes)
-
     def quota_name(self, cust: Customer) -> str:
         return f"q:{cust.name}:{self.gwin}"
 
     def open_name(self, cust: Customer) -> str:
-        return f"o:{cust.name}:{self.now // self.open_slot()}"
+        return f"o:{cust.name}:{self.now // self.open_slot}"
 
     def open_part(self, cust: Customer) -> float:
         return max(1, cust.plan.open / cust.spread) - cust.out
@@ -155,7 +154,7 @@
         longest deadline, and starts anew from what the living hold: a dead gateway's part ends with it."""
         if not rid and (not cust.plan.open or not self.s.may_count or self.asking < 1):
             return
-        slot = self.now // self.open_slot()
+        slot = self.now // self.open_slot
         if slot != cust.slot:
             cust.slot, cust.told = slot, 0
         amount = cust.out + cust.asked - cust.told
@@ -170,7 +169,7 @@
 
     def charge(self, name: str, amount: float, kind: str, rid: str) -> None:
         self.calls.setdefault(name, deque()).append((kind, rid, amount))
-        ttl = 2 * (self.open_slot() if kind in ("open", "told") else self.span)
+        ttl = 2 * (self.open_slot if kind in ("open", "told") else self.span)
         self.do.append(Charge(name, amount, min(ttl, 60 * SECOND)))
 
     def refill(self, cust: Customer) -> None:
@@ -369,12 +368,9 @@
         """It holds work and has answered nothing for longer than that work should take."""
         if not b.inflight:
             return False
-        patience = max(3 * self.lat * max(b.inflight.values()), 0.25 * self.aim())
+        patience = max(3 * self.lat * max(b.inflight.values()), 0.25 * self.aim)
         return self.now - b.heard > patience
 
-    def aim(self) -> int:
-        return min(c.aim for c in self.s.classes)
-
     def coldness(self, b: Backend) -> float:
         """The part of its capacity that a fresh backend is sure to have; 1 when warm."""
         age = self.now - b.entry.started
@@ -427,8 +423,7 @@
         per = ev.latency / max(units, 1.0)
         if ev.ending is Ending.SERVED:
             b.heard, b.fails, b.out_until = self.now, 0, 0
-            b.lat = b.lat + 2 * EASE * (per - b.lat) if b.lat else per
-            b.lat_at = self.now
+            self.sample(b, per)
             self.lat = self.lat + EASE * (per - self.lat) if self.lat else per
             self.heard = min(self.heard + 1, 50)
             self.mean += (per - self.mean) / self.heard
@@ -441,15 +436,18 @@
         elif ev.ending is Ending.ERROR:
             b.heard = self.now
         elif ev.ending in (Ending.TIMEOUT, Ending.CANCELLED) and per > b.lat:
-            b.lat = b.lat + 2 * EASE * (per - b.lat) if b.lat else per
-            b.lat_at = self.now
+            self.sample(b, per)
             self.fit(b)
 
+    def sample(self, b: Backend, per: float) -> None:
+        b.lat = b.lat + 2 * EASE * (per - b.lat) if b.lat else per
+        b.lat_at = self.now
+
     def fit(self, b: Backend) -> None:
         """What may be out at a backend follows its latency: cut towards what would be answered in 0.4 of the
         aim; doubled at first, then raised by one a round while answers are quick. Guards against jams, where
         all is served but late, whatever brought them: load, slowness, lost servers, many gateways."""
-        excess = self.lat_of(b) / min(0.4 * self.aim() / self.units, CROWDED * self.base or 1e9)
+        excess = self.lat_of(b) / min(0.4 * self.aim / self.units, CROWDED * self.base or 1e9)
         if excess > 1:
             held = min(b.limit, len(b.inflight) + 1)
             b.limit, b.growing = max(self.least, held * (1 - 0.2 * (1 - 1 / excess))), False
@@ -461,7 +459,7 @@
         alone for a 32nd of the aim, doubling up to the aim, as is one that went silent."""
         if b.out_until <= self.now:
             b.fails = min(b.fails + 1, 5)
-            b.out_until = self.now + (self.aim() << b.fails >> 5)
+            b.out_until = self.now + (self.aim << b.fails >> 5)
 
     # ---- attempts
 
@@ -523,8 +521,9 @@
         b, sent = held.out.pop(ev.hop)
         units = b.inflight.pop((ev.id, ev.hop), 1.0)
         if self.s.post_paid and ev.true_units and held.taken:  # the guess is put right
-            held.cust.store -= ev.true_units - held.req.units
-            held.cust.unsent += ev.true_units - held.req.units
+            more = ev.true_units - held.req.units
+            held.cust.store -= more
+            held.cust.unsent += more
         self.learn(b, ev, units)
         held.cust.out -= 1
         self.tell_open(held.cust)
@@ -542,12 +541,10 @@
 
     def again(self, held: Held, ending: Ending) -> None:
         """Another attempt where effect, budget and aim allow one; else the final answer at once."""
+        cost = 0 if ending in NEVER_RAN else 1
         useful = ending is not Ending.MOOT and self.left(held) > self.lat * held.req.units / 2
-        if ending not in NEVER_RAN:
-            useful = useful and self.budget >= 1
-        if useful and held.hops < self.s.max_attempts and self.repeatable(held):
-            if ending not in NEVER_RAN:
-                self.budget -= 1
+        if useful and self.budget >= cost and held.hops < self.s.max_attempts and self.repeatable(held):
+            self.budget -= cost
             self.launch(held)
         else:
             self.refuse(held, SECOND // 2)
