Counts fade instead of starting anew; asks and batches sized to the counter

Now: (1) a unit adds more to its customer's count the later it comes, so earlier ones fade over the plan's window; one read tells a stranger who is near the floor, and no window starts anew. (2) Where the counter can't take all calls, small requests, cheap to let through and of customers with room stay away first; the first ask of a customer speaks for those that did not ask. (3) Unasked, a customer passes by what the others left of its rate when last read, fading to the even split, with room for one request. (4) The global counts are floors and what was lent (total less served), sent when needed and at most 15% of a gateway's calls. (5) A good answer brings back half of the share asked before. (6) Known-empty customers are looked up before they are counted, so that nothing has to be handed back. It should also hold for a slow or silent counter and for strangers seen once; it can hurt where one spike falls into an outage.

--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -1,13 +1,15 @@
 """Every decision of an oakvale gateway. Its types, events, actions and settings: oakvale/interface.py.
 
-Top-down: the gateway and its events · counting and quota · lending · backends and choice · attempts ·
-list and timers. `handle(now, event)` returns actions; there is no I/O and no clock here.
+Top-down: events · counting and quota · lending · backends and choice · attempts · list and timers.
 """
 
 from __future__ import annotations
 
 import random
 from collections import deque
+from collections.abc import Callable
+from math import exp
+from typing import Any
 
 from oakvale.interface import (
     NEVER_RAN, Action, Attempt, Backends, Cancel, Charge, Counted, Effect, Ended, Ending, Entry, Event, Fail,
@@ -17,28 +19,32 @@
 BATCH = 250_000  # DESIGN: the global counts go four times a second
 R_OVER_FLOORS = 1.3  # DESIGN: R starts at 1.3 times the floor sum
 SECOND = 1_000_000
+EPOCH = 30 * SECOND  # a count goes on under a new name after half the time that the counter can keep one
 CROWDED = 1.3  # a backend this much slower than the fleet at its best holds more than it has cores for
 LEAST_OUT = 2.0  # limits start at and stay above this, over all gateways: it keeps the smallest one busy
 ASK_LEAST = 0.02  # share of requests still asking a counter that does not answer: finds its return
+BATCH_SHARE = 0.15  # of a gateway's calls, at most, for the global counts
 RETRY_SHARE = 0.1  # retry budget: further attempts per answer, the customary tenth
 EASE = 0.1  # weight of the newest sample in moving averages: about the last ten answers
+NOT_ADDED = (Ending.FULL, Ending.NO_CONNECTION)
 TICK = 0  # timer token of the batch; attempts' checks use tokens above it
 
 
 class Customer:
     def __init__(self, name: str, plan: Plan, now: int) -> None:
         self.name, self.plan, self.spread, self.seen = name, plan, 1, now
+        self.window = max(1, int(plan.burst / plan.rate * SECOND)) if plan.rate > 0 else SECOND
         self.store, self.at = plan.burst, now  # room under the sliding floor, as far as known here
+        self.part, self.flow = plan.burst, 0.0  # what may pass here unasked; the others' units a second
+        self.spilt = plan.rate * (now % EPOCH) / SECOND  # what came back to a full room since the last read
+        self.epoch, self.level, self.read = -1, 0.0, 0  # the count as last read or added to, and when
+        self.unsent = 0.0  # to be added with the next call
         self.cap, self.cap_at = 0.0, 0  # own part of a hard ceiling
-        self.spilt = 0.0  # what came back to a full room since the last read
-        self.window, self.level, self.read = -1, 0.0, 0  # the count as last read or added to, and when
-        self.unsent, self.alone, self.part = 0.0, False, 0.0  # part: own share of the room while unanswered
-        self.floored, self.lent, self.lent_in = -1, 0.0, -1
+        self.lent, self.lent_in = 0.0, -1
         self.out, self.asked, self.slot, self.told = 0, 0, -1, 0  # attempts out; those the counter knows of
 
 
-class Limit:
-    """What may be out at once: at one backend, or at all of them together."""
+class Limit:  # what may be out at once: at one backend, or at all of them together
     def __init__(self, size: float) -> None:
         self.size, self.growing = size, True
 
@@ -64,55 +70,53 @@
         self.out: dict[int, tuple[Backend, int]] = {}
         self.ran: tuple[Backend, int] | None = None  # first attempt that may have run, and when it was sent
         self.tried: list[int] = []
-        self.taken = False  # its units are out of the customer's room
+        self.taken, self.told = False, req.units  # its units are out of the customer's room; units counted
 
 
 class Gateway:
     def __init__(self, settings: Settings, seed: int) -> None:
         self.s, self.rng = settings, random.Random(seed)
         self.now = self.born = 0
-        self.shed_at = -SECOND  # when a request was last refused for want of room
+        # when a request was last refused for want of room, a borrower here, a global count read
+        self.shed_at = self.wanted = self.told_at = -SECOND
         self.do: list[Action] = []
-        self.held: dict[str, Held] = {}
-        self.customers: dict[str, Customer] = {}
+        self.held, self.customers = dict[str, Held](), dict[str, Customer]()
         self.calls: dict[str, deque[tuple[str, str, float]]] = {}  # name -> (kind, id, amount)
+        self.weights, self.spare = 0.0, 0.0  # of those here that may borrow; calls that the batch may make
         self.asking, self.asked_less = 1.0, 0  # share of requests that ask the counter; when it last fell
-        windows = [int(p.burst / p.rate * SECOND) for p in settings.plans if p.rate > 0]
-        self.span = max(windows, default=SECOND)  # the one global window: the longest plan window
+        self.goal, self.good, self.called = 1.0, True, 0  # share to go back to; last call answered; last ask
+        # the one global window is the longest plan window
+        self.span = max((Customer("", p, 0).window for p in settings.plans if p.rate > 0), default=SECOND)
         self.aim = min((c.aim for c in settings.classes), default=SECOND)
         self.open_slot = max((c.deadline for c in settings.classes), default=SECOND)
         self.lends = settings.may_count and any(map(self.soft, settings.plans))
-        self.gwin, self.flushed = -1, False
-        self.counts = {"floors": 0.0, "total": 0.0, "served": 0.0}  # as last read, this global window
-        self.added = {"floors": 0.0, "total": 0.0, "served": 0.0}  # own, not yet sent
+        self.period = {"floors": EPOCH, "lent": self.span}  # how long the global counts run
+        self.counts = dict.fromkeys(self.period, 0.0)  # as last read
+        self.added = dict.fromkeys(self.period, 0.0)  # own, not yet sent
+        self.began, self.flushed = dict.fromkeys(self.period, -1), False
         self.backends: dict[int, Backend] = {}
         self.units, self.least = 1.0, LEAST_OUT / settings.fleet  # mean units of a request; least limit
         self.room, self.out = Limit(LEAST_OUT), 0  # what may be, and what is, out in all
         self.lat = self.mean = 0.0  # latency of a unit in the fleet, lately and over more answers
         self.base, self.heard = 0.0, 0  # the least that this mean was, slowly forgotten; answers in it
-        self.budget = 10.0
-        self.sent_units, self.sent_rate, self.sent_at = 0.0, 0.0, 0
+        self.budget, self.stake = 10.0, 0.0  # further attempts; the mean worth that a wrong guess would cost
+        self.sent_units, self.sent_rate = 0.0, 0.0  # since the last tick; a second's, lately
         self.tokens: dict[int, tuple[str, int]] = {}
         self.next_token, self.ticking = 1, False
+        self.handlers: dict[type[Event], Callable[[Any], None]] = {
+            Request: self.on_request, Ended: self.on_ended, Counted: self.on_counted, Timer: self.on_timer,
+            Backends: self.on_backends, Head: self.on_head, Withdrawn: lambda ev: self.finish(ev.id)}
 
     def handle(self, now: int, event: Event) -> list[Action]:
         self.now, self.do = now, []
-        if isinstance(event, Ended):
-            self.on_ended(event)
-        elif isinstance(event, Request):
-            self.on_request(event)
-        elif isinstance(event, Counted):
-            self.on_counted(event)
-        elif isinstance(event, Timer):
-            self.on_timer(event.token)
-        elif isinstance(event, Backends):
-            self.on_backends(event)
-        elif isinstance(event, Head) and event.id in self.held:
-            self.held[event.id].head = True
-        elif isinstance(event, Withdrawn):
-            self.finish(event.id)
+        if handler := self.handlers.get(type(event)):
+            handler(event)
         return self.do
 
+    def on_head(self, ev: Head) -> None:
+        if ev.id in self.held:
+            self.held[ev.id].head = True
+
     # ---- counting and quota
 
     def on_request(self, req: Request) -> None:
@@ -121,23 +125,25 @@
         cust = self.customers.get(req.customer)
         if cust is None:
             cust = self.customers[req.customer] = Customer(req.customer, self.s.plans[req.plan], self.now)
+            self.weights += cust.plan.price if self.soft(cust.plan) else 0.0
         cust.seen, cust.spread = self.now, max(1, min(req.spread, self.s.fleet))
         held = self.held[req.id] = Held(req, self.s.classes[req.cls], cust, self.now)
-        self.roll_global()
-        ask = (self.s.may_count and req.deadline - self.now > 2 * self.s.counter_timeout
-               and (self.asking >= 1 or self.rng.random() < self.asking))
         if cust.plan.rate > 0:
             self.refill(cust)
-            if ask and cust.store >= req.units:
+        share = self.ask_share(cust, req.units)
+        ask = (self.s.may_count and req.deadline - self.now > 2 * self.s.counter_timeout
+               and (share >= 1 or self.rng.random() < share))
+        if cust.plan.rate > 0:
+            first = 1 if cust.read else max(share, EASE)  # a first ask speaks for those that stayed away
+            held.told = req.units * self.swell(cust, self.now) / first
+            room = (cust.store if self.asking >= 1 else cust.part) >= req.units
+            if ask and (room or self.now - cust.read > BATCH):
                 held.waiting += 1
-                amount, cust.unsent = req.units + cust.unsent, 0.0
-                self.charge(self.quota_name(cust), amount, "quota", req.id)
-            elif ask and self.now - cust.read > BATCH:  # no room even by what was known: read only
-                self.charge(self.quota_name(cust), cust.unsent, "read", req.customer)
-                cust.unsent, held.within = 0.0, False
+                cust.unsent += held.told if room else 0.0
+                self.tell_quota(cust, "quota" if room else "look", req.id)
             else:
                 self.alone(held)
-                cust.unsent += req.units if held.taken else 0.0
+                cust.unsent += held.told if held.taken and cust.read else 0.0
         if cust.plan.open and ask:
             held.waiting += 1
             cust.asked += 1
@@ -147,8 +153,12 @@
         if not held.waiting:
             self.settle(held)
 
+    def tell_quota(self, cust: Customer, kind: str, rid: str) -> None:
+        self.charge(self.quota_name(cust), cust.unsent, kind, rid)
+        cust.unsent = 0.0
+
     def quota_name(self, cust: Customer) -> str:
-        return f"q:{cust.name}:{self.gwin}"
+        return f"q:{cust.name}:{self.now // EPOCH}"
 
     def open_name(self, cust: Customer) -> str:
         return f"o:{cust.name}:{self.now // self.open_slot}"
@@ -161,52 +171,71 @@
         longest deadline, and starts anew from what the living hold: a dead gateway's part ends with it."""
         if not rid and (not cust.plan.open or not self.s.may_count or self.asking < 1):
             return
-        slot = self.now // self.open_slot
-        if slot != cust.slot:
-            cust.slot, cust.told = slot, 0
+        if self.now // self.open_slot != cust.slot:
+            cust.slot, cust.told = self.now // self.open_slot, 0
         amount = cust.out + cust.asked - cust.told
         if amount or rid:
             cust.told += amount
             self.charge(self.open_name(cust), amount, "open" if rid else "told", rid or cust.name)
 
-    def told(self, cust: Customer, ev: Counted, amount: float) -> None:
-        """A call that was turned away told nothing: what it held goes with the next."""
-        if ev.ending not in (Ending.SERVED, Ending.TIMEOUT) and ev.name == self.open_name(cust):
-            cust.told -= int(amount)
-
     def charge(self, name: str, amount: float, kind: str, rid: str) -> None:
         self.calls.setdefault(name, deque()).append((kind, rid, amount))
-        ttl = 2 * (self.open_slot if kind in ("open", "told") else self.span)
-        self.do.append(Charge(name, amount, min(ttl, 60 * SECOND)))
+        self.spare = min(2.0, self.spare + BATCH_SHARE)
+        self.called = self.now
+        ttl = 2 * (self.open_slot if kind in ("open", "told") else self.period.get(kind, EPOCH))
+        self.do.append(Charge(name, amount, min(ttl, 2 * EPOCH)))
 
     def refill(self, cust: Customer) -> None:
-        """The floor slides: room comes back at the plan's rate, up to its burst, as quotas are judged. Guards
-        against two bursts around a fixed window's boundary and against refusals late in a used-up window."""
+        """The floor slides: room comes back at the plan's rate up to its burst, as quotas are judged. What
+        may pass unasked grows by what the others left of it when last read, the even share at least."""
+        if cust.epoch != self.now // EPOCH:  # use not yet told fades on under the new name
+            cust.epoch, cust.level = self.now // EPOCH, 0.0
+            cust.unsent *= exp(-EPOCH / cust.window)
         gained = cust.plan.rate * (self.now - cust.at) / SECOND
         cust.spilt += max(0.0, cust.store + gained - cust.plan.burst)
         cust.store = min(cust.plan.burst, cust.store + gained)
-        cust.part = min(cust.plan.burst / cust.spread, cust.part + gained / cust.spread)
+        free = (1 - cust.flow / cust.plan.rate) * exp((cust.read - self.now) / cust.window)
+        cust.part += gained * max(1 / cust.spread, free)
+        cust.part = min(cust.part, max(cust.plan.burst / cust.spread, self.units))
         cust.at = self.now
 
+    def ask_share(self, cust: Customer, units: float) -> float:
+        """Where the counter can't take a call for each, those least missed stay away first: small, cheap to
+        let through, or of customers with room left. One goes a longest deadline after the last call."""
+        stake = units * cust.plan.price * max(cust.plan.over_cost, 0.25)
+        self.stake += EASE * (stake - self.stake)
+        if self.asking >= 1 or not stake or self.now - self.called > self.open_slot:
+            return 1.0
+        left = max(0.0, cust.part / max(cust.plan.burst / cust.spread, self.units)) if cust.read else 0.0
+        return float(self.asking ** ((0.5 + left) * self.stake / stake))
+
+    def swell(self, cust: Customer, at: int) -> float:
+        """What a unit adds to its customer's count: more, the later, so that earlier ones fade over the
+        plan's window. The count slides and does not start anew: one read tells who is near the floor."""
+        return exp(at % EPOCH / cust.window)
+
     def counted(self, cust: Customer, ev: Counted, amount: float) -> None:
-        """Takes what the others added since the last read out of the room. While use is told late, for
-        a counter that answers few, it first meets what came back meanwhile to a full room. A count that fell
-        by more than units handed back was emptied: then only what is known here counts."""
-        current = ev.name == self.quota_name(cust)
-        if current and cust.window != self.gwin:
-            cust.window, cust.level = self.gwin, 0.0
-        if ev.ending is Ending.TIMEOUT and current:
+        """Takes what the others added since the last read, as spread over that time, out of the room; it
+        first meets what a full room spilt. After more than a window only the faded sum tells. A count that
+        fell by more than was handed back was emptied: then only what is known here counts."""
+        if ev.name != self.quota_name(cust):
+            return  # of the epoch before
+        if ev.ending is Ending.TIMEOUT:
             cust.level += amount  # it may have been added
-        elif ev.ending is not Ending.SERVED and ev.ending is not Ending.TIMEOUT:
+        elif ev.ending in NOT_ADDED:
             cust.unsent += amount
-        elif current:
+        else:
             self.refill(cust)
-            others = ev.level - cust.level - amount
-            cust.level, cust.read, cust.alone = ev.level, self.now, False
-            if others > -self.s.largest:
-                met = min(cust.spilt, max(0.0, others)) if self.asking < 1 else 0.0
-                cust.store = min(cust.plan.burst, cust.store - others + met)
-            cust.spilt = 0.0
+            swell, since = self.swell(cust, self.now), max(1, min(self.now - cust.read, self.now % EPOCH))
+            others, span, burst = ev.level - cust.level - amount, since / cust.window, cust.plan.burst
+            cust.level, cust.read = ev.level, self.now
+            gone = round(others / swell * (span / (1 - exp(-span)) if others > 0 else 1), 3)
+            if gone > -self.s.largest and span > 1:
+                cust.store = burst * (1 - min(1, (ev.level - amount) / swell / burst) ** 2)
+            elif gone > -self.s.largest:
+                cust.store = min(burst, cust.store - gone + min(cust.spilt, max(0.0, gone)))
+            cust.flow += (max(0.0, gone) * SECOND - cust.flow * since) / (since + cust.window)
+            cust.spilt, cust.part = 0.0, cust.store
 
     def on_counted(self, ev: Counted) -> None:
         waiting = self.calls.get(ev.name)
@@ -219,16 +248,18 @@
         self.pace(answered, ev.latency)
         if kind in self.counts:
             return self.on_batch(kind, ev, amount, answered)
-        if kind in ("read", "told"):  # for these, rid is the customer's name
-            if rid in self.customers:
-                (self.counted if kind == "read" else self.told)(self.customers[rid], ev, amount)
-            return
         held = self.held.get(rid)
+        if (cust := held.cust if held else self.customers.get(rid)) is None:  # a "read" or "told" names it
+            return
+        if kind in ("open", "told") and ev.ending in NOT_ADDED and ev.name == self.open_name(cust):
+            cust.told -= int(amount)  # what the call held goes with the next
+        if kind == "read":
+            self.counted(cust, ev, amount)
         if held is None or not held.waiting:
             return
-        cust, units = held.cust, held.req.units
+        units = held.req.units
         held.waiting -= 1
-        if kind == "quota":
+        if kind in ("quota", "look"):
             self.counted(cust, ev, amount)
             if held.over:
                 held.within = False
@@ -236,13 +267,17 @@
                 self.take(held, cust.store >= units)
             else:
                 self.alone(held)
-            if not held.taken:
-                cust.unsent -= units  # handed back with the next call
-            if answered and ev.level == amount:
-                self.add_floor(cust)
+            held.told *= ev.name == self.quota_name(cust)  # nothing is handed back to an epoch's end
+            if kind == "quota" and not held.taken:
+                cust.unsent -= held.told  # handed back with the next call
+            elif kind == "look" and held.taken:
+                cust.unsent += held.told
+                self.tell_quota(cust, "read", cust.name)
+            if answered and ev.level == amount > 0:
+                self.roll_global()
+                self.added["floors"] += cust.plan.rate * self.span / SECOND
         elif kind == "open":
             cust.asked -= 1
-            self.told(cust, ev, amount)
             room = cust.plan.open - ev.level if answered else self.open_part(cust) - 1
             held.within = held.within and room >= 0
         if held.over:
@@ -251,45 +286,40 @@
             self.settle(held)
 
     def pace(self, answered: bool, latency: int) -> None:
-        """A counter that does not answer is asked far less, then more by and by: no herd on return."""
+        """A counter that does not answer is asked far less. A good answer brings back half of what
+        was asked before, then a little more: no herd on return, and no minutes where answers are few."""
         if answered and latency < self.s.counter_timeout // 2:
-            self.asking = min(1.0, self.asking + 0.02)
+            self.asking, self.good = min(1.0, max(self.asking + 0.02, self.goal)), True
         elif not answered and self.now - self.asked_less > 2 * self.s.counter_timeout:
+            self.goal, self.good = self.asking / 2 if self.good else self.goal, False
             self.asking, self.asked_less = max(ASK_LEAST, self.asking / 2), self.now
 
     def alone(self, held: Held) -> None:
         """DESIGN: unanswered, a request passes only within its gateway's part of the room left. The part is
         rounded by lot, or a part smaller than a request would never pass one."""
-        cust, units = held.cust, held.req.units
-        if not cust.alone:
-            cust.alone, cust.part = True, cust.store / cust.spread
-        self.take(held, cust.store >= units and cust.part >= units * self.rng.random())
-        if held.taken:
-            cust.part -= units
+        units = held.req.units
+        self.take(held, held.cust.store >= units and held.cust.part >= units * self.rng.random())
 
     def take(self, held: Held, room: bool) -> None:
         held.taken, held.within = room, held.within and room
-        if room:
-            held.cust.store -= held.req.units
+        held.cust.store -= held.req.units if room else 0.0
+        held.cust.part -= held.req.units if room else 0.0
 
-    def give_back(self, held: Held) -> None:
-        """Units counted but not sent on inside the quota: the judging store holds them still."""
+    def give_back(self, held: Held) -> None:  # not sent on inside the quota, they still are in its store
         if held.taken and not held.hops:
             held.taken = False
             held.cust.store += held.req.units
-            held.cust.unsent -= held.req.units
+            held.cust.unsent -= held.told
 
     def under_ceiling(self, held: Held) -> bool:
         """Rule: each gateway keeps its own part of a hard ceiling, filled from empty at its own start, as an
         earlier life may have spent it. A customer not known here has let its part fill since then."""
-        cust, plan, units = held.cust, held.cust.plan, held.req.units
-        if plan.ceiling_rate <= 0:
-            return True
+        cust, plan = held.cust, held.cust.plan
         gained = plan.ceiling_rate / cust.spread * (self.now - max(cust.cap_at, self.born)) / SECOND
         cust.cap, cust.cap_at = min(plan.ceiling_burst / cust.spread, cust.cap + gained), self.now
-        if cust.cap < units:
+        if plan.ceiling_rate > 0 and cust.cap < held.req.units:
             return False
-        cust.cap -= units
+        cust.cap -= held.req.units
         return True
 
     def settle(self, held: Held) -> None:
@@ -297,38 +327,36 @@
         if not held.within:
             self.give_back(held)
         if (held.within or self.borrow(held)) and self.under_ceiling(held):
-            self.launch(held)
-            return
-        rate = held.cust.plan.rate
-        self.refuse(held, int((held.req.units - held.cust.store) / rate * SECOND) if rate > 0 else SECOND)
+            return self.launch(held)
+        short = held.req.units - held.cust.store
+        self.refuse(held, int(short / held.cust.plan.rate * SECOND) if held.cust.plan.rate > 0 else SECOND)
 
     # ---- lending
 
-    def add_floor(self, cust: Customer) -> None:
-        self.roll_global()
-        if cust.floored != self.gwin:
-            cust.floored = self.gwin
-            self.added["floors"] += cust.plan.rate * self.span / SECOND
-
     def roll_global(self) -> None:
-        if self.now // self.span != self.gwin:
-            self.gwin, self.flushed = self.now // self.span, False
-            for k in self.counts:
+        for k, period in self.period.items():
+            if self.now // period != self.began[k]:
+                self.began[k], self.flushed = self.now // period, False
                 self.counts[k] = self.added[k] = 0.0
 
     def batch(self) -> None:
+        """Sent when there is something to add or a borrower in sight, and as a small part of the calls: the
+        batches of 300 gateways alone would take several times what the counter serves."""
         self.roll_global()
         for k, amount in self.added.items():
-            if not self.calls.get(f"g:{k}:{self.gwin}"):
-                self.charge(f"g:{k}:{self.gwin}", amount, k, "")
+            wanted = amount > 0 or self.now - self.wanted < 2 * BATCH
+            if wanted and self.spare >= 1 and not self.calls.get(f"g:{k}:{self.began[k]}"):
+                self.spare -= 1
+                self.charge(f"g:{k}:{self.began[k]}", amount, k, "")
                 self.counts[k] += amount
                 self.added[k] = 0.0
 
     def on_batch(self, kind: str, ev: Counted, amount: float, answered: bool) -> None:
-        if ev.name != f"g:{kind}:{self.gwin}":
+        if ev.name != f"g:{kind}:{self.began[kind]}":
             return
         if answered:
-            if ev.level < self.counts[kind] - 1e-3 * self.counts[kind] - 1e-6:
+            self.told_at = self.now
+            if ev.level < 0.999 * self.counts[kind]:
                 self.flushed = True  # emptied: slack would look wide, so nothing is lent in this window
             self.counts[kind] = max(ev.level, self.counts[kind])
         elif ev.ending is not Ending.TIMEOUT:
@@ -340,56 +368,50 @@
 
     def borrow(self, held: Held) -> bool:
         cust, units = held.cust, held.req.units
-        if not self.soft(cust.plan) or not self.lends or self.pressed():
-            return False
         self.roll_global()
-        if self.flushed or self.asking < 1:
+        if not self.soft(cust.plan) or not self.lends or self.pressed() or self.flushed or self.asking < 1:
             return False
-        floors, total, served = (self.counts[k] + self.added[k] for k in self.counts)
-        elapsed = self.now % self.span / self.span
-        if R_OVER_FLOORS * floors * elapsed - total - max(0.0, floors * elapsed - served) <= 0:
+        self.wanted = self.now
+        floors, lent = (self.counts[k] + self.added[k] for k in self.counts)
+        # DESIGN's R x elapsed - total - unserved floors; total is served + lent, unserved floors - served
+        slack = (R_OVER_FLOORS - 1) * floors * (self.now % self.span / self.span) - lent
+        if slack <= 0 or self.now - self.told_at > SECOND:  # nothing is lent on old counts
             return False
-        weights = sum(c.plan.price for c in self.customers.values() if self.soft(c.plan))
-        share = (R_OVER_FLOORS - 1) * floors * cust.plan.price / weights
-        if cust.lent_in != self.gwin:
-            cust.lent, cust.lent_in = 0.0, self.gwin
+        share = (R_OVER_FLOORS - 1) * floors * cust.plan.price / self.weights
+        if cust.lent_in != self.began["lent"]:
+            cust.lent, cust.lent_in = 0.0, self.began["lent"]
         if cust.lent + units > share:
             return False
         cust.lent += units
         return True
 
-    # ---- backends and choice
+    # ---- backends and choice: health is passive, from how attempts ended
 
     def pressed(self) -> bool:
-        """Nothing is lent while a passed request was lately turned away, or was crowded, for want of room."""
+        """Nothing is lent while a passed request was lately turned away, or crowded, for want of room."""
         return self.now - self.shed_at < SECOND or self.lat > CROWDED * (self.base or self.lat)
 
     def lat_of(self, b: Backend) -> float:
         """Latency of a unit; what was seen long ago fades, so that a slow one is tried again."""
-        if not b.lat:
-            return self.lat or 1.0
-        return float(self.lat + (b.lat - self.lat) * 0.5 ** ((self.now - b.lat_at) / (5 * SECOND)))
+        known = exp((b.lat_at - self.now) / (7 * SECOND)) if b.lat else 0.0
+        return (self.lat or 1.0) + (b.lat - self.lat) * known
 
     def stalled(self, b: Backend) -> bool:
         """It holds work and has answered nothing for longer than that work should take."""
-        if not b.inflight:
-            return False
-        patience = max(3 * self.lat * max(b.inflight.values()), 0.25 * self.aim)
-        return self.now - b.heard > patience
+        work = max(b.inflight.values(), default=0.0)
+        return work > 0 and self.now - b.heard > max(3 * self.lat * work, 0.25 * self.aim)
 
     def coldness(self, b: Backend) -> float:
         """The part of its capacity that a fresh backend is sure to have; 1 when warm."""
-        age = self.now - b.entry.started
-        if not b.entry.started or age >= self.s.ramp:
-            return 1.0
-        return self.s.cold_from + (1 - self.s.cold_from) * max(0, age) / self.s.ramp
+        warmed = max(0, self.now - b.entry.started) / self.s.ramp if b.entry.started and self.s.ramp else 1.0
+        return min(1.0, self.s.cold_from + (1 - self.s.cold_from) * warmed)
 
     def cold_room(self, b: Backend, units: float, warm: float) -> bool:
         """A cold backend gets this gateway's mean flow to a warm one, times its warmth; bursts stay small."""
         n = sum(1 for x in self.backends.values() if x.entry.state is State.READY)
         rate = self.sent_rate / max(1, n) * warm
-        cap = max(rate * self.s.fall_span / SECOND / 2, 0.5 * self.s.largest)
-        b.tokens = min(cap, b.tokens + rate * (self.now - (b.tokens_at or self.now)) / SECOND)
+        b.tokens += rate * (self.now - (b.tokens_at or self.now)) / SECOND
+        b.tokens = min(max(rate * self.s.fall_span / SECOND / 2, 0.5 * self.s.largest), b.tokens)
         b.tokens_at = self.now
         return b.tokens >= units
 
@@ -408,8 +430,7 @@
             if warm < 1 and not self.cold_room(b, held.req.units, warm):
                 continue
             cost = (len(b.inflight) + 1) * self.lat_of(b) / max(b.entry.weight, 1e-3) / warm
-            if b.entry.zone != self.s.zone and self.s.cross_zone_price > 0:
-                cost *= 1.3
+            cost *= 1.3 if b.entry.zone != self.s.zone and self.s.cross_zone_price > 0 else 1
             cost *= 1 + 0.05 * self.rng.random()
             if best is None or cost < best_cost:
                 best, best_cost = b, cost
@@ -420,11 +441,9 @@
         if held.ran is None or held.cls.effect is not Effect.KEYED or held.cls.group == "all":
             return True
         first = held.ran[0].entry
-        same = b.entry.zone == first.zone
-        return same and (held.cls.group == "zone" or b.entry.cell == first.cell)
+        return b.entry.zone == first.zone and (held.cls.group == "zone" or b.entry.cell == first.cell)
 
     def learn(self, b: Backend, ev: Ended, units: float) -> None:
-        """Passive health: latency, limit and ejection from how an attempt ended."""
         per = ev.latency / max(units, 1.0)
         if ev.ending is Ending.SERVED:
             b.heard, b.fails, b.out_until = self.now, 0, 0
@@ -452,9 +471,8 @@
 
     def fit(self, lim: Limit, out: int, lat: float, least: float) -> None:
         """What may be out at a backend follows its latency, and in all the fleet's: cut towards what would be
-        answered in 0.4 of the aim; doubled at first, then raised by one a round while answers are quick.
-        Guards against jams, where all is served but late, whatever brought them: load, slowness, lost
-        servers, many gateways. Of many gateways none hears a backend often: they learn by the sum."""
+        answered in 0.4 of the aim; doubled at first, then raised by one a round. Guards against jams of any
+        cause. One of many gateways seldom hears a backend: it learns by the sum."""
         excess = lat / min(0.4 * self.aim / self.units, CROWDED * self.base or 1e9)
         if excess > 1:
             lim.size = max(least, min(lim.size, out + 1) * (0.8 + 0.2 / excess))
@@ -463,8 +481,8 @@
             lim.size += min(1.0, lim.size) if lim.growing else min(lim.size / 2, 1 / lim.size)
 
     def eject(self, b: Backend) -> None:
-        """One that fails at once (down, full, breaking off) looks idle and would draw all traffic: it is left
-        alone for a 32nd of the aim, doubling up to the aim, as is one that went silent."""
+        """One that fails at once or went silent looks idle and would draw all traffic: it is left alone for
+        a 32nd of the aim, doubling up to the aim."""
         if b.out_until <= self.now:
             b.fails = min(b.fails + 1, 5)
             b.out_until = self.now + (self.aim << b.fails >> 5)
@@ -479,7 +497,9 @@
         req, hop = held.req, held.hops
         self.do.append(Attempt(req.id, b.entry.backend))
         if not hop:
-            self.note_sent(held)
+            self.units += EASE * (req.units - self.units)
+            self.sent_units += req.units
+            self.added["lent"] += 0 if held.within else req.units
         if not b.inflight:
             b.heard = self.now
         b.inflight[(req.id, hop)] = req.units
@@ -489,20 +509,9 @@
         held.out[hop] = (b, self.now)
         held.tried.append(b.entry.backend)
         held.cust.out += 1
-        if self.may_move(held):
+        if self.s.may_cancel and held.hops < self.s.max_attempts and held.cls.effect is not Effect.UNSAFE:
             self.check_later(held, hop, int(max(2.5 * self.lat_of(b) * req.units, 0.3 * held.cls.aim)))
 
-    def note_sent(self, held: Held) -> None:
-        units = held.req.units
-        self.units += EASE * (units - self.units)
-        self.added["total"] += units
-        if held.within:
-            self.added["served"] += units
-        self.sent_units += units
-
-    def may_move(self, held: Held) -> bool:
-        return self.s.may_cancel and held.hops < self.s.max_attempts and held.cls.effect is not Effect.UNSAFE
-
     def check_later(self, held: Held, hop: int, delay: int) -> None:
         token, self.next_token = self.next_token, self.next_token + 1
         self.tokens[token] = (held.req.id, hop)
@@ -513,15 +522,14 @@
         held = self.held.get(rid)
         if held is None or held.over or held.head or hop not in held.out:
             return
-        b, _ = held.out[hop]
+        b = held.out[hop][0]
         if self.left(held) < self.lat * held.req.units or self.budget < 1:
             return
         if self.stalled(b) or self.lat_of(b) > 3 * self.lat:
             if self.stalled(b):
                 self.eject(b)
-            self.do.append(Cancel(rid, hop))
-        else:
-            self.check_later(held, hop, int(0.2 * held.cls.aim))
+            return self.do.append(Cancel(rid, hop))
+        self.check_later(held, hop, int(0.2 * held.cls.aim))
 
     def on_ended(self, ev: Ended) -> None:
         held = self.held.get(ev.id)
@@ -531,9 +539,8 @@
         units = b.inflight.pop((ev.id, ev.hop), 1.0)
         self.out -= 1
         if self.s.post_paid and ev.true_units and held.taken:  # the guess is put right
-            more = ev.true_units - held.req.units
-            held.cust.store -= more
-            held.cust.unsent += more
+            held.cust.store -= ev.true_units - held.req.units
+            held.cust.unsent += (ev.true_units - held.req.units) * self.swell(held.cust, self.now)
         self.learn(b, ev, units)
         held.cust.out -= 1
         self.tell_open(held.cust)
@@ -545,8 +552,7 @@
             self.again(held, ev.ending)
 
     def left(self, held: Held) -> int:
-        """Time in which an answer is still worth something: to the aim, or to an earlier deadline. Sending
-        on at the very end of impatient clients left requests without a final answer."""
+        """Time in which an answer is worth something: to the aim, or to an impatient client's deadline."""
         return min(held.came + held.cls.aim, held.req.deadline) - self.now
 
     def again(self, held: Held, ending: Ending) -> None:
@@ -555,9 +561,8 @@
         useful = ending is not Ending.MOOT and self.left(held) > self.lat * held.req.units / 2
         if useful and self.budget >= cost and held.hops < self.s.max_attempts and self.repeatable(held):
             self.budget -= cost
-            self.launch(held)
-        else:
-            self.refuse(held, SECOND // 2)
+            return self.launch(held)
+        self.refuse(held, SECOND // 2)
 
     def repeatable(self, held: Held) -> bool:
         if held.ran is None or held.cls.effect is Effect.SAFE:
@@ -569,11 +574,8 @@
         self.tell_open(held.cust)
         harmless = held.ran is None or held.cls.effect is Effect.SAFE or (
             held.cls.effect is Effect.KEYED and held.cls.group == "all")
-        if harmless:
-            wait = min(max(wait, 1), SECOND, self.s.max_retry_after) if self.s.retry_after else 0
-            self.do.append(Refuse(held.req.id, wait))
-        else:
-            self.do.append(Fail(held.req.id))
+        wait = min(max(wait, 1), SECOND, self.s.max_retry_after) if self.s.retry_after else 0
+        self.do.append(Refuse(held.req.id, wait) if harmless else Fail(held.req.id))
         self.finish(held.req.id)
 
     def finish(self, rid: str) -> None:
@@ -604,26 +606,23 @@
                 known.fresh(self.least)
             known.entry = e
 
-    def on_timer(self, token: int) -> None:
-        if token != TICK:
-            rid, hop = self.tokens.pop(token, ("", 0))
-            self.check(rid, hop)
-            return
+    def on_timer(self, ev: Timer) -> None:
+        if ev.token != TICK:
+            return self.check(*self.tokens.pop(ev.token, ("", 0)))
         self.do.append(Wake(TICK, BATCH))
         self.base *= 1.005
-        if self.sent_at:
-            rate = self.sent_units * SECOND / max(1, self.now - self.sent_at)
-            self.sent_rate += EASE * (rate - self.sent_rate)
-        self.sent_units, self.sent_at = 0.0, self.now
-        if self.lends and (self.asking >= 1 or self.rng.random() < self.asking):
+        self.sent_rate += EASE * (self.sent_units * SECOND / BATCH - self.sent_rate)
+        self.sent_units = 0.0
+        if self.lends:
             self.batch()
         for name in [k for k, c in self.customers.items() if self.idle(c)]:
-            del self.customers[name]
+            plan = self.customers.pop(name).plan
+            self.weights -= plan.price if self.soft(plan) else 0.0
         if not self.backends:
             self.do.append(Fetch())
 
     def idle(self, cust: Customer) -> bool:
         """DESIGN: dropped after a window, or once a ceiling's part is sure to be full again."""
-        plan = cust.plan
-        fills = plan.ceiling_burst / plan.ceiling_rate * SECOND if plan.ceiling_rate > 0 else 0.0
-        return not cust.out and not cust.asked and self.now - cust.seen > max(self.span, fills)
+        rate = cust.plan.ceiling_rate
+        fills = cust.plan.ceiling_burst / rate * SECOND if rate > 0 else 0.0
+        return not cust.out and not cust.asked and self.now - cust.seen > max(2 * EPOCH, fills)
