A gateway that stood still learns nothing from it; tries too old to be answered are refused

A tick more than a batch late shows the gap: no latency, silence or unanswered call counts across it. The client's remaining time tells age: first tries wait alike (the most common wait), a repeat waits for what is left of the deadline. Less than the expected answer time to the aim: refused before a call or work, at once, with advice. It should also hold for a paused process and for retry storms; it would hurt where first tries' waits vary from try to try.

--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -38,9 +38,8 @@
         self.part, self.flow = plan.burst, 0.0  # what may pass here unasked; the others' units a second
         self.spilt = plan.rate * (now % EPOCH) / SECOND  # what came back to a full room since the last read
         self.epoch, self.level, self.read = -1, 0.0, 0  # the count as last read or added to, and when
-        self.unsent = 0.0  # to be added with the next call
         self.cap, self.cap_at = 0.0, 0  # own part of a hard ceiling
-        self.lent, self.lent_in = 0.0, -1
+        self.unsent, self.lent, self.lent_in = 0.0, 0.0, -1  # to go with the next call; lent in this window
         self.out, self.asked, self.slot, self.told = 0, 0, -1, 0  # attempts out; those the counter knows of
 
 
@@ -56,14 +55,12 @@
         self.fresh(least)
 
     def fresh(self, least: float) -> None:
-        """What a restarted process did before tells nothing of it now."""
         self.lat = 0.0
         self.lat_at = self.heard = self.fails = self.out_until = self.tokens_at = 0
         self.limit, self.tokens = Limit(least), 0.0
 
 
-class Held:
-    """A request that is owed a final answer, or has attempts out."""
+class Held:  # a request that is owed a final answer, or has attempts out
     def __init__(self, req: Request, cls: RequestClass, cust: Customer, now: int) -> None:
         self.req, self.cls, self.cust, self.came = req, cls, cust, now
         self.within, self.waiting, self.hops, self.over, self.head = True, 0, 0, False, False
@@ -77,6 +74,8 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.s, self.rng = settings, random.Random(seed)
         self.now = self.born = 0
+        self.gap = self.stood = 0  # when this gateway last found that it had stood still, and how long
+        self.waits: dict[tuple[int, int], int] = {}  # tries by class and the time their client still waits
         # when a request was last refused for want of room, a borrower here, a global count read
         self.shed_at = self.wanted = self.told_at = -SECOND
         self.do: list[Action] = []
@@ -102,12 +101,14 @@
         self.budget, self.stake = 10.0, 0.0  # further attempts; the mean worth that a wrong guess would cost
         self.sent_units, self.sent_rate = 0.0, 0.0  # since the last tick; a second's, lately
         self.tokens: dict[int, tuple[str, int]] = {}
-        self.next_token, self.ticking = 1, False
+        self.next_token = 1
         self.handlers: dict[type[Event], Callable[[Any], None]] = {
             Request: self.on_request, Ended: self.on_ended, Counted: self.on_counted, Timer: self.on_timer,
             Backends: self.on_backends, Head: self.on_head, Withdrawn: lambda ev: self.finish(ev.id)}
 
     def handle(self, now: int, event: Event) -> list[Action]:
+        if self.now and now - self.now > 2 * BATCH:  # it stood still: all that came meanwhile comes now
+            self.gap, self.stood = now, now - self.now
         self.now, self.do = now, []
         if handler := self.handlers.get(type(event)):
             handler(event)
@@ -127,9 +128,11 @@
             cust = self.customers[req.customer] = Customer(req.customer, self.s.plans[req.plan], self.now)
             self.weights += cust.plan.price if self.soft(cust.plan) else 0.0
         cust.seen, cust.spread = self.now, max(1, min(req.spread, self.s.fleet))
-        held = self.held[req.id] = Held(req, self.s.classes[req.cls], cust, self.now)
-        if cust.plan.rate > 0:
-            self.refill(cust)
+        cls = self.s.classes[req.cls]
+        held = self.held[req.id] = Held(req, cls, cust, self.now - self.age(req, cls))
+        if self.left(held) < self.lat * req.units:  # too old to be answered in time: no call, no work
+            return self.refuse(held, SECOND)
+        self.refill(cust)
         share = self.ask_share(cust, req.units)
         ask = (self.s.may_count and req.deadline - self.now > 2 * self.s.counter_timeout
                and (share >= 1 or self.rng.random() < share))
@@ -153,6 +156,16 @@
         if not held.waiting:
             self.settle(held)
 
+    def age(self, req: Request, cls: RequestClass) -> int:
+        """How long ago the client first asked. First tries all wait alike: the time that most do. A repeat
+        waits for what is left of the deadline, one that came while this gateway stood still for less."""
+        wait, slot = req.deadline - self.now, max(1, cls.deadline // 32)
+        self.waits[req.cls, wait // slot] = self.waits.get((req.cls, wait // slot), 0) + (self.now > self.gap)
+        usual = slot * max((n, k) for (c, k), n in self.waits.items() if c == req.cls)[1]
+        if self.now == self.gap and wait < usual:
+            return min(self.stood, usual - wait)
+        return 0 if -slot <= wait - usual < 2 * slot else max(0, cls.deadline - wait)
+
     def tell_quota(self, cust: Customer, kind: str, rid: str) -> None:
         self.charge(self.quota_name(cust), cust.unsent, kind, rid)
         cust.unsent = 0.0
@@ -167,8 +180,7 @@
         return max(1, cust.plan.open / cust.spread) - cust.out
 
     def tell_open(self, cust: Customer, rid: str = "") -> None:
-        """Brings the count of attempts out to what this gateway holds. A count lives for one slot, the
-        longest deadline, and starts anew from what the living hold: a dead gateway's part ends with it."""
+        """Tells what is held here. A count lives one longest deadline: a dead gateway's part ends with it."""
         if not rid and (not cust.plan.open or not self.s.may_count or self.asking < 1):
             return
         if self.now // self.open_slot != cust.slot:
@@ -194,7 +206,7 @@
         gained = cust.plan.rate * (self.now - cust.at) / SECOND
         cust.spilt += max(0.0, cust.store + gained - cust.plan.burst)
         cust.store = min(cust.plan.burst, cust.store + gained)
-        free = (1 - cust.flow / cust.plan.rate) * exp((cust.read - self.now) / cust.window)
+        free = (1 - cust.flow / (cust.plan.rate or 1)) * exp((cust.read - self.now) / cust.window)
         cust.part += gained * max(1 / cust.spread, free)
         cust.part = min(cust.part, max(cust.plan.burst / cust.spread, self.units))
         cust.at = self.now
@@ -290,13 +302,12 @@
         was asked before, then a little more: no herd on return, and no minutes where answers are few."""
         if answered and latency < self.s.counter_timeout // 2:
             self.asking, self.good = min(1.0, max(self.asking + 0.02, self.goal)), True
-        elif not answered and self.now - self.asked_less > 2 * self.s.counter_timeout:
+        elif not answered and self.now - max(self.asked_less, self.gap) > 2 * self.s.counter_timeout:
             self.goal, self.good = self.asking / 2 if self.good else self.goal, False
             self.asking, self.asked_less = max(ASK_LEAST, self.asking / 2), self.now
 
     def alone(self, held: Held) -> None:
-        """DESIGN: unanswered, a request passes only within its gateway's part of the room left. The part is
-        rounded by lot, or a part smaller than a request would never pass one."""
+        """DESIGN: unanswered, only within a part of the room left; by lot, or small parts would pass none."""
         units = held.req.units
         self.take(held, held.cust.store >= units and held.cust.part >= units * self.rng.random())
 
@@ -312,8 +323,7 @@
             held.cust.unsent -= held.told
 
     def under_ceiling(self, held: Held) -> bool:
-        """Rule: each gateway keeps its own part of a hard ceiling, filled from empty at its own start, as an
-        earlier life may have spent it. A customer not known here has let its part fill since then."""
+        """Rule: each keeps its part of a hard ceiling, empty at its start as an earlier life spent it."""
         cust, plan = held.cust, held.cust.plan
         gained = plan.ceiling_rate / cust.spread * (self.now - max(cust.cap_at, self.born)) / SECOND
         cust.cap, cust.cap_at = min(plan.ceiling_burst / cust.spread, cust.cap + gained), self.now
@@ -328,8 +338,7 @@
             self.give_back(held)
         if (held.within or self.borrow(held)) and self.under_ceiling(held):
             return self.launch(held)
-        short = held.req.units - held.cust.store
-        self.refuse(held, int(short / held.cust.plan.rate * SECOND) if held.cust.plan.rate > 0 else SECOND)
+        self.refuse(held, int((held.req.units - held.cust.store) / max(held.cust.plan.rate, 1e-6) * SECOND))
 
     # ---- lending
 
@@ -340,8 +349,7 @@
                 self.counts[k] = self.added[k] = 0.0
 
     def batch(self) -> None:
-        """Sent when there is something to add or a borrower in sight, and as a small part of the calls: the
-        batches of 300 gateways alone would take several times what the counter serves."""
+        """Sent where of use, and few: the batches of 300 gateways alone would outrun the counter."""
         self.roll_global()
         for k, amount in self.added.items():
             wanted = amount > 0 or self.now - self.wanted < 2 * BATCH
@@ -399,12 +407,7 @@
     def stalled(self, b: Backend) -> bool:
         """It holds work and has answered nothing for longer than that work should take."""
         work = max(b.inflight.values(), default=0.0)
-        return work > 0 and self.now - b.heard > max(3 * self.lat * work, 0.25 * self.aim)
-
-    def coldness(self, b: Backend) -> float:
-        """The part of its capacity that a fresh backend is sure to have; 1 when warm."""
-        warmed = max(0, self.now - b.entry.started) / self.s.ramp if b.entry.started and self.s.ramp else 1.0
-        return min(1.0, self.s.cold_from + (1 - self.s.cold_from) * warmed)
+        return work > 0 and self.now - max(b.heard, self.gap) > max(3 * self.lat * work, 0.25 * self.aim)
 
     def cold_room(self, b: Backend, units: float, warm: float) -> bool:
         """A cold backend gets this gateway's mean flow to a warm one, times its warmth; bursts stay small."""
@@ -418,15 +421,15 @@
     def choose(self, held: Held) -> Backend | None:
         ready = [b for b in self.backends.values() if b.entry.state is State.READY and self.in_group(held, b)]
         up = [b for b in ready if b.out_until <= self.now and not self.stalled(b)]
-        if 2 * len(up) < len(ready):
-            up = ready  # many ejected: distrust ejection
+        up = up if 2 * len(up) >= len(ready) else ready  # many ejected: distrust ejection
         if self.out >= max(self.room.size, sum(b.limit.size for b in up)):
             return None  # limits under one, as many gateways need, hold for all backends together
         best, best_cost = None, 0.0
         for b in [b for b in up if b.entry.backend not in held.tried] or up:
             if len(b.inflight) >= (1 if b.fails else max(1.0, b.limit.size)):
                 continue
-            warm = self.coldness(b)
+            age = (self.now - b.entry.started) / self.s.ramp if b.entry.started and self.s.ramp else 1.0
+            warm = min(1.0, self.s.cold_from + (1 - self.s.cold_from) * max(0.0, age))  # surely no less
             if warm < 1 and not self.cold_room(b, held.req.units, warm):
                 continue
             cost = (len(b.inflight) + 1) * self.lat_of(b) / max(b.entry.weight, 1e-3) / warm
@@ -458,8 +461,6 @@
             self.fit(self.room, self.out, self.lat, 1.0)
         elif ev.ending in (Ending.FULL, Ending.NO_CONNECTION, Ending.RESET):
             self.eject(b)
-        elif ev.ending is Ending.ERROR:
-            b.heard = self.now
         elif ev.ending in (Ending.TIMEOUT, Ending.CANCELLED) and per > b.lat:
             self.sample(b, per)
             self.fit(b.limit, len(b.inflight), self.lat_of(b), self.least)
@@ -541,7 +542,8 @@
         if self.s.post_paid and ev.true_units and held.taken:  # the guess is put right
             held.cust.store -= ev.true_units - held.req.units
             held.cust.unsent += (ev.true_units - held.req.units) * self.swell(held.cust, self.now)
-        self.learn(b, ev, units)
+        if self.now > self.gap:  # what came while this gateway stood still blames nobody
+            self.learn(b, ev, units)
         held.cust.out -= 1
         self.tell_open(held.cust)
         if held.ran is None and ev.ending not in NEVER_RAN:
@@ -565,9 +567,8 @@
         self.refuse(held, SECOND // 2)
 
     def repeatable(self, held: Held) -> bool:
-        if held.ran is None or held.cls.effect is Effect.SAFE:
-            return True
-        return held.cls.effect is Effect.KEYED and self.now - held.ran[1] < held.cls.memory
+        return held.ran is None or held.cls.effect is Effect.SAFE or (
+            held.cls.effect is Effect.KEYED and self.now - held.ran[1] < held.cls.memory)
 
     def refuse(self, held: Held, wait: int) -> None:
         self.give_back(held)
@@ -588,8 +589,8 @@
     # ---- list and timers
 
     def on_backends(self, ev: Backends) -> None:
-        if not self.ticking:
-            self.ticking, self.born = True, self.now
+        if not self.born:
+            self.born = self.now
             self.do.append(Wake(TICK, BATCH))
             if self.s.on_request:
                 self.do.append(Watch(True))
@@ -611,7 +612,8 @@
             return self.check(*self.tokens.pop(ev.token, ("", 0)))
         self.do.append(Wake(TICK, BATCH))
         self.base *= 1.005
-        self.sent_rate += EASE * (self.sent_units * SECOND / BATCH - self.sent_rate)
+        took = BATCH if self.now > self.gap else self.stood
+        self.sent_rate += EASE * (self.sent_units * SECOND / took - self.sent_rate)
         self.sent_units = 0.0
         if self.lends:
             self.batch()
@@ -622,7 +624,6 @@
             self.do.append(Fetch())
 
     def idle(self, cust: Customer) -> bool:
-        """DESIGN: dropped after a window, or once a ceiling's part is sure to be full again."""
-        rate = cust.plan.ceiling_rate
-        fills = cust.plan.ceiling_burst / rate * SECOND if rate > 0 else 0.0
+        """Dropped once the counter has forgotten it too, and a ceiling's part is sure to be full again."""
+        fills = cust.plan.ceiling_burst / (cust.plan.ceiling_rate or 1e9) * SECOND
         return not cust.out and not cust.asked and self.now - cust.seen > max(2 * EPOCH, fills)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -20,6 +20,7 @@
     Request,
     RequestClass,
     Settings,
+    Timer,
 )
 from oakvale.logic import Gateway
 
@@ -46,6 +47,13 @@
     def send(self, event: Event) -> list[Action]:
         return self.gw.handle(self.now, event)
 
+    def tick(self, span: int) -> None:
+        """Lets time pass with the ticks that a running gateway has."""
+        end = self.now + span
+        while self.now < end:
+            self.now = min(end, self.now + 250_000)
+            self.send(Timer(0))
+
     def request(self, customer: str = "a", units: float = 1, plan: int = 0, cls: int = 0, spread: int = 2,
                 patience: int = 3_000_000) -> tuple[str, list[Action]]:
         self.n += 1
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,6 +1,6 @@
 """Backends: choice, limits, ejection, cold starts, drains."""
 
-from oakvale.interface import Attempt, Ending, Timer
+from oakvale.interface import Attempt, Cancel, Charge, Ending, Refuse, Timer
 from tests.helpers import Drive, of
 
 
@@ -12,7 +12,7 @@
     for k in range(30):
         rid, actions = d.request(customer=f"c{k}")
         if of(actions, Attempt):
-            d.now += 700_000
+            d.tick(700_000)
             d.end(rid, 1, latency=700_000)
     assert b.limit.size < before / 2
 
@@ -74,3 +74,34 @@
         d.end(rid, sent.backend, latency=60_000)
     together = [of(d.request(customer=f"t{k}")[1], Attempt) for k in range(3)]
     assert all(together)
+
+
+def test_a_gateway_that_stood_still_blames_nobody() -> None:
+    """After two seconds without a turn all answers look slow, all calls unanswered, all servers silent."""
+    d = Drive(backends=4)
+    sent = [(rid, of(actions, Attempt)[0]) for rid, actions in (d.ask(customer=f"c{k}") for k in range(3))]
+    known, asking = d.gw.lat, d.gw.asking
+    _, asked = d.request(customer="w")
+    d.now += 2_000_000  # no tick in between
+    d.count(asked, Ending.TIMEOUT)
+    for token in list(d.gw.tokens):
+        assert not of(d.send(Timer(token)), Cancel)
+    for rid, a in sent:
+        d.end(rid, a.backend, latency=2_000_000)
+    assert (d.gw.lat, d.gw.asking) == (known, asking)
+    assert not any(b.fails or b.lat for b in d.gw.backends.values())
+
+
+def test_a_try_too_old_to_be_answered_in_time_takes_no_call_and_no_work() -> None:
+    d = Drive(backends=4)
+    for k in range(20):  # first tries wait three seconds; answers take a tenth
+        rid, actions = d.ask(customer=f"c{k}")
+        d.tick(100_000)
+        d.end(rid, of(actions, Attempt)[0].backend)
+    _, repeat = d.request(customer="r", patience=2_400_000)  # what is left of four seconds
+    assert of(repeat, Refuse) and not of(repeat, Charge) and not of(repeat, Attempt)
+    d.now += 1_500_000  # stood still; these came early and late in that time
+    _, early = d.request(customer="e", patience=1_600_000)
+    _, late = d.request(customer="l", patience=2_800_000)
+    assert of(early, Refuse) and not of(early, Charge)
+    assert of(late, Charge)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -123,7 +123,7 @@
     d = Drive(on_request=True)
     assert d.send(Backends(ListForm.FAILED)) and d.gw.backends
     fresh = Drive(on_request=True, backends=0)
-    fresh.gw.ticking = False
+    fresh.gw.born = False
     assert of(fresh.send(Backends(ListForm.CACHED)), Watch)
 
 
