Strangers' refused units no longer keep a customer's others out

A gateway that asks for a customer once in many seconds found its own store full again, counted, was refused, and came back too late to hand it back; 91 of them filled the count with units nobody sent on. Now whether to count or only look goes by what the others likely took since the last read, and refused units are handed back at once while the counter takes every call. Should also hold after an outage; costs a call for each look-up that passes.

--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -139,7 +139,8 @@
         if cust.plan.rate > 0:
             first = 1 if cust.read else max(share, EASE)  # a first ask speaks for those that stayed away
             held.told = req.units * self.swell(cust, self.now) / first
-            room = (cust.store if self.asking >= 1 else cust.part) >= req.units
+            # room is what the others likely left since the last read
+            room = cust.store - cust.flow * min(self.now - cust.read, cust.window) / SECOND >= req.units
             if ask and (room or self.now - cust.read > BATCH):
                 held.waiting += 1
                 cust.unsent += held.told if room else 0.0
@@ -280,11 +281,10 @@
             else:
                 self.alone(held)
             held.told *= ev.name == self.quota_name(cust)  # nothing is handed back to an epoch's end
-            if kind == "quota" and not held.taken:
-                cust.unsent -= held.told  # handed back with the next call
-            elif kind == "look" and held.taken:
-                cust.unsent += held.told
-                self.tell_quota(cust, "read", cust.name)
+            if held.taken == (kind == "look"):  # looked up and passed, or counted and refused: put right
+                cust.unsent += held.told if held.taken else -held.told
+                if answered and (held.taken or self.asking >= 1):
+                    self.tell_quota(cust, "read", cust.name)
             if answered and 0 < amount > 0.999999 * ev.level:  # the first add; levels come in seven digits
                 self.roll_global()
                 self.added["floors"] += cust.plan.rate * self.span / SECOND
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 from math import exp, isclose
 
-from oakvale.interface import Attempt, Charge, Ending, Refuse, Request, Withdrawn
+from oakvale.interface import Attempt, Charge, Counted, Ending, Refuse, Request, Withdrawn
 from tests.helpers import HARD, Drive, of
 
 
@@ -247,3 +247,30 @@
             calls[name] += len(of(actions, Charge))
             d.count(actions)
     assert calls["near"] > 1.5 * calls["calm"]
+
+
+def test_a_customer_the_others_keep_full_is_looked_up_before_it_is_counted() -> None:
+    """One that asks rarely finds its own store full again each time; counting there what is then refused
+    kept everybody else out, as it seldom came back to hand it back."""
+    d = Drive(fleet=90)
+    d.ask(customer="busy", spread=90)
+    d.gw.customers["busy"].flow = 2.0  # the whole rate
+    d.tick(4_000_000)
+    _, actions = d.request(customer="busy", units=2, spread=90)
+    [call] = of(actions, Charge)
+    assert call.amount == 0
+
+
+def test_refused_units_are_handed_back_at_once_while_the_counter_takes_every_call() -> None:
+    for asking, calls in ((1.0, 1), (0.9, 0)):
+        d = Drive()
+        spend(d, 1)
+        [name] = d.numbers
+        d.numbers[name] += 7
+        d.gw.asking = asking
+        d.gw.called = 0  # so that the next one is asked in any case
+        _, actions = d.request()
+        [asked] = of(actions, Charge)
+        d.numbers[name] += asked.amount
+        after = of(d.send(Counted(name, Ending.SERVED, d.numbers[name], 2_000)), Charge)
+        assert [c.amount < 0 for c in after] == [True] * calls
