--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -267,7 +267,7 @@
         spend(d, 1)
         [name] = d.numbers
         d.numbers[name] += 7
-        d.gw.asking = asking
+        d.gw.asking = d.gw.goal = asking
         d.gw.called = 0  # so that the next one is asked in any case
         _, actions = d.request()
         [asked] = of(actions, Charge)
