--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -452,9 +452,9 @@
             b.heard, b.fails, b.out_until = self.now, 0, 0
             self.sample(b, per)
             self.lat = self.lat + EASE * (per - self.lat) if self.lat else per
-            self.heard = min(self.heard + 1, 50)
+            self.heard = min(self.heard + 1, 20)
             self.mean += (per - self.mean) / self.heard
-            if self.heard == 50:  # the first to answer are the short ones: no measure of the best
+            if self.heard == 20:  # the first to answer are the short ones: no measure of the best
                 self.base = min(self.base or self.mean, self.mean)
             self.budget = min(10.0, self.budget + RETRY_SHARE)
             self.fit(b.limit, len(b.inflight), self.lat_of(b), self.least)
@@ -478,7 +478,7 @@
         if excess > 1:
             lim.size = max(least, min(lim.size, out + 1) * (0.8 + 0.2 / excess))
             lim.growing = False
-        elif (self.base or lim is self.room) and out + 1 >= lim.size / 2:
+        elif self.base and out + 1 >= lim.size / 2:
             lim.size += min(1.0, lim.size) if lim.growing else min(lim.size / 2, 1 / lim.size)
 
     def eject(self, b: Backend) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -67,7 +67,7 @@
     """Limits shared out over 300 gateways lie far under one for each backend and none of them hears a backend
     often enough to raise it: without a limit for all together nearly every tenth try at once was refused."""
     d = Drive(backends=60, may_count=False, fleet=300)
-    for k in range(8):
+    for k in range(25):
         rid, actions = d.request(customer=f"c{k}")
         [sent] = of(actions, Attempt)
         d.now += 60_000
@@ -105,3 +105,14 @@
     _, late = d.request(customer="l", patience=2_800_000)
     assert of(early, Refuse) and not of(early, Charge)
     assert of(late, Charge)
+
+
+def test_nothing_out_grows_before_the_best_latency_is_known() -> None:
+    """At the start all gateways together overdrove the servers, and overdriven ones stay slow for long."""
+    d = Drive(backends=40, may_count=False, fleet=200)
+    start = d.gw.room.size
+    for k in range(10):
+        rid, actions = d.request(customer=f"c{k}")
+        d.now += 100_000
+        d.end(rid, of(actions, Attempt)[0].backend)
+    assert d.gw.room.size == start
