--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -25,6 +25,7 @@
 ASK_LEAST = 0.02  # share of requests still asking a counter that does not answer: finds its return
 BATCH_SHARE = 0.15  # of a gateway's calls, at most, for the global counts
 RETRY_SHARE = 0.1  # retry budget: further attempts per answer, the customary tenth
+BEST_AFTER = 20  # answers until their mean latency counts: the first to answer are the short ones
 EASE = 0.1  # weight of the newest sample in moving averages: about the last ten answers
 NOT_ADDED = (Ending.FULL, Ending.NO_CONNECTION)
 TICK = 0  # timer token of the batch; attempts' checks use tokens above it
@@ -138,7 +139,7 @@
                and (share >= 1 or self.rng.random() < share))
         if cust.plan.rate > 0:
             first = 1 if cust.read else max(share, EASE)  # a first ask speaks for those that stayed away
-            held.told = req.units * self.swell(cust, self.now) / first
+            held.told = req.units * self.swell(cust) / first
             # room is what the others likely left since the last read
             room = cust.store - cust.flow * min(self.now - cust.read, cust.window) / SECOND >= req.units
             if ask and (room or self.now - cust.read > BATCH):
@@ -222,10 +223,10 @@
         left = max(0.0, cust.part / max(cust.plan.burst / cust.spread, self.units)) if cust.read else 0.0
         return float(self.asking ** ((0.5 + left) * self.stake / stake))
 
-    def swell(self, cust: Customer, at: int) -> float:
+    def swell(self, cust: Customer) -> float:
         """What a unit adds to its customer's count: more, the later, so that earlier ones fade over the
         plan's window. The count slides and does not start anew: one read tells who is near the floor."""
-        return exp(at % EPOCH / cust.window)
+        return exp(self.now % EPOCH / cust.window)
 
     def counted(self, cust: Customer, ev: Counted, amount: float) -> None:
         """Takes what the others added since the last read, as spread over that time, out of the room; it
@@ -239,7 +240,7 @@
             cust.unsent += amount
         else:
             self.refill(cust)
-            swell, since = self.swell(cust, self.now), max(1, min(self.now - cust.read, self.now % EPOCH))
+            swell, since = self.swell(cust), max(1, min(self.now - cust.read, self.now % EPOCH))
             others, span, burst = ev.level - cust.level - amount, since / cust.window, cust.plan.burst
             cust.level, cust.read = ev.level, self.now
             gone = round(others / swell * (span / (1 - exp(-span)) if others > 0 else 1), 3)
@@ -270,14 +271,13 @@
             self.counted(cust, ev, amount)
         if held is None or not held.waiting:
             return
-        units = held.req.units
         held.waiting -= 1
         if kind in ("quota", "look"):
             self.counted(cust, ev, amount)
             if held.over:
                 held.within = False
             elif answered:
-                self.take(held, cust.store >= units)
+                self.take(held, cust.store >= held.req.units)
             else:
                 self.alone(held)
             held.told *= ev.name == self.quota_name(cust)  # nothing is handed back to an epoch's end
@@ -452,9 +452,9 @@
             b.heard, b.fails, b.out_until = self.now, 0, 0
             self.sample(b, per)
             self.lat = self.lat + EASE * (per - self.lat) if self.lat else per
-            self.heard = min(self.heard + 1, 20)
+            self.heard = min(self.heard + 1, BEST_AFTER)
             self.mean += (per - self.mean) / self.heard
-            if self.heard == 20:  # the first to answer are the short ones: no measure of the best
+            if self.heard == BEST_AFTER:
                 self.base = min(self.base or self.mean, self.mean)
             self.budget = min(10.0, self.budget + RETRY_SHARE)
             self.fit(b.limit, len(b.inflight), self.lat_of(b), self.least)
@@ -541,7 +541,7 @@
         self.out -= 1
         if self.s.post_paid and ev.true_units and held.taken:  # the guess is put right
             held.cust.store -= ev.true_units - held.req.units
-            held.cust.unsent += (ev.true_units - held.req.units) * self.swell(held.cust, self.now)
+            held.cust.unsent += (ev.true_units - held.req.units) * self.swell(held.cust)
         if self.now > self.gap:  # what came while this gateway stood still blames nobody
             self.learn(b, ev, units)
         held.cust.out -= 1
