--- /dev/null
+++ b/oakvale/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m oakvale`."""
+
+from oakvale.cli import main
+
+if __name__ == "__main__":
+    main(prog_name="oakvale")
--- a/oakvale/adapter/host.py
+++ b/oakvale/adapter/host.py
@@ -9,6 +9,7 @@
 import orjson
 
 from oakvale import interface as i
+from oakvale import settings
 from oakvale.adapter import wire
 from oakvale.logic import Gateway
 
@@ -61,7 +62,7 @@
             return
         self.current = who = f[0]
         if kind == "init":
-            self.instances[who] = Instance(who, Gateway(wire.settings(f[2] or {}), int(f[1] or 0)))
+            self.instances[who] = Instance(who, Gateway(settings.decode(f[2] or {}), int(f[1] or 0)))
             return
         if kind == "teardown":
             self.instances.pop(who, None)
--- a/oakvale/adapter/wire.py
+++ b/oakvale/adapter/wire.py
@@ -19,8 +19,6 @@
     "not_sent": i.Ending.MOOT,
 }
 STATES = {0: i.State.DRAINING, 1: i.State.READY, 2: i.State.GONE}
-REPORT_NAMES = {"concurrent": "inflight", "load_share": "util", "tps": "qps", "depth": "queue",
-                "mean_ms": "latency_ms", "err_ps": "errors"}
 
 
 def counter_number(name: str) -> int:
@@ -28,66 +26,6 @@
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big") >> 1
 
 
-def settings(data: dict[str, Any]) -> i.Settings:
-    def part(name: str) -> dict[str, Any]:
-        return data.get(name) or {}
-
-    limits, rules, extra = part("limits"), part("rules"), part("specifics")
-    report, prices = part("report"), part("prices")
-    classes = tuple(
-        i.RequestClass(
-            aim=int(c.get("targetUs") or c.get("giveUpUs") or 1_000_000),
-            deadline=int(c.get("giveUpUs") or 5_000_000),
-            effect=i.Effect(c.get("effect", "unsafe")),
-            group=str(c.get("group") or "cell"),
-            memory=int(c.get("memorySpanUs") or 0),
-            worth=float(c.get("gain", 1.0)),
-            stream=bool(c.get("stream")),
-        )
-        for c in data.get("classes") or []
-    )
-    plans = tuple(
-        i.Plan(
-            rate=float(p.get("perSecond") or 0),
-            burst=float(p.get("depth") or 0),
-            open=int(p.get("open") or 0),
-            price=float(p.get("valueFactor", 1.0)),
-            over_worth=float(p.get("overWorth") or 0),
-            over_cost=float(p.get("excessCost") or 0),
-            ceiling_rate=float(p.get("hardRate") or 0),
-            ceiling_burst=float(p.get("hardBurst") or 0),
-            ceiling_slack=float(p.get("capSlack") or 0),
-        )
-        for p in data.get("tiersOfService") or []
-    )
-    return i.Settings(
-        classes=classes,
-        plans=plans,
-        fleet=max(1, int(data.get("fleetSize") or 1)),
-        position=int(data.get("position") or 0),
-        zone=int(data.get("zone") or 0),
-        on_request=data.get("discovery") == "on_request",
-        report=tuple(REPORT_NAMES.get(c, c) for c in report.get("columns") or []),
-        max_attempts=max(1, int(limits.get("maxAttempts") or 1)),
-        max_retry_after=int(limits.get("maxRetryAfterUs") or 0),
-        retry_after=bool(limits.get("retryAfter")),
-        may_cancel=bool(limits.get("mayCancel")),
-        copies=bool(limits.get("parallelTries")),
-        may_count=bool(extra.get("mayCount")),
-        counter_timeout=int(extra.get("counterTimeoutUs") or 50_000),
-        meter_period=int(extra.get("usePeriodUs") or 0),
-        largest=float(extra.get("largest") or 1),
-        post_paid=bool(extra.get("postPaid")),
-        cross_zone_price=float(prices.get("crossZone") or 0),
-        drain_grace=int(rules.get("drainGraceUs") or 0),
-        cold_from=float(rules.get("coldFrom") or 1.0),
-        ramp=int(rules.get("rampTimeUs") or 0),
-        fall_multiple=float(rules.get("fallMultiple") or 1.0),
-        fall_span=int(rules.get("overloadForUs") or 1_000_000),
-        must_ask_in=int(rules.get("mustAskInUs") or 10_000_000),
-    )
-
-
 def entries(rows: list[Any]) -> tuple[i.Entry, ...]:
     return tuple(
         i.Entry(int(r[0]), int(r[1] or 0), int(r[2] or 0), int(r[3] or 0), STATES.get(r[4], i.State.DRAINING),
--- /dev/null
+++ b/oakvale/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start and stop: the loop and its timers, limits, configuration, logging, serving and shutdown."""
--- /dev/null
+++ b/oakvale/lifecycle/configuration.py
@@ -0,0 +1,89 @@
+"""What a gateway is told at its start: the environment and the file that `LB_CONFIG` names."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from oakvale import interface as i
+from oakvale import settings as site
+from oakvale.lifecycle.limits import Limits
+
+Address = tuple[str, int]
+
+
+class BadConfiguration(Exception):
+    """One line that says what is wrong."""
+
+
+@dataclass(slots=True, frozen=True)
+class Configuration:
+    name: str
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    seed: int
+    known: dict[str, Any]
+    settings: i.Settings
+    names: site.Names
+    limits: Limits
+
+
+def address(text: Any, what: str) -> Address:
+    host, _, port = str(text or "").rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise BadConfiguration(f"{what} is not host:port: {text!r}")
+    return host, int(port)
+
+
+def load(environment: Mapping[str, str]) -> Configuration:
+    path = environment.get("LB_CONFIG")
+    if not path:
+        raise BadConfiguration("LB_CONFIG is not set")
+    try:
+        data = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise BadConfiguration(f"cannot read {path}: {error.strerror}") from error
+    except orjson.JSONDecodeError as error:
+        raise BadConfiguration(f"{path} is not JSON: {error}") from error
+    if not isinstance(data, dict):
+        raise BadConfiguration(f"{path} holds no object")
+    return decode(data, environment)
+
+
+def decode(data: dict[str, Any], environment: Mapping[str, str]) -> Configuration:
+    raw = data.get("settings")
+    if not isinstance(raw, dict):
+        raise BadConfiguration("settings are missing")
+    try:
+        decoded, names = site.decode(raw), site.names(raw)
+        limits, extra = site.part(raw, "limits"), site.part(raw, "specifics")
+        bounds = Limits.fill(
+            sockets=int(site.part(data, "limits").get("sockets") or 1024),
+            connect=int(limits.get("connectTimeoutUs") or Limits.connect),
+            backend_idle=int(limits.get("connIdleUs") or Limits.backend_idle),
+            counter_timeout=int(extra.get("counterTimeoutUs") or Limits.counter_timeout),
+            requests=int(limits.get("maxOpen") or Limits.requests),
+        )
+        seed = int(str(data.get("seed") or "0"), 16)
+    except (TypeError, ValueError, KeyError, AttributeError) as error:
+        raise BadConfiguration(f"bad settings: {error!r}") from error
+    if not decoded.classes or not decoded.plans:
+        raise BadConfiguration("settings name no classes or no plans")
+    known = data.get("known") or {}
+    if not isinstance(known, dict):
+        raise BadConfiguration("known is not an object")
+    counter = data.get("counter")
+    if not counter and decoded.may_count:
+        raise BadConfiguration("counter is missing, though the settings allow calls")
+    return Configuration(
+        name=environment.get("LB_NAME") or str(data.get("name") or "oakvale"),
+        listen=address(environment.get("LB_LISTEN") or data.get("listen"), "listen"),
+        discovery=address(environment.get("LB_DISCOVERY") or data.get("discovery"), "discovery"),
+        counter=address(counter, "counter") if counter else None,
+        seed=seed, known=known, settings=decoded, names=names, limits=bounds,
+    )
--- /dev/null
+++ b/oakvale/lifecycle/limits.py
@@ -0,0 +1,59 @@
+"""Every size, count and time that bounds the gateway, in one type that is filled at start and handed down.
+
+These guard the process. What is decided about requests is in `oakvale.logic` alone.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+MS = 1_000
+SECOND = 1_000_000
+
+
+@dataclass(frozen=True)
+class Limits:
+    # sizes, in bytes
+    buffer: int = 16 * 1024
+    header: int = 16 * 1024  # a message's head
+    body: int = 64 * 1024  # PROTOCOL: a body holds at most this
+    line: int = 1024 * 1024  # a line of discovery
+    counter_line: int = 256
+    # counts
+    buffers: int = 64  # kept for reuse
+    backlog: int = 1024
+    accepts: int = 64  # in one turn: a storm of connections does not starve the others
+    clients: int = 512
+    backends: int = 384
+    counters: int = 4
+    counter_owed: int = 4096  # calls out on one connection
+    requests: int = 20_000  # in hand
+    # times, in microseconds
+    client_idle: int = 75 * SECOND
+    client_send: int = 10 * SECOND  # from a request's first byte to its last
+    client_take: int = 10 * SECOND  # for a client to take its answer
+    linger: int = 1 * SECOND  # for a client to close after the last answer
+    accept_pause: int = 20 * MS
+    connect: int = 250 * MS
+    backend_idle: int = 20 * SECOND
+    counter_timeout: int = 50 * MS
+    counter_retry: int = 50 * MS
+    counter_late: int = 2 * SECOND  # for answers still owed on a connection given up
+    counter_idle: int = 1 * SECOND  # older than this, a connection is looked at before it is used
+    discovery_retry: int = 250 * MS
+    discovery_silence: int = 7 * SECOND  # an empty line comes every 2 s
+    sweep: int = 1 * SECOND
+    stop_accepting: int = 500 * MS  # after SIGTERM; connections go on coming for 0.2 to 0.4 s
+    stop_taking: int = 700 * MS  # after SIGTERM; what comes later is turned away
+    stop_longest: int = 8 * SECOND
+
+    @classmethod
+    def fill(cls, sockets: int, connect: int, backend_idle: int, counter_timeout: int,
+             requests: int) -> Limits:
+        """Shares out the descriptors: an eighth and 16 stay free for the rest of the process."""
+        free = max(16, sockets - sockets // 8 - 16 - cls.counters)
+        return cls(
+            clients=free * 4 // 7, backends=free * 3 // 7, connect=connect,
+            # well before the other side closes: what is written to a closed connection may have run
+            backend_idle=backend_idle * 2 // 3, counter_timeout=counter_timeout, requests=requests,
+        )
--- /dev/null
+++ b/oakvale/lifecycle/loop.py
@@ -0,0 +1,187 @@
+"""The event loop: select.epoll, generators as coroutines, timers, one clock reading a turn.
+
+A coroutine yields `(mask, due)`: the epoll events it waits for and the clock time at which it stops waiting
+(0: never). It is resumed with the events that came, with `TIMED_OUT`, or with `WOKEN` when another part of
+the program has something for it.
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+import select
+import time
+from collections import deque
+from collections.abc import Callable, Generator
+from enum import IntEnum
+from typing import Any
+
+READ = select.EPOLLIN | select.EPOLLRDHUP
+WRITE = select.EPOLLOUT
+BROKEN = select.EPOLLHUP | select.EPOLLERR
+TIMED_OUT = 0
+WOKEN = -1
+
+Coroutine = Generator[tuple[int, int], int, None]
+Step = Generator[tuple[int, int], int, Any]  # a part of a coroutine, entered with `yield from`
+
+log = logging.getLogger(__name__)
+
+
+class Rank(IntEnum):
+    """The order in which one turn gives the module what has come."""
+
+    DISCOVERY = 0
+    COUNTER = 1
+    BACKEND = 2
+    CLIENT = 3
+
+
+class Clock:
+    """System time at start plus monotonic time since, in microseconds: all gateways read about the same, and
+    no later step of the system's clock lengthens or shortens a wait."""
+
+    def __init__(self) -> None:
+        self._offset = time.time_ns() - time.monotonic_ns()
+
+    def __call__(self) -> int:
+        return (time.monotonic_ns() + self._offset) // 1000
+
+
+class Task:
+    """One coroutine and the descriptor it waits on."""
+
+    __slots__ = ("coroutine", "fd", "rank", "mask", "due", "armed", "woken", "alive", "running")
+
+    def __init__(self, coroutine: Coroutine, fd: int, rank: Rank) -> None:
+        self.coroutine, self.fd, self.rank = coroutine, fd, rank
+        self.mask = -1  # not registered
+        self.due = self.armed = 0  # when the wait ends; the time of the timer that stands for it
+        self.woken, self.alive, self.running = False, True, False
+
+
+class Loop:
+    def __init__(self, clock: Callable[[], int]) -> None:
+        self.clock = clock
+        self.now = clock()
+        self.turns = 0
+        self._epoll = select.epoll()
+        self._tasks: dict[int, Task] = {}
+        self._woken: deque[Task] = deque()
+        self._timers: list[tuple[int, int, Callable[[Any], None], Any]] = []
+        self._sequence = 0
+        self._stopped = False
+
+    # ---- coroutines
+
+    def start(self, coroutine: Coroutine, fd: int, rank: Rank) -> Task:
+        """Runs a coroutine up to its first wait."""
+        task = Task(coroutine, fd, rank)
+        self._tasks[fd] = task
+        self._resume(task, None)
+        return task
+
+    def wake(self, task: Task) -> None:
+        """Resumes a waiting coroutine later in this turn."""
+        if task.alive and not task.woken:
+            task.woken = True
+            self._woken.append(task)
+
+    def end(self, task: Task) -> None:
+        """Ends a waiting coroutine; its `finally` closes what it holds."""
+        if task.alive and not task.running:
+            self._forget(task)
+            task.coroutine.close()
+
+    def _forget(self, task: Task) -> None:
+        task.alive = False
+        if self._tasks.get(task.fd) is task:  # the descriptor may already be another's
+            del self._tasks[task.fd]
+
+    def _resume(self, task: Task, signal: int | None) -> None:
+        task.running = True
+        try:
+            mask, due = task.coroutine.send(signal)  # type: ignore[arg-type]
+        except StopIteration:
+            return self._forget(task)
+        except Exception:
+            # one connection's failure never ends the process
+            log.exception("coroutine failed", extra={"party": task.rank.name.lower()})
+            return self._forget(task)
+        finally:
+            task.running = False
+        if mask != task.mask:
+            if task.mask < 0:
+                self._epoll.register(task.fd, mask)
+            else:
+                self._epoll.modify(task.fd, mask)
+            task.mask = mask
+        task.due = due
+        if due and (not task.armed or due < task.armed):
+            self._arm(task)
+
+    # ---- timers
+
+    def at(self, due: int, call: Callable[[Any], None], argument: Any = None) -> None:
+        self._sequence += 1
+        heapq.heappush(self._timers, (due, self._sequence, call, argument))
+
+    def _arm(self, task: Task) -> None:
+        task.armed = task.due
+        self.at(task.due, self._task_due, task)
+
+    def _task_due(self, task: Task) -> None:
+        """A task has one timer in the heap however often its wait is moved: a late one is set again."""
+        if not task.alive or task.armed > self.now:
+            return  # an earlier timer was set after this one
+        task.armed = 0
+        if not task.due:
+            return
+        if task.due > self.now:
+            return self._arm(task)
+        self._resume(task, TIMED_OUT)
+
+    # ---- turns
+
+    def run(self) -> None:
+        while not self._stopped:
+            self.turn()
+
+    def stop(self) -> None:
+        self._stopped = True
+
+    def turn(self, longest: float = 1.0) -> None:
+        """Waits for events or the next timer, then handles all that is there at one clock time."""
+        wait = longest
+        if self._woken:
+            wait = 0.0
+        elif self._timers:
+            wait = min(longest, max(0.0, (self._timers[0][0] - self.clock()) / 1e6))
+        events = self._epoll.poll(wait)
+        self.now = self.clock()
+        self.turns += 1
+        # tasks are looked up before any runs: an event for a descriptor that is closed and opened anew in
+        # this turn then finds its old, ended task and is passed over
+        ready = [(task, flags) for fd, flags in events if (task := self._tasks.get(fd))]
+        if len(ready) > 1:
+            ready.sort(key=lambda pair: pair[0].rank)
+        for task, flags in ready:
+            if task.alive:
+                self._resume(task, flags)
+        self._run_woken()
+        while self._timers and self._timers[0][0] <= self.now:
+            _, _, call, argument = heapq.heappop(self._timers)
+            call(argument)
+        self._run_woken()
+
+    def _run_woken(self) -> None:
+        while self._woken:
+            task = self._woken.popleft()
+            task.woken = False
+            if task.alive:
+                self._resume(task, WOKEN)
+
+    def close(self) -> None:
+        for task in list(self._tasks.values()):
+            self.end(task)
+        self._epoll.close()
--- /dev/null
+++ b/oakvale/lifecycle/serving.py
@@ -0,0 +1,102 @@
+"""Serving: the listening socket, its coroutine, and the start of everything else."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import os
+import socket
+
+from oakvale.host import Host
+from oakvale.lifecycle.configuration import Configuration
+from oakvale.lifecycle.loop import READ, Clock, Coroutine, Loop, Rank
+from oakvale.lifecycle.shutdown import Shutdown
+from oakvale.wire.clients import ClientConnection
+from oakvale.wire.discovery import BadList
+
+log = logging.getLogger(__name__)
+
+
+def listening(address: tuple[str, int], backlog: int) -> socket.socket:
+    """Bound at once after a kill, though connections of the life before may linger."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+class Server:
+    def __init__(self, configuration: Configuration, listener: socket.socket, loop: Loop) -> None:
+        self.loop, self.listener = loop, listener
+        self.host = Host(configuration, loop)
+        self.limits = configuration.limits
+        self.known = configuration.known
+        self.accepting = loop.start(self._accept(), listener.fileno(), Rank.CLIENT)
+        loop.at(loop.now + self.limits.sweep, self._sweep)
+
+    def begin(self) -> None:
+        """The list as this gateway last had it, maybe old, then the watch."""
+        nothing = {"index": 0, "snapshot": True, "endpoints": []}
+        try:
+            self.host.discovery.take(self.known or nothing, cached=True)
+        except BadList as error:
+            log.warning("known list is not understood", extra={"why": str(error)})
+            self.host.discovery.take(nothing, cached=True)
+        if not self.host.settings.on_request:
+            self.host.discovery.watch(True)
+
+    def _accept(self) -> Coroutine:
+        """Takes what has come, so many a turn. With no descriptor left the longest idle client makes room, or
+        else new ones stay in the backlog for a moment: a failing accept never spins."""
+        try:
+            while True:
+                yield READ, 0
+                for _ in range(self.limits.accepts):
+                    clients = self.host.clients
+                    if len(clients.all) >= self.limits.clients and not clients.end_oldest_idle():
+                        yield 0, self.loop.now + self.limits.accept_pause
+                        break
+                    if not self.accept_one():
+                        break
+        finally:
+            self.listener.close()
+
+    def accept_one(self) -> bool:
+        try:
+            sock, _ = self.listener.accept()
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            log.warning("accept failed", extra={"why": str(error)})
+            return False
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        ClientConnection(self.host, sock)
+        return True
+
+    def _sweep(self, _: None) -> None:
+        self.host.idle.sweep(self.loop.now)
+        self.loop.at(self.loop.now + self.limits.sweep, self._sweep)
+
+
+def serve(configuration: Configuration) -> int:
+    listener = listening(configuration.listen, configuration.limits.backlog)
+    loop = Loop(Clock())
+    server = Server(configuration, listener, loop)
+    shutdown = Shutdown(server)
+    server.begin()
+    gc.collect()
+    gc.freeze()  # what lives as long as the process is never looked at again
+    log.info("serving", extra={"gateway": configuration.name, "pid": os.getpid(),
+                               "listen": f"{configuration.listen[0]}:{configuration.listen[1]}"})
+    try:
+        loop.run()
+    finally:
+        shutdown.close()
+    log.info("stopped", extra={"gateway": configuration.name})
+    return 0
--- /dev/null
+++ b/oakvale/lifecycle/shutdown.py
@@ -0,0 +1,73 @@
+"""Shutdown: on SIGTERM take and answer all that still comes, stop listening, end what is in hand, go."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import socket
+from typing import TYPE_CHECKING
+
+from oakvale.lifecycle.loop import READ, Coroutine, Rank
+
+if TYPE_CHECKING:
+    from oakvale.lifecycle.serving import Server
+
+log = logging.getLogger(__name__)
+
+
+class Shutdown:
+    def __init__(self, server: Server) -> None:
+        self.server, self.host, self.loop = server, server.host, server.loop
+        self._read, self._write = socket.socketpair()
+        self._read.setblocking(False)
+        self._write.setblocking(False)
+        self._began = 0
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: None)  # the wake-up descriptor tells
+        signal.set_wakeup_fd(self._write.fileno(), warn_on_full_buffer=False)
+        self.loop.start(self._run(), self._read.fileno(), Rank.DISCOVERY)
+
+    def _run(self) -> Coroutine:
+        while True:
+            yield READ, 0
+            try:
+                self._read.recv(64)
+            except BlockingIOError:
+                continue
+            self.begin()
+
+    def begin(self) -> None:
+        if self.host.stopping:
+            return
+        limits, now = self.host.limits, self.loop.now
+        self.host.stopping = True  # answers say from now on that the connection ends
+        self._began = now
+        log.info("stopping", extra={"requests": len(self.host.requests)})
+        self.loop.at(now + limits.stop_accepting, self._stop_accepting)
+        self.loop.at(now + limits.stop_taking, self._stop_taking)
+
+    def _stop_accepting(self, _: None) -> None:
+        """A listener that closes resets what is in its backlog: all of it is taken first."""
+        while self.server.accept_one():
+            pass
+        self.loop.end(self.server.accepting)
+        self.host.clients.end_idle()
+
+    def _stop_taking(self, _: None) -> None:
+        self.host.taking_ended = True
+        self._end_when_done(None)
+
+    def _end_when_done(self, _: None) -> None:
+        limits, now = self.host.limits, self.loop.now
+        self.host.clients.end_idle()
+        if not self.host.clients.all or now - self._began > limits.stop_longest:
+            self.host.ended = True
+            self.loop.stop()
+        else:
+            self.loop.at(now + limits.accept_pause, self._end_when_done)
+
+    def close(self) -> None:
+        signal.set_wakeup_fd(-1)
+        self.loop.close()
+        self._read.close()
+        self._write.close()
--- /dev/null
+++ b/oakvale/memory/requests.py
@@ -0,0 +1,75 @@
+"""Requests in hand: what is owed an answer, or still has attempts out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from oakvale.interface import Ending
+
+if TYPE_CHECKING:
+    from oakvale.wire.backends import BackendConnection
+    from oakvale.wire.clients import ClientConnection
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclass(slots=True)
+class Answer:
+    """A final answer on its way to a client, or a backend's."""
+
+    status: int
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
+
+
+@dataclass(slots=True, eq=False)
+class InHand:
+    """One request of a client."""
+
+    id: str
+    client: ClientConnection
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    deadline: int
+    over: bool = False
+    hops: int = 0
+    out: dict[int, AttemptOut] = field(default_factory=dict)
+
+
+@dataclass(slots=True, eq=False)
+class AttemptOut:
+    """One attempt: `written` once the kernel has taken its last byte."""
+
+    request: InHand
+    backend: int
+    hop: int
+    sent: int
+    due: int
+    connection: BackendConnection | None = None
+    written: bool = False
+    ending: Ending | None = None
+
+
+class RequestsInHand:
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._by_id: dict[str, InHand] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def get(self, rid: str) -> InHand | None:
+        return self._by_id.get(rid)
+
+    def full(self) -> bool:
+        return len(self._by_id) >= self._most
+
+    def add(self, request: InHand) -> None:
+        self._by_id[request.id] = request
+
+    def drop_if_done(self, request: InHand) -> None:
+        if request.over and not request.out:
+            self._by_id.pop(request.id, None)
--- /dev/null
+++ b/oakvale/wire/__init__.py
@@ -0,0 +1,1 @@
+"""What is spoken on the wire: with clients, backends, the counter and discovery."""
--- /dev/null
+++ b/oakvale/wire/backends.py
@@ -0,0 +1,176 @@
+"""Attempts: connections to backends, a coroutine each, one request at a time. Nothing is sent twice here."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from typing import TYPE_CHECKING
+
+import h11
+
+from oakvale.interface import Ending
+from oakvale.lifecycle.loop import TIMED_OUT, WOKEN, WRITE, READ, Coroutine, Rank, Step
+from oakvale.memory.requests import Answer, AttemptOut
+from oakvale.wire.http import Gone, end_to_end, more, write_all
+
+if TYPE_CHECKING:
+    from oakvale.host import Host
+
+OURS = frozenset({b"x-trace-id", b"x-expires-in"})
+LOAD = b"endpoint-load-metrics"
+
+
+class TooLarge(Exception):
+    """A backend's answer is longer than a body may be."""
+
+
+def load_report(text: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
+    """`TEXT inflight=7, util=0.61` in the order of the settings' fields; empty where it is not understood."""
+    try:
+        pairs = dict(p.split("=", 1) for p in text.decode("ascii").removeprefix("TEXT").split(","))
+        values = {k.strip(): float(v) for k, v in pairs.items()}
+    except (ValueError, UnicodeDecodeError):
+        return ()
+    return tuple(values.get(f, 0.0) for f in fields)
+
+
+def ending_of(answer: Answer) -> Ending:
+    if answer.status == 200:
+        return Ending.SERVED
+    if answer.status in (503, 504) and (b"x-never-ran", b"1") in answer.headers:
+        return Ending.FULL
+    return Ending.ERROR
+
+
+class BackendConnection:
+    def __init__(self, host: Host, attempt: AttemptOut, address: tuple[str, int]) -> None:
+        self.host, self.backend, self.used = host, attempt.backend, host.loop.now
+        self.attempt: AttemptOut | None = attempt
+        self._address = address
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=host.limits.header)
+        attempt.connection = self
+        host.backend_connections += 1
+        self._task = host.loop.start(self._run(), self._sock.fileno(), Rank.BACKEND)
+
+    def use(self, attempt: AttemptOut) -> None:
+        """Gives an idle connection its next request."""
+        self.attempt, attempt.connection = attempt, self
+        self.host.loop.wake(self._task)
+
+    def whole(self) -> bool:
+        """Neither ended nor holding stray bytes: a request written to a closed connection may have run."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
+    def end(self) -> None:
+        self.attempt = None
+        self.host.loop.end(self._task)
+
+    def _run(self) -> Coroutine:
+        try:
+            if not (yield from self._connect()):
+                return self._finish(Ending.NO_CONNECTION)
+            while (yield from self._exchange()):
+                while self.attempt is None:
+                    if (yield READ, 0) != WOKEN:
+                        return  # closed by the backend, or bytes that belong to no request
+        finally:
+            self._sock.close()
+            self.host.backend_connections -= 1
+            self.host.idle.remove(self)
+            if self.attempt is not None:  # a fault of this coroutine: its attempt still ends
+                self._finish(Ending.RESET if self.attempt.written else Ending.NO_CONNECTION)
+
+    def _connect(self) -> Step:
+        assert self.attempt is not None
+        code = self._sock.connect_ex(self._address)
+        if code != errno.EINPROGRESS:
+            return code == 0
+        due = min(self.attempt.sent + self.host.limits.connect, self.attempt.due)
+        while (signal := (yield WRITE, due)) == WOKEN:
+            pass
+        return signal != TIMED_OUT and not self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+    def _exchange(self) -> Step:
+        """Sends the attempt's request and takes its answer; False when the connection can't be used again."""
+        attempt = self.attempt
+        assert attempt is not None
+        try:
+            yield from write_all(self._sock, self._message(attempt), attempt.due)
+            attempt.written = True
+            answer, report = yield from self._answer(attempt.due)
+        except Gone as gone:
+            if not attempt.written:
+                self._finish(Ending.NO_CONNECTION)
+            else:
+                self._finish(Ending.TIMEOUT if gone.timed_out else Ending.RESET)
+            return False
+        except h11.RemoteProtocolError as error:
+            self.host.log.warning("bad answer", extra={"backend": self.backend, "why": str(error)})
+            self._finish(Ending.RESET)
+            return False
+        except TooLarge:
+            self.host.log.warning("answer too large", extra={"backend": self.backend})
+            self._finish(Ending.ERROR)
+            return False
+        http = self._http
+        reusable = http.our_state is h11.DONE and http.their_state is h11.DONE and not http.trailing_data[0]
+        if reusable:  # before the module hears of the end: its next attempt may want this connection
+            http.start_next_cycle()
+            self.attempt, self.used = None, self.host.loop.now
+            self.host.idle.put(self)
+            self.host.attempt_ended(attempt, ending_of(answer), answer, report)
+        else:
+            self._finish(ending_of(answer), answer, report)
+        return reusable
+
+    def _message(self, attempt: AttemptOut) -> bytes:
+        request, http = attempt.request, self._http
+        headers = end_to_end(request.headers, OURS)
+        headers.append((b"x-trace-id", request.id.encode()))
+        headers.append((b"x-expires-in", b"%du" % max(0, attempt.due - self.host.loop.now)))
+        if request.body:
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        head = http.send(h11.Request(method=request.method, target=request.target, headers=headers)) or b""
+        if request.body:
+            http.send(h11.Data(data=request.body))
+        http.send(h11.EndOfMessage())
+        return head + request.body
+
+    def _answer(self, due: int) -> Step:
+        http, pool = self._http, self.host.buffers
+        answer = Answer(0)
+        report: tuple[float, ...] = ()
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                yield from more(self._sock, http, pool, due)
+            elif isinstance(event, h11.Response):
+                answer.status, answer.headers = event.status_code, list(event.headers)
+                for name, value in answer.headers:
+                    if name == LOAD:
+                        report = load_report(value, self.host.settings.report)
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(parts[-1])
+                if size > self.host.limits.body:
+                    raise TooLarge
+            elif isinstance(event, h11.EndOfMessage):
+                answer.body = parts[0] if len(parts) == 1 else b"".join(parts)
+                return answer, report
+            elif isinstance(event, h11.ConnectionClosed):
+                raise Gone()
+
+    def _finish(self, ending: Ending, answer: Answer | None = None, report: tuple[float, ...] = ()) -> None:
+        attempt, self.attempt = self.attempt, None
+        if attempt is not None:
+            self.host.attempt_ended(attempt, ending, answer, report)
--- /dev/null
+++ b/oakvale/wire/clients.py
@@ -0,0 +1,255 @@
+"""Clients: one coroutine a connection that reads requests, waits for the module's answer and writes it."""
+
+from __future__ import annotations
+
+import re
+import select
+import socket
+from functools import lru_cache
+from typing import TYPE_CHECKING
+
+import h11
+
+from oakvale import interface as i
+from oakvale.lifecycle.loop import BROKEN, READ, TIMED_OUT, WOKEN, Coroutine, Rank, Step
+from oakvale.memory.requests import Answer, InHand
+from oakvale.settings import Names
+from oakvale.wire.http import Gone, end_to_end, more, write_all
+
+if TYPE_CHECKING:
+    from oakvale.host import Host
+
+HEALTH = b"/_health"
+METHODS = (b"GET", b"POST")
+TRACE_ID = re.compile(r"[0-9A-Za-z._-]{1,64}")
+CUSTOMER = re.compile(r"[0-9a-f]{16}")
+EXPIRES = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])")
+UNITS = {"m": 1000, "u": 1}
+SECOND_TRY = 2  # the simulator's mark of a client's repeat
+LONGEST_WAIT = 3_600_000_000
+
+
+class BadRequest(Exception):
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+@lru_cache(maxsize=4096)
+def terms(text: str) -> tuple[float, int, int]:
+    """`units=2,spread=3,first=1`; keys that are not known are skipped."""
+    try:
+        pairs = dict(part.strip().split("=", 1) for part in text.split(","))
+        units, spread, first = float(pairs["units"]), int(pairs["spread"]), int(pairs["first"])
+    except (KeyError, ValueError) as error:
+        raise BadRequest(400, "X-Call-Terms is not understood") from error
+    if not 0 < units <= 1e9 or spread < 1 or first < 0:
+        raise BadRequest(400, "X-Call-Terms is out of range")
+    return units, spread, first
+
+
+def text_of(value: bytes | None, what: str) -> str:
+    if value is None:
+        raise BadRequest(400, f"{what} is missing")
+    return value.decode("latin-1")
+
+
+def decode(head: h11.Request, now: int, names: Names) -> i.Request:
+    """A client's request as the module knows it; raises BadRequest."""
+    headers = dict(head.headers)
+    path, _, query = head.target.partition(b"?")
+    cls = names.classes.get(path.decode("latin-1").split("/", 2)[1] if path.startswith(b"/") else "")
+    if cls is None:
+        raise BadRequest(404, "no such class of requests")
+    rid = text_of(headers.get(b"x-trace-id"), "X-Trace-Id")
+    if not TRACE_ID.fullmatch(rid):
+        raise BadRequest(400, "X-Trace-Id is not understood")
+    pairs = [p[4:] for p in query.split(b"&") if p.startswith(b"key=")]
+    customer = text_of(pairs[0] if pairs else None, "key").lower()
+    if not CUSTOMER.fullmatch(customer):
+        raise BadRequest(400, "key is not understood")
+    plan = names.plans.get(text_of(headers.get(b"x-tier"), "X-Tier"))
+    if plan is None:
+        raise BadRequest(400, "X-Tier names no plan")
+    expires = EXPIRES.fullmatch(text_of(headers.get(b"x-expires-in"), "X-Expires-In"))
+    if expires is None:
+        raise BadRequest(400, "X-Expires-In is not understood")
+    wait = min(LONGEST_WAIT, int(float(expires[1]) * UNITS[expires[2]]))
+    units, spread, first = terms(text_of(headers.get(b"x-call-terms"), "X-Call-Terms"))
+    flags = SECOND_TRY if headers.get(b"x-second-try") == b"1" else 0
+    return i.Request(rid, customer, cls, plan, units, spread, first, now + wait, flags)
+
+
+def plain(status: int, why: str) -> Answer:
+    return Answer(status, [(b"content-type", b"text/plain")], why.encode("latin-1", "replace") + b"\n")
+
+
+class ClientConnection:
+    def __init__(self, host: Host, sock: socket.socket) -> None:
+        self.host, self.used = host, host.loop.now
+        self.answer: Answer | None = None
+        self.request: InHand | None = None
+        self._sock = sock
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=host.limits.header)
+        host.clients.add(self)
+        self._task = host.loop.start(self._run(), sock.fileno(), Rank.CLIENT)
+
+    def give(self, answer: Answer) -> None:
+        """The final answer of the request in hand."""
+        self.request, self.answer = None, answer
+        self.host.loop.wake(self._task)
+
+    def end_if_idle(self) -> bool:
+        """Closes the connection unless a request has come that was not read yet."""
+        try:
+            if self._sock.recv(1, socket.MSG_PEEK):
+                return False
+        except BlockingIOError:
+            pass
+        except OSError:
+            pass
+        self.host.loop.end(self._task)
+        return True
+
+    def _run(self) -> Coroutine:
+        try:
+            while (yield from self._serve_one()):
+                self._http.start_next_cycle()
+            yield from self._linger()
+        except Gone:
+            pass
+        finally:
+            self._sock.close()
+            self.host.clients.remove(self)
+            if self.request is not None:
+                self.host.client_gone(self.request)
+
+    def _serve_one(self) -> Step:
+        """One request and its answer; False when the connection is to be closed."""
+        http = self._http
+        try:
+            head, body = yield from self._read()
+            answer = yield from self._answered(head, body)
+        except BadRequest as bad:
+            answer = plain(bad.status, str(bad))
+        except h11.RemoteProtocolError as error:
+            answer = plain(error.error_status_hint or 400, str(error))
+        except (Gone, GeneratorExit):
+            raise
+        except Exception:
+            # a fault in one request's handling: it is logged, that request answered, the rest served
+            self.host.log.exception("request failed")
+            if self.request is not None:
+                self.host.client_gone(self.request)
+                self.request = None
+            answer = plain(500, "internal error")
+        whole = http.their_state is h11.DONE
+        headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
+        if not whole or self.host.stopping:
+            headers.append((b"connection", b"close"))
+        head = http.send(h11.Response(status_code=answer.status, headers=headers)) or b""
+        if answer.body:
+            http.send(h11.Data(data=answer.body))
+        http.send(h11.EndOfMessage())
+        due = self.host.loop.now + self.host.limits.client_take
+        yield from write_all(self._sock, head + answer.body, due)
+        return http.our_state is h11.DONE and http.their_state is h11.DONE
+
+    def _read(self) -> Step:
+        host, http = self.host, self._http
+        began, idle = 0, True
+        head: h11.Request | None = None
+        parts: list[bytes] = []
+        size = 0
+        self.used = host.loop.now
+        host.clients.idle[self] = None
+        try:
+            while True:
+                event = http.next_event()
+                if event is h11.NEED_DATA:
+                    if http.they_are_waiting_for_100_continue:
+                        interim = http.send(h11.InformationalResponse(status_code=100, headers=[]))
+                        due = host.loop.now + host.limits.client_send
+                        yield from write_all(self._sock, interim or b"", due)
+                    due = began + host.limits.client_send if began else self.used + host.limits.client_idle
+                    yield from more(self._sock, http, host.buffers, due)
+                    if idle:
+                        began, idle = host.loop.now, False
+                        host.clients.idle.pop(self, None)
+                elif isinstance(event, h11.Request):
+                    head = event
+                    if int(dict(event.headers).get(b"content-length", b"0")) > host.limits.body:
+                        raise BadRequest(413, "body too large")
+                elif isinstance(event, h11.Data):
+                    parts.append(bytes(event.data))
+                    size += len(parts[-1])
+                    if size > host.limits.body:
+                        raise BadRequest(413, "body too large")
+                elif isinstance(event, h11.EndOfMessage):
+                    return head, b"".join(parts)
+                else:  # closed between requests
+                    raise Gone()
+        except Gone as gone:
+            if gone.timed_out and began:
+                raise BadRequest(408, "request took too long to come") from gone
+            raise
+        finally:
+            host.clients.idle.pop(self, None)
+
+    def _answered(self, head: h11.Request, body: bytes) -> Step:
+        host = self.host
+        if head.target == HEALTH:
+            return plain(200, "ok") if host.can_serve() else plain(503, "not ready")
+        if head.method not in METHODS:
+            raise BadRequest(405, "only GET and POST")
+        request = decode(head, host.loop.now, host.names)
+        if host.refuses_new(request.id):
+            return plain(503, "no room")
+        self.answer = None
+        self.request = InHand(request.id, self, bytes(head.method), bytes(head.target),
+                              end_to_end(head.headers), body, request.deadline)
+        host.request_came(self.request, request)
+        mask = READ
+        while self.answer is None:
+            signal = yield mask, 0
+            if signal == WOKEN:
+                continue
+            if signal & BROKEN:
+                raise Gone()
+            if signal & select.EPOLLRDHUP:
+                mask = 0
+                self._probe()
+            else:  # a request behind this one: it waits its turn
+                mask = select.EPOLLRDHUP
+        return self.answer
+
+    def _probe(self) -> None:
+        """A client that closed and one that only ended its sending look alike. An interim answer tells them
+        apart: a closed socket resets the connection, a waiting client passes over it."""
+        if self._http.their_http_version == b"1.1":
+            interim = self._http.send(h11.InformationalResponse(status_code=102, headers=[]))
+            try:
+                self._sock.send(interim or b"")
+            except OSError:
+                pass
+
+    def _linger(self) -> Step:
+        """Ends sending first: a close with unread input would reset the connection and could destroy the
+        answer on its way."""
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+        due = self.host.loop.now + self.host.limits.linger
+        buffer = self.host.buffers.take()
+        try:
+            while True:
+                signal = yield READ, due
+                if signal == TIMED_OUT:
+                    return
+                if signal != WOKEN and not self._sock.recv_into(buffer):
+                    return
+        except OSError:
+            return
+        finally:
+            self.host.buffers.give(buffer)
--- /dev/null
+++ b/oakvale/wire/counter.py
@@ -0,0 +1,257 @@
+"""The counter: calls written one behind another as lines, answers matched in order.
+
+A call has one outcome, by its time-out at the latest; an answer that comes later is still owed by its
+connection and is thrown away. Outcomes of one name are given in the order of its calls, over all connections.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections import deque
+from typing import TYPE_CHECKING
+
+from oakvale.interface import Ending
+from oakvale.lifecycle.loop import READ, TIMED_OUT, WOKEN, WRITE, Coroutine, Rank, Step
+
+if TYPE_CHECKING:
+    from oakvale.host import Host
+
+LARGEST = 1e9  # PROTOCOL: an amount is at most this
+LONGEST_NAME = 64
+LIVES = (1, 60_000)  # milliseconds
+
+
+class Call:
+    __slots__ = ("name", "amount", "life", "sent", "due", "written", "ending", "level", "connection")
+
+    def __init__(self, name: str, amount: float, life: int, sent: int, due: int) -> None:
+        self.name, self.amount, self.life, self.sent, self.due = name, amount, life, sent, due
+        self.written, self.level = False, 0.0
+        self.ending: Ending | None = None
+        self.connection: CounterConnection | None = None
+
+    def line(self) -> bytes:
+        amount = f"{self.amount:.12f}".rstrip("0").rstrip(".")  # never in exponent form
+        return f"add {self.name} {amount or '0'} {self.life}\r\n".encode("ascii")
+
+    def allowed(self) -> bool:
+        name = self.name
+        return (abs(self.amount) <= LARGEST and 0 < len(name) <= LONGEST_NAME and name.isascii()
+                and name.isprintable() and " " not in name)
+
+
+def answer(line: bytes) -> tuple[Ending, float]:
+    """The outcome that a line tells; raises ValueError."""
+    word, _, rest = line.partition(b" ")
+    if word == b"ok":
+        return Ending.SERVED, float(rest)
+    if line in (b"busy", b"error"):
+        return Ending.FULL, 0.0  # nothing was added
+    raise ValueError(f"not an answer: {line[:64]!r}")
+
+
+class Counter:
+    def __init__(self, host: Host, address: tuple[str, int]) -> None:
+        self.host, self.address = host, address
+        self.connections: list[CounterConnection] = []
+        self.retry_at = 0
+        self._by_name: dict[str, deque[Call]] = {}
+        self._out: deque[Call] = deque()  # by due time: all calls have the same time-out
+        self._armed = False
+
+    def call(self, name: str, amount: float, life: int) -> None:
+        now = self.host.loop.now
+        life = min(max(life // 1000, LIVES[0]), LIVES[1])
+        call = Call(name, amount, life, now, now + self.host.limits.counter_timeout)
+        self._by_name.setdefault(name, deque()).append(call)
+        if not call.allowed():
+            self.host.log.error("call not allowed", extra={"name": name, "amount": amount})
+            return self.end(call, Ending.FULL)
+        connection = self._connection()
+        if connection is None:
+            return self.end(call, Ending.NO_CONNECTION)
+        self._out.append(call)
+        if not self._armed:
+            self._armed = True
+            self.host.loop.at(call.due, self._expire)
+        connection.send(call)
+
+    def end(self, call: Call, ending: Ending, level: float = 0.0) -> None:
+        """Settles a call, once, and gives the module what is settled of its name, in order."""
+        if call.ending is not None:
+            return
+        call.ending, call.level = ending, level
+        calls = self._by_name[call.name]
+        while calls and calls[0].ending is not None:
+            first = calls.popleft()
+            self.host.counted(first.name, first.ending or ending, first.level, first.sent)
+        if not calls and self._by_name.get(call.name) is calls:
+            del self._by_name[call.name]
+
+    def _connection(self) -> CounterConnection | None:
+        now = self.host.loop.now
+        for connection in self.connections:
+            if connection.usable(now):
+                return connection
+        if now < self.retry_at:
+            return None
+        if len(self.connections) >= self.host.limits.counters:
+            self.connections[0].end()
+        try:
+            return CounterConnection(self)
+        except OSError as error:
+            self.host.log.warning("no socket for the counter", extra={"why": str(error)})
+            return None
+
+    def _expire(self, _: None) -> None:
+        now = self.host.loop.now
+        while self._out and (self._out[0].ending is not None or self._out[0].due <= now):
+            call = self._out.popleft()
+            if call.ending is None:
+                if call.connection is not None:
+                    call.connection.late(call)
+                self.end(call, Ending.TIMEOUT if call.written else Ending.NO_CONNECTION)
+        self._armed = bool(self._out)
+        if self._armed:
+            self.host.loop.at(self._out[0].due, self._expire)
+
+
+class CounterConnection:
+    def __init__(self, counter: Counter) -> None:
+        self.counter, self.host = counter, counter.host
+        self.owed: deque[Call] = deque()  # written, no answer yet
+        self.heard = self.used = self.host.loop.now
+        self.up = self.stuck = self.ended = False
+        self._unsent: deque[Call] = deque()
+        self._tail = b""  # of a line that the socket took in part
+        self._buffer = b""
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        counter.connections.append(self)
+        self._task = self.host.loop.start(self._run(), self._sock.fileno(), Rank.COUNTER)
+
+    def usable(self, now: int) -> bool:
+        if self.ended or self.stuck or len(self.owed) + len(self._unsent) >= self.host.limits.counter_owed:
+            return False
+        if not self.up or self.owed or now - self.used < self.host.limits.counter_idle:
+            return True
+        # idle for some time: the counter may have closed it, and what is written then may be lost
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        self.end()
+        return False
+
+    def send(self, call: Call) -> None:
+        call.connection = self
+        self._unsent.append(call)
+        self.used = self.host.loop.now
+        self.host.loop.wake(self._task)
+
+    def late(self, call: Call) -> None:
+        """A call's time is up. When nothing at all came since it was made, the connection may be dead: it is
+        left to bring what it still owes, and later calls go elsewhere."""
+        if self.heard <= call.sent:
+            self.stuck = True
+
+    def end(self) -> None:
+        self.host.loop.end(self._task)
+
+    def _run(self) -> Coroutine:
+        try:
+            if not (yield from self._connect()):
+                self.counter.retry_at = self.host.loop.now + self.host.limits.counter_retry
+                return
+            self.up = True
+            while True:
+                blocked = not self._write()
+                due = self.heard + self.host.limits.counter_late if self.stuck else 0
+                signal = yield (READ | WRITE if blocked else READ), due
+                if signal == TIMED_OUT and self.stuck:
+                    return
+                if signal > 0 and signal & ~WRITE and not self._read():
+                    return
+        except (OSError, ValueError) as error:
+            self.host.log.warning("counter connection dropped", extra={"why": str(error)})
+        finally:
+            self.ended = True
+            self._sock.close()
+            self.counter.connections.remove(self)
+            for call in self.owed:
+                self.counter.end(call, Ending.TIMEOUT)  # it may have been added
+            for call in self._unsent:
+                self.counter.end(call, Ending.NO_CONNECTION)
+
+    def _connect(self) -> Step:
+        code = self._sock.connect_ex(self.counter.address)
+        if code != errno.EINPROGRESS:
+            return code == 0
+        due = self.host.loop.now + self.host.limits.connect
+        while (signal := (yield WRITE, due)) == WOKEN:
+            pass
+        return signal != TIMED_OUT and not self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+    def _write(self) -> bool:
+        """Writes the calls that wait; False when the socket takes no more."""
+        while self._unsent or self._tail:
+            calls: list[Call] = []
+            data = self._tail
+            while self._unsent and len(data) < self.host.limits.buffer:
+                call = self._unsent.popleft()
+                if call.ending is None:  # else its time was up before it could be written
+                    calls.append(call)
+                    data += call.line()
+            try:
+                sent = self._sock.send(data) if data else 0
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                self._unsent.extendleft(reversed(calls))
+                raise
+            end = len(self._tail)
+            self._tail = b""
+            for k, call in enumerate(calls):
+                end += len(call.line())
+                if sent < end:  # this one went in part or not at all
+                    begun = sent > end - len(call.line())
+                    if begun:
+                        call.written = True
+                        self.owed.append(call)
+                        self._tail = data[sent:end]
+                    self._unsent.extendleft(reversed(calls[k + begun:]))
+                    return False
+                call.written = True
+                self.owed.append(call)
+            if sent < len(data):
+                self._tail = data[sent:]
+                return False
+        return True
+
+    def _read(self) -> bool:
+        """Takes answers; False when the counter ended the connection. Raises ValueError on a bad line."""
+        pool = self.host.buffers
+        buffer = pool.take()
+        try:
+            count = self._sock.recv_into(buffer)
+            data = self._buffer + bytes(buffer[:count])
+        except BlockingIOError:
+            return True
+        finally:
+            pool.give(buffer)
+        if not count:
+            return False
+        self.heard, self.stuck = self.host.loop.now, False
+        lines = data.split(b"\n")
+        self._buffer = lines.pop()
+        if len(self._buffer) > self.host.limits.counter_line:
+            raise ValueError("line too long")
+        for line in lines:
+            ending, level = answer(line.rstrip(b"\r"))
+            if not self.owed:
+                raise ValueError("an answer to no call")
+            self.counter.end(self.owed.popleft(), ending, level)
+        return True
--- /dev/null
+++ b/oakvale/wire/discovery.py
@@ -0,0 +1,130 @@
+"""Discovery: a watch that is kept open, its chunked lines, and the whole list asked for once."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from typing import TYPE_CHECKING, Any
+
+import h11
+import orjson
+
+from oakvale import interface as i
+from oakvale.lifecycle.loop import TIMED_OUT, WRITE, Coroutine, Rank, Step
+from oakvale.wire.http import Gone, more, write_all
+
+if TYPE_CHECKING:
+    from oakvale.host import Host
+
+PATH = b"/catalog/members"
+
+
+class BadList(Exception):
+    """What discovery sent is not a list of backends."""
+
+
+class Discovery:
+    def __init__(self, host: Host, address: tuple[str, int]) -> None:
+        self.host, self.address = host, address
+        self.index = 0
+        self.wanted = self.watching = False
+
+    def take(self, data: dict[str, Any], cached: bool = False) -> None:
+        """Gives the module a list or what changed. Nothing of a malformed one is taken."""
+        try:
+            entries = tuple(self.host.backend_names.entry(row) for row in data["endpoints"])
+            index, whole = int(data["index"]), bool(data["snapshot"])
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise BadList(f"malformed list: {error!r}") from error
+        self.index = index
+        form = i.ListForm.CACHED if cached else i.ListForm.FULL if whole else i.ListForm.DELTA
+        if entries or form is not i.ListForm.DELTA:
+            self.host.backends_changed(form, entries)
+
+    def watch(self, on: bool) -> None:
+        self.wanted = on
+        if on and not self.watching:
+            self._open(None)
+
+    def fetch(self) -> None:
+        self._start(follow=False)
+
+    def _open(self, _: None) -> None:
+        if self.wanted and not self.watching:
+            self.watching = True
+            self._start(follow=True)
+
+    def _start(self, follow: bool) -> None:
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError as error:
+            self.host.log.warning("no socket for discovery", extra={"why": str(error)})
+            return self._ended(follow)
+        self.host.loop.start(self._run(sock, follow), sock.fileno(), Rank.DISCOVERY)
+
+    def _ended(self, follow: bool) -> None:
+        """The list in hand stays; a watch is made anew after a pause."""
+        if follow:
+            self.watching = False
+            if self.wanted:
+                self.host.loop.at(self.host.loop.now + self.host.limits.discovery_retry, self._open)
+        if self.host.settings.on_request or not follow:
+            self.host.backends_changed(i.ListForm.FAILED, ())
+
+    def _run(self, sock: socket.socket, follow: bool) -> Coroutine:
+        whole = False
+        try:
+            whole = yield from self._talk(sock, follow)
+        except (Gone, BadList, OSError, h11.ProtocolError) as error:
+            self.host.log.warning("discovery connection dropped", extra={"why": str(error) or "ended"})
+        finally:
+            sock.close()
+            if not self.host.ended and not (whole and not follow):
+                self._ended(follow)
+
+    def _talk(self, sock: socket.socket, follow: bool) -> Step:
+        host = self.host
+        limits, loop = host.limits, host.loop
+        code = sock.connect_ex(self.address)
+        if code == errno.EINPROGRESS:
+            if (yield WRITE, loop.now + limits.discovery_silence) == TIMED_OUT:
+                raise Gone(timed_out=True)
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, "cannot connect")
+        http = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.header)
+        target = PATH + (b"?follow=1&since=%d" % self.index if follow else b"")
+        authority = f"{self.address[0]}:{self.address[1]}".encode()
+        data = http.send(h11.Request(method=b"GET", target=target, headers=[(b"host", authority)])) or b""
+        data += http.send(h11.EndOfMessage()) or b""
+        yield from write_all(sock, data, loop.now + limits.discovery_silence)
+        rest = b""
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                yield from more(sock, http, host.buffers, loop.now + limits.discovery_silence)
+            elif isinstance(event, h11.Response):
+                if event.status_code != 200:
+                    raise BadList(f"status {event.status_code}")
+            elif isinstance(event, h11.Data):
+                *lines, rest = (rest + bytes(event.data)).split(b"\n")
+                if len(rest) > limits.line:
+                    raise BadList("line too long")
+                for line in lines:
+                    self._line(line)
+            elif isinstance(event, h11.EndOfMessage):
+                self._line(rest)
+                return True
+            else:
+                raise Gone()
+
+    def _line(self, line: bytes) -> None:
+        if not line.strip():
+            return
+        try:
+            data = orjson.loads(line)
+        except orjson.JSONDecodeError as error:
+            raise BadList(f"not JSON: {error}") from error
+        if not isinstance(data, dict):
+            raise BadList("not an object")
+        self.take(data)
--- /dev/null
+++ b/oakvale/wire/http.py
@@ -0,0 +1,79 @@
+"""What the sides that speak HTTP share: reading into pooled buffers, whole writes, rules on headers."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterable
+
+import h11
+
+from oakvale.lifecycle.loop import READ, TIMED_OUT, WOKEN, WRITE, Step
+from oakvale.memory.buffers import BufferPool
+from oakvale.memory.requests import Headers
+
+HOP_BY_HOP = frozenset({
+    b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
+    b"trailer", b"transfer-encoding", b"upgrade", b"expect", b"content-length",
+})
+
+
+class Gone(Exception):
+    """The other side ended or broke the connection, or took too long."""
+
+    def __init__(self, timed_out: bool = False) -> None:
+        super().__init__()
+        self.timed_out = timed_out
+
+
+def end_to_end(headers: Iterable[tuple[bytes, bytes]], without: frozenset[bytes] = frozenset()) -> Headers:
+    """Headers that pass a proxy: none that speak of this connection or of this message's framing."""
+    kept = [(k, v) for k, v in headers if k not in HOP_BY_HOP and k not in without]
+    for name, value in headers:
+        if name == b"connection":
+            named = {option.strip().lower() for option in value.split(b",")}
+            kept = [(k, v) for k, v in kept if k not in named]
+    return kept
+
+
+def receive(sock: socket.socket, http: h11.Connection, pool: BufferPool) -> bool:
+    """Hands the parser what has come; False where nothing had. Raises OSError when the connection broke."""
+    buffer = pool.take()
+    try:
+        count = sock.recv_into(buffer)
+        http.receive_data(bytes(buffer[:count]))
+        return True
+    except BlockingIOError:
+        return False
+    finally:
+        pool.give(buffer)
+
+
+def write_all(sock: socket.socket, data: bytes, due: int) -> Step:
+    """Writes what the socket takes and waits for the rest; raises Gone if it never all goes."""
+    sent = 0
+    while True:
+        try:
+            sent += sock.send(data[sent:] if sent else data)
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            raise Gone() from error
+        if sent == len(data):
+            return
+        signal = yield WRITE, due
+        if signal == TIMED_OUT:
+            raise Gone(timed_out=True)
+
+
+def more(sock: socket.socket, http: h11.Connection, pool: BufferPool, due: int) -> Step:
+    """Waits until the parser has been given something new; raises Gone."""
+    while True:
+        signal = yield READ, due
+        if signal == TIMED_OUT:
+            raise Gone(timed_out=True)
+        if signal != WOKEN:
+            try:
+                if receive(sock, http, pool):
+                    return
+            except OSError as error:
+                raise Gone() from error
