Counts swell within what a real counter takes and tells

A probe that logged calls with their answers showed that totals come in three decimals, so centring the swell round mid epoch, tried first, would have lost the counts' beginnings (ok 0.080 for two units), and that 'first add' (amount > 0.999999 of the total) fails whenever the total is rounded up.

At fault: Customer.window's least and Gateway.swell; the first-add test in on_counted. Now a window is 1.5 s at least, a late unit writes e^16 at most, and the first add is known within a thousandth.

--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -20,6 +20,7 @@
 R_OVER_FLOORS = 1.3  # DESIGN: R starts at 1.3 times the floor sum
 SECOND = 1_000_000
 EPOCH = 30 * SECOND  # a count goes on under a new name after half the time that the counter can keep one
+SWELL = 16  # a unit written late in an epoch, e^16, is a hundredth of the 1e9 that a counter takes
 CROWDED = 1.3  # a backend this much slower than the fleet at its best holds more than it has cores for
 LEAST_OUT = 2.0  # limits start at and stay above this, over all gateways: it keeps the smallest one busy
 ASK_LEAST = 0.02  # share of requests still asking a counter that does not answer: finds its return
@@ -34,8 +35,8 @@
 class Customer:
     def __init__(self, name: str, plan: Plan, now: int) -> None:
         self.name, self.plan, self.spread, self.seen = name, plan, 1, now
-        # a window far under a tick would swell past any number
-        self.window = max(EPOCH // 500, int(plan.burst / plan.rate * SECOND)) if plan.rate > 0 else SECOND
+        # in a shorter window units would swell from under the counter's decimals to more than it takes
+        self.window = max(EPOCH // 20, int(plan.burst / plan.rate * SECOND)) if plan.rate > 0 else SECOND
         self.store, self.at = plan.burst, now  # room under the sliding floor, as far as known here
         self.part, self.flow = plan.burst, 0.0  # what may pass here unasked; the others' units a second
         self.spilt = plan.rate * (now % EPOCH) / SECOND  # what came back to a full room since the last read
@@ -101,8 +102,7 @@
         self.base, self.heard = 0.0, 0  # the least that this mean was, slowly forgotten; answers in it
         self.budget, self.stake = 10.0, 0.0  # further attempts; the mean worth that a wrong guess would cost
         self.sent_units, self.sent_rate = 0.0, 0.0  # since the last tick; a second's, lately
-        self.tokens: dict[int, tuple[str, int]] = {}
-        self.next_token = 1
+        self.tokens, self.next_token = dict[int, tuple[str, int]](), 1
         self.handlers: dict[type[Event], Callable[[Any], None]] = {
             Request: self.on_request, Ended: self.on_ended, Counted: self.on_counted, Timer: self.on_timer,
             Backends: self.on_backends, Head: self.on_head, Withdrawn: lambda ev: self.finish(ev.id)}
@@ -226,7 +226,7 @@
     def swell(self, cust: Customer) -> float:
         """What a unit adds to its customer's count: more, the later, so that earlier ones fade over the
         plan's window. The count slides and does not start anew: one read tells who is near the floor."""
-        return exp(self.now % EPOCH / cust.window)
+        return exp(self.now % EPOCH / cust.window + min(0.0, SWELL - EPOCH / cust.window))
 
     def counted(self, cust: Customer, ev: Counted, amount: float) -> None:
         """Takes what the others added since the last read, as spread over that time, out of the room; it
@@ -285,7 +285,7 @@
                 cust.unsent += held.told if held.taken else -held.told
                 if answered and (held.taken or self.asking >= 1):
                     self.tell_quota(cust, "read", cust.name)
-            if answered and 0 < amount > 0.999999 * ev.level:  # the first add; levels come in seven digits
+            if answered and 0 < amount > 0.999999 * ev.level - 0.001:  # the first add, as levels are rounded
                 self.roll_global()
                 self.added["floors"] += cust.plan.rate * self.span / SECOND
         elif kind == "open":
--- a/oakvale/wire/counter.py
+++ b/oakvale/wire/counter.py
@@ -32,7 +32,7 @@
         self.connection: CounterConnection | None = None
 
     def line(self) -> bytes:
-        amount = f"{self.amount:.12f}".rstrip("0").rstrip(".")  # never in exponent form
+        amount = f"{self.amount:.15f}".rstrip("0").rstrip(".")  # never in exponent form
         return f"add {self.name} {amount or '0'} {self.life}\r\n".encode("ascii")
 
     def allowed(self) -> bool:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -3,6 +3,8 @@
 from dataclasses import replace
 from math import exp, isclose
 
+import pytest
+
 from oakvale.interface import Attempt, Charge, Counted, Ending, Refuse, Request, Withdrawn
 from tests.helpers import HARD, Drive, of
 
@@ -281,3 +283,25 @@
     d = Drive(plans=(replace(HARD, rate=8000.0, burst=8.0),))
     d.now += 29_000_000
     assert spend(d, 1) == [True]
+
+
+@pytest.mark.parametrize("window", [0.5, 1.1, 1.5, 1.8, 2.0, 5.0])
+def test_amounts_stay_within_what_a_counter_takes_and_tells(window: float) -> None:
+    """A real counter answers `error` to more than 1e9 and adds nothing: with a window of 1.1 s a unit grew to
+    e^27, so that none of a customer's use was told in a count's last seconds. It tells three decimals."""
+    d = Drive(plans=(replace(HARD, rate=20.0, burst=20.0 * window),), largest=8)
+    _, early = d.request("early", units=1)
+    d.now += 29_990_000
+    _, late = d.request("late", units=8)
+    assert [c.amount for c in of(early, Charge)][0] > 0.01
+    assert [c.amount for c in of(late, Charge)][0] < 1e9 / 10  # where few ask, one speaks for up to ten
+
+
+def test_the_first_add_is_known_from_a_total_of_three_decimals() -> None:
+    d = Drive()
+    d.now += 1_700_000
+    _, actions = d.request()
+    [charge] = of(actions, Charge)
+    rounded_up = int(charge.amount * 1000 + 1) / 1000
+    d.send(Counted(charge.name, Ending.SERVED, rounded_up, 2000))
+    assert d.gw.added["floors"] > 0
