--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -65,12 +65,18 @@
             for action in self.gateway.handle(self.loop.now, event):
                 self._carry[type(action)](action)
         except Exception:
-            # a fault in one request's handling: that request is answered, the rest served
             self.log.exception("event failed", extra={"kind": type(event).__name__})
-            request = self.requests.get(getattr(event, "id", ""))
-            if request is not None and not request.over:
-                self._final(request, Answer(500, [(b"content-type", b"text/plain")], b"internal error\n"))
-                self._events.append(i.Withdrawn(request.id))
+            self._after_fault(event)
+
+    def _after_fault(self, event: i.Event) -> None:
+        """A fault in one request's handling: that request is answered, the rest served. A timer is set again,
+        or the module's own work at intervals would end with it."""
+        if isinstance(event, i.Timer):
+            self.loop.at(self.loop.now + self.limits.fault_pause, self._due, event.token)
+        request = self.requests.get(getattr(event, "id", ""))
+        if request is not None and not request.over:
+            self._final(request, Answer(500, [(b"content-type", b"text/plain")], b"internal error\n"))
+            self._events.append(i.Withdrawn(request.id))
 
     def request_came(self, request: InHand, event: i.Request) -> None:
         self.requests.add(request)
@@ -96,12 +102,14 @@
     def counted(self, name: str, ending: i.Ending, level: float, sent: int) -> None:
         self.give(i.Counted(name, ending, level, self.loop.now - sent))
 
-    def backends_changed(self, form: i.ListForm, entries: tuple[i.Entry, ...]) -> None:
+    def backends_changed(self, form: i.ListForm, entries: tuple[i.Entry, ...], moved: list[int]) -> None:
         self.listed = self.listed or bool(entries)
         self.give(i.Backends(form, entries))
         for entry in entries:
             if entry.state is not i.State.READY:
                 self.idle.free(entry.backend)
+        for backend in moved:  # what listens at the old address is another
+            self.idle.free(backend)
 
     # ---- what the connections ask
 
@@ -127,7 +135,7 @@
         connection = self.idle.take(action.backend)
         if connection is not None:
             return connection.use(attempt)
-        address = self.backend_names.addresses.get(action.backend)
+        address = self.backend_names.address(action.backend)
         if address is None or not self._room_for_backend():
             return self.attempt_ended(attempt, i.Ending.NO_CONNECTION)
         try:
--- a/oakvale/lifecycle/limits.py
+++ b/oakvale/lifecycle/limits.py
@@ -35,6 +35,7 @@
     client_take: int = 10 * SECOND  # for a client to take its answer
     linger: int = 1 * SECOND  # for a client to close after the last answer
     accept_pause: int = 20 * MS
+    fault_pause: int = 250 * MS  # before a timer that failed is given again
     connect: int = 250 * MS
     backend_idle: int = 20 * SECOND
     counter_timeout: int = 50 * MS
@@ -54,7 +55,7 @@
         """Shares out the descriptors: an eighth and 16 stay free for the rest of the process."""
         free = max(16, sockets - sockets // 8 - 16 - cls.counters)
         return cls(
-            clients=free * 4 // 7, backends=free * 3 // 7, connect=connect,
+            clients=free * 2 // 3, backends=free // 3, connect=connect,
             # well before the other side closes: what is written to a closed connection may have run
             backend_idle=backend_idle * 2 // 3, counter_timeout=counter_timeout, requests=requests,
         )
--- a/oakvale/lifecycle/loop.py
+++ b/oakvale/lifecycle/loop.py
@@ -150,13 +150,16 @@
     def stop(self) -> None:
         self._stopped = True
 
+    def wait(self, longest: float) -> float:
+        """Seconds to the next timer. It may be late by the slack: then it goes with the next events and needs
+        no turn of its own."""
+        if not self._timers:
+            return longest
+        return min(longest, max(0.0, (self._timers[0][0] + self._slack - self.now) / 1e6))
+
     def turn(self, longest: float = 1.0) -> None:
-        """Waits for events or the next timer, then handles all that is there at one clock time. A timer may
-        be late by the slack, so that it goes with the next events and needs no turn of its own."""
-        wait = longest
-        if self._timers:
-            wait = min(longest, max(0.0, (self._timers[0][0] + self._slack - self.now) / 1e6))
-        events = self._epoll.poll(wait)
+        """Waits for events or the next timer, then handles all that is there at one clock time."""
+        events = self._epoll.poll(self.wait(longest))
         self.now = self.clock()
         self.turns += 1
         # tasks are looked up before any runs: an event for a descriptor that is closed and opened anew in
--- a/oakvale/lifecycle/serving.py
+++ b/oakvale/lifecycle/serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import logging
 import os
@@ -36,6 +37,7 @@
         self.host = Host(configuration, loop)
         self.limits = configuration.limits
         self.known = configuration.known
+        self._full = False
         self.accepting = loop.start(self._accept(), listener.fileno(), Rank.CLIENT)
         loop.at(loop.now + self.limits.sweep, self._sweep)
 
@@ -56,24 +58,31 @@
         try:
             while True:
                 yield READ, 0
-                for _ in range(self.limits.accepts):
-                    clients = self.host.clients
-                    if len(clients.all) >= self.limits.clients and not clients.end_oldest_idle():
-                        yield 0, self.loop.now + self.limits.accept_pause
-                        break
-                    if not self.accept_one():
-                        break
+                try:
+                    for _ in range(self.limits.accepts):
+                        if not self.accept_one():
+                            break
+                    self._full = False
+                except OSError as error:
+                    if not self._full:  # once, however long it lasts
+                        log.warning("new clients wait", extra={"why": str(error)})
+                    self._full = True
+                    yield 0, self.loop.now + self.limits.accept_pause
         finally:
             self.listener.close()
 
     def accept_one(self) -> bool:
+        """False when nobody waits; raises OSError when there is no room."""
+        clients = self.host.clients
+        full = len(clients.all) >= self.limits.clients
+        if full and not clients.idle:
+            raise OSError(errno.EMFILE, "as many clients as may be, none idle")
         try:
             sock, _ = self.listener.accept()
-        except BlockingIOError:
-            return False
-        except OSError as error:
-            log.warning("accept failed", extra={"why": str(error)})
+        except (BlockingIOError, ConnectionAbortedError):
             return False
+        if full:
+            clients.end_oldest_idle()
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         ClientConnection(self.host, sock)
@@ -89,6 +98,7 @@
     loop = Loop(Clock(), configuration.limits.timer_slack)
     server = Server(configuration, listener, loop)
     shutdown = Shutdown(server)
+    shutdown.watch_signals()
     server.begin()
     gc.collect()
     gc.freeze()  # what lives as long as the process is never looked at again
--- a/oakvale/lifecycle/shutdown.py
+++ b/oakvale/lifecycle/shutdown.py
@@ -22,10 +22,12 @@
         self._read.setblocking(False)
         self._write.setblocking(False)
         self._began = 0
+        self.loop.start(self._run(), self._read.fileno(), Rank.DISCOVERY)
+
+    def watch_signals(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: None)  # the wake-up descriptor tells
         signal.set_wakeup_fd(self._write.fileno(), warn_on_full_buffer=False)
-        self.loop.start(self._run(), self._read.fileno(), Rank.DISCOVERY)
 
     def _run(self) -> Coroutine:
         while True:
@@ -48,8 +50,11 @@
 
     def _stop_accepting(self, _: None) -> None:
         """A listener that closes resets what is in its backlog: all of it is taken first."""
-        while self.server.accept_one():
-            pass
+        try:
+            while self.server.accept_one():
+                pass
+        except OSError as error:
+            log.warning("clients left in the backlog", extra={"why": str(error)})
         self.loop.end(self.server.accepting)
         self.host.clients.end_idle()
 
@@ -67,7 +72,7 @@
             self.loop.at(now + limits.accept_pause, self._end_when_done)
 
     def close(self) -> None:
-        signal.set_wakeup_fd(-1)
+        self.host.ended = True
         self.loop.close()
         self._read.close()
         self._write.close()
--- a/oakvale/memory/names.py
+++ b/oakvale/memory/names.py
@@ -7,6 +7,7 @@
 from oakvale import interface as i
 from oakvale.settings import Names
 
+Address = tuple[str, int]
 STATES = {"active": i.State.READY, "leaving": i.State.DRAINING, "left": i.State.GONE}
 
 
@@ -16,23 +17,36 @@
     def __init__(self, names: Names) -> None:
         self._names = names
         self._numbers: dict[str, int] = {}
-        self.addresses: dict[int, tuple[str, int]] = {}
+        self._addresses: dict[int, Address] = {}
 
-    def entry(self, row: dict[str, Any]) -> i.Entry:
-        """Decodes one row of discovery's list; a malformed one raises ValueError, KeyError or TypeError."""
+    def address(self, backend: int) -> Address | None:
+        return self._addresses.get(backend)
+
+    def learn(self, rows: list[dict[str, Any]]) -> tuple[tuple[i.Entry, ...], list[int]]:
+        """The rows of a list as the module knows them, and the backends whose address is another than before.
+
+        A malformed row raises ValueError, KeyError, TypeError or AttributeError, and nothing is learned."""
+        decoded = [self._decode(row) for row in rows]
+        moved = []
+        for entry, address in decoded:
+            if address is not None and self._addresses.get(entry.backend, address) != address:
+                moved.append(entry.backend)
+            if address is not None:
+                self._addresses[entry.backend] = address
+        return tuple(entry for entry, _ in decoded), moved
+
+    def _decode(self, row: dict[str, Any]) -> tuple[i.Entry, Address | None]:
         name, state = str(row["name"]), STATES[row["status"]]
         host, _, port = str(row.get("address") or "").rpartition(":")
-        if state is not i.State.GONE and not (host and port.isdigit()):
+        address = (host, int(port)) if host and port.isdigit() else None
+        if address is None and state is not i.State.GONE:
             raise ValueError(f"no address for {name}")
         entry = i.Entry(
-            self._numbers.get(name, len(self._numbers) + 1),
+            self._numbers.setdefault(name, len(self._numbers) + 1),
             self._names.zones.get(str(row.get("zone")), len(self._names.zones)),
             self._names.kinds.get(str(row.get("type")), len(self._names.kinds)),
             int(row.get("group") or 0), state,
             float(row["weight"] if row.get("weight") is not None else 1.0),
             int(float(row.get("since_ms") or 0) * 1000),
         )
-        self._numbers[name] = entry.backend
-        if host and port.isdigit():
-            self.addresses[entry.backend] = (host, int(port))
-        return entry
+        return entry, address
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -126,9 +126,10 @@
 
     def _serve_one(self) -> Step:
         """One request and its answer; False when the connection is to be closed."""
-        http = self._http
+        http, method = self._http, b""
         try:
             head, body = yield from self._read()
+            method = head.method
             answer = yield from self._answered(head, body)
         except BadRequest as bad:
             answer = plain(bad.status, str(bad))
@@ -143,16 +144,15 @@
                 self.host.client_gone(self.request)
                 self.request = None
             answer = plain(500, "internal error")
-        whole = http.their_state is h11.DONE
         headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
-        if not whole or self.host.stopping:
+        if http.their_state is not h11.DONE or self.host.stopping:
             headers.append((b"connection", b"close"))
-        head = http.send(h11.Response(status_code=answer.status, headers=headers)) or b""
-        if answer.body:
+        data = http.send(h11.Response(status_code=answer.status, headers=headers)) or b""
+        if answer.body and method != b"HEAD":
             http.send(h11.Data(data=answer.body))
+            data += answer.body
         http.send(h11.EndOfMessage())
-        due = self.host.loop.now + self.host.limits.client_take
-        yield from write_all(self._sock, head + answer.body, due)
+        yield from write_all(self._sock, data, self.host.loop.now + self.host.limits.client_take)
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
     def _read(self) -> Step:
--- a/oakvale/wire/counter.py
+++ b/oakvale/wire/counter.py
@@ -23,11 +23,11 @@
 
 
 class Call:
-    __slots__ = ("name", "amount", "life", "sent", "due", "written", "ending", "level", "connection")
+    __slots__ = ("name", "amount", "life", "sent", "due", "begun", "ending", "level", "connection")
 
     def __init__(self, name: str, amount: float, life: int, sent: int, due: int) -> None:
         self.name, self.amount, self.life, self.sent, self.due = name, amount, life, sent, due
-        self.written, self.level = False, 0.0
+        self.begun, self.level = False, 0.0  # begun: a byte of it went out, so the rest will
         self.ending: Ending | None = None
         self.connection: CounterConnection | None = None
 
@@ -66,7 +66,7 @@
         call = Call(name, amount, life, now, now + self.host.limits.counter_timeout)
         self._by_name.setdefault(name, deque()).append(call)
         if not call.allowed():
-            self.host.log.error("call not allowed", extra={"name": name, "amount": amount})
+            self.host.log.error("call not allowed", extra={"call": name, "amount": amount})
             return self.end(call, Ending.FULL)
         connection = self._connection()
         if connection is None:
@@ -111,7 +111,7 @@
             if call.ending is None:
                 if call.connection is not None:
                     call.connection.late(call)
-                self.end(call, Ending.TIMEOUT if call.written else Ending.NO_CONNECTION)
+                self.end(call, Ending.TIMEOUT if call.begun else Ending.NO_CONNECTION)
         self._armed = bool(self._out)
         if self._armed:
             self.host.loop.at(self._out[0].due, self._expire)
@@ -124,7 +124,8 @@
         self.heard = self.used = self.host.loop.now
         self.up = self.stuck = self.ended = False
         self._unsent: deque[Call] = deque()
-        self._tail = b""  # of a line that the socket took in part
+        self._partial: Call | None = None  # one that the socket took in part, and what is left of its line
+        self._tail = b""
         self._buffer = b""
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -157,6 +158,7 @@
         left to bring what it still owes, and later calls go elsewhere."""
         if self.heard <= call.sent:
             self.stuck = True
+            self.host.loop.wake(self._task)  # it waits for a limited time from now on
 
     def end(self) -> None:
         self.host.loop.end(self._task)
@@ -183,8 +185,8 @@
             self.counter.connections.remove(self)
             for call in self.owed:
                 self.counter.end(call, Ending.TIMEOUT)  # it may have been added
-            for call in self._unsent:
-                self.counter.end(call, Ending.NO_CONNECTION)
+            for call in ([self._partial] if self._partial else []) + list(self._unsent):
+                self.counter.end(call, Ending.NO_CONNECTION)  # its last byte was never written
 
     def _connect(self) -> Step:
         code = self._sock.connect_ex(self.counter.address)
@@ -196,41 +198,44 @@
         return signal != TIMED_OUT and not self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
 
     def _write(self) -> bool:
-        """Writes the calls that wait; False when the socket takes no more."""
-        while self._unsent or self._tail:
-            calls: list[Call] = []
+        """Writes the calls that wait, a buffer at a time; False when the socket takes no more."""
+        while self._partial or self._unsent:
             data = self._tail
+            calls = [(self._partial, len(data))] if self._partial else []
             while self._unsent and len(data) < self.host.limits.buffer:
                 call = self._unsent.popleft()
                 if call.ending is None:  # else its time was up before it could be written
-                    calls.append(call)
                     data += call.line()
+                    calls.append((call, len(data)))
             try:
                 sent = self._sock.send(data) if data else 0
             except BlockingIOError:
                 sent = 0
             except OSError:
-                self._unsent.extendleft(reversed(calls))
+                self._unsent.extendleft(call for call, _ in reversed(calls) if call is not self._partial)
                 raise
-            end = len(self._tail)
-            self._tail = b""
-            for k, call in enumerate(calls):
-                end += len(call.line())
-                if sent < end:  # this one went in part or not at all
-                    begun = sent > end - len(call.line())
-                    if begun:
-                        call.written = True
-                        self.owed.append(call)
-                        self._tail = data[sent:end]
-                    self._unsent.extendleft(reversed(calls[k + begun:]))
-                    return False
-                call.written = True
-                self.owed.append(call)
+            self._took(calls, data, sent)
             if sent < len(data):
-                self._tail = data[sent:]
                 return False
         return True
 
+    def _took(self, calls: list[tuple[Call, int]], data: bytes, sent: int) -> None:
+        """Sorts calls, each with the place where its line ends, by what the socket took of the data."""
+        partial, self._partial, self._tail = self._partial, None, b""
+        waiting: list[Call] = []
+        begin = 0
+        for call, end in calls:
+            if end <= sent:
+                call.begun = True
+                self.owed.append(call)
+            elif begin < sent or call is partial:
+                call.begun = True
+                self._partial, self._tail = call, data[max(sent, begin):end]
+            else:
+                waiting.append(call)
+            begin = end
+        self._unsent.extendleft(reversed(waiting))
+
     def _read(self) -> bool:
         """Takes answers; False when the counter ended the connection. Raises ValueError on a bad line."""
         pool = self.host.buffers
--- a/oakvale/wire/discovery.py
+++ b/oakvale/wire/discovery.py
@@ -27,19 +27,19 @@
     def __init__(self, host: Host, address: tuple[str, int]) -> None:
         self.host, self.address = host, address
         self.index = 0
-        self.wanted = self.watching = False
+        self.wanted = self.watching = self.fetching = False
 
     def take(self, data: dict[str, Any], cached: bool = False) -> None:
         """Gives the module a list or what changed. Nothing of a malformed one is taken."""
         try:
-            entries = tuple(self.host.backend_names.entry(row) for row in data["endpoints"])
             index, whole = int(data["index"]), bool(data["snapshot"])
+            entries, moved = self.host.backend_names.learn(data["endpoints"])
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise BadList(f"malformed list: {error!r}") from error
         self.index = index
         form = i.ListForm.CACHED if cached else i.ListForm.FULL if whole else i.ListForm.DELTA
         if entries or form is not i.ListForm.DELTA:
-            self.host.backends_changed(form, entries)
+            self.host.backends_changed(form, entries, moved)
 
     def watch(self, on: bool) -> None:
         self.wanted = on
@@ -47,7 +47,10 @@
             self._open(None)
 
     def fetch(self) -> None:
-        self._start(follow=False)
+        """Asks for the whole list once; one asked for meanwhile is answered by the same."""
+        if not self.fetching:
+            self.fetching = True
+            self._start(follow=False)
 
     def _open(self, _: None) -> None:
         if self.wanted and not self.watching:
@@ -69,7 +72,7 @@
             if self.wanted:
                 self.host.loop.at(self.host.loop.now + self.host.limits.discovery_retry, self._open)
         if self.host.settings.on_request or not follow:
-            self.host.backends_changed(i.ListForm.FAILED, ())
+            self.host.backends_changed(i.ListForm.FAILED, (), [])
 
     def _run(self, sock: socket.socket, follow: bool) -> Coroutine:
         whole = False
@@ -79,6 +82,7 @@
             self.host.log.warning("discovery connection dropped", extra={"why": str(error) or "ended"})
         finally:
             sock.close()
+            self.fetching = self.fetching and follow
             if not self.host.ended and not (whole and not follow):
                 self._ended(follow)
 
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,323 @@
+"""Clients' connections: what a request becomes, bad input, answers whole, leaving, half-closing, slowness."""
+
+import socket
+from typing import Any
+
+import pytest
+
+from oakvale import interface as i
+from oakvale.logic import Gateway
+from tests.node import MS, Node, StandIn, answer, request
+
+SECOND = 1_000_000
+
+
+def refuse(request: i.Request) -> list[i.Action]:
+    return [i.Refuse(request.id, 250_000)]
+
+
+def body_of(reply: bytes) -> bytes:
+    return reply.partition(b"\r\n\r\n")[2]
+
+
+def test_a_request_becomes_an_event(node: Node) -> None:
+    client = node.client()
+    node.ask(client, X_Second_Try="1")
+    assert node.came(i.Request) == i.Request(
+        "9b1f03aa5c7e2d41", "00000000b4d65521", 0, 0, 2.0, 3, 1, node.clock.now + 4_000_000, 2)
+
+
+@pytest.mark.parametrize("text, wait", [("480m", 480_000), ("480u", 480), ("1.5m", 1_500), ("0m", 0)])
+def test_remaining_time_has_two_units(node: Node, text: str, wait: int) -> None:
+    node.ask(node.client(), X_Expires_In=text)
+    assert node.came(i.Request).deadline == node.clock.now + wait
+
+
+def test_a_refusal_names_a_time_to_come_back_and_the_connection_stays(node: Node) -> None:
+    node.script.answers[i.Request] = refuse
+    client = node.client()
+    for n in range(3):
+        client.came = b""
+        node.ask(client, f"id-{n}")
+        reply = node.reads(client, b"try again later\n")
+        assert reply.startswith(b"HTTP/1.1 429") and b"retry-after: 0.250\r\n" in reply
+        assert b"connection: close" not in reply
+    assert len(node.script.of(i.Request)) == 3 and not len(node.host.requests)
+
+
+def test_a_failure_promises_nothing(node: Node) -> None:
+    node.script.answers[i.Request] = lambda r: [i.Fail(r.id)]
+    client = node.client()
+    node.ask(client)
+    assert node.reads(client, b"failed\n").startswith(b"HTTP/1.1 502")
+
+
+GOOD: dict[str, Any] = {"rid": "a1", "target": "/slot-lookup?key=00000000b4d65521"}
+BAD: list[tuple[dict[str, Any], int]] = [
+    ({"X_Trace_Id": ""}, 400), ({"rid": "has space"}, 400), ({"rid": "x" * 65}, 400),
+    ({"target": "/slot-lookup"}, 400), ({"target": "/slot-lookup?key=xyz"}, 400),
+    ({"target": "/slot-lookup?key=b4d65521"}, 400), ({"target": "/nothing?key=00000000b4d65521"}, 404),
+    ({"target": "/"}, 404), ({"target": "*"}, 404), ({"method": "PUT"}, 405), ({"method": "HEAD"}, 405),
+    ({"X_Tier": ""}, 400), ({"X_Tier": "gold"}, 400), ({"X_Expires_In": ""}, 400),
+    ({"X_Expires_In": "480"}, 400), ({"X_Expires_In": "-5m"}, 400), ({"X_Expires_In": "5s"}, 400),
+    ({"X_Call_Terms": ""}, 400), ({"X_Call_Terms": "units=2"}, 400),
+    ({"X_Call_Terms": "units=nan,spread=1,first=0"}, 400),
+    ({"X_Call_Terms": "units=1e12,spread=1,first=0"}, 400),
+    ({"X_Call_Terms": "units=0,spread=1,first=0"}, 400), ({"X_Call_Terms": "units=1,spread=0,first=0"}, 400),
+    ({"X_Call_Terms": "units=1,spread=x,first=0"}, 400), ({"X_Call_Terms": "units"}, 400),
+]
+
+
+@pytest.mark.parametrize("bad, status", BAD, ids=range(len(BAD)))
+def test_bad_requests_get_4xx_at_once_and_the_connection_goes_on(
+        node: Node, bad: dict[str, Any], status: int) -> None:
+    node.script.answers[i.Request] = refuse
+    client = node.client()
+    client.send(request(**{**GOOD, **bad}))
+    reply = node.reads(client)
+    assert reply.startswith(b"HTTP/1.1 %d" % status)
+    assert node.script.of(i.Request) == []
+    node.turns()
+    client.read()
+    client.came = b""
+    client.send(request(**GOOD))
+    assert node.reads(client, b"later\n").startswith(b"HTTP/1.1 429")
+
+
+@pytest.mark.parametrize("data, status", [
+    (b"nonsense\r\n\r\n", 400),
+    (b"GET /slot-lookup HTTP/1.1\r\nbad header\r\n\r\n", 400),
+    (b"GET /slot-lookup HTTP/1.1\r\n\r\n", 400),  # no Host
+    (b"GET /slot-lookup HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 40_000 + b"\r\n\r\n", 431),
+    (b"POST /save HTTP/1.1\r\nHost: a\r\nContent-Length: 65537\r\n\r\n", 413),
+    (b"POST /save HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", 400),
+    (b"POST /save HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + b"x" * 65537, 413),
+    (b"POST /save HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+], ids=range(8))
+def test_lost_framing_gets_an_answer_and_a_clean_close(node: Node, data: bytes, status: int) -> None:
+    client = node.client()
+    client.send(data)
+    reply = node.reads(client)
+    assert reply.startswith(b"HTTP/1.1 %d" % status) and b"connection: close" in reply.lower()
+    node.until(lambda: client.read() and client.ended)  # sending ended, and no reset took the answer
+    client.close()
+    node.until(lambda: not node.host.clients.all)
+    assert node.script.of(i.Request) == []
+
+
+def test_an_id_in_hand_is_not_taken_twice(node: Node) -> None:
+    one, other = node.client(), node.client()
+    node.ask(one, "a1")
+    node.came(i.Request)
+    node.ask(other, "a1")
+    assert node.reads(other).startswith(b"HTTP/1.1 503")
+    assert len(node.script.of(i.Request)) == 1
+
+
+def test_no_more_requests_in_hand_than_may_be() -> None:
+    node = Node(requests=3)
+    clients = [node.client() for _ in range(4)]
+    for n, client in enumerate(clients):
+        node.ask(client, f"a{n}")
+    replies = node.until(lambda: [c for c in clients if c.read()])
+    assert len(replies) == 1 and replies[0].came.startswith(b"HTTP/1.1 503")
+    node.close()
+
+
+def test_a_request_may_come_in_pieces_and_several_in_one(node: Node) -> None:
+    node.script.answers[i.Request] = refuse
+    client = node.client()
+    data = request("a1") + request("a2")
+    for k in range(0, len(data), 7):
+        client.send(data[k:k + 7])
+        node.turns(1)
+    node.until(lambda: client.read().count(b"HTTP/1.1 429") == 2)
+    client.send(request("a3") + request("a4") + request("a5"))
+    node.until(lambda: client.read().count(b"HTTP/1.1 429") == 5)
+    assert [r.id for r in node.script.of(i.Request)] == ["a1", "a2", "a3", "a4", "a5"]
+
+
+def test_a_request_behind_one_in_hand_waits_its_turn_and_does_not_spin(node: Node) -> None:
+    client = node.client()
+    client.send(request("a1"))
+    node.came(i.Request)
+    client.send(request("a2"))
+    node.turns()
+    turns = node.loop.turns
+    node.loop.turn(0.05)  # a turn that has nothing to do waits
+    assert node.loop.turns == turns + 1 and len(node.script.of(i.Request)) == 1
+    node.host.give(i.Timer(1))
+    node.script.answers[i.Timer] = lambda _: [i.Refuse("a1", 1)]
+    node.host.give(i.Timer(2))
+    node.came(i.Request, 2)
+
+
+def test_a_client_that_closes_is_told_to_the_module(node: Node) -> None:
+    client = node.client()
+    node.ask(client, "a1")
+    node.came(i.Request)
+    client.close()
+    assert node.came(i.Withdrawn) == i.Withdrawn("a1")
+    assert not len(node.host.requests) and not node.host.clients.all
+
+
+def test_a_client_that_resets_is_told_to_the_module(node: Node) -> None:
+    client = node.client()
+    node.ask(client, "a1")
+    node.came(i.Request)
+    client.close(reset=True)
+    node.came(i.Withdrawn)
+
+
+def test_a_client_that_only_ends_its_sending_still_gets_its_answer(node: Node) -> None:
+    """Both look alike until something is written: an interim answer tells them apart."""
+    client = node.client()
+    node.ask(client, "a1")
+    node.came(i.Request)
+    client.sock.shutdown(socket.SHUT_WR)
+    node.reads(client, b"HTTP/1.1 102 \r\n\r\n")
+    node.turns(20)
+    assert node.script.of(i.Withdrawn) == []
+    node.script.answers[i.Timer] = lambda _: [i.Refuse("a1", 1)]
+    node.host.give(i.Timer(1))
+    assert b"HTTP/1.1 429" in node.reads(client, b"later\n")
+    node.until(lambda: client.read() and client.ended)
+
+
+def test_a_large_answer_goes_as_the_client_takes_it_and_holds_nobody_up(node: Node) -> None:
+    node.script.answers[i.Request] = lambda r: [i.Attempt(r.id, 1)]
+    slow = StandIn(socket.socket())
+    slow.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    slow.sock.setblocking(True)
+    slow.sock.connect(node.address)
+    body = bytes(range(256)) * 256
+    node.listener.getsockname()
+    node.ask(slow, "a1")
+    backend = node.taken(node.backend)
+    node.reads(backend)
+    for connection in node.host.clients.all:
+        connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    backend.send(answer(body=body))
+    node.came(i.Ended)
+    node.turns(20)  # the client has read nothing yet
+    node.script.answers[i.Request] = refuse
+    other = node.client()
+    node.ask(other, "a2")
+    node.reads(other, b"later\n")
+    slow.sock.setblocking(False)
+    node.until(lambda: body_of(slow.read()) == body)
+
+
+def test_a_client_that_never_takes_its_answer_is_dropped_in_time(node: Node) -> None:
+    node.script.answers[i.Request] = lambda r: [i.Attempt(r.id, 1)]
+    slow = StandIn(socket.socket())
+    slow.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    slow.sock.setblocking(True)
+    slow.sock.connect(node.address)
+    node.ask(slow, "a1")
+    backend = node.taken(node.backend)
+    node.reads(backend)
+    for connection in node.host.clients.all:
+        connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    backend.send(answer(body=b"x" * 65536))
+    node.came(i.Ended)
+    node.turns(20)
+    assert len(node.host.clients.all) == 1
+    node.pass_time(node.host.limits.client_take)
+    assert not node.host.clients.all
+
+
+def test_a_client_that_stops_half_way_gets_408_and_holds_nothing(node: Node) -> None:
+    client = node.client()
+    client.send(request("a1")[:40])
+    node.turns()
+    node.pass_time(node.host.limits.client_send)
+    assert node.reads(client).startswith(b"HTTP/1.1 408")
+    node.pass_time(node.host.limits.linger)
+    node.until(lambda: not node.host.clients.all)
+
+
+def test_a_client_that_sends_a_byte_now_and_then_has_no_longer(node: Node) -> None:
+    client = node.client()
+    data = request("a1")
+    for k in range(12):
+        client.send(data[k:k + 1])
+        node.turns()
+        node.pass_time(SECOND)
+    assert node.reads(client).startswith(b"HTTP/1.1 408")
+
+
+def test_idle_connections_are_closed_in_time(node: Node) -> None:
+    node.client()
+    client = node.client()
+    node.until(lambda: len(node.host.clients.all) == 2)
+    node.pass_time(node.host.limits.client_idle)
+    node.until(lambda: not node.host.clients.all)
+    node.until(lambda: client.read() == b"" and client.ended)
+
+
+def test_clients_that_wait_for_100_continue(node: Node) -> None:
+    client = node.client()
+    head = request("a1", method="POST", target="/save?key=00000000b4d65521", Expect="100-continue",
+                   Content_Length="4")
+    client.send(head)
+    node.reads(client, b"HTTP/1.1 100 \r\n\r\n")
+    client.send(b"body")
+    assert node.came(i.Request).cls == 1
+
+
+def test_a_fault_in_the_module_answers_that_request_and_serves_the_rest(
+        node: Node, caplog: pytest.LogCaptureFixture) -> None:
+    def fails(request: i.Request) -> list[i.Action]:
+        if request.id == "bad":
+            raise KeyError("odd")
+        return refuse(request)
+
+    node.script.answers[i.Request] = fails
+    client = node.client()
+    node.ask(client, "bad")
+    assert node.reads(client, b"error\n").startswith(b"HTTP/1.1 500")
+    assert node.script.of(i.Withdrawn) == [i.Withdrawn("bad")]
+    assert any(r.exc_info for r in caplog.records)
+    client.came = b""
+    node.ask(client, "good")
+    assert node.reads(client, b"later\n").startswith(b"HTTP/1.1 429")
+
+
+def test_a_fault_on_a_timer_does_not_end_the_modules_own_work(node: Node) -> None:
+    """The module sets its next tick when it is given one: lost with a fault, no tick would ever follow."""
+    n = Node(script=False)
+    gateway = n.host.gateway
+    assert isinstance(gateway, Gateway)
+    real, gateway.batch = gateway.batch, None  # type: ignore[method-assign, assignment]
+    gateway.lends = True
+    n.pass_time(250 * MS)
+    gateway.batch = real  # type: ignore[method-assign]
+    before = gateway.now
+    for _ in range(8):
+        n.pass_time(250 * MS)
+    assert gateway.now == before + 8 * 250 * MS
+    n.close()
+
+
+def test_a_fault_before_the_module_answers_that_request(
+        node: Node, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    def fails(_: str) -> bool:
+        raise RuntimeError("odd")
+
+    monkeypatch.setattr(node.host, "refuses_new", fails)
+    client = node.client()
+    node.ask(client)
+    assert node.reads(client, b"error\n").startswith(b"HTTP/1.1 500")
+    assert any(r.exc_info for r in caplog.records)
+
+
+def test_health_answers_only_when_the_gateway_can_serve(node: Node) -> None:
+    client = node.client()
+    client.send(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert node.reads(client).startswith(b"HTTP/1.1 200")
+    node.host.listed = False
+    client.came = b""
+    client.send(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert node.reads(client).startswith(b"HTTP/1.1 503")
+    assert node.script.of(i.Request) == []
--- /dev/null
+++ b/tests/test_loop.py
@@ -0,0 +1,240 @@
+"""The loop: one clock reading a turn, order of parties, timers, descriptors reused, faults kept apart."""
+
+import gc
+import os
+import select
+import socket
+import time
+
+import pytest
+
+from oakvale import interface as i
+from oakvale.lifecycle.loop import READ, TIMED_OUT, WOKEN, Clock, Coroutine, Loop, Rank
+from tests.node import MS, FakeClock, Node
+
+
+def pair() -> tuple[socket.socket, socket.socket]:
+    one, other = socket.socketpair()
+    one.setblocking(False)
+    return one, other
+
+
+def test_the_clock_reads_unix_time_and_no_step_of_the_system_moves_it(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = Clock()
+    assert abs(clock() - time.time_ns() // 1000) < 1_000_000
+    before = clock()
+    real = time.time_ns
+    monkeypatch.setattr(time, "time_ns", lambda: real() + 3_600_000_000_000)
+    assert 0 <= clock() - before < 1_000_000
+
+
+def test_two_gateways_clocks_agree() -> None:
+    """Counter names hold time slots: gateways that disagreed would count under different names."""
+    one = Clock()
+    other = Clock()
+    assert abs(one() - other()) < 50_000
+
+
+def test_one_turn_reads_the_clock_once() -> None:
+    clock = FakeClock()
+    loop = Loop(clock)
+    readings = clock.readings
+    loop.at(clock.now, lambda _: None)
+    loop.turn(0)
+    assert clock.readings == readings + 1
+    loop.close()
+
+
+def test_a_turn_gives_discovery_first_then_counter_backends_clients_timers() -> None:
+    loop, order, others = Loop(FakeClock()), [], []
+
+    def waits(name: str, sock: socket.socket) -> Coroutine:
+        while True:
+            yield READ, 0
+            order.append(name)
+            sock.recv(1)
+
+    for rank in (Rank.CLIENT, Rank.BACKEND, Rank.DISCOVERY, Rank.COUNTER):
+        one, other = pair()
+        others.append((one, other))
+        loop.start(waits(rank.name, one), one.fileno(), rank)
+    loop.at(loop.now, lambda _: order.append("TIMER"))
+    for _, other in others:
+        other.send(b"x")
+    loop.turn(0)
+    assert order == ["DISCOVERY", "COUNTER", "BACKEND", "CLIENT", "TIMER"]
+    loop.close()
+
+
+def test_an_event_of_a_descriptor_closed_and_reused_in_the_same_turn_is_passed_over() -> None:
+    loop, signals = Loop(FakeClock()), []
+    first, first_other = pair()
+    second, second_other = pair()
+
+    def ender() -> Coroutine:
+        yield READ, 0
+        loop.end(victim)  # its descriptor is free, and the next socket gets the same number
+        fresh = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        while fresh.fileno() != number:
+            fresh = fresh.dup()
+        kept.append(fresh)
+        loop.start(newcomer(), number, Rank.CLIENT)
+        first.recv(1)
+        yield READ, 0
+
+    def old() -> Coroutine:
+        try:
+            while True:
+                signals.append(("old", (yield READ, 0)))
+        finally:
+            second.close()
+
+    def newcomer() -> Coroutine:
+        while True:
+            signals.append(("new", (yield 0, 0)))
+
+    kept: list[socket.socket] = []
+    loop.start(ender(), first.fileno(), Rank.COUNTER)
+    number = second.fileno()
+    victim = loop.start(old(), number, Rank.CLIENT)
+    first_other.send(b"x")
+    second_other.send(b"x")
+    loop.turn(0)
+    assert signals == [] and kept[0].fileno() == number
+    loop.close()
+
+
+def test_a_failing_coroutine_is_logged_with_its_traceback_and_ends_alone(
+        caplog: pytest.LogCaptureFixture) -> None:
+    loop, got = Loop(FakeClock()), []
+    one, one_other = pair()
+    two, two_other = pair()
+
+    def fails() -> Coroutine:
+        yield READ, 0
+        raise RuntimeError("odd")
+
+    def works() -> Coroutine:
+        while True:
+            yield READ, 0
+            got.append(two.recv(1))
+
+    loop.start(fails(), one.fileno(), Rank.BACKEND)
+    loop.start(works(), two.fileno(), Rank.CLIENT)
+    one_other.send(b"x")
+    two_other.send(b"x")
+    loop.turn(0)
+    assert got == [b"x"] and caplog.records[0].exc_info and "odd" in caplog.text
+    two_other.send(b"y")
+    loop.turn(0)
+    assert got == [b"x", b"y"]
+    loop.close()
+
+
+def test_a_wait_ends_at_its_time_and_a_later_wait_is_not_cut_by_an_earlier_one() -> None:
+    clock = FakeClock()
+    loop, signals = Loop(clock), []
+    one, other = pair()
+
+    def waits() -> Coroutine:
+        signals.append((yield READ, clock.now + 10 * MS))
+        one.recv(1)
+        signals.append((yield READ, clock.now + 50 * MS))
+
+    loop.start(waits(), one.fileno(), Rank.CLIENT)
+    other.send(b"x")
+    loop.turn(0)
+    assert signals == [select.EPOLLIN]
+    clock.now += 20 * MS  # past the first wait's end
+    loop.turn(0)
+    assert signals == [select.EPOLLIN]
+    clock.now += 30 * MS
+    loop.turn(0)
+    assert signals == [select.EPOLLIN, TIMED_OUT]
+    loop.close()
+
+
+def test_waits_moved_many_times_leave_one_timer() -> None:
+    """A keep-alive connection sets a new idle time with each request: the heap must not grow with them."""
+    clock = FakeClock()
+    loop = Loop(clock)
+    one, other = pair()
+
+    def waits() -> Coroutine:
+        while True:
+            yield READ, clock.now + 60_000 * MS
+            one.recv(1)
+
+    loop.start(waits(), one.fileno(), Rank.CLIENT)
+    for _ in range(100):
+        clock.now += 1
+        other.send(b"x")
+        loop.turn(0)
+    assert len(loop._timers) == 1
+    loop.close()
+
+
+def test_wakes_and_ends() -> None:
+    loop, signals, closed = Loop(FakeClock()), [], []
+    one, _other = pair()
+
+    def waits() -> Coroutine:
+        try:
+            while True:
+                signals.append((yield READ, 0))
+        finally:
+            closed.append(True)
+
+    task = loop.start(waits(), one.fileno(), Rank.CLIENT)
+    loop.wake(task)
+    loop.wake(task)
+    loop.turn(0)
+    assert signals == [WOKEN]
+    loop.wake(task)
+    loop.end(task)
+    loop.turn(0)
+    assert signals == [WOKEN] and closed == [True]
+    loop.close()
+
+
+def test_a_timer_may_be_late_by_the_slack_but_goes_with_other_events() -> None:
+    clock = FakeClock()
+    loop, fired = Loop(clock, slack=4 * MS), list[int]()
+    loop.at(clock.now + MS, fired.append, 1)
+    assert loop.wait(1.0) == 0.005
+    clock.now += MS
+    loop.turn(0)  # this turn came anyway
+    assert fired == [1] and loop.wait(1.0) == 1.0
+    loop.close()
+
+
+def test_an_idle_gateway_still_gives_the_module_its_timers(node: Node) -> None:
+    """The module takes a gap without events as having stood still."""
+    n = Node(script=False)
+    for _ in range(40):
+        n.pass_time(250 * MS)
+    assert n.host.gateway.gap == 0 and n.host.gateway.now == n.clock.now
+    n.close()
+
+
+def test_nothing_is_left_open_when_a_node_closes() -> None:
+    def open_descriptors() -> int:
+        return len(os.listdir("/proc/self/fd"))
+
+    Node().close()
+    gc.collect()
+    before = open_descriptors()
+    for _ in range(5):
+        n = Node()
+        n.until(n.discovery.take)
+        n.close()
+        del n
+    gc.collect()
+    assert open_descriptors() <= before
+
+
+def test_the_module_hears_of_one_turn_at_one_time(node: Node) -> None:
+    node.host.give(i.Timer(5))
+    node.host.give(i.Timer(6))
+    assert node.script.times[-1] == node.script.times[-2] == node.loop.now
