--- a/oakvale/lifecycle/loop.py
+++ b/oakvale/lifecycle/loop.py
@@ -70,7 +70,7 @@
         self._woken: deque[Task] = deque()
         self._timers: list[tuple[int, int, Callable[[Any], None], Any]] = []
         self._sequence = 0
-        self._stopped = False
+        self.stopped = False
 
     # ---- coroutines
 
@@ -144,11 +144,11 @@
     # ---- turns
 
     def run(self) -> None:
-        while not self._stopped:
+        while not self.stopped:
             self.turn()
 
     def stop(self) -> None:
-        self._stopped = True
+        self.stopped = True
 
     def wait(self, longest: float) -> float:
         """Seconds to the next timer. It may be late by the slack: then it goes with the next events and needs
--- a/oakvale/wire/discovery.py
+++ b/oakvale/wire/discovery.py
@@ -75,15 +75,15 @@
             self.host.backends_changed(i.ListForm.FAILED, (), [])
 
     def _run(self, sock: socket.socket, follow: bool) -> Coroutine:
-        whole = False
+        fetched = False
         try:
-            whole = yield from self._talk(sock, follow)
+            fetched = yield from self._talk(sock, follow)
         except (Gone, BadList, OSError, h11.ProtocolError) as error:
             self.host.log.warning("discovery connection dropped", extra={"why": str(error) or "ended"})
         finally:
             sock.close()
             self.fetching = self.fetching and follow
-            if not self.host.ended and not (whole and not follow):
+            if not self.host.ended and not fetched:
                 self._ended(follow)
 
     def _talk(self, sock: socket.socket, follow: bool) -> Step:
@@ -118,6 +118,8 @@
                     self._line(line)
             elif isinstance(event, h11.EndOfMessage):
                 self._line(rest)
+                if follow:  # a watch lasts until its connection ends
+                    raise Gone()
                 return True
             else:
                 raise Gone()
--- a/tests/node.py
+++ b/tests/node.py
@@ -184,8 +184,10 @@
     def close(self) -> None:
         self.host.ended = True
         self.loop.close()
-        for party in (self.backend, self.counter, self.discovery, *self.peers):
+        for party in (self.backend, self.counter, self.discovery):
             party.close()
+        for peer in self.peers:
+            peer.close()
 
 
 def request(rid: str = "9b1f03aa5c7e2d41", method: str = "GET", target: str = "", body: bytes = b"",
