--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -25,7 +25,8 @@
 
 def config(**changes: Any) -> dict[str, Any]:
     return {"name": "n3", "listen": "127.0.0.1:7070", "discovery": "127.0.0.1:8500",
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "counter": "127.0.0.1:6400",
+            "seed": "8c1f30d27a5be964", "counter": "127.0.0.1:6400",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"index": 41, "snapshot": True, "endpoints": [row("s-1", "127.0.0.1:7071")]},
             "settings": SETTINGS, **changes}
 
@@ -53,8 +54,8 @@
     ({"settings": {**SETTINGS, "limits": 5}}, "settings"),
     ({"listen": None}, "listen"), ({"listen": "7070"}, "listen"), ({"listen": "a:b"}, "listen"),
     ({"listen": "127.0.0.1:99999"}, "listen"), ({"discovery": ""}, "discovery"),
-    ({"counter": "x"}, "counter"), ({"counter": None}, "counter"), ({"seed": "xyz"}, "settings"), ({"known": []}, "known"),
-    ({"limits": {"sockets": "many"}}, "settings"),
+    ({"counter": "x"}, "counter"), ({"counter": None}, "counter"),
+    ({"seed": "xyz"}, "settings"), ({"known": []}, "known"), ({"limits": {"sockets": "many"}}, "settings"),
 ]
 
 
