Less parsing between requests; a timer or a descriptor that fails ends alone

The tests found on the way: a descriptor left open by an ended coroutine would have raised KeyError in the new path, a descriptor that epoll refuses and a failing timer would have ended the process. Load reports no longer reach clients, an empty body of a POST is told as such.

--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -23,6 +23,8 @@
 from oakvale.wire.discovery import Discovery
 from oakvale.wire.http import end_to_end
 
+FOR_US = frozenset({b"endpoint-load-metrics", b"x-never-ran"})  # what backends tell gateways, not clients
+
 
 class Host:
     def __init__(self, configuration: Configuration, loop: Loop) -> None:
@@ -94,7 +96,7 @@
         if request.out.pop(attempt.hop, None) is None:
             return
         if ending is i.Ending.SERVED and answer is not None and not request.over:
-            self._final(request, Answer(200, end_to_end(answer.headers), answer.body))
+            self._final(request, Answer(200, end_to_end(answer.headers, FOR_US), answer.body))
         self.requests.drop_if_done(request)
         self.give(i.Ended(request.id, attempt.backend, attempt.hop, request.over, ending,
                           self.loop.now - attempt.sent, report=report))
--- a/oakvale/lifecycle/loop.py
+++ b/oakvale/lifecycle/loop.py
@@ -37,6 +37,10 @@
     CLIENT = 3
 
 
+def by_rank(ready: tuple[Task, int]) -> int:
+    return ready[0].rank
+
+
 class Clock:
     """System time at start plus monotonic time since, in microseconds: all gateways read about the same, and
     no later step of the system's clock lengthens or shortens a wait."""
@@ -60,6 +64,14 @@
         self.woken, self.alive, self.running = False, True, False
 
 
+def _nobody() -> Coroutine:
+    yield 0, 0
+
+
+NOBODY = Task(_nobody(), -1, Rank.CLIENT)
+NOBODY.alive = False
+
+
 class Loop:
     def __init__(self, clock: Callable[[], int], slack: int = 0) -> None:
         self.clock, self._slack = clock, slack
@@ -98,28 +110,41 @@
         if self._tasks.get(task.fd) is task:  # the descriptor may already be another's
             del self._tasks[task.fd]
 
+    def _task(self, fd: int) -> Task:
+        task = self._tasks.get(fd)
+        if task is None:  # left open by what ended: it would be told of each turn
+            self._epoll.unregister(fd)
+            return NOBODY
+        return task
+
     def _resume(self, task: Task, signal: int | None) -> None:
+        if not task.alive:
+            return
         task.running = True
         try:
             mask, due = task.coroutine.send(signal)  # type: ignore[arg-type]
+            if mask != task.mask:
+                self._watch(task, mask)
         except StopIteration:
             return self._forget(task)
         except Exception:
             # one connection's failure never ends the process
             log.exception("coroutine failed", extra={"party": task.rank.name.lower()})
-            return self._forget(task)
+            self._forget(task)
+            return task.coroutine.close()
         finally:
             task.running = False
-        if mask != task.mask:
-            if task.mask < 0:
-                self._epoll.register(task.fd, mask)
-            else:
-                self._epoll.modify(task.fd, mask)
-            task.mask = mask
         task.due = due
         if due and (not task.armed or due < task.armed):
             self._arm(task)
 
+    def _watch(self, task: Task, mask: int) -> None:
+        if task.mask < 0:
+            self._epoll.register(task.fd, mask)
+        else:
+            self._epoll.modify(task.fd, mask)
+        task.mask = mask
+
     # ---- timers
 
     def at(self, due: int, call: Callable[[Any], None], argument: Any = None) -> None:
@@ -162,26 +187,30 @@
         events = self._epoll.poll(self.wait(longest))
         self.now = self.clock()
         self.turns += 1
-        # tasks are looked up before any runs: an event for a descriptor that is closed and opened anew in
-        # this turn then finds its old, ended task and is passed over
-        ready = [(task, flags) for fd, flags in events if (task := self._tasks.get(fd))]
-        if len(ready) > 1:
-            ready.sort(key=lambda pair: pair[0].rank)
-        for task, flags in ready:
-            if task.alive:
+        if len(events) == 1:
+            fd, flags = events[0]
+            self._resume(self._task(fd), flags)
+        elif events:
+            # tasks are looked up before any runs: an event for a descriptor that is closed and opened anew
+            # in this turn then finds its old, ended task and is passed over
+            ready = [(self._task(fd), flags) for fd, flags in events]
+            ready.sort(key=by_rank)
+            for task, flags in ready:
                 self._resume(task, flags)
         self._run_woken()
         while self._timers and self._timers[0][0] <= self.now:
             _, _, call, argument = heapq.heappop(self._timers)
-            call(argument)
+            try:
+                call(argument)
+            except Exception:
+                log.exception("timer failed")
         self._run_woken()
 
     def _run_woken(self) -> None:
         while self._woken:
             task = self._woken.popleft()
             task.woken = False
-            if task.alive:
-                self._resume(task, WOKEN)
+            self._resume(task, WOKEN)
 
     def close(self) -> None:
         for task in list(self._tasks.values()):
--- a/oakvale/memory/requests.py
+++ b/oakvale/memory/requests.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import h11
+
 from oakvale.interface import Ending
 
 if TYPE_CHECKING:
@@ -29,9 +31,7 @@
 
     id: str
     client: ClientConnection
-    method: bytes
-    target: bytes
-    headers: Headers
+    head: h11.Request
     body: bytes
     deadline: int
     over: bool = False
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -133,12 +133,13 @@
 
     def _message(self, attempt: AttemptOut) -> bytes:
         request, http = attempt.request, self._http
-        headers = end_to_end(request.headers, OURS)
+        method, target = request.head.method, request.head.target
+        headers = end_to_end(request.head.headers, OURS)
         headers.append((b"x-trace-id", request.id.encode()))
         headers.append((b"x-expires-in", b"%du" % max(0, attempt.due - self.host.loop.now)))
-        if request.body:
+        if request.body or method != b"GET":
             headers.append((b"content-length", b"%d" % len(request.body)))
-        head = http.send(h11.Request(method=request.method, target=request.target, headers=headers)) or b""
+        head = http.send(h11.Request(method=method, target=target, headers=headers)) or b""
         if request.body:
             http.send(h11.Data(data=request.body))
         http.send(h11.EndOfMessage())
@@ -150,6 +151,7 @@
         report: tuple[float, ...] = ()
         parts: list[bytes] = []
         size = 0
+        yield from more(self._sock, http, pool, due)
         while True:
             event = http.next_event()
             # h11's events are abstract classes: isinstance is slow on them
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -14,7 +14,7 @@
 from oakvale.lifecycle.loop import BROKEN, READ, TIMED_OUT, WOKEN, Coroutine, Rank, Step
 from oakvale.memory.requests import Answer, InHand
 from oakvale.settings import Names
-from oakvale.wire.http import Gone, end_to_end, more, write_all
+from oakvale.wire.http import Gone, more, write_all
 
 if TYPE_CHECKING:
     from oakvale.host import Host
@@ -80,6 +80,12 @@
     return i.Request(rid, customer, cls, plan, units, spread, first, now + wait, flags)
 
 
+@lru_cache(maxsize=1024)
+def response(status: int, headers: tuple[tuple[bytes, bytes], ...]) -> h11.Response:
+    """The head of an answer. h11 checks each header anew, and most heads are like one before."""
+    return h11.Response(status_code=status, headers=list(headers))
+
+
 def plain(status: int, why: str) -> Answer:
     return Answer(status, [(b"content-type", b"text/plain")], why.encode("latin-1", "replace") + b"\n")
 
@@ -147,7 +153,7 @@
         headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
         if http.their_state is not h11.DONE or self.host.stopping:
             headers.append((b"connection", b"close"))
-        data = http.send(h11.Response(status_code=answer.status, headers=headers)) or b""
+        data = http.send(response(answer.status, tuple(headers))) or b""
         if answer.body and method != b"HEAD":
             http.send(h11.Data(data=answer.body))
             data += answer.body
@@ -163,9 +169,10 @@
         size = 0
         self.used = host.loop.now
         host.clients.idle[self] = None
+        # between requests there is nothing to parse but what came behind the last one
+        event = http.next_event() if http.trailing_data[0] else h11.NEED_DATA
         try:
             while True:
-                event = http.next_event()
                 if event is h11.NEED_DATA:
                     if http.they_are_waiting_for_100_continue:
                         interim = http.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -189,6 +196,7 @@
                     return head, b"".join(parts)
                 else:  # closed between requests
                     raise Gone()
+                event = http.next_event()
         except Gone as gone:
             if gone.timed_out and began:
                 raise BadRequest(408, "request took too long to come") from gone
@@ -206,8 +214,7 @@
         if host.refuses_new(request.id):
             return plain(503, "no room")
         self.answer = None
-        self.request = InHand(request.id, self, bytes(head.method), bytes(head.target),
-                              end_to_end(head.headers), body, request.deadline)
+        self.request = InHand(request.id, self, head, body, request.deadline)
         host.request_came(self.request, request)
         mask = READ
         while self.answer is None:
--- a/tests/test_attempts_wire.py
+++ b/tests/test_attempts_wire.py
@@ -44,6 +44,12 @@
     assert b"hop" not in head and b"\r\nte:" not in head and b"connection" not in head
 
 
+def test_an_empty_body_is_told_as_such(sending: Node) -> None:
+    client = sending.client()
+    client.send(request("a1", method="POST", target="/save?key=00000000b4d65521", Content_Length="0"))
+    assert b"content-length: 0\r\n" in sending.reads(sending.taken(sending.backend))
+
+
 def test_a_chunked_body_passes_on_whole(sending: Node) -> None:
     client = sending.client()
     head = request("a1", method="POST", target="/save?key=00000000b4d65521", Transfer_Encoding="chunked")
@@ -61,6 +67,7 @@
     head = reply.partition(b"\r\n\r\n")[0].lower()
     assert reply.endswith(body) and head.startswith(b"http/1.1 200")
     assert b"content-type: image/x" in head and b"x-more: 1" in head and b"keep-alive" not in head
+    assert b"endpoint-load-metrics" not in head  # what a backend holds is no client's affair
     assert sending.came(i.Ended) == i.Ended("a1", 1, 0, True, Ending.SERVED, 0, report=(7.0, 0.61))
 
 
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -5,6 +5,7 @@
 import select
 import socket
 import time
+from pathlib import Path
 
 import pytest
 
@@ -132,6 +133,47 @@
     loop.close()
 
 
+def test_a_failing_timer_is_logged_and_the_others_go_on(caplog: pytest.LogCaptureFixture) -> None:
+    loop, fired = Loop(FakeClock()), list[int]()
+    loop.at(loop.now, lambda _: [].pop())
+    loop.at(loop.now, fired.append, 2)
+    loop.turn(0)
+    assert fired == [2] and "IndexError" in caplog.text
+    loop.close()
+
+
+def test_a_descriptor_left_open_by_what_ended_is_not_told_of_for_ever() -> None:
+    loop = Loop(FakeClock())
+    one, other = pair()
+
+    def forgets_to_close() -> Coroutine:
+        yield READ, 0
+
+    loop.start(forgets_to_close(), one.fileno(), Rank.CLIENT)
+    other.send(b"x")
+    loop.turn(0)  # it ends
+    loop.turn(0)  # its descriptor is found to be nobody's
+    assert loop._epoll.poll(0) == []
+    loop.close()
+
+
+def test_a_descriptor_that_can_not_be_watched_ends_its_coroutine_alone(
+        caplog: pytest.LogCaptureFixture, tmp_path: Path) -> None:
+    loop, closed = Loop(FakeClock()), []
+    file = (tmp_path / "file").open("w")  # epoll takes no plain file
+
+    def waits() -> Coroutine:
+        try:
+            yield READ, 0
+        finally:
+            closed.append(True)
+
+    loop.start(waits(), file.fileno(), Rank.CLIENT)
+    assert closed == [True] and "coroutine failed" in caplog.text
+    file.close()
+    loop.close()
+
+
 def test_a_wait_ends_at_its_time_and_a_later_wait_is_not_cut_by_an_earlier_one() -> None:
     clock = FakeClock()
     loop, signals = Loop(clock), []
