--- a/oakvale/cli.py
+++ b/oakvale/cli.py
@@ -1,4 +1,4 @@
-"""The command line: serve, check-config, version."""
+"""The command line: serve, check-config, health, version."""
 
 from __future__ import annotations
 
@@ -29,17 +29,17 @@
               type=click.Choice(["debug", "info", "warning", "error"]), help="The least that is logged.")
 def serve(log_level: str) -> None:
     """Serve until SIGTERM, as LB_CONFIG and the other LB_ variables say."""
-    from oakvale.lifecycle.serving import serve as run
+    from oakvale.lifecycle import serving
 
     config = load()
-    logs.configure(log_level)
     try:
-        code = run(config)
+        listener = serving.listening(config.listen, config.limits.backlog)
     except OSError as error:
         where = f"{config.listen[0]}:{config.listen[1]}"
         click.echo(f"oakvale: cannot listen on {where}: {error.strerror}", err=True)
-        code = 1
-    sys.exit(code)
+        sys.exit(1)
+    logs.configure(log_level)
+    sys.exit(serving.serve(config, listener))
 
 
 @main.command("check-config")
@@ -54,6 +54,25 @@
     click.echo(f"connections at most: {limits.clients} of clients, {limits.backends} to backends")
 
 
+@main.command()
+@click.argument("address")
+@click.option("--timeout", default=2.0, show_default=True, help="Seconds to wait for the answer.")
+def health(address: str, timeout: float) -> None:
+    """Ask the gateway at ADDRESS (host:port) whether it can serve; exit 0 if so."""
+    import http.client
+
+    try:
+        host, port = configuration.address(address, "address")
+        connection = http.client.HTTPConnection(host, port, timeout=timeout)
+        connection.request("GET", "/_health")
+        status, text = (reply := connection.getresponse()).status, reply.read().decode().strip()
+    except (configuration.BadConfiguration, OSError, http.client.HTTPException) as error:
+        click.echo(f"oakvale: {address}: {error}", err=True)
+        sys.exit(1)
+    click.echo(text)
+    sys.exit(0 if status == 200 else 1)
+
+
 @main.command()
 def version() -> None:
     """Print the version."""
--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -13,6 +13,7 @@
 from oakvale import interface as i
 from oakvale.lifecycle.configuration import Configuration
 from oakvale.lifecycle.loop import Loop
+from oakvale.lifecycle.status import Tally
 from oakvale.logic import Gateway
 from oakvale.memory.buffers import BufferPool
 from oakvale.memory.idle import Clients, IdleConnections
@@ -35,6 +36,7 @@
         self.requests = RequestsInHand(self.limits.requests)
         self.idle = IdleConnections(self.limits.backend_idle)
         self.clients = Clients()
+        self.tally = Tally()
         self.backend_names = BackendNames(self.names)
         self.backend_connections = 0
         self.listed = self.stopping = self.taking_ended = self.ended = False
@@ -81,6 +83,7 @@
             self._events.append(i.Withdrawn(request.id))
 
     def request_came(self, request: InHand, event: i.Request) -> None:
+        self.tally.requests += 1
         self.requests.add(request)
         self.give(event)
 
@@ -95,6 +98,7 @@
         request = attempt.request
         if request.out.pop(attempt.hop, None) is None:
             return
+        self.tally.attempts[ending.value] += 1
         if ending is i.Ending.SERVED and answer is not None and not request.over:
             self._final(request, Answer(200, end_to_end(answer.headers, FOR_US), answer.body))
         self.requests.drop_if_done(request)
@@ -102,6 +106,7 @@
                           self.loop.now - attempt.sent, report=report))
 
     def counted(self, name: str, ending: i.Ending, level: float, sent: int) -> None:
+        self.tally.calls[ending.value] += 1
         self.give(i.Counted(name, ending, level, self.loop.now - sent))
 
     def backends_changed(self, form: i.ListForm, entries: tuple[i.Entry, ...], moved: list[int]) -> None:
--- a/oakvale/lifecycle/limits.py
+++ b/oakvale/lifecycle/limits.py
@@ -45,6 +45,7 @@
     discovery_retry: int = 250 * MS
     discovery_silence: int = 7 * SECOND  # an empty line comes every 2 s
     sweep: int = 1 * SECOND
+    status: int = 10 * SECOND  # between two lines that tell what was done
     stop_accepting: int = 500 * MS  # after SIGTERM; connections go on coming for 0.2 to 0.4 s
     stop_taking: int = 700 * MS  # after SIGTERM; what comes later is turned away
     stop_longest: int = 8 * SECOND
--- a/oakvale/lifecycle/serving.py
+++ b/oakvale/lifecycle/serving.py
@@ -12,6 +12,7 @@
 from oakvale.lifecycle.configuration import Configuration
 from oakvale.lifecycle.loop import READ, Clock, Coroutine, Loop, Rank
 from oakvale.lifecycle.shutdown import Shutdown
+from oakvale.lifecycle.status import Status
 from oakvale.wire.clients import ClientConnection
 from oakvale.wire.discovery import BadList
 
@@ -93,13 +94,13 @@
         self.loop.at(self.loop.now + self.limits.sweep, self._sweep)
 
 
-def serve(configuration: Configuration) -> int:
-    listener = listening(configuration.listen, configuration.limits.backlog)
+def serve(configuration: Configuration, listener: socket.socket) -> int:
     loop = Loop(Clock(), configuration.limits.timer_slack)
     server = Server(configuration, listener, loop)
     shutdown = Shutdown(server)
     shutdown.watch_signals()
     server.begin()
+    Status(server.host).begin()
     gc.collect()
     gc.freeze()  # what lives as long as the process is never looked at again
     log.info("serving", extra={"gateway": configuration.name, "pid": os.getpid(),
--- /dev/null
+++ b/oakvale/lifecycle/status.py
@@ -0,0 +1,54 @@
+"""What the gateway has done, counted, and told in one log line at intervals."""
+
+from __future__ import annotations
+
+import logging
+import resource
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from oakvale.host import Host
+
+log = logging.getLogger(__name__)
+
+
+class Tally:
+    """Counts since the last line: requests given to the module, answers to clients by status (health checks
+    and what is malformed among them), attempts and counter calls by ending."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.answers: Counter[str] = Counter()
+        self.attempts: Counter[str] = Counter()
+        self.calls: Counter[str] = Counter()
+
+    def fields(self) -> dict[str, Any]:
+        fields: dict[str, Any] = {"requests": self.requests}
+        for word, counts in (("answer", self.answers), ("attempt", self.attempts), ("call", self.calls)):
+            fields |= {f"{word}_{key}": counts[key] for key in sorted(counts)}
+        return fields
+
+
+class Status:
+    def __init__(self, host: Host) -> None:
+        self._host = host
+        self._cpu = 0.0
+        self._turns = 0
+
+    def begin(self) -> None:
+        self._host.loop.at(self._host.loop.now + self._host.limits.status, self._tell)
+
+    def _tell(self, _: None) -> None:
+        host = self._host
+        tally, host.tally = host.tally, Tally()
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        cpu = usage.ru_utime + usage.ru_stime
+        log.info("status", extra=tally.fields() | {
+            "in_hand": len(host.requests), "clients": len(host.clients.all),
+            "backend_connections": host.backend_connections, "idle_connections": host.idle.count,
+            "buffers_taken": host.buffers.taken,
+            "turns": host.loop.turns - self._turns, "cpu_ms": round((cpu - self._cpu) * 1000),
+            "memory_mb": usage.ru_maxrss // 1024})
+        self._cpu, self._turns = cpu, host.loop.turns
+        self.begin()
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -150,6 +150,7 @@
                 self.host.client_gone(self.request)
                 self.request = None
             answer = plain(500, "internal error")
+        self.host.tally.answers[str(answer.status)] += 1
         headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
         if http.their_state is not h11.DONE or self.host.stopping:
             headers.append((b"connection", b"close"))
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -10,6 +10,7 @@
 from oakvale.lifecycle.limits import Limits
 from oakvale.lifecycle.serving import listening
 from oakvale.lifecycle.shutdown import Shutdown
+from oakvale.lifecycle.status import Status
 from tests.node import MS, Node, answer
 from tests.test_clients import refuse
 
@@ -109,6 +110,23 @@
     node.close()
 
 
+def test_what_was_done_is_told_at_intervals(node: Node, caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level("INFO")
+    node.script.answers[i.Request] = refuse
+    Status(node.host).begin()
+    client = node.client()
+    for rid in ("a1", "a2"):
+        client.came = b""
+        node.ask(client, rid)
+        node.reads(client, b"later\n")
+    for _ in range(2):
+        node.pass_time(node.host.limits.status)
+    first, second = [vars(r) for r in caplog.records if r.message == "status"]
+    assert (first["requests"], first["answer_429"], first["clients"]) == (2, 2, 1)
+    assert first["buffers_taken"] == 0
+    assert second["requests"] == 0 and "answer_429" not in second
+
+
 # ---- stopping
 
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -94,6 +94,17 @@
     assert CliRunner().invoke(main, ["nothing"]).exit_code == 2
 
 
+def test_health_of_a_gateway_that_is_not_there() -> None:
+    for address in ("127.0.0.1:1", "nowhere"):
+        result = CliRunner().invoke(main, ["health", address])
+        assert result.exit_code == 1 and result.stderr.startswith(f"oakvale: {address}")
+
+
+def test_the_example_configuration_loads() -> None:
+    c = load({"LB_CONFIG": str(ROOT / "deploy" / "example.json")})
+    assert c.known["endpoints"] and c.settings.may_count
+
+
 def test_an_address_in_use_is_one_clear_line(tmp_path: Path) -> None:
     taken = socket.create_server(("127.0.0.1", 0))
     path = tmp_path / "config.json"
@@ -195,6 +206,9 @@
     try:
         assert program.ask("/_health").startswith(b"HTTP/1.1 200")
         assert program.ask("/odd").startswith(b"HTTP/1.1 404")
+        address = f"{program.address[0]}:{program.address[1]}"
+        result = CliRunner().invoke(main, ["health", address])
+        assert (result.exit_code, result.output) == (0, "ok\n")
         program.process.send_signal(number)
         _, log = program.process.communicate(timeout=10)
     finally:
