--- a/oakvale/wire/counter.py
+++ b/oakvale/wire/counter.py
@@ -56,6 +56,7 @@
         self.host, self.address = host, address
         self.connections: list[CounterConnection] = []
         self.retry_at = 0
+        self.lost = False  # said in the log once, however many tries follow
         self._by_name: dict[str, deque[Call]] = {}
         self._out: deque[Call] = deque()  # by due time: all calls have the same time-out
         self._armed = False
@@ -89,6 +90,11 @@
         if not calls and self._by_name.get(call.name) is calls:
             del self._by_name[call.name]
 
+    def lose(self, why: str) -> None:
+        if not self.lost:
+            self.host.log.warning("counter lost", extra={"why": why})
+        self.lost = True
+
     def _connection(self) -> CounterConnection | None:
         now = self.host.loop.now
         for connection in self.connections:
@@ -101,7 +107,7 @@
         try:
             return CounterConnection(self)
         except OSError as error:
-            self.host.log.warning("no socket for the counter", extra={"why": str(error)})
+            self.lose(str(error))
             return None
 
     def _expire(self, _: None) -> None:
@@ -158,6 +164,7 @@
         left to bring what it still owes, and later calls go elsewhere."""
         if self.heard <= call.sent:
             self.stuck = True
+            self.counter.lose("silent")
             self.host.loop.wake(self._task)  # it waits for a limited time from now on
 
     def end(self) -> None:
@@ -167,7 +174,7 @@
         try:
             if not (yield from self._connect()):
                 self.counter.retry_at = self.host.loop.now + self.host.limits.counter_retry
-                return
+                return self.counter.lose("cannot connect")
             self.up = True
             while True:
                 blocked = not self._write()
@@ -178,7 +185,7 @@
                 if signal > 0 and signal & ~WRITE and not self._read():
                     return
         except (OSError, ValueError) as error:
-            self.host.log.warning("counter connection dropped", extra={"why": str(error)})
+            self.counter.lose(str(error))
         finally:
             self.ended = True
             self._sock.close()
@@ -250,6 +257,9 @@
         if not count:
             return False
         self.heard, self.stuck = self.host.loop.now, False
+        if self.counter.lost:
+            self.counter.lost = False
+            self.host.log.info("counter back")
         lines = data.split(b"\n")
         self._buffer = lines.pop()
         if len(self._buffer) > self.host.limits.counter_line:
--- a/oakvale/wire/discovery.py
+++ b/oakvale/wire/discovery.py
@@ -28,6 +28,7 @@
         self.host, self.address = host, address
         self.index = 0
         self.wanted = self.watching = self.fetching = False
+        self.lost = False  # said in the log once, however many tries follow
 
     def take(self, data: dict[str, Any], cached: bool = False) -> None:
         """Gives the module a list or what changed. Nothing of a malformed one is taken."""
@@ -79,7 +80,9 @@
         try:
             fetched = yield from self._talk(sock, follow)
         except (Gone, BadList, OSError, h11.ProtocolError) as error:
-            self.host.log.warning("discovery connection dropped", extra={"why": str(error) or "ended"})
+            if not self.lost:
+                self.host.log.warning("discovery lost", extra={"why": str(error) or "silent or ended"})
+            self.lost = True
         finally:
             sock.close()
             self.fetching = self.fetching and follow
@@ -125,6 +128,9 @@
                 raise Gone()
 
     def _line(self, line: bytes) -> None:
+        if self.lost:
+            self.lost = False
+            self.host.log.info("discovery back")
         if not line.strip():
             return
         try:
--- a/tests/test_counter_wire.py
+++ b/tests/test_counter_wire.py
@@ -194,7 +194,7 @@
     counter = one(node, "n1")
     counter.send(bad)
     node.turns()
-    assert outcomes(node) == [("n1", Ending.TIMEOUT, 0.0)] and "dropped" in caplog.text
+    assert outcomes(node) == [("n1", Ending.TIMEOUT, 0.0)] and "counter lost" in caplog.text
     again = one(node, "n2")
     again.send(b"ok 3\r\n")
     assert outcomes(node)[1:] == [("n2", Ending.SERVED, 3.0)]
@@ -289,6 +289,18 @@
     assert not connection.usable(later) and connection.ended
 
 
+def test_a_lost_counter_is_said_once_and_so_is_its_return(
+        node: Node, caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level("INFO")
+    for k in range(3):
+        one(node, f"n{k}")
+        node.pass_time(TIMEOUT)
+    assert [r.message for r in caplog.records] == ["counter lost"]
+    one(node, "n9").send(b"ok 1\r\n")
+    node.turns()
+    assert [r.message for r in caplog.records] == ["counter lost", "counter back"]
+
+
 def test_nothing_grows_with_calls(node: Node) -> None:
     counter = one(node, "n0")
     counter.send(b"ok 1\r\n")
--- a/tests/test_discovery_wire.py
+++ b/tests/test_discovery_wire.py
@@ -107,7 +107,7 @@
     discovery = watch(node)
     discovery.send(HEAD + bad)
     node.until(lambda: discovery.read() and discovery.ended)
-    assert len(lists(node)) == 1 and "dropped" in caplog.text
+    assert len(lists(node)) == 1 and "discovery lost" in caplog.text
     node.pass_time(node.host.limits.discovery_retry)
     watch(node)
 
@@ -147,6 +147,19 @@
     assert len(lists(node)) == 1
 
 
+def test_a_lost_discovery_is_said_once_and_so_is_its_return(
+        node: Node, caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level("INFO")
+    for _ in range(4):
+        watch(node).close()
+        node.turns()
+        node.pass_time(node.host.limits.discovery_retry)
+    assert [r.message for r in caplog.records] == ["discovery lost"]
+    watch(node).send(HEAD + chunk(None))
+    node.turns()
+    assert [r.message for r in caplog.records] == ["discovery lost", "discovery back"]
+
+
 def test_an_empty_change_is_no_event(node: Node) -> None:
     discovery = watch(node)
     discovery.send(HEAD + chunk(change(42)))
