--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -249,15 +249,18 @@
         except OSError:
             return
         due = self.host.loop.now + self.host.limits.linger
+        while (signal := (yield READ, due)) != TIMED_OUT:
+            if signal != WOKEN and self._throw_away() == 0:
+                return
+
+    def _throw_away(self) -> int:
+        """Reads what has come, for nobody; 0 when the client has ended."""
         buffer = self.host.buffers.take()
         try:
-            while True:
-                signal = yield READ, due
-                if signal == TIMED_OUT:
-                    return
-                if signal != WOKEN and not self._sock.recv_into(buffer):
-                    return
+            return self._sock.recv_into(buffer)
+        except BlockingIOError:
+            return 1
         except OSError:
-            return
+            return 0
         finally:
             self.host.buffers.give(buffer)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -176,17 +177,19 @@
 
 
 class Program:
-    def __init__(self, tmp_path: Path) -> None:
+    def __init__(self, tmp_path: Path, descriptors: int = 1024) -> None:
         self.discovery = socket.create_server(("127.0.0.1", 0))
         free = socket.create_server(("127.0.0.1", 0))
         self.address = free.getsockname()
         free.close()
         path = tmp_path / "config.json"
-        path.write_text(json.dumps(config(listen="%s:%d" % self.address,  # noqa: UP031
-                                          discovery="%s:%d" % self.discovery.getsockname())))  # noqa: UP031
+        path.write_text(json.dumps(config(
+            listen="%s:%d" % self.address, limits={"sockets": descriptors},  # noqa: UP031
+            discovery="%s:%d" % self.discovery.getsockname())))  # noqa: UP031
         self.process = subprocess.Popen(
             [sys.executable, "-m", "oakvale", "serve"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
-            env={**os.environ, "LB_CONFIG": str(path)})
+            env={**os.environ, "LB_CONFIG": str(path)},
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
         assert self.process.stderr is not None
         first = self.process.stderr.readline()  # written once it listens
         assert "event=serving" in first, first
@@ -216,3 +219,21 @@
         program.discovery.close()
     assert program.process.returncode == 0
     assert "event=stopping" in log and "event=stopped" in log
+
+
+def test_more_clients_than_descriptors_do_not_keep_it_from_serving(tmp_path: Path) -> None:
+    program = Program(tmp_path, descriptors=128)
+    clients = []
+    try:
+        for _ in range(200):
+            clients.append(socket.create_connection(program.address, timeout=10))
+        assert program.ask("/_health").startswith(b"HTTP/1.1 200")
+        held = len(os.listdir(f"/proc/{program.process.pid}/fd"))
+        for client in clients:
+            client.close()
+        assert program.ask("/_health").startswith(b"HTTP/1.1 200")
+    finally:
+        program.process.kill()
+        _, log = program.process.communicate()
+        program.discovery.close()
+    assert held < 128 and "Too many open files" not in log
