--- a/oakvale/memory/requests.py
+++ b/oakvale/memory/requests.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-import h11
-
 from oakvale.interface import Ending
 
 if TYPE_CHECKING:
@@ -31,7 +29,9 @@
 
     id: str
     client: ClientConnection
-    head: h11.Request
+    method: bytes
+    target: bytes
+    headers: Headers
     body: bytes
     deadline: int
     over: bool = False
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -11,7 +11,7 @@
 from oakvale.interface import Ending
 from oakvale.lifecycle.loop import TIMED_OUT, WOKEN, WRITE, READ, Coroutine, Rank, Step
 from oakvale.memory.requests import Answer, AttemptOut
-from oakvale.wire.http import Gone, end_to_end, more, write_all
+from oakvale.wire.http import END, Gone, end_to_end, more, write_all
 
 if TYPE_CHECKING:
     from oakvale.host import Host
@@ -133,16 +133,16 @@
 
     def _message(self, attempt: AttemptOut) -> bytes:
         request, http = attempt.request, self._http
-        method, target = request.head.method, request.head.target
-        headers = end_to_end(request.head.headers, OURS)
+        method = request.method
+        headers = end_to_end(request.headers, OURS)
         headers.append((b"x-trace-id", request.id.encode()))
         headers.append((b"x-expires-in", b"%du" % max(0, attempt.due - self.host.loop.now)))
         if request.body or method != b"GET":
             headers.append((b"content-length", b"%d" % len(request.body)))
-        head = http.send(h11.Request(method=method, target=target, headers=headers)) or b""
+        head = http.send(h11.Request(method=method, target=request.target, headers=headers)) or b""
         if request.body:
             http.send(h11.Data(data=request.body))
-        http.send(h11.EndOfMessage())
+        http.send(END)
         return head + request.body
 
     def _answer(self, due: int) -> Step:
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -5,6 +5,7 @@
 import re
 import select
 import socket
+from dataclasses import dataclass
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
@@ -12,9 +13,9 @@
 
 from oakvale import interface as i
 from oakvale.lifecycle.loop import BROKEN, READ, TIMED_OUT, WOKEN, Coroutine, Rank, Step
-from oakvale.memory.requests import Answer, InHand
+from oakvale.memory.requests import Answer, Headers, InHand
 from oakvale.settings import Names
-from oakvale.wire.http import Gone, more, write_all
+from oakvale.wire.http import END, Gone, more, write_all
 
 if TYPE_CHECKING:
     from oakvale.host import Host
@@ -54,10 +55,21 @@
     return value.decode("latin-1")
 
 
-def decode(head: h11.Request, now: int, names: Names) -> i.Request:
+@dataclass(slots=True)
+class Incoming:
+    """A request as it was read. h11's headers are slow to walk through, so they are copied once."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    fields: dict[bytes, bytes]
+    body: bytes = b""
+
+
+def decode(incoming: Incoming, now: int, names: Names) -> i.Request:
     """A client's request as the module knows it; raises BadRequest."""
-    headers = dict(head.headers)
-    path, _, query = head.target.partition(b"?")
+    headers = incoming.fields
+    path, _, query = incoming.target.partition(b"?")
     cls = names.classes.get(path.decode("latin-1").split("/", 2)[1] if path.startswith(b"/") else "")
     if cls is None:
         raise BadRequest(404, "no such class of requests")
@@ -134,9 +146,9 @@
         """One request and its answer; False when the connection is to be closed."""
         http, method = self._http, b""
         try:
-            head, body = yield from self._read()
-            method = head.method
-            answer = yield from self._answered(head, body)
+            incoming = yield from self._read()
+            method = incoming.method
+            answer = yield from self._answered(incoming)
         except BadRequest as bad:
             answer = plain(bad.status, str(bad))
         except h11.RemoteProtocolError as error:
@@ -158,14 +170,14 @@
         if answer.body and method != b"HEAD":
             http.send(h11.Data(data=answer.body))
             data += answer.body
-        http.send(h11.EndOfMessage())
+        http.send(END)
         yield from write_all(self._sock, data, self.host.loop.now + self.host.limits.client_take)
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
     def _read(self) -> Step:
         host, http = self.host, self._http
         began, idle = 0, True
-        head: h11.Request | None = None
+        incoming: Incoming | None = None
         parts: list[bytes] = []
         size = 0
         self.used = host.loop.now
@@ -185,16 +197,18 @@
                         began, idle = host.loop.now, False
                         host.clients.idle.pop(self, None)
                 elif type(event) is h11.Request:
-                    head = event
-                    if int(dict(event.headers).get(b"content-length", b"0")) > host.limits.body:
+                    headers = list(event.headers)
+                    incoming = Incoming(event.method, event.target, headers, dict(headers))
+                    if int(incoming.fields.get(b"content-length", b"0")) > host.limits.body:
                         raise BadRequest(413, "body too large")
                 elif type(event) is h11.Data:
                     parts.append(bytes(event.data))
                     size += len(parts[-1])
                     if size > host.limits.body:
                         raise BadRequest(413, "body too large")
-                elif type(event) is h11.EndOfMessage:
-                    return head, b"".join(parts)
+                elif type(event) is h11.EndOfMessage and incoming is not None:
+                    incoming.body = b"".join(parts)
+                    return incoming
                 else:  # closed between requests
                     raise Gone()
                 event = http.next_event()
@@ -205,17 +219,18 @@
         finally:
             host.clients.idle.pop(self, None)
 
-    def _answered(self, head: h11.Request, body: bytes) -> Step:
+    def _answered(self, incoming: Incoming) -> Step:
         host = self.host
-        if head.target == HEALTH:
+        if incoming.target == HEALTH:
             return plain(200, "ok") if host.can_serve() else plain(503, "not ready")
-        if head.method not in METHODS:
+        if incoming.method not in METHODS:
             raise BadRequest(405, "only GET and POST")
-        request = decode(head, host.loop.now, host.names)
+        request = decode(incoming, host.loop.now, host.names)
         if host.refuses_new(request.id):
             return plain(503, "no room")
         self.answer = None
-        self.request = InHand(request.id, self, head, body, request.deadline)
+        self.request = InHand(request.id, self, incoming.method, incoming.target, incoming.headers,
+                              incoming.body, request.deadline)
         host.request_came(self.request, request)
         mask = READ
         while self.answer is None:
--- a/oakvale/wire/discovery.py
+++ b/oakvale/wire/discovery.py
@@ -11,7 +11,7 @@
 
 from oakvale import interface as i
 from oakvale.lifecycle.loop import TIMED_OUT, WRITE, Coroutine, Rank, Step
-from oakvale.wire.http import Gone, more, write_all
+from oakvale.wire.http import END, Gone, more, write_all
 
 if TYPE_CHECKING:
     from oakvale.host import Host
@@ -103,7 +103,7 @@
         target = PATH + (b"?follow=1&since=%d" % self.index if follow else b"")
         authority = f"{self.address[0]}:{self.address[1]}".encode()
         data = http.send(h11.Request(method=b"GET", target=target, headers=[(b"host", authority)])) or b""
-        data += http.send(h11.EndOfMessage()) or b""
+        data += http.send(END) or b""
         yield from write_all(sock, data, loop.now + limits.discovery_silence)
         rest = b""
         while True:
--- a/oakvale/wire/http.py
+++ b/oakvale/wire/http.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Iterable
 
 import h11
 
@@ -16,6 +15,8 @@
     b"trailer", b"transfer-encoding", b"upgrade", b"expect", b"content-length",
 })
 
+END = h11.EndOfMessage()
+
 
 class Gone(Exception):
     """The other side ended or broke the connection, or took too long."""
@@ -25,7 +26,7 @@
         self.timed_out = timed_out
 
 
-def end_to_end(headers: Iterable[tuple[bytes, bytes]], without: frozenset[bytes] = frozenset()) -> Headers:
+def end_to_end(headers: Headers, without: frozenset[bytes] = frozenset()) -> Headers:
     """Headers that pass a proxy: none that speak of this connection or of this message's framing."""
     kept = [(k, v) for k, v in headers if k not in HOP_BY_HOP and k not in without]
     for name, value in headers:
