Idle clients are closed at once on SIGTERM, and half-closed ones probed with 100

Checked against PROTOCOL: a request that crosses the close of its connection is sent once more on a new one. Half a second after SIGTERM that new one was refused, as listening had ended; at once it is taken. An unasked 102 is taken for the answer by common clients (http.client passes over 100 alone), a 100 may be discarded by any.

--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -21,6 +21,7 @@
     from oakvale.host import Host
 
 HEALTH = b"/_health"
+CONTINUE = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
 METHODS = (b"GET", b"POST")
 TRACE_ID = re.compile(r"[0-9A-Za-z._-]{1,64}")
 CUSTOMER = re.compile(r"[0-9a-f]{16}")
@@ -188,7 +189,7 @@
             while True:
                 if event is h11.NEED_DATA:
                     if http.they_are_waiting_for_100_continue:
-                        interim = http.send(h11.InformationalResponse(status_code=100, headers=[]))
+                        interim = http.send(CONTINUE)
                         due = host.loop.now + host.limits.client_send
                         yield from write_all(self._sock, interim or b"", due)
                     due = began + host.limits.client_send if began else self.used + host.limits.client_idle
@@ -248,9 +249,10 @@
 
     def _probe(self) -> None:
         """A client that closed and one that only ended its sending look alike. An interim answer tells them
-        apart: a closed socket resets the connection, a waiting client passes over it."""
+        apart: a closed socket resets the connection, a waiting client passes over it. It is a 100, which any
+        client may simply discard (RFC 9110, 15.2.1); some take another 1xx for the answer."""
         if self._http.their_http_version == b"1.1":
-            interim = self._http.send(h11.InformationalResponse(status_code=102, headers=[]))
+            interim = self._http.send(CONTINUE)
             try:
                 self._sock.send(interim or b"")
             except OSError:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -175,7 +175,7 @@
     node.ask(client, "a1")
     node.came(i.Request)
     client.sock.shutdown(socket.SHUT_WR)
-    node.reads(client, b"HTTP/1.1 102 \r\n\r\n")
+    node.reads(client, b"HTTP/1.1 100 Continue\r\n\r\n")
     node.turns(20)
     assert node.script.of(i.Withdrawn) == []
     node.script.answers[i.Timer] = lambda _: [i.Refuse("a1", 1)]
@@ -261,7 +261,7 @@
     head = request("a1", method="POST", target="/save?key=00000000b4d65521", Expect="100-continue",
                    Content_Length="4")
     client.send(head)
-    node.reads(client, b"HTTP/1.1 100 \r\n\r\n")
+    node.reads(client, b"HTTP/1.1 100 Continue\r\n\r\n")
     client.send(b"body")
     assert node.came(i.Request).cls == 1
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -177,13 +177,23 @@
         node.client()
 
 
+def test_idle_connections_are_closed_while_new_ones_are_still_taken(stopped: Stopped) -> None:
+    node = stopped.node
+    idle = node.client()
+    node.until(lambda: node.host.clients.idle)
+    stopped.shutdown.begin()
+    node.until(lambda: idle.read() == b"" and idle.ended)
+    again = node.client()
+    node.ask(again)
+    node.reads(again, b"later\n")
+
+
 def test_idle_connections_are_closed_but_not_one_whose_request_has_come(stopped: Stopped) -> None:
     node = stopped.node
     idle, busy = node.client(), node.client()
     node.until(lambda: len(node.host.clients.idle) == 2)
-    stopped.shutdown.begin()
     node.ask(busy)  # it has come, and nobody has read it yet
-    node.host.clients.end_idle()
+    stopped.shutdown.begin()
     node.reads(busy, b"later\n")
     node.until(lambda: idle.read() == b"" and idle.ended)
 
@@ -221,7 +231,7 @@
     node = stopped.node
     client = node.client()
     client.send(b"GET /slot")  # its rest comes late
-    node.turns()
+    node.until(lambda: node.host.clients.all and not node.host.clients.idle)
     stopped.shutdown.begin()
     node.pass_time(500 * MS)
     node.pass_time(200 * MS)
