One place for making connections, writing and peeking; all bounds in the limits' type

Read again as a whole: three copies of connecting and of looking without reading became one (wire/tcp.py), addresses are parsed in one place, the protocol's bounds and the caches' sizes moved to Limits, a part of a coroutine says what it gives back. Found on the way: nonsense behind a request left its connection among the idle ones, where it could have been closed with its answer half written; the gateway's own 503 named no time to come back; an id in hand got a refusal though it is the client's mistake (now 409). Retry-After in hundredths of a second upwards makes the heads of refusals few enough to be kept.

--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -8,6 +8,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from functools import lru_cache
 from typing import Any
 
 from oakvale import interface as i
@@ -20,6 +21,7 @@
 from oakvale.memory.names import BackendNames
 from oakvale.memory.requests import Answer, AttemptOut, InHand, RequestsInHand
 from oakvale.wire.backends import BackendConnection
+from oakvale.wire.clients import response, terms
 from oakvale.wire.counter import Counter
 from oakvale.wire.discovery import Discovery
 from oakvale.wire.http import end_to_end
@@ -43,6 +45,8 @@
         self.gateway = Gateway(self.settings, configuration.seed)
         self.counter = Counter(self, configuration.counter) if configuration.counter else None
         self.discovery = Discovery(self, configuration.discovery)
+        self.terms = lru_cache(self.limits.cached)(terms)
+        self.response = lru_cache(self.limits.cached)(response)
         self._events: deque[i.Event] = deque()
         self._giving = False
         self._carry: dict[type[i.Action], Callable[[Any], None]] = {
@@ -123,8 +127,8 @@
     def can_serve(self) -> bool:
         return self.listed and not self.stopping
 
-    def refuses_new(self, rid: str) -> bool:
-        return self.taking_ended or self.requests.full() or self.requests.get(rid) is not None
+    def takes_no_more(self) -> bool:
+        return self.taking_ended or self.requests.full()
 
     # ---- actions
 
@@ -167,7 +171,8 @@
         if request is not None and not request.over:
             headers = [(b"content-type", b"text/plain")]
             if action.retry_after:
-                headers.append((b"retry-after", b"%.3f" % (action.retry_after / 1e6)))
+                # in hundredths, upwards: few different heads, which need not be made anew
+                headers.append((b"retry-after", b"%.2f" % (-(-action.retry_after // 10_000) / 100)))
             # too much was asked, or those who were asked could not serve it
             self._final(request, Answer(503 if request.hops else 429, headers, b"try again later\n"))
 
--- a/oakvale/lifecycle/configuration.py
+++ b/oakvale/lifecycle/configuration.py
@@ -33,11 +33,17 @@
     limits: Limits
 
 
-def address(text: Any, what: str) -> Address:
+def parse_address(text: Any) -> Address | None:
+    """`host:port`, or None for what is not."""
     host, _, port = str(text or "").rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    return (host, int(port)) if host and port.isdecimal() and 0 < int(port) < 65536 else None
+
+
+def address(text: Any, what: str) -> Address:
+    parsed = parse_address(text)
+    if parsed is None:
         raise BadConfiguration(f"{what} is not host:port: {text!r}")
-    return host, int(port)
+    return parsed
 
 
 def load(environment: Mapping[str, str]) -> Configuration:
--- a/oakvale/lifecycle/limits.py
+++ b/oakvale/lifecycle/limits.py
@@ -19,6 +19,7 @@
     body: int = 64 * 1024  # PROTOCOL: a body holds at most this
     line: int = 1024 * 1024  # a line of discovery
     counter_line: int = 256
+    counter_name: int = 64  # PROTOCOL: a name has no more
     # counts
     buffers: int = 64  # kept for reuse
     backlog: int = 1024
@@ -28,10 +29,13 @@
     counters: int = 4
     counter_owed: int = 4096  # calls out on one connection
     requests: int = 20_000  # in hand
+    cached: int = 256  # parsed or checked texts that come again and again
+    counter_amount: float = 1e9  # PROTOCOL: an amount is at most this
     # times, in microseconds
     timer_slack: int = 4 * MS  # a timer may be late by this
     client_idle: int = 75 * SECOND
     client_send: int = 10 * SECOND  # from a request's first byte to its last
+    client_wait: int = 3600 * SECOND  # for an answer, whatever it says
     client_take: int = 10 * SECOND  # for a client to take its answer
     linger: int = 1 * SECOND  # for a client to close after the last answer
     accept_pause: int = 20 * MS
@@ -39,6 +43,7 @@
     connect: int = 250 * MS
     backend_idle: int = 20 * SECOND
     counter_timeout: int = 50 * MS
+    counter_life: int = 60 * SECOND  # PROTOCOL: the longest of a name
     counter_retry: int = 50 * MS
     counter_late: int = 2 * SECOND  # for answers still owed on a connection given up
     counter_idle: int = 1 * SECOND  # older than this, a connection is looked at before it is used
--- a/oakvale/lifecycle/loop.py
+++ b/oakvale/lifecycle/loop.py
@@ -14,7 +14,7 @@
 from collections import deque
 from collections.abc import Callable, Generator
 from enum import IntEnum
-from typing import Any
+from typing import Any, TypeVar
 
 READ = select.EPOLLIN | select.EPOLLRDHUP
 WRITE = select.EPOLLOUT
@@ -22,8 +22,9 @@
 TIMED_OUT = 0
 WOKEN = -1
 
-Coroutine = Generator[tuple[int, int], int, None]
-Step = Generator[tuple[int, int], int, Any]  # a part of a coroutine, entered with `yield from`
+T = TypeVar("T")
+Step = Generator[tuple[int, int], int, T]  # a part of a coroutine, entered with `yield from`
+Coroutine = Step[None]
 
 log = logging.getLogger(__name__)
 
--- a/oakvale/memory/names.py
+++ b/oakvale/memory/names.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 from oakvale import interface as i
+from oakvale.lifecycle.configuration import Address, parse_address
 from oakvale.settings import Names
 
-Address = tuple[str, int]
 STATES = {"active": i.State.READY, "leaving": i.State.DRAINING, "left": i.State.GONE}
 
 
@@ -37,8 +37,7 @@
 
     def _decode(self, row: dict[str, Any]) -> tuple[i.Entry, Address | None]:
         name, state = str(row["name"]), STATES[row["status"]]
-        host, _, port = str(row.get("address") or "").rpartition(":")
-        address = (host, int(port)) if host and port.isdigit() else None
+        address = parse_address(row.get("address"))
         if address is None and state is not i.State.GONE:
             raise ValueError(f"no address for {name}")
         entry = i.Entry(
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -5,8 +5,8 @@
 import re
 import select
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass
-from functools import lru_cache
 from typing import TYPE_CHECKING
 
 import h11
@@ -15,7 +15,8 @@
 from oakvale.lifecycle.loop import BROKEN, READ, TIMED_OUT, WOKEN, Coroutine, Rank, Step
 from oakvale.memory.requests import Answer, Headers, InHand
 from oakvale.settings import Names
-from oakvale.wire.http import END, Gone, more, write_all
+from oakvale.wire.http import END, more
+from oakvale.wire.tcp import Gone, peek, write_all
 
 if TYPE_CHECKING:
     from oakvale.host import Host
@@ -28,7 +29,8 @@
 EXPIRES = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])")
 UNITS = {"m": 1000, "u": 1}
 SECOND_TRY = 2  # the simulator's mark of a client's repeat
-LONGEST_WAIT = 3_600_000_000
+
+Terms = Callable[[str], tuple[float, int, int]]
 
 
 class BadRequest(Exception):
@@ -37,7 +39,6 @@
         self.status = status
 
 
-@lru_cache(maxsize=4096)
 def terms(text: str) -> tuple[float, int, int]:
     """`units=2,spread=3,first=1`; keys that are not known are skipped."""
     try:
@@ -67,7 +68,7 @@
     body: bytes = b""
 
 
-def decode(incoming: Incoming, now: int, names: Names) -> i.Request:
+def decode(incoming: Incoming, now: int, names: Names, longest: int, terms_of: Terms) -> i.Request:
     """A client's request as the module knows it; raises BadRequest."""
     headers = incoming.fields
     path, _, query = incoming.target.partition(b"?")
@@ -87,20 +88,21 @@
     expires = EXPIRES.fullmatch(text_of(headers.get(b"x-expires-in"), "X-Expires-In"))
     if expires is None:
         raise BadRequest(400, "X-Expires-In is not understood")
-    wait = min(LONGEST_WAIT, int(float(expires[1]) * UNITS[expires[2]]))
-    units, spread, first = terms(text_of(headers.get(b"x-call-terms"), "X-Call-Terms"))
+    wait = min(longest, int(float(expires[1]) * UNITS[expires[2]]))
+    units, spread, first = terms_of(text_of(headers.get(b"x-call-terms"), "X-Call-Terms"))
     flags = SECOND_TRY if headers.get(b"x-second-try") == b"1" else 0
     return i.Request(rid, customer, cls, plan, units, spread, first, now + wait, flags)
 
 
-@lru_cache(maxsize=1024)
 def response(status: int, headers: tuple[tuple[bytes, bytes], ...]) -> h11.Response:
     """The head of an answer. h11 checks each header anew, and most heads are like one before."""
     return h11.Response(status_code=status, headers=list(headers))
 
 
 def plain(status: int, why: str) -> Answer:
-    return Answer(status, [(b"content-type", b"text/plain")], why.encode("latin-1", "replace") + b"\n")
+    """The gateway's own answer; 503 is a refusal and names a time to come back."""
+    headers = [(b"content-type", b"text/plain")] + ([(b"retry-after", b"1")] if status == 503 else [])
+    return Answer(status, headers, why.encode("latin-1", "replace") + b"\n")
 
 
 class ClientConnection:
@@ -120,13 +122,8 @@
 
     def end_if_idle(self) -> bool:
         """Closes the connection unless a request has come that was not read yet."""
-        try:
-            if self._sock.recv(1, socket.MSG_PEEK):
-                return False
-        except BlockingIOError:
-            pass
-        except OSError:
-            pass
+        if peek(self._sock):
+            return False
         self.host.loop.end(self._task)
         return True
 
@@ -143,7 +140,7 @@
             if self.request is not None:
                 self.host.client_gone(self.request)
 
-    def _serve_one(self) -> Step:
+    def _serve_one(self) -> Step[bool]:
         """One request and its answer; False when the connection is to be closed."""
         http, method = self._http, b""
         try:
@@ -167,7 +164,7 @@
         headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
         if http.their_state is not h11.DONE or self.host.stopping:
             headers.append((b"connection", b"close"))
-        data = http.send(response(answer.status, tuple(headers))) or b""
+        data = http.send(self.host.response(answer.status, tuple(headers))) or b""
         if answer.body and method != b"HEAD":
             http.send(h11.Data(data=answer.body))
             data += answer.body
@@ -175,7 +172,7 @@
         yield from write_all(self._sock, data, self.host.loop.now + self.host.limits.client_take)
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
-    def _read(self) -> Step:
+    def _read(self) -> Step[Incoming]:
         host, http = self.host, self._http
         began, idle = 0, True
         incoming: Incoming | None = None
@@ -183,9 +180,9 @@
         size = 0
         self.used = host.loop.now
         host.clients.idle[self] = None
-        # between requests there is nothing to parse but what came behind the last one
-        event = http.next_event() if http.trailing_data[0] else h11.NEED_DATA
         try:
+            # between requests there is nothing to parse but what came behind the last one
+            event = http.next_event() if http.trailing_data[0] else h11.NEED_DATA
             while True:
                 if event is h11.NEED_DATA:
                     if http.they_are_waiting_for_100_continue:
@@ -220,14 +217,16 @@
         finally:
             host.clients.idle.pop(self, None)
 
-    def _answered(self, incoming: Incoming) -> Step:
+    def _answered(self, incoming: Incoming) -> Step[Answer]:
         host = self.host
         if incoming.target == HEALTH:
             return plain(200, "ok") if host.can_serve() else plain(503, "not ready")
         if incoming.method not in METHODS:
             raise BadRequest(405, "only GET and POST")
-        request = decode(incoming, host.loop.now, host.names)
-        if host.refuses_new(request.id):
+        request = decode(incoming, host.loop.now, host.names, host.limits.client_wait, host.terms)
+        if host.requests.get(request.id) is not None:
+            raise BadRequest(409, "X-Trace-Id is of a request in hand")
+        if host.takes_no_more():
             return plain(503, "no room")
         self.answer = None
         self.request = InHand(request.id, self, incoming.method, incoming.target, incoming.headers,
@@ -258,7 +257,7 @@
             except OSError:
                 pass
 
-    def _linger(self) -> Step:
+    def _linger(self) -> Step[None]:
         """Ends sending first: a close with unread input would reset the connection and could destroy the
         answer on its way."""
         try:
--- a/oakvale/wire/counter.py
+++ b/oakvale/wire/counter.py
@@ -6,20 +6,17 @@
 
 from __future__ import annotations
 
-import errno
-import socket
 from collections import deque
 from typing import TYPE_CHECKING
 
 from oakvale.interface import Ending
-from oakvale.lifecycle.loop import READ, TIMED_OUT, WOKEN, WRITE, Coroutine, Rank, Step
+from oakvale.lifecycle.configuration import Address
+from oakvale.lifecycle.loop import READ, TIMED_OUT, WRITE, Coroutine, Rank
+from oakvale.wire.tcp import connect, new_socket, peek
 
 if TYPE_CHECKING:
     from oakvale.host import Host
-
-LARGEST = 1e9  # PROTOCOL: an amount is at most this
-LONGEST_NAME = 64
-LIVES = (1, 60_000)  # milliseconds
+    from oakvale.lifecycle.limits import Limits
 
 
 class Call:
@@ -35,10 +32,10 @@
         amount = f"{self.amount:.15f}".rstrip("0").rstrip(".")  # never in exponent form
         return f"add {self.name} {amount or '0'} {self.life}\r\n".encode("ascii")
 
-    def allowed(self) -> bool:
+    def allowed(self, limits: Limits) -> bool:
         name = self.name
-        return (abs(self.amount) <= LARGEST and 0 < len(name) <= LONGEST_NAME and name.isascii()
-                and name.isprintable() and " " not in name)
+        return (abs(self.amount) <= limits.counter_amount and 0 < len(name) <= limits.counter_name
+                and name.isascii() and name.isprintable() and " " not in name)
 
 
 def answer(line: bytes) -> tuple[Ending, float]:
@@ -52,7 +49,7 @@
 
 
 class Counter:
-    def __init__(self, host: Host, address: tuple[str, int]) -> None:
+    def __init__(self, host: Host, address: Address) -> None:
         self.host, self.address = host, address
         self.connections: list[CounterConnection] = []
         self.retry_at = 0
@@ -63,10 +60,11 @@
 
     def call(self, name: str, amount: float, life: int) -> None:
         now = self.host.loop.now
-        life = min(max(life // 1000, LIVES[0]), LIVES[1])
-        call = Call(name, amount, life, now, now + self.host.limits.counter_timeout)
+        limits = self.host.limits
+        milliseconds = min(max(life, 1000), limits.counter_life) // 1000
+        call = Call(name, amount, milliseconds, now, now + limits.counter_timeout)
         self._by_name.setdefault(name, deque()).append(call)
-        if not call.allowed():
+        if not call.allowed(self.host.limits):
             self.host.log.error("call not allowed", extra={"call": name, "amount": amount})
             return self.end(call, Ending.FULL)
         connection = self._connection()
@@ -133,8 +131,7 @@
         self._partial: Call | None = None  # one that the socket took in part, and what is left of its line
         self._tail = b""
         self._buffer = b""
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock = new_socket()
         counter.connections.append(self)
         self._task = self.host.loop.start(self._run(), self._sock.fileno(), Rank.COUNTER)
 
@@ -144,12 +141,8 @@
         if not self.up or self.owed or now - self.used < self.host.limits.counter_idle:
             return True
         # idle for some time: the counter may have closed it, and what is written then may be lost
-        try:
-            self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
+        if peek(self._sock) is None:
             return True
-        except OSError:
-            pass
         self.end()
         return False
 
@@ -172,7 +165,8 @@
 
     def _run(self) -> Coroutine:
         try:
-            if not (yield from self._connect()):
+            due = self.host.loop.now + self.host.limits.connect
+            if not (yield from connect(self._sock, self.counter.address, due)):
                 self.counter.retry_at = self.host.loop.now + self.host.limits.counter_retry
                 return self.counter.lose("cannot connect")
             self.up = True
@@ -195,15 +189,6 @@
             for call in ([self._partial] if self._partial else []) + list(self._unsent):
                 self.counter.end(call, Ending.NO_CONNECTION)  # its last byte was never written
 
-    def _connect(self) -> Step:
-        code = self._sock.connect_ex(self.counter.address)
-        if code != errno.EINPROGRESS:
-            return code == 0
-        due = self.host.loop.now + self.host.limits.connect
-        while (signal := (yield WRITE, due)) == WOKEN:
-            pass
-        return signal != TIMED_OUT and not self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-
     def _write(self) -> bool:
         """Writes the calls that wait, a buffer at a time; False when the socket takes no more."""
         while self._partial or self._unsent:
--- a/oakvale/wire/discovery.py
+++ b/oakvale/wire/discovery.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import socket
 from typing import TYPE_CHECKING, Any
 
@@ -10,8 +9,10 @@
 import orjson
 
 from oakvale import interface as i
-from oakvale.lifecycle.loop import TIMED_OUT, WRITE, Coroutine, Rank, Step
-from oakvale.wire.http import END, Gone, more, write_all
+from oakvale.lifecycle.configuration import Address
+from oakvale.lifecycle.loop import Coroutine, Rank, Step
+from oakvale.wire.http import END, more
+from oakvale.wire.tcp import Gone, connect, new_socket, write_all
 
 if TYPE_CHECKING:
     from oakvale.host import Host
@@ -24,7 +25,7 @@
 
 
 class Discovery:
-    def __init__(self, host: Host, address: tuple[str, int]) -> None:
+    def __init__(self, host: Host, address: Address) -> None:
         self.host, self.address = host, address
         self.index = 0
         self.wanted = self.watching = self.fetching = False
@@ -60,7 +61,7 @@
 
     def _start(self, follow: bool) -> None:
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock = new_socket()
         except OSError as error:
             self.host.log.warning("no socket for discovery", extra={"why": str(error)})
             return self._ended(follow)
@@ -89,16 +90,11 @@
             if not self.host.ended and not fetched:
                 self._ended(follow)
 
-    def _talk(self, sock: socket.socket, follow: bool) -> Step:
+    def _talk(self, sock: socket.socket, follow: bool) -> Step[bool]:
         host = self.host
         limits, loop = host.limits, host.loop
-        code = sock.connect_ex(self.address)
-        if code == errno.EINPROGRESS:
-            if (yield WRITE, loop.now + limits.discovery_silence) == TIMED_OUT:
-                raise Gone(timed_out=True)
-            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            raise OSError(code, "cannot connect")
+        if not (yield from connect(sock, self.address, loop.now + limits.discovery_silence)):
+            raise OSError("cannot connect")
         http = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.header)
         target = PATH + (b"?follow=1&since=%d" % self.index if follow else b"")
         authority = f"{self.address[0]}:{self.address[1]}".encode()
--- a/oakvale/wire/http.py
+++ b/oakvale/wire/http.py
@@ -1,4 +1,4 @@
-"""What the sides that speak HTTP share: reading into pooled buffers, whole writes, rules on headers."""
+"""What the sides that speak HTTP share: reading into pooled buffers, rules on headers."""
 
 from __future__ import annotations
 
@@ -6,9 +6,10 @@
 
 import h11
 
-from oakvale.lifecycle.loop import READ, TIMED_OUT, WOKEN, WRITE, Step
+from oakvale.lifecycle.loop import READ, TIMED_OUT, WOKEN, Step
 from oakvale.memory.buffers import BufferPool
 from oakvale.memory.requests import Headers
+from oakvale.wire.tcp import Gone
 
 HOP_BY_HOP = frozenset({
     b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
@@ -18,14 +19,6 @@
 END = h11.EndOfMessage()
 
 
-class Gone(Exception):
-    """The other side ended or broke the connection, or took too long."""
-
-    def __init__(self, timed_out: bool = False) -> None:
-        super().__init__()
-        self.timed_out = timed_out
-
-
 def end_to_end(headers: Headers, without: frozenset[bytes] = frozenset()) -> Headers:
     """Headers that pass a proxy: none that speak of this connection or of this message's framing."""
     kept = [(k, v) for k, v in headers if k not in HOP_BY_HOP and k not in without]
@@ -49,24 +42,7 @@
         pool.give(buffer)
 
 
-def write_all(sock: socket.socket, data: bytes, due: int) -> Step:
-    """Writes what the socket takes and waits for the rest; raises Gone if it never all goes."""
-    sent = 0
-    while True:
-        try:
-            sent += sock.send(data[sent:] if sent else data)
-        except BlockingIOError:
-            pass
-        except OSError as error:
-            raise Gone() from error
-        if sent == len(data):
-            return
-        signal = yield WRITE, due
-        if signal == TIMED_OUT:
-            raise Gone(timed_out=True)
-
-
-def more(sock: socket.socket, http: h11.Connection, pool: BufferPool, due: int) -> Step:
+def more(sock: socket.socket, http: h11.Connection, pool: BufferPool, due: int) -> Step[None]:
     """Waits until the parser has been given something new; raises Gone."""
     while True:
         signal = yield READ, due
--- /dev/null
+++ b/oakvale/wire/tcp.py
@@ -0,0 +1,59 @@
+"""What every connection shares: making one, writing all of something, looking without reading."""
+
+from __future__ import annotations
+
+import errno
+import socket
+
+from oakvale.lifecycle.configuration import Address
+from oakvale.lifecycle.loop import TIMED_OUT, WOKEN, WRITE, Step
+
+
+class Gone(Exception):
+    """The other side ended or broke the connection, or took too long."""
+
+    def __init__(self, timed_out: bool = False) -> None:
+        super().__init__()
+        self.timed_out = timed_out
+
+
+def new_socket() -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def connect(sock: socket.socket, address: Address, due: int) -> Step[bool]:
+    """True once the connection is up; False when it is refused, breaks, or is not up in time."""
+    code = sock.connect_ex(address)
+    if code != errno.EINPROGRESS:
+        return code == 0
+    while (signal := (yield WRITE, due)) == WOKEN:
+        pass
+    return signal != TIMED_OUT and not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+
+def write_all(sock: socket.socket, data: bytes, due: int) -> Step[None]:
+    """Writes what the socket takes and waits for the rest; raises Gone if it never all goes."""
+    sent = 0
+    while True:
+        try:
+            sent += sock.send(data[sent:] if sent else data)
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            raise Gone() from error
+        if sent == len(data):
+            return
+        if (yield WRITE, due) == TIMED_OUT:
+            raise Gone(timed_out=True)
+
+
+def peek(sock: socket.socket) -> bytes | None:
+    """What has come and was not read: None for nothing, empty when the other side ended or broke it."""
+    try:
+        return sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
