The module's timers wait up to 20 ms for company; answered calls leave no timer

By cause (an earlier probe): a turn for most checks of attempts that the module sets, and twelve a second for time-outs of calls long answered.

--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -80,7 +80,7 @@
         """A fault in one request's handling: that request is answered, the rest served. A timer is set again,
         or the module's own work at intervals would end with it."""
         if isinstance(event, i.Timer):
-            self.loop.at(self.loop.now + self.limits.fault_pause, self._due, event.token)
+            self.loop.wake_at(self.loop.now + self.limits.fault_pause, self._due, event.token)
         request = self.requests.get(getattr(event, "id", ""))
         if request is not None and not request.over:
             self._final(request, Answer(500, [(b"content-type", b"text/plain")], b"internal error\n"))
@@ -187,7 +187,7 @@
         self.requests.drop_if_done(request)
 
     def _wake(self, action: i.Wake) -> None:
-        self.loop.at(self.loop.now + action.delay, self._due, action.token)
+        self.loop.wake_at(self.loop.now + action.delay, self._due, action.token)
 
     def _due(self, token: int) -> None:
         self.give(i.Timer(token))
--- a/oakvale/lifecycle/limits.py
+++ b/oakvale/lifecycle/limits.py
@@ -33,6 +33,7 @@
     counter_amount: float = 1e9  # PROTOCOL: an amount is at most this
     # times, in microseconds
     timer_slack: int = 4 * MS  # a timer may be late by this
+    wake_slack: int = 20 * MS  # one that the module set
     client_idle: int = 75 * SECOND
     client_send: int = 10 * SECOND  # from a request's first byte to its last
     client_wait: int = 3600 * SECOND  # for an answer, whatever it says
--- a/oakvale/lifecycle/loop.py
+++ b/oakvale/lifecycle/loop.py
@@ -9,6 +9,7 @@
 
 import heapq
 import logging
+import math
 import select
 import time
 from collections import deque
@@ -25,6 +26,7 @@
 T = TypeVar("T")
 Step = Generator[tuple[int, int], int, T]  # a part of a coroutine, entered with `yield from`
 Coroutine = Step[None]
+Timer = list[Any]  # when it is due, a number that keeps order, the call (None: called off), its argument
 
 log = logging.getLogger(__name__)
 
@@ -65,6 +67,45 @@
         self.woken, self.alive, self.running = False, True, False
 
 
+class Timers:
+    """Calls to be made at a time. One may be late by the slack: then it goes with the next events and needs
+    no turn of its own."""
+
+    def __init__(self, slack: int) -> None:
+        self._slack = slack
+        self._heap: list[Timer] = []
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._heap)
+
+    def add(self, due: int, call: Callable[[Any], None], argument: Any) -> Timer:
+        self._sequence += 1
+        timer: Timer = [due, self._sequence, call, argument]
+        heapq.heappush(self._heap, timer)
+        return timer
+
+    def wait(self, now: int) -> float:
+        heap = self._heap
+        while heap and heap[0][2] is None:
+            heapq.heappop(heap)
+        return max(0.0, (heap[0][0] + self._slack - now) / 1e6) if heap else math.inf
+
+    def run(self, now: int) -> None:
+        while self._heap and self._heap[0][0] <= now:
+            _, _, call, argument = heapq.heappop(self._heap)
+            try:
+                if call is not None:
+                    call(argument)
+            except Exception:
+                log.exception("timer failed")
+
+
+def call_off(timer: Timer) -> None:
+    """It stays in its heap until it comes to the head, and costs no turn."""
+    timer[2] = timer[3] = None
+
+
 def _nobody() -> Coroutine:
     yield 0, 0
 
@@ -74,15 +115,14 @@
 
 
 class Loop:
-    def __init__(self, clock: Callable[[], int], slack: int = 0) -> None:
-        self.clock, self._slack = clock, slack
+    def __init__(self, clock: Callable[[], int], slack: int = 0, wake_slack: int = 0) -> None:
+        self.clock = clock
         self.now = clock()
         self.turns = 0
         self._epoll = select.epoll()
         self._tasks: dict[int, Task] = {}
         self._woken: deque[Task] = deque()
-        self._timers: list[tuple[int, int, Callable[[Any], None], Any]] = []
-        self._sequence = 0
+        self._timers, self._wakes = Timers(slack), Timers(wake_slack)
         self.stopped = False
 
     # ---- coroutines
@@ -148,9 +188,12 @@
 
     # ---- timers
 
-    def at(self, due: int, call: Callable[[Any], None], argument: Any = None) -> None:
-        self._sequence += 1
-        heapq.heappush(self._timers, (due, self._sequence, call, argument))
+    def at(self, due: int, call: Callable[[Any], None], argument: Any = None) -> Timer:
+        return self._timers.add(due, call, argument)
+
+    def wake_at(self, due: int, call: Callable[[Any], None], argument: Any = None) -> None:
+        """As `at`, for what may wait longer for company."""
+        self._wakes.add(due, call, argument)
 
     def _arm(self, task: Task) -> None:
         task.armed = task.due
@@ -177,11 +220,8 @@
         self.stopped = True
 
     def wait(self, longest: float) -> float:
-        """Seconds to the next timer. It may be late by the slack: then it goes with the next events and needs
-        no turn of its own."""
-        if not self._timers:
-            return longest
-        return min(longest, max(0.0, (self._timers[0][0] + self._slack - self.now) / 1e6))
+        """Seconds until a timer can wait no longer."""
+        return min(longest, self._timers.wait(self.now), self._wakes.wait(self.now))
 
     def turn(self, longest: float = 1.0) -> None:
         """Waits for events or the next timer, then handles all that is there at one clock time."""
@@ -199,12 +239,8 @@
             for task, flags in ready:
                 self._resume(task, flags)
         self._run_woken()
-        while self._timers and self._timers[0][0] <= self.now:
-            _, _, call, argument = heapq.heappop(self._timers)
-            try:
-                call(argument)
-            except Exception:
-                log.exception("timer failed")
+        self._timers.run(self.now)
+        self._wakes.run(self.now)
         self._run_woken()
 
     def _run_woken(self) -> None:
--- a/oakvale/wire/counter.py
+++ b/oakvale/wire/counter.py
@@ -11,7 +11,7 @@
 
 from oakvale.interface import Ending
 from oakvale.lifecycle.configuration import Address
-from oakvale.lifecycle.loop import READ, TIMED_OUT, WRITE, Coroutine, Rank
+from oakvale.lifecycle.loop import READ, TIMED_OUT, WRITE, Coroutine, Rank, Timer, call_off
 from oakvale.wire.tcp import connect, new_socket, peek
 
 if TYPE_CHECKING:
@@ -20,13 +20,14 @@
 
 
 class Call:
-    __slots__ = ("name", "amount", "life", "sent", "due", "begun", "ending", "level", "connection")
+    __slots__ = ("name", "amount", "life", "sent", "begun", "ending", "level", "connection", "timer")
 
-    def __init__(self, name: str, amount: float, life: int, sent: int, due: int) -> None:
-        self.name, self.amount, self.life, self.sent, self.due = name, amount, life, sent, due
+    def __init__(self, name: str, amount: float, life: int, sent: int) -> None:
+        self.name, self.amount, self.life, self.sent = name, amount, life, sent
         self.begun, self.level = False, 0.0  # begun: a byte of it went out, so the rest will
         self.ending: Ending | None = None
         self.connection: CounterConnection | None = None
+        self.timer: Timer | None = None
 
     def line(self) -> bytes:
         amount = f"{self.amount:.15f}".rstrip("0").rstrip(".")  # never in exponent form
@@ -55,14 +56,12 @@
         self.retry_at = 0
         self.lost = False  # said in the log once, however many tries follow
         self._by_name: dict[str, deque[Call]] = {}
-        self._out: deque[Call] = deque()  # by due time: all calls have the same time-out
-        self._armed = False
 
     def call(self, name: str, amount: float, life: int) -> None:
         now = self.host.loop.now
         limits = self.host.limits
         milliseconds = min(max(life, 1000), limits.counter_life) // 1000
-        call = Call(name, amount, milliseconds, now, now + limits.counter_timeout)
+        call = Call(name, amount, milliseconds, now)
         self._by_name.setdefault(name, deque()).append(call)
         if not call.allowed(self.host.limits):
             self.host.log.error("call not allowed", extra={"call": name, "amount": amount})
@@ -70,10 +69,7 @@
         connection = self._connection()
         if connection is None:
             return self.end(call, Ending.NO_CONNECTION)
-        self._out.append(call)
-        if not self._armed:
-            self._armed = True
-            self.host.loop.at(call.due, self._expire)
+        call.timer = self.host.loop.at(now + limits.counter_timeout, self._expire, call)
         connection.send(call)
 
     def end(self, call: Call, ending: Ending, level: float = 0.0) -> None:
@@ -81,6 +77,8 @@
         if call.ending is not None:
             return
         call.ending, call.level = ending, level
+        if call.timer is not None:
+            call_off(call.timer)
         calls = self._by_name[call.name]
         while calls and calls[0].ending is not None:
             first = calls.popleft()
@@ -108,17 +106,10 @@
             self.lose(str(error))
             return None
 
-    def _expire(self, _: None) -> None:
-        now = self.host.loop.now
-        while self._out and (self._out[0].ending is not None or self._out[0].due <= now):
-            call = self._out.popleft()
-            if call.ending is None:
-                if call.connection is not None:
-                    call.connection.late(call)
-                self.end(call, Ending.TIMEOUT if call.begun else Ending.NO_CONNECTION)
-        self._armed = bool(self._out)
-        if self._armed:
-            self.host.loop.at(self._out[0].due, self._expire)
+    def _expire(self, call: Call) -> None:
+        if call.connection is not None:
+            call.connection.late(call)
+        self.end(call, Ending.TIMEOUT if call.begun else Ending.NO_CONNECTION)
 
 
 class CounterConnection:
--- a/tests/node.py
+++ b/tests/node.py
@@ -130,7 +130,7 @@
                 "limits": {"sockets": 1024}, "settings": {**SETTINGS, **(settings or {})}}
         configuration = decode(data, {})
         self.configuration: Configuration = replace(
-            configuration, limits=replace(configuration.limits, timer_slack=0, **limits))
+            configuration, limits=replace(configuration.limits, **limits))
         self.loop = Loop(self.clock)
         self.server = Server(self.configuration, self.listener, self.loop)
         self.host = self.server.host
--- a/tests/test_counter_wire.py
+++ b/tests/test_counter_wire.py
@@ -45,7 +45,7 @@
     (123456.789012345, "123456.789012345"),
 ])
 def test_amounts_are_plain_decimals(amount: float, text: str) -> None:
-    words = Call("n", amount, 1, 0, 0).line().decode().split()
+    words = Call("n", amount, 1, 0).line().decode().split()
     assert float(words[2]) == pytest.approx(float(text), abs=1e-12) and "e" not in words[2]
     assert len(words) == 4
 
@@ -143,7 +143,7 @@
     counter.came = b""
     assert node.host.counter is not None
     [connection] = node.host.counter.connections
-    late = Call("late", 1.0, 1, node.clock.now, node.clock.now)
+    late = Call("late", 1.0, 1, node.clock.now)
     late.ending = Ending.NO_CONNECTION
     connection.send(late)
     call(node, i.Charge("n2", 1.0, 1_000_000))
@@ -163,7 +163,7 @@
     node.turns()
     assert node.host.counter is not None
     [connection] = node.host.counter.connections
-    whole = Call("n1", 1.0, 1_000_000, 0, 0).line()
+    whole = Call("n1", 1.0, 1_000_000, 0).line()
 
     class Narrow:
         """A socket that has room for one call and four bytes."""
@@ -302,6 +302,7 @@
 
 
 def test_nothing_grows_with_calls(node: Node) -> None:
+    before = len(node.loop._timers)
     counter = one(node, "n0")
     counter.send(b"ok 1\r\n")
     for k in range(50):
@@ -311,7 +312,7 @@
         node.pass_time(10 * MS)
     node.pass_time(TIMEOUT)
     assert node.host.counter is not None
-    assert not node.host.counter._by_name and not node.host.counter._out
+    assert not node.host.counter._by_name and len(node.loop._timers) == before
     assert node.host.buffers.taken == 0
 
 
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -10,7 +10,7 @@
 import pytest
 
 from oakvale import interface as i
-from oakvale.lifecycle.loop import READ, TIMED_OUT, WOKEN, Clock, Coroutine, Loop, Rank
+from oakvale.lifecycle.loop import READ, TIMED_OUT, WOKEN, Clock, Coroutine, Loop, Rank, call_off
 from tests.node import MS, FakeClock, Node
 
 
@@ -242,12 +242,27 @@
 
 def test_a_timer_may_be_late_by_the_slack_but_goes_with_other_events() -> None:
     clock = FakeClock()
-    loop, fired = Loop(clock, slack=4 * MS), list[int]()
-    loop.at(clock.now + MS, fired.append, 1)
-    assert loop.wait(1.0) == 0.005
-    clock.now += MS
+    loop, fired = Loop(clock, slack=4 * MS, wake_slack=20 * MS), list[int]()
+    loop.wake_at(clock.now + MS, fired.append, 1)
+    assert loop.wait(1.0) == 0.021
+    loop.at(clock.now + 2 * MS, fired.append, 2)
+    assert loop.wait(1.0) == 0.006
+    clock.now += 2 * MS
     loop.turn(0)  # this turn came anyway
-    assert fired == [1] and loop.wait(1.0) == 1.0
+    assert fired == [2, 1] and loop.wait(1.0) == 1.0
+    loop.close()
+
+
+def test_a_timer_called_off_costs_no_turn() -> None:
+    clock = FakeClock()
+    loop, fired = Loop(clock), list[int]()
+    first = loop.at(clock.now + MS, fired.append, 1)
+    loop.at(clock.now + 5 * MS, fired.append, 2)
+    call_off(first)
+    assert loop.wait(1.0) == 0.005
+    clock.now += 5 * MS
+    loop.turn(0)
+    assert fired == [2]
     loop.close()
 
 
