A dead watch is found in 4 s, a total that is no number is refused, a full backlog is taken as room comes

Read again with PROTOCOL beside it: what discovery has to tell counts as told 6 s on, and a watch that had died without a word was only made anew after 7 s. 'ok nan' would have been taken into a customer's room for good. At SIGTERM with as many clients as may be, what waited in the backlog was reset. A discovery that speaks nonsense flapped between lost and back in the log.

--- a/oakvale/lifecycle/limits.py
+++ b/oakvale/lifecycle/limits.py
@@ -49,7 +49,7 @@
     counter_late: int = 2 * SECOND  # for answers still owed on a connection given up
     counter_idle: int = 1 * SECOND  # older than this, a connection is looked at before it is used
     discovery_retry: int = 250 * MS
-    discovery_silence: int = 7 * SECOND  # an empty line comes every 2 s
+    discovery_silence: int = 4 * SECOND  # an empty line comes every 2 s; what is told counts so after 6 s
     sweep: int = 1 * SECOND
     status: int = 10 * SECOND  # between two lines that tell what was done
     stop_accepting: int = 500 * MS  # after SIGTERM; connections go on coming for 0.2 to 0.4 s
--- a/oakvale/lifecycle/serving.py
+++ b/oakvale/lifecycle/serving.py
@@ -84,8 +84,12 @@
             return False
         if full:
             clients.end_oldest_idle()
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:  # it has gone already
+            sock.close()
+            return True
         ClientConnection(self.host, sock)
         return True
 
--- a/oakvale/lifecycle/shutdown.py
+++ b/oakvale/lifecycle/shutdown.py
@@ -51,11 +51,16 @@
         self.loop.at(now + limits.stop_taking, self._stop_taking)
 
     def _stop_accepting(self, _: None) -> None:
-        """A listener that closes resets what is in its backlog: all of it is taken first."""
+        """A listener that closes resets what is in its backlog: all of it is taken first, if need be over
+        some time, while those that have their answers make room."""
+        limits, now = self.host.limits, self.loop.now
         try:
             while self.server.accept_one():
                 pass
         except OSError as error:
+            if now - self._began < limits.stop_taking:
+                self.loop.at(now + limits.accept_pause, self._stop_accepting)
+                return
             log.warning("clients left in the backlog", extra={"why": str(error)})
         self.loop.end(self.server.accepting)
         self.host.clients.end_idle()
--- a/oakvale/wire/counter.py
+++ b/oakvale/wire/counter.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -43,7 +44,9 @@
     """The outcome that a line tells; raises ValueError."""
     word, _, rest = line.partition(b" ")
     if word == b"ok":
-        return Ending.SERVED, float(rest)
+        level = float(rest)
+        if math.isfinite(level):  # no total is ever else, and one would spoil what the module reckons with
+            return Ending.SERVED, level
     if line in (b"busy", b"error"):
         return Ending.FULL, 0.0  # nothing was added
     raise ValueError(f"not an answer: {line[:64]!r}")
@@ -101,10 +104,11 @@
         if len(self.connections) >= self.host.limits.counters:
             self.connections[0].end()
         try:
-            return CounterConnection(self)
+            connection = CounterConnection(self)
         except OSError as error:
             self.lose(str(error))
             return None
+        return None if connection.ended else connection
 
     def _expire(self, call: Call) -> None:
         if call.connection is not None:
--- a/oakvale/wire/discovery.py
+++ b/oakvale/wire/discovery.py
@@ -86,7 +86,8 @@
             self.lost = True
         finally:
             sock.close()
-            self.fetching = self.fetching and follow
+            if not follow:
+                self.fetching = False
             if not self.host.ended and not fetched:
                 self._ended(follow)
 
@@ -116,7 +117,8 @@
                 for line in lines:
                     self._line(line)
             elif isinstance(event, h11.EndOfMessage):
-                self._line(rest)
+                if rest:
+                    self._line(rest)
                 if follow:  # a watch lasts until its connection ends
                     raise Gone()
                 return True
@@ -124,15 +126,14 @@
                 raise Gone()
 
     def _line(self, line: bytes) -> None:
+        if line.strip():
+            try:
+                data = orjson.loads(line)
+            except orjson.JSONDecodeError as error:
+                raise BadList(f"not JSON: {error}") from error
+            if not isinstance(data, dict):
+                raise BadList("not an object")
+            self.take(data)
         if self.lost:
             self.lost = False
             self.host.log.info("discovery back")
-        if not line.strip():
-            return
-        try:
-            data = orjson.loads(line)
-        except orjson.JSONDecodeError as error:
-            raise BadList(f"not JSON: {error}") from error
-        if not isinstance(data, dict):
-            raise BadList("not an object")
-        self.take(data)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -268,6 +268,18 @@
     node.until(lambda: client.read() == b"" and client.ended)
 
 
+@pytest.mark.parametrize("head", [
+    b"CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET /odd HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n",
+])
+def test_a_wish_for_another_protocol_is_answered_in_this_one(node: Node, head: bytes) -> None:
+    client = node.client()
+    client.send(head)
+    assert node.reads(client).startswith(b"HTTP/1.1 40")
+    client.close()
+    node.until(lambda: not node.host.clients.all)
+
+
 def test_clients_that_wait_for_100_continue(node: Node) -> None:
     client = node.client()
     head = request("a1", method="POST", target="/save?key=00000000b4d65521", Expect="100-continue",
--- a/tests/test_counter_wire.py
+++ b/tests/test_counter_wire.py
@@ -188,7 +188,8 @@
                                           ("n3", Ending.NO_CONNECTION, 0.0)]
 
 
-@pytest.mark.parametrize("bad", [b"what\r\n", b"ok x\r\n", b"ok\r\n", b"x" * 300])
+@pytest.mark.parametrize(
+    "bad", [b"what\r\n", b"ok x\r\n", b"ok nan\r\n", b"ok inf\r\n", b"ok\r\n", b"x" * 300])
 def test_a_bad_line_drops_the_connection_and_a_new_one_is_made(
         node: Node, bad: bytes, caplog: pytest.LogCaptureFixture) -> None:
     counter = one(node, "n1")
--- a/tests/test_discovery_wire.py
+++ b/tests/test_discovery_wire.py
@@ -155,6 +155,10 @@
         node.turns()
         node.pass_time(node.host.limits.discovery_retry)
     assert [r.message for r in caplog.records] == ["discovery lost"]
+    watch(node).send(HEAD + chunk({"odd": 1}))  # it speaks, but not what is understood
+    node.turns()
+    node.pass_time(node.host.limits.discovery_retry)
+    assert [r.message for r in caplog.records] == ["discovery lost"]
     watch(node).send(HEAD + chunk(None))
     node.turns()
     assert [r.message for r in caplog.records] == ["discovery lost", "discovery back"]
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -177,6 +177,28 @@
         node.client()
 
 
+def test_a_backlog_that_finds_no_room_is_taken_as_room_comes() -> None:
+    node = Node(clients=2)
+    stopped = Stopped(node)
+    clients = [node.client() for _ in range(3)]
+    for n, client in enumerate(clients):
+        node.ask(client, f"a{n}")
+    node.came(i.Request, 2)
+    stopped.shutdown.begin()
+    node.pass_time(500 * MS)
+    node.script.answers[i.Timer] = lambda _: [i.Refuse("a0", 1), i.Refuse("a1", 1)]
+    node.host.give(i.Timer(1))
+    node.reads(clients[0], b"later\n")
+    clients[0].close()
+    node.turns()
+    node.pass_time(node.host.limits.accept_pause)
+    assert node.came(i.Request, 3).id == "a2"
+    node.pass_time(200 * MS)
+    with pytest.raises(ConnectionRefusedError):
+        node.client()
+    node.close()
+
+
 def test_idle_connections_are_closed_while_new_ones_are_still_taken(stopped: Stopped) -> None:
     node = stopped.node
     idle = node.client()
