--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections import deque
 from collections.abc import Callable
 from functools import lru_cache
@@ -47,6 +48,7 @@
         self.discovery = Discovery(self, configuration.discovery)
         self.terms = lru_cache(self.limits.cached)(terms)
         self.response = lru_cache(self.limits.cached)(response)
+        self.unix_time = time.time_ns  # the clock of the kernel's stamps
         self._events: deque[i.Event] = deque()
         self._giving = False
         self._carry: dict[type[i.Action], Callable[[Any], None]] = {
@@ -124,6 +126,11 @@
 
     # ---- what the connections ask
 
+    def waited(self, arrived: int) -> int:
+        """Microseconds since a stamp. One from the future or from long ago tells of a step of the clock."""
+        waited = (self.unix_time() - arrived) // 1000 if arrived else 0
+        return waited if 0 < waited < self.limits.client_idle else 0
+
     def can_serve(self) -> bool:
         return self.listed and not self.stopping
 
--- a/oakvale/lifecycle/serving.py
+++ b/oakvale/lifecycle/serving.py
@@ -15,6 +15,7 @@
 from oakvale.lifecycle.status import Status
 from oakvale.wire.clients import ClientConnection
 from oakvale.wire.discovery import BadList
+from oakvale.wire.tcp import stamp_arrivals
 
 log = logging.getLogger(__name__)
 
@@ -24,6 +25,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        stamp_arrivals(sock)
         sock.bind(address)
         sock.listen(backlog)
     except OSError:
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -68,7 +68,7 @@
     body: bytes = b""
 
 
-def decode(incoming: Incoming, now: int, names: Names, longest: int, terms_of: Terms) -> i.Request:
+def decode(incoming: Incoming, came: int, names: Names, longest: int, terms_of: Terms) -> i.Request:
     """A client's request as the module knows it; raises BadRequest."""
     headers = incoming.fields
     path, _, query = incoming.target.partition(b"?")
@@ -91,7 +91,7 @@
     wait = min(longest, int(float(expires[1]) * UNITS[expires[2]]))
     units, spread, first = terms_of(text_of(headers.get(b"x-call-terms"), "X-Call-Terms"))
     flags = SECOND_TRY if headers.get(b"x-second-try") == b"1" else 0
-    return i.Request(rid, customer, cls, plan, units, spread, first, now + wait, flags)
+    return i.Request(rid, customer, cls, plan, units, spread, first, came + wait, flags)
 
 
 def response(status: int, headers: tuple[tuple[bytes, bytes], ...]) -> h11.Response:
@@ -111,9 +111,11 @@
         self.answer: Answer | None = None
         self.request: InHand | None = None
         self._sock = sock
+        self._came = 0  # when the latest bytes arrived, which may be before they were read
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=host.limits.header)
         host.clients.add(self)
         self._task = host.loop.start(self._run(), sock.fileno(), Rank.CLIENT)
+        host.loop.wake(self._task)  # its request may have come with it
 
     def give(self, answer: Answer) -> None:
         """The final answer of the request in hand."""
@@ -190,7 +192,8 @@
                         due = host.loop.now + host.limits.client_send
                         yield from write_all(self._sock, interim or b"", due)
                     due = began + host.limits.client_send if began else self.used + host.limits.client_idle
-                    yield from more(self._sock, http, host.buffers, due)
+                    arrived = yield from more(self._sock, http, host.buffers, due, stamped=True)
+                    self._came = host.loop.now - host.waited(arrived)
                     if idle:
                         began, idle = host.loop.now, False
                         host.clients.idle.pop(self, None)
@@ -223,7 +226,7 @@
             return plain(200, "ok") if host.can_serve() else plain(503, "not ready")
         if incoming.method not in METHODS:
             raise BadRequest(405, "only GET and POST")
-        request = decode(incoming, host.loop.now, host.names, host.limits.client_wait, host.terms)
+        request = decode(incoming, self._came, host.names, host.limits.client_wait, host.terms)
         if host.requests.get(request.id) is not None:
             raise BadRequest(409, "X-Trace-Id is of a request in hand")
         if host.takes_no_more():
--- a/oakvale/wire/http.py
+++ b/oakvale/wire/http.py
@@ -6,10 +6,10 @@
 
 import h11
 
-from oakvale.lifecycle.loop import READ, TIMED_OUT, WOKEN, Step
+from oakvale.lifecycle.loop import READ, TIMED_OUT, Step
 from oakvale.memory.buffers import BufferPool
 from oakvale.memory.requests import Headers
-from oakvale.wire.tcp import Gone
+from oakvale.wire.tcp import Gone, read_stamped
 
 HOP_BY_HOP = frozenset({
     b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
@@ -29,28 +29,28 @@
     return kept
 
 
-def receive(sock: socket.socket, http: h11.Connection, pool: BufferPool) -> bool:
-    """Hands the parser what has come; False where nothing had. Raises OSError when the connection broke."""
+def receive(sock: socket.socket, http: h11.Connection, pool: BufferPool, stamped: bool) -> int | None:
+    """Hands the parser what has come; gives the stamp of its arrival (0: none), None where nothing had come.
+    Raises OSError when the connection broke."""
     buffer = pool.take()
     try:
-        count = sock.recv_into(buffer)
+        count, arrived = read_stamped(sock, buffer) if stamped else (sock.recv_into(buffer), 0)
         http.receive_data(bytes(buffer[:count]))
-        return True
+        return arrived
     except BlockingIOError:
-        return False
+        return None
     finally:
         pool.give(buffer)
 
 
-def more(sock: socket.socket, http: h11.Connection, pool: BufferPool, due: int) -> Step[None]:
-    """Waits until the parser has been given something new; raises Gone."""
+def more(sock: socket.socket, http: h11.Connection, pool: BufferPool, due: int,
+         stamped: bool = False) -> Step[int]:
+    """Waits until the parser has been given something new; gives the stamp of its arrival. Raises Gone."""
     while True:
-        signal = yield READ, due
-        if signal == TIMED_OUT:
+        if (yield READ, due) == TIMED_OUT:
             raise Gone(timed_out=True)
-        if signal != WOKEN:
-            try:
-                if receive(sock, http, pool):
-                    return
-            except OSError as error:
-                raise Gone() from error
+        try:  # also when woken: what came with a new connection is read at once
+            if (arrived := receive(sock, http, pool, stamped)) is not None:
+                return arrived
+        except OSError as error:
+            raise Gone() from error
--- a/oakvale/wire/tcp.py
+++ b/oakvale/wire/tcp.py
@@ -4,10 +4,15 @@
 
 import errno
 import socket
+import struct
 
 from oakvale.lifecycle.configuration import Address
 from oakvale.lifecycle.loop import TIMED_OUT, WOKEN, WRITE, Step
 
+SO_TIMESTAMPNS = 35  # Linux; the socket module has no name for it
+TIMESPEC = struct.Struct("qq")
+ANCILLARY = socket.CMSG_SPACE(TIMESPEC.size)
+
 
 class Gone(Exception):
     """The other side ended or broke the connection, or took too long."""
@@ -49,6 +54,25 @@
             raise Gone(timed_out=True)
 
 
+def stamp_arrivals(listener: socket.socket) -> None:
+    """Has the kernel note when bytes arrive on the connections that are accepted here. Without it, how long a
+    request waited in this gateway's own socket while it stood still or was busy would be unseen."""
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+    except OSError:
+        pass  # then waits count as none
+
+
+def read_stamped(sock: socket.socket, buffer: memoryview) -> tuple[int, int]:
+    """How many bytes were read, and when the last of them arrived: Unix time in nanoseconds, 0 if unknown."""
+    count, ancillary, _, _ = sock.recvmsg_into([buffer], ANCILLARY)
+    for level, kind, data in ancillary:
+        if level == socket.SOL_SOCKET and kind == SO_TIMESTAMPNS and len(data) >= TIMESPEC.size:
+            seconds, nanoseconds = TIMESPEC.unpack_from(data)
+            return count, int(seconds * 1_000_000_000 + nanoseconds)
+    return count, 0
+
+
 def peek(sock: socket.socket) -> bytes | None:
     """What has come and was not read: None for nothing, empty when the other side ended or broke it."""
     try:
--- a/tests/node.py
+++ b/tests/node.py
@@ -134,6 +134,7 @@
         self.loop = Loop(self.clock)
         self.server = Server(self.configuration, self.listener, self.loop)
         self.host = self.server.host
+        self.host.unix_time = lambda: 0  # nothing has waited
         self.script = Script()
         self.peers: list[StandIn] = []
         if script:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,6 +1,7 @@
 """Clients' connections: what a request becomes, bad input, answers whole, leaving, half-closing, slowness."""
 
 import socket
+import time
 from typing import Any
 
 import pytest
@@ -33,6 +34,33 @@
     assert node.came(i.Request).deadline == node.clock.now + wait
 
 
+@pytest.mark.parametrize("known", [True, False])
+def test_what_a_request_waited_in_the_gateways_own_socket_is_seen(node: Node, known: bool) -> None:
+    """A gateway that stood still for 300 ms reads a request that came meanwhile: the client's time, and the
+    module's sense of how old it is, count from its arrival. The kernel tells it, also before an accept."""
+    began = time.time_ns()
+    client = node.client()
+    if known:
+        node.until(lambda: node.host.clients.all)
+    node.ask(client)
+    node.host.unix_time = lambda: time.time_ns() + 300_000_000
+    waited = node.clock.now + 4_000_000 - node.came(i.Request).deadline
+    assert 300_000 <= waited <= 300_000 + (time.time_ns() - began) // 1000
+
+
+@pytest.mark.parametrize("step", [-3_600, 3_600])
+def test_a_step_of_the_systems_clock_is_no_wait(node: Node, step: int) -> None:
+    node.host.unix_time = lambda: time.time_ns() + step * 1_000_000_000
+    node.ask(node.client())
+    assert node.came(i.Request).deadline == node.clock.now + 4_000_000
+
+
+def test_a_request_that_came_with_its_connection_is_read_in_the_turn_that_accepts_it(node: Node) -> None:
+    node.ask(node.client())
+    node.loop.turn(0)
+    assert len(node.script.of(i.Request)) == 1
+
+
 def test_a_refusal_names_a_time_to_come_back_and_the_connection_stays(node: Node) -> None:
     node.script.answers[i.Request] = refuse
     client = node.client()
