A late turn looks at the sockets before its timers

Stopped between its wait and its reading of the clock, the loop ran all timers that had passed before it looked at the sockets: calls whose answers lay there were called timed out. Line at fault: Loop.turn. The test fails without the fix.

--- a/oakvale/lifecycle/limits.py
+++ b/oakvale/lifecycle/limits.py
@@ -34,6 +34,7 @@
     # times, in microseconds
     timer_slack: int = 4 * MS  # a timer may be late by this
     wake_slack: int = 20 * MS  # one that the module set
+    late: int = 50 * MS  # a turn that comes later than this after its time looks at the sockets once more
     client_idle: int = 75 * SECOND
     client_send: int = 10 * SECOND  # from a request's first byte to its last
     client_wait: int = 3600 * SECOND  # for an answer, whatever it says
--- a/oakvale/lifecycle/loop.py
+++ b/oakvale/lifecycle/loop.py
@@ -15,7 +15,10 @@
 from collections import deque
 from collections.abc import Callable, Generator
 from enum import IntEnum
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
+
+if TYPE_CHECKING:
+    from oakvale.lifecycle.limits import Limits
 
 READ = select.EPOLLIN | select.EPOLLRDHUP
 WRITE = select.EPOLLOUT
@@ -115,14 +118,15 @@
 
 
 class Loop:
-    def __init__(self, clock: Callable[[], int], slack: int = 0, wake_slack: int = 0) -> None:
+    def __init__(self, clock: Callable[[], int], limits: Limits) -> None:
         self.clock = clock
         self.now = clock()
+        self._late = limits.late
         self.turns = 0
         self._epoll = select.epoll()
         self._tasks: dict[int, Task] = {}
         self._woken: deque[Task] = deque()
-        self._timers, self._wakes = Timers(slack), Timers(wake_slack)
+        self._timers, self._wakes = Timers(limits.timer_slack), Timers(limits.wake_slack)
         self.stopped = False
 
     # ---- coroutines
@@ -225,8 +229,12 @@
 
     def turn(self, longest: float = 1.0) -> None:
         """Waits for events or the next timer, then handles all that is there at one clock time."""
-        events = self._epoll.poll(self.wait(longest))
+        wait = self.wait(longest)
+        latest = self.now + int(wait * 1e6) + self._late
+        events = self._epoll.poll(wait)
         self.now = self.clock()
+        if self.now > latest:  # it stood still: what came meanwhile is handled before the timers that passed
+            events = self._epoll.poll(0)
         self.turns += 1
         if len(events) == 1:
             fd, flags = events[0]
--- a/oakvale/lifecycle/serving.py
+++ b/oakvale/lifecycle/serving.py
@@ -101,7 +101,7 @@
 
 
 def serve(configuration: Configuration, listener: socket.socket) -> int:
-    loop = Loop(Clock(), configuration.limits.timer_slack, configuration.limits.wake_slack)
+    loop = Loop(Clock(), configuration.limits)
     server = Server(configuration, listener, loop)
     shutdown = Shutdown(server)
     shutdown.watch_signals()
--- a/tests/node.py
+++ b/tests/node.py
@@ -131,7 +131,7 @@
         configuration = decode(data, {})
         self.configuration: Configuration = replace(
             configuration, limits=replace(configuration.limits, **limits))
-        self.loop = Loop(self.clock)
+        self.loop = Loop(self.clock, self.configuration.limits)
         self.server = Server(self.configuration, self.listener, self.loop)
         self.host = self.server.host
         self.host.unix_time = lambda: 0  # nothing has waited
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -10,9 +10,12 @@
 import pytest
 
 from oakvale import interface as i
+from oakvale.lifecycle.limits import Limits
 from oakvale.lifecycle.loop import READ, TIMED_OUT, WOKEN, Clock, Coroutine, Loop, Rank, call_off
 from tests.node import MS, FakeClock, Node
 
+LIMITS = Limits(timer_slack=0, wake_slack=0)
+
 
 def pair() -> tuple[socket.socket, socket.socket]:
     one, other = socket.socketpair()
@@ -39,7 +42,7 @@
 
 def test_one_turn_reads_the_clock_once() -> None:
     clock = FakeClock()
-    loop = Loop(clock)
+    loop = Loop(clock, LIMITS)
     readings = clock.readings
     loop.at(clock.now, lambda _: None)
     loop.turn(0)
@@ -48,7 +51,7 @@
 
 
 def test_a_turn_gives_discovery_first_then_counter_backends_clients_timers() -> None:
-    loop, order, others = Loop(FakeClock()), [], []
+    loop, order, others = Loop(FakeClock(), LIMITS), [], []
 
     def waits(name: str, sock: socket.socket) -> Coroutine:
         while True:
@@ -69,7 +72,7 @@
 
 
 def test_an_event_of_a_descriptor_closed_and_reused_in_the_same_turn_is_passed_over() -> None:
-    loop, signals = Loop(FakeClock()), []
+    loop, signals = Loop(FakeClock(), LIMITS), []
     first, first_other = pair()
     second, second_other = pair()
 
@@ -108,7 +111,7 @@
 
 def test_a_failing_coroutine_is_logged_with_its_traceback_and_ends_alone(
         caplog: pytest.LogCaptureFixture) -> None:
-    loop, got = Loop(FakeClock()), []
+    loop, got = Loop(FakeClock(), LIMITS), []
     one, one_other = pair()
     two, two_other = pair()
 
@@ -134,7 +137,7 @@
 
 
 def test_a_failing_timer_is_logged_and_the_others_go_on(caplog: pytest.LogCaptureFixture) -> None:
-    loop, fired = Loop(FakeClock()), list[int]()
+    loop, fired = Loop(FakeClock(), LIMITS), list[int]()
     loop.at(loop.now, lambda _: [].pop())
     loop.at(loop.now, fired.append, 2)
     loop.turn(0)
@@ -143,7 +146,7 @@
 
 
 def test_a_descriptor_left_open_by_what_ended_is_not_told_of_for_ever() -> None:
-    loop = Loop(FakeClock())
+    loop = Loop(FakeClock(), LIMITS)
     one, other = pair()
 
     def forgets_to_close() -> Coroutine:
@@ -159,7 +162,7 @@
 
 def test_a_descriptor_that_can_not_be_watched_ends_its_coroutine_alone(
         caplog: pytest.LogCaptureFixture, tmp_path: Path) -> None:
-    loop, closed = Loop(FakeClock()), []
+    loop, closed = Loop(FakeClock(), LIMITS), []
     file = (tmp_path / "file").open("w")  # epoll takes no plain file
 
     def waits() -> Coroutine:
@@ -176,7 +179,7 @@
 
 def test_a_wait_ends_at_its_time_and_a_later_wait_is_not_cut_by_an_earlier_one() -> None:
     clock = FakeClock()
-    loop, signals = Loop(clock), []
+    loop, signals = Loop(clock, LIMITS), []
     one, other = pair()
 
     def waits() -> Coroutine:
@@ -200,7 +203,7 @@
 def test_waits_moved_many_times_leave_one_timer() -> None:
     """A keep-alive connection sets a new idle time with each request: the heap must not grow with them."""
     clock = FakeClock()
-    loop = Loop(clock)
+    loop = Loop(clock, LIMITS)
     one, other = pair()
 
     def waits() -> Coroutine:
@@ -218,7 +221,7 @@
 
 
 def test_wakes_and_ends() -> None:
-    loop, signals, closed = Loop(FakeClock()), [], []
+    loop, signals, closed = Loop(FakeClock(), LIMITS), [], []
     one, _other = pair()
 
     def waits() -> Coroutine:
@@ -242,7 +245,7 @@
 
 def test_a_timer_may_be_late_by_the_slack_but_goes_with_other_events() -> None:
     clock = FakeClock()
-    loop, fired = Loop(clock, slack=4 * MS, wake_slack=20 * MS), list[int]()
+    loop, fired = Loop(clock, Limits(timer_slack=4 * MS, wake_slack=20 * MS)), list[int]()
     loop.wake_at(clock.now + MS, fired.append, 1)
     assert loop.wait(1.0) == 0.021
     loop.at(clock.now + 2 * MS, fired.append, 2)
@@ -253,9 +256,38 @@
     loop.close()
 
 
+def test_what_came_while_the_process_stood_still_goes_before_the_timers_that_passed() -> None:
+    """Stopped between its wait and its reading of the clock, a gateway called every call to the counter timed
+    out whose answer lay in the socket."""
+    order: list[str] = []
+    one, other = pair()
+
+    class Stops(FakeClock):
+        def __call__(self) -> int:
+            if self.readings:
+                self.now += 1_000 * MS
+                other.send(b"x")
+            return super().__call__()
+
+    clock = Stops()
+    loop = Loop(clock, LIMITS)
+
+    def waits() -> Coroutine:
+        while True:
+            yield READ, 0
+            order.append("answer")
+            one.recv(1)
+
+    loop.start(waits(), one.fileno(), Rank.COUNTER)
+    loop.at(clock.now + 80 * MS, lambda _: order.append("time-out"))
+    loop.turn(0)
+    assert order == ["answer", "time-out"]
+    loop.close()
+
+
 def test_a_timer_called_off_costs_no_turn() -> None:
     clock = FakeClock()
-    loop, fired = Loop(clock), list[int]()
+    loop, fired = Loop(clock, LIMITS), list[int]()
     first = loop.at(clock.now + MS, fired.append, 1)
     loop.at(clock.now + 5 * MS, fired.append, 2)
     call_off(first)
