--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import h11
@@ -96,7 +97,7 @@
 
 def response(status: int, headers: tuple[tuple[bytes, bytes], ...]) -> h11.Response:
     """The head of an answer. h11 checks each header anew, and most heads are like one before."""
-    return h11.Response(status_code=status, headers=list(headers))
+    return h11.Response(status_code=status, headers=list(headers), reason=HTTPStatus(status).phrase)
 
 
 def plain(status: int, why: str) -> Answer:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -192,6 +192,18 @@
     node.came(i.Request, 2)
 
 
+def test_a_busy_connection_does_not_starve_others(node: Node) -> None:
+    node.script.answers[i.Request] = refuse
+    busy, other = node.client(), node.client()
+    node.until(lambda: len(node.host.clients.all) == 2)
+    busy.send(b"".join(request(f"b{k}") for k in range(600)))
+    node.ask(other, "one")
+    node.loop.turn(0)
+    came = [r.id for r in node.script.of(i.Request)]
+    assert "one" in came and len(came) < 200  # a buffer's worth of the busy one's
+    node.until(lambda: busy.read().count(b"HTTP/1.1 429 Too Many Requests") == 600)
+
+
 def test_a_client_that_closes_is_told_to_the_module(node: Node) -> None:
     client = node.client()
     node.ask(client, "a1")
