A busy connection no longer reads on within a turn

A request answered at once woke its own running coroutine, and since new connections are read when woken, each wake read another buffer. A running coroutine is not woken any more: it looks for its answer, attempt or calls before it waits.

--- a/oakvale/lifecycle/loop.py
+++ b/oakvale/lifecycle/loop.py
@@ -139,8 +139,9 @@
         return task
 
     def wake(self, task: Task) -> None:
-        """Resumes a waiting coroutine later in this turn."""
-        if task.alive and not task.woken:
+        """Resumes a waiting coroutine later in this turn. One that runs looks at what it waits for by itself
+        before it waits again; woken as well, a busy connection would read on and on within a turn."""
+        if task.alive and not task.woken and not task.running:
             task.woken = True
             self._woken.append(task)
 
