--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -459,7 +459,7 @@
             self.budget = min(10.0, self.budget + RETRY_SHARE)
             self.fit(b.limit, len(b.inflight), self.lat_of(b), self.least)
             self.fit(self.room, self.out, self.lat, 1.0)
-        elif ev.ending in (Ending.FULL, Ending.NO_CONNECTION, Ending.RESET):
+        elif ev.ending in (Ending.FULL, Ending.NO_CONNECTION, Ending.RESET, Ending.ERROR):
             self.eject(b)
         elif ev.ending in (Ending.TIMEOUT, Ending.CANCELLED) and per > b.lat:
             self.sample(b, per)
