A backend that errs at once is left alone; each answer takes one failure off

Checked: endings counted by backend (a probe, taken out again): two of ten backends made all errors, 60 to 75% of what they got, the rest served. At fault: learn() in logic.py left ERROR out of the endings that eject, so such a backend, always idle, drew each next attempt; and one answer wiped out all failures, so one that serves now and then came back at once. It also holds against any backend that fails a share of what it gets; it might hurt where a client's bad request makes any backend err: the pause is a 16th of the aim.

--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -449,7 +449,7 @@
     def learn(self, b: Backend, ev: Ended, units: float) -> None:
         per = ev.latency / max(units, 1.0)
         if ev.ending is Ending.SERVED:
-            b.heard, b.fails, b.out_until = self.now, 0, 0
+            b.heard, b.fails, b.out_until = self.now, max(0, b.fails - 1), b.out_until * (b.fails > 1)
             self.sample(b, per)
             self.lat = self.lat + EASE * (per - self.lat) if self.lat else per
             self.heard = min(self.heard + 1, BEST_AFTER)
@@ -482,8 +482,8 @@
             lim.size += min(1.0, lim.size) if lim.growing else min(lim.size / 2, 1 / lim.size)
 
     def eject(self, b: Backend) -> None:
-        """One that fails at once or went silent looks idle and would draw all traffic: it is left alone for
-        a 32nd of the aim, doubling up to the aim."""
+        """One that fails or errs at once or went silent looks idle and would draw all traffic: it is left
+        alone for a 16th of the aim, doubling up to the aim; each answer takes one failure off."""
         if b.out_until <= self.now:
             b.fails = min(b.fails + 1, 5)
             b.out_until = self.now + (self.aim << b.fails >> 5)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -116,3 +116,20 @@
         d.now += 100_000
         d.end(rid, of(actions, Attempt)[0].backend)
     assert d.gw.room.size == start
+
+
+def test_a_backend_that_errs_at_once_is_left_alone_also_when_it_serves_now_and_then() -> None:
+    """Its errors come quicker than any answer, so it looks idle: each attempt would try it first."""
+    d = Drive(backends=4)
+    tries = {1: 0, 2: 0, 3: 0, 4: 0}
+    for n in range(400):
+        d.now += 10_000
+        rid, actions = d.ask("c%d" % (n % 50))  # noqa: UP031
+        for attempt in of(actions, Attempt):
+            tries[attempt.backend] += 1
+            if attempt.backend == 1 and tries[1] % 3:
+                d.end(rid, 1, ending=Ending.ERROR, latency=1_000, over=True)
+            else:
+                d.now += 1_000
+                d.end(rid, attempt.backend, latency=40_000)
+    assert 2 <= tries[1] < 0.1 * sum(tries.values())
