Bad clients: strict numbers, 2.5 s for a first request, the silent make room first

A silent client had 75 s and a dripping one 10 s, of the 3 s that it is owed; it counted as idle and made usual clients between two requests go first; what stood behind a long request was owed nothing. At fault: terms() and the limits of clients; Clients' one dict of idle connections; the linger of a second.

--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -9,7 +9,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from functools import lru_cache
+from functools import lru_cache, partial
 from typing import Any
 
 from oakvale import interface as i
@@ -46,7 +46,7 @@
         self.gateway = Gateway(self.settings, configuration.seed)
         self.counter = Counter(self, configuration.counter) if configuration.counter else None
         self.discovery = Discovery(self, configuration.discovery)
-        self.terms = lru_cache(self.limits.cached)(terms)
+        self.terms = lru_cache(self.limits.cached)(partial(terms, self.settings))
         self.response = lru_cache(self.limits.cached)(response)
         self.unix_time = time.time_ns  # the clock of the kernel's stamps
         self._events: deque[i.Event] = deque()
@@ -129,7 +129,7 @@
     def waited(self, arrived: int) -> int:
         """Microseconds since a stamp. One from the future or from long ago tells of a step of the clock."""
         waited = (self.unix_time() - arrived) // 1000 if arrived else 0
-        return waited if 0 < waited < self.limits.client_idle else 0
+        return waited if 0 < waited < self.limits.clock_step else 0
 
     def can_serve(self) -> bool:
         return self.listed and not self.stopping
--- a/oakvale/lifecycle/limits.py
+++ b/oakvale/lifecycle/limits.py
@@ -23,6 +23,7 @@
     # counts
     buffers: int = 64  # kept for reuse
     backlog: int = 1024
+    linger_reads: int = 16  # in one turn, of a client that goes on sending after its last answer
     accepts: int = 64  # in one turn: a storm of connections does not starve the others
     clients: int = 512
     backends: int = 384
@@ -35,11 +36,13 @@
     timer_slack: int = 4 * MS  # a timer may be late by this
     wake_slack: int = 20 * MS  # one that the module set
     late: int = 50 * MS  # a turn that comes later than this after its time looks at the sockets once more
-    client_idle: int = 75 * SECOND
-    client_send: int = 10 * SECOND  # from a request's first byte to its last
+    clock_step: int = 75 * SECOND  # a stamp of longer ago tells of a step of the system's clock
+    client_first: int = 2_500 * MS  # from the connection to the last byte of its first request
+    client_send: int = 2_500 * MS  # from a later request's first byte to its last
+    client_idle: int = 15 * SECOND  # between requests
     client_wait: int = 3600 * SECOND  # for an answer, whatever it says
     client_take: int = 10 * SECOND  # for a client to take its answer
-    linger: int = 1 * SECOND  # for a client to close after the last answer
+    linger: int = 3 * SECOND  # for a client to close after the last answer
     accept_pause: int = 20 * MS
     fault_pause: int = 250 * MS  # before a timer that failed is given again
     connect: int = 250 * MS
--- a/oakvale/lifecycle/serving.py
+++ b/oakvale/lifecycle/serving.py
@@ -97,14 +97,14 @@
         """False when nobody waits; raises OSError when there is no room."""
         clients = self.host.clients
         full = len(clients.all) >= self.limits.clients
-        if full and not clients.idle:
+        if full and not clients.can_make_room():
             raise OSError(errno.EMFILE, "as many clients as may be, none idle")
         try:
             sock, _ = self.listener.accept()
         except (BlockingIOError, ConnectionAbortedError):
             return False
         if full:
-            clients.end_oldest_idle()
+            clients.make_room()
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/oakvale/memory/idle.py
+++ b/oakvale/memory/idle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from itertools import islice
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -62,10 +63,13 @@
 
 
 class Clients:
-    """Clients' connections, those between requests apart, the longest idle first."""
+    """Clients' connections. Apart, the longest first: those that have their last answer and only have not
+    ended, those that never sent anything, and those between requests. In this order they make room."""
 
     def __init__(self) -> None:
         self.all: set[ClientConnection] = set()
+        self.lingering: dict[ClientConnection, None] = {}
+        self.silent: dict[ClientConnection, None] = {}
         self.idle: dict[ClientConnection, None] = {}
 
     def add(self, connection: ClientConnection) -> None:
@@ -73,11 +77,28 @@
 
     def remove(self, connection: ClientConnection) -> None:
         self.all.discard(connection)
+        self.lingering.pop(connection, None)
+        self.works(connection)
+
+    def waits(self, connection: ClientConnection, silent: bool) -> None:
+        (self.silent if silent else self.idle)[connection] = None
+
+    def works(self, connection: ClientConnection) -> None:
+        self.silent.pop(connection, None)
         self.idle.pop(connection, None)
 
-    def end_oldest_idle(self) -> bool:
-        return any(connection.end_if_idle() for connection in list(self.idle)[:8])
+    def lingers(self, connection: ClientConnection) -> None:
+        self.lingering[connection] = None
+
+    def can_make_room(self) -> bool:
+        return bool(self.lingering or self.silent or self.idle)
+
+    def make_room(self) -> bool:
+        for connection in islice(self.lingering, 1):
+            connection.end()
+            return True
+        return any(c.end_if_idle() for group in (self.silent, self.idle) for c in list(islice(group, 8)))
 
     def end_idle(self) -> None:
-        for connection in list(self.idle):
+        for connection in [*self.silent, *self.idle]:
             connection.end_if_idle()
--- a/oakvale/memory/names.py
+++ b/oakvale/memory/names.py
@@ -6,6 +6,7 @@
 
 from oakvale import interface as i
 from oakvale.lifecycle.configuration import Address, parse_address
+from oakvale.numbers import decimal, whole
 from oakvale.settings import Names
 
 STATES = {"active": i.State.READY, "leaving": i.State.DRAINING, "left": i.State.GONE}
@@ -44,8 +45,8 @@
             self._numbers.setdefault(name, len(self._numbers) + 1),
             self._names.zones.get(str(row.get("zone")), len(self._names.zones)),
             self._names.kinds.get(str(row.get("type")), len(self._names.kinds)),
-            int(row.get("group") or 0), state,
-            float(row["weight"] if row.get("weight") is not None else 1.0),
-            int(float(row.get("since_ms") or 0) * 1000),
+            whole(str(row.get("group") or 0)), state,
+            decimal(str(row["weight"] if row.get("weight") is not None else 1.0)),
+            int(decimal(str(row.get("since_ms") or 0)) * 1000),
         )
         return entry, address
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -10,6 +10,7 @@
 from oakvale.lifecycle.configuration import Address
 from oakvale.lifecycle.loop import READ, WOKEN, Coroutine, Rank, Step
 from oakvale.memory.requests import Answer, AttemptOut
+from oakvale.numbers import decimal
 from oakvale.wire.http import END, end_to_end, more
 from oakvale.wire.tcp import Gone, connect, new_socket, peek, write_all
 
@@ -25,11 +26,14 @@
 
 
 def load_report(text: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
-    """`TEXT inflight=7, util=0.61` in the order of the settings' fields; empty where it is not understood."""
+    """`TEXT inflight=7, util=0.61` in the order of the settings' fields; empty where it is not understood: no
+    part of such a report counts."""
     try:
         pairs = dict(p.split("=", 1) for p in text.decode("ascii").removeprefix("TEXT").split(","))
-        values = {k.strip(): float(v) for k, v in pairs.items()}
-    except (ValueError, UnicodeDecodeError):
+        values = {k.strip(): decimal(v.strip()) for k, v in pairs.items()}
+    except ValueError:
+        return ()
+    if any(value < 0 for value in values.values()):
         return ()
     return tuple(values.get(f, 0.0) for f in fields)
 
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -15,6 +15,7 @@
 from oakvale import interface as i
 from oakvale.lifecycle.loop import BROKEN, READ, TIMED_OUT, WOKEN, Coroutine, Rank, Step
 from oakvale.memory.requests import Answer, Headers, InHand
+from oakvale.numbers import decimal, whole
 from oakvale.settings import Names
 from oakvale.wire.http import END, more
 from oakvale.wire.tcp import Gone, peek, write_all
@@ -27,7 +28,9 @@
 METHODS = (b"GET", b"POST")
 TRACE_ID = re.compile(r"[0-9A-Za-z._-]{1,64}")
 CUSTOMER = re.compile(r"[0-9a-f]{16}")
-EXPIRES = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])")
+EXPIRES = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
+ONCE = (b"x-trace-id", b"x-tier", b"x-expires-in", b"x-call-terms")  # named twice, they say two things
+TERMS_LONGEST = 128
 UNITS = {"m": 1000, "u": 1}
 SECOND_TRY = 2  # the simulator's mark of a client's repeat
 
@@ -40,14 +43,22 @@
         self.status = status
 
 
-def terms(text: str) -> tuple[float, int, int]:
-    """`units=2,spread=3,first=1`; keys that are not known are skipped."""
+class Unmannerly(BadRequest):
+    """What follows on this connection is not read."""
+
+
+def terms(settings: i.Settings, text: str) -> tuple[float, int, int]:
+    """`units=2,spread=3,first=1`; keys that are not known are skipped. Out of range is refused here: units
+    that no request has would use up their customer's quota on every gateway."""
     try:
-        pairs = dict(part.strip().split("=", 1) for part in text.split(","))
-        units, spread, first = float(pairs["units"]), int(pairs["spread"]), int(pairs["first"])
+        pairs = [part.strip().split("=", 1) for part in text[:TERMS_LONGEST].split(",")]
+        named = {key: value for key, value in pairs}
+        units, spread, first = decimal(named["units"]), whole(named["spread"]), whole(named["first"])
     except (KeyError, ValueError) as error:
         raise BadRequest(400, "X-Call-Terms is not understood") from error
-    if not 0 < units <= 1e9 or spread < 1 or first < 0:
+    if len(named) != len(pairs) or len(text) > TERMS_LONGEST:
+        raise BadRequest(400, "X-Call-Terms is not understood")
+    if not 0 < units <= settings.largest or not 1 <= spread <= settings.fleet or first >= settings.fleet:
         raise BadRequest(400, "X-Call-Terms is out of range")
     return units, spread, first
 
@@ -72,6 +83,10 @@
 def decode(incoming: Incoming, came: int, names: Names, longest: int, terms_of: Terms) -> i.Request:
     """A client's request as the module knows it; raises BadRequest."""
     headers = incoming.fields
+    if len(headers) != len(incoming.headers):
+        names_sent = [name for name, _ in incoming.headers]
+        if any(names_sent.count(name) > 1 for name in ONCE):
+            raise BadRequest(400, "a header is there twice")
     path, _, query = incoming.target.partition(b"?")
     cls = names.classes.get(path.decode("latin-1").split("/", 2)[1] if path.startswith(b"/") else "")
     if cls is None:
@@ -108,7 +123,8 @@
 
 class ClientConnection:
     def __init__(self, host: Host, sock: socket.socket) -> None:
-        self.host, self.used = host, host.loop.now
+        self.host, self.used, self._opened = host, host.loop.now, host.loop.now
+        self._answers = 0
         self.answer: Answer | None = None
         self.request: InHand | None = None
         self._sock = sock
@@ -127,12 +143,16 @@
         """Closes the connection unless a request has come that was not read yet."""
         if peek(self._sock):
             return False
-        self.host.loop.end(self._task)
+        self.end()
         return True
 
+    def end(self) -> None:
+        self.host.loop.end(self._task)
+
     def _run(self) -> Coroutine:
         try:
             while (yield from self._serve_one()):
+                self._answers += 1
                 self._http.start_next_cycle()
             yield from self._linger()
         except Gone:
@@ -145,13 +165,13 @@
 
     def _serve_one(self) -> Step[bool]:
         """One request and its answer; False when the connection is to be closed."""
-        http, method = self._http, b""
+        http, method, last = self._http, b"", False
         try:
             incoming = yield from self._read()
             method = incoming.method
             answer = yield from self._answered(incoming)
         except BadRequest as bad:
-            answer = plain(bad.status, str(bad))
+            answer, last = plain(bad.status, str(bad)), isinstance(bad, Unmannerly)
         except h11.RemoteProtocolError as error:
             answer = plain(error.error_status_hint or 400, str(error))
         except (Gone, GeneratorExit):
@@ -165,7 +185,7 @@
             answer = plain(500, "internal error")
         self.host.tally.answers[str(answer.status)] += 1
         headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
-        if http.their_state is not h11.DONE or self.host.stopping:
+        if last or http.their_state is not h11.DONE or self.host.stopping:
             headers.append((b"connection", b"close"))
         data = http.send(self.host.response(answer.status, tuple(headers))) or b""
         if answer.body and method != b"HEAD":
@@ -177,12 +197,12 @@
 
     def _read(self) -> Step[Incoming]:
         host, http = self.host, self._http
-        began, idle = 0, True
+        began, idle, limits = 0, True, host.limits
         incoming: Incoming | None = None
         parts: list[bytes] = []
         size = 0
         self.used = host.loop.now
-        host.clients.idle[self] = None
+        host.clients.waits(self, silent=not self._answers)
         try:
             # between requests there is nothing to parse but what came behind the last one
             event = http.next_event() if http.trailing_data[0] else h11.NEED_DATA
@@ -192,12 +212,15 @@
                         interim = http.send(CONTINUE)
                         due = host.loop.now + host.limits.client_send
                         yield from write_all(self._sock, interim or b"", due)
-                    due = began + host.limits.client_send if began else self.used + host.limits.client_idle
+                    if not self._answers:  # from the connection on, however little comes at a time
+                        due = self._opened + limits.client_first
+                    else:
+                        due = began + limits.client_send if began else self.used + limits.client_idle
                     arrived = yield from more(self._sock, http, host.buffers, due, stamped=True)
                     self._came = host.loop.now - host.waited(arrived)
                     if idle:
                         began, idle = host.loop.now, False
-                        host.clients.idle.pop(self, None)
+                        host.clients.works(self)
                 elif type(event) is h11.Request:
                     headers = list(event.headers)
                     incoming = Incoming(event.method, event.target, headers, dict(headers))
@@ -227,7 +250,7 @@
                 raise BadRequest(408, "request took too long to come") from gone
             raise
         finally:
-            host.clients.idle.pop(self, None)
+            host.clients.works(self)
 
     def _answered(self, incoming: Incoming) -> Step[Answer]:
         host = self.host
@@ -244,20 +267,30 @@
         self.request = InHand(request.id, self, incoming.method, incoming.target, incoming.headers,
                               incoming.body, request.deadline)
         host.request_came(self.request, request)
-        mask = READ
+        mask, due = READ, self._behind() if self._http.trailing_data[0] else 0
         while self.answer is None:
-            signal = yield mask, 0
+            signal = yield mask, due
             if signal == WOKEN:
                 continue
+            if signal == TIMED_OUT:  # whatever is behind it is owed a word too, and its time is over
+                host.client_gone(self.request)
+                self.request = None
+                raise Unmannerly(400, "one request at a time")
             if signal & BROKEN:
                 raise Gone()
             if signal & select.EPOLLRDHUP:
                 mask = 0
                 self._probe()
             else:  # a request behind this one: it waits its turn
-                mask = select.EPOLLRDHUP
+                mask, due = select.EPOLLRDHUP, due or self._behind()
         return self.answer
 
+    def _behind(self) -> int:
+        """Until when what came behind the request in hand may wait for it."""
+        if not self._answers:
+            return self._opened + self.host.limits.client_first
+        return self.host.loop.now + self.host.limits.client_send
+
     def _probe(self) -> None:
         """A client that closed and one that only ended its sending look alike. An interim answer tells them
         apart: a closed socket resets the connection, a waiting client passes over it. It is a 100, which any
@@ -276,19 +309,23 @@
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:
             return
+        self.host.clients.lingers(self)
         due = self.host.loop.now + self.host.limits.linger
         while (signal := (yield READ, due)) != TIMED_OUT:
-            if signal != WOKEN and self._throw_away() == 0:
+            if signal != WOKEN and not self._throw_away():
                 return
 
-    def _throw_away(self) -> int:
-        """Reads what has come, for nobody; 0 when the client has ended."""
+    def _throw_away(self) -> bool:
+        """Has the kernel drop what has come, without copying it; False when the client has ended."""
         buffer = self.host.buffers.take()
         try:
-            return self._sock.recv_into(buffer)
+            for _ in range(self.host.limits.linger_reads):
+                if not self._sock.recv_into(buffer, 0, socket.MSG_TRUNC):
+                    return False
         except BlockingIOError:
-            return 1
+            pass
         except OSError:
-            return 0
+            return False
         finally:
             self.host.buffers.give(buffer)
+        return True
--- a/oakvale/wire/counter.py
+++ b/oakvale/wire/counter.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 from typing import TYPE_CHECKING
 
 from oakvale.interface import Ending
 from oakvale.lifecycle.configuration import Address
 from oakvale.lifecycle.loop import READ, TIMED_OUT, WRITE, Coroutine, Rank, Timer, call_off
+from oakvale.numbers import decimal
 from oakvale.wire.tcp import connect, new_socket, peek
 
 if TYPE_CHECKING:
@@ -44,9 +44,7 @@
     """The outcome that a line tells; raises ValueError."""
     word, _, rest = line.partition(b" ")
     if word == b"ok":
-        level = float(rest)
-        if math.isfinite(level):  # no total is ever else, and one would spoil what the module reckons with
-            return Ending.SERVED, level
+        return Ending.SERVED, decimal(rest.decode("ascii"))  # nan would spoil what the module reckons with
     if line in (b"busy", b"error"):
         return Ending.FULL, 0.0  # nothing was added
     raise ValueError(f"not an answer: {line[:64]!r}")
--- a/oakvale/wire/discovery.py
+++ b/oakvale/wire/discovery.py
@@ -11,6 +11,7 @@
 from oakvale import interface as i
 from oakvale.lifecycle.configuration import Address
 from oakvale.lifecycle.loop import Coroutine, Rank, Step, Task
+from oakvale.numbers import whole as whole_number
 from oakvale.wire.http import END, more
 from oakvale.wire.tcp import Gone, connect, new_socket, write_all
 
@@ -57,7 +58,7 @@
     def take(self, data: dict[str, Any], cached: bool = False, era: int = 0, fetched: bool = False) -> None:
         """Gives the module a list or what changed. Nothing of a malformed one is taken."""
         try:
-            index, whole = int(data["index"]), bool(data["snapshot"])
+            index, whole = whole_number(str(data["index"])), bool(data["snapshot"])
             if fetched and self._spoke and index < self.index:
                 return  # overtaken by the watch
             entries, moved = self.host.backend_names.learn(data["endpoints"])
--- a/tests/node.py
+++ b/tests/node.py
@@ -24,7 +24,7 @@
         {"name": "slot-lookup", "effect": "safe", "giveUpUs": 5_000_000, "targetUs": 1_500_000},
         {"name": "save", "effect": "unsafe", "giveUpUs": 5_000_000, "targetUs": 1_500_000},
     ],
-    "fleetSize": 2, "position": 0, "zone": 0, "discovery": "pushed",
+    "fleetSize": 4, "position": 0, "zone": 0, "discovery": "pushed",
     "zones": ["room-a", "room-b"], "kinds": ["std"],
     "limits": {"maxAttempts": 4, "mayCancel": True, "retryAfter": True, "maxRetryAfterUs": 1_000_000,
                "connIdleUs": 30_000_000, "connectTimeoutUs": 250_000, "maxOpen": 100},
--- a/tests/test_attempts_wire.py
+++ b/tests/test_attempts_wire.py
@@ -73,7 +73,8 @@
 
 @pytest.mark.parametrize("text, report", [
     (b"TEXT inflight=7, queue=2, util=0.61", (7.0, 0.61)), (b"TEXT util=0.5", (0.0, 0.5)), (b"", ()),
-    (b"JSON {}", ()), (b"TEXT inflight=x", ()), (b"TEXT \xff=1", ()),
+    (b"JSON {}", ()), (b"TEXT inflight=x", ()), (b"TEXT \xff=1", ()), (b"TEXT inflight=nan", ()),
+    (b"TEXT inflight=1e999", ()), (b"TEXT inflight=7, util=-1", ()), (b"TEXT inflight=1_0, util=0.5", ()),
 ])
 def test_load_reports(text: bytes, report: tuple[float, ...]) -> None:
     assert load_report(text, ("inflight", "util")) == report
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -93,6 +93,15 @@
     ({"X_Call_Terms": "units=1e12,spread=1,first=0"}, 400),
     ({"X_Call_Terms": "units=0,spread=1,first=0"}, 400), ({"X_Call_Terms": "units=1,spread=0,first=0"}, 400),
     ({"X_Call_Terms": "units=1,spread=x,first=0"}, 400), ({"X_Call_Terms": "units"}, 400),
+    # what Python's own readers would take, and what is out of range: a fleet of 4, units of 4 at most
+    *(({"X_Call_Terms": f"units={units},spread={spread},first={first}"}, 400) for units, spread, first in (
+        ("1_0", 1, 0), ("inf", 1, 0), ("+1", 1, 0), (" 1", 1, 0), ("4.01", 1, 0), ("-2", 1, 0), (".5", 1, 0),
+        ("1", "1_0", 0), ("1", "+1", 0), ("1", "-1", 0), ("1", "2.5", 0), ("1", 5, 0), ("1", 70000, 0),
+        ("1", 1, 4), ("1", 1, "-1"), ("1", 1, "9" * 5000), ("1", "²", 0), ("", 1, 0))),
+    ({"X_Call_Terms": "units=1,spread=1,first=0,units=4"}, 400),
+    ({"X_Call_Terms": "units=1,spread=1,first=0,note=" + "x" * 200}, 400),
+    ({"X_Tier": "team\r\nX-Tier: team"}, 400), ({"rid": "a1\r\nX-Trace-Id: a2"}, 400),
+    ({"X_Expires_In": "nanm"}, 400), ({"X_Expires_In": "1_0m"}, 400), ({"X_Expires_In": "9" * 40 + "m"}, 400),
 ]
 
 
@@ -328,6 +337,79 @@
     node.until(lambda: not node.host.clients.all)
 
 
+def test_a_client_that_says_nothing_is_closed_before_3_s(node: Node) -> None:
+    client = node.client()
+    node.until(lambda: node.host.clients.all)
+    node.pass_time(2_400 * MS)
+    assert node.host.clients.all
+    node.pass_time(200 * MS)
+    node.until(lambda: client.read() == b"" and client.ended)
+
+
+def test_a_first_request_that_drips_in_has_no_longer_than_one_that_never_comes(node: Node) -> None:
+    client = node.client()
+    data = request("a1")
+    for k in range(13):
+        client.send(data[k:k + 1])
+        node.turns()
+        node.pass_time(200 * MS)
+    assert node.reads(client).startswith(b"HTTP/1.1 408")
+
+
+def test_what_stands_behind_a_long_request_is_owed_a_word_in_time_too(node: Node) -> None:
+    """Whatever waits on the connection: the request in hand has failed, its attempt is called off."""
+    client = node.client()
+    client.send(request("a1") + b"nonsense\r\n\r\n")
+    node.came(i.Request)
+    node.pass_time(2_400 * MS)
+    assert client.read() == b"" and not node.script.of(i.Withdrawn)
+    node.pass_time(200 * MS)
+    reply = node.reads(client)
+    assert reply.startswith(b"HTTP/1.1 400") and b"connection: close" in reply
+    assert [w.id for w in node.script.of(i.Withdrawn)] == ["a1"]
+    node.until(lambda: client.read() and client.ended)
+    assert client.came.count(b"HTTP/1.1") == 1
+
+
+def test_a_long_request_with_nothing_behind_it_has_its_time(node: Node) -> None:
+    client = node.client()
+    node.ask(client)
+    node.came(i.Request)
+    node.pass_time(3_900 * MS)
+    assert client.read() == b"" and not client.ended and not node.script.of(i.Withdrawn)
+
+
+def test_the_end_of_one_with_an_id_in_hand_leaves_the_first_alone(node: Node) -> None:
+    one, other = node.client(), node.client()
+    node.ask(one, "a1")
+    node.came(i.Request)
+    node.ask(other, "a1")
+    assert node.reads(other).startswith(b"HTTP/1.1 409")
+    other.close(reset=True)
+    node.until(lambda: len(node.host.clients.all) == 1)
+    assert not node.script.of(i.Withdrawn) and node.host.requests.get("a1") is not None
+    node.host.give(i.Timer(1))
+    node.script.answers[i.Timer] = lambda _: [i.Refuse("a1", 1)]
+    node.host.give(i.Timer(1))
+    assert node.reads(one, b"later\n").startswith(b"HTTP/1.1 429")
+
+
+def test_a_huge_body_is_dropped_as_it_comes_and_the_error_arrives_whole(node: Node) -> None:
+    client = node.client()
+    client.send(request("a1", "POST", "/save?key=00000000b4d65521", Content_Length=str(60 << 20)))
+    reply = node.reads(client, b"too large\n")
+    assert reply.startswith(b"HTTP/1.1 413")
+    part, sent = b"x" * 65536, 0
+    while sent < 4 << 20:  # it goes on sending, and is not reset
+        try:
+            sent += client.sock.send(part)
+        except BlockingIOError:
+            node.loop.turn(0.01)
+    assert node.host.buffers.taken == 0 and len(node.host.clients.all) == 1
+    node.pass_time(node.host.limits.linger)
+    assert not node.host.clients.all
+
+
 def test_a_client_that_sends_a_byte_now_and_then_has_no_longer(node: Node) -> None:
     client = node.client()
     data = request("a1")
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -52,6 +52,30 @@
     node.close()
 
 
+def test_those_that_never_spoke_make_room_before_those_that_did() -> None:
+    """Hundreds connect and say nothing: usual clients between two requests keep their connections."""
+    node = Node(clients=3)
+    node.script.answers[i.Request] = refuse
+    usual, silent, done = node.client(), node.client(), node.client()
+    node.ask(usual, "a1")
+    node.reads(usual, b"later\n")
+    node.until(lambda: len(node.host.clients.silent) == 2)
+    done.send(b"nonsense\r\n\r\n")
+    node.reads(done)
+    extra = [node.client()]
+    node.ask(extra[0], "a2")
+    node.reads(extra[0], b"later\n")
+    node.until(lambda: done.read() and done.ended and len(node.host.clients.all) == 3)
+    assert not node.host.clients.lingering and len(node.host.clients.silent) == 1
+    extra.append(node.client())
+    node.ask(extra[1], "a3")
+    node.reads(extra[1], b"later\n")
+    node.until(lambda: silent.read() == b"" and silent.ended)
+    usual.read()
+    assert not usual.ended
+    node.close()
+
+
 def test_at_the_limit_with_none_idle_new_ones_wait_and_nothing_spins(
         caplog: pytest.LogCaptureFixture) -> None:
     node = Node(clients=2)
@@ -202,7 +226,7 @@
 def test_idle_connections_are_closed_while_new_ones_are_still_taken(stopped: Stopped) -> None:
     node = stopped.node
     idle = node.client()
-    node.until(lambda: node.host.clients.idle)
+    node.until(lambda: node.host.clients.silent)
     stopped.shutdown.begin()
     node.until(lambda: idle.read() == b"" and idle.ended)
     again = node.client()
@@ -213,7 +237,7 @@
 def test_idle_connections_are_closed_but_not_one_whose_request_has_come(stopped: Stopped) -> None:
     node = stopped.node
     idle, busy = node.client(), node.client()
-    node.until(lambda: len(node.host.clients.idle) == 2)
+    node.until(lambda: len(node.host.clients.silent) == 2)
     node.ask(busy)  # it has come, and nobody has read it yet
     stopped.shutdown.begin()
     node.reads(busy, b"later\n")
@@ -253,7 +277,7 @@
     node = stopped.node
     client = node.client()
     client.send(b"GET /slot")  # its rest comes late
-    node.until(lambda: node.host.clients.all and not node.host.clients.idle)
+    node.until(lambda: node.host.clients.all and not node.host.clients.silent)
     stopped.shutdown.begin()
     node.pass_time(500 * MS)
     node.pass_time(200 * MS)
