Spoilt answers end early and are kept nowhere; what left the list is forgotten

Changed: RESET for all spoilt answers, 250 ms from an answer's first byte to its last, 2 ms of quiet before a connection is used again, no connection kept to what left; ERROR for a spoilt count (added, total unknown, tells nothing of pace) and RESET for the calls behind it; a backend's 4xx goes to the client and blames no backend; a number and a name end with their backend in host and module alike.

--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -21,7 +21,7 @@
 from oakvale.memory.idle import Clients, IdleConnections
 from oakvale.memory.names import BackendNames
 from oakvale.memory.requests import Answer, AttemptOut, InHand, RequestsInHand
-from oakvale.wire.backends import BackendConnection
+from oakvale.wire.backends import BackendConnection, blames_request
 from oakvale.wire.clients import response, terms
 from oakvale.wire.counter import Counter
 from oakvale.wire.discovery import Discovery
@@ -37,7 +37,7 @@
         self.log = logging.getLogger("oakvale.host")
         self.buffers = BufferPool(self.limits.buffer, self.limits.buffers)
         self.requests = RequestsInHand(self.limits.requests)
-        self.idle = IdleConnections(self.limits.backend_idle)
+        self.idle = IdleConnections(self.limits.backend_idle, self.limits.backend_settle)
         self.clients = Clients()
         self.tally = Tally()
         self.backend_names = BackendNames(self.names)
@@ -105,8 +105,9 @@
         if request.out.pop(attempt.hop, None) is None:
             return
         self.tally.attempts[ending.value] += 1
-        if ending is i.Ending.SERVED and answer is not None and not request.over:
-            self._final(request, Answer(200, end_to_end(answer.headers, FOR_US), answer.body))
+        if answer is not None and not request.over and (
+                ending is i.Ending.SERVED or blames_request(answer)):
+            self._final(request, Answer(answer.status, end_to_end(answer.headers, FOR_US), answer.body))
         self.requests.drop_if_done(request)
         self.give(i.Ended(request.id, attempt.backend, attempt.hop, request.over, ending,
                           self.loop.now - attempt.sent, report=report))
@@ -150,7 +151,7 @@
         request.out[hop] = attempt
         if request.over or due <= now or hop >= self.settings.max_attempts:
             return self.attempt_ended(attempt, i.Ending.MOOT)
-        connection = self.idle.take(action.backend)
+        connection = self.idle.take(action.backend, now)
         if connection is not None:
             return connection.use(attempt)
         address = self.backend_names.address(action.backend)
--- a/oakvale/lifecycle/limits.py
+++ b/oakvale/lifecycle/limits.py
@@ -18,9 +18,10 @@
     header: int = 16 * 1024  # a message's head
     body: int = 64 * 1024  # PROTOCOL: a body holds at most this
     line: int = 1024 * 1024  # a line of discovery
-    counter_line: int = 256
     counter_name: int = 64  # PROTOCOL: a name has no more
     # counts
+    interims: int = 8  # 1xx in front of an answer
+    log_same: int = 5  # lines a second of one event
     buffers: int = 64  # kept for reuse
     backlog: int = 1024
     linger_reads: int = 16  # in one turn, of a client that goes on sending after its last answer
@@ -46,6 +47,8 @@
     accept_pause: int = 20 * MS
     fault_pause: int = 250 * MS  # before a timer that failed is given again
     connect: int = 250 * MS
+    answer_rest: int = 250 * MS  # from an answer's first byte to its last
+    backend_settle: int = 2 * MS  # of quiet behind an answer until its connection is used again
     backend_idle: int = 20 * SECOND
     counter_timeout: int = 50 * MS
     counter_life: int = 60 * SECOND  # PROTOCOL: the longest of a name
--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -28,7 +28,7 @@
 RETRY_SHARE = 0.1  # retry budget: further attempts per answer, the customary tenth
 BEST_AFTER = 20  # answers until their mean latency counts: the first to answer are the short ones
 EASE = 0.1  # weight of the newest sample in moving averages: about the last ten answers
-NOT_ADDED = (Ending.FULL, Ending.NO_CONNECTION)
+NOT_TAKEN = (Ending.FULL, Ending.NO_CONNECTION)  # neither an amount nor work
 TICK = 0  # timer token of the batch; attempts' checks use tokens above it
 
 
@@ -58,9 +58,8 @@
         self.fresh(least)
 
     def fresh(self, least: float) -> None:
-        self.lat = 0.0
         self.lat_at = self.heard = self.fails = self.out_until = self.tokens_at = 0
-        self.limit, self.tokens = Limit(least), 0.0
+        self.limit, self.tokens, self.lat = Limit(least), 0.0, 0.0
 
 
 class Held:  # a request that is owed a final answer, or has attempts out
@@ -76,8 +75,7 @@
 class Gateway:
     def __init__(self, settings: Settings, seed: int) -> None:
         self.s, self.rng = settings, random.Random(seed)
-        self.now = self.born = 0
-        self.gap = self.stood = 0  # when this gateway last found that it had stood still, and how long
+        self.now = self.born = self.gap = self.stood = 0  # gap: when it last found that it had stood still
         self.waits: dict[tuple[int, int], int] = {}  # tries by class and the time their client still waits
         # when a request was last refused for want of room, a borrower here, a global count read
         self.shed_at = self.wanted = self.told_at = -SECOND
@@ -161,7 +159,7 @@
     def age(self, req: Request, cls: RequestClass) -> int:
         """How long ago the client first asked. First tries all wait alike: the time that most do. A repeat
         waits for what is left of the deadline, one that came while this gateway stood still for less."""
-        wait, slot = req.deadline - self.now, max(1, cls.deadline // 32)
+        wait, slot = min(req.deadline - self.now, 2 * cls.deadline), max(1, cls.deadline // 32)
         self.waits[req.cls, wait // slot] = self.waits.get((req.cls, wait // slot), 0) + (self.now > self.gap)
         usual = slot * max((n, k) for (c, k), n in self.waits.items() if c == req.cls)[1]
         if self.now == self.gap and wait < usual:
@@ -234,10 +232,10 @@
         fell by more than was handed back was emptied: then only what is known here counts."""
         if ev.name != self.quota_name(cust):
             return  # of the epoch before
-        if ev.ending is Ending.TIMEOUT:
-            cust.level += amount  # it may have been added
-        elif ev.ending in NOT_ADDED:
+        if ev.ending in NOT_TAKEN:
             cust.unsent += amount
+        elif ev.ending is not Ending.SERVED:
+            cust.level += amount  # it may have been added
         else:
             self.refill(cust)
             swell, since = self.swell(cust), max(1, min(self.now - cust.read, self.now % EPOCH))
@@ -259,13 +257,13 @@
         if not waiting:
             del self.calls[ev.name]
         answered = ev.ending is Ending.SERVED
-        self.pace(answered, ev.latency)
+        self.pace(ev.ending, ev.latency)
         if kind in self.counts:
             return self.on_batch(kind, ev, amount, answered)
         held = self.held.get(rid)
         if (cust := held.cust if held else self.customers.get(rid)) is None:  # a "read" or "told" names it
             return
-        if kind in ("open", "told") and ev.ending in NOT_ADDED and ev.name == self.open_name(cust):
+        if kind in ("open", "told") and ev.ending in NOT_TAKEN and ev.name == self.open_name(cust):
             cust.told -= int(amount)  # what the call held goes with the next
         if kind == "read":
             self.counted(cust, ev, amount)
@@ -297,12 +295,13 @@
         elif not held.waiting:
             self.settle(held)
 
-    def pace(self, answered: bool, latency: int) -> None:
-        """A counter that does not answer is asked far less. A good answer brings back half of what
-        was asked before, then a little more: no herd on return, and no minutes where answers are few."""
-        if answered and latency < self.s.counter_timeout // 2:
+    def pace(self, ending: Ending, latency: int) -> None:
+        """A counter that does not answer is asked far less. A good answer brings back half of what was asked
+        before, then a little more: no herd on return. A spoilt one says nothing of what it can take."""
+        if ending is Ending.SERVED and latency < self.s.counter_timeout // 2:
             self.asking, self.good = min(1.0, max(self.asking + 0.02, self.goal)), True
-        elif not answered and self.now - max(self.asked_less, self.gap) > 2 * self.s.counter_timeout:
+        elif ending in (*NOT_TAKEN, Ending.TIMEOUT) and (
+                self.now - max(self.asked_less, self.gap) > 2 * self.s.counter_timeout):
             self.goal, self.good = self.asking / 2 if self.good else self.goal, False
             self.asking, self.asked_less = max(ASK_LEAST, self.asking / 2), self.now
 
@@ -367,7 +366,7 @@
             if ev.level < 0.999 * self.counts[kind]:
                 self.flushed = True  # emptied: slack would look wide, so nothing is lent in this window
             self.counts[kind] = max(ev.level, self.counts[kind])
-        elif ev.ending is not Ending.TIMEOUT:
+        elif ev.ending in NOT_TAKEN:
             self.counts[kind] -= amount
             self.added[kind] += amount
 
@@ -459,7 +458,7 @@
             self.budget = min(10.0, self.budget + RETRY_SHARE)
             self.fit(b.limit, len(b.inflight), self.lat_of(b), self.least)
             self.fit(self.room, self.out, self.lat, 1.0)
-        elif ev.ending in (Ending.FULL, Ending.NO_CONNECTION, Ending.RESET, Ending.ERROR):
+        elif ev.ending in (*NOT_TAKEN, Ending.RESET) or ev.ending is Ending.ERROR and not ev.over:
             self.eject(b)
         elif ev.ending in (Ending.TIMEOUT, Ending.CANCELLED) and per > b.lat:
             self.sample(b, per)
@@ -606,6 +605,7 @@
             if e.started > known.entry.started:
                 known.fresh(self.least)
             known.entry = e
+        self.backends = {k: b for k, b in self.backends.items() if b.inflight or b.entry.state != State.GONE}
 
     def on_timer(self, ev: Timer) -> None:
         if ev.token != TICK:
--- a/oakvale/memory/idle.py
+++ b/oakvale/memory/idle.py
@@ -12,8 +12,8 @@
 
 
 class IdleConnections:
-    def __init__(self, longest: int) -> None:
-        self._longest = longest
+    def __init__(self, longest: int, settle: int) -> None:
+        self._longest, self._settle = longest, settle
         self._by_backend: dict[int, deque[BackendConnection]] = {}
         self.count = 0
 
@@ -21,26 +21,37 @@
         self._by_backend.setdefault(connection.backend, deque()).append(connection)
         self.count += 1
 
-    def take(self, backend: int) -> BackendConnection | None:
-        """The latest used that is still whole."""
+    def take(self, backend: int, now: int) -> BackendConnection | None:
+        """The latest used that is still whole. Some backends send a copy or noise right behind an answer:
+        on a connection used again at once it would be taken for the next one's."""
         connections = self._by_backend.get(backend)
-        while connections:
+        unsettled: list[BackendConnection] = []
+        found = None
+        while connections and found is None:
             connection = connections.pop()
+            if now - connection.used < self._settle:
+                unsettled.append(connection)
+                continue
             self.count -= 1
             if connection.whole():
-                return connection
-            connection.end()
-        return None
+                found = connection
+            else:
+                connection.end()
+        if connections is not None:
+            connections.extend(reversed(unsettled))
+        return found
 
     def remove(self, connection: BackendConnection) -> None:
         connections = self._by_backend.get(connection.backend)
         if connections and connection in connections:
             connections.remove(connection)
             self.count -= 1
+            if not connections:
+                del self._by_backend[connection.backend]
 
     def sweep(self, now: int) -> None:
         """Ends those that stood idle too long; the oldest come first."""
-        for connections in self._by_backend.values():
+        for connections in list(self._by_backend.values()):
             while connections and now - connections[0].used >= self._longest:
                 self._end(connections)
 
--- a/oakvale/memory/names.py
+++ b/oakvale/memory/names.py
@@ -13,36 +13,69 @@
 
 
 class BackendNames:
-    """A backend keeps its number when its address changes or it leaves and comes back."""
+    """A backend keeps its number while it is listed, also when its address changes. One that left is
+    forgotten: over months, there is no end of them. No number is given twice: attempts may still bear it."""
 
     def __init__(self, names: Names) -> None:
         self._names = names
+        self._last = 0
         self._numbers: dict[str, int] = {}
         self._addresses: dict[int, Address] = {}
+        self._serving: set[int] = set()
 
     def address(self, backend: int) -> Address | None:
         return self._addresses.get(backend)
 
-    def learn(self, rows: list[dict[str, Any]]) -> tuple[tuple[i.Entry, ...], list[int]]:
-        """The rows of a list as the module knows them, and the backends whose address is another than before.
+    def serves(self, backend: int) -> bool:
+        """Neither leaving nor left: a connection to it may be kept."""
+        return backend in self._serving
+
+    def learn(self, rows: list[dict[str, Any]], whole: bool) -> tuple[tuple[i.Entry, ...], list[int]]:
+        """The rows of a list as the module knows them, and the backends whose connections of before are of no
+        use: their address is another, or a whole list is without them.
 
         A malformed row raises ValueError, KeyError, TypeError or AttributeError, and nothing is learned."""
-        decoded = [self._decode(row) for row in rows]
-        moved = []
+        before = self._last
+        numbers: dict[str, int] = {}
+        try:
+            decoded = [self._decode(row, numbers) for row in rows]
+        except Exception:
+            self._last = before
+            raise
+        self._numbers |= numbers
+        freed = []
         for entry, address in decoded:
             if address is not None and self._addresses.get(entry.backend, address) != address:
-                moved.append(entry.backend)
+                freed.append(entry.backend)
             if address is not None:
                 self._addresses[entry.backend] = address
-        return tuple(entry for entry, _ in decoded), moved
+        listed = {entry.backend: entry.state for entry, _ in decoded}
+        for name, number in list(self._numbers.items()):
+            state = listed.get(number, i.State.GONE if whole else None)
+            if state is i.State.READY:
+                self._serving.add(number)
+            elif state is not None:
+                self._serving.discard(number)
+            if state is i.State.GONE:
+                del self._numbers[name]
+                self._addresses.pop(number, None)
+                freed.append(number)
+        return tuple(entry for entry, _ in decoded), freed
+
+    def _number(self, name: str, fresh: dict[str, int]) -> int:
+        number = self._numbers.get(name) or fresh.get(name)
+        if number is None:
+            self._last += 1
+            number = fresh[name] = self._last
+        return number
 
-    def _decode(self, row: dict[str, Any]) -> tuple[i.Entry, Address | None]:
+    def _decode(self, row: dict[str, Any], fresh: dict[str, int]) -> tuple[i.Entry, Address | None]:
         name, state = str(row["name"]), STATES[row["status"]]
         address = parse_address(row.get("address"))
         if address is None and state is not i.State.GONE:
             raise ValueError(f"no address for {name}")
         entry = i.Entry(
-            self._numbers.setdefault(name, len(self._numbers) + 1),
+            self._number(name, fresh),
             self._names.zones.get(str(row.get("zone")), len(self._names.zones)),
             self._names.kinds.get(str(row.get("type")), len(self._names.kinds)),
             whole(str(row.get("group") or 0)), state,
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -21,8 +21,8 @@
 LOAD = b"endpoint-load-metrics"
 
 
-class TooLarge(Exception):
-    """A backend's answer is longer than a body may be."""
+class Spoilt(Exception):
+    """What a backend sent is no answer to go by. The request may have run; the connection is of no use."""
 
 
 def load_report(text: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
@@ -38,6 +38,24 @@
     return tuple(values.get(f, 0.0) for f in fields)
 
 
+def framing(event: h11.Response, longest: int) -> None:
+    """Raises Spoilt for an answer whose end is in doubt or too far away, before any of its body is read."""
+    fields = dict(event.headers)
+    length = fields.get(b"content-length")
+    if b"transfer-encoding" in fields:
+        if length is not None or event.http_version != b"1.1":
+            raise Spoilt("framing in doubt")
+    elif length is None and event.status_code not in (204, 304):
+        raise Spoilt("no length: a cut answer would look whole")
+    elif int(length or 0) > longest:
+        raise Spoilt("too large")
+
+
+def blames_request(answer: Answer) -> bool:
+    """The request can't be used by any backend: what this one says of it goes to the client, as 4xx do."""
+    return 400 <= answer.status < 500 and answer.status not in (408, 425, 429)
+
+
 def ending_of(answer: Answer) -> Ending:
     if answer.status == 200:
         return Ending.SERVED
@@ -99,16 +117,13 @@
             else:
                 self._finish(Ending.TIMEOUT if gone.timed_out else Ending.RESET)
             return False
-        except h11.RemoteProtocolError as error:
-            self.host.log.warning("bad answer", extra={"backend": self.backend, "why": str(error)})
+        except (h11.RemoteProtocolError, Spoilt) as error:
+            self.host.log.warning("spoilt answer", extra={"backend": self.backend, "why": str(error)[:200]})
             self._finish(Ending.RESET)
             return False
-        except TooLarge:
-            self.host.log.warning("answer too large", extra={"backend": self.backend})
-            self._finish(Ending.ERROR)
-            return False
         http = self._http
-        reusable = http.our_state is h11.DONE and http.their_state is h11.DONE and not http.trailing_data[0]
+        reusable = (http.our_state is h11.DONE and http.their_state is h11.DONE and not http.trailing_data[0]
+                    and self.host.backend_names.serves(self.backend))
         if reusable:  # before the module hears of the end: its next attempt may want this connection
             http.start_next_cycle()
             self.attempt, self.used = None, self.host.loop.now
@@ -133,18 +148,31 @@
         return head + request.body
 
     def _answer(self, due: int) -> Step[tuple[Answer, tuple[float, ...]]]:
-        http, pool = self._http, self.host.buffers
+        http, pool, limits = self._http, self.host.buffers, self.host.limits
         answer = Answer(0)
         report: tuple[float, ...] = ()
         parts: list[bytes] = []
-        size = 0
+        size = interims = 0
         yield from more(self._sock, http, pool, due)
+        # one that says more than it sends stays open and silent: its rest is not waited for to the deadline
+        rest_due = min(due, self.host.loop.now + limits.answer_rest)
         while True:
             event = http.next_event()
             # h11's events are abstract classes: isinstance is slow on them
             if event is h11.NEED_DATA:
-                yield from more(self._sock, http, pool, due)
+                try:
+                    yield from more(self._sock, http, pool, rest_due)
+                except Gone as gone:
+                    if gone.timed_out and rest_due < due:
+                        raise Spoilt("its rest did not come") from gone
+                    raise
+            elif type(event) is h11.InformationalResponse:
+                interims, rest_due = interims + 1, due
+                if interims > limits.interims:
+                    raise Spoilt("too many interim answers")
             elif type(event) is h11.Response:
+                framing(event, limits.body)
+                rest_due = min(due, self.host.loop.now + limits.answer_rest)
                 answer.status, answer.headers = event.status_code, list(event.headers)
                 for name, value in answer.headers:
                     if name == LOAD:
@@ -152,8 +180,8 @@
             elif type(event) is h11.Data:
                 parts.append(bytes(event.data))
                 size += len(parts[-1])
-                if size > self.host.limits.body:
-                    raise TooLarge
+                if size > limits.body:
+                    raise Spoilt("too large")
             elif type(event) is h11.EndOfMessage:
                 answer.body = parts[0] if len(parts) == 1 else b"".join(parts)
                 return answer, report
--- a/oakvale/wire/counter.py
+++ b/oakvale/wire/counter.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,11 @@
     from oakvale.lifecycle.limits import Limits
 
 
+# what the beginning of an answer may look like, which also bounds its length
+PARTIAL = re.compile(rb"(o(k( (-?([0-9.]{1,32}([eE][+-]?[0-9]{0,2})?\r?)?)?)?)?)?"
+                     rb"|b(u(s(y\r?)?)?)?|e(r(r(o(r\r?)?)?)?)?")
+
+
 class Call:
     __slots__ = ("name", "amount", "life", "sent", "begun", "ending", "level", "connection", "timer")
 
@@ -207,7 +213,7 @@
             self._sock.close()
             self.counter.connections.remove(self)
             for call in self.owed:
-                self.counter.end(call, Ending.TIMEOUT)  # it may have been added
+                self.counter.end(call, Ending.RESET)  # it may have been added
             for call in ([self._partial] if self._partial else []) + list(self._unsent):
                 self.counter.end(call, Ending.NO_CONNECTION)  # its last byte was never written
 
@@ -269,11 +275,23 @@
             self.host.log.info("counter back")
         lines = data.split(b"\n")
         self._buffer = lines.pop()
-        if len(self._buffer) > self.host.limits.counter_line:
-            raise ValueError("line too long")
         for line in lines:
-            ending, level = answer(line.rstrip(b"\r"))
             if not self.owed:
                 raise ValueError("an answer to no call")
-            self.counter.end(self.owed.popleft(), ending, level)
+            self._settle(line.rstrip(b"\r"))
+        if not PARTIAL.fullmatch(self._buffer):  # no end of it will make it an answer
+            self._settle(self._buffer)
         return True
+
+    def _settle(self, line: bytes) -> None:
+        """The outcome of the call that is owed an answer longest. A spoilt one says that it was added, and no
+        more; the connection is of no further use."""
+        call = self.owed.popleft() if self.owed else None
+        try:
+            ending, level = answer(line)
+        except ValueError:
+            if call is not None:
+                self.counter.end(call, Ending.ERROR)
+            raise
+        if call is not None:
+            self.counter.end(call, ending, level)
--- a/oakvale/wire/discovery.py
+++ b/oakvale/wire/discovery.py
@@ -61,7 +61,7 @@
             index, whole = whole_number(str(data["index"])), bool(data["snapshot"])
             if fetched and self._spoke and index < self.index:
                 return  # overtaken by the watch
-            entries, moved = self.host.backend_names.learn(data["endpoints"])
+            entries, moved = self.host.backend_names.learn(data["endpoints"], whole or cached)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise BadList(f"malformed list: {error!r}") from error
         if era == self.era:
--- a/tests/test_attempts_wire.py
+++ b/tests/test_attempts_wire.py
@@ -87,10 +87,21 @@
     (answer("503 Full"), Ending.ERROR),  # it may have run
     (answer("503 Full", X_Never_Ran="0"), Ending.ERROR),
     (answer("500 Oops", X_Never_Ran="1"), Ending.ERROR),
-    (answer("404 None"), Ending.ERROR),
-    (b"nonsense\r\n\r\n", Ending.RESET),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + b"x" * 65537, Ending.ERROR),
-])
+    (answer("408 Late"), Ending.ERROR), (answer("429 Busy"), Ending.ERROR),
+    # spoilt: it may have run
+    (b"nonsense\r\n\r\n", Ending.RESET), (b"\x00\xff" * 100 + b"\r\n", Ending.RESET),
+    (b"HTTP/1.1 200 OK\r\nX: " + b"x" * 40_000, Ending.RESET),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n", Ending.RESET),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nslots", Ending.RESET),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\nslots", Ending.RESET),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nslots", Ending.RESET),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nslots\r\n0\r\n\r\n",
+     Ending.RESET),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", Ending.RESET),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + b"x" * 65537, Ending.RESET),
+    (b"HTTP/1.1 200 OK\r\n\r\nslots", Ending.RESET), (b"HTTP/1.0 200 OK\r\n\r\nslots", Ending.RESET),
+    (b"HTTP/1.1 103 Early\r\n\r\n" * 9, Ending.RESET), (b"HTTP/1.1 101 Other\r\n\r\n", Ending.RESET),
+], ids=range(22))
 def test_what_an_answer_means(sending: Node, reply: bytes, ending: Ending) -> None:
     _, backend = started(sending)
     backend.send(reply)
@@ -98,6 +109,85 @@
     assert (ended.ending, ended.over, ended.hop) == (ending, False, 0)
 
 
+@pytest.mark.parametrize("begun", [
+    b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nslots", b"HTTP/1.1 200 OK\r\nContent-Le",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nslots\r\n"])
+def test_an_answer_that_never_ends_is_not_waited_for_to_the_deadline(sending: Node, begun: bytes) -> None:
+    """It says more than it sends, and its connection stays open: another attempt has its time."""
+    client, backend = started(sending)
+    sending.pass_time(500 * MS)  # before its first byte it has all the time there is
+    backend.send(begun)
+    sending.turns()
+    sending.pass_time(240 * MS)
+    assert sending.script.of(i.Ended) == []
+    sending.pass_time(20 * MS)
+    assert [e.ending for e in sending.script.of(i.Ended)] == [Ending.RESET]
+    sending.until(lambda: backend.read() and backend.ended)
+    assert client.read() == b"" and sending.host.backend_connections == 0
+
+
+def test_interim_answers_go_no_further_and_the_answer_behind_them_has_its_time(sending: Node) -> None:
+    client, backend = started(sending)
+    backend.send(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n")
+    sending.turns()
+    sending.pass_time(600 * MS)
+    assert client.read() == b"" and sending.script.of(i.Ended) == []
+    backend.send(answer())
+    assert sending.reads(client, b"slots").startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("status", ["400 Bad Request", "404 None", "422 Odd"])
+def test_what_no_backend_can_use_is_told_to_the_client_and_not_tried_elsewhere(
+        sending: Node, status: str) -> None:
+    client, backend = started(sending)
+    backend.send(answer(status, body=b"no such slot"))
+    reply = sending.reads(client, b"no such slot")
+    assert reply.startswith(b"HTTP/1.1 " + status[:3].encode())
+    ended = sending.came(i.Ended)
+    assert (ended.ending, ended.over) == (Ending.ERROR, True)
+
+
+@pytest.mark.parametrize("extra", [answer(), b"HTTP/1.1 2", b"\x00noise"])
+def test_what_comes_right_behind_an_answer_is_not_the_next_ones(sending: Node, extra: bytes) -> None:
+    """Also when it comes a moment later, and the next request is there already."""
+    client, backend = started(sending)
+    backend.send(answer(body=b"first"))
+    sending.reads(client, b"first")
+    client.came = b""
+    sending.ask(client, "a2")  # within the same millisecond
+    again = sending.taken(sending.backend)
+    backend.send(extra)
+    assert b"a2" in sending.reads(again)
+    again.send(answer(body=b"second"))
+    assert b"first" not in sending.reads(client, b"second")
+    sending.until(lambda: backend.read() and backend.ended)
+
+
+def test_a_connection_of_a_backend_that_left_meanwhile_is_not_kept(sending: Node) -> None:
+    client, backend = started(sending)
+    gone = {"name": "s-1", "status": "left"}
+    sending.host.discovery.take({"index": 42, "snapshot": False, "endpoints": [gone]})
+    backend.send(answer())
+    sending.reads(client, b"slots")
+    sending.until(lambda: sending.host.backend_connections == 0)
+    assert not sending.host.idle._by_backend
+
+
+def test_a_new_backend_at_the_address_of_one_that_left_gets_connections_of_its_own(sending: Node) -> None:
+    client, backend = started(sending)
+    backend.send(answer())
+    sending.reads(client, b"slots")
+    sending.clock.now += 2 * MS
+    other = row("s-9", sending.backend.text)
+    sending.host.discovery.take(
+        {"index": 42, "snapshot": False, "endpoints": [{"name": "s-1", "status": "left"}, other]})
+    sending.script.answers[i.Request] = lambda r: [i.Attempt(r.id, 2)]
+    sending.ask(client, "a2")
+    again = sending.taken(sending.backend)
+    assert b"a2" in sending.reads(again)
+    sending.until(lambda: backend.read() and backend.ended)
+
+
 @pytest.mark.parametrize("reset", [True, False])
 @pytest.mark.parametrize("begun", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nslo"])
 def test_a_break_after_the_last_byte_may_have_run(sending: Node, reset: bool, begun: bytes) -> None:
@@ -203,16 +293,20 @@
     for k in (0, 2, 1):
         ones[k][1].send(answer())
         sending.came(i.Ended, len(sending.script.of(i.Ended)) + 1)
+    sending.clock.now += 2 * MS
     sending.ask(ones[0][0], "b1")
     sending.until(lambda: b"b1" in ones[1][1].read())
     assert sending.backend.take() is None and sending.host.backend_connections == 3
 
 
-def test_an_answer_frees_its_connection_for_the_next_attempt_of_the_same_turn(sending: Node) -> None:
+def test_an_answer_frees_its_connection_for_an_attempt_a_moment_later(sending: Node) -> None:
     client, backend = started(sending)
-    sending.script.answers[i.Ended] = lambda e: [i.Attempt(e.id, 1)] if e.hop == 0 else []
+    sending.script.answers[i.Ended] = lambda e: [i.Wake(7, 5 * MS)] if e.hop == 0 else []
+    sending.script.answers[i.Timer] = lambda _: [i.Attempt("a1", 1)]
     backend.came = b""
     backend.send(answer("500 Oops"))
+    sending.came(i.Ended)
+    sending.pass_time(sending.host.limits.wake_slack)
     assert b"a1" in sending.reads(backend)
     assert sending.backend.take() is None
     backend.send(answer())
@@ -225,7 +319,8 @@
     client, backend = started(sending)
     backend.send(answer())
     sending.reads(client, b"slots")
-    connection = sending.host.idle.take(1)
+    sending.clock.now += 2 * MS
+    connection = sending.host.idle.take(1, sending.clock.now)
     assert connection is not None and connection.whole()
     sending.host.idle.put(connection)
     if stray:
@@ -253,11 +348,12 @@
     assert sending.host.idle.count == 0
 
 
-def test_an_answer_that_ends_with_its_connection_is_whole(sending: Node) -> None:
+def test_an_answer_that_ends_with_its_connection_is_not_taken_for_whole(sending: Node) -> None:
+    """One that was cut would look the same."""
     client, backend = started(sending)
     backend.send(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nslots")
     backend.close()
-    sending.reads(client, b"slots")
+    assert sending.came(i.Ended).ending is Ending.RESET and client.read() == b""
 
 
 def test_idle_connections_age_out_well_before_the_backend_closes_them(sending: Node) -> None:
@@ -375,6 +471,7 @@
     backend.send(answer())
     sending.reads(client, b"slots")
     client.came = b""
+    sending.clock.now += 2 * MS
     sending.ask(client, "a2")
     sending.reads(backend, b"a2")
     backend.close(RESET)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,6 +1,6 @@
 """Backends: choice, limits, ejection, cold starts, drains."""
 
-from oakvale.interface import Attempt, Cancel, Charge, Ending, Refuse, Timer
+from oakvale.interface import Attempt, Backends, Cancel, Charge, Ending, Entry, ListForm, Refuse, State, Timer
 from tests.helpers import Drive, of
 
 
@@ -125,11 +125,42 @@
     for n in range(400):
         d.now += 10_000
         rid, actions = d.ask("c%d" % (n % 50))  # noqa: UP031
-        for attempt in of(actions, Attempt):
+        attempts = [(a, hop) for hop, a in enumerate(of(actions, Attempt))]
+        for attempt, hop in attempts:
             tries[attempt.backend] += 1
+            d.now += 1_000
             if attempt.backend == 1 and tries[1] % 3:
-                d.end(rid, 1, ending=Ending.ERROR, latency=1_000, over=True)
+                again = d.end(rid, 1, hop, ending=Ending.ERROR, latency=1_000)
+                attempts += [(a, hop + 1) for a in of(again, Attempt)]
             else:
-                d.now += 1_000
-                d.end(rid, attempt.backend, latency=40_000)
+                d.end(rid, attempt.backend, hop, latency=40_000)
     assert 2 <= tries[1] < 0.1 * sum(tries.values())
+
+
+def test_an_error_that_is_the_requests_own_fault_blames_no_backend() -> None:
+    """A client's bad requests, each told so by a backend, would have all of them left alone."""
+    d = Drive(backends=4)
+    for n in range(8):
+        rid, actions = d.ask(f"c{n}")
+        for attempt in of(actions, Attempt):
+            d.end(rid, attempt.backend, ending=Ending.ERROR, latency=1_000, over=True)
+    assert all(b.fails == 0 and b.out_until == 0 for b in d.gw.backends.values())
+
+
+def test_backends_that_left_are_forgotten_once_nothing_is_out_there() -> None:
+    d = Drive(backends=2)
+    rid, actions = d.ask()
+    [attempt] = of(actions, Attempt)
+    d.send(Backends(ListForm.FULL, tuple(Entry(k) for k in range(3, 5))))
+    assert set(d.gw.backends) == {attempt.backend, 3, 4}  # its end is still to come
+    d.end(rid, attempt.backend)
+    for k in range(100):
+        d.send(Backends(ListForm.DELTA, (Entry(10 + k), Entry(9 + k, state=State.GONE))))
+    assert set(d.gw.backends) == {3, 4, 109}
+
+
+def test_odd_deadlines_leave_nothing_behind() -> None:
+    d = Drive()
+    for k in range(2_000):
+        d.request(f"c{k % 5}", patience=k * 1_000_000 % 3_600_000_000)
+    assert len(d.gw.waits) <= 66
--- a/tests/test_counter_wire.py
+++ b/tests/test_counter_wire.py
@@ -153,7 +153,7 @@
 @pytest.mark.parametrize("reset", [True, False])
 def test_a_break_after_the_last_byte_may_have_added(node: Node, reset: bool) -> None:
     one(node).close(reset)
-    assert outcomes(node) == [("q:a:1", Ending.TIMEOUT, 0.0)]
+    assert outcomes(node) == [("q:a:1", Ending.RESET, 0.0)]
 
 
 def test_a_break_before_the_last_byte_added_nothing(node: Node) -> None:
@@ -184,21 +184,37 @@
     connection._sock = Narrow(connection._sock)  # type: ignore[assignment]
     call(node, *(i.Charge(n, 1.0, 1_000_000_000) for n in ("n1", "n2", "n3")))
     counter.close(reset=True)
-    assert sorted(outcomes(node)[1:]) == [("n1", Ending.TIMEOUT, 0.0), ("n2", Ending.NO_CONNECTION, 0.0),
+    assert sorted(outcomes(node)[1:]) == [("n1", Ending.RESET, 0.0), ("n2", Ending.NO_CONNECTION, 0.0),
                                           ("n3", Ending.NO_CONNECTION, 0.0)]
 
 
 @pytest.mark.parametrize(
-    "bad", [b"what\r\n", b"ok x\r\n", b"ok nan\r\n", b"ok inf\r\n", b"ok\r\n", b"x" * 300])
-def test_a_bad_line_drops_the_connection_and_a_new_one_is_made(
+    "bad", [b"what\r\n", b"ok x\r\n", b"ok nan\r\n", b"ok inf\r\n", b"ok\r\n", b"x" * 300, b"ok 1_0\r\n",
+            b"ok  1\r\n", b"ok +1\r\n", b"ok 1e999\r\n", "ok ²\r\n".encode(), b"\xff", b"ok 1 x", b"busyy"],
+    ids=range(14))
+def test_a_spoilt_line_was_added_and_a_new_connection_is_made(
         node: Node, bad: bytes, caplog: pytest.LogCaptureFixture) -> None:
+    """Also one that has no end: what is written behind it would wait in vain."""
     counter = one(node, "n1")
+    call(node, i.Charge("n9", 1.0, 1_000_000))  # behind it: written, and never to be answered
     counter.send(bad)
     node.turns()
-    assert outcomes(node) == [("n1", Ending.TIMEOUT, 0.0)] and "counter lost" in caplog.text
+    assert outcomes(node) == [("n1", Ending.ERROR, 0.0), ("n9", Ending.RESET, 0.0)]
+    assert "counter lost" in caplog.text
     again = one(node, "n2")
     again.send(b"ok 3\r\n")
-    assert outcomes(node)[1:] == [("n2", Ending.SERVED, 3.0)]
+    assert outcomes(node)[2:] == [("n2", Ending.SERVED, 3.0)]
+
+
+@pytest.mark.parametrize(
+    "line", [b"ok 12.5\r\n", b"ok -0.25\r\n", b"ok 1.5e-7\r\n", b"busy\r\n", b"error\r\n"])
+def test_an_answer_may_come_a_byte_at_a_time(node: Node, line: bytes) -> None:
+    counter = one(node, "n1")
+    for k in range(len(line)):
+        counter.send(line[k:k + 1])
+        node.turns(1)
+    assert len(outcomes(node)) == 1 and outcomes(node)[0][1] in (Ending.SERVED, Ending.FULL)
+    assert node.host.counter is not None and len(node.host.counter.connections) == 1
 
 
 def test_an_answer_to_no_call_drops_the_connection(node: Node) -> None:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -305,3 +305,17 @@
     rounded_up = int(charge.amount * 1000 + 1) / 1000
     d.send(Counted(charge.name, Ending.SERVED, rounded_up, 2000))
     assert d.gw.added["floors"] > 0
+
+
+def test_a_spoilt_answer_of_the_counter_was_added_and_slows_no_asking() -> None:
+    """It says nothing of what the counter can take; taken for silence, a few halve the asking."""
+    d = Drive()
+    d.ask("a")
+    cust = d.gw.customers["a"]
+    level = cust.level
+    for _ in range(10):
+        d.now += 300_000
+        _, actions = d.request("a")
+        for charge in of(actions, Charge):
+            d.send(Counted(charge.name, Ending.ERROR, 0.0, 2_000))
+    assert d.gw.asking == 1.0 and cust.level > level + 1
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -175,7 +175,7 @@
     old = one(moved)
     moved.reload()
     old.close(reset=True)
-    assert outcomes(moved) == [("q:a:1", Ending.TIMEOUT, 0.0)]
+    assert outcomes(moved) == [("q:a:1", Ending.RESET, 0.0)]
     assert moved.host.counter and not moved.host.counter.lost and "counter lost" not in caplog.text
     call(moved, i.Charge("q:b:1", 1.0, 4_000_000))
     moved.taken(moved.new_counter)
