--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -421,8 +421,8 @@
         ready = [b for b in self.backends.values() if b.entry.state is State.READY and self.in_group(held, b)]
         up = [b for b in ready if b.out_until <= self.now and not self.stalled(b)]
         up = up if 2 * len(up) >= len(ready) else ready  # many ejected: distrust ejection
-        if self.out >= max(self.room.size, sum(b.limit.size for b in up)):
-            return None  # limits under one, as many gateways need, hold for all backends together
+        if sum(len(b.inflight) for b in up) >= max(self.room.size, sum(b.limit.size for b in up)):
+            return None  # limits under one hold for all together; what is stuck at others takes no room
         best, best_cost = None, 0.0
         for b in [b for b in up if b.entry.backend not in held.tried] or up:
             if len(b.inflight) >= (1 if b.fails else max(1.0, b.limit.size)):
