A lost attempt frees its place: stuck ones take no room and teach once

Checked with probes, taken out again: at each refusal for want of room the attempts out and the limits, and each attempt that was not served. All backends alike lost some 10% of what they got, with no word; most limits lie under one there, so a lost attempt blocked its backend until the client's deadline (1.67 s against an aim of 0.4 s), and counted against the room of all (out=5 of room 4.2 with four of the five stuck); its time-out then taught the backend a latency of 1.6 s. Ruled out: the counter (answers as before and after), the budget (8 and more left), one hung server (each of ten in turn). At fault: choose() held self.out, stuck ones included, against the room; check() gave up on what could not be moved. Changed: only what is out at those that answer counts against the room; an attempt is lost when its backend is silent or when it takes four times what the backend takes for such work, is moved if that is of use, and else leaves the books.

--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -93,9 +93,8 @@
         self.counts = dict.fromkeys(self.period, 0.0)  # as last read
         self.added = dict.fromkeys(self.period, 0.0)  # own, not yet sent
         self.began, self.flushed = dict.fromkeys(self.period, -1), False
-        self.backends: dict[int, Backend] = {}
+        self.backends, self.room = dict[int, Backend](), Limit(LEAST_OUT)  # room: what may be out in all
         self.units, self.least = 1.0, LEAST_OUT / settings.fleet  # mean units of a request; least limit
-        self.room, self.out = Limit(LEAST_OUT), 0  # what may be, and what is, out in all
         self.lat = self.mean = 0.0  # latency of a unit in the fleet, lately and over more answers
         self.base, self.heard = 0.0, 0  # the least that this mean was, slowly forgotten; answers in it
         self.budget, self.stake = 10.0, 0.0  # further attempts; the mean worth that a wrong guess would cost
@@ -457,7 +456,7 @@
                 self.base = min(self.base or self.mean, self.mean)
             self.budget = min(10.0, self.budget + RETRY_SHARE)
             self.fit(b.limit, len(b.inflight), self.lat_of(b), self.least)
-            self.fit(self.room, self.out, self.lat, 1.0)
+            self.fit(self.room, sum(len(x.inflight) for x in self.backends.values()), self.lat, 1.0)
         elif ev.ending in (*NOT_TAKEN, Ending.RESET) or ev.ending is Ending.ERROR and not ev.over:
             self.eject(b)
         elif ev.ending in (Ending.TIMEOUT, Ending.CANCELLED) and per > b.lat:
@@ -500,13 +499,10 @@
             self.units += EASE * (req.units - self.units)
             self.sent_units += req.units
             self.added["lent"] += 0 if held.within else req.units
-        if not b.inflight:
-            b.heard = self.now
+        b.heard = b.heard if b.inflight else self.now
         b.inflight[(req.id, hop)] = req.units
-        self.out += 1
         b.tokens -= req.units
-        held.hops += 1
-        held.out[hop] = (b, self.now)
+        held.hops, held.out[hop] = hop + 1, (b, self.now)
         held.tried.append(b.entry.backend)
         held.cust.out += 1
         if self.s.may_cancel and held.hops < self.s.max_attempts and held.cls.effect is not Effect.UNSAFE:
@@ -518,31 +514,35 @@
         self.do.append(Wake(token, delay))
 
     def check(self, rid: str, hop: int) -> None:
-        """Time-out by evidence: move off a backend that fell silent or is far slower than the fleet."""
+        """Time-out by evidence: move off a backend that fell silent or is far slower than the fleet. What is
+        lost there and too late to move takes no room any more: a lost answer would block a small limit."""
         held = self.held.get(rid)
         if held is None or held.over or held.head or hop not in held.out:
             return
-        b = held.out[hop][0]
-        if self.left(held) < self.lat * held.req.units or self.budget < 1:
-            return
-        if self.stalled(b) or self.lat_of(b) > 3 * self.lat:
-            if self.stalled(b):
-                self.eject(b)
+        (b, sent), units, aim = held.out[hop], held.req.units, held.cls.aim
+        silent = self.stalled(b)
+        lost = silent or self.now - max(sent, self.gap) > max(4 * self.lat_of(b) * units, 0.5 * aim)
+        if silent:
+            self.eject(b)
+        useful = self.left(held) >= self.lat * units and self.budget >= 1
+        if useful and (lost or self.lat_of(b) > 3 * self.lat):
             return self.do.append(Cancel(rid, hop))
-        self.check_later(held, hop, int(0.2 * held.cls.aim))
+        if not lost:
+            return self.check_later(held, hop, int(0.2 * aim))
+        if b.inflight.pop((rid, hop), 0):
+            self.sample(b, (self.now - sent) / units)
 
     def on_ended(self, ev: Ended) -> None:
         held = self.held.get(ev.id)
         if held is None or ev.hop not in held.out:
             return
         b, sent = held.out.pop(ev.hop)
-        units = b.inflight.pop((ev.id, ev.hop), 1.0)
-        self.out -= 1
+        known = b.inflight.pop((ev.id, ev.hop), 0)
         if self.s.post_paid and ev.true_units and held.taken:  # the guess is put right
             held.cust.store -= ev.true_units - held.req.units
             held.cust.unsent += (ev.true_units - held.req.units) * self.swell(held.cust)
-        if self.now > self.gap:  # what came while this gateway stood still blames nobody
-            self.learn(b, ev, units)
+        if self.now > self.gap and (known or ev.ending is Ending.SERVED):
+            self.learn(b, ev, held.req.units)  # but what came while this gateway stood still blames nobody
         held.cust.out -= 1
         self.tell_open(held.cust)
         if held.ran is None and ev.ending not in NEVER_RAN:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,6 +1,7 @@
 """Backends: choice, limits, ejection, cold starts, drains."""
 
-from oakvale.interface import Attempt, Backends, Cancel, Charge, Ending, Entry, ListForm, Refuse, State, Timer
+from oakvale.interface import (
+    Attempt, Backends, Cancel, Charge, Ending, Entry, ListForm, Refuse, State, Timer, Wake)
 from tests.helpers import Drive, of
 
 
@@ -164,3 +165,63 @@
     for k in range(2_000):
         d.request(f"c{k % 5}", patience=k * 1_000_000 % 3_600_000_000)
     assert len(d.gw.waits) <= 66
+
+
+def test_attempts_stuck_at_silent_backends_take_no_room_from_the_others() -> None:
+    """A few lost answers filled the room for all backends together, and half of the requests were refused."""
+    d = Drive(backends=5)
+    d.gw.lat = d.gw.base = 30_000.0
+    d.gw.room.size = 4.0
+    for b in d.gw.backends.values():
+        b.limit.size = 0.8
+    for k in (1, 2):
+        b = d.gw.backends[k]
+        b.inflight[("stuck", k)] = 1.0
+        b.inflight[("stuck too", k)] = 1.0
+        b.heard = d.now - 900_000  # far longer than a unit takes
+    _, actions = d.ask("a")
+    [attempt] = of(actions, Attempt)
+    assert attempt.backend in (3, 4, 5)
+
+
+def lost(d: Drive, after: int) -> tuple[str, int]:
+    """An attempt that is never answered, at its first check that late."""
+    rid, actions = d.ask("a")
+    [attempt] = of(actions, Attempt)
+    wake = next(w for w in of(actions, Wake) if w.token)
+    d.tick(after)
+    again = d.send(Timer(wake.token))
+    assert not of(again, Cancel)
+    return rid, attempt.backend
+
+
+def test_a_lost_attempt_that_is_too_late_to_move_frees_its_place() -> None:
+    """With limits under one, as many gateways have, it would block its backend to the client's deadline."""
+    d = Drive(backends=1)
+    b = d.gw.backends[1]
+    d.gw.lat = d.gw.base = b.lat = 30_000.0
+    b.lat_at = d.now
+    rid, _ = lost(d, 1_500_000)  # past the aim of a second
+    assert not b.inflight and 30_000 < b.lat < 2_000_000
+    d.tick(1_100_000)  # it was silent, and was left alone for a while
+    assert of(d.ask("b")[1], Attempt)
+    b.inflight.clear()
+    known = b.lat
+    d.tick(400_000)
+    d.end(rid, 1, ending=Ending.TIMEOUT, latency=3_000_000)
+    assert b.lat == known  # what it costs was learned when it was found lost
+    d.end("r2", 1)
+    assert not d.gw.held
+
+
+def test_one_lost_answer_of_a_backend_that_answers_others_is_tried_elsewhere() -> None:
+    d = Drive(backends=2)
+    d.gw.lat = d.gw.base = 30_000.0
+    rid, actions = d.ask("a")
+    [attempt] = of(actions, Attempt)
+    b = d.gw.backends[attempt.backend]
+    wake = next(w for w in of(actions, Wake) if w.token)
+    d.tick(600_000)
+    b.lat, b.lat_at, b.heard = 30_000.0, d.now, d.now - 10_000  # it has just answered another
+    actions = d.send(Timer(wake.token))
+    assert of(actions, Cancel) == [Cancel(rid, 0)] and b.fails == 0
