--- a/oakvale/cli.py
+++ b/oakvale/cli.py
@@ -41,7 +41,7 @@
         where = configuration.spelled(config.listen)
         click.echo(f"oakvale: cannot listen on {where}: {error.strerror}", err=True)
         sys.exit(1)
-    logs.configure(log_level)
+    logs.configure(log_level, config.limits.log_same)
     sys.exit(serving.serve(config, listener, signals))
 
 
--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -42,6 +42,7 @@
         self.tally = Tally()
         self.backend_names = BackendNames(self.names)
         self.backend_connections = 0
+        self.bodies = 0  # bytes that clients' requests may hold now
         self.listed = self.stopping = self.taking_ended = self.ended = False
         self.gateway = Gateway(self.settings, configuration.seed)
         self.counter = Counter(self, configuration.counter) if configuration.counter else None
--- a/oakvale/lifecycle/configuration.py
+++ b/oakvale/lifecycle/configuration.py
@@ -12,7 +12,7 @@
 
 from oakvale import interface as i
 from oakvale import settings as site
-from oakvale.lifecycle.limits import Limits
+from oakvale.lifecycle.limits import MB, Limits
 
 Address = tuple[str, int]
 PORT = re.compile(r"[0-9]{1,5}")
@@ -83,6 +83,7 @@
         limits, extra = site.part(raw, "limits"), site.part(raw, "specifics")
         bounds = Limits.fill(
             sockets=int(site.part(data, "limits").get("sockets") or 1024),
+            memory=int(site.part(data, "limits").get("memory_mb") or 192) * MB,
             connect=int(limits.get("connectTimeoutUs") or Limits.connect),
             backend_idle=int(limits.get("connIdleUs") or Limits.backend_idle),
             counter_timeout=int(extra.get("counterTimeoutUs") or Limits.counter_timeout),
--- a/oakvale/lifecycle/limits.py
+++ b/oakvale/lifecycle/limits.py
@@ -9,6 +9,7 @@
 
 MS = 1_000
 SECOND = 1_000_000
+MB = 1024 * 1024
 
 
 @dataclass(frozen=True)
@@ -17,6 +18,7 @@
     buffer: int = 16 * 1024
     header: int = 16 * 1024  # a message's head
     body: int = 64 * 1024  # PROTOCOL: a body holds at most this
+    bodies: int = 32 * 1024 * 1024  # of clients' requests, together
     line: int = 1024 * 1024  # a line of discovery
     counter_name: int = 64  # PROTOCOL: a name has no more
     # counts
@@ -31,6 +33,7 @@
     counters: int = 4
     counter_owed: int = 4096  # calls out on one connection
     requests: int = 20_000  # in hand
+    cached_size: int = 512  # bytes of one
     cached: int = 256  # parsed or checked texts that come again and again
     counter_amount: float = 1e9  # PROTOCOL: an amount is at most this
     # times, in microseconds
@@ -64,12 +67,14 @@
     stop_longest: int = 8 * SECOND
 
     @classmethod
-    def fill(cls, sockets: int, connect: int, backend_idle: int, counter_timeout: int,
+    def fill(cls, sockets: int, memory: int, connect: int, backend_idle: int, counter_timeout: int,
              requests: int) -> Limits:
-        """Shares out the descriptors: an eighth and 16 stay free for the rest of the process."""
+        """Shares out the descriptors: an eighth and 16 stay free for the rest of the process. A quarter of
+        the memory that the program itself does not need is for bodies."""
         free = max(16, sockets - sockets // 8 - 16 - cls.counters)
         return cls(
             clients=free * 2 // 3, backends=free // 3, connect=connect,
             # well before the other side closes: what is written to a closed connection may have run
             backend_idle=backend_idle * 2 // 3, counter_timeout=counter_timeout, requests=requests,
+            bodies=max(MB, (memory - 24 * MB) // 4),
         )
--- a/oakvale/lifecycle/logs.py
+++ b/oakvale/lifecycle/logs.py
@@ -6,6 +6,7 @@
 import os
 import select
 import time
+from collections import Counter
 
 LONGEST = select.PIPE_BUF  # a pipe that is ready takes this much without waiting
 STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime", "taskName"}
@@ -29,6 +30,30 @@
     return '"' + "".join(c if c.isprintable() else f"\\x{ord(c):02x}" for c in escaped) + '"'
 
 
+class Seldom(logging.Filter):
+    """So many lines a second of one event, at most: what bad peers cause by the hundred costs no more. The
+    next line that passes says how many did not, in `held_back`."""
+
+    def __init__(self, most: int) -> None:
+        super().__init__()
+        self._most, self._second = most, 0
+        self._written: Counter[tuple[str, str]] = Counter()
+        self._held: Counter[tuple[str, str]] = Counter()
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if int(record.created) != self._second:
+            self._second = int(record.created)
+            self._written.clear()
+        event = (record.name, str(record.msg)[:64])
+        if self._written[event] >= self._most:
+            self._held[event] += 1
+            return False
+        self._written[event] += 1
+        if held := self._held.pop(event, 0):
+            record.held_back = held
+        return True
+
+
 class PipeHandler(logging.Handler):
     """Writes lines to a descriptor only while that can't block; what does not fit is dropped and counted."""
 
@@ -52,7 +77,8 @@
             self.dropped += 1
 
 
-def configure(level: str, fd: int = 2) -> None:
+def configure(level: str, same: int, fd: int = 2) -> None:
     handler = PipeHandler(fd)
+    handler.addFilter(Seldom(same))
     handler.setFormatter(KeyValueFormatter())
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -124,7 +124,7 @@
 class ClientConnection:
     def __init__(self, host: Host, sock: socket.socket) -> None:
         self.host, self.used, self._opened = host, host.loop.now, host.loop.now
-        self._answers = 0
+        self._answers = self._body = 0  # answers given; bytes set aside for the body in hand
         self.answer: Answer | None = None
         self.request: InHand | None = None
         self._sock = sock
@@ -159,6 +159,7 @@
             pass
         finally:
             self._sock.close()
+            self._release()
             self.host.clients.remove(self)
             if self.request is not None:
                 self.host.client_gone(self.request)
@@ -187,11 +188,15 @@
         headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
         if last or http.their_state is not h11.DONE or self.host.stopping:
             headers.append((b"connection", b"close"))
-        data = http.send(self.host.response(answer.status, tuple(headers))) or b""
+        # kept are only short ones: a backend may send heads as long as it likes
+        short = sum(map(len, sum(headers, ()))) <= self.host.limits.cached_size
+        make = self.host.response if short else response
+        data = http.send(make(answer.status, tuple(headers))) or b""
         if answer.body and method != b"HEAD":
             http.send(h11.Data(data=answer.body))
             data += answer.body
         http.send(END)
+        self._release()
         yield from write_all(self._sock, data, self.host.loop.now + self.host.limits.client_take)
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
@@ -234,6 +239,7 @@
                         raise BadRequest(400, "a GET has no body")
                     if int(length) > host.limits.body:
                         raise BadRequest(413, "body too large")
+                    self._set_aside(limits.body if chunked else int(length))
                 elif type(event) is h11.Data:
                     parts.append(bytes(event.data))
                     size += len(parts[-1])
@@ -252,6 +258,17 @@
         finally:
             host.clients.works(self)
 
+    def _set_aside(self, size: int) -> None:
+        """Bodies are bounded one by one and together: as many as there are connections would not fit."""
+        if size and self.host.bodies + size > self.host.limits.bodies:
+            raise BadRequest(503, "no room for a body")
+        self._body = size
+        self.host.bodies += size
+
+    def _release(self) -> None:
+        self.host.bodies -= self._body
+        self._body = 0
+
     def _answered(self, incoming: Incoming) -> Step[Answer]:
         host = self.host
         if incoming.target == HEALTH:
--- a/tests/test_attempts_wire.py
+++ b/tests/test_attempts_wire.py
@@ -163,6 +163,13 @@
     sending.until(lambda: backend.read() and backend.ended)
 
 
+def test_long_heads_of_answers_are_not_kept(sending: Node) -> None:
+    client, backend = started(sending)
+    backend.send(answer(X_Long="x" * 10_000))
+    sending.reads(client, b"slots")
+    assert sending.host.response.cache_info().currsize == 0
+
+
 def test_a_connection_of_a_backend_that_left_meanwhile_is_not_kept(sending: Node) -> None:
     client, backend = started(sending)
     gone = {"name": "s-1", "status": "left"}
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -410,6 +410,32 @@
     assert not node.host.clients.all
 
 
+def test_bodies_are_bounded_together_and_their_room_comes_back() -> None:
+    """Each within its bound, as many as there are connections would not fit into the memory."""
+    node = Node(bodies=100_000)
+    one, other = node.client(), node.client()
+    part = request("a1", "POST", "/save?key=00000000b4d65521", Content_Length="60000")
+    one.send(part)
+    node.until(lambda: node.host.bodies == 60_000)
+    other.send(part.replace(b"a1", b"a2"))
+    assert node.reads(other).startswith(b"HTTP/1.1 503")
+    other.close()
+    node.until(lambda: len(node.host.clients.all) == 1)
+    assert node.host.bodies == 60_000
+    one.send(b"x" * 60_000)
+    assert node.came(i.Request).id == "a1"
+    node.host.give(i.Timer(1))
+    node.script.answers[i.Timer] = lambda _: [i.Refuse("a1", 1)]
+    node.host.give(i.Timer(1))
+    node.reads(one, b"later\n")
+    assert node.host.bodies == 0
+    one.send(request("a3", "POST", "/save?key=00000000b4d65521", Transfer_Encoding="chunked"))
+    node.until(lambda: node.host.bodies == 65536)
+    one.close(reset=True)
+    node.until(lambda: node.host.bodies == 0)
+    node.close()
+
+
 def test_a_client_that_sends_a_byte_now_and_then_has_no_longer(node: Node) -> None:
     client = node.client()
     data = request("a1")
--- /dev/null
+++ b/tests/test_picture.py
@@ -0,0 +1,116 @@
+"""The module's picture of what is out, owed and in hand is what the sockets hold, whatever ends how."""
+
+from collections import Counter
+
+from oakvale.wire.counter import Call, CounterConnection
+from tests.node import MS, Node, StandIn, answer, row
+
+
+class Watched(Node):
+    """A gateway with its real module and a counter that answers; the picture is compared after each step."""
+
+    def __init__(self) -> None:
+        super().__init__(script=False)
+        self.sides: list[StandIn] = []
+        self.backends: list[StandIn] = []
+        self.totals: Counter[str] = Counter()
+
+    def step(self, turns: int = 4) -> None:
+        for _ in range(turns):
+            self.turns(2)
+            while (side := self.counter.take()) is not None:
+                self.sides.append(self._kept(side))
+            for side in self.sides:
+                lines, side.came = side.read().split(b"\r\n"), b""
+                for line in lines[:-1]:
+                    _, name, amount, _ = line.decode().split()
+                    self.totals[name] += float(amount)  # type: ignore[assignment]
+                    side.send(b"ok %.6f\r\n" % self.totals[name])
+            self.compare()
+
+    def compare(self) -> None:
+        host, module = self.host, self.host.gateway
+        in_hand = list(host.requests._by_id.values())
+        out = Counter(a.backend for r in in_hand for a in r.out.values())
+        assert out == Counter({k: len(b.inflight) for k, b in module.backends.items() if b.inflight})
+        assert sum(out.values()) == host.backend_connections - host.idle.count
+        assert sum(c.out for c in module.customers.values()) == sum(out.values())
+        assert host.counter is not None
+        owed = {name: len(calls) for name, calls in host.counter._by_name.items()}
+        assert owed == {name: len(calls) for name, calls in module.calls.items()}
+        written = [c for connection in host.counter.connections for c in held(connection) if c.ending is None]
+        assert len(written) == sum(owed.values())
+        assert {r.id for r in in_hand if not r.over} == {rid for rid, h in module.held.items() if not h.over}
+        waiting = {c.request.id for c in host.clients.all if c.request is not None}
+        assert waiting == {r.id for r in in_hand if not r.over}
+
+    def sent(self, rid: str) -> tuple[StandIn, StandIn]:
+        client = self.client()
+        self.ask(client, rid, X_Call_Terms="units=1,spread=1,first=0")
+        self.step()
+        return client, self.until(lambda: self.backend_with(rid.encode()))
+
+    def backend_with(self, rid: bytes) -> StandIn | None:
+        """The connection on which the attempt came: a new one, or one that is used again."""
+        while (side := self.backend.take()) is not None:
+            self.backends.append(self._kept(side))
+        for side in self.backends:
+            if rid in side.read():
+                side.came = b""
+                return side
+        return None
+
+
+def held(connection: CounterConnection) -> list[Call]:
+    return [*connection.owed, *([connection._partial] if connection._partial else []), *connection._unsent]
+
+
+def test_every_ending_leaves_the_same_picture_in_module_and_host() -> None:
+    node = Watched()
+    endings = [answer(), answer("500 Oops"), answer("503 Full", X_Never_Ran="1"), answer("400 Odd"),
+               b"nonsense\r\n\r\n", answer() + b"more",
+               b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n"]
+    for n, reply in enumerate(endings):
+        client, backend = node.sent(f"a{n}")
+        node.compare()
+        backend.send(reply)
+        node.step()
+        while not client.read():  # tried again, and served then
+            again = node.until(lambda: node.backend_with(f"a{n}".encode()))  # noqa: B023
+            again.send(answer())
+            node.step()
+        assert client.came.startswith(b"HTTP/1.1 ")
+        node.clock.now += 2_500 * MS  # what was left alone for its failure is tried again
+        node.step()
+    client, backend = node.sent("b1")
+    client.close(reset=True)
+    node.step()
+    assert sum(len(b.inflight) for b in node.host.gateway.backends.values()) == 1  # still out, for nobody
+    backend.close(reset=True)
+    node.step()
+    client, backend = node.sent("b2")
+    node.host.discovery.take({"index": 50, "snapshot": True, "endpoints": [row("s-9", node.backend.text)]})
+    node.step()
+    assert set(node.host.gateway.backends) == {1, 2}  # what is out at the one that left is still owed an end
+    backend.send(answer())
+    node.step()
+    node.host.discovery.take({"index": 51, "snapshot": False, "endpoints": []})
+    node.host.discovery.take({"index": 52, "snapshot": False, "endpoints": [row("s-9", node.backend.text)]})
+    node.step()
+    assert set(node.host.gateway.backends) == set(node.host.backend_names._addresses) == {2}
+    assert not node.host.requests._by_id and not node.host.gateway.held
+    node.close()
+
+
+def test_calls_lost_with_their_connection_are_lost_in_both() -> None:
+    node = Watched()
+    client = node.client()
+    node.ask(client, "a1", X_Call_Terms="units=1,spread=1,first=0")
+    node.until(lambda: node.host.gateway.calls)
+    side = node.taken(node.counter)
+    node.reads(side, b"\r\n")
+    node.compare()
+    side.send(b"what\r\n")
+    node.until(lambda: node.host.counter is not None and not node.host.counter.connections)
+    node.compare()
+    node.close()
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -322,15 +322,15 @@
 
 
 def test_asking_comes_back_slowly_enough_for_a_counter_that_takes_less_than_a_call_each() -> None:
-    """Raised by two hundredths an answer, a third of the asking was back within half a second: a quarter of all
-    calls were made only to be late."""
+    """Raised by two hundredths an answer, a third of the asking was back within half a second: a quarter of
+    all calls were made only to be late."""
     d = Drive()
     d.ask("a")
     for _ in range(3):
         d.now += 300_000
         d.ask("a", ending=Ending.TIMEOUT)
     d.gw.asking = d.gw.goal = low = 0.2
-    for k in range(20):
+    for _ in range(20):
         d.now += 20_000
         d.gw.pace(Ending.SERVED, 2_000)
     assert low + 0.1 < d.gw.asking < low + 0.3
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -29,7 +29,7 @@
 
 @pytest.mark.parametrize("sockets", [1024, 256, 4096])
 def test_the_shares_of_descriptors_leave_room(sockets: int) -> None:
-    limits = Limits.fill(sockets, 250_000, 30_000_000, 80_000, 100)
+    limits = Limits.fill(sockets, 192 << 20, 250_000, 30_000_000, 80_000, 100)
     assert limits.clients + limits.backends + limits.counters + 16 < sockets
     assert limits.clients > limits.backends > 0
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -17,7 +17,7 @@
 from oakvale import __version__
 from oakvale.cli import main
 from oakvale.lifecycle.configuration import BadConfiguration, decode, load
-from oakvale.lifecycle.logs import KeyValueFormatter, PipeHandler
+from oakvale.lifecycle.logs import KeyValueFormatter, PipeHandler, Seldom
 from oakvale.memory.buffers import BufferPool
 from tests.node import SETTINGS, row
 
@@ -142,6 +142,21 @@
     assert "\n" not in text and "ValueError: odd" in text and 'traceback="' in text
 
 
+def test_lines_of_one_event_are_held_back_beyond_some_a_second_and_counted() -> None:
+    seldom = Seldom(3)
+
+    def passes(second: float, event: str) -> logging.LogRecord | None:
+        record = logging.makeLogRecord({"name": "oakvale.host", "msg": event, "created": second})
+        return record if seldom.filter(record) else None
+
+    assert [bool(passes(1.0, "spoilt answer")) for _ in range(10)] == [True] * 3 + [False] * 7
+    assert passes(1.5, "reloaded")  # another event
+    again = passes(2.0, "spoilt answer")
+    assert again and vars(again)["held_back"] == 7
+    later = passes(2.1, "spoilt answer")
+    assert later and "held_back" not in vars(later)
+
+
 def test_a_full_pipe_does_not_block_and_what_is_lost_is_counted() -> None:
     read, write = os.pipe()
     handler = PipeHandler(write)
