Good answers of up to 1 MiB are served, bounded together

At fault: an answer was held to the 64 KiB that PROTOCOL gives a body; each such request was tried four times and failed. Changed: an answer may have 1 MiB; what is over 64 KiB is counted against one bound with requests' bodies, by the memory that the configuration names; the 250 ms now lie between two reads, as long answers come in many.

--- a/oakvale/lifecycle/limits.py
+++ b/oakvale/lifecycle/limits.py
@@ -17,8 +17,9 @@
     # sizes, in bytes
     buffer: int = 16 * 1024
     header: int = 16 * 1024  # a message's head
-    body: int = 64 * 1024  # PROTOCOL: a body holds at most this
-    bodies: int = 32 * 1024 * 1024  # of clients' requests, together
+    body: int = 64 * 1024  # a request's: PROTOCOL's most
+    answer: int = 1024 * 1024  # an answer's: some good ones are longer than PROTOCOL says
+    bodies: int = 32 * 1024 * 1024  # of requests and answers, together
     line: int = 1024 * 1024  # a line of discovery
     counter_name: int = 64  # PROTOCOL: a name has no more
     # counts
@@ -50,7 +51,7 @@
     accept_pause: int = 20 * MS
     fault_pause: int = 250 * MS  # before a timer that failed is given again
     connect: int = 250 * MS
-    answer_rest: int = 250 * MS  # from an answer's first byte to its last
+    answer_rest: int = 250 * MS  # between two reads of an answer
     backend_settle: int = 2 * MS  # of quiet behind an answer until its connection is used again
     backend_idle: int = 20 * SECOND
     counter_timeout: int = 50 * MS
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -38,17 +38,20 @@
     return tuple(values.get(f, 0.0) for f in fields)
 
 
-def framing(event: h11.Response, longest: int) -> None:
-    """Raises Spoilt for an answer whose end is in doubt or too far away, before any of its body is read."""
+def framing(event: h11.Response, longest: int) -> int:
+    """How long an answer says that it is; raises Spoilt where its end is in doubt or too far away, before any
+    of its body is read."""
     fields = dict(event.headers)
     length = fields.get(b"content-length")
     if b"transfer-encoding" in fields:
         if length is not None or event.http_version != b"1.1":
             raise Spoilt("framing in doubt")
-    elif length is None and event.status_code not in (204, 304):
+        return 0
+    if length is None and event.status_code not in (204, 304):
         raise Spoilt("no length: a cut answer would look whole")
-    elif int(length or 0) > longest:
-        raise Spoilt("too large")
+    if int(length or 0) > longest:
+        raise Spoilt(f"too large: {int(length or 0)}")
+    return int(length or 0)
 
 
 def blames_request(answer: Answer) -> bool:
@@ -68,6 +71,7 @@
     def __init__(self, host: Host, attempt: AttemptOut, address: Address) -> None:
         self.host, self.backend, self.used = host, attempt.backend, host.loop.now
         self.attempt: AttemptOut | None = attempt
+        self._body = 0  # bytes set aside for a long answer
         self._sock = new_socket()
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=host.limits.header)
         attempt.connection = self
@@ -98,6 +102,7 @@
                         return  # closed by the backend, or bytes that belong to no request
         finally:
             self._sock.close()
+            self._release()
             self.host.backend_connections -= 1
             self.host.idle.remove(self)
             if self.attempt is not None:  # a fault of this coroutine: its attempt still ends
@@ -126,6 +131,7 @@
                     and self.host.backend_names.serves(self.backend))
         if reusable:  # before the module hears of the end: its next attempt may want this connection
             http.start_next_cycle()
+            self._release()
             self.attempt, self.used = None, self.host.loop.now
             self.host.idle.put(self)
             self.host.attempt_ended(attempt, ending_of(answer), answer, report)
@@ -153,26 +159,27 @@
         report: tuple[float, ...] = ()
         parts: list[bytes] = []
         size = interims = 0
+        quiet = False  # behind an interim answer, nothing has come: the answer has all the time there is
         yield from more(self._sock, http, pool, due)
-        # one that says more than it sends stays open and silent: its rest is not waited for to the deadline
-        rest_due = min(due, self.host.loop.now + limits.answer_rest)
         while True:
             event = http.next_event()
             # h11's events are abstract classes: isinstance is slow on them
             if event is h11.NEED_DATA:
+                # one that says more than it sends stays open and silent: it is not waited for to the deadline
+                rest_due = due if quiet else min(due, self.host.loop.now + limits.answer_rest)
                 try:
                     yield from more(self._sock, http, pool, rest_due)
                 except Gone as gone:
                     if gone.timed_out and rest_due < due:
                         raise Spoilt("its rest did not come") from gone
                     raise
+                quiet = False
             elif type(event) is h11.InformationalResponse:
-                interims, rest_due = interims + 1, due
+                interims, quiet = interims + 1, True
                 if interims > limits.interims:
                     raise Spoilt("too many interim answers")
             elif type(event) is h11.Response:
-                framing(event, limits.body)
-                rest_due = min(due, self.host.loop.now + limits.answer_rest)
+                self._set_aside(framing(event, limits.answer))
                 answer.status, answer.headers = event.status_code, list(event.headers)
                 for name, value in answer.headers:
                     if name == LOAD:
@@ -180,15 +187,31 @@
             elif type(event) is h11.Data:
                 parts.append(bytes(event.data))
                 size += len(parts[-1])
-                if size > limits.body:
+                if size > limits.answer:
                     raise Spoilt("too large")
+                self._set_aside(size)
             elif type(event) is h11.EndOfMessage:
                 answer.body = parts[0] if len(parts) == 1 else b"".join(parts)
                 return answer, report
             elif type(event) is h11.ConnectionClosed:
                 raise Gone()
 
+    def _set_aside(self, size: int) -> None:
+        """Long answers are bounded together too: as many as there are connections would not fit."""
+        more_now = size - self._body
+        if size <= self.host.limits.body or more_now <= 0:
+            return
+        if self.host.bodies + more_now > self.host.limits.bodies:
+            raise Spoilt("no room for it")
+        self._body += more_now
+        self.host.bodies += more_now
+
+    def _release(self) -> None:
+        self.host.bodies -= self._body
+        self._body = 0
+
     def _finish(self, ending: Ending, answer: Answer | None = None, report: tuple[float, ...] = ()) -> None:
         attempt, self.attempt = self.attempt, None
+        self._release()
         if attempt is not None:
             self.host.attempt_ended(attempt, ending, answer, report)
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -197,7 +197,9 @@
             data += answer.body
         http.send(END)
         self._release()
+        self._hold(len(answer.body))
         yield from write_all(self._sock, data, self.host.loop.now + self.host.limits.client_take)
+        self._release()
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
     def _read(self) -> Step[Incoming]:
@@ -262,6 +264,9 @@
         """Bodies are bounded one by one and together: as many as there are connections would not fit."""
         if size and self.host.bodies + size > self.host.limits.bodies:
             raise BadRequest(503, "no room for a body")
+        self._hold(size)
+
+    def _hold(self, size: int) -> None:
         self._body = size
         self.host.bodies += size
 
