--- a/oakvale/lifecycle/limits.py
+++ b/oakvale/lifecycle/limits.py
@@ -42,6 +42,7 @@
     wake_slack: int = 20 * MS  # one that the module set
     late: int = 50 * MS  # a turn that comes later than this after its time looks at the sockets once more
     clock_step: int = 75 * SECOND  # a stamp of longer ago tells of a step of the system's clock
+    client_grace: int = 500 * MS  # from the connection on, before it makes room for want of a word
     client_first: int = 2_500 * MS  # from the connection to the last byte of its first request
     client_send: int = 2_500 * MS  # from a later request's first byte to its last
     client_idle: int = 15 * SECOND  # between requests
--- a/oakvale/lifecycle/serving.py
+++ b/oakvale/lifecycle/serving.py
@@ -104,7 +104,7 @@
         except (BlockingIOError, ConnectionAbortedError):
             return False
         if full:
-            clients.make_room()
+            clients.make_room(self.loop.now)
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/oakvale/memory/idle.py
+++ b/oakvale/memory/idle.py
@@ -75,9 +75,11 @@
 
 class Clients:
     """Clients' connections. Apart, the longest first: those that have their last answer and only have not
-    ended, those that never sent anything, and those between requests. In this order they make room."""
+    ended, those that never sent anything, and those between requests. In this order they make room, but one
+    that has just come is given a moment: its client may not even know yet that it is connected."""
 
-    def __init__(self) -> None:
+    def __init__(self, grace: int) -> None:
+        self._grace = grace
         self.all: set[ClientConnection] = set()
         self.lingering: dict[ClientConnection, None] = {}
         self.silent: dict[ClientConnection, None] = {}
@@ -104,11 +106,13 @@
     def can_make_room(self) -> bool:
         return bool(self.lingering or self.silent or self.idle)
 
-    def make_room(self) -> bool:
+    def make_room(self, now: int) -> bool:
         for connection in islice(self.lingering, 1):
             connection.end()
             return True
-        return any(c.end_if_idle() for group in (self.silent, self.idle) for c in list(islice(group, 8)))
+        oldest = list(islice(self.silent, 8))
+        slow = [c for c in oldest if now - c.opened >= self._grace]
+        return any(c.end_if_idle() for c in (*slow, *list(islice(self.idle, 8)), *oldest))
 
     def end_idle(self) -> None:
         for connection in [*self.silent, *self.idle]:
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -123,7 +123,7 @@
 
 class ClientConnection:
     def __init__(self, host: Host, sock: socket.socket) -> None:
-        self.host, self.used, self._opened = host, host.loop.now, host.loop.now
+        self.host, self.used, self.opened = host, host.loop.now, host.loop.now
         self._answers = self._body = 0  # answers given; bytes set aside for the body in hand
         self.answer: Answer | None = None
         self.request: InHand | None = None
@@ -220,7 +220,7 @@
                         due = host.loop.now + host.limits.client_send
                         yield from write_all(self._sock, interim or b"", due)
                     if not self._answers:  # from the connection on, however little comes at a time
-                        due = self._opened + limits.client_first
+                        due = self.opened + limits.client_first
                     else:
                         due = began + limits.client_send if began else self.used + limits.client_idle
                     arrived = yield from more(self._sock, http, host.buffers, due, stamped=True)
@@ -310,7 +310,7 @@
     def _behind(self) -> int:
         """Until when what came behind the request in hand may wait for it."""
         if not self._answers:
-            return self._opened + self.host.limits.client_first
+            return self.opened + self.host.limits.client_first
         return self.host.loop.now + self.host.limits.client_send
 
     def _probe(self) -> None:
