Clients between requests have 2 s and an eighth of the descriptors

Checked: status lines a second apart, ends of clients' connections, accept queues and unread bytes (probes, taken out again): the gateways never saw them. Connections that asked once and stayed held all that clients, and what is in front of the gateways, may hold.

--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -38,7 +38,7 @@
         self.buffers = BufferPool(self.limits.buffer, self.limits.buffers)
         self.requests = RequestsInHand(self.limits.requests)
         self.idle = IdleConnections(self.limits.backend_idle, self.limits.backend_settle)
-        self.clients = Clients(self.limits.client_grace)
+        self.clients = Clients(self.limits.client_grace, self.limits.clients_idle)
         self.tally = Tally()
         self.backend_names = BackendNames(self.names)
         self.backend_connections = 0
--- a/oakvale/lifecycle/limits.py
+++ b/oakvale/lifecycle/limits.py
@@ -30,6 +30,7 @@
     linger_reads: int = 16  # in one turn, of a client that goes on sending after its last answer
     accepts: int = 64  # in one turn: a storm of connections does not starve the others
     clients: int = 512
+    clients_idle: int = 128  # of them, between requests
     backends: int = 384
     counters: int = 4
     counter_owed: int = 4096  # calls out on one connection
@@ -45,7 +46,7 @@
     client_grace: int = 500 * MS  # from the connection on, before it makes room for want of a word
     client_first: int = 2_500 * MS  # from the connection to the last byte of its first request
     client_send: int = 2_500 * MS  # from a later request's first byte to its last
-    client_idle: int = 15 * SECOND  # between requests
+    client_idle: int = 2 * SECOND  # between requests
     client_wait: int = 3600 * SECOND  # for an answer, whatever it says
     client_take: int = 10 * SECOND  # for a client to take its answer
     linger: int = 3 * SECOND  # for a client to close after the last answer
@@ -75,7 +76,7 @@
         the memory that the program itself does not need is for bodies."""
         free = max(16, sockets - sockets // 8 - 16 - cls.counters)
         return cls(
-            clients=free * 2 // 3, backends=free // 3, connect=connect,
+            clients=free * 2 // 3, clients_idle=sockets // 8, backends=free // 3, connect=connect,
             # well before the other side closes: what is written to a closed connection may have run
             backend_idle=backend_idle * 2 // 3, counter_timeout=counter_timeout, requests=requests,
             bodies=max(MB, (memory - 24 * MB) // 4),
--- a/oakvale/memory/idle.py
+++ b/oakvale/memory/idle.py
@@ -78,8 +78,8 @@
     ended, those that never sent anything, and those between requests. In this order they make room, but one
     that has just come is given a moment: its client may not even know yet that it is connected."""
 
-    def __init__(self, grace: int) -> None:
-        self._grace = grace
+    def __init__(self, grace: int, idle: int) -> None:
+        self._grace, self._most_idle = grace, idle
         self.all: set[ClientConnection] = set()
         self.lingering: dict[ClientConnection, None] = {}
         self.silent: dict[ClientConnection, None] = {}
@@ -94,7 +94,11 @@
         self.works(connection)
 
     def waits(self, connection: ClientConnection, silent: bool) -> None:
+        """Of those between requests only so many stay: clients that ask once and keep their connection would
+        leave no place for the next, here or in what is in front of this gateway."""
         (self.silent if silent else self.idle)[connection] = None
+        if len(self.idle) > self._most_idle:
+            any(c.end_if_idle() for c in list(islice(self.idle, 8)))
 
     def works(self, connection: ClientConnection) -> None:
         self.silent.pop(connection, None)
