One room for bodies, one clock for a request, one place that frees connections

Read again, no behaviour changed: clients and backends each kept the same account of the bytes of bodies, now Room and Share in memory/buffers; the time for a request's bytes was reckoned in two places of wire/clients; host looked for backends to free that memory/names already knows; discovery spelled its address by hand beside `spelled`; the counter looked twice whether an answer is owed; rolling numbers back after a bad list was of no use, as none is given twice.

The tests share what they wrote again too: the module's own acts, dripping and refused clients; their assertions stay.

--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -17,7 +17,7 @@
 from oakvale.lifecycle.loop import Loop
 from oakvale.lifecycle.status import Tally
 from oakvale.logic import Gateway
-from oakvale.memory.buffers import BufferPool
+from oakvale.memory.buffers import BufferPool, Room
 from oakvale.memory.idle import Clients, IdleConnections
 from oakvale.memory.names import BackendNames
 from oakvale.memory.requests import Answer, AttemptOut, InHand, RequestsInHand
@@ -42,7 +42,7 @@
         self.tally = Tally()
         self.backend_names = BackendNames(self.names)
         self.backend_connections = 0
-        self.bodies = 0  # bytes that clients' requests may hold now
+        self.bodies = Room(self.limits.bodies)
         self.listed = self.stopping = self.taking_ended = self.ended = False
         self.gateway = Gateway(self.settings, configuration.seed)
         self.counter = Counter(self, configuration.counter) if configuration.counter else None
@@ -117,13 +117,10 @@
         self.tally.calls[ending.value] += 1
         self.give(i.Counted(name, ending, level, self.loop.now - sent))
 
-    def backends_changed(self, form: i.ListForm, entries: tuple[i.Entry, ...], moved: list[int]) -> None:
+    def backends_changed(self, form: i.ListForm, entries: tuple[i.Entry, ...], freed: list[int]) -> None:
         self.listed = self.listed or bool(entries)
         self.give(i.Backends(form, entries))
-        for entry in entries:
-            if entry.state is not i.State.READY:
-                self.idle.free(entry.backend)
-        for backend in moved:  # what listens at the old address is another
+        for backend in freed:
             self.idle.free(backend)
 
     # ---- what the connections ask
--- a/oakvale/memory/idle.py
+++ b/oakvale/memory/idle.py
@@ -98,7 +98,7 @@
         leave no place for the next, here or in what is in front of this gateway."""
         (self.silent if silent else self.idle)[connection] = None
         if len(self.idle) > self._most_idle:
-            any(c.end_if_idle() for c in list(islice(self.idle, 8)))
+            self._end_one(list(islice(self.idle, 8)))
 
     def works(self, connection: ClientConnection) -> None:
         self.silent.pop(connection, None)
@@ -116,7 +116,10 @@
             return True
         oldest = list(islice(self.silent, 8))
         slow = [c for c in oldest if now - c.opened >= self._grace]
-        return any(c.end_if_idle() for c in (*slow, *list(islice(self.idle, 8)), *oldest))
+        return self._end_one([*slow, *islice(self.idle, 8), *oldest])
+
+    def _end_one(self, connections: list[ClientConnection]) -> bool:
+        return any(connection.end_if_idle() for connection in connections)
 
     def end_idle(self) -> None:
         for connection in [*self.silent, *self.idle]:
--- a/oakvale/memory/names.py
+++ b/oakvale/memory/names.py
@@ -32,16 +32,11 @@
 
     def learn(self, rows: list[dict[str, Any]], whole: bool) -> tuple[tuple[i.Entry, ...], list[int]]:
         """The rows of a list as the module knows them, and the backends whose connections of before are of no
-        use: their address is another, or a whole list is without them.
+        use: their address is another, they leave or have left, or a whole list is without them.
 
         A malformed row raises ValueError, KeyError, TypeError or AttributeError, and nothing is learned."""
-        before = self._last
         numbers: dict[str, int] = {}
-        try:
-            decoded = [self._decode(row, numbers) for row in rows]
-        except Exception:
-            self._last = before
-            raise
+        decoded = [self._decode(row, numbers) for row in rows]
         self._numbers |= numbers
         freed = []
         for entry, address in decoded:
@@ -56,10 +51,10 @@
                 self._serving.add(number)
             elif state is not None:
                 self._serving.discard(number)
+                freed.append(number)
             if state is i.State.GONE:
                 del self._numbers[name]
                 self._addresses.pop(number, None)
-                freed.append(number)
         return tuple(entry for entry, _ in decoded), freed
 
     def _number(self, name: str, fresh: dict[str, int]) -> int:
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -9,6 +9,7 @@
 from oakvale.interface import Ending
 from oakvale.lifecycle.configuration import Address
 from oakvale.lifecycle.loop import READ, WOKEN, Coroutine, Rank, Step
+from oakvale.memory.buffers import Share
 from oakvale.memory.requests import Answer, AttemptOut
 from oakvale.numbers import decimal
 from oakvale.wire.http import END, end_to_end, more
@@ -71,7 +72,7 @@
     def __init__(self, host: Host, attempt: AttemptOut, address: Address) -> None:
         self.host, self.backend, self.used = host, attempt.backend, host.loop.now
         self.attempt: AttemptOut | None = attempt
-        self._body = 0  # bytes set aside for a long answer
+        self._share = Share(host.bodies)
         self._sock = new_socket()
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=host.limits.header)
         attempt.connection = self
@@ -102,7 +103,7 @@
                         return  # closed by the backend, or bytes that belong to no request
         finally:
             self._sock.close()
-            self._release()
+            self._share.hold(0)
             self.host.backend_connections -= 1
             self.host.idle.remove(self)
             if self.attempt is not None:  # a fault of this coroutine: its attempt still ends
@@ -131,7 +132,7 @@
                     and self.host.backend_names.serves(self.backend))
         if reusable:  # before the module hears of the end: its next attempt may want this connection
             http.start_next_cycle()
-            self._release()
+            self._share.hold(0)
             self.attempt, self.used = None, self.host.loop.now
             self.host.idle.put(self)
             self.host.attempt_ended(attempt, ending_of(answer), answer, report)
@@ -197,21 +198,11 @@
                 raise Gone()
 
     def _set_aside(self, size: int) -> None:
-        """Long answers are bounded together too: as many as there are connections would not fit."""
-        more_now = size - self._body
-        if size <= self.host.limits.body or more_now <= 0:
-            return
-        if self.host.bodies + more_now > self.host.limits.bodies:
+        if size > self.host.limits.body and not self._share.grow(size):
             raise Spoilt("no room for it")
-        self._body += more_now
-        self.host.bodies += more_now
-
-    def _release(self) -> None:
-        self.host.bodies -= self._body
-        self._body = 0
 
     def _finish(self, ending: Ending, answer: Answer | None = None, report: tuple[float, ...] = ()) -> None:
         attempt, self.attempt = self.attempt, None
-        self._release()
+        self._share.hold(0)
         if attempt is not None:
             self.host.attempt_ended(attempt, ending, answer, report)
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -14,6 +14,7 @@
 
 from oakvale import interface as i
 from oakvale.lifecycle.loop import BROKEN, READ, TIMED_OUT, WOKEN, Coroutine, Rank, Step
+from oakvale.memory.buffers import Share
 from oakvale.memory.requests import Answer, Headers, InHand
 from oakvale.numbers import decimal, whole
 from oakvale.settings import Names
@@ -124,7 +125,8 @@
 class ClientConnection:
     def __init__(self, host: Host, sock: socket.socket) -> None:
         self.host, self.used, self.opened = host, host.loop.now, host.loop.now
-        self._answers = self._body = 0  # answers given; bytes set aside for the body in hand
+        self._answers = 0
+        self._share = Share(host.bodies)
         self.answer: Answer | None = None
         self.request: InHand | None = None
         self._sock = sock
@@ -159,7 +161,7 @@
             pass
         finally:
             self._sock.close()
-            self._release()
+            self._share.hold(0)
             self.host.clients.remove(self)
             if self.request is not None:
                 self.host.client_gone(self.request)
@@ -189,17 +191,16 @@
         if last or http.their_state is not h11.DONE or self.host.stopping:
             headers.append((b"connection", b"close"))
         # kept are only short ones: a backend may send heads as long as it likes
-        short = sum(map(len, sum(headers, ()))) <= self.host.limits.cached_size
+        short = sum(len(name) + len(value) for name, value in headers) <= self.host.limits.cached_size
         make = self.host.response if short else response
         data = http.send(make(answer.status, tuple(headers))) or b""
         if answer.body and method != b"HEAD":
             http.send(h11.Data(data=answer.body))
             data += answer.body
         http.send(END)
-        self._release()
-        self._hold(len(answer.body))
+        self._share.hold(len(answer.body))
         yield from write_all(self._sock, data, self.host.loop.now + self.host.limits.client_take)
-        self._release()
+        self._share.hold(0)
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
     def _read(self) -> Step[Incoming]:
@@ -219,10 +220,8 @@
                         interim = http.send(CONTINUE)
                         due = host.loop.now + host.limits.client_send
                         yield from write_all(self._sock, interim or b"", due)
-                    if not self._answers:  # from the connection on, however little comes at a time
-                        due = self.opened + limits.client_first
-                    else:
-                        due = began + limits.client_send if began else self.used + limits.client_idle
+                    wanted = began or not self._answers
+                    due = self._due(began) if wanted else self.used + limits.client_idle
                     arrived = yield from more(self._sock, http, host.buffers, due, stamped=True)
                     self._came = host.loop.now - host.waited(arrived)
                     if idle:
@@ -241,7 +240,8 @@
                         raise BadRequest(400, "a GET has no body")
                     if int(length) > host.limits.body:
                         raise BadRequest(413, "body too large")
-                    self._set_aside(limits.body if chunked else int(length))
+                    if not self._share.grow(limits.body if chunked else int(length)):
+                        raise BadRequest(503, "no room for a body")
                 elif type(event) is h11.Data:
                     parts.append(bytes(event.data))
                     size += len(parts[-1])
@@ -260,20 +260,6 @@
         finally:
             host.clients.works(self)
 
-    def _set_aside(self, size: int) -> None:
-        """Bodies are bounded one by one and together: as many as there are connections would not fit."""
-        if size and self.host.bodies + size > self.host.limits.bodies:
-            raise BadRequest(503, "no room for a body")
-        self._hold(size)
-
-    def _hold(self, size: int) -> None:
-        self._body = size
-        self.host.bodies += size
-
-    def _release(self) -> None:
-        self.host.bodies -= self._body
-        self._body = 0
-
     def _answered(self, incoming: Incoming) -> Step[Answer]:
         host = self.host
         if incoming.target == HEALTH:
@@ -289,7 +275,7 @@
         self.request = InHand(request.id, self, incoming.method, incoming.target, incoming.headers,
                               incoming.body, request.deadline)
         host.request_came(self.request, request)
-        mask, due = READ, self._behind() if self._http.trailing_data[0] else 0
+        mask, due = READ, self._due(host.loop.now) if self._http.trailing_data[0] else 0
         while self.answer is None:
             signal = yield mask, due
             if signal == WOKEN:
@@ -304,14 +290,15 @@
                 mask = 0
                 self._probe()
             else:  # a request behind this one: it waits its turn
-                mask, due = select.EPOLLRDHUP, due or self._behind()
+                mask, due = select.EPOLLRDHUP, due or self._due(host.loop.now)
         return self.answer
 
-    def _behind(self) -> int:
-        """Until when what came behind the request in hand may wait for it."""
+    def _due(self, began: int) -> int:
+        """When what began to come then must be there, or be answered if it stands behind a request in hand:
+        for the first request the time runs from the connection on, however little comes at a time."""
         if not self._answers:
             return self.opened + self.host.limits.client_first
-        return self.host.loop.now + self.host.limits.client_send
+        return began + self.host.limits.client_send
 
     def _probe(self) -> None:
         """A client that closed and one that only ended its sending look alike. An interim answer tells them
--- a/oakvale/wire/counter.py
+++ b/oakvale/wire/counter.py
@@ -276,8 +276,6 @@
         lines = data.split(b"\n")
         self._buffer = lines.pop()
         for line in lines:
-            if not self.owed:
-                raise ValueError("an answer to no call")
             self._settle(line.rstrip(b"\r"))
         if not PARTIAL.fullmatch(self._buffer):  # no end of it will make it an answer
             self._settle(self._buffer)
@@ -286,12 +284,12 @@
     def _settle(self, line: bytes) -> None:
         """The outcome of the call that is owed an answer longest. A spoilt one says that it was added, and no
         more; the connection is of no further use."""
-        call = self.owed.popleft() if self.owed else None
+        if not self.owed:
+            raise ValueError("an answer to no call")
+        call = self.owed.popleft()
         try:
             ending, level = answer(line)
         except ValueError:
-            if call is not None:
-                self.counter.end(call, Ending.ERROR)
+            self.counter.end(call, Ending.ERROR)
             raise
-        if call is not None:
-            self.counter.end(call, ending, level)
+        self.counter.end(call, ending, level)
--- a/oakvale/wire/discovery.py
+++ b/oakvale/wire/discovery.py
@@ -9,7 +9,7 @@
 import orjson
 
 from oakvale import interface as i
-from oakvale.lifecycle.configuration import Address
+from oakvale.lifecycle.configuration import Address, spelled
 from oakvale.lifecycle.loop import Coroutine, Rank, Step, Task
 from oakvale.numbers import whole as whole_number
 from oakvale.wire.http import END, more
@@ -61,14 +61,14 @@
             index, whole = whole_number(str(data["index"])), bool(data["snapshot"])
             if fetched and self._spoke and index < self.index:
                 return  # overtaken by the watch
-            entries, moved = self.host.backend_names.learn(data["endpoints"], whole or cached)
+            entries, freed = self.host.backend_names.learn(data["endpoints"], whole or cached)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise BadList(f"malformed list: {error!r}") from error
         if era == self.era:
             self.index = index
         form = i.ListForm.CACHED if cached else i.ListForm.FULL if whole else i.ListForm.DELTA
         if entries or form is not i.ListForm.DELTA:
-            self.host.backends_changed(form, entries, moved)
+            self.host.backends_changed(form, entries, freed)
         if era == self.era and not cached and not fetched and not self._spoke:
             self._spoke = True
             self._end(self._former)
@@ -138,7 +138,7 @@
             raise OSError("cannot connect")
         http = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.header)
         target = PATH + (b"?follow=1&since=%d" % self.index if follow else b"")
-        authority = f"{self.address[0]}:{self.address[1]}".encode()
+        authority = spelled(self.address).encode()
         data = http.send(h11.Request(method=b"GET", target=target, headers=[(b"host", authority)])) or b""
         data += http.send(END) or b""
         yield from write_all(sock, data, loop.now + limits.discovery_silence)
--- a/tests/node.py
+++ b/tests/node.py
@@ -150,6 +150,11 @@
             self.loop.turn(0.01)
         return value
 
+    def acts(self, *actions: i.Action) -> None:
+        """Has the module do something of its own accord."""
+        self.script.answers[i.Timer] = lambda _: list(actions)
+        self.host.give(i.Timer(1))
+
     def turns(self, n: int = 5) -> None:
         for _ in range(n):
             self.loop.turn(0)
--- a/tests/test_attempts_wire.py
+++ b/tests/test_attempts_wire.py
@@ -119,7 +119,7 @@
     pushed(sending, backend, reply)
     ended = sending.came(i.Ended)
     assert (ended.ending, ended.over, ended.hop) == (ending, False, 0)
-    assert sending.host.bodies == 0
+    assert sending.host.bodies.taken == 0
 
 
 def test_good_answers_longer_than_a_request_may_be_are_served_within_bounds(sending: Node) -> None:
@@ -128,7 +128,7 @@
     body = bytes(range(256)) * 1_600
     pushed(sending, backend, answer(body=body))
     assert sending.reads(client, body[-1000:]).endswith(body)
-    assert sending.host.bodies == 0
+    assert sending.host.bodies.taken == 0
 
 
 def test_long_answers_are_bounded_together() -> None:
@@ -138,9 +138,9 @@
     for _, backend in ones:
         backend.send(b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\nslots")
     assert node.came(i.Ended).ending is Ending.RESET
-    assert node.host.bodies == 400_000
+    assert node.host.bodies.taken == 400_000
     node.pass_time(node.host.limits.answer_rest)
-    assert node.came(i.Ended, 2).ending is Ending.RESET and node.host.bodies == 0
+    assert node.came(i.Ended, 2).ending is Ending.RESET and node.host.bodies.taken == 0
     node.close()
 
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -17,6 +17,26 @@
     return [i.Refuse(request.id, 250_000)]
 
 
+def refused_clients(node: Node, n: int) -> list[StandIn]:
+    """Clients that have had their answer and keep their connections."""
+    node.script.answers[i.Request] = refuse
+    clients = [node.client() for _ in range(n)]
+    for k, client in enumerate(clients):
+        node.ask(client, f"a{k}")
+        node.reads(client, b"later\n")
+    return clients
+
+
+def dripping(node: Node, times: int, pause: int) -> StandIn:
+    """A client that sends a byte of its request at a time."""
+    client, data = node.client(), request("a1")
+    for k in range(times):
+        client.send(data[k:k + 1])
+        node.turns()
+        node.pass_time(pause)
+    return client
+
+
 def body_of(reply: bytes) -> bytes:
     return reply.partition(b"\r\n\r\n")[2]
 
@@ -347,12 +367,7 @@
 
 
 def test_a_first_request_that_drips_in_has_no_longer_than_one_that_never_comes(node: Node) -> None:
-    client = node.client()
-    data = request("a1")
-    for k in range(13):
-        client.send(data[k:k + 1])
-        node.turns()
-        node.pass_time(200 * MS)
+    client = dripping(node, 13, 200 * MS)
     assert node.reads(client).startswith(b"HTTP/1.1 408")
 
 
@@ -388,9 +403,7 @@
     other.close(reset=True)
     node.until(lambda: len(node.host.clients.all) == 1)
     assert not node.script.of(i.Withdrawn) and node.host.requests.get("a1") is not None
-    node.host.give(i.Timer(1))
-    node.script.answers[i.Timer] = lambda _: [i.Refuse("a1", 1)]
-    node.host.give(i.Timer(1))
+    node.acts(i.Refuse("a1", 1))
     assert node.reads(one, b"later\n").startswith(b"HTTP/1.1 429")
 
 
@@ -416,33 +429,26 @@
     one, other = node.client(), node.client()
     part = request("a1", "POST", "/save?key=00000000b4d65521", Content_Length="60000")
     one.send(part)
-    node.until(lambda: node.host.bodies == 60_000)
+    node.until(lambda: node.host.bodies.taken == 60_000)
     other.send(part.replace(b"a1", b"a2"))
     assert node.reads(other).startswith(b"HTTP/1.1 503")
     other.close()
     node.until(lambda: len(node.host.clients.all) == 1)
-    assert node.host.bodies == 60_000
+    assert node.host.bodies.taken == 60_000
     one.send(b"x" * 60_000)
     assert node.came(i.Request).id == "a1"
-    node.host.give(i.Timer(1))
-    node.script.answers[i.Timer] = lambda _: [i.Refuse("a1", 1)]
-    node.host.give(i.Timer(1))
+    node.acts(i.Refuse("a1", 1))
     node.reads(one, b"later\n")
-    assert node.host.bodies == 0
+    assert node.host.bodies.taken == 0
     one.send(request("a3", "POST", "/save?key=00000000b4d65521", Transfer_Encoding="chunked"))
-    node.until(lambda: node.host.bodies == 65536)
+    node.until(lambda: node.host.bodies.taken == 65536)
     one.close(reset=True)
-    node.until(lambda: node.host.bodies == 0)
+    node.until(lambda: node.host.bodies.taken == 0)
     node.close()
 
 
 def test_a_client_that_sends_a_byte_now_and_then_has_no_longer(node: Node) -> None:
-    client = node.client()
-    data = request("a1")
-    for k in range(12):
-        client.send(data[k:k + 1])
-        node.turns()
-        node.pass_time(SECOND)
+    client = dripping(node, 12, SECOND)
     assert node.reads(client).startswith(b"HTTP/1.1 408")
 
 
@@ -462,11 +468,7 @@
     """A crowd that asks once and stays leaves no place for the next, long before the descriptors are used up:
     what is in front of this gateway holds only so many connections too."""
     node = Node(clients_idle=3)
-    node.script.answers[i.Request] = refuse
-    clients = [node.client() for _ in range(5)]
-    for n, client in enumerate(clients):
-        node.ask(client, f"a{n}")
-        node.reads(client, b"later\n")
+    clients = refused_clients(node, 5)
     node.until(lambda: clients[1].read() and clients[1].ended and clients[0].read() and clients[0].ended)
     assert len(node.host.clients.all) == 3 and not clients[2].ended
     node.close()
--- a/tests/test_counter_wire.py
+++ b/tests/test_counter_wire.py
@@ -14,8 +14,7 @@
 
 def call(node: Node, *charges: i.Charge) -> None:
     """Has the module make calls."""
-    node.script.answers[i.Timer] = lambda _: list(charges)
-    node.host.give(i.Timer(1))
+    node.acts(*charges)
     node.turns()
 
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -12,7 +12,7 @@
 from oakvale.lifecycle.shutdown import Shutdown
 from oakvale.lifecycle.status import Status
 from tests.node import MS, Node, answer
-from tests.test_clients import refuse
+from tests.test_clients import refuse, refused_clients
 
 
 def test_the_same_address_is_bound_again_at_once() -> None:
@@ -36,11 +36,7 @@
 
 def test_at_the_limit_the_longest_idle_client_makes_room() -> None:
     node = Node(clients=3)
-    node.script.answers[i.Request] = refuse
-    clients = [node.client() for _ in range(3)]
-    for n, client in enumerate(clients):
-        node.ask(client, f"a{n}")
-        node.reads(client, b"later\n")
+    clients = refused_clients(node, 3)
     extra = node.client()
     node.ask(extra, "a9")
     node.reads(extra, b"later\n")
@@ -81,11 +77,7 @@
     """A crowd asks once and stays, so that each new connection finds no room: one whose client had no time
     yet to send its request was ended for the next."""
     node = Node(clients=3)
-    node.script.answers[i.Request] = refuse
-    stayed = [node.client() for _ in range(3)]
-    for n, client in enumerate(stayed):
-        node.ask(client, f"a{n}")
-        node.reads(client, b"later\n")
+    refused_clients(node, 3)
     fresh = []
     for n in range(3):
         fresh.append(node.client())
