--- a/oakvale/__main__.py
+++ b/oakvale/__main__.py
@@ -3,4 +3,4 @@
 from oakvale.cli import main
 
 if __name__ == "__main__":
-    main(prog_name="oakvale")
+    main()
--- a/oakvale/cli.py
+++ b/oakvale/cli.py
@@ -1,34 +1,33 @@
-"""The command line: serve, check-config, health, version."""
+"""The command line: one program; what it does is the first word."""
 
 from __future__ import annotations
 
+import argparse
 import os
 import sys
-
-import click
+from collections.abc import Sequence
+from typing import NoReturn
 
 from oakvale import __version__
 from oakvale.lifecycle import configuration, logs
 
+LEVELS = ("debug", "info", "warning", "error")
+
+
+def fail(why: object, status: int = 2) -> NoReturn:
+    print(f"oakvale: {why}", file=sys.stderr)
+    sys.exit(status)
+
 
 def load() -> configuration.Configuration:
     try:
         return configuration.load(os.environ)
     except configuration.BadConfiguration as error:
-        click.echo(f"oakvale: {error}", err=True)
-        sys.exit(2)
+        fail(error)
 
 
-@click.group()
-def main() -> None:
-    """A gateway that holds customers to their quotas before a shared back end."""
-
-
-@main.command()
-@click.option("--log-level", default="info", show_default=True,
-              type=click.Choice(["debug", "info", "warning", "error"]), help="The least that is logged.")
-def serve(log_level: str) -> None:
-    """Serve until SIGTERM, as LB_CONFIG and the other LB_ variables say."""
+def serve(args: argparse.Namespace) -> None:
+    """The gateway in service: until SIGTERM, as LB_CONFIG and the other LB_ variables say."""
     from oakvale.lifecycle import serving
     from oakvale.lifecycle.signals import Signals
 
@@ -38,47 +37,88 @@
     try:
         listener = serving.listening(config.listen, config.limits.backlog)
     except OSError as error:
-        where = configuration.spelled(config.listen)
-        click.echo(f"oakvale: cannot listen on {where}: {error.strerror}", err=True)
-        sys.exit(1)
-    logs.configure(log_level, config.limits.log_same)
+        fail(f"cannot listen on {configuration.spelled(config.listen)}: {error.strerror}", 1)
+    logs.configure(args.log_level, config.limits.log_same)
     sys.exit(serving.serve(config, listener, signals))
 
 
-@main.command("check-config")
-def check_config() -> None:
+def check_config(args: argparse.Namespace) -> None:
     """Read the configuration as serve would and say what it holds."""
     config = load()
-    click.echo(f"{config.name} would listen on {configuration.spelled(config.listen)}")
-    click.echo(f"classes: {', '.join(config.names.classes)}")
-    click.echo(f"plans: {', '.join(config.names.plans)}")
-    click.echo(f"backends known: {len(config.known.get('endpoints') or [])}")
+    print(f"{config.name} would listen on {configuration.spelled(config.listen)}")
+    print(f"classes: {', '.join(config.names.classes)}")
+    print(f"plans: {', '.join(config.names.plans)}")
+    print(f"backends known: {len(config.known.get('endpoints') or [])}")
     limits = config.limits
-    click.echo(f"connections at most: {limits.clients} of clients, {limits.backends} to backends")
+    print(f"connections at most: {limits.clients} of clients, {limits.backends} to backends")
 
 
-@main.command()
-@click.argument("address")
-@click.option("--timeout", default=2.0, show_default=True, help="Seconds to wait for the answer.")
-def health(address: str, timeout: float) -> None:
+def health(args: argparse.Namespace) -> None:
     """Ask the gateway at ADDRESS (host:port) whether it can serve; exit 0 if so."""
     import http.client
 
     try:
-        host, port = configuration.address(address, "address")
-        connection = http.client.HTTPConnection(host, port, timeout=timeout)
-        connection.request("GET", "/_health")
+        host, port = configuration.address(args.address, "address")
+        connection = http.client.HTTPConnection(host, port, timeout=args.timeout)
+        connection.request("GET", args.path)
         status, text = (reply := connection.getresponse()).status, reply.read().decode().strip()
     except (configuration.BadConfiguration, OSError, http.client.HTTPException) as error:
-        click.echo(f"oakvale: {address}: {error}", err=True)
-        sys.exit(1)
-    click.echo(text)
+        fail(f"{args.address}: {error}", 1)
+    print(text)
     sys.exit(0 if status == 200 else 1)
 
 
-@main.command()
-def version() -> None:
+def version(args: argparse.Namespace) -> None:
     """Print the version."""
     from importlib import metadata  # slow to import, and serve needs none of it
 
-    click.echo(f"oakvale {__version__} (click {metadata.version('click')}, h11 {metadata.version('h11')})")
+    print(f"oakvale {__version__} (h11 {metadata.version('h11')}, cbor2 {metadata.version('cbor2')})")
+
+
+def role(args: argparse.Namespace) -> None:
+    """A process of the whole system, as the settings file that OAKVALE_SETTINGS names says."""
+    from importlib import import_module
+
+    from oakvale.intake import settings
+    from oakvale.lifecycle.signals import Signals
+
+    signals = Signals()
+    signals.watch()
+    try:
+        told = settings.load(os.environ)
+        logs.configure(args.log_level, 20)
+        sys.exit(import_module(f"oakvale.{args.command}.process").serve(told, signals))
+    except settings.BadSettings as error:
+        fail(error)
+    except OSError as error:
+        fail(f"cannot start: {error}", 1)
+
+
+def parser() -> argparse.ArgumentParser:
+    whole = argparse.ArgumentParser(
+        prog="oakvale", description="A gateway that holds customers to their quotas before a shared back end.")
+    commands = whole.add_subparsers(dest="command", required=True, metavar="COMMAND")
+
+    def add(name: str, call: object, text: str) -> argparse.ArgumentParser:
+        command = commands.add_parser(name, help=text, description=text)
+        command.set_defaults(call=call)
+        return command
+
+    for name, call, text in (
+            ("serve", serve, "the gateway in service, on its own"),
+            ("headworks", role, "core role of the whole system: control state, backends, operator"),
+            ("sluice", role, "edge role of the whole system: carries clients' requests")):
+        add(name, call, text).add_argument("--log-level", default="info", choices=LEVELS,
+                                           help="the least that is logged (default: %(default)s)")
+    add("check-config", check_config, "read the configuration as serve would and say what it holds")
+    asked = add("health", health, "ask a running gateway whether it can serve; exit 0 if so")
+    asked.add_argument("address", help="host:port")
+    asked.add_argument("--path", default="/_health", help="/oakvale/readyz for a gateway of the whole system")
+    asked.add_argument("--timeout", type=float, default=2.0, help="seconds to wait for the answer")
+    add("version", version, "print the version")
+    return whole
+
+
+def main(words: Sequence[str] | None = None) -> None:
+    args = parser().parse_args(words)
+    args.call(args)
--- /dev/null
+++ b/oakvale/gauge/ballots.py
@@ -0,0 +1,159 @@
+"""Ballots: how a duty that one gateway does is won each time it falls vacant, and held for a while.
+
+No I/O and no clock. A few jurors, named by the duty's place on the ring, vote. A vote is for a holder and a span;
+within it a juror votes for no other. A holder goes on while a majority renews its span, and stops by its own
+clock before theirs run out. Jurors keep their votes in memory only: one that starts, or joins the jury, abstains
+for a span, so that nothing it may have promised before is broken.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+Number = tuple[int, str]  # a round and the life of who calls it
+
+SPAN = 1_400_000  # microseconds that a vote binds
+RENEW = 450_000  # between two renewals
+MARGIN = 100_000  # a holder stops so long before the earliest vote for it ends
+ROUND = 250_000  # a round without a majority is given up after this
+TURN = 120_000  # each juror waits so much longer than the one before it
+
+
+@dataclass(slots=True)
+class Vote:
+    promised: Number = (0, "")
+    holder: str = ""  # life of who holds it
+    where: str = ""  # and its address
+    until: int = 0
+    since: int = 0  # when this juror began to vote on it
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """To be put to every juror, this one among them."""
+
+    duty: str
+    kind: str  # "prepare" or "elect"
+    number: Number
+
+
+@dataclass(slots=True, frozen=True)
+class Word:
+    """A juror's answer."""
+
+    duty: str
+    kind: str
+    number: Number
+    yes: bool
+    round: int = 0  # the highest known
+    holder: str = ""
+    where: str = ""
+    left: int = 0  # microseconds that the holder still has
+
+
+class Juror:
+    def __init__(self) -> None:
+        self._votes: dict[str, Vote] = {}
+
+    def seated(self, duties: set[str], now: int) -> None:
+        """The duties that this gateway is a juror of from now on."""
+        self._votes = {duty: self._votes.get(duty) or Vote(since=now) for duty in sorted(duties)}
+
+    def vacant_since(self, duty: str) -> int | None:
+        """When the last vote here ran out; None where this is no juror."""
+        vote = self._votes.get(duty)
+        return max(vote.until, vote.since + SPAN) if vote else None
+
+    def holder(self, duty: str, now: int) -> str | None:
+        """Address of who holds it by the vote of this juror."""
+        vote = self._votes.get(duty)
+        return vote.where if vote and vote.until > now else None
+
+    def hear(self, ask: Ask, where: str, now: int) -> Word | None:
+        """None: it abstains."""
+        vote = self._votes.get(ask.duty)
+        if vote is None or now < vote.since + SPAN:
+            return None
+        life, held = ask.number[1], vote.until > now
+        if ask.number < vote.promised or held and vote.holder != life:
+            left = max(0, vote.until - now)
+            return Word(ask.duty, ask.kind, ask.number, False, vote.promised[0], vote.holder, vote.where, left)
+        vote.promised = ask.number
+        if ask.kind == "elect":
+            vote.holder, vote.where, vote.until = life, where, now + SPAN
+        return Word(ask.duty, ask.kind, ask.number, True, vote.promised[0])
+
+    def release(self, duty: str, life: str, now: int) -> None:
+        """Its holder gives it up, or is known to have ended."""
+        vote = self._votes.get(duty)
+        if vote is not None and vote.holder == life:
+            vote.until = min(vote.until, now)
+
+
+@dataclass(slots=True)
+class Bid:
+    number: Number
+    kind: str
+    at: int
+    yes: set[str] = field(default_factory=set)
+
+
+class Candidate:
+    """One gateway's part in winning and holding duties."""
+
+    def __init__(self, life: str) -> None:
+        self._life = life
+        self._bids: dict[str, Bid] = {}
+        self._round = 0
+        self._not_before: dict[str, int] = {}
+        self._won: dict[str, Number] = {}
+        self.until: dict[str, int] = {}  # duties held, and until when by this gateway's clock
+
+    def holds(self, duty: str, now: int) -> bool:
+        return self.until.get(duty, 0) > now
+
+    def tick(self, duty: str, vacant_since: int | None, rank: int, now: int) -> Ask | None:
+        """A question to the jury, if it is time for one. `rank`: this gateway's place in it."""
+        bid = self._bids.get(duty)
+        if bid is not None and now - bid.at < ROUND:
+            return None
+        if self.holds(duty, now):
+            if bid is None and now < self._not_before.get(duty, 0):
+                return None
+            bid = self._bids[duty] = Bid(self._won[duty], "elect", now)
+            return Ask(duty, bid.kind, bid.number)
+        self._bids.pop(duty, None)
+        self.until.pop(duty, None)
+        if vacant_since is None or now < vacant_since + rank * TURN or now < self._not_before.get(duty, 0):
+            return None
+        self._round += 1
+        bid = self._bids[duty] = Bid((self._round, self._life), "prepare", now)
+        return Ask(duty, bid.kind, bid.number)
+
+    def hear(self, word: Word, juror: str, jurors: int, now: int) -> Ask | None:
+        """A juror's word; gives the next question where it made a majority."""
+        bid = self._bids.get(word.duty)
+        self._round = max(self._round, word.round)
+        if bid is None or word.number != bid.number or word.kind != bid.kind:
+            return None
+        if not word.yes:
+            if not self.holds(word.duty, now):
+                del self._bids[word.duty]
+                self._not_before[word.duty] = now + max(word.left, TURN)
+            return None
+        bid.yes.add(juror)
+        if len(bid.yes) < jurors // 2 + 1:
+            return None
+        if bid.kind == "prepare":
+            self._bids[word.duty] = Bid(bid.number, "elect", now)
+            return Ask(word.duty, "elect", bid.number)
+        self.until[word.duty] = bid.at + SPAN - MARGIN
+        self._not_before[word.duty] = bid.at + RENEW
+        self._round = max(self._round, bid.number[0])
+        self._won[word.duty] = bid.number
+        del self._bids[word.duty]
+        return None
+
+    def drop(self, duty: str) -> None:
+        self.until.pop(duty, None)
+        self._bids.pop(duty, None)
--- /dev/null
+++ b/oakvale/headworks/core.py
@@ -0,0 +1,317 @@
+"""A core machine's part in the control state: views, copies, and changes that both copies sync.
+
+It joins `succession` (who is primary), `ledger` (what is in force), the cistern (disk) and the mains (peers).
+"""
+
+from __future__ import annotations
+
+import logging
+import secrets
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+
+from oakvale.cistern.store import Cistern
+from oakvale.headworks.ledger import Ledger, Then
+from oakvale.headworks.succession import (
+    FOUNDER,
+    Durable,
+    Keep,
+    Out,
+    Say,
+    Seat,
+    Succession,
+    View,
+    founding,
+    seat,
+    unpack,
+    unpack_durable,
+)
+from oakvale.intake.settings import Settings
+from oakvale.lifecycle.configuration import Address, parse_address, spelled
+from oakvale.lifecycle.loop import Loop
+from oakvale.mains.links import Answer, Conn, Mains
+from oakvale.penstock.feed import PULSE, Outlet
+from oakvale.penstock.table import NOTHING, Entry, Version, pack
+from oakvale.penstock.table import unpack as unpack_entries
+
+BEAT = 200_000  # microseconds between two heartbeats of core machines
+SILENCE = 900_000  # a core machine that was not heard for this counts as down
+CALL = 1_000_000  # for a backup to sync
+SICK = 700_000  # a write that waits longer: this disk is not to be relied on
+AGAIN = 150_000  # before a backup that failed is sent the state once more
+
+log = logging.getLogger(__name__)
+
+
+def address_of(peer: Seat) -> Address:
+    address = parse_address(peer[0])
+    assert address is not None
+    return address
+
+
+class Core:
+    def __init__(self, loop: Loop, mains: Mains, settings: Settings, cistern: Cistern) -> None:
+        self.loop, self.mains, self.settings, self.cistern = loop, mains, settings, cistern
+        self.ledger = Ledger()
+        self.outlet = Outlet(self.ledger.table)
+        self.active = False
+        self.activated_at = 0
+        self.on_change: list[Callable[[bool], None]] = []  # hears when this seat begins or ends to serve
+        self._tick_number = 0
+        self._held: set[Seat] = set()  # backups that have synced the state in this view
+        self._clean: set[Seat] = set()  # backups that hold the state and take changes
+        self._sending: set[Seat] = set()
+        seeds = [f"{ip}:{settings.ports[0]}" for ip, _ in settings.seeds]
+        stored = cistern.fact("incarnation")
+        if stored is not None:
+            incarnation = stored.decode()
+        elif settings.bootstrap and spelled(mains.own) in seeds:
+            incarnation = FOUNDER
+        else:
+            incarnation = secrets.token_hex(4)
+        if stored is None:
+            cistern.write(("fact", ("incarnation", incarnation.encode())), lambda: None)
+        self.own: Seat = (spelled(mains.own), incarnation)
+        copies = 1 + max(1, settings.tolerate)
+        state = cistern.fact("state")
+        durable = unpack_durable(cbor2.loads(state)) if state else Durable()
+        self.ledger.table.put((key, (version[0], version[1]), value) for key, version, value in (
+            (key, *cbor2.loads(data)) for key, data in cistern.rows()))
+        patience = settings.bounds.sync_time + settings.bounds.contact
+        self.succession = Succession(self.own, durable, copies, SILENCE, patience)
+        self._known = {*seeds}
+        self._zones: dict[str, str] = {}
+        if durable.view is None and incarnation == FOUNDER:
+            view = founding(seeds, copies)
+            self._carry(self.succession.found(view))
+        elif durable.view is not None:
+            self._moved(durable.view)
+        for kind in ("prepare", "promise", "accept", "accepted", "decided", "refused"):
+            mains.handlers[kind] = self._council(kind)
+        mains.handlers["core"] = self._heard
+        mains.handlers["append"] = self._append
+        mains.handlers["sync"] = self._sync
+        mains.handlers["subscribe"] = self._subscribe
+        mains.handlers["leave"] = lambda conn, body, answer: self.outlet.leave(conn)
+        mains.handlers["digests"] = lambda conn, body, answer: self.outlet.mend(conn, body, answer)
+        loop.at(loop.now, self._beat)
+        loop.at(loop.now + PULSE, self._pulse)
+
+    # ---- what the rest of the process asks
+
+    def view(self) -> View | None:
+        return self.succession.state.view
+
+    def primary(self) -> Seat | None:
+        """Who serves, as far as known here and lately heard of."""
+        view = self.view()
+        if view is None or not self.succession.alive(view.primary, self.loop.now):
+            return None
+        return view.primary
+
+    def serving(self) -> bool:
+        """Primary, and its backups were all heard of lately: what it says counts."""
+        view = self.view()
+        return (self.active and view is not None and view.primary == self.own
+                and all(self.succession.alive(peer, self.loop.now) for peer in view.backups))
+
+    def confirm(self, then: Then) -> None:
+        """Calls with True once all backups of the view have said that they are still in it."""
+        self.change({}, then)
+
+    def change(self, changes: dict[str, Any], then: Then) -> None:
+        """Makes a change; `then` hears True once it is in force and the news of it are on their way."""
+        view = self.view()
+        if not self.active or view is None:
+            return then(False)
+        if not changes:
+            changes = {"confirmed": None}
+        before = self.ledger.last
+        entries = self.ledger.propose(changes, {self.own, *view.backups}, then)
+        up_to = entries[-1][1]
+        self.cistern.write(("rows", _rows(entries)), lambda: self._synced(self.own, up_to))
+        for backup in view.backups:
+            if backup in self._clean:
+                self._replicate(backup, view, before, entries, up_to)
+
+    # ---- copies
+
+    def _replicate(self, backup: Seat, view: View, before: Version, entries: list[Entry], up_to: Version) -> None:
+        def answered(answer: Any) -> None:
+            if self.view() != view:
+                return
+            if answer is True:
+                self._synced(backup, up_to)
+            else:
+                self._clean.discard(backup)
+                self._send_all(backup, view)
+
+        body = [view.pack(), list(self.own), list(before), pack(entries)]
+        self.mains.ask(address_of(backup), "append", body, CALL, answered)
+
+    def _send_all(self, backup: Seat, view: View) -> None:
+        """The whole state, small as it is, until it has arrived: to a new backup, or one that missed something."""
+        if backup in self._sending or self.view() != view:
+            return
+        self._sending.add(backup)
+        entries = self.ledger.everything()
+        up_to = max((version for _, version, _ in entries), default=NOTHING)
+        self._clean.add(backup)  # what is changed from here on follows on the same connection
+
+        def answered(answer: Any) -> None:
+            self._sending.discard(backup)
+            if self.view() != view:
+                return
+            if answer is True:
+                self._held.add(backup)
+                self._synced(backup, up_to)
+                self._activate(view)
+                if backup not in self._clean:  # a change behind the state did not arrive
+                    self._send_all(backup, view)
+            else:
+                self._clean.discard(backup)
+                self.loop.at(self.loop.now + AGAIN, lambda _: self._send_all(backup, view))
+
+        self.mains.ask(address_of(backup), "sync", [view.pack(), list(self.own), pack(entries)], 2 * CALL, answered)
+
+    def _activate(self, view: View) -> None:
+        if self.active or self.view() != view or not set(view.backups) <= self._held:
+            return
+        self.active = True
+        self.activated_at = self.loop.now
+        log.info("serving the control state", extra={"view": view.number, "backups": _names(view.backups)})
+        for call in self.on_change:
+            call(True)
+
+    def _synced(self, who: Seat, up_to: Version) -> None:
+        came = self.ledger.synced(who, up_to)
+        if came:
+            self.outlet.publish(self._next_pulse(), came)
+        for then in self.ledger.settled():
+            then(True)
+
+    # ---- as a backup
+
+    def _append(self, conn: Conn, body: Any, answer: Answer) -> None:
+        view, sender, entries = unpack(body[0]), seat(body[1]), unpack_entries(body[3])
+        if not self._follows(view, sender) or self.succession.state.complete != view.number:
+            return answer(False)
+        if self.ledger.table.high != (int(body[2][0]), int(body[2][1])):
+            return answer(False)  # something before it did not arrive: an answer would vouch for that too
+        self.ledger.table.put(entries)
+        self.cistern.write(("rows", _rows(entries)), lambda: answer(self._follows(view, sender)))
+
+    def _sync(self, conn: Conn, body: Any, answer: Answer) -> None:
+        view, sender, entries = unpack(body[0]), seat(body[1]), unpack_entries(body[2])
+        self._carry(self.succession.learn(view))
+        if not self._follows(view, sender):
+            return answer(False)
+        self.ledger = Ledger()
+        self.ledger.table.put(entries)
+        self.outlet = Outlet(self.ledger.table)
+
+        def stored() -> None:
+            self._carry(self.succession.synced(view.number))
+            self.cistern.write(("fact", ("last-sync", str(view.number).encode())),
+                               lambda: answer(self._follows(view, sender)))
+
+        self.cistern.write(("whole", _rows(entries)), stored)
+
+    def _follows(self, view: View, sender: Seat) -> bool:
+        own = self.view()
+        return own is not None and own.number == view.number and sender == view.primary and self.own in view.backups
+
+    # ---- views
+
+    def _council(self, kind: str) -> Callable[[Conn, Any, Answer], None]:
+        def take(conn: Conn, body: Any, _: Answer) -> None:
+            self._carry(self.succession.message(self.loop.now, seat(body[0]), kind, body[1]))
+        return take
+
+    def _carry(self, out: list[Out]) -> None:
+        for item in out:
+            if isinstance(item, Keep):
+                number = item.number
+                self.cistern.write(("fact", ("state", cbor2.dumps(item.state.pack()))),
+                                   lambda number=number: self._carry(self.succession.kept(number)))  # type: ignore[misc]
+            elif isinstance(item, Say):
+                self.mains.tell(address_of(item.to), item.kind, [list(self.own), item.body])
+            else:
+                self._moved(item.view)
+
+    def _moved(self, view: View) -> None:
+        current = self.view()
+        if current is not None and current.number > view.number:
+            return  # already past it
+        was = self.active
+        self.active = False
+        self._clean, self._sending, self._held = set(), set(), set()
+        self._known |= {peer[0] for peer in view.witnesses}
+        log.info("view", extra={"view": view.number, "primary": view.primary[0], "backups": _names(view.backups),
+                                "witnesses": _names(view.witnesses), "own": self.own[0]})
+        if self.succession.is_primary():
+            self.ledger.start(view.number)
+            self.ledger.owed_by(set(view.backups), self.own)
+            for backup in view.backups:
+                self._send_all(backup, view)
+            self._activate(view)
+        else:
+            for then in self.ledger.abandon():
+                then(False)
+            self.outlet.drop()
+        if was and not self.active:
+            for call in self.on_change:
+                call(False)
+
+    # ---- heartbeats, pulses, those who want news
+
+    def _beat(self, _: Any) -> None:
+        now = self.loop.now
+        since = self.cistern.waiting_since()
+        healthy = since is None or now - since < SICK
+        view = self.view()
+        if healthy:  # one whose disk does not answer keeps nothing, so it does not count
+            body = [list(self.own), self.settings.zone, view.pack() if view else None, sorted(self._known)]
+            for address in self._known - {self.own[0]}:
+                parsed = parse_address(address)
+                if parsed is not None:
+                    self.mains.tell(parsed, "core", body)
+        self._carry(self.succession.tick(now, healthy))
+        self.loop.at(now + BEAT, self._beat)
+
+    def _heard(self, conn: Conn, body: Any, _: Answer) -> None:
+        peer, zone = seat(body[0]), str(body[1])
+        self._known.add(peer[0])
+        if len(self._known) < 32:
+            self._known |= {str(address) for address in body[3]}
+        view = unpack(body[2]) if body[2] is not None else None
+        self._carry(self.succession.heard(self.loop.now, peer, zone, view))
+
+    def _next_pulse(self) -> Version:
+        view = self.view()
+        self._tick_number += 1
+        return (view.number if view else 0, self._tick_number)
+
+    def _pulse(self, _: Any) -> None:
+        if self.serving():
+            self.outlet.publish(self._next_pulse(), [])
+        self.loop.at(self.loop.now + PULSE, self._pulse)
+
+    def _subscribe(self, conn: Conn, body: Any, answer: Answer) -> None:
+        """Only the primary gives news; others name it."""
+        if self.serving():
+            answer({})
+            self.outlet.subscribe(conn, (int(body["high"][0]), int(body["high"][1])), self._next_pulse())
+            return
+        primary = self.primary()
+        answer({"primary": primary[0] if primary and primary != self.own else None})
+
+
+def _rows(entries: list[Entry]) -> list[tuple[str, bytes]]:
+    return [(key, cbor2.dumps([list(version), value])) for key, version, value in entries]
+
+
+def _names(seats: tuple[Seat, ...]) -> str:
+    return ",".join(peer[0] for peer in seats)
--- /dev/null
+++ b/oakvale/headworks/ctl.py
@@ -0,0 +1,80 @@
+"""The `ctl` side of a core machine: HTTP connections of backends and the operator, led to the resources."""
+
+from __future__ import annotations
+
+from functools import lru_cache
+from typing import Any
+
+from oakvale.headworks.core import Core
+from oakvale.headworks.resources import JSON, Backends, Config, Reply, primary_url
+from oakvale.intake.settings import Settings
+from oakvale.lane import Shared
+from oakvale.lifecycle.status import Tally
+from oakvale.memory.requests import Answer, InHand
+from oakvale.wire.clients import Incoming, plain, response
+
+PREFIX = "/oakvale/"
+READYZ = b"/oakvale/readyz"
+
+
+class Ctl:
+    """The owner of `ctl` connections."""
+
+    def __init__(self, shared: Shared, core: Core, settings: Settings) -> None:
+        self.shared, self.core = shared, core
+        self.loop, self.limits, self.log = shared.loop, shared.limits, shared.log
+        self.buffers, self.bodies, self.clients = shared.buffers, shared.bodies, shared.clients
+        self.response = lru_cache(64)(response)
+        self._port = settings.bind["ctl"][1]
+        config, backends = Config(core), Backends(core, shared.loop, settings)
+        self._calls = {
+            (b"POST", "Config.Replace"): config.replace,
+            (b"GET", "Config.Read"): config.read,
+            (b"POST", "Backends.Heartbeat"): backends.heartbeat,
+            (b"POST", "Backends.Leave"): backends.leave,
+        }
+
+    @property
+    def tally(self) -> Tally:
+        return self.shared.tally
+
+    @property
+    def stopping(self) -> bool:
+        return self.shared.stopping
+
+    def waited(self, arrived: int) -> int:
+        return 0
+
+    def open(self, client: Any, incoming: Incoming, came: int) -> Answer | InHand:
+        path = incoming.target.partition(b"?")[0]
+        if path == READYZ:
+            return plain(200, "ok") if self.core.view() is not None else plain(503, "not ready")
+        text = path.decode("latin-1")
+        verb, _, rest = text.removeprefix(PREFIX).partition("/")
+        call = self._calls.get((incoming.method, verb)) if text.startswith(PREFIX) else None
+        if call is None:
+            known = any(verb == name for _, name in self._calls)
+            return plain(405 if known else 404, "no such call")
+        if not self.core.serving():
+            primary = self.core.primary()
+            to = primary_url(self.core.view(), self._port)
+            if primary is not None and primary != self.core.own and to is not None:
+                return Answer(307, [(b"location", f"http://{to}{incoming.target.decode('latin-1')}".encode())])
+            return Answer(503, [(b"retry-after", b"0.3"), JSON], b'{"error":"no primary is known"}')
+        request = InHand("", client, incoming.method, incoming.target, [], incoming.body, 0, (call, rest))
+        return request
+
+    def begin(self, request: InHand) -> None:
+        call, rest = request.event
+
+        def give(reply: Reply) -> None:
+            if not request.over:
+                request.over = True
+                request.client.give(Answer(reply.status, [JSON, *reply.headers], reply.body))
+
+        call(rest, request.body, give)
+
+    def client_gone(self, request: InHand) -> None:
+        request.over = True
+
+
--- /dev/null
+++ b/oakvale/headworks/gates.py
@@ -0,0 +1,53 @@
+"""The list of gateways, which the primary keeps: they join, and their watchers tell when one falls silent."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+from oakvale.headworks.core import Core
+from oakvale.lifecycle.loop import Loop
+from oakvale.mains.links import Answer, Conn, Mains
+
+AGREE = 2  # watchers that must miss a gateway before it is taken from the list
+TOGETHER = 3_000_000  # microseconds within which they must say so
+
+log = logging.getLogger(__name__)
+
+
+class Gates:
+    def __init__(self, core: Core, loop: Loop, mains: Mains) -> None:
+        self._core, self._loop = core, loop
+        self._missed: dict[str, dict[str, int]] = {}  # gateway's node and life -> watcher -> when
+        mains.handlers["join"] = self._join
+        mains.handlers["missing"] = self._missing
+
+    def _join(self, conn: Conn, body: Any, answer: Answer) -> None:
+        core = self._core
+        if not core.serving():
+            primary = core.primary()
+            return answer({"primary": primary[0] if primary and primary != core.own else None})
+        view = core.view()
+        told = {"core": [seat[0] for seat in view.copies] + [seat[0] for seat in view.witnesses] if view else []}
+        entry = {"addr": str(body["addr"]), "az": str(body["az"]), "life": str(body["life"])}
+        key = f"gate/{body['node']}"
+        if core.ledger.latest(key) == entry:
+            return answer(told | {"joined": True})
+        log.info("gateway joins", extra={"gateway": body["node"], "addr": entry["addr"]})
+        core.change({key: entry}, lambda done: answer(told | {"joined": done}))
+
+    def _missing(self, conn: Conn, body: Any, _: Answer) -> None:
+        """One watcher's word may be its own trouble."""
+        core, now = self._core, self._loop.now
+        node, life, watcher = str(body["node"]), str(body["life"]), str(body["watcher"])
+        entry = core.ledger.latest(f"gate/{node}")
+        if not core.serving() or entry is None or entry["life"] != life:
+            return
+        said = self._missed.setdefault(f"{node} {life}", {})
+        said[watcher] = now
+        recent = [w for w, at in said.items() if now - at < TOGETHER]
+        others = len(core.ledger.table.items("gate/")) - 1
+        if len(recent) >= min(AGREE, max(1, others)):
+            log.warning("gateway is gone", extra={"gateway": node, "said": ",".join(sorted(recent))})
+            self._missed.pop(f"{node} {life}", None)
+            core.change({f"gate/{node}": None}, lambda done: None)
--- /dev/null
+++ b/oakvale/headworks/ledger.py
@@ -0,0 +1,116 @@
+"""The control state's entries on a core machine: what is in force, and what waits for both copies.
+
+No I/O and no clock. A change is in force once this seat and every backup of the view have synced it; changes
+come into force in their order. What a view ends with unfinished is neither promised nor taken back: it stays
+in the primary's state, and its author has not heard a yes.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from oakvale.headworks.succession import Seat
+from oakvale.penstock.table import NOTHING, Entry, Table, Version
+
+Then = Callable[[bool], None]  # True: in force; False: not known to be, and it may still come
+
+
+@dataclass(slots=True)
+class Pending:
+    entries: list[Entry]
+    then: Then
+    owed: set[Seat] = field(default_factory=set)  # those that have not synced it yet, this seat among them
+
+
+class Ledger:
+    def __init__(self) -> None:
+        self.table = Table()  # in force, or received as a backup
+        self._pending: deque[Pending] = deque()
+        self._done: list[Then] = []
+        self._place = self._view = 0
+        self.last = NOTHING  # the version of the newest entry, in force or not
+
+    def start(self, view: int) -> None:
+        """Entries bear this view's number from now on. A primary that starts again goes on behind its own."""
+        newest = max((version for _, version, _ in self.everything()), default=NOTHING)
+        self._view, self._place = view, newest[1] if newest[0] == view else 0
+        self.last = max(self.last, newest)
+
+    def propose(self, changes: dict[str, Any], owed: set[Seat], then: Then) -> list[Entry]:
+        """Gives the entries that have to be synced by all who owe it."""
+        entries: list[Entry] = []
+        for key, value in changes.items():
+            self._place += 1
+            entries.append((key, (self._view, self._place), value))
+        self._pending.append(Pending(entries, then, set(owed)))
+        self.last = entries[-1][1]
+        return entries
+
+    def latest(self, key: str) -> Any:
+        """As it will be once all that waits is in force."""
+        for pending in reversed(self._pending):
+            for known, _, value in pending.entries:
+                if known == key:
+                    return value
+        return self.table.get(key)
+
+    def waits(self) -> bool:
+        return bool(self._pending)
+
+    def when_settled(self, then: Then) -> None:
+        """Calls once everything that waits now is in force; at once if nothing does."""
+        if not self._pending:
+            return then(True)
+        last = self._pending[-1]
+        first = last.then
+
+        def both(done: bool) -> None:
+            first(done)
+            then(done)
+
+        last.then = both
+
+    def synced(self, who: Seat, up_to: Version) -> list[Entry]:
+        """A seat has everything up to a version on disk. Gives what came into force by that, in order."""
+        for pending in self._pending:
+            if pending.entries[-1][1] <= up_to:
+                pending.owed.discard(who)
+        return self._settle()
+
+    def owed_by(self, seats: set[Seat], own: Seat) -> None:
+        """Another view with the same primary: its backups owe what waits, those of before no longer."""
+        for pending in self._pending:
+            pending.owed = (pending.owed & {own}) | seats
+
+    def _settle(self) -> list[Entry]:
+        came: list[Entry] = []
+        done: list[Then] = []
+        while self._pending and not self._pending[0].owed:
+            pending = self._pending.popleft()
+            self.table.put(pending.entries)
+            came += pending.entries
+            done.append(pending.then)
+        self._done += done
+        return came
+
+    def settled(self) -> list[Then]:
+        """The authors of what just came into force; told after the news of it has gone out."""
+        done, self._done = self._done, []
+        return done
+
+    def abandon(self) -> list[Then]:
+        """This seat is primary no longer: nobody hears a yes for what waits."""
+        thens = [pending.then for pending in self._pending]
+        self._pending.clear()
+        return thens
+
+    def everything(self) -> list[Entry]:
+        """What is in force and what waits, as one state."""
+        table = Table()
+        table.put(self.table.since((0, 0)))
+        for pending in self._pending:
+            table.put(pending.entries)
+        return table.since((0, 0))
--- /dev/null
+++ b/oakvale/headworks/process.py
@@ -0,0 +1,66 @@
+"""The process of the core role: `oakvale headworks`."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import sqlite3
+
+from oakvale.cistern.store import Cistern
+from oakvale.headworks.core import Core
+from oakvale.headworks.ctl import Ctl
+from oakvale.headworks.gates import Gates
+from oakvale.intake.settings import BadSettings, Settings
+from oakvale.lane import Shared
+from oakvale.lifecycle.acceptor import Acceptor, listening
+from oakvale.lifecycle.limits import Limits
+from oakvale.lifecycle.loop import Clock, Loop, Rank
+from oakvale.lifecycle.signals import Signals
+from oakvale.mains.links import Mains
+from oakvale.sluice.bounds import bounds
+
+log = logging.getLogger(__name__)
+SWEEP = 1_000_000
+
+
+def serve(settings: Settings, signals: Signals) -> int:
+    """Raises BadSettings, OSError."""
+    if settings.datadir is None or "ctl" not in settings.bind:
+        raise BadSettings("headworks needs [self] datadir and [network.bind] ctl")
+    limits: Limits = bounds(settings)
+    loop = Loop(Clock(), limits)
+    mains = Mains(loop, (settings.ip, settings.ports[0]))
+    mains.listen()
+    try:
+        cistern = Cistern(loop, settings.datadir)
+    except sqlite3.Error as error:
+        raise BadSettings(f"[self] datadir {settings.datadir}: {error}") from error
+    core = Core(loop, mains, settings, cistern)
+    Gates(core, loop, mains)
+    shared = Shared(loop, limits)
+    ctl = Ctl(shared, core, settings)
+    acceptor = Acceptor(ctl, listening(settings.bind["ctl"], limits.backlog), loop)
+
+    def sweep(_: object) -> None:
+        mains.sweep()
+        loop.at(loop.now + SWEEP, sweep)
+
+    def stop() -> None:
+        shared.stopping = True
+        shared.clients.end_idle()
+        loop.at(loop.now + 300_000, lambda _: loop.stop())
+
+    loop.at(loop.now + SWEEP, sweep)
+    loop.start(signals.run(stop, lambda: None), signals.fileno(), Rank.DISCOVERY)
+    gc.collect()
+    gc.freeze()
+    log.info("headworks", extra={"node": settings.node, "own": core.own[0], "incarnation": core.own[1]})
+    try:
+        loop.run()
+    finally:
+        loop.end(acceptor.task)
+        cistern.close()
+        loop.close()
+        signals.close()
+    log.info("stopped", extra={"node": settings.node})
+    return 0
--- /dev/null
+++ b/oakvale/headworks/resources.py
@@ -0,0 +1,162 @@
+"""What backends and operators call: one handler object for each resource, one method for each verb.
+
+A handler answers at once or later, through the reply that it is given. What is not known to be done is answered
+with a 5xx, never with a 4xx; who is not primary names the one that is (307).
+"""
+
+from __future__ import annotations
+
+import logging
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from oakvale.headworks.core import Core
+from oakvale.headworks.succession import View
+from oakvale.intake import model
+from oakvale.intake.settings import Settings
+from oakvale.intake.times import micros
+from oakvale.lifecycle.configuration import parse_address, spelled
+from oakvale.lifecycle.loop import Loop
+
+JSON = (b"content-type", b"application/json")
+ID = re.compile(r"[!-~]{1,128}")
+LOST_BEATS = 4  # without so many a backend counts as crashed
+MASS = 0.34  # where more than this share falls silent at once, it is rather the way to here that broke
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    status: int
+    body: bytes = b"{}"
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
+Give = Callable[[Reply], None]
+
+
+def problem(status: int, why: str) -> Reply:
+    return Reply(status, orjson.dumps({"error": why}))
+
+
+UNSURE = Reply(503, orjson.dumps({"error": "not known to be kept"}), ((b"retry-after", b"0.2"),))
+
+
+class Config:
+    """The operator's configuration: `Replace` and `Read`."""
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+
+    def replace(self, rest: str, body: bytes, give: Give) -> None:
+        try:
+            config = model.parse(body)
+        except model.Invalid as error:
+            log.info("configuration refused", extra={"why": str(error)[:200]})
+            return give(problem(400, str(error)))
+        held = self._core.ledger.latest("config")
+        if held is not None and config.gen <= held["gen"]:
+            # a yes also says that the one held lasts
+            return self._core.confirm(lambda done: give(Reply(200) if done else UNSURE))
+        log.info("configuration", extra={"gen": config.gen, "routes": len(config.routes), "bytes": len(body)})
+        self._core.change({"config": {"gen": config.gen, "text": body}},
+                          lambda done: give(Reply(200) if done else UNSURE))
+
+    def read(self, rest: str, body: bytes, give: Give) -> None:
+        def confirmed(done: bool) -> None:
+            held = self._core.ledger.table.get("config")
+            if not done:
+                give(UNSURE)
+            elif held is None:
+                give(problem(404, "no configuration yet"))
+            else:
+                give(Reply(200, bytes(held["text"])))
+        self._core.confirm(confirmed)
+
+
+class Backends:
+    """Backends' own reports: `Heartbeat` and `Leave`."""
+
+    def __init__(self, core: Core, loop: Loop, settings: Settings) -> None:
+        self._core, self._loop, self._beat = core, loop, settings.beat
+        self._url = spelled(settings.bind["ctl"]) if "ctl" in settings.bind else ""
+        self._seen: dict[str, int] = {}
+        self._calls: dict[str, int] = {}
+        core.on_change.append(self._turned)
+        loop.at(loop.now + self._beat, self._sweep)
+
+    def heartbeat(self, name: str, body: bytes, give: Give) -> None:
+        try:
+            report = orjson.loads(body)
+            said = {"svc": str(report["svc"]), "addr": str(report["addr"]), "az": str(report.get("az") or ""),
+                    "gen": str(report.get("gen") or ""), "slots": float(report.get("slots") or 1),
+                    "state": str(report.get("state") or "ready")}
+            calls = int(report.get("calls") or 0)
+            warm = micros(report["warmup_time"]) if report.get("warmup_time") else 0
+        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
+            return give(problem(400, f"beat is not understood: {error!r}"[:200]))
+        if not ID.fullmatch(name) or parse_address(said["addr"]) is None:
+            return give(problem(400, "no id or no address"))
+        key = f"backend/{name}"
+        held = self._core.ledger.latest(key)
+        self._seen[name] = self._loop.now
+        yes = Reply(200, orjson.dumps({"beat-url": self._url}))
+        late = calls and calls <= max(self._calls.get(name, 0), held["calls"] if held else 0)
+        gone = held is None and self._core.ledger.table.version(key) != (0, 0) and said["state"] != "ready"
+        if late or gone or name in self._left():
+            return give(yes)
+        self._calls[name] = calls
+        if held is not None and all(held[field] == value for field, value in said.items()):
+            return give(yes) if not self._core.ledger.waits() else self._core.ledger.when_settled(
+                lambda done: give(yes if done else UNSURE))
+        changes: dict[str, Any] = {key: said | {"calls": calls, "warm": warm}}
+        for other, value in self._core.ledger.table.items("backend/"):
+            if other != name and value["addr"] == said["addr"]:
+                changes[f"backend/{other}"] = None  # its address has another's life now
+        log.info("backend", extra={"backend": name, "svc": said["svc"], "state": said["state"], "addr": said["addr"]})
+        self._core.change(changes, lambda done: give(yes if done else UNSURE))
+
+    def leave(self, name: str, body: bytes, give: Give) -> None:
+        self._seen.pop(name, None)
+        if self._core.ledger.latest(f"backend/{name}") is None:
+            return self._core.confirm(lambda done: give(Reply(200) if done else UNSURE))
+        log.info("backend leaves", extra={"backend": name})
+        self._core.change({f"backend/{name}": None, f"left/{name}": 1},
+                          lambda done: give(Reply(200) if done else UNSURE))
+
+    def _left(self) -> set[str]:
+        return {name for name, _ in self._core.ledger.table.items("left/")}
+
+    def _turned(self, serves: bool) -> None:
+        """A new primary heard nothing before: silence counts from now."""
+        if serves:
+            now = self._loop.now
+            self._seen = {name: now for name, _ in self._core.ledger.table.items("backend/")}
+            self._calls.clear()
+
+    def _sweep(self, _: Any) -> None:
+        """Those not heard for some beats are taken from the list, unless so many fall silent that it is rather
+        the way from them to here that broke."""
+        now = self._loop.now
+        self._loop.at(now + self._beat, self._sweep)
+        if not self._core.serving():
+            return
+        listed = [name for name, _ in self._core.ledger.table.items("backend/")]
+        silent = [name for name in listed if now - self._seen.setdefault(name, now) > LOST_BEATS * self._beat]
+        quiet = [name for name in listed if now - self._seen[name] > 2 * self._beat]
+        if silent and (len(quiet) <= MASS * len(listed) or len(silent) == len(quiet) < len(listed)
+                       and now - min(self._seen[name] for name in silent) > 4 * LOST_BEATS * self._beat):
+            log.warning("backends are silent", extra={"backends": ",".join(silent)})
+            self._core.change({f"backend/{name}": None for name in silent}, lambda done: None)
+
+
+def primary_url(view: View | None, port: int) -> str | None:
+    if view is None:
+        return None
+    address = parse_address(view.primary[0])
+    return f"{address[0]}:{port}" if address else None
--- /dev/null
+++ b/oakvale/headworks/succession.py
@@ -0,0 +1,382 @@
+"""Who is primary: views of the control state, one after the other, each decided by the witnesses of the one before.
+
+No I/O and no clock. A view names its primary, the backups that hold all that was ever acknowledged in it, and
+the witnesses that decide on its successor. They keep nothing but views and ballots (single-decree Paxos for each
+successor; no log). A machine that lost its disk has another incarnation, hence is another seat: what it once
+promised can't be broken by it, and it votes again only after a view has admitted it.
+
+Safety, in three steps:
+- one successor for each view: ballots of a majority of the view's witnesses, synced before each answer;
+- a seat proposes only itself as primary, and only when it is complete: it holds all that was acknowledged;
+- a seat is complete in view n+1 if it was complete in n and is a copy in n+1, or once it has synced the state
+  that n+1's primary sent. That primary acknowledges nothing before all backups of n+1 are complete, and each
+  later change needs all of them; a backup that has moved on to another view refuses.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+Seat = tuple[str, str]  # where it is spoken to ("10.1.0.33:7340"), and its incarnation
+Ballot = tuple[int, Seat]
+
+FOUNDER = "founder"  # the incarnation of the seats that a new system starts with
+NONE: Ballot = (0, ("", ""))
+
+
+@dataclass(slots=True, frozen=True)
+class View:
+    number: int
+    primary: Seat
+    backups: tuple[Seat, ...]
+    witnesses: tuple[Seat, ...]
+
+    @property
+    def copies(self) -> tuple[Seat, ...]:
+        return (self.primary, *self.backups)
+
+    @property
+    def majority(self) -> int:
+        return len(self.witnesses) // 2 + 1
+
+    def pack(self) -> list[Any]:
+        return [self.number, list(self.primary), [list(s) for s in self.backups],
+                [list(s) for s in self.witnesses]]
+
+
+def unpack(data: Any) -> View:
+    number, primary, backups, witnesses = data
+    return View(int(number), seat(primary), tuple(map(seat, backups)), tuple(map(seat, witnesses)))
+
+
+def seat(data: Any) -> Seat:
+    address, incarnation = data
+    return str(address), str(incarnation)
+
+
+def founding(seeds: Iterable[str], copies: int) -> View:
+    """The first view, which all seats work out alike from the seeds of the first start."""
+    seats = tuple((address, FOUNDER) for address in sorted(set(seeds)))
+    return View(1, seats[0], seats[1:copies], seats)
+
+
+@dataclass(slots=True, frozen=True)
+class Durable:
+    """What a seat keeps on disk, synced before it speaks of it."""
+
+    view: View | None = None
+    promised: Ballot = NONE  # for the successor of `view`
+    accepted: tuple[Ballot, View] | None = None
+    complete: int = 0  # the newest view in which this seat holds all that was acknowledged
+
+    def pack(self) -> list[Any]:
+        accepted = _packed(self.accepted)
+        return [self.view.pack() if self.view else None, [self.promised[0], list(self.promised[1])], accepted,
+                self.complete]
+
+
+def unpack_durable(data: Any) -> Durable:
+    view, promised, accepted, complete = data
+    return Durable(unpack(view) if view else None, (int(promised[0]), seat(promised[1])),
+                   _unpacked(accepted), int(complete))
+
+
+def _packed(accepted: tuple[Ballot, View] | None) -> list[Any] | None:
+    return [[accepted[0][0], list(accepted[0][1])], accepted[1].pack()] if accepted else None
+
+
+def _unpacked(data: Any) -> tuple[Ballot, View] | None:
+    return ((int(data[0][0]), seat(data[0][1])), unpack(data[1])) if data else None
+
+
+# ---- what comes out
+
+
+@dataclass(slots=True, frozen=True)
+class Keep:
+    """Sync this, then call `kept(number)`."""
+
+    number: int
+    state: Durable
+
+
+@dataclass(slots=True, frozen=True)
+class Say:
+    to: Seat
+    kind: str
+    body: list[Any]
+
+
+@dataclass(slots=True, frozen=True)
+class Moved:
+    """Another view is in force here."""
+
+    view: View
+
+
+Out = Keep | Say | Moved
+
+
+@dataclass(slots=True)
+class Campaign:
+    """A proposer's attempt to have one successor decided."""
+
+    value: View
+    ballot: Ballot
+    began: int
+    promises: dict[Seat, tuple[Ballot, View] | None] = field(default_factory=dict)
+    accepts: set[Seat] = field(default_factory=set)
+    chosen: View | None = None  # the value put to the vote, once a majority has promised
+
+
+class Succession:
+    """One seat's part. Times are microseconds of a steady clock that only the caller reads."""
+
+    def __init__(self, own: Seat, state: Durable, copies: int, silence: int, patience: int) -> None:
+        self.own, self.state = own, state
+        self._copies, self._silence, self._patience = copies, silence, patience
+        self._heard: dict[Seat, int] = {}
+        self._zones: dict[Seat, str] = {}
+        self._spares: dict[Seat, int] = {}  # seats that ask to be let in, and since when they are heard
+        self._campaign: Campaign | None = None
+        self._round = 0
+        self._next_try = 0
+        self._wanted_since = 0
+        self._numbers = 0
+        self._after: dict[int, list[Out]] = {}  # said once the numbered state is synced
+        self._out: list[Out] = []
+        self._born: int | None = None
+
+    # ---- what it is told
+
+    def tick(self, now: int, healthy: bool = True) -> list[Out]:
+        """Several times a second. `healthy` is false while this seat's own disk does not answer."""
+        self._born = now if self._born is None else self._born
+        view = self.state.view
+        if view is not None and healthy and now - self._born > self._silence:
+            self._consider(now, view)
+        return self._flush()
+
+    def heard(self, now: int, peer: Seat, zone: str, view: View | None) -> list[Out]:
+        """A peer's heartbeat, which names its seat and the view that it knows."""
+        self._heard[peer] = now
+        self._zones[peer] = zone
+        if view is not None:
+            self._learn(view)
+        known = self.state.view
+        if known is not None and peer not in known.witnesses:
+            self._spares.setdefault(peer, now)
+        return self._flush()
+
+    def message(self, now: int, sender: Seat, kind: str, body: list[Any]) -> list[Out]:
+        {"prepare": self._prepare, "promise": self._promise, "accept": self._accept,
+         "accepted": self._accepted, "decided": self._decided, "refused": self._refused}[kind](now, sender, body)
+        return self._flush()
+
+    def found(self, view: View) -> list[Out]:
+        """The first view of a new system, whose seats all begin complete: there is nothing yet."""
+        self._learn(view)
+        if self.own in view.copies:
+            self.state = replace(self.state, complete=view.number)
+            self._keep(self.state, [])
+        return self._flush()
+
+    def learn(self, view: View) -> list[Out]:
+        """A decided view, from whoever acts in it."""
+        self._learn(view)
+        return self._flush()
+
+    def kept(self, number: int) -> list[Out]:
+        """The state of this number, hence all before it, is on disk."""
+        for known in sorted(n for n in self._after if n <= number):
+            self._out += self._after.pop(known)
+        return self._flush()
+
+    def synced(self, view: int) -> list[Out]:
+        """All that the primary of this view sent is on disk here."""
+        if self.state.view is not None and self.state.view.number == view and self.state.complete < view:
+            self._keep(replace(self.state, complete=view), [])
+        return self._flush()
+
+    # ---- what it knows
+
+    def is_primary(self) -> bool:
+        view = self.state.view
+        return view is not None and view.primary == self.own and self.state.complete == view.number
+
+    def alive(self, peer: Seat, now: int) -> bool:
+        return peer == self.own or now - self._heard.get(peer, -self._silence) < self._silence
+
+    # ---- proposing
+
+    def _consider(self, now: int, view: View) -> None:
+        campaign = self._campaign
+        if campaign is not None and now - campaign.began < self._silence:
+            return
+        self._campaign = None
+        if self.state.complete != view.number or self.own not in view.copies or now < self._next_try:
+            return
+        wanted = self._wanted(now, view)
+        if wanted is None:
+            self._wanted_since = 0
+            return
+        # copies of a rank wait for those before them: two proposers at once only delay each other
+        rank = view.copies.index(self.own)
+        self._wanted_since = self._wanted_since or now
+        if now - self._wanted_since < rank * self._silence // 4:
+            return
+        self._round += 1
+        self._next_try = now + self._silence // 2 * (1 + rank)
+        ballot = (max(self._round, self.state.promised[0] + 1), self.own)
+        self._round = ballot[0]
+        self._campaign = Campaign(wanted, ballot, now)
+        for witness in view.witnesses:
+            self._say(witness, "prepare", [view.pack(), [ballot[0], list(ballot[1])]], now)
+
+    def _wanted(self, now: int, view: View) -> View | None:
+        """The successor that this seat would have; None where the view in force serves."""
+        def up(peer: Seat) -> bool:
+            return self.alive(peer, now)
+
+        if self.own != view.primary and up(view.primary):
+            return None
+        witnesses = list(view.witnesses)
+        for spare in sorted(self._spares, key=lambda s: (s[0] not in {w[0] for w in witnesses}, s)):
+            if not up(spare) or spare in witnesses:
+                continue
+            # an address whose seat is another now lost its disk: it will never speak as the old one again
+            gone = [w for w in witnesses if w[0] == spare[0]]
+            if not gone:
+                gone = [w for w in witnesses if w != self.own and not up(w)
+                        and now - max(self._heard.get(w, 0), self._born or 0) > self._patience]
+            if gone:
+                witnesses[witnesses.index(gone[0])] = spare
+                break
+        taken = [b for b in view.backups if b in witnesses and up(b)]
+        if self.own != view.primary:
+            taken = [b for b in taken if b != self.own]
+        zones = {self._zones.get(b) for b in taken} | {self._zones.get(self.own)}
+        others = sorted((w for w in witnesses if w != self.own and w not in taken and up(w)),
+                        key=lambda w: (self._zones.get(w) in zones, w))
+        need = min(self._copies, len(witnesses)) - 1
+        backups = (taken + others)[:need]
+        if len(backups) < need:
+            if self.own == view.primary and len(taken) == len(view.backups):
+                return None
+            return None  # too few for two copies: nothing may be acknowledged, so nothing changes
+        if self.own not in witnesses:
+            return None
+        found = View(view.number + 1, self.own, tuple(backups), tuple(witnesses))
+        same = (found.primary, set(found.backups), set(found.witnesses)) == (
+            view.primary, set(view.backups), set(view.witnesses))
+        return None if same else found
+
+    def _promise(self, now: int, sender: Seat, body: list[Any]) -> None:
+        number, ballot, accepted = int(body[0]), (int(body[1][0]), seat(body[1][1])), body[2]
+        campaign, view = self._campaign, self.state.view
+        if campaign is None or view is None or view.number != number or campaign.ballot != ballot:
+            return
+        if sender not in view.witnesses or campaign.chosen is not None:
+            return
+        campaign.promises[sender] = _unpacked(accepted)
+        if len(campaign.promises) < view.majority:
+            return
+        earlier = [promise for promise in campaign.promises.values() if promise is not None]
+        campaign.chosen = max(earlier, key=lambda p: p[0])[1] if earlier else campaign.value
+        for witness in view.witnesses:
+            self._say(witness, "accept",
+                      [view.pack(), [ballot[0], list(ballot[1])], campaign.chosen.pack()], now)
+
+    def _accepted(self, now: int, sender: Seat, body: list[Any]) -> None:
+        number, ballot = int(body[0]), (int(body[1][0]), seat(body[1][1]))
+        campaign, view = self._campaign, self.state.view
+        if campaign is None or view is None or view.number != number or campaign.ballot != ballot:
+            return
+        if sender not in view.witnesses or campaign.chosen is None:
+            return
+        campaign.accepts.add(sender)
+        if len(campaign.accepts) >= view.majority:
+            chosen = campaign.chosen
+            self._learn(chosen)
+            for peer in {*view.witnesses, *chosen.witnesses} - {self.own}:
+                self._out.append(Say(peer, "decided", [chosen.pack()]))
+
+    def _refused(self, now: int, sender: Seat, body: list[Any]) -> None:
+        """A witness knows a newer view, or has promised a higher ballot."""
+        if body[0] is not None:
+            self._learn(unpack(body[0]))
+        self._round = max(self._round, int(body[1]))
+        if self._campaign is not None and self._campaign.ballot[0] <= int(body[1]):
+            self._campaign = None
+
+    # ---- witnessing
+
+    def _prepare(self, now: int, sender: Seat, body: list[Any]) -> None:
+        view, ballot = unpack(body[0]), (int(body[1][0]), seat(body[1][1]))
+        if not self._may_vote(view, ballot, sender):
+            return
+        packed = _packed(self.state.accepted)
+        self._keep(replace(self.state, promised=ballot),
+                   [Say(sender, "promise", [view.number, [ballot[0], list(ballot[1])], packed])])
+
+    def _accept(self, now: int, sender: Seat, body: list[Any]) -> None:
+        view, ballot, value = unpack(body[0]), (int(body[1][0]), seat(body[1][1])), unpack(body[2])
+        if not self._may_vote(view, ballot, sender):
+            return
+        self._keep(replace(self.state, promised=ballot, accepted=(ballot, value)),
+                   [Say(sender, "accepted", [view.number, [ballot[0], list(ballot[1])]])])
+
+    def _may_vote(self, view: View, ballot: Ballot, sender: Seat) -> bool:
+        """A view that somebody proposes to succeed is decided: whoever lags adopts it first."""
+        self._learn(view)
+        own = self.state.view
+        assert own is not None
+        if own.number != view.number or ballot < self.state.promised:
+            self._out.append(Say(sender, "refused", [own.pack(), self.state.promised[0]]))
+            return False
+        return self.own in own.witnesses
+
+    def _decided(self, now: int, sender: Seat, body: list[Any]) -> None:
+        self._learn(unpack(body[0]))
+
+    # ---- keeping
+
+    def _learn(self, view: View) -> None:
+        """Adopts a decided view that is newer. Complete stays what was, if it is a copy in the very next."""
+        own = self.state.view
+        if own is not None and view.number <= own.number:
+            return
+        complete = self.state.complete
+        if own is not None and complete == own.number and view.number == own.number + 1 and self.own in view.copies:
+            complete = view.number
+        self._campaign = None
+        self._wanted_since = 0
+        self._spares = {s: t for s, t in self._spares.items() if s not in view.witnesses}
+        self._keep(Durable(view, NONE, None, complete), [Moved(view)])
+
+    def _keep(self, state: Durable, after: list[Out]) -> None:
+        self.state = state
+        self._numbers += 1
+        self._after[self._numbers] = after
+        self._out.append(Keep(self._numbers, state))
+
+    def _say(self, to: Seat, kind: str, body: list[Any], now: int) -> None:
+        """To itself too, as one of the witnesses."""
+        if to != self.own:
+            self._out.append(Say(to, kind, body))
+            return
+        {"prepare": self._prepare, "accept": self._accept}[kind](now, to, body)
+
+    def _flush(self) -> list[Out]:
+        out, self._out = self._out, []
+        said = []
+        for item in out:
+            if isinstance(item, Say) and item.to == self.own:
+                {"promise": self._promise, "accepted": self._accepted,
+                 "refused": self._refused}[item.kind](0, item.to, item.body)
+                said += self._flush()
+            else:
+                said.append(item)
+        return said
--- /dev/null
+++ b/oakvale/intake/settings.py
@@ -0,0 +1,159 @@
+"""The settings file of a process in the system (`OAKVALE_SETTINGS`, TOML), read and checked.
+
+Unknown fields are skipped. A missing or broken field that is needed raises `BadSettings`, which names it.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from oakvale.intake.times import micros
+from oakvale.lifecycle.configuration import Address, parse_address
+
+DEFAULT_PATH = "/etc/oakvale/settings.toml"
+MS = 1_000
+
+
+class BadSettings(Exception):
+    """One line: the file, the field, what is wrong with it."""
+
+
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    """The figures of the rules, times in microseconds. What a file does not give keeps the page's example."""
+
+    contact: int = 3_000 * MS
+    ack: int = 5_000 * MS
+    sync_time: int = 4_000 * MS
+    drain: int = 2_500 * MS
+    grace: int = 6_000 * MS
+    apply: int = 2_500 * MS
+    reuse: int = 2_000 * MS
+    recover: int = 15_000 * MS
+    retry_win: int = 10_000 * MS
+    quota_win: int = 5_000 * MS
+    retry_ratio: float = 0.2
+    retry_slack: float = 0.0
+    quota_excess: float = 0.0
+    quota_slack: float = 0.0
+
+
+TIMES = ("contact", "ack", "sync_time", "drain", "grace", "apply", "reuse", "recover", "retry_win",
+         "quota_win")
+FIGURES = ("retry_ratio", "retry_slack", "quota_excess", "quota_slack")
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    node: str
+    ip: str
+    zone: str
+    region: str
+    serves: tuple[str, ...]
+    voting: bool
+    bootstrap: bool
+    datadir: str | None
+    seeds: tuple[Address, ...]  # ctl addresses of core machines
+    bind: dict[str, Address]
+    ports: tuple[int, int]  # first and last of those between gateways
+    zones: dict[str, str]  # zone -> region
+    beat: int  # microseconds between two beats of a backend
+    cpu: float
+    memory_mb: int
+    nofile: int
+    disk_mb: int
+    tolerate: int  # counted machines that may be lost at once
+    tolerate_zones: int
+    clauses: frozenset[str]
+    bounds: Bounds = field(default_factory=Bounds)
+
+
+def load(environment: Mapping[str, str]) -> Settings:
+    path = environment.get("OAKVALE_SETTINGS") or DEFAULT_PATH
+    try:
+        data = tomllib.loads(Path(path).read_text())
+    except OSError as error:
+        raise BadSettings(f"{path}: cannot be read: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise BadSettings(f"{path}: not TOML: {error}") from error
+    try:
+        return decode(data)
+    except BadSettings as error:
+        raise BadSettings(f"{path}: {error}") from error
+
+
+class Table:
+    """One table of the file; every read of a field says where it stands when it is wrong."""
+
+    def __init__(self, data: Any, place: str) -> None:
+        if data is None:
+            data = {}
+        if not isinstance(data, dict):
+            raise BadSettings(f"[{place}] is not a table")
+        self._data, self._place = data, place
+
+    def table(self, name: str) -> Table:
+        return Table(self._data.get(name), f"{self._place}.{name}" if self._place else name)
+
+    def get(self, name: str, kind: type | tuple[type, ...], default: Any = ...) -> Any:
+        value = self._data.get(name, default)
+        if value is ...:
+            raise BadSettings(f"[{self._place}] {name} is missing")
+        odd = not isinstance(value, kind) or isinstance(value, bool) and kind is not bool
+        if value is not default and odd:
+            raise BadSettings(f"[{self._place}] {name} is not understood: {value!r}")
+        return value
+
+    def time(self, name: str, default: int) -> int:
+        value = self._data.get(name)
+        if value is None:
+            return default
+        try:
+            return micros(value)
+        except ValueError as error:
+            raise BadSettings(f"[{self._place}] {name}: {error}") from error
+
+    def addresses(self, name: str) -> tuple[Address, ...]:
+        found = tuple(parse_address(text) for text in self.get(name, list, []))
+        if None in found:
+            raise BadSettings(f"[{self._place}] {name} holds what is not host:port")
+        return tuple(address for address in found if address is not None)
+
+    def keys(self) -> list[str]:
+        return list(self._data)
+
+
+def decode(data: dict[str, Any]) -> Settings:
+    whole = Table(data, "")
+    own, network, terms = whole.table("self"), whole.table("network"), whole.table("terms")
+    limits, bind, zones = own.table("limits"), network.table("bind"), network.table("azs")
+    given, tolerance = terms.table("bounds"), terms.table("tolerance")
+    ports = network.get("port-range", list)
+    if len(ports) != 2 or not all(isinstance(p, int) and 0 < p < 65536 for p in ports) or ports[0] > ports[1]:
+        raise BadSettings(f"[network] port-range is not two ports: {ports!r}")
+    bound: dict[str, Address] = {}
+    for name in bind.keys():
+        address = parse_address(bind.get(name, str))
+        if address is None:
+            raise BadSettings(f"[network.bind] {name} is not host:port")
+        bound[name] = address
+    figures: dict[str, Any] = {name: given.time(name if name in ("sync_time",) else name.replace("_", "-"),
+                                                getattr(Bounds(), name)) for name in TIMES}
+    for name in FIGURES:
+        figures[name] = float(given.get(name.replace("_", "-"), (int, float), getattr(Bounds(), name)))
+    return Settings(
+        node=own.get("node", str), ip=own.get("ip", str), zone=own.get("az", str, ""),
+        region=own.get("rgn", str, ""), serves=tuple(own.get("serves", list, [])),
+        voting=own.get("voting", bool, False), bootstrap=own.get("bootstrap", bool, False),
+        datadir=own.get("datadir", str, None),
+        seeds=network.addresses("seeds"), bind=bound, ports=(ports[0], ports[1]),
+        zones={name: zones.get(name, str) for name in zones.keys()},
+        beat=whole.table("infra").time("beat", 1_500 * MS),
+        cpu=float(limits.get("cpu", (int, float), 1.0)), memory_mb=limits.get("mem-mb", int, 192),
+        nofile=limits.get("nofile", int, 1024), disk_mb=limits.get("disk-mb", int, 0),
+        tolerate=tolerance.get("nodes", int, 0), tolerate_zones=tolerance.get("azs", int, 0),
+        clauses=frozenset(terms.get("clauses", list, [])), bounds=Bounds(**figures))
--- a/oakvale/interface.py
+++ b/oakvale/interface.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 
@@ -53,6 +53,7 @@
     memory: int = 0
     worth: float = 1.0
     stream: bool = False
+    tries: int = 0  # attempts at most; 0: as the settings say
 
 
 @dataclass(slots=True, frozen=True)
@@ -96,6 +97,10 @@
     must_ask_in: int = 10_000_000
 
 
+def replace_classes(settings: Settings, classes: tuple[RequestClass, ...]) -> Settings:
+    return replace(settings, classes=classes)
+
+
 # ---- events
 
 
@@ -108,6 +113,7 @@
     state: State = State.READY
     weight: float = 1.0
     started: int = 0
+    slots: float = 0.0  # requests that it works on at once; 0: not known
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/oakvale/lifecycle/acceptor.py
@@ -0,0 +1,75 @@
+"""Accepting: a listening socket and its coroutine. Each connection it takes belongs to the owner it is given."""
+
+from __future__ import annotations
+
+import errno
+import logging
+import socket
+
+from oakvale.lifecycle.loop import READ, Coroutine, Loop, Rank
+from oakvale.wire.clients import ClientConnection, Owner
+from oakvale.wire.tcp import stamp_arrivals
+
+log = logging.getLogger(__name__)
+
+
+def listening(address: tuple[str, int], backlog: int) -> socket.socket:
+    """Bound at once after a kill, though connections of the life before may linger."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        stamp_arrivals(sock)
+        sock.bind(address)
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+class Acceptor:
+    def __init__(self, owner: Owner, listener: socket.socket, loop: Loop) -> None:
+        self.owner, self.loop, self.listener = owner, loop, listener
+        self._full = False
+        self.task = loop.start(self._accept(), listener.fileno(), Rank.CLIENT)
+
+    def _accept(self) -> Coroutine:
+        """Takes what has come, so many a turn. With no descriptor left the longest idle client makes room, or
+        else new ones stay in the backlog for a moment: a failing accept never spins."""
+        limits = self.owner.limits
+        try:
+            while True:
+                yield READ, 0
+                try:
+                    for _ in range(limits.accepts):
+                        if not self.accept_one():
+                            break
+                    self._full = False
+                except OSError as error:
+                    if not self._full:  # once, however long it lasts
+                        log.warning("new clients wait", extra={"why": str(error)})
+                    self._full = True
+                    yield 0, self.loop.now + limits.accept_pause
+        finally:
+            self.listener.close()
+
+    def accept_one(self) -> bool:
+        """False when nobody waits; raises OSError when there is no room."""
+        clients = self.owner.clients
+        full = len(clients.all) >= self.owner.limits.clients
+        if full and not clients.can_make_room():
+            raise OSError(errno.EMFILE, "as many clients as may be, none idle")
+        try:
+            sock, _ = self.listener.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return False
+        if full:
+            clients.make_room(self.loop.now)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:  # it has gone already
+            sock.close()
+            return True
+        ClientConnection(self.owner, sock)
+        return True
--- a/oakvale/lifecycle/serving.py
+++ b/oakvale/lifecycle/serving.py
@@ -2,37 +2,23 @@
 
 from __future__ import annotations
 
-import errno
 import gc
 import logging
 import os
 import socket
 
 from oakvale.host import Host
+from oakvale.lifecycle.acceptor import Acceptor, listening
 from oakvale.lifecycle.configuration import BadConfiguration, Configuration, spelled
-from oakvale.lifecycle.loop import READ, Clock, Coroutine, Loop, Rank
+from oakvale.lifecycle.loop import Clock, Loop, Rank
 from oakvale.lifecycle.shutdown import Shutdown
 from oakvale.lifecycle.signals import Signals
 from oakvale.lifecycle.status import Status
-from oakvale.wire.clients import ClientConnection
 from oakvale.wire.discovery import BadList
-from oakvale.wire.tcp import stamp_arrivals
-
-log = logging.getLogger(__name__)
 
+__all__ = ["Server", "listening", "serve"]
 
-def listening(address: tuple[str, int], backlog: int) -> socket.socket:
-    """Bound at once after a kill, though connections of the life before may linger."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        stamp_arrivals(sock)
-        sock.bind(address)
-        sock.listen(backlog)
-    except OSError:
-        sock.close()
-        raise
-    return sock
+log = logging.getLogger(__name__)
 
 
 class Server:
@@ -41,8 +27,8 @@
         self.host = Host(configuration, loop)
         self.configuration, self.limits = configuration, configuration.limits
         self.known = configuration.known
-        self._full = False
-        self.accepting = loop.start(self._accept(), listener.fileno(), Rank.CLIENT)
+        self.acceptor = Acceptor(self.host, listener, loop)
+        self.accepting = self.acceptor.task
         loop.at(loop.now + self.limits.sweep, self._sweep)
 
     def begin(self) -> None:
@@ -74,45 +60,8 @@
         if self.host.counter is not None and fresh.counter is not None:
             self.host.counter.move(fresh.counter)
 
-    def _accept(self) -> Coroutine:
-        """Takes what has come, so many a turn. With no descriptor left the longest idle client makes room, or
-        else new ones stay in the backlog for a moment: a failing accept never spins."""
-        try:
-            while True:
-                yield READ, 0
-                try:
-                    for _ in range(self.limits.accepts):
-                        if not self.accept_one():
-                            break
-                    self._full = False
-                except OSError as error:
-                    if not self._full:  # once, however long it lasts
-                        log.warning("new clients wait", extra={"why": str(error)})
-                    self._full = True
-                    yield 0, self.loop.now + self.limits.accept_pause
-        finally:
-            self.listener.close()
-
     def accept_one(self) -> bool:
-        """False when nobody waits; raises OSError when there is no room."""
-        clients = self.host.clients
-        full = len(clients.all) >= self.limits.clients
-        if full and not clients.can_make_room():
-            raise OSError(errno.EMFILE, "as many clients as may be, none idle")
-        try:
-            sock, _ = self.listener.accept()
-        except (BlockingIOError, ConnectionAbortedError):
-            return False
-        if full:
-            clients.make_room(self.loop.now)
-        try:
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError:  # it has gone already
-            sock.close()
-            return True
-        ClientConnection(self.host, sock)
-        return True
+        return self.acceptor.accept_one()
 
     def _sweep(self, _: None) -> None:
         self.host.idle.sweep(self.loop.now)
--- a/oakvale/lifecycle/shutdown.py
+++ b/oakvale/lifecycle/shutdown.py
@@ -3,16 +3,29 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
-if TYPE_CHECKING:
-    from oakvale.lifecycle.serving import Server
+from oakvale.lifecycle.loop import Loop, Task
 
 log = logging.getLogger(__name__)
 
 
+class Stoppable(Protocol):
+    """What is shut down: its connections' owner, its loop, the coroutine that accepts."""
+
+    @property
+    def host(self) -> Any: ...
+    @property
+    def loop(self) -> Loop: ...
+    @property
+    def accepting(self) -> Task: ...
+
+    def accept_one(self) -> bool:
+        """False when nobody waits; raises OSError when there is no room."""
+
+
 class Shutdown:
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: Stoppable) -> None:
         self.server, self.host, self.loop = server, server.host, server.loop
         self._began = 0
 
--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -104,6 +104,15 @@
             Request: self.on_request, Ended: self.on_ended, Counted: self.on_counted, Timer: self.on_timer,
             Backends: self.on_backends, Head: self.on_head, Withdrawn: lambda ev: self.finish(ev.id)}
 
+    def resettle(self, settings: Settings) -> None:
+        """Other classes of requests, same backends: what was learned of these stays."""
+        self.s = settings
+        self.aim = min((c.aim for c in settings.classes), default=SECOND)
+        self.open_slot = max((c.deadline for c in settings.classes), default=SECOND)
+
+    def tries(self, held: Held) -> int:
+        return held.cls.tries or self.s.max_attempts
+
     def handle(self, now: int, event: Event) -> list[Action]:
         if self.now and now - self.now > 2 * BATCH:  # it stood still: all that came meanwhile comes now
             self.gap, self.stood = now, now - self.now
@@ -505,7 +514,7 @@
         held.hops, held.out[hop] = hop + 1, (b, self.now)
         held.tried.append(b.entry.backend)
         held.cust.out += 1
-        if self.s.may_cancel and held.hops < self.s.max_attempts and held.cls.effect is not Effect.UNSAFE:
+        if self.s.may_cancel and held.hops < self.tries(held) and held.cls.effect is not Effect.UNSAFE:
             self.check_later(held, hop, int(max(2.5 * self.lat_of(b) * req.units, 0.3 * held.cls.aim)))
 
     def check_later(self, held: Held, hop: int, delay: int) -> None:
@@ -560,7 +569,7 @@
         """Another attempt where effect, budget and aim allow one; else the final answer at once."""
         cost = 0 if ending in NEVER_RAN else 1
         useful = ending is not Ending.MOOT and self.left(held) > self.lat * held.req.units / 2
-        if useful and self.budget >= cost and held.hops < self.s.max_attempts and self.repeatable(held):
+        if useful and self.budget >= cost and held.hops < self.tries(held) and self.repeatable(held):
             self.budget -= cost
             return self.launch(held)
         self.refuse(held, SECOND // 2)
--- /dev/null
+++ b/oakvale/mains/links.py
@@ -0,0 +1,256 @@
+"""Links between the system's processes: one outgoing connection to each peer that is spoken to, made when it
+is first needed; answers come back on the connection that the question went out on.
+
+No call waits for a peer: what can't be said or is not answered in time ends with `None`, and a peer that does
+not read is cut off when its backlog is full. Loss is the caller's to mend.
+"""
+
+from __future__ import annotations
+
+import errno
+import logging
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from oakvale.lifecycle.configuration import Address
+from oakvale.lifecycle.loop import READ, TIMED_OUT, WRITE, Coroutine, Loop, Rank, Timer, call_off
+from oakvale.mains.frames import BadFrame, Frame, decode, encode
+
+TCP_USER_TIMEOUT = 18  # Linux; milliseconds that sent bytes may stay unacknowledged
+SILENT_MS = 1_500  # behind a cut nothing is ever refused: such a connection is given up after this
+CONNECT = 700_000  # microseconds
+PAUSE = 150_000  # after a connection failed, before the next is tried
+BACKLOG = 8 * 1024 * 1024  # bytes that may wait for one peer
+IDLE = 20_000_000  # an unused link ends
+READ_SIZE = 64 * 1024
+ACCEPTS = 64
+
+Answer = Callable[[Any], None]
+Handler = Callable[["Conn", Any, Answer], None]
+Then = Callable[[Any], None]  # the answer's body, or None where there was none
+
+log = logging.getLogger(__name__)
+
+
+class Conn:
+    """One connection, either way. `on_close` hears once that it is gone."""
+
+    def __init__(self, mains: Mains, sock: socket.socket, address: Address, out: bool) -> None:
+        self.mains, self.sock, self.address, self._out = mains, sock, address, out
+        self.alive, self.up = True, not out
+        self.on_close: list[Callable[[Conn], None]] = []
+        self.waiting: dict[int, tuple[Then, Timer]] = {}
+        self._came, self._going = bytearray(), bytearray()
+        self.used = mains.loop.now
+        self._task = mains.loop.start(self._run(), sock.fileno(), Rank.COUNTER)
+
+    def send(self, kind: str, number: int, body: Any) -> None:
+        if not self.alive:
+            return
+        data = encode(kind, number, body)
+        if len(self._going) + len(data) > BACKLOG:
+            log.warning("peer does not read", extra={"peer": self.address[0]})
+            return self.end()
+        self.used = self.mains.loop.now
+        self.mains.sent_bytes += len(data)
+        if self.up and not self._going:
+            try:
+                sent = self.sock.send(data)
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                return self.end()
+            if sent == len(data):
+                return
+            data = data[sent:]
+        self._going += data
+        self.mains.loop.wake(self._task)
+
+    def end(self) -> None:
+        """Later in this turn: whoever speaks need not reckon with its own connection gone under it."""
+        if self.alive:
+            self.alive = False
+            self.mains.loop.wake(self._task)
+
+    def _run(self) -> Coroutine:
+        try:
+            if self._out and not (yield from self._connect()):
+                return
+            self.up = True
+            while self.alive:
+                self._write()
+                signal = yield READ | (WRITE if self._going else 0), 0
+                if signal > 0 and signal & ~WRITE and not self._read():
+                    return
+        except (OSError, BadFrame) as error:
+            if isinstance(error, BadFrame):
+                log.warning("bad frame", extra={"peer": self.address[0], "why": str(error)[:100]})
+        finally:
+            self.alive = False
+            self.sock.close()
+            self.mains.gone(self)
+
+    def _connect(self) -> Coroutine | Any:
+        """As wire.tcp's, but it also ends when the link is ended meanwhile."""
+        code = self.sock.connect_ex(self.address)
+        if code == 0:
+            return True
+        if code != errno.EINPROGRESS:
+            return False
+        due = self.mains.loop.now + CONNECT
+        while True:
+            signal = yield WRITE, due
+            if signal == TIMED_OUT or not self.alive:
+                return False
+            if signal > 0:
+                return not self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+    def _write(self) -> None:
+        while self._going:
+            try:
+                sent = self.sock.send(self._going)
+            except BlockingIOError:
+                return
+            del self._going[:sent]
+
+    def _read(self) -> bool:
+        try:
+            data = self.sock.recv(READ_SIZE)
+        except BlockingIOError:
+            return True
+        if not data:
+            return False
+        self._came += data
+        for frame in decode(self._came):
+            self._take(frame)
+        return True
+
+    def _take(self, frame: Frame) -> None:
+        kind, number, body = frame
+        if not kind:
+            waited = self.waiting.pop(number, None)
+            if waited is not None:
+                call_off(waited[1])
+                waited[0](body)
+            return
+        handler = self.mains.handlers.get(kind)
+        if handler is None:
+            return
+        try:
+            handler(self, body, (lambda answer: self.send("", number, answer)) if number else _nobody)
+        except Exception:
+            # one peer's odd message never ends the process, nor the connection that others' news come on
+            log.exception("message failed", extra={"kind": kind, "peer": self.address[0]})
+
+
+def _nobody(_: Any) -> None:
+    pass
+
+
+class Mains:
+    """All links of a process."""
+
+    def __init__(self, loop: Loop, own: Address) -> None:
+        self.loop, self.own = loop, own
+        self.handlers: dict[str, Handler] = {}
+        self.sent_bytes = 0
+        self._out: dict[Address, Conn] = {}
+        self._failed: dict[Address, int] = {}
+        self._in: set[Conn] = set()
+        self._number = 0
+
+    def listen(self) -> None:
+        """Raises OSError where the address can't be had."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(self.own)
+        sock.listen(256)
+        self.loop.start(self._accept(sock), sock.fileno(), Rank.COUNTER)
+
+    def _accept(self, listener: socket.socket) -> Coroutine:
+        try:
+            while True:
+                yield READ, 0
+                for _ in range(ACCEPTS):
+                    try:
+                        sock, address = listener.accept()
+                    except OSError:
+                        break
+                    self._tune(sock)
+                    self._in.add(Conn(self, sock, address, out=False))
+        finally:
+            listener.close()
+
+    @staticmethod
+    def _tune(sock: socket.socket) -> None:
+        sock.setblocking(False)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, TCP_USER_TIMEOUT, SILENT_MS)
+        except OSError:
+            pass  # gone already: the first read says so
+
+    def gone(self, conn: Conn) -> None:
+        self._in.discard(conn)
+        if self._out.get(conn.address) is conn:
+            del self._out[conn.address]
+            if not conn.up:
+                self._failed[conn.address] = self.loop.now
+        waiting, conn.waiting = conn.waiting, {}
+        for then, timer in waiting.values():
+            call_off(timer)
+            then(None)
+        for call in conn.on_close:
+            call(conn)
+
+    def link(self, address: Address) -> Conn | None:
+        """The connection to a peer, made if need be; None shortly after one failed."""
+        conn = self._out.get(address)
+        if conn is not None and conn.alive:
+            return conn
+        if self.loop.now - self._failed.get(address, -PAUSE) < PAUSE:
+            return None
+        self._failed.pop(address, None)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError:
+            return None
+        self._tune(sock)
+        conn = Conn(self, sock, address, out=True)
+        if conn.alive:
+            self._out[address] = conn
+            return conn
+        return None
+
+    def tell(self, address: Address, kind: str, body: Any) -> None:
+        conn = self.link(address)
+        if conn is not None:
+            conn.send(kind, 0, body)
+
+    def ask(self, address: Address, kind: str, body: Any, timeout: int, then: Then) -> None:
+        """`then` hears the answer, or None after `timeout` microseconds or once the connection is gone."""
+        conn = self.link(address)
+        if conn is None:
+            self.loop.at(self.loop.now, lambda _: then(None))
+            return
+        self._number += 1
+        number = self._number
+
+        def late(_: Any) -> None:
+            if conn.waiting.pop(number, None) is not None:
+                then(None)
+
+        conn.waiting[number] = (then, self.loop.at(self.loop.now + timeout, late))
+        conn.send(kind, number, body)
+
+    def drop(self, address: Address) -> None:
+        conn = self._out.get(address)
+        if conn is not None:
+            conn.end()
+
+    def sweep(self) -> None:
+        """Ends links that nothing went out on for long."""
+        for conn in list(self._out.values()):
+            if self.loop.now - conn.used > IDLE and not conn.waiting and not conn.on_close:
+                conn.end()
--- a/oakvale/memory/requests.py
+++ b/oakvale/memory/requests.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from oakvale.interface import Ending
 
 if TYPE_CHECKING:
     from oakvale.wire.backends import BackendConnection
-    from oakvale.wire.clients import ClientConnection
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -28,12 +27,13 @@
     """One request of a client."""
 
     id: str
-    client: ClientConnection
+    client: Any  # takes the answer with `give`
     method: bytes
     target: bytes
     headers: Headers
     body: bytes
     deadline: int
+    event: Any = None  # what it is to the decision module
     over: bool = False
     hops: int = 0
     out: dict[int, AttemptOut] = field(default_factory=dict)
--- /dev/null
+++ b/oakvale/penstock/feed.py
@@ -0,0 +1,183 @@
+"""The feed: takes news from above and hands them to those below.
+
+Every frame of news bears the pulse of the primary that it comes from: its view and a count. Pulses come several
+times a second with or without news, so that a gateway knows how fresh its table is, however many relays are
+between: with no new pulse for `STALE` it turns to the next source. It never goes back, and takes from anybody.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from oakvale.lifecycle.configuration import Address, parse_address
+from oakvale.lifecycle.loop import Loop
+from oakvale.mains.links import Answer, Conn, Mains
+from oakvale.penstock.table import NOTHING, Entry, Table, Version, pack, unpack
+
+PULSE = 250_000  # microseconds between two of the primary's pulses
+STALE = 800_000  # without a new one, another source is tried
+TRY = 400_000  # for a source to send its first
+REPAIR = 5_000_000  # between two comparisons of digests
+
+log = logging.getLogger(__name__)
+
+
+class Outlet:
+    """Those below, each with its connection, and what each has been sent."""
+
+    def __init__(self, table: Table) -> None:
+        self._table = table
+        self._below: dict[Conn, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._below)
+
+    def subscribe(self, conn: Conn, high: Version, pulse: Version) -> None:
+        if conn not in self._below:
+            self._below[conn] = None
+            conn.on_close.append(self._gone)
+        if high < self._table.floor or high == NOTHING:
+            body: list[Any] = [list(pulse), pack(self._table.since(NOTHING)), list(self._table.floor)]
+        else:
+            body = [list(pulse), pack(self._table.since(high)), None]
+        conn.send("news", 0, body)
+
+    def _gone(self, conn: Conn) -> None:
+        self._below.pop(conn, None)
+
+    def leave(self, conn: Conn) -> None:
+        if self._below.pop(conn, 0) is None:
+            conn.on_close.remove(self._gone)
+
+    def publish(self, pulse: Version, entries: list[Entry]) -> None:
+        body = [list(pulse), pack(entries), None]
+        for conn in list(self._below):
+            conn.send("news", 0, body)
+
+    def mend(self, conn: Conn, digests: list[bytes], answer: Answer) -> None:
+        answer(pack(self._table.differing(digests)))
+
+    def drop(self) -> None:
+        for conn in list(self._below):
+            conn.end()
+
+
+class Feed:
+    """A gateway's side: the source that it takes news from now, and the relay to those below."""
+
+    def __init__(self, loop: Loop, mains: Mains, table: Table, own: Callable[[], dict[str, Any]],
+                 sources: Callable[[dict[str, int]], list[str]], changed: Callable[[list[str]], None]) -> None:
+        self.loop, self.mains, self.table = loop, mains, table
+        self._own, self._sources, self._changed = own, sources, changed
+        self.outlet = Outlet(table)
+        self.pulse: Version = NOTHING
+        self.fresh_at = 0  # when the latest new pulse came
+        self._source: Address | None = None
+        self._asked_at = 0
+        self._failed: dict[str, int] = {}
+        self._tries = 0
+        self._settled = False
+        mains.handlers["news"] = self._news
+        mains.handlers["subscribe"] = self._subscribe
+        mains.handlers["leave"] = lambda conn, body, answer: self.outlet.leave(conn)
+        mains.handlers["digests"] = lambda conn, body, answer: self.outlet.mend(conn, body, answer)
+        loop.at(loop.now, self._tick)
+        loop.at(loop.now + REPAIR, self._repair)
+
+    def fresh(self, within: int = STALE) -> bool:
+        return bool(self.fresh_at) and self.loop.now - self.fresh_at < within
+
+    def source(self) -> Address | None:
+        return self._source
+
+    def turn(self, address: str) -> None:
+        """Somebody knows better: a new primary, say. Its news are asked for at once."""
+        parsed = parse_address(address)
+        if parsed is not None:
+            self._ask(parsed)
+
+    def reconsider(self) -> None:
+        """The list of gateways changed: the place in the tree may have too."""
+        self._settled = False
+
+    # ---- from above
+
+    def _tick(self, _: Any) -> None:
+        now = self.loop.now
+        if not self.fresh():
+            if now - self._asked_at >= TRY:
+                self._next(now)
+        elif not self._settled and now - self._asked_at > STALE:
+            self._settled = True
+            best = self._sources(self._failed)
+            if best and parse_address(best[0]) != self._source:
+                self.turn(best[0])
+        self.loop.at(now + PULSE // 2, self._tick)
+
+    def _next(self, now: int) -> None:
+        if self._source is not None:
+            self._failed[f"{self._source[0]}:{self._source[1]}"] = now
+            if self.fresh_at:
+                log.info("news are stale", extra={"source": self._source[0], "for_ms": (now - self.fresh_at) // 1000})
+        self._failed = {a: t for a, t in self._failed.items() if now - t < 20 * STALE}
+        ways = self._sources(self._failed)
+        if ways:
+            address = parse_address(ways[0])
+            if address is not None:
+                self._ask(address)
+
+    def _ask(self, address: Address) -> None:
+        now = self.loop.now
+        if self._source is not None and self._source != address:
+            self.mains.tell(self._source, "leave", None)
+        self._source, self._asked_at = address, now
+        body = self._own() | {"high": list(self.table.high)}
+        self.mains.ask(address, "subscribe", body, TRY, lambda answer: self._subscribed(address, answer))
+
+    def _subscribed(self, address: Address, answer: Any) -> None:
+        """A core machine that is not primary names the one that is."""
+        if isinstance(answer, dict) and answer.get("primary") and self._source == address:
+            other = parse_address(answer["primary"])
+            if other is not None and other != address:
+                self._ask(other)
+
+    def _news(self, conn: Conn, body: Any, _: Answer) -> None:
+        pulse, entries, floor = (int(body[0][0]), int(body[0][1])), unpack(body[1]), body[2]
+        if pulse < self.pulse and pulse[0] < self.pulse[0]:
+            return  # of a primary that was replaced
+        if floor is not None:
+            changed = self.table.whole(entries, (int(floor[0]), int(floor[1])))
+        else:
+            changed = self.table.put(entries)
+        fresh = pulse > self.pulse
+        if fresh:
+            self.pulse, self.fresh_at = pulse, self.loop.now
+        if changed:
+            self._changed(changed)
+        if fresh or changed:
+            keys = set(changed)
+            self.outlet.publish(self.pulse, [entry for entry in entries if entry[0] in keys])
+
+    def _repair(self, _: Any) -> None:
+        self.loop.at(self.loop.now + REPAIR, self._repair)
+        if self._source is not None and self.fresh():
+            self.mains.ask(self._source, "digests", self.table.digests(), STALE, self._mended)
+
+    def _mended(self, answer: Any) -> None:
+        if answer:
+            entries = unpack(answer)
+            changed = self.table.put(entries)
+            if changed:
+                log.warning("table mended", extra={"entries": len(changed)})
+                self._changed(changed)
+                self.outlet.publish(self.pulse, [entry for entry in entries if entry[0] in set(changed)])
+
+    # ---- from below
+
+    def _subscribe(self, conn: Conn, body: Any, answer: Answer) -> None:
+        if not self.fresh():
+            return answer({"stale": True})
+        answer({})
+        self.outlet.subscribe(conn, (int(body["high"][0]), int(body["high"][1])), self.pulse)
--- /dev/null
+++ b/oakvale/sluice/dialect.py
@@ -0,0 +1,60 @@
+"""What backends of the system are told, and how their answers are taken."""
+
+from __future__ import annotations
+
+from oakvale.interface import Ending
+from oakvale.memory.requests import Answer, AttemptOut, Headers
+from oakvale.wire.backends import Spoilt
+from oakvale.wire.http import end_to_end
+
+OURS = frozenset({b"time-left", b"backend", b"tenant", b"authorization", b"attempt-id"})
+FOR_US = frozenset({b"not-run", b"served-by", b"keep-alive"})
+PROMISES = (408, 421, 429, 503)  # a client takes these for 'it has not run and never will'
+
+
+class SystemDialect:
+    def headers(self, attempt: AttemptOut, left: int) -> Headers:
+        request = attempt.request
+        order = request.event
+        own = [(b"attempt-id", request.id.encode("latin-1")), (b"time-left", b"%d" % (left // 1000)),
+               (b"backend", order.lane.backend_id(attempt.backend).encode("latin-1"))]
+        if order.tenant is not None:
+            own.append((b"tenant", order.tenant.encode("latin-1")))
+        return [*end_to_end(request.headers, OURS), *own]
+
+    def belongs(self, attempt: AttemptOut, status: int, headers: Headers) -> bool:
+        """A whole answer bears the attempt's id; one that turns away may bear none."""
+        ids = [value for name, value in headers if name == b"attempt-id"]
+        return all(value == attempt.request.id.encode("latin-1") for value in ids) and bool(ids or status >= 300)
+
+    def check(self, headers: Headers) -> None:
+        if any(name == b"content-encoding" and value.lower() != b"identity" for name, value in headers):
+            raise Spoilt("encoded: not what the backend meant")
+
+    def ending(self, answer: Answer) -> Ending:
+        names = {name for name, _ in answer.headers}
+        if 200 <= answer.status < 300:
+            return Ending.SERVED if b"seal" in names else Ending.RESET
+        if b"not-run" in names or answer.status == 421:
+            return Ending.FULL
+        return Ending.ERROR
+
+    def report(self, headers: Headers) -> tuple[float, ...]:
+        return ()
+
+    def passes(self, attempt: AttemptOut, ending: Ending, answer: Answer) -> Answer | None:
+        """A backend's own answer is final where it served, where it speaks of the request, and where the
+        request may not run once more. Its own 429 or 503 that does not say 'not run' would be read as a
+        promise that nobody made."""
+        if ending is Ending.SERVED:
+            return Answer(answer.status, end_to_end(answer.headers, FOR_US), answer.body)
+        if ending is not Ending.ERROR:
+            return None
+        passed = Answer(answer.status, end_to_end(answer.headers, FOR_US), answer.body)
+        if answer.status in PROMISES:
+            passed = Answer(502, [(b"content-type", b"text/plain")], b"failed\n")
+        order = attempt.request.event
+        if not order.route.safe or 400 <= answer.status < 500:
+            return passed
+        order.last = passed
+        return None
--- /dev/null
+++ b/oakvale/sluice/plant.py
@@ -0,0 +1,247 @@
+"""The data plane of a gateway: requests matched, counted, and given to the lane of their service."""
+
+from __future__ import annotations
+
+import random
+import re
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from oakvale import interface as i
+from oakvale.gauge.service import Gauge
+from oakvale.lane import Lane, Shared
+from oakvale.lifecycle.configuration import Address, parse_address
+from oakvale.lifecycle.status import Tally
+from oakvale.memory.requests import Answer, InHand
+from oakvale.sluice.dialect import SystemDialect
+from oakvale.sluice.routes import Backend, Picture, Route
+from oakvale.wire.clients import BadRequest, Incoming, plain
+
+ATTEMPT_ID = re.compile(rb"[!-~]{1,128}")
+DIGITS = re.compile(rb"[0-9]{1,9}")
+MS = 1_000
+SECOND = 1_000_000
+MOST_TRIES = 64  # each route says how many it allows
+TEXT = (b"content-type", b"text/plain")
+
+
+def later(status: int, wait: int, why: bytes) -> Answer:
+    """A refusal: it never ran, and names a time to come back, in hundredths of a second upwards."""
+    return Answer(status, [TEXT, (b"retry-after", b"%.2f" % (-(-max(wait, 10_000) // 10_000) / 100))], why)
+
+
+@dataclass(slots=True)
+class Order:
+    """A request as the lanes know it."""
+
+    lane: ServiceLane
+    route: Route
+    tenant: str | None
+    event: i.Request
+    given: bool = False  # to the lane
+    last: Answer | None = None  # a backend's own failure, if nothing better comes
+
+
+class ServiceLane(Lane):
+    """One service: its backends, and the decisions on them."""
+
+    def __init__(self, shared: Shared, service: str, zones: dict[str, int], zone: str, seed: int) -> None:
+        self._classes: dict[str, tuple[int, i.RequestClass]] = {}
+        self._zones, self._service = zones, service
+        settings = i.Settings(classes=(), plans=(i.Plan(),), zone=zones.get(zone, 0), retry_after=True,
+                              max_attempts=MOST_TRIES, max_retry_after=SECOND, may_cancel=True,
+                              cross_zone_price=1.0, cold_from=1.0)
+        super().__init__(shared, settings, seed)
+        self.dialect = SystemDialect()
+        self._ids: dict[int, str] = {}
+        self._numbers: dict[str, int] = {}
+        self._addresses: dict[int, Address] = {}
+        self._ready: set[int] = set()
+        self._known: dict[str, Backend] = {}
+        self.listed = False
+
+    def class_of(self, route: Route) -> int:
+        """The number of a route among this lane's classes; a changed route keeps its number."""
+        made = i.RequestClass(aim=route.aim, deadline=route.deadline, tries=route.tries,
+                              effect=i.Effect.SAFE if route.safe else i.Effect.UNSAFE)
+        known = self._classes.get(route.name)
+        if known is None or known[1] != made:
+            number = known[0] if known else len(self._classes)
+            self._classes[route.name] = (number, made)
+            self.settings = i.replace_classes(self.settings, tuple(c for _, c in self._classes.values()))
+            self.gateway.resettle(self.settings)
+            return number
+        return known[0]
+
+    def list(self, backends: list[Backend], numbers: dict[str, int]) -> None:
+        known = {b.id: b for b in backends}
+        if known == self._known and self.listed:
+            return
+        was, self._known, self.listed = self._known, known, True
+        entries = []
+        for backend in backends:
+            number = numbers.setdefault(backend.id, len(numbers) + 1)
+            self._numbers[backend.id], self._ids[number] = number, backend.id
+            address = parse_address(backend.address)
+            if address is None:
+                continue
+            self._addresses[number] = address
+            entries.append(i.Entry(number, self._zones.get(backend.zone, len(self._zones)),
+                                   state=i.State.READY if backend.ready else i.State.DRAINING,
+                                   slots=backend.slots))
+        self._ready = {self._numbers[b.id] for b in backends if b.ready}
+        self.give(i.Backends(i.ListForm.FULL, tuple(entries)))
+        for name, backend in was.items():
+            now = known.get(name)
+            if now is None or not now.ready or now.address != backend.address:
+                self.idle.free(self._numbers[name])
+
+    def backend_id(self, number: int) -> str:
+        return self._ids.get(number, "")
+
+    def address(self, backend: int) -> Address | None:
+        return self._addresses.get(backend)
+
+    def serves(self, backend: int) -> bool:
+        return backend in self._ready
+
+    def answer_of(self, request: InHand, action: i.Refuse | i.Fail) -> Answer:
+        order: Order = request.event
+        if order.last is not None:
+            return order.last
+        if isinstance(action, i.Fail):
+            return Answer(502, [TEXT], b"it may have run\n")
+        return later(503, action.retry_after, b"try again later\n")
+
+
+class Plant:
+    """The owner of clients' connections."""
+
+    def __init__(self, shared: Shared, gauge: Gauge, zones: list[str], zone: str) -> None:
+        self.shared, self.gauge = shared, gauge
+        self.loop, self.limits, self.log = shared.loop, shared.limits, shared.log
+        self.buffers, self.bodies, self.clients = shared.buffers, shared.bodies, shared.clients
+        self.response = shared.response
+        self.picture = Picture()
+        self._zones, self._zone = {name: n for n, name in enumerate(zones)}, zone
+        self._lanes: dict[str, ServiceLane] = {}
+        self._numbers: dict[str, int] = {}
+        self._rng = random.Random()
+        self.taking_ended = False
+
+    @property
+    def tally(self) -> Tally:
+        return self.shared.tally
+
+    @property
+    def stopping(self) -> bool:
+        return self.shared.stopping
+
+    @stopping.setter
+    def stopping(self, stops: bool) -> None:
+        self.shared.stopping = stops
+
+    @property
+    def ended(self) -> bool:
+        return self.shared.ended
+
+    @ended.setter
+    def ended(self, ends: bool) -> None:
+        self.shared.ended = ends
+
+    @property
+    def requests(self) -> Any:
+        return self.shared.requests
+
+    def waited(self, arrived: int) -> int:
+        return 0  # stamps are of the time of day, which jumps here
+
+    # ---- the news
+
+    def show(self, picture: Picture) -> None:
+        """Everything from here on is decided by this picture."""
+        was, self.picture = self.picture, picture
+        if picture.backends is not was.backends:
+            by_service: dict[str, list[Backend]] = {}
+            for backend in picture.backends.values():
+                by_service.setdefault(backend.service, []).append(backend)
+            for service in {*self._lanes, *by_service}:
+                self._lane(service).list(by_service.get(service, []), self._numbers)
+
+    def _lane(self, service: str) -> ServiceLane:
+        lane = self._lanes.get(service)
+        if lane is None:
+            lane = self._lanes[service] = ServiceLane(self.shared, service, self._zones, self._zone,
+                                                      self._rng.getrandbits(32))
+        return lane
+
+    # ---- requests
+
+    def open(self, client: Any, incoming: Incoming, came: int) -> Answer | InHand:
+        picture, fields = self.picture, incoming.fields
+        if picture.gen < 0:
+            return later(503, SECOND // 2, b"no configuration yet\n")
+        rid = fields.get(b"attempt-id", b"")
+        if not ATTEMPT_ID.fullmatch(rid):
+            raise BadRequest(400, "Attempt-Id is missing or not understood")
+        host = fields.get(b"host", b"").decode("latin-1").lower()
+        if host not in picture.routes:
+            host = host.rpartition(":")[0] or host
+        path = incoming.target.partition(b"?")[0].decode("latin-1")
+        route = picture.match(host, path)
+        if route is None:
+            return plain(404, "no such route")
+        tenant = None
+        if picture.keys is not None and not route.public:
+            scheme, _, key = fields.get(b"authorization", b"").decode("latin-1").partition(" ")
+            holder = picture.keys.get(key.strip()) if scheme.lower() == "bearer" else None
+            if holder is None:
+                return plain(401, "no such key")
+            tenant = holder.name
+        name = rid.decode("latin-1")
+        if self.requests.get(name) is not None:
+            raise BadRequest(409, "Attempt-Id is of a request in hand")
+        if self.taking_ended or self.requests.full():
+            return later(503, SECOND // 2, b"no room\n")
+        left = fields.get(b"time-left", b"")
+        wait = min(route.deadline, int(left) * MS if DIGITS.fullmatch(left) else route.deadline)
+        lane = self._lane(route.service(self._rng.random()))
+        event = i.Request(name, "", lane.class_of(route), 0, 1.0, 1, 0, came + wait)
+        order = Order(lane, route, tenant, event)
+        return InHand(name, client, incoming.method, incoming.target, incoming.headers, incoming.body,
+                      event.deadline, order)
+
+    def begin(self, request: InHand) -> None:
+        order: Order = request.event
+        self.requests.add(request)
+        if order.tenant is None:
+            return self._go(request)
+        self.gauge.ask(order.tenant, partial(self._counted, request))
+
+    def _counted(self, request: InHand, passes: bool, wait: int, counted: bool) -> None:
+        if request.over:
+            return
+        if passes:
+            return self._go(request)
+        if counted:
+            self._final(request, later(429, wait, b"over the quota\n"))
+        else:
+            self._final(request, later(503, wait, b"not counted\n"))
+
+    def _go(self, request: InHand) -> None:
+        order: Order = request.event
+        order.given = True
+        order.lane.request_came(request, order.event)
+
+    def _final(self, request: InHand, answer: Answer) -> None:
+        request.over = True
+        request.client.give(answer)
+        self.requests.drop_if_done(request)
+
+    def client_gone(self, request: InHand) -> None:
+        order: Order = request.event
+        if order.given:
+            return order.lane.client_gone(request)
+        request.over = True
+        self.requests.drop_if_done(request)
--- /dev/null
+++ b/oakvale/sluice/process.py
@@ -0,0 +1,225 @@
+"""The process of the edge role: `oakvale sluice`."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import secrets
+from dataclasses import replace
+from typing import Any
+
+from oakvale.gauge.floors import Quota, Terms
+from oakvale.gauge.service import Gauge
+from oakvale.intake.settings import BadSettings, Settings
+from oakvale.lane import Shared
+from oakvale.lifecycle.acceptor import Acceptor, listening
+from oakvale.lifecycle.configuration import parse_address, spelled
+from oakvale.lifecycle.loop import Clock, Loop, Rank
+from oakvale.lifecycle.shutdown import Shutdown
+from oakvale.lifecycle.signals import Signals
+from oakvale.mains.links import Answer, Conn, Mains
+from oakvale.memory.requests import Answer as HttpAnswer
+from oakvale.memory.requests import InHand
+from oakvale.penstock.feed import Feed
+from oakvale.penstock.table import Table
+from oakvale.penstock.tree import Member, sources, watchers
+from oakvale.sluice.bounds import bounds
+from oakvale.sluice.plant import Plant
+from oakvale.sluice.routes import backends, configured, members
+from oakvale.wire.clients import Incoming, plain
+
+JOIN = 500_000  # microseconds between two tries to join
+STAY = 3_000_000  # between two looks whether the list still has this gateway
+HEARTBEAT = 500_000
+WATCHERS = 3
+MISSED = 2_200_000  # without a heartbeat for so long, the primary is told
+SWEEP = 1_000_000
+
+log = logging.getLogger(__name__)
+
+
+class Readyz:
+    """The owner of `readyz` connections: the same bounds, one answer."""
+
+    def __init__(self, shared: Shared, sluice: Sluice) -> None:
+        self._sluice = sluice
+        self.loop, self.limits, self.log = shared.loop, shared.limits, shared.log
+        self.buffers, self.bodies, self.response = shared.buffers, shared.bodies, shared.response
+        self.clients = type(shared.clients)(self.limits.client_grace, 16)
+        self.tally = type(shared.tally)()
+        self.stopping = False
+
+    def waited(self, arrived: int) -> int:
+        return 0
+
+    def open(self, client: Any, incoming: Incoming, came: int) -> HttpAnswer | InHand:
+        if incoming.target != b"/oakvale/readyz":
+            return plain(404, "no such call")
+        return plain(200, "ready") if self._sluice.ready() else plain(503, "not ready")
+
+    def begin(self, request: InHand) -> None:
+        raise AssertionError("answered at once")
+
+    def client_gone(self, request: InHand) -> None:
+        raise AssertionError("answered at once")
+
+
+class Sluice:
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        limits = bounds(settings)
+        self.loop = Loop(Clock(), limits)
+        self.life = secrets.token_hex(6)
+        # two roles of a machine share its ports: the headworks takes the first
+        self.mains = Mains(self.loop, (settings.ip, settings.ports[0] + 1))
+        self.own = spelled(self.mains.own)
+        self.table = Table()
+        self.shared = Shared(self.loop, limits)
+        given = settings.bounds
+        terms = Terms(given.quota_win, given.quota_excess, given.quota_slack)
+        self.gauge = Gauge(self.loop, self.mains, terms, settings.node, self.life, self.own,
+                           self._members, self._quota)
+        self.plant = Plant(self.shared, self.gauge, sorted(settings.zones), settings.zone)
+        self.feed = Feed(self.loop, self.mains, self.table, lambda: {"node": settings.node, "life": self.life},
+                         self._sources, self._changed)
+        self._core = [f"{ip}:{settings.ports[0]}" for ip, _ in settings.seeds]
+        self._heard: dict[str, int] = {}  # node and life -> its last heartbeat here
+        self._turn = 0
+        self._joined = False
+        self.mains.handlers["alive"] = self._alive
+        self.mains.handlers["release"] = lambda conn, body, answer: self.gauge.released(str(body[0]), str(body[1]))
+        self.loop.at(self.loop.now, self._join)
+        self.loop.at(self.loop.now + HEARTBEAT, self._beat)
+        self.loop.at(self.loop.now + SWEEP, self._sweep)
+        self.plant_acceptor = Acceptor(self.plant, listening(settings.bind["http"], limits.backlog), self.loop)
+        self.ready_acceptor: Acceptor | None = None
+        if "readyz" in settings.bind:
+            self.ready_acceptor = Acceptor(Readyz(self.shared, self), listening(settings.bind["readyz"], 64), self.loop)
+        self.accepting = self.plant_acceptor.task
+        self.host = self.plant
+        self.mains.listen()
+
+    # ---- for the shutdown
+
+    def accept_one(self) -> bool:
+        return self.plant_acceptor.accept_one()
+
+    def ready(self) -> bool:
+        picture = self.plant.picture
+        return picture.gen >= 0 and bool(picture.backends) and not self.plant.stopping
+
+    # ---- the list of gateways
+
+    def _members(self) -> dict[str, Member]:
+        return dict(self.plant.picture.members)
+
+    def _quota(self, tenant: str) -> Quota:
+        found = self.plant.picture.tenants.get(tenant)
+        return found.quota if found else Quota()
+
+    def _sources(self, failed: dict[str, int]) -> list[str]:
+        return sources(self.plant.picture.members, self.settings.node, self.settings.zone, self._core, failed)
+
+    def _join(self, _: Any) -> None:
+        """Until the list has this gateway, and again whenever it has not."""
+        own = self.plant.picture.members.get(self.settings.node)
+        here = own is not None and own.life == self.life
+        self.loop.at(self.loop.now + (STAY if here else JOIN), self._join)
+        if here and self._joined:
+            return
+        address = parse_address(self._core[self._turn % len(self._core)]) if self._core else None
+        self._turn += 1
+        if address is None:
+            return
+        body = {"node": self.settings.node, "addr": self.own, "az": self.settings.zone, "life": self.life}
+
+        def answered(answer: Any) -> None:
+            if not isinstance(answer, dict):
+                return
+            if answer.get("joined"):
+                self._joined = True
+                known = [str(a) for a in answer.get("core") or []]
+                self._core = list(dict.fromkeys([*known, *self._core]))[:16]
+            elif answer.get("primary"):
+                self._know(str(answer["primary"]))
+
+        self.mains.ask(address, "join", body, JOIN, answered)
+
+    def _know(self, primary: str) -> None:
+        """Put first among the core machines; tried next."""
+        self._core = list(dict.fromkeys([primary, *self._core]))[:16]
+        self._turn = 0
+
+    def _beat(self, _: Any) -> None:
+        """To this gateway's watchers; and a look at those that it watches itself."""
+        now = self.loop.now
+        self.loop.at(now + HEARTBEAT, self._beat)
+        everyone = self.plant.picture.members
+        own = everyone.get(self.settings.node)
+        if own is None or own.life != self.life:
+            self._joined = False
+            return
+        for member in watchers(everyone.values(), self.settings.node, WATCHERS):
+            address = parse_address(member.address)
+            if address is not None:
+                self.mains.tell(address, "alive", [self.settings.node, self.life])
+        watched = [member for member in everyone.values() if member.node != self.settings.node and any(
+            w.node == self.settings.node for w in watchers(everyone.values(), member.node, WATCHERS))]
+        heard = {f"{m.node} {m.life}": self._heard.get(f"{m.node} {m.life}", now) for m in watched}
+        self._heard = heard
+        primary = parse_address(self._core[0]) if self._core else None
+        for member in watched:
+            if now - heard[f"{member.node} {member.life}"] > MISSED and primary is not None:
+                self.mains.tell(primary, "missing", {"node": member.node, "life": member.life,
+                                                     "watcher": self.settings.node})
+
+    def _alive(self, conn: Conn, body: Any, _: Answer) -> None:
+        self._heard[f"{body[0]} {body[1]}"] = self.loop.now
+
+    # ---- the news
+
+    def _changed(self, keys: list[str]) -> None:
+        picture = self.plant.picture
+        if "config" in keys:
+            held = self.table.get("config")
+            if held is not None and held["gen"] > picture.gen:
+                picture = replace(picture, **configured(bytes(held["text"])))
+                log.info("configuration", extra={"gen": picture.gen})
+        if any(key.startswith("backend/") for key in keys):
+            picture = replace(picture, backends=backends(self.table))
+        moved = any(key.startswith("gate/") for key in keys)
+        if moved:
+            picture = replace(picture, members=members(self.table))
+        self.plant.show(picture)
+        if moved:
+            self.gauge.members_changed()
+            self.feed.reconsider()
+
+    def _sweep(self, _: Any) -> None:
+        self.shared.idle.sweep(self.loop.now)
+        self.mains.sweep()
+        self.loop.at(self.loop.now + SWEEP, self._sweep)
+
+
+def serve(settings: Settings, signals: Signals) -> int:
+    """Raises BadSettings, OSError."""
+    if "http" not in settings.bind:
+        raise BadSettings("sluice needs [network.bind] http")
+    sluice = Sluice(settings)
+    shutdown = Shutdown(sluice)
+
+    def stop() -> None:
+        shutdown.begin()
+        sluice.gauge.release()
+
+    sluice.loop.start(signals.run(stop, lambda: None), signals.fileno(), Rank.DISCOVERY)
+    gc.collect()
+    gc.freeze()
+    log.info("sluice", extra={"node": settings.node, "own": sluice.own, "life": sluice.life})
+    try:
+        sluice.loop.run()
+    finally:
+        shutdown.close()
+        signals.close()
+    log.info("stopped", extra={"node": settings.node})
+    return 0
--- /dev/null
+++ b/oakvale/sluice/routes.py
@@ -0,0 +1,119 @@
+"""What a gateway decides by: an immutable picture of the news, made anew whenever they change.
+
+No I/O and no clock. The configuration was checked before it came into force; here it is only laid out so that a
+request is matched by its host and longest prefix, and its key names a tenant.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from oakvale.gauge.floors import Quota
+from oakvale.intake.times import micros
+from oakvale.penstock.table import Table
+from oakvale.penstock.tree import Member
+
+
+@dataclass(slots=True, frozen=True)
+class Route:
+    name: str
+    host: str
+    prefix: str
+    safe: bool
+    deadline: int  # microseconds
+    aim: int
+    prio: int
+    tries: int
+    public: bool
+    parts: tuple[tuple[str, float], ...]  # service and its weight
+
+    def service(self, draw: float) -> str:
+        """By weight; `draw` lies in [0, 1)."""
+        left = draw * sum(weight for _, weight in self.parts)
+        for service, weight in self.parts:
+            left -= weight
+            if left < 0:
+                return service
+        return next(service for service, weight in reversed(self.parts) if weight > 0)
+
+
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    name: str
+    quota: Quota
+    prio: int | None
+
+
+@dataclass(slots=True, frozen=True)
+class Backend:
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: float
+    ready: bool
+    warm: int
+
+
+@dataclass(slots=True, frozen=True)
+class Picture:
+    gen: int = -1
+    routes: Mapping[str, tuple[Route, ...]] = field(default_factory=dict)  # host -> longest prefix first
+    keys: Mapping[str, Tenant] | None = None  # None: no key is asked for
+    tenants: Mapping[str, Tenant] = field(default_factory=dict)
+    backends: Mapping[str, Backend] = field(default_factory=dict)
+    members: Mapping[str, Member] = field(default_factory=dict)
+
+    def match(self, host: str, path: str) -> Route | None:
+        for route in self.routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def rows(data: Any) -> list[dict[str, Any]]:
+    if not data:
+        return []
+    return [{name: value for name, value in zip(data["cols"], row, strict=False) if value is not None}
+            for row in data["rows"]]
+
+
+def configured(text: bytes) -> dict[str, Any]:
+    """The parts of a picture that the configuration gives."""
+    data = orjson.loads(text)
+    by_host: dict[str, list[Route]] = {}
+    for row in rows(data.get("routes")):
+        split = row.get("split")
+        parts = tuple((str(p["svc"]), float(p["wt"])) for p in split) if split else ((str(row["svc"]), 1.0),)
+        deadline = micros(row["deadline"])
+        aim = micros(row["target_time"]) if "target_time" in row else deadline
+        host = str(row["vhost"]).lower()
+        by_host.setdefault(host, []).append(Route(
+            str(row["name"]), host, str(row["prefix"]), row["type"] == "safe", deadline, aim,
+            int(row.get("prio") or 0), int(row["tries"]), bool(row.get("public")), parts))
+    tenants: dict[str, Tenant] = {}
+    keys: dict[str, Tenant] = {}
+    for row in rows(data.get("tenants")):
+        tenant = Tenant(str(row["name"]), Quota(float(row.get("rate-per-s") or 0), float(row.get("burst") or 0)),
+                        row.get("prio"))
+        tenants[tenant.name] = tenant
+        keys |= {str(key): tenant for key in row.get("apikeys") or []}
+    return {
+        "gen": int(data["gen"]),
+        "routes": {host: tuple(sorted(found, key=lambda r: -len(r.prefix))) for host, found in by_host.items()},
+        "tenants": tenants, "keys": keys if data.get("tenants") is not None else None,
+    }
+
+
+def backends(table: Table) -> dict[str, Backend]:
+    return {name: Backend(name, str(v["svc"]), str(v["addr"]), str(v["az"]), float(v["slots"]),
+                          v["state"] == "ready", int(v.get("warm") or 0))
+            for name, v in table.items("backend/")}
+
+
+def members(table: Table) -> dict[str, Member]:
+    return {node: Member(node, str(v["addr"]), str(v["az"]), str(v["life"])) for node, v in table.items("gate/")}
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import h11
 
@@ -10,14 +10,15 @@
 from oakvale.lifecycle.configuration import Address
 from oakvale.lifecycle.loop import READ, WOKEN, Coroutine, Rank, Step
 from oakvale.memory.buffers import Share
-from oakvale.memory.requests import Answer, AttemptOut
+from oakvale.memory.requests import Answer, AttemptOut, Headers
 from oakvale.numbers import decimal
 from oakvale.wire.http import END, end_to_end, more
 from oakvale.wire.tcp import Gone, connect, new_socket, peek, write_all
 
 if TYPE_CHECKING:
-    from oakvale.host import Host
+    from oakvale.lane import Lane
 
+FOR_US = frozenset({b"endpoint-load-metrics", b"x-never-ran"})  # what backends tell gateways, not clients
 OURS = frozenset({b"x-trace-id", b"x-expires-in"})
 LOAD = b"endpoint-load-metrics"
 
@@ -68,8 +69,60 @@
     return Ending.ERROR
 
 
+class Dialect(Protocol):
+    """What a deployment's backends are told and how their answers are taken."""
+
+    def headers(self, attempt: AttemptOut, left: int) -> Headers:
+        """Those that go with a request, `left` microseconds before its end; without its framing."""
+
+    def belongs(self, attempt: AttemptOut, status: int, headers: Headers) -> bool:
+        """Whether an answer's head is of this attempt, not a surplus one of an attempt before."""
+
+    def check(self, headers: Headers) -> None:
+        """Raises Spoilt where a head tells that the answer is not the backend's."""
+
+    def ending(self, answer: Answer) -> Ending:
+        """What a whole answer says of its attempt."""
+
+    def report(self, headers: Headers) -> tuple[float, ...]:
+        """The load that a backend tells of with an answer."""
+
+    def passes(self, attempt: AttemptOut, ending: Ending, answer: Answer) -> Answer | None:
+        """What the client gets of it as the final answer; None where another attempt may follow."""
+
+
+class ServiceDialect:
+    """What is spoken with the backends of the gateway in service."""
+
+    def __init__(self, columns: tuple[str, ...]) -> None:
+        self._columns = columns
+
+    def headers(self, attempt: AttemptOut, left: int) -> Headers:
+        request = attempt.request
+        return [*end_to_end(request.headers, OURS), (b"x-trace-id", request.id.encode()),
+                (b"x-expires-in", b"%du" % left)]
+
+    def belongs(self, attempt: AttemptOut, status: int, headers: Headers) -> bool:
+        return True
+
+    def check(self, headers: Headers) -> None:
+        pass
+
+    def ending(self, answer: Answer) -> Ending:
+        return ending_of(answer)
+
+    def report(self, headers: Headers) -> tuple[float, ...]:
+        found = [value for name, value in headers if name == LOAD]
+        return load_report(found[-1], self._columns) if found else ()
+
+    def passes(self, attempt: AttemptOut, ending: Ending, answer: Answer) -> Answer | None:
+        if ending is Ending.SERVED or blames_request(answer):
+            return Answer(answer.status, end_to_end(answer.headers, FOR_US), answer.body)
+        return None
+
+
 class BackendConnection:
-    def __init__(self, host: Host, attempt: AttemptOut, address: Address) -> None:
+    def __init__(self, host: Lane, attempt: AttemptOut, address: Address) -> None:
         self.host, self.backend, self.used = host, attempt.backend, host.loop.now
         self.attempt: AttemptOut | None = attempt
         self._share = Share(host.bodies)
@@ -116,7 +169,7 @@
         try:
             yield from write_all(self._sock, self._message(attempt), attempt.due)
             attempt.written = True
-            answer, report = yield from self._answer(attempt.due)
+            answer, report = yield from self._answer(attempt)
         except Gone as gone:
             if not attempt.written:
                 self._finish(Ending.NO_CONNECTION)
@@ -129,23 +182,21 @@
             return False
         http = self._http
         reusable = (http.our_state is h11.DONE and http.their_state is h11.DONE and not http.trailing_data[0]
-                    and self.host.backend_names.serves(self.backend))
+                    and self.host.serves(self.backend))
         if reusable:  # before the module hears of the end: its next attempt may want this connection
             http.start_next_cycle()
             self._share.hold(0)
             self.attempt, self.used = None, self.host.loop.now
             self.host.idle.put(self)
-            self.host.attempt_ended(attempt, ending_of(answer), answer, report)
+            self.host.attempt_ended(attempt, self.host.dialect.ending(answer), answer, report)
         else:
-            self._finish(ending_of(answer), answer, report)
+            self._finish(self.host.dialect.ending(answer), answer, report)
         return reusable
 
     def _message(self, attempt: AttemptOut) -> bytes:
         request, http = attempt.request, self._http
         method = request.method
-        headers = end_to_end(request.headers, OURS)
-        headers.append((b"x-trace-id", request.id.encode()))
-        headers.append((b"x-expires-in", b"%du" % max(0, attempt.due - self.host.loop.now)))
+        headers = self.host.dialect.headers(attempt, max(0, attempt.due - self.host.loop.now))
         if request.body or method != b"GET":
             headers.append((b"content-length", b"%d" % len(request.body)))
         head = http.send(h11.Request(method=method, target=request.target, headers=headers)) or b""
@@ -154,12 +205,22 @@
         http.send(END)
         return head + request.body
 
-    def _answer(self, due: int) -> Step[tuple[Answer, tuple[float, ...]]]:
-        http, pool, limits = self._http, self.host.buffers, self.host.limits
+    def _again(self, attempt: AttemptOut) -> h11.Connection:
+        """A parser as if the request had just been written, given what came behind a surplus answer."""
+        rest = self._http.trailing_data[0]
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=self.host.limits.header)
+        self._message(attempt)
+        if rest:
+            self._http.receive_data(rest)
+        return self._http
+
+    def _answer(self, attempt: AttemptOut) -> Step[tuple[Answer, tuple[float, ...]]]:
+        http, pool, limits, due = self._http, self.host.buffers, self.host.limits, attempt.due
         answer = Answer(0)
         report: tuple[float, ...] = ()
         parts: list[bytes] = []
         size = interims = 0
+        surplus = False
         quiet = False  # behind an interim answer, nothing has come: the answer has all the time there is
         yield from more(self._sock, http, pool, due)
         while True:
@@ -182,9 +243,10 @@
             elif type(event) is h11.Response:
                 self._set_aside(framing(event, limits.answer))
                 answer.status, answer.headers = event.status_code, list(event.headers)
-                for name, value in answer.headers:
-                    if name == LOAD:
-                        report = load_report(value, self.host.settings.report)
+                surplus = not self.host.dialect.belongs(attempt, answer.status, answer.headers)
+                if not surplus:
+                    self.host.dialect.check(answer.headers)
+                report = self.host.dialect.report(answer.headers)
             elif type(event) is h11.Data:
                 parts.append(bytes(event.data))
                 size += len(parts[-1])
@@ -192,8 +254,15 @@
                     raise Spoilt("too large")
                 self._set_aside(size)
             elif type(event) is h11.EndOfMessage:
-                answer.body = parts[0] if len(parts) == 1 else b"".join(parts)
-                return answer, report
+                if not surplus:
+                    answer.body = parts[0] if len(parts) == 1 else b"".join(parts)
+                    return answer, report
+                # of an attempt before, in the place of this one's: thrown away, the next one is waited for
+                self.host.log.warning("surplus answer", extra={"backend": self.backend})
+                answer, parts, size, quiet, interims = Answer(0), [], 0, True, interims + 1
+                if interims > limits.interims:
+                    raise Spoilt("too many surplus answers")
+                http = self._again(attempt)
             elif type(event) is h11.ConnectionClosed:
                 raise Gone()
 
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -8,22 +8,20 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 import h11
 
 from oakvale import interface as i
-from oakvale.lifecycle.loop import BROKEN, READ, TIMED_OUT, WOKEN, Coroutine, Rank, Step
-from oakvale.memory.buffers import Share
+from oakvale.lifecycle.limits import Limits
+from oakvale.lifecycle.loop import BROKEN, READ, TIMED_OUT, WOKEN, Coroutine, Loop, Rank, Step
+from oakvale.memory.buffers import BufferPool, Room, Share
 from oakvale.memory.requests import Answer, Headers, InHand
 from oakvale.numbers import decimal, whole
 from oakvale.settings import Names
 from oakvale.wire.http import END, more
 from oakvale.wire.tcp import Gone, peek, write_all
 
-if TYPE_CHECKING:
-    from oakvale.host import Host
-
 HEALTH = b"/_health"
 CONTINUE = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
 METHODS = (b"GET", b"POST")
@@ -122,8 +120,45 @@
     return Answer(status, headers, why.encode("latin-1", "replace") + b"\n")
 
 
+class Owner(Protocol):
+    """What a client's connection needs of the process that it belongs to."""
+
+    @property
+    def loop(self) -> Loop: ...
+    @property
+    def limits(self) -> Limits: ...
+    @property
+    def buffers(self) -> BufferPool: ...
+    @property
+    def bodies(self) -> Room: ...
+    @property
+    def clients(self) -> Any: ...
+    @property
+    def log(self) -> Any: ...
+    @property
+    def tally(self) -> Any: ...
+    @property
+    def stopping(self) -> bool: ...
+    @property
+    def response(self) -> Callable[[int, tuple[tuple[bytes, bytes], ...]], h11.Response]: ...
+
+    def waited(self, arrived: int) -> int:
+        """Microseconds since the stamp of an arrival."""
+
+    def open(self, client: Any, incoming: Incoming, came: int) -> Answer | InHand:
+        """The answer at once, or the request in hand, which `begin` is then called with.
+
+        Raises BadRequest."""
+
+    def begin(self, request: InHand) -> None:
+        """The connection waits for the answer from now on."""
+
+    def client_gone(self, request: InHand) -> None:
+        """Nobody waits for its answer any more."""
+
+
 class ClientConnection:
-    def __init__(self, host: Host, sock: socket.socket) -> None:
+    def __init__(self, host: Owner, sock: socket.socket) -> None:
         self.host, self.used, self.opened = host, host.loop.now, host.loop.now
         self._answers = 0
         self._share = Share(host.bodies)
@@ -262,19 +297,11 @@
 
     def _answered(self, incoming: Incoming) -> Step[Answer]:
         host = self.host
-        if incoming.target == HEALTH:
-            return plain(200, "ok") if host.can_serve() else plain(503, "not ready")
-        if incoming.method not in METHODS:
-            raise BadRequest(405, "only GET and POST")
-        request = decode(incoming, self._came, host.names, host.limits.client_wait, host.terms)
-        if host.requests.get(request.id) is not None:
-            raise BadRequest(409, "X-Trace-Id is of a request in hand")
-        if host.takes_no_more():
-            return plain(503, "no room")
-        self.answer = None
-        self.request = InHand(request.id, self, incoming.method, incoming.target, incoming.headers,
-                              incoming.body, request.deadline)
-        host.request_came(self.request, request)
+        opened = host.open(self, incoming, self._came)
+        if isinstance(opened, Answer):
+            return opened
+        self.answer, self.request = None, opened
+        host.begin(opened)
         mask, due = READ, self._due(host.loop.now) if self._http.trailing_data[0] else 0
         while self.answer is None:
             signal = yield mask, due
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+import io
+import os
+from contextlib import redirect_stderr, redirect_stdout
+from dataclasses import dataclass, replace
 from typing import Any, TypeVar
+from unittest import mock
 
+from oakvale.cli import main
 from oakvale.interface import (
     Action,
     Backends,
@@ -85,3 +90,21 @@
 
 def of(actions: list[Action], kind: type[T]) -> list[T]:
     return [a for a in actions if isinstance(a, kind)]
+
+
+@dataclass
+class Invoked:
+    exit_code: int
+    stdout: str
+    stderr: str
+
+
+def invoke(words: list[str], env: dict[str, str] | None = None) -> Invoked:
+    """The command line, called in this process."""
+    out, err, code = io.StringIO(), io.StringIO(), 0
+    with mock.patch.dict(os.environ, env or {}), redirect_stdout(out), redirect_stderr(err):
+        try:
+            main(words)
+        except SystemExit as end:
+            code = int(end.code or 0)
+    return Invoked(code, out.getvalue(), err.getvalue())
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -127,12 +127,12 @@
             return getattr(self.sock, name)
 
     failing = NoDescriptors(node.listener)
-    node.server.listener = failing  # type: ignore[assignment]
+    node.server.acceptor.listener = failing  # type: ignore[assignment]
     client = node.client()
     node.ask(client)
     node.turns(20)
     assert failing.tries == 1
-    node.server.listener = node.listener
+    node.server.acceptor.listener = node.listener
     node.pass_time(node.host.limits.accept_pause)
     node.came(i.Request)
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -12,13 +12,12 @@
 from typing import Any
 
 import pytest
-from click.testing import CliRunner
 
 from oakvale import __version__
-from oakvale.cli import main
 from oakvale.lifecycle.configuration import BadConfiguration, decode, load
 from oakvale.lifecycle.logs import KeyValueFormatter, PipeHandler, Seldom
 from oakvale.memory.buffers import BufferPool
+from tests.helpers import invoke
 from tests.node import SETTINGS, row
 
 ROOT = Path(__file__).parent.parent
@@ -67,7 +66,7 @@
     path.write_text(json.dumps(config(**bad)))
     if bad == {"known": []}:
         path.write_text(json.dumps(config(known=[1])))
-    result = CliRunner().invoke(main, ["serve"], env={"LB_CONFIG": str(path)})
+    result = invoke(["serve"], env={"LB_CONFIG": str(path)})
     assert result.exit_code == 2
     assert result.stderr.startswith("oakvale: ") and word in result.stderr and result.stderr.count("\n") == 1
 
@@ -89,15 +88,15 @@
 def test_check_config_and_version(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(config()))
-    result = CliRunner().invoke(main, ["check-config"], env={"LB_CONFIG": str(path)})
-    assert result.exit_code == 0 and "n3 would listen on 127.0.0.1:7070" in result.output
-    assert __version__ in CliRunner().invoke(main, ["version"]).output
-    assert CliRunner().invoke(main, ["nothing"]).exit_code == 2
+    result = invoke(["check-config"], env={"LB_CONFIG": str(path)})
+    assert result.exit_code == 0 and "n3 would listen on 127.0.0.1:7070" in result.stdout
+    assert __version__ in invoke(["version"]).stdout
+    assert invoke(["nothing"]).exit_code == 2
 
 
 def test_health_of_a_gateway_that_is_not_there() -> None:
     for address in ("127.0.0.1:1", "nowhere"):
-        result = CliRunner().invoke(main, ["health", address])
+        result = invoke(["health", address])
         assert result.exit_code == 1 and result.stderr.startswith(f"oakvale: {address}")
 
 
@@ -111,7 +110,7 @@
     path = tmp_path / "config.json"
     path.write_text(json.dumps(config(listen="127.0.0.1:%d" % taken.getsockname()[1])))  # noqa: UP031
     level = logging.getLogger().level
-    result = CliRunner().invoke(main, ["serve"], env={"LB_CONFIG": str(path)})
+    result = invoke(["serve"], env={"LB_CONFIG": str(path)})
     logging.getLogger().setLevel(level)
     assert result.exit_code == 1 and "cannot listen" in result.stderr
     taken.close()
@@ -225,8 +224,8 @@
         assert program.ask("/_health").startswith(b"HTTP/1.1 200")
         assert program.ask("/odd").startswith(b"HTTP/1.1 404")
         address = f"{program.address[0]}:{program.address[1]}"
-        result = CliRunner().invoke(main, ["health", address])
-        assert (result.exit_code, result.output) == (0, "ok\n")
+        result = invoke(["health", address])
+        assert (result.exit_code, result.stdout) == (0, "ok\n")
         program.process.send_signal(number)
         _, log = program.process.communicate(timeout=10)
     finally:
