Counting is elected by the core's witnesses; shares of the quota pass alone

Witnesses vote now, keep on disk whom they voted for, and free votes of a holder that has ended; a gateway the counter no longer reckons with passes its even share.

--- a/oakvale/gauge/ballots.py
+++ b/oakvale/gauge/ballots.py
@@ -1,9 +1,10 @@
 """Ballots: how a duty that one gateway does is won each time it falls vacant, and held for a while.
 
-No I/O and no clock. A few jurors, named by the duty's place on the ring, vote. A vote is for a holder and a span;
-within it a juror votes for no other. A holder goes on while a majority renews its span, and stops by its own
-clock before theirs run out. Jurors keep their votes in memory only: one that starts, or joins the jury, abstains
-for a span, so that nothing it may have promised before is broken.
+No I/O and no clock. Jurors vote: the witnesses of the control state, who are few and known to all. A vote is for a
+holder and a span; within it a juror votes for no other. A holder goes on while a majority renews its span, and
+stops by its own clock before theirs run out. A juror keeps on disk whom it voted for last, not when: after a
+start it votes for no other until a span has passed, so that nothing it may have promised before is broken.
+A holder that is proven to have ended (nobody listens where it did, or another life answers) frees its votes.
 """
 
 from __future__ import annotations
@@ -12,11 +13,13 @@
 
 Number = tuple[int, str]  # a round and the life of who calls it
 
-SPAN = 1_400_000  # microseconds that a vote binds
-RENEW = 450_000  # between two renewals
+SPAN = 2_000_000  # microseconds that a vote binds
+RENEW = 500_000  # between two renewals
 MARGIN = 100_000  # a holder stops so long before the earliest vote for it ends
 ROUND = 250_000  # a round without a majority is given up after this
-TURN = 120_000  # each juror waits so much longer than the one before it
+QUIET = 450_000  # a holder not heard for so long may be gone
+TURN = 120_000  # each who stands for a duty waits so much longer than the one before
+RETRY = 250_000  # after a refusal, however long the holder still has: it may be proven gone
 
 
 @dataclass(slots=True)
@@ -25,12 +28,11 @@
     holder: str = ""  # life of who holds it
     where: str = ""  # and its address
     until: int = 0
-    since: int = 0  # when this juror began to vote on it
 
 
 @dataclass(slots=True, frozen=True)
 class Ask:
-    """To be put to every juror, this one among them."""
+    """To be put to every juror."""
 
     duty: str
     kind: str  # "prepare" or "elect"
@@ -52,28 +54,23 @@
 
 
 class Juror:
-    def __init__(self) -> None:
-        self._votes: dict[str, Vote] = {}
+    """`kept`: duty -> holder's life and address, as they were on disk."""
 
-    def seated(self, duties: set[str], now: int) -> None:
-        """The duties that this gateway is a juror of from now on."""
-        self._votes = {duty: self._votes.get(duty) or Vote(since=now) for duty in sorted(duties)}
+    def __init__(self, kept: dict[str, tuple[str, str]], now: int) -> None:
+        self._started = now
+        self._votes = {duty: Vote(holder=life, where=where, until=now + SPAN) for duty, (life, where) in kept.items()}
 
-    def vacant_since(self, duty: str) -> int | None:
-        """When the last vote here ran out; None where this is no juror."""
+    def holder(self, duty: str, now: int) -> tuple[str, str] | None:
+        """Life and address of who holds it by the vote of this juror."""
         vote = self._votes.get(duty)
-        return max(vote.until, vote.since + SPAN) if vote else None
+        return (vote.holder, vote.where) if vote and vote.until > now else None
 
-    def holder(self, duty: str, now: int) -> str | None:
-        """Address of who holds it by the vote of this juror."""
-        vote = self._votes.get(duty)
-        return vote.where if vote and vote.until > now else None
+    def kept(self) -> dict[str, tuple[str, str]]:
+        """What has to be on disk before a vote is spoken of."""
+        return {duty: (vote.holder, vote.where) for duty, vote in self._votes.items() if vote.holder}
 
-    def hear(self, ask: Ask, where: str, now: int) -> Word | None:
-        """None: it abstains."""
-        vote = self._votes.get(ask.duty)
-        if vote is None or now < vote.since + SPAN:
-            return None
+    def hear(self, ask: Ask, where: str, now: int) -> Word:
+        vote = self._votes.setdefault(ask.duty, Vote())
         life, held = ask.number[1], vote.until > now
         if ask.number < vote.promised or held and vote.holder != life:
             left = max(0, vote.until - now)
@@ -83,11 +80,11 @@
             vote.holder, vote.where, vote.until = life, where, now + SPAN
         return Word(ask.duty, ask.kind, ask.number, True, vote.promised[0])
 
-    def release(self, duty: str, life: str, now: int) -> None:
-        """Its holder gives it up, or is known to have ended."""
-        vote = self._votes.get(duty)
-        if vote is not None and vote.holder == life:
-            vote.until = min(vote.until, now)
+    def ended(self, life: str, now: int) -> None:
+        """This life gives its duties up, or is known to have ended."""
+        for vote in self._votes.values():
+            if vote.holder == life:
+                vote.until = min(vote.until, now)
 
 
 @dataclass(slots=True)
@@ -112,8 +109,9 @@
     def holds(self, duty: str, now: int) -> bool:
         return self.until.get(duty, 0) > now
 
-    def tick(self, duty: str, vacant_since: int | None, rank: int, now: int) -> Ask | None:
-        """A question to the jury, if it is time for one. `rank`: this gateway's place in it."""
+    def tick(self, duty: str, silent_since: int, rank: int, now: int) -> Ask | None:
+        """A question to the jury, if it is time for one. `silent_since`: when its holder was last heard of;
+        `rank`: this gateway's place among those who stand for it."""
         bid = self._bids.get(duty)
         if bid is not None and now - bid.at < ROUND:
             return None
@@ -124,7 +122,7 @@
             return Ask(duty, bid.kind, bid.number)
         self._bids.pop(duty, None)
         self.until.pop(duty, None)
-        if vacant_since is None or now < vacant_since + rank * TURN or now < self._not_before.get(duty, 0):
+        if now < silent_since + QUIET + rank * TURN or now < self._not_before.get(duty, 0):
             return None
         self._round += 1
         bid = self._bids[duty] = Bid((self._round, self._life), "prepare", now)
@@ -139,7 +137,7 @@
         if not word.yes:
             if not self.holds(word.duty, now):
                 del self._bids[word.duty]
-                self._not_before[word.duty] = now + max(word.left, TURN)
+                self._not_before[word.duty] = now + RETRY
             return None
         bid.yes.add(juror)
         if len(bid.yes) < jurors // 2 + 1:
--- a/oakvale/gauge/floors.py
+++ b/oakvale/gauge/floors.py
@@ -1,9 +1,10 @@
 """Tenants' floors: how much of its quota a tenant has used, and whether one more request passes.
 
 No I/O and no clock. The floor is the whole quota and slides: use leaks away at the quota's rate, and a tenant
-is under its floor while its level stays under the burst, as quotas are judged in every window. Of the judges'
-slack, a small part lets the level go over the burst (a request that waited on its way is not refused for it),
-and half is what gateways may pass that reach no counter, each its share: both together stay under the bound.
+is under its floor while its level stays under the burst, as quotas are judged in every window. Who has
+not reached the counter for a while passes its even share of the quota alone, and the counter, which has not heard
+of it for as long, lets so much less pass. Of the judges' slack, a small part lets the level go over the burst (a
+request that waited on its way is not refused for it), and half is what may pass alone before that while.
 """
 
 from __future__ import annotations
@@ -56,47 +57,58 @@
         self.floors = 0.0  # DESIGN: of the tenants counted lately; nothing is lent, so they are only told
         self.served = 0
 
+    def nothing_before(self, at: int) -> None:
+        """All gateways have said what they read, and none lived before then: what is unknown here can only
+        have been used up before."""
+        self._began = min(self._began, at)
+
     def learn(self, tenant: str, level: float, now: int) -> None:
         """What a gateway last read, aged by it to now; the highest of several holds."""
         known = self._levels.get(tenant)
         self._levels[tenant] = (max(level, known[0]) if known else level, now)
 
-    def level(self, tenant: str, quota: Quota, now: int) -> float:
-        level, at = self._levels.get(tenant) or (quota.burst, self._began)
-        return max(0.0, level - quota.rate * (now - at) / SECOND)
+    def level(self, tenant: str, rate: float, burst: float, now: int) -> float:
+        level, at = self._levels.get(tenant) or (burst, self._began)
+        return max(0.0, level - rate * (now - at) / SECOND)
 
-    def add(self, tenant: str, quota: Quota, now: int) -> Verdict:
-        """Counts a request if it is within the floor, and reads the count back."""
+    def add(self, tenant: str, quota: Quota, present: float, now: int) -> Verdict:
+        """Counts a request if it is within the floor, and reads the count back. `present`: the share of
+        gateways that reach this counter; the others pass theirs of the quota alone."""
         if quota.rate <= 0:
             return Verdict(True, 0.0, 0)
         if tenant not in self._levels:
             self.floors += quota.rate + quota.burst
-        level = self.level(tenant, quota, now)
+        rate = max(quota.rate * present, 1e-6)
+        level = self.level(tenant, rate, quota.burst, now)
         most = max(1.0, quota.burst) + OVER * self._terms.spare(quota)
         if level + 1 <= most:
             self._levels[tenant] = (level + 1, now)
             self.served += 1
             return Verdict(True, level + 1, 0)
         self._levels[tenant] = (level, now)
-        wait = min(LONGEST_WAIT, round((level + 1 - most) / quota.rate * SECOND) + 1)
+        wait = min(LONGEST_WAIT, round((level + 1 - most) / rate * SECOND) + 1)
         return Verdict(False, level, wait)
 
 
 class Alone:
-    """What this gateway passes while no counter answers: its share of half the slack, by lot where that is
-    less than one request. Spent by the draw, won or lost, so that on average no more passes."""
+    """What this gateway passes while no counter answers: its share of half the slack, and of the quota itself
+    once the counter can't reckon with it any more; by lot where that is less than one request. Spent by the
+    draw, won or lost, so that on average no more passes."""
 
     def __init__(self, terms: Terms, draw: Callable[[], float]) -> None:
         self._terms, self._draw = terms, draw
         self._left: dict[str, tuple[float, int]] = {}
 
-    def passes(self, tenant: str, quota: Quota, gateways: int, now: int) -> bool:
+    def passes(self, tenant: str, quota: Quota, gateways: int, absent: bool, now: int) -> bool:
+        """`absent`: no counter was reached for so long that none reckons with this gateway."""
         if quota.rate <= 0:
             return True
         if gateways <= 0:
             return False
         share = ALONE * self._terms.spare(quota) / gateways
         most, rate = ALONE_AT_ONCE * share, (1 - ALONE_AT_ONCE) * share / self._terms.window
+        if absent:
+            most, rate = max(most, quota.burst / gateways), rate + quota.rate / gateways / SECOND
         left, at = self._left.get(tenant, (0.0, now))  # a life before may have spent it
         left = min(most, left + rate * (now - at))
         if left >= 1:
--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -9,19 +9,22 @@
 from collections.abc import Callable
 from typing import Any
 
-from oakvale.gauge.ballots import Ask, Candidate, Juror, Word
+from oakvale.gauge.ballots import Ask, Candidate, Word
 from oakvale.gauge.floors import Alone, Floors, Quota, Read, Terms
-from oakvale.lifecycle.configuration import Address, parse_address
+from oakvale.lifecycle.configuration import Address, parse_address, spelled
 from oakvale.lifecycle.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
-from oakvale.penstock.tree import Member, jury, place
+from oakvale.penstock.tree import Member, next_on_ring, place
 
 DUTIES = 4  # parts that the tenants are counted in
-JURORS = 5
+STAND = 4  # gateways that stand for a duty
 WAIT = 150_000  # microseconds for the counter's answer
 TICK = 60_000
-GATHER = 150_000  # for what others last read, before a new counter begins
-DOUBT = 100_000  # after an unanswered call, the counter is not waited for
+GREET = 300_000  # without a call to a counter for so long, it is greeted
+PRESENT = 700_000  # a counter reckons with who was heard this lately
+ABSENT = PRESENT + 100_000  # after so long without an answer, a gateway knows that none reckons with it
+GATHER = 100_000  # for what others last read, before a new counter begins
+DOUBT = 80_000  # after an unanswered call, the counter is not waited for
 KEPT = 10_000_000  # how long the number of gateways is remembered at its highest
 
 log = logging.getLogger(__name__)
@@ -35,28 +38,38 @@
 
 class Gauge:
     def __init__(self, loop: Loop, mains: Mains, terms: Terms, node: str, life: str, own: str,
-                 members: Callable[[], dict[str, Member]], quota: Callable[[str], Quota]) -> None:
+                 members: Callable[[], dict[str, Member]], jurors: Callable[[], list[str]],
+                 quota: Callable[[str], Quota]) -> None:
         self.loop, self.mains, self._terms = loop, mains, terms
-        self._node, self._life, self._own, self._members, self._quota = node, life, own, members, quota
+        self._node, self._life, self._own = node, life, own
+        self._members, self._jurors, self._quota = members, jurors, quota
         self._duties = [f"gauge/{n}" for n in range(DUTIES)]
-        self._juror, self._candidate = Juror(), Candidate(life)
+        self._candidate = Candidate(life)
         self._counters: dict[str, Floors] = {}  # of the duties held here
         self._gathering: set[str] = set()
         self._holders: dict[str, Address] = {}
+        self._contact: dict[str, int] = {}  # duty -> when its counter last answered
+        self._called: dict[str, int] = {}
         self._doubt: dict[str, int] = {}
         self._asked: dict[str, int] = {}
-        self._juries: dict[str, list[Member]] = {}
+        self._heard: dict[str, int] = {}  # gateway -> when it last called here
+        self._ranks: dict[str, int] = {}  # duty -> this gateway's place among those who stand for it
         self._most: tuple[int, int] = (0, 0)  # gateways, and when so many were known
+        self._born = loop.now
         self._read = Read()
         self.alone = Alone(terms, random.random)
         self._tenants: set[str] = set()
-        mains.handlers["ballot"] = self._ballot
         mains.handlers["count"] = self._count
+        mains.handlers["greet"] = self._greeted
         mains.handlers["gauge"] = self._announced
-        mains.handlers["who"] = lambda conn, body, answer: answer(self._known(str(body)))
+        mains.handlers["counts"] = lambda conn, body, answer: answer(self._known(str(body)))
         mains.handlers["levels"] = self._levels
+        mains.handlers["life"] = lambda conn, body, answer: answer(life)
         loop.at(loop.now + TICK, self._tick)
 
+    def held(self) -> list[str]:
+        return sorted(duty for duty in self._counters if self._counts(duty))
+
     # ---- asking
 
     def ask(self, tenant: str, then: Told) -> None:
@@ -66,34 +79,40 @@
             return then(True, 0, True)
         self._tenants.add(tenant)
         duty, now = duty_of(tenant), self.loop.now
-        counter = self._counters.get(duty)
-        if counter is not None and self._candidate.holds(duty, now):
-            verdict = counter.add(tenant, quota, now)
+        if self._counts(duty):
+            verdict = self._counters[duty].add(tenant, quota, self._present(), now)
             self._read.note(tenant, verdict.level, now)
             return then(verdict.passes, verdict.wait, True)
         holder = self._holders.get(duty)
         if holder is None or now - self._doubt.get(duty, -DOUBT) < DOUBT:
-            self._find(duty)
             return self._pass_alone(tenant, quota, then)
 
         def answered(answer: Any) -> None:
             if not isinstance(answer, list):
-                self._doubt[duty] = self.loop.now
-                if self._holders.get(duty) == holder:
-                    self._find(duty)
+                self._unanswered(duty, holder)
                 return self._pass_alone(tenant, quota, then)
             self._doubt.pop(duty, None)
+            self._contact[duty] = self.loop.now
             passes, level, wait = bool(answer[0]), float(answer[1]), int(answer[2])
             self._read.note(tenant, level, self.loop.now)
             then(passes, wait, True)
 
-        self.mains.ask(holder, "count", [tenant, quota.rate, quota.burst], WAIT, answered)
+        self._called[duty] = now
+        self.mains.ask(holder, "count", [tenant, quota.rate, quota.burst, self._node], WAIT, answered)
+
+    def _unanswered(self, duty: str, holder: Address) -> None:
+        self._doubt[duty] = self.loop.now
+        if self._holders.get(duty) == holder and self.mains.ended(holder):
+            del self._holders[duty]
+        self._find(duty)
 
     def _pass_alone(self, tenant: str, quota: Quota, then: Told) -> None:
-        passes = self.alone.passes(tenant, quota, self._gateways(), self.loop.now)
+        now = self.loop.now
+        absent = now - max(self._contact.get(duty_of(tenant), 0), self._born) > ABSENT
+        passes = self.alone.passes(tenant, quota, self._gateways(), absent, now)
         if passes:
-            self._read.add(tenant, self.loop.now)
-        then(passes, 300_000, False)
+            self._read.add(tenant, now)
+        then(passes, 200_000, False)
 
     def _gateways(self) -> int:
         """As many as there were lately: one that left the list may still pass its share."""
@@ -103,43 +122,79 @@
         return self._most[0]
 
     def _find(self, duty: str) -> None:
-        """Asks the jurors who counts, one after the other."""
+        """Asks the jurors, and a gateway or two for those who can't reach them, who counts."""
         now = self.loop.now
         if now - self._asked.get(duty, -DOUBT) < DOUBT:
             return
         self._asked[duty] = now
-        for juror in self._juries.get(duty, []):
-            address = parse_address(juror.address)
-            if address is not None and juror.address != self._own:
-                self.mains.ask(address, "who", duty, WAIT, lambda answer: self._heard_of(duty, answer))
+        for address in self._jury():
+            self.mains.ask(address, "who", duty, WAIT, lambda answer: self._heard_of(duty, answer))
+        others = self._others()
+        for address in random.sample(others, min(2, len(others))):
+            self.mains.ask(address, "counts", duty, WAIT, lambda answer: self._heard_of(duty, answer))
 
     def _heard_of(self, duty: str, answer: Any) -> None:
         address = parse_address(answer) if answer else None
-        if address is not None and answer != self._own:
+        if address is None or answer == self._own or self.mains.ended(address):
+            return
+        if self._holders.get(duty) != address:
             self._holders[duty] = address
+            self._doubt.pop(duty, None)
+            self._greet(address)
 
     def _known(self, duty: str) -> str | None:
-        now = self.loop.now
-        if self._candidate.holds(duty, now) and duty in self._counters:
+        if self._counts(duty):
             return self._own
-        return self._juror.holder(duty, now)
+        holder = self._holders.get(duty)
+        fresh = self.loop.now - self._contact.get(duty, -ABSENT) < ABSENT
+        return spelled(holder) if holder and fresh else None
 
     # ---- counting
 
+    def _counts(self, duty: str) -> bool:
+        return duty in self._counters and self._candidate.holds(duty, self.loop.now)
+
+    def _present(self) -> float:
+        """The share of gateways that reach this one."""
+        now = self.loop.now
+        members = self._members()
+        here = sum(1 for node in members if node == self._node or now - self._heard.get(node, -PRESENT) < PRESENT)
+        return min(1.0, max(1, here) / max(1, self._gateways()))
+
     def _count(self, conn: Conn, body: Any, answer: Answer) -> None:
-        tenant, now = str(body[0]), self.loop.now
+        tenant = str(body[0])
         duty = duty_of(tenant)
-        counter = self._counters.get(duty)
-        if counter is None or not self._candidate.holds(duty, now):
+        if not self._counts(duty):
             return answer(None)
+        self._heard[str(body[3])] = self.loop.now
         quota = self._quota(tenant)
         if quota.rate <= 0:
             quota = Quota(float(body[1]), float(body[2]))  # news of it have not come here yet
-        verdict = counter.add(tenant, quota, now)
+        verdict = self._counters[duty].add(tenant, quota, self._present(), self.loop.now)
         answer([verdict.passes, verdict.level, verdict.wait])
 
+    def _greet(self, address: Address) -> None:
+        """Who calls seldom is reckoned with all the same."""
+        asked = [duty for duty, holder in self._holders.items() if holder == address]
+        for duty in asked:
+            self._called[duty] = self.loop.now
+
+        def answered(answer: Any) -> None:
+            for duty in asked:
+                if isinstance(answer, list) and duty in answer:
+                    self._contact[duty] = self.loop.now
+                elif self._holders.get(duty) == address:
+                    self._unanswered(duty, address)
+
+        self.mains.ask(address, "greet", self._node, WAIT, answered)
+
+    def _greeted(self, conn: Conn, body: Any, answer: Answer) -> None:
+        self._heard[str(body)] = self.loop.now
+        answer(self.held())
+
     def _levels(self, conn: Conn, body: Any, answer: Answer) -> None:
-        answer(self._read.aged(self._of(str(body)), self.loop.now))
+        """What was last read here, and for how long this gateway has lived."""
+        answer([self._read.aged(self._of(str(body)), self.loop.now), self.loop.now - self._born])
 
     def _of(self, duty: str) -> list[tuple[str, Quota]]:
         return [(tenant, self._quota(tenant)) for tenant in self._tenants if duty_of(tenant) == duty]
@@ -152,21 +207,28 @@
         for tenant, level in self._read.aged(self._of(duty), now).items():
             counter.learn(tenant, level, now)
 
+        others = self._others()
+        ages = [now - self._born]
+
         def gathered(answer: Any) -> None:
-            if isinstance(answer, dict) and duty in self._gathering:
-                for tenant, level in answer.items():
+            if isinstance(answer, list) and duty in self._gathering:
+                ages.append(int(answer[1]))
+                for tenant, level in answer[0].items():
                     counter.learn(str(tenant), float(level), self.loop.now)
+                if len(ages) > len(others):
+                    counter.nothing_before(now - min(ages))
 
         def begin(_: Any) -> None:
             self._gathering.discard(duty)
             if not self._candidate.holds(duty, self.loop.now):
                 return
             self._counters[duty] = counter
+            self._holders.pop(duty, None)
             log.info("counting", extra={"duty": duty})
             for address in self._others():
                 self.mains.tell(address, "gauge", [duty, self._own])
 
-        for address in self._others():
+        for address in others:
             self.mains.ask(address, "levels", duty, GATHER, gathered)
         self.loop.at(now + GATHER, begin)
 
@@ -176,74 +238,77 @@
 
     def _announced(self, conn: Conn, body: Any, _: Answer) -> None:
         duty, where = str(body[0]), str(body[1])
-        self._heard_of(duty, where)
-        self._doubt.pop(duty, None)
+        address = parse_address(where)
+        if address is not None and where != self._own:
+            self._holders[duty] = address
+            self._doubt.pop(duty, None)
+            self._greet(address)
 
     # ---- ballots
 
     def members_changed(self) -> None:
         members = self._members().values()
-        self._juries = {duty: jury(members, duty, JURORS) for duty in self._duties}
-        self._juror.seated({duty for duty, jurors in self._juries.items()
-                            if any(juror.node == self._node for juror in jurors)}, self.loop.now)
+        self._ranks = {}
+        for duty in self._duties:
+            for rank, member in enumerate(next_on_ring(members, duty, STAND)):
+                if member.node == self._node:
+                    self._ranks[duty] = rank
+
+    def _jury(self) -> list[Address]:
+        found = [parse_address(address) for address in self._jurors()]
+        return [address for address in found if address is not None]
 
     def _tick(self, _: Any) -> None:
         now = self.loop.now
         self.loop.at(now + TICK, self._tick)
-        for duty, jurors in self._juries.items():
-            rank = next((n for n, juror in enumerate(jurors) if juror.node == self._node), None)
-            if duty in self._counters and not self._candidate.holds(duty, now):
+        greeted: set[Address] = set()
+        for duty in self._duties:
+            if duty in self._counters and not self._counts(duty):
                 log.info("counts no longer", extra={"duty": duty})
                 del self._counters[duty]
-            if rank is not None or duty in self._counters:
-                self._put(self._candidate.tick(duty, self._juror.vacant_since(duty), rank or 0, now))
+            if duty in self._ranks or duty in self._counters:
+                silent = max(self._contact.get(duty, 0), self._born)
+                self._put(self._candidate.tick(duty, silent, self._ranks.get(duty, STAND), now))
+            holder = self._holders.get(duty)
+            if duty in self._counters:
+                continue
+            if holder is None:
+                self._find(duty)
+            elif holder not in greeted and now - self._called.get(duty, 0) > GREET:
+                greeted.add(holder)
+                self._greet(holder)
 
     def _put(self, ask: Ask | None) -> None:
         """A question to the whole jury."""
         if ask is None:
             return
-        jurors = self._juries.get(ask.duty, [])
+        jurors = self._jury()
+
+        def answered(answer: Any, juror: Address) -> None:
+            if isinstance(answer, list):
+                kind, number, yes, known, holder, where, left = answer
+                self._hear(Word(ask.duty, str(kind), (int(number[0]), str(number[1])), bool(yes), int(known),
+                                str(holder), str(where), int(left)), spelled(juror), len(jurors))
+
         for juror in jurors:
-            if juror.node == self._node:
-                self._hear(self._juror.hear(ask, self._own, self.loop.now), juror.node, len(jurors))
-                continue
-            address = parse_address(juror.address)
-            if address is not None:
-                def answered(answer: Any, node: str = juror.node) -> None:
-                    if isinstance(answer, list):
-                        kind, number, yes, known, holder, where, left = answer
-                        self._hear(Word(ask.duty, str(kind), (int(number[0]), str(number[1])), bool(yes), int(known),
-                                        str(holder), str(where), int(left)), node, len(jurors))
-
-                body = [ask.duty, ask.kind, list(ask.number), self._own]
-                self.mains.ask(address, "ballot", body, WAIT, answered)
-
-    def _hear(self, word: Word | None, juror: str, jurors: int) -> None:
-        if word is None:
-            return
+            self.mains.ask(juror, "ballot", [ask.duty, ask.kind, list(ask.number), self._own], WAIT,
+                           lambda answer, juror=juror: answered(answer, juror))  # type: ignore[misc]
+
+    def _hear(self, word: Word, juror: str, jurors: int) -> None:
         now = self.loop.now
+        if not word.yes:
+            self._heard_of(word.duty, word.where)
         held = self._candidate.holds(word.duty, now)
         self._put(self._candidate.hear(word, juror, jurors, now))
         if not held and self._candidate.holds(word.duty, now) and word.duty not in self._gathering:
             self._begin(word.duty)
 
-    def _ballot(self, conn: Conn, body: Any, answer: Answer) -> None:
-        duty, kind, number, where = str(body[0]), str(body[1]), (int(body[2][0]), str(body[2][1])), str(body[3])
-        word = self._juror.hear(Ask(duty, kind, number), where, self.loop.now)
-        answer(None if word is None else [word.kind, list(word.number), word.yes, word.round, word.holder, word.where,
-                                          word.left])
-
-    def released(self, duty: str, life: str) -> None:
-        """Another gateway gives a duty up."""
-        self._juror.release(duty, life, self.loop.now)
-
     def release(self) -> None:
         """This gateway ends: the jurors need not wait for its span to run out."""
-        for duty in list(self._counters):
-            self._candidate.drop(duty)
-            del self._counters[duty]
-            self._juror.release(duty, self._life, self.loop.now)
-            for juror in self._juries.get(duty, []):
-                address = parse_address(juror.address)
-                if address is not None and juror.node != self._node:
-                    self.mains.tell(address, "release", [duty, self._life])
+        if self._counters:
+            for duty in list(self._counters):
+                self._candidate.drop(duty)
+            self._counters.clear()
+            for juror in self._jury():
+                self.mains.tell(juror, "ended", self._life)
+        self._ranks.clear()
--- a/oakvale/headworks/gates.py
+++ b/oakvale/headworks/gates.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from oakvale.headworks.core import Core
+from oakvale.headworks.jury import Jury
 from oakvale.lifecycle.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 
@@ -16,25 +17,36 @@
 
 
 class Gates:
-    def __init__(self, core: Core, loop: Loop, mains: Mains) -> None:
+    def __init__(self, core: Core, jury: Jury, loop: Loop, mains: Mains) -> None:
+        self._jury = jury
         self._core, self._loop = core, loop
         self._missed: dict[str, dict[str, int]] = {}  # gateway's node and life -> watcher -> when
+        core.on_change.append(self._turned)
         mains.handlers["join"] = self._join
         mains.handlers["missing"] = self._missing
 
+    def _turned(self, serves: bool) -> None:
+        """A view is in force: the gateways are told whom it names."""
+        view = self._core.view()
+        if serves and view is not None:
+            told = {"copies": [seat[0] for seat in view.copies], "witnesses": [seat[0] for seat in view.witnesses]}
+            if self._core.ledger.latest("core") != told:
+                self._core.change({"core": told}, lambda done: None)
+
     def _join(self, conn: Conn, body: Any, answer: Answer) -> None:
         core = self._core
         if not core.serving():
             primary = core.primary()
             return answer({"primary": primary[0] if primary and primary != core.own else None})
-        view = core.view()
-        told = {"core": [seat[0] for seat in view.copies] + [seat[0] for seat in view.witnesses] if view else []}
         entry = {"addr": str(body["addr"]), "az": str(body["az"]), "life": str(body["life"])}
         key = f"gate/{body['node']}"
         if core.ledger.latest(key) == entry:
-            return answer(told | {"joined": True})
+            return answer({"joined": True})
+        before = core.ledger.latest(key)
+        if before is not None:
+            self._jury.ended(before["life"])
         log.info("gateway joins", extra={"gateway": body["node"], "addr": entry["addr"]})
-        core.change({key: entry}, lambda done: answer(told | {"joined": done}))
+        core.change({key: entry}, lambda done: answer({"joined": done}))
 
     def _missing(self, conn: Conn, body: Any, _: Answer) -> None:
         """One watcher's word may be its own trouble."""
--- /dev/null
+++ b/oakvale/headworks/jury.py
@@ -0,0 +1,62 @@
+"""A core machine as juror: it votes on who does the duties of gateways, and keeps on disk whom it voted for."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import cbor2
+
+from oakvale.cistern.store import Cistern
+from oakvale.gauge.ballots import Ask, Juror
+from oakvale.lifecycle.configuration import parse_address
+from oakvale.lifecycle.loop import Loop
+from oakvale.mains.links import Answer, Conn, Mains
+
+PROBE = 250_000  # microseconds for a holder to say which life it is
+
+
+class Jury:
+    def __init__(self, loop: Loop, mains: Mains, cistern: Cistern) -> None:
+        self._loop, self._mains, self._cistern = loop, mains, cistern
+        stored = cistern.fact("votes")
+        found = cbor2.loads(stored) if stored else {}
+        kept = {str(duty): (str(life), str(where)) for duty, (life, where) in found.items()}
+        self._juror, self._kept = Juror(kept, loop.now), kept
+        self._probing: set[str] = set()
+        mains.handlers["ballot"] = self._ballot
+        mains.handlers["who"] = self._who
+        mains.handlers["ended"] = lambda conn, body, answer: self._juror.ended(str(body), loop.now)
+
+    def ended(self, life: str) -> None:
+        self._juror.ended(life, self._loop.now)
+
+    def _ballot(self, conn: Conn, body: Any, answer: Answer) -> None:
+        duty, kind, number, where = str(body[0]), str(body[1]), (int(body[2][0]), str(body[2][1])), str(body[3])
+        word = self._juror.hear(Ask(duty, kind, number), where, self._loop.now)
+        packed = [word.kind, list(word.number), word.yes, word.round, word.holder, word.where, word.left]
+        kept = self._juror.kept()
+        if kept != self._kept:  # only another holder costs a sync, renewals don't
+            self._kept = kept
+            self._cistern.write(("fact", ("votes", cbor2.dumps(kept))), lambda: answer(packed))
+        else:
+            answer(packed)
+        if not word.yes and word.holder:
+            self._probe(word.holder, word.where)
+
+    def _probe(self, life: str, where: str) -> None:
+        """Somebody misses the holder: if it has ended its votes are freed at once."""
+        address = parse_address(where)
+        if address is None or life in self._probing:
+            return
+        self._probing.add(life)
+
+        def answered(answer: Any) -> None:
+            self._probing.discard(life)
+            if isinstance(answer, str) and answer != life or answer is None and self._mains.ended(address):
+                self._juror.ended(life, self._loop.now)
+
+        self._mains.ask(address, "life", None, PROBE, answered)
+
+    def _who(self, conn: Conn, body: Any, answer: Answer) -> None:
+        held = self._juror.holder(str(body), self._loop.now)
+        answer(held[1] if held else None)
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -10,6 +10,7 @@
 from oakvale.headworks.core import Core
 from oakvale.headworks.ctl import Ctl
 from oakvale.headworks.gates import Gates
+from oakvale.headworks.jury import Jury
 from oakvale.intake.settings import BadSettings, Settings
 from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor, listening
@@ -36,7 +37,7 @@
     except sqlite3.Error as error:
         raise BadSettings(f"[self] datadir {settings.datadir}: {error}") from error
     core = Core(loop, mains, settings, cistern)
-    Gates(core, loop, mains)
+    Gates(core, Jury(loop, mains, cistern), loop, mains)
     shared = Shared(loop, limits)
     ctl = Ctl(shared, core, settings)
     acceptor = Acceptor(ctl, listening(settings.bind["ctl"], limits.backlog), loop)
--- a/oakvale/interface.py
+++ b/oakvale/interface.py
@@ -95,6 +95,7 @@
     fall_multiple: float = 1.0
     fall_span: int = 1_000_000
     must_ask_in: int = 10_000_000
+    late_earns: bool = False  # an answer past its aim is still worth something
 
 
 def replace_classes(settings: Settings, classes: tuple[RequestClass, ...]) -> Settings:
--- a/oakvale/lifecycle/status.py
+++ b/oakvale/lifecycle/status.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from oakvale.host import Host
+    from oakvale.lane import Shared
 
 log = logging.getLogger(__name__)
 
@@ -22,16 +23,18 @@
         self.answers: Counter[str] = Counter()
         self.attempts: Counter[str] = Counter()
         self.calls: Counter[str] = Counter()
+        self.refusals: Counter[str] = Counter()  # of the gateway's own, by why
 
     def fields(self) -> dict[str, Any]:
         fields: dict[str, Any] = {"requests": self.requests}
-        for word, counts in (("answer", self.answers), ("attempt", self.attempts), ("call", self.calls)):
+        for word, counts in (("answer", self.answers), ("attempt", self.attempts), ("call", self.calls),
+                             ("refused", self.refusals)):
             fields |= {f"{word}_{key}": counts[key] for key in sorted(counts)}
         return fields
 
 
 class Status:
-    def __init__(self, host: Host) -> None:
+    def __init__(self, host: Host | Shared) -> None:
         self._host = host
         self._cpu = 0.0
         self._turns = 0
--- a/oakvale/logic.py
+++ b/oakvale/logic.py
@@ -563,7 +563,8 @@
 
     def left(self, held: Held) -> int:
         """Time in which an answer is worth something: to the aim, or to an impatient client's deadline."""
-        return min(held.came + held.cls.aim, held.req.deadline) - self.now
+        aimed = held.req.deadline if self.s.late_earns else held.came + held.cls.aim
+        return min(aimed, held.req.deadline) - self.now
 
     def again(self, held: Held, ending: Ending) -> None:
         """Another attempt where effect, budget and aim allow one; else the final answer at once."""
--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -19,8 +19,8 @@
 
 TCP_USER_TIMEOUT = 18  # Linux; milliseconds that sent bytes may stay unacknowledged
 SILENT_MS = 1_500  # behind a cut nothing is ever refused: such a connection is given up after this
-CONNECT = 700_000  # microseconds
-PAUSE = 150_000  # after a connection failed, before the next is tried
+CONNECT = 300_000  # microseconds; a machine that is just starting drops the first packet, the next comes late
+PAUSE = 60_000  # after a connection failed, before the next is tried
 BACKLOG = 8 * 1024 * 1024  # bytes that may wait for one peer
 IDLE = 20_000_000  # an unused link ends
 READ_SIZE = 64 * 1024
@@ -39,6 +39,7 @@
     def __init__(self, mains: Mains, sock: socket.socket, address: Address, out: bool) -> None:
         self.mains, self.sock, self.address, self._out = mains, sock, address, out
         self.alive, self.up = True, not out
+        self.refused = False  # nobody listens there: whoever did has ended
         self.on_close: list[Callable[[Conn], None]] = []
         self.waiting: dict[int, tuple[Then, Timer]] = {}
         self._came, self._going = bytearray(), bytearray()
@@ -97,6 +98,7 @@
         if code == 0:
             return True
         if code != errno.EINPROGRESS:
+            self.refused = code == errno.ECONNREFUSED
             return False
         due = self.mains.loop.now + CONNECT
         while True:
@@ -104,7 +106,9 @@
             if signal == TIMED_OUT or not self.alive:
                 return False
             if signal > 0:
-                return not self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                self.refused = code == errno.ECONNREFUSED
+                return not code
 
     def _write(self) -> None:
         while self._going:
@@ -157,6 +161,7 @@
         self.sent_bytes = 0
         self._out: dict[Address, Conn] = {}
         self._failed: dict[Address, int] = {}
+        self._refused: dict[Address, int] = {}
         self._in: set[Conn] = set()
         self._number = 0
 
@@ -197,6 +202,8 @@
             del self._out[conn.address]
             if not conn.up:
                 self._failed[conn.address] = self.loop.now
+            if conn.refused:
+                self._refused[conn.address] = self.loop.now
         waiting, conn.waiting = conn.waiting, {}
         for then, timer in waiting.values():
             call_off(timer)
@@ -244,6 +251,10 @@
         conn.waiting[number] = (then, self.loop.at(self.loop.now + timeout, late))
         conn.send(kind, number, body)
 
+    def ended(self, address: Address) -> bool:
+        """Whether a connection was refused there just now: the process that listened has ended."""
+        return self.loop.now - self._refused.get(address, -2 * PAUSE) < 2 * PAUSE
+
     def drop(self, address: Address) -> None:
         conn = self._out.get(address)
         if conn is not None:
--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -19,6 +19,7 @@
 PULSE = 250_000  # microseconds between two of the primary's pulses
 STALE = 800_000  # without a new one, another source is tried
 TRY = 400_000  # for a source to send its first
+AGAIN = 60_000  # before another is asked, after one that could not help
 REPAIR = 5_000_000  # between two comparisons of digests
 
 log = logging.getLogger(__name__)
@@ -137,11 +138,14 @@
         self.mains.ask(address, "subscribe", body, TRY, lambda answer: self._subscribed(address, answer))
 
     def _subscribed(self, address: Address, answer: Any) -> None:
-        """A core machine that is not primary names the one that is."""
-        if isinstance(answer, dict) and answer.get("primary") and self._source == address:
-            other = parse_address(answer["primary"])
-            if other is not None and other != address:
-                self._ask(other)
+        """A core machine that is not primary names the one that is; who can't help is not waited for."""
+        if self._source != address or isinstance(answer, dict) and not answer:
+            return
+        other = parse_address(answer["primary"]) if isinstance(answer, dict) and answer.get("primary") else None
+        if other is not None and other != address:
+            self._ask(other)
+        elif not self.fresh():
+            self.loop.at(self.loop.now + AGAIN, lambda _: self._next(self.loop.now) if not self.fresh() else None)
 
     def _news(self, conn: Conn, body: Any, _: Answer) -> None:
         pulse, entries, floor = (int(body[0][0]), int(body[0][1])), unpack(body[1]), body[2]
--- a/oakvale/penstock/tree.py
+++ b/oakvale/penstock/tree.py
@@ -41,8 +41,8 @@
     return turned[:count]
 
 
-def jury(members: Iterable[Member], duty: str, count: int) -> list[Member]:
-    """The few that decide by ballots who does a duty: those next on the ring from its own place."""
+def next_on_ring(members: Iterable[Member], duty: str, count: int) -> list[Member]:
+    """The few that stand for a duty: those next on the ring from its own place."""
     order = ring(members)
     start = place(duty)
     at = next((n for n, member in enumerate(order) if place(member.node) >= start), 0)
--- a/oakvale/sluice/bounds.py
+++ b/oakvale/sluice/bounds.py
@@ -24,5 +24,5 @@
         # the platform looks each second and passes new connections on until two looks failed
         stop_accepting=min(2_600 * MS, grace // 2), stop_taking=min(3_000 * MS, grace // 2),
         stop_longest=grace - 300 * MS,
-        status=30 * SECOND,
+        status=5 * SECOND,
     )
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -51,7 +51,7 @@
         self._zones, self._service = zones, service
         settings = i.Settings(classes=(), plans=(i.Plan(),), zone=zones.get(zone, 0), retry_after=True,
                               max_attempts=MOST_TRIES, max_retry_after=SECOND, may_cancel=True,
-                              cross_zone_price=1.0, cold_from=1.0)
+                              cross_zone_price=1.0, cold_from=1.0, late_earns=True)
         super().__init__(shared, settings, seed)
         self.dialect = SystemDialect()
         self._ids: dict[int, str] = {}
@@ -110,6 +110,7 @@
         order: Order = request.event
         if order.last is not None:
             return order.last
+        self.tally.refusals["may_have_run" if isinstance(action, i.Fail) else "no_backend"] += 1
         if isinstance(action, i.Fail):
             return Answer(502, [TEXT], b"it may have run\n")
         return later(503, action.retry_after, b"try again later\n")
@@ -224,6 +225,7 @@
             return
         if passes:
             return self._go(request)
+        self.tally.refusals["quota" if counted else "uncounted"] += 1
         if counted:
             self._final(request, later(429, wait, b"over the quota\n"))
         else:
--- a/oakvale/sluice/process.py
+++ b/oakvale/sluice/process.py
@@ -17,6 +17,7 @@
 from oakvale.lifecycle.loop import Clock, Loop, Rank
 from oakvale.lifecycle.shutdown import Shutdown
 from oakvale.lifecycle.signals import Signals
+from oakvale.lifecycle.status import Status
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.memory.requests import Answer as HttpAnswer
 from oakvale.memory.requests import InHand
@@ -28,7 +29,7 @@
 from oakvale.sluice.routes import backends, configured, members
 from oakvale.wire.clients import Incoming, plain
 
-JOIN = 500_000  # microseconds between two tries to join
+JOIN = 150_000  # microseconds between two tries to join
 STAY = 3_000_000  # between two looks whether the list still has this gateway
 HEARTBEAT = 500_000
 WATCHERS = 3
@@ -75,19 +76,19 @@
         self.own = spelled(self.mains.own)
         self.table = Table()
         self.shared = Shared(self.loop, limits)
+        self._core = [f"{ip}:{settings.ports[0]}" for ip, _ in settings.seeds]  # the primary first, if known
+        self._jurors: list[str] = []
         given = settings.bounds
         terms = Terms(given.quota_win, given.quota_excess, given.quota_slack)
         self.gauge = Gauge(self.loop, self.mains, terms, settings.node, self.life, self.own,
-                           self._members, self._quota)
+                           self._members, lambda: self._jurors, self._quota)
         self.plant = Plant(self.shared, self.gauge, sorted(settings.zones), settings.zone)
         self.feed = Feed(self.loop, self.mains, self.table, lambda: {"node": settings.node, "life": self.life},
                          self._sources, self._changed)
-        self._core = [f"{ip}:{settings.ports[0]}" for ip, _ in settings.seeds]
         self._heard: dict[str, int] = {}  # node and life -> its last heartbeat here
         self._turn = 0
         self._joined = False
         self.mains.handlers["alive"] = self._alive
-        self.mains.handlers["release"] = lambda conn, body, answer: self.gauge.released(str(body[0]), str(body[1]))
         self.loop.at(self.loop.now, self._join)
         self.loop.at(self.loop.now + HEARTBEAT, self._beat)
         self.loop.at(self.loop.now + SWEEP, self._sweep)
@@ -138,12 +139,10 @@
                 return
             if answer.get("joined"):
                 self._joined = True
-                known = [str(a) for a in answer.get("core") or []]
-                self._core = list(dict.fromkeys([*known, *self._core]))[:16]
             elif answer.get("primary"):
                 self._know(str(answer["primary"]))
 
-        self.mains.ask(address, "join", body, JOIN, answered)
+        self.mains.ask(address, "join", body, 4 * JOIN, answered)
 
     def _know(self, primary: str) -> None:
         """Put first among the core machines; tried next."""
@@ -191,6 +190,11 @@
         if moved:
             picture = replace(picture, members=members(self.table))
         self.plant.show(picture)
+        if "core" in keys:
+            held = self.table.get("core") or {}
+            self._jurors = [str(address) for address in held.get("witnesses") or []]
+            copies = [str(address) for address in held.get("copies") or []]
+            self._core = list(dict.fromkeys([*copies, *self._jurors, *self._core]))[:16]
         if moved:
             self.gauge.members_changed()
             self.feed.reconsider()
@@ -213,6 +217,7 @@
         sluice.gauge.release()
 
     sluice.loop.start(signals.run(stop, lambda: None), signals.fileno(), Rank.DISCOVERY)
+    Status(sluice.shared).begin()
     gc.collect()
     gc.freeze()
     log.info("sluice", extra={"node": settings.node, "own": sluice.own, "life": sluice.life})
