Requests that come back leave room for first ones; a moment for a counter to be found

A request waits up to 120 ms for a counter to be known; a gateway's share runs from its start. A request that comes back passes only while two units of its floor are free.

--- a/oakvale/gauge/floors.py
+++ b/oakvale/gauge/floors.py
@@ -16,6 +16,7 @@
 OVER = 0.15  # of the slack, for the level over the burst
 ALONE = 0.5  # of the slack, for all gateways that reach no counter, together
 ALONE_AT_ONCE = 0.4  # of that, what may pass in one go; the rest comes back over a window
+FOR_FIRST = 2.0  # requests' room under a floor that is kept for those that come the first time
 LONGEST_WAIT = SECOND  # DESIGN: a refusal names the window's remaining time, a second at most
 
 
@@ -71,9 +72,11 @@
         level, at = self._levels.get(tenant) or (burst, self._began)
         return max(0.0, level - rate * (now - at) / SECOND)
 
-    def add(self, tenant: str, quota: Quota, present: float, now: int) -> Verdict:
+    def add(self, tenant: str, quota: Quota, present: float, again: bool, now: int) -> Verdict:
         """Counts a request if it is within the floor, and reads the count back. `present`: the share of
-        gateways that reach this counter; the others pass theirs of the quota alone."""
+        gateways that reach this counter; the others pass theirs of the quota alone. `again`: it comes back
+        after a refusal. Such a one leaves a little room for those that come first: who asks again at once and
+        often gains nothing by it."""
         if quota.rate <= 0:
             return Verdict(True, 0.0, 0)
         if tenant not in self._levels:
@@ -81,12 +84,13 @@
         rate = max(quota.rate * present, 1e-6)
         level = self.level(tenant, rate, quota.burst, now)
         most = max(1.0, quota.burst) + OVER * self._terms.spare(quota)
-        if level + 1 <= most:
+        kept = min(FOR_FIRST, most / 4) if again else 0.0
+        if level + 1 <= most - kept:
             self._levels[tenant] = (level + 1, now)
             self.served += 1
             return Verdict(True, level + 1, 0)
         self._levels[tenant] = (level, now)
-        wait = min(LONGEST_WAIT, round((level + 1 - most) / rate * SECOND) + 1)
+        wait = min(LONGEST_WAIT, round((level + 1 + kept - most) / rate * SECOND) + 1)
         return Verdict(False, level, wait)
 
 
@@ -95,8 +99,8 @@
     once the counter can't reckon with it any more; by lot where that is less than one request. Spent by the
     draw, won or lost, so that on average no more passes."""
 
-    def __init__(self, terms: Terms, draw: Callable[[], float]) -> None:
-        self._terms, self._draw = terms, draw
+    def __init__(self, terms: Terms, draw: Callable[[], float], born: int) -> None:
+        self._terms, self._draw, self._born = terms, draw, born
         self._left: dict[str, tuple[float, int]] = {}
 
     def passes(self, tenant: str, quota: Quota, gateways: int, absent: bool, now: int) -> bool:
@@ -109,7 +113,7 @@
         most, rate = ALONE_AT_ONCE * share, (1 - ALONE_AT_ONCE) * share / self._terms.window
         if absent:
             most, rate = max(most, quota.burst / gateways), rate + quota.rate / gateways / SECOND
-        left, at = self._left.get(tenant, (0.0, now))  # a life before may have spent it
+        left, at = self._left.get(tenant, (0.0, self._born))  # a life before may have spent it
         left = min(most, left + rate * (now - at))
         if left >= 1:
             self._left[tenant] = (left - 1, now)
--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -7,6 +7,7 @@
 import logging
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from oakvale.gauge.ballots import Ask, Candidate, Word
@@ -24,6 +25,7 @@
 PRESENT = 700_000  # a counter reckons with who was heard this lately
 ABSENT = PRESENT + 100_000  # after so long without an answer, a gateway knows that none reckons with it
 GATHER = 100_000  # for what others last read, before a new counter begins
+MOMENT = 120_000  # a request waits so long for a counter to be found
 DOUBT = 80_000  # after an unanswered call, the counter is not waited for
 KEPT = 10_000_000  # how long the number of gateways is remembered at its highest
 
@@ -56,8 +58,10 @@
         self._ranks: dict[str, int] = {}  # duty -> this gateway's place among those who stand for it
         self._most: tuple[int, int] = (0, 0)  # gateways, and when so many were known
         self._born = loop.now
+        self._waiting: dict[str, dict[int, Callable[[], None]]] = {}
+        self._number = 0
         self._read = Read()
-        self.alone = Alone(terms, random.random)
+        self.alone = Alone(terms, random.random, loop.now)
         self._tenants: set[str] = set()
         mains.handlers["count"] = self._count
         mains.handlers["greet"] = self._greeted
@@ -72,18 +76,20 @@
 
     # ---- asking
 
-    def ask(self, tenant: str, then: Told) -> None:
-        """Whether one more request of this tenant passes."""
+    def ask(self, tenant: str, again: bool, then: Told, late: bool = False) -> None:
+        """Whether one more request of this tenant passes; `again`: it came back after a refusal."""
         quota = self._quota(tenant)
         if quota.rate <= 0:
             return then(True, 0, True)
         self._tenants.add(tenant)
         duty, now = duty_of(tenant), self.loop.now
         if self._counts(duty):
-            verdict = self._counters[duty].add(tenant, quota, self._present(), now)
+            verdict = self._counters[duty].add(tenant, quota, self._present(), again, now)
             self._read.note(tenant, verdict.level, now)
             return then(verdict.passes, verdict.wait, True)
         holder = self._holders.get(duty)
+        if holder is None and not late:
+            return self._wait_for(duty, partial(self.ask, tenant, again, then, True))
         if holder is None or now - self._doubt.get(duty, -DOUBT) < DOUBT:
             return self._pass_alone(tenant, quota, then)
 
@@ -98,7 +104,24 @@
             then(passes, wait, True)
 
         self._called[duty] = now
-        self.mains.ask(holder, "count", [tenant, quota.rate, quota.burst, self._node], WAIT, answered)
+        self.mains.ask(holder, "count", [tenant, quota.rate, quota.burst, self._node, again], WAIT, answered)
+
+    def _wait_for(self, duty: str, call: Callable[[], None]) -> None:
+        """Nobody is known to count yet: a moment is given to the ballots."""
+        waiting = self._waiting.setdefault(duty, {})
+        number = self._number = self._number + 1
+        waiting[number] = call
+
+        def late(_: Any) -> None:
+            if waiting.pop(number, None) is not None:
+                call()
+
+        self.loop.at(self.loop.now + MOMENT, late)
+
+    def _found(self, duty: str) -> None:
+        waiting = self._waiting.pop(duty, {})
+        while waiting:
+            waiting.pop(next(iter(waiting)))()
 
     def _unanswered(self, duty: str, holder: Address) -> None:
         self._doubt[duty] = self.loop.now
@@ -108,7 +131,7 @@
 
     def _pass_alone(self, tenant: str, quota: Quota, then: Told) -> None:
         now = self.loop.now
-        absent = now - max(self._contact.get(duty_of(tenant), 0), self._born) > ABSENT
+        absent = now - self._contact.get(duty_of(tenant), -ABSENT) > ABSENT
         passes = self.alone.passes(tenant, quota, self._gateways(), absent, now)
         if passes:
             self._read.add(tenant, now)
@@ -141,6 +164,7 @@
             self._holders[duty] = address
             self._doubt.pop(duty, None)
             self._greet(address)
+            self._found(duty)
 
     def _known(self, duty: str) -> str | None:
         if self._counts(duty):
@@ -170,7 +194,7 @@
         quota = self._quota(tenant)
         if quota.rate <= 0:
             quota = Quota(float(body[1]), float(body[2]))  # news of it have not come here yet
-        verdict = self._counters[duty].add(tenant, quota, self._present(), self.loop.now)
+        verdict = self._counters[duty].add(tenant, quota, self._present(), bool(body[4]), self.loop.now)
         answer([verdict.passes, verdict.level, verdict.wait])
 
     def _greet(self, address: Address) -> None:
@@ -224,6 +248,7 @@
                 return
             self._counters[duty] = counter
             self._holders.pop(duty, None)
+            self._found(duty)
             log.info("counting", extra={"duty": duty})
             for address in self._others():
                 self.mains.tell(address, "gauge", [duty, self._own])
@@ -243,6 +268,7 @@
             self._holders[duty] = address
             self._doubt.pop(duty, None)
             self._greet(address)
+            self._found(duty)
 
     # ---- ballots
 
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -22,6 +22,7 @@
 DIGITS = re.compile(rb"[0-9]{1,9}")
 MS = 1_000
 SECOND = 1_000_000
+WAY = 45 * MS  # a first try has lost at most so much of its time when it comes
 MOST_TRIES = 64  # each route says how many it allows
 TEXT = (b"content-type", b"text/plain")
 
@@ -39,6 +40,7 @@
     route: Route
     tenant: str | None
     event: i.Request
+    again: bool = False  # its client came back with it
     given: bool = False  # to the lane
     last: Answer | None = None  # a backend's own failure, if nothing better comes
 
@@ -130,6 +132,7 @@
         self._numbers: dict[str, int] = {}
         self._rng = random.Random()
         self.taking_ended = False
+        self._longest: dict[str, int] = {}  # route -> the longest that a client would wait
 
     @property
     def tally(self) -> Tally:
@@ -163,6 +166,8 @@
     def show(self, picture: Picture) -> None:
         """Everything from here on is decided by this picture."""
         was, self.picture = self.picture, picture
+        if picture.gen != was.gen:
+            self._longest.clear()
         if picture.backends is not was.backends:
             by_service: dict[str, list[Backend]] = {}
             for backend in picture.backends.values():
@@ -209,16 +214,22 @@
         wait = min(route.deadline, int(left) * MS if DIGITS.fullmatch(left) else route.deadline)
         lane = self._lane(route.service(self._rng.random()))
         event = i.Request(name, "", lane.class_of(route), 0, 1.0, 1, 0, came + wait)
-        order = Order(lane, route, tenant, event)
+        order = Order(lane, route, tenant, event, again=self._comes_again(route, wait))
         return InHand(name, client, incoming.method, incoming.target, incoming.headers, incoming.body,
                       event.deadline, order)
 
+    def _comes_again(self, route: Route, wait: int) -> bool:
+        """First tries of a route all wait for the longest that any did, less their way here."""
+        longest = max(wait, self._longest.get(route.name, 0))
+        self._longest[route.name] = longest
+        return wait < longest - WAY
+
     def begin(self, request: InHand) -> None:
         order: Order = request.event
         self.requests.add(request)
         if order.tenant is None:
             return self._go(request)
-        self.gauge.ask(order.tenant, partial(self._counted, request))
+        self.gauge.ask(order.tenant, order.again, partial(self._counted, request))
 
     def _counted(self, request: InHand, passes: bool, wait: int, counted: bool) -> None:
         if request.over:
