--- a/oakvale/cistern/store.py
+++ b/oakvale/cistern/store.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import logging
 import os
 import socket
 import sqlite3
@@ -17,6 +16,7 @@
 from queue import SimpleQueue
 from typing import Any
 
+from oakvale.lifecycle.daybook import Writer
 from oakvale.lifecycle.loop import READ, Coroutine, Loop, Rank
 
 Row = tuple[str, bytes]
@@ -25,7 +25,7 @@
 RETRY = 0.05  # seconds between two tries at a disk that refuses
 MOST = 64  # writes in one transaction
 
-log = logging.getLogger(__name__)
+note = Writer(__name__)
 
 
 class Cistern:
@@ -88,7 +88,7 @@
                     try:
                         then()
                     except Exception:
-                        log.exception("what follows a write failed")
+                        note.fault("what follows a write failed")
         finally:
             self._read.close()
 
@@ -132,7 +132,7 @@
                 self._db.execute("commit")
                 return
             except sqlite3.Error as error:
-                log.warning("disk refuses", extra={"why": str(error)})
+                note("disk refuses", "warning", why=str(error))
                 try:
                     self._db.execute("rollback")
                 except sqlite3.Error:
--- a/oakvale/cli.py
+++ b/oakvale/cli.py
@@ -80,13 +80,14 @@
     from importlib import import_module
 
     from oakvale.intake import settings
+    from oakvale.lifecycle import daybook
     from oakvale.lifecycle.signals import Signals
 
     signals = Signals()
     signals.watch()
     try:
         told = settings.load(os.environ)
-        logs.configure(args.log_level, 20)
+        daybook.configure(args.log_level, 20)
         sys.exit(import_module(f"oakvale.{args.command}.process").serve(told, signals))
     except settings.BadSettings as error:
         fail(error)
--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -4,7 +4,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 from collections.abc import Callable
 from typing import Any
@@ -12,6 +11,7 @@
 from oakvale.gauge.ballots import Ask, Candidate, Juror, Word
 from oakvale.gauge.floors import Alone, Floors, Quota, Read, Terms
 from oakvale.lifecycle.configuration import Address, parse_address
+from oakvale.lifecycle.daybook import Writer
 from oakvale.lifecycle.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.penstock.tree import Member, jury, place
@@ -24,7 +24,7 @@
 DOUBT = 100_000  # after an unanswered call, the counter is not waited for
 KEPT = 10_000_000  # how long the number of gateways is remembered at its highest
 
-log = logging.getLogger(__name__)
+note = Writer(__name__)
 
 Told = Callable[[bool, int, bool], None]  # passes, microseconds until one more would, whether it was counted
 
@@ -162,7 +162,7 @@
             if not self._candidate.holds(duty, self.loop.now):
                 return
             self._counters[duty] = counter
-            log.info("counting", extra={"duty": duty})
+            note("counting", duty=duty)
             for address in self._others():
                 self.mains.tell(address, "gauge", [duty, self._own])
 
@@ -193,7 +193,7 @@
         for duty, jurors in self._juries.items():
             rank = next((n for n, juror in enumerate(jurors) if juror.node == self._node), None)
             if duty in self._counters and not self._candidate.holds(duty, now):
-                log.info("counts no longer", extra={"duty": duty})
+                note("counts no longer", duty=duty)
                 del self._counters[duty]
             if rank is not None or duty in self._counters:
                 self._put(self._candidate.tick(duty, self._juror.vacant_since(duty), rank or 0, now))
--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import logging
 import secrets
 from collections.abc import Callable
 from typing import Any
@@ -30,6 +29,7 @@
 )
 from oakvale.intake.settings import Settings
 from oakvale.lifecycle.configuration import Address, parse_address, spelled
+from oakvale.lifecycle.daybook import Writer
 from oakvale.lifecycle.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.penstock.feed import PULSE, Outlet
@@ -42,7 +42,7 @@
 SICK = 700_000  # a write that waits longer: this disk is not to be relied on
 AGAIN = 150_000  # before a backup that failed is sent the state once more
 
-log = logging.getLogger(__name__)
+note = Writer(__name__)
 
 
 def address_of(peer: Seat) -> Address:
@@ -181,7 +181,7 @@
             return
         self.active = True
         self.activated_at = self.loop.now
-        log.info("serving the control state", extra={"view": view.number, "backups": _names(view.backups)})
+        note("serving the control state", view=view.number, backups=_names(view.backups))
         for call in self.on_change:
             call(True)
 
@@ -249,8 +249,8 @@
         self.active = False
         self._clean, self._sending, self._held = set(), set(), set()
         self._known |= {peer[0] for peer in view.witnesses}
-        log.info("view", extra={"view": view.number, "primary": view.primary[0], "backups": _names(view.backups),
-                                "witnesses": _names(view.witnesses), "own": self.own[0]})
+        note("view", view=view.number, primary=view.primary[0], backups=_names(view.backups),
+             witnesses=_names(view.witnesses), own=self.own[0])
         if self.succession.is_primary():
             self.ledger.start(view.number)
             self.ledger.owed_by(set(view.backups), self.own)
--- a/oakvale/headworks/gates.py
+++ b/oakvale/headworks/gates.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Any
 
 from oakvale.headworks.core import Core
+from oakvale.lifecycle.daybook import Writer
 from oakvale.lifecycle.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 
 AGREE = 2  # watchers that must miss a gateway before it is taken from the list
 TOGETHER = 3_000_000  # microseconds within which they must say so
 
-log = logging.getLogger(__name__)
+note = Writer(__name__)
 
 
 class Gates:
@@ -33,7 +33,7 @@
         key = f"gate/{body['node']}"
         if core.ledger.latest(key) == entry:
             return answer(told | {"joined": True})
-        log.info("gateway joins", extra={"gateway": body["node"], "addr": entry["addr"]})
+        note("gateway joins", gateway=body["node"], addr=entry["addr"])
         core.change({key: entry}, lambda done: answer(told | {"joined": done}))
 
     def _missing(self, conn: Conn, body: Any, _: Answer) -> None:
@@ -48,6 +48,6 @@
         recent = [w for w, at in said.items() if now - at < TOGETHER]
         others = len(core.ledger.table.items("gate/")) - 1
         if len(recent) >= min(AGREE, max(1, others)):
-            log.warning("gateway is gone", extra={"gateway": node, "said": ",".join(sorted(recent))})
+            note("gateway is gone", "warning", gateway=node, said=",".join(sorted(recent)))
             self._missed.pop(f"{node} {life}", None)
             core.change({f"gate/{node}": None}, lambda done: None)
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import logging
 import sqlite3
 
 from oakvale.cistern.store import Cistern
@@ -13,13 +12,14 @@
 from oakvale.intake.settings import BadSettings, Settings
 from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor, listening
+from oakvale.lifecycle.daybook import Writer
 from oakvale.lifecycle.limits import Limits
 from oakvale.lifecycle.loop import Clock, Loop, Rank
 from oakvale.lifecycle.signals import Signals
 from oakvale.mains.links import Mains
 from oakvale.sluice.bounds import bounds
 
-log = logging.getLogger(__name__)
+note = Writer(__name__)
 SWEEP = 1_000_000
 
 
@@ -54,7 +54,7 @@
     loop.start(signals.run(stop, lambda: None), signals.fileno(), Rank.DISCOVERY)
     gc.collect()
     gc.freeze()
-    log.info("headworks", extra={"node": settings.node, "own": core.own[0], "incarnation": core.own[1]})
+    note("headworks", node=settings.node, own=core.own[0], incarnation=core.own[1])
     try:
         loop.run()
     finally:
@@ -62,5 +62,5 @@
         cistern.close()
         loop.close()
         signals.close()
-    log.info("stopped", extra={"node": settings.node})
+    note("stopped", node=settings.node)
     return 0
--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import logging
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -20,6 +19,7 @@
 from oakvale.intake.settings import Settings
 from oakvale.intake.times import micros
 from oakvale.lifecycle.configuration import parse_address, spelled
+from oakvale.lifecycle.daybook import Writer
 from oakvale.lifecycle.loop import Loop
 
 JSON = (b"content-type", b"application/json")
@@ -27,7 +27,7 @@
 LOST_BEATS = 4  # without so many a backend counts as crashed
 MASS = 0.34  # where more than this share falls silent at once, it is rather the way to here that broke
 
-log = logging.getLogger(__name__)
+note = Writer(__name__)
 
 
 @dataclass(slots=True, frozen=True)
@@ -57,13 +57,13 @@
         try:
             config = model.parse(body)
         except model.Invalid as error:
-            log.info("configuration refused", extra={"why": str(error)[:200]})
+            note("configuration refused", why=str(error)[:200])
             return give(problem(400, str(error)))
         held = self._core.ledger.latest("config")
         if held is not None and config.gen <= held["gen"]:
             # a yes also says that the one held lasts
             return self._core.confirm(lambda done: give(Reply(200) if done else UNSURE))
-        log.info("configuration", extra={"gen": config.gen, "routes": len(config.routes), "bytes": len(body)})
+        note("configuration", gen=config.gen, routes=len(config.routes), bytes=len(body))
         self._core.change({"config": {"gen": config.gen, "text": body}},
                           lambda done: give(Reply(200) if done else UNSURE))
 
@@ -118,14 +118,14 @@
         for other, value in self._core.ledger.table.items("backend/"):
             if other != name and value["addr"] == said["addr"]:
                 changes[f"backend/{other}"] = None  # its address has another's life now
-        log.info("backend", extra={"backend": name, "svc": said["svc"], "state": said["state"], "addr": said["addr"]})
+        note("backend", backend=name, svc=said["svc"], state=said["state"], addr=said["addr"])
         self._core.change(changes, lambda done: give(yes if done else UNSURE))
 
     def leave(self, name: str, body: bytes, give: Give) -> None:
         self._seen.pop(name, None)
         if self._core.ledger.latest(f"backend/{name}") is None:
             return self._core.confirm(lambda done: give(Reply(200) if done else UNSURE))
-        log.info("backend leaves", extra={"backend": name})
+        note("backend leaves", backend=name)
         self._core.change({f"backend/{name}": None, f"left/{name}": 1},
                           lambda done: give(Reply(200) if done else UNSURE))
 
@@ -151,7 +151,7 @@
         quiet = [name for name in listed if now - self._seen[name] > 2 * self._beat]
         if silent and (len(quiet) <= MASS * len(listed) or len(silent) == len(quiet) < len(listed)
                        and now - min(self._seen[name] for name in silent) > 4 * LOST_BEATS * self._beat):
-            log.warning("backends are silent", extra={"backends": ",".join(silent)})
+            note("backends are silent", "warning", backends=",".join(silent))
             self._core.change({f"backend/{name}": None for name in silent}, lambda done: None)
 
 
--- a/oakvale/lifecycle/logs.py
+++ b/oakvale/lifecycle/logs.py
@@ -7,6 +7,8 @@
 import select
 import time
 from collections import Counter
+from collections.abc import Mapping
+from typing import Any
 
 LONGEST = select.PIPE_BUF  # a pipe that is ready takes this much without waiting
 STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime", "taskName"}
@@ -14,13 +16,24 @@
 
 class KeyValueFormatter(logging.Formatter):
     def format(self, record: logging.LogRecord) -> str:
-        at = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
-        fields = {"at": f"{at}.{int(record.msecs):03d}Z", "level": record.levelname.lower(),
+        fields = {"at": stamp(record.created, int(record.msecs)), "level": record.levelname.lower(),
                   "part": record.name.removeprefix("oakvale."), "event": record.getMessage()}
-        fields |= {k: v for k, v in vars(record).items() if k not in STANDARD}
+        fields |= extra(record)
         if record.exc_info:
             fields["traceback"] = self.formatException(record.exc_info)
-        return " ".join(f"{k}={quote(str(v))}" for k, v in fields.items())
+        return pairs(fields)
+
+
+def stamp(at: float, ms: int) -> str:
+    return f"{time.strftime('%Y-%m-%dT%H:%M:%S', time.gmtime(at))}.{ms:03d}Z"
+
+
+def extra(record: logging.LogRecord) -> dict[str, Any]:
+    return {k: v for k, v in vars(record).items() if k not in STANDARD}
+
+
+def pairs(fields: Mapping[str, Any]) -> str:
+    return " ".join(f"{k}={quote(str(v))}" for k, v in fields.items())
 
 
 def quote(text: str) -> str:
@@ -30,42 +43,37 @@
     return '"' + "".join(c if c.isprintable() else f"\\x{ord(c):02x}" for c in escaped) + '"'
 
 
-class Seldom(logging.Filter):
-    """So many lines a second of one event, at most: what bad peers cause by the hundred costs no more. The
-    next line that passes says how many did not, in `held_back`."""
+class Bound:
+    """So many lines a second of one event, at most: what bad peers cause by the hundred costs no more."""
 
     def __init__(self, most: int) -> None:
-        super().__init__()
         self._most, self._second = most, 0
         self._written: Counter[tuple[str, str]] = Counter()
         self._held: Counter[tuple[str, str]] = Counter()
 
-    def filter(self, record: logging.LogRecord) -> bool:
-        if int(record.created) != self._second:
-            self._second = int(record.created)
+    def held_back(self, event: tuple[str, str], at: float) -> int | None:
+        """None for a line that is one too many; else how many were since the last that was not."""
+        if int(at) != self._second:
+            self._second = int(at)
             self._written.clear()
-        event = (record.name, str(record.msg)[:64])
         if self._written[event] >= self._most:
             self._held[event] += 1
-            return False
+            return None
         self._written[event] += 1
-        if held := self._held.pop(event, 0):
-            record.held_back = held
-        return True
+        return self._held.pop(event, 0)
 
 
-class PipeHandler(logging.Handler):
+class Pipe:
     """Writes lines to a descriptor only while that can't block; what does not fit is dropped and counted."""
 
     def __init__(self, fd: int) -> None:
-        super().__init__()
         self.fd, self.dropped = fd, 0
         self._poll = select.poll()
         self._poll.register(fd, select.POLLOUT)
 
-    def emit(self, record: logging.LogRecord) -> None:
+    def write(self, text: str) -> None:
         try:
-            line = self.format(record).encode("utf-8", "backslashreplace")[: LONGEST - 32]
+            line = text.encode("utf-8", "backslashreplace")[: LONGEST - 32]
             if self.dropped:
                 line += b" dropped=%d" % self.dropped
             if any(flags & select.POLLOUT for _, flags in self._poll.poll(0)):
@@ -77,6 +85,33 @@
             self.dropped += 1
 
 
+class Seldom(logging.Filter):
+    """The next line of an event that passes says how many did not, in `held_back`."""
+
+    def __init__(self, most: int) -> None:
+        super().__init__()
+        self._bound = Bound(most)
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        held = self._bound.held_back((record.name, str(record.msg)[:64]), record.created)
+        if held:
+            record.held_back = held
+        return held is not None
+
+
+class PipeHandler(logging.Handler):
+    def __init__(self, fd: int) -> None:
+        super().__init__()
+        self._pipe = Pipe(fd)
+
+    @property
+    def dropped(self) -> int:
+        return self._pipe.dropped
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self._pipe.write(self.format(record))
+
+
 def configure(level: str, same: int, fd: int = 2) -> None:
     handler = PipeHandler(fd)
     handler.addFilter(Seldom(same))
--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import errno
-import logging
 import socket
 from collections.abc import Callable
 from typing import Any
 
 from oakvale.lifecycle.configuration import Address
+from oakvale.lifecycle.daybook import Writer
 from oakvale.lifecycle.loop import READ, TIMED_OUT, WRITE, Coroutine, Loop, Rank, Timer, call_off
 from oakvale.mains.frames import BadFrame, Frame, decode, encode
 
@@ -30,7 +30,7 @@
 Handler = Callable[["Conn", Any, Answer], None]
 Then = Callable[[Any], None]  # the answer's body, or None where there was none
 
-log = logging.getLogger(__name__)
+note = Writer(__name__)
 
 
 class Conn:
@@ -50,7 +50,7 @@
             return
         data = encode(kind, number, body)
         if len(self._going) + len(data) > BACKLOG:
-            log.warning("peer does not read", extra={"peer": self.address[0]})
+            note("peer does not read", "warning", peer=self.address[0])
             return self.end()
         self.used = self.mains.loop.now
         self.mains.sent_bytes += len(data)
@@ -85,7 +85,7 @@
                     return
         except (OSError, BadFrame) as error:
             if isinstance(error, BadFrame):
-                log.warning("bad frame", extra={"peer": self.address[0], "why": str(error)[:100]})
+                note("bad frame", "warning", peer=self.address[0], why=str(error)[:100])
         finally:
             self.alive = False
             self.sock.close()
@@ -141,7 +141,7 @@
             handler(self, body, (lambda answer: self.send("", number, answer)) if number else _nobody)
         except Exception:
             # one peer's odd message never ends the process, nor the connection that others' news come on
-            log.exception("message failed", extra={"kind": kind, "peer": self.address[0]})
+            note.fault("message failed", kind=kind, peer=self.address[0])
 
 
 def _nobody(_: Any) -> None:
--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -7,11 +7,11 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
 from typing import Any
 
 from oakvale.lifecycle.configuration import Address, parse_address
+from oakvale.lifecycle.daybook import Writer
 from oakvale.lifecycle.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.penstock.table import NOTHING, Entry, Table, Version, pack, unpack
@@ -21,7 +21,7 @@
 TRY = 400_000  # for a source to send its first
 REPAIR = 5_000_000  # between two comparisons of digests
 
-log = logging.getLogger(__name__)
+note = Writer(__name__)
 
 
 class Outlet:
@@ -120,7 +120,7 @@
         if self._source is not None:
             self._failed[f"{self._source[0]}:{self._source[1]}"] = now
             if self.fresh_at:
-                log.info("news are stale", extra={"source": self._source[0], "for_ms": (now - self.fresh_at) // 1000})
+                note("news are stale", source=self._source[0], for_ms=(now - self.fresh_at) // 1000)
         self._failed = {a: t for a, t in self._failed.items() if now - t < 20 * STALE}
         ways = self._sources(self._failed)
         if ways:
@@ -170,7 +170,7 @@
             entries = unpack(answer)
             changed = self.table.put(entries)
             if changed:
-                log.warning("table mended", extra={"entries": len(changed)})
+                note("table mended", "warning", entries=len(changed))
                 self._changed(changed)
                 self.outlet.publish(self.pulse, [entry for entry in entries if entry[0] in set(changed)])
 
--- a/oakvale/sluice/process.py
+++ b/oakvale/sluice/process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import logging
 import secrets
 from dataclasses import replace
 from typing import Any
@@ -14,6 +13,7 @@
 from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor, listening
 from oakvale.lifecycle.configuration import parse_address, spelled
+from oakvale.lifecycle.daybook import Writer
 from oakvale.lifecycle.loop import Clock, Loop, Rank
 from oakvale.lifecycle.shutdown import Shutdown
 from oakvale.lifecycle.signals import Signals
@@ -35,7 +35,7 @@
 MISSED = 2_200_000  # without a heartbeat for so long, the primary is told
 SWEEP = 1_000_000
 
-log = logging.getLogger(__name__)
+note = Writer(__name__)
 
 
 class Readyz:
@@ -184,7 +184,7 @@
             held = self.table.get("config")
             if held is not None and held["gen"] > picture.gen:
                 picture = replace(picture, **configured(bytes(held["text"])))
-                log.info("configuration", extra={"gen": picture.gen})
+                note("configuration", gen=picture.gen)
         if any(key.startswith("backend/") for key in keys):
             picture = replace(picture, backends=backends(self.table))
         moved = any(key.startswith("gate/") for key in keys)
@@ -215,11 +215,11 @@
     sluice.loop.start(signals.run(stop, lambda: None), signals.fileno(), Rank.DISCOVERY)
     gc.collect()
     gc.freeze()
-    log.info("sluice", extra={"node": settings.node, "own": sluice.own, "life": sluice.life})
+    note("sluice", node=settings.node, own=sluice.own, life=sluice.life)
     try:
         sluice.loop.run()
     finally:
         shutdown.close()
         signals.close()
-    log.info("stopped", extra={"node": settings.node})
+    note("stopped", node=settings.node)
     return 0
