--- a/oakvale/cli.py
+++ b/oakvale/cli.py
@@ -68,6 +68,16 @@
     sys.exit(0 if status == 200 else 1)
 
 
+def check(args: argparse.Namespace) -> None:
+    """Check a file of the whole system and say what it holds."""
+    from oakvale.intake import check
+
+    try:
+        print("\n".join(check.check(args.kind, args.file)))
+    except check.Wrong as error:
+        fail(error)
+
+
 def version(args: argparse.Namespace) -> None:
     """Print the version."""
     from importlib import metadata  # slow to import, and serve needs none of it
@@ -112,6 +122,10 @@
         add(name, call, text).add_argument("--log-level", default="info", choices=LEVELS,
                                            help="the least that is logged (default: %(default)s)")
     add("check-config", check_config, "read the configuration as serve would and say what it holds")
+    held = add("check", check, "check a file of the whole system and say what it holds, or what is wrong and where")
+    held.add_argument("kind", choices=("settings", "deploy", "config"),
+                      help="a process's settings, the deploy file, or an operator's configuration (JSON)")
+    held.add_argument("file")
     asked = add("health", health, "ask a running gateway whether it can serve; exit 0 if so")
     asked.add_argument("address", help="host:port")
     asked.add_argument("--path", default="/_health", help="/oakvale/readyz for a gateway of the whole system")
