--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 CONFIG ?= deploy/example.json
 BIN := .venv/bin
 
-.PHONY: build test lint run clean
+.PHONY: build test lint run demo clean
 
 build: .venv/built
 test: .venv/built-dev
@@ -16,6 +16,9 @@
 run: build
 	LB_CONFIG="$(CONFIG)" exec $(BIN)/python -m oakvale serve
 
+demo: build
+	$(BIN)/python -m oakvale demo
+
 clean:
 	rm -rf .venv
 
--- a/oakvale/cli.py
+++ b/oakvale/cli.py
@@ -78,6 +78,32 @@
         fail(error)
 
 
+def status(args: argparse.Namespace) -> None:
+    """Ask a process of the whole system, at its mains address, how it stands; exit 0 if it answers."""
+    from oakvale.mains import standing
+
+    try:
+        told = standing.inquire(configuration.address(args.address, "address"), args.timeout)
+    except (configuration.BadConfiguration, standing.Silent) as error:
+        fail(f"{args.address}: {error}", 1)
+    print("\n".join(logs.pairs({name: value}) for name, value in told.items()))
+
+
+def demo(args: argparse.Namespace) -> None:
+    """A small system on loopback: one request through it, or until it is interrupted."""
+    import signal
+
+    from oakvale.demo import show
+
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # what was started ends with it
+    try:
+        show.show(lambda line: print(line, flush=True), args.stay)
+    except show.Failed as error:
+        fail(error, 1)
+    except KeyboardInterrupt:
+        fail("interrupted; everything has ended", 130)
+
+
 def version(args: argparse.Namespace) -> None:
     """Print the version."""
     from importlib import metadata  # slow to import, and serve needs none of it
@@ -130,6 +156,12 @@
     asked.add_argument("address", help="host:port")
     asked.add_argument("--path", default="/_health", help="/oakvale/readyz for a gateway of the whole system")
     asked.add_argument("--timeout", type=float, default=2.0, help="seconds to wait for the answer")
+    asked = add("status", status, "ask a running process of the whole system how it stands; exit 0 if it answers")
+    asked.add_argument("address", help="host:port between gateways: the first of port-range for a headworks, "
+                                       "the second for a sluice")
+    asked.add_argument("--timeout", type=float, default=2.0, help="seconds to wait for the answer")
+    add("demo", demo, "a small system on loopback: three headworks, two sluices, a backend, one request").add_argument(
+        "--stay", action="store_true", help="keep it until interrupted, for requests of your own and oakvale status")
     add("version", version, "print the version")
     return whole
 
--- /dev/null
+++ b/oakvale/demo/__init__.py
@@ -0,0 +1,3 @@
+"""Demo: a whole small system on loopback, each machine an address of its own, with a stand-in backend. It shows
+the system at work and serves no traffic. Begin with `show`.
+"""
--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -57,6 +57,10 @@
         mains.handlers["levels"] = self._levels
         loop.at(loop.now + TICK, self._tick)
 
+    def duties(self) -> list[str]:
+        """Those counted here."""
+        return sorted(self._counters)
+
     # ---- asking
 
     def ask(self, tenant: str, then: Told) -> None:
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -9,6 +9,7 @@
 from oakvale.headworks.core import Core
 from oakvale.headworks.ctl import Ctl
 from oakvale.headworks.gates import Gates
+from oakvale.headworks.standing import standing
 from oakvale.intake.settings import BadSettings, Settings
 from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor, listening
@@ -17,6 +18,7 @@
 from oakvale.lifecycle.loop import Clock, Loop, Rank
 from oakvale.lifecycle.signals import Signals
 from oakvale.mains.links import Mains
+from oakvale.mains.standing import offer
 from oakvale.sluice.bounds import bounds
 
 note = Writer(__name__)
@@ -37,6 +39,7 @@
         raise BadSettings(f"[self] datadir {settings.datadir}: {error}") from error
     core = Core(loop, mains, settings, cistern)
     Gates(core, loop, mains)
+    offer(mains, "headworks", settings.node, lambda: standing(core))
     shared = Shared(loop, limits)
     ctl = Ctl(shared, core, settings)
     acceptor = Acceptor(ctl, listening(settings.bind["ctl"], limits.backlog), loop)
--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -244,6 +244,10 @@
         conn.waiting[number] = (then, self.loop.at(self.loop.now + timeout, late))
         conn.send(kind, number, body)
 
+    def links(self) -> tuple[int, int]:
+        """How many there are, outgoing and incoming."""
+        return len(self._out), len(self._in)
+
     def drop(self, address: Address) -> None:
         conn = self._out.get(address)
         if conn is not None:
--- /dev/null
+++ b/oakvale/mains/standing.py
@@ -0,0 +1,75 @@
+"""Standing: what a process says of itself when it is asked over the mains (`oakvale status`), and notes in its log
+at intervals. Values are numbers and short texts; ages are in milliseconds of the steady clock.
+"""
+
+from __future__ import annotations
+
+import resource
+import socket
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from oakvale.lifecycle.configuration import Address
+from oakvale.lifecycle.daybook import Writer
+from oakvale.mains.frames import BadFrame, decode, encode
+from oakvale.mains.links import Mains
+
+EACH = 30_000_000  # microseconds between two notes
+KIND = "status"
+MS = 1_000
+
+note = Writer(__name__)
+
+Fields = dict[str, Any]
+
+
+class Silent(Exception):
+    """Who was asked did not answer; one line."""
+
+
+def offer(mains: Mains, role: str, node: str, tell: Callable[[], Fields]) -> None:
+    """Answers whoever asks, and notes the same at intervals."""
+    loop, began = mains.loop, mains.loop.now
+
+    def standing() -> Fields:
+        usage, (out, come) = resource.getrusage(resource.RUSAGE_SELF), mains.links()
+        return {"role": role, "node": node, "up_ms": (loop.now - began) // MS} | tell() | {
+            "links_out": out, "links_in": come, "sent_bytes": mains.sent_bytes, "turns": loop.turns,
+            "cpu_ms": round((usage.ru_utime + usage.ru_stime) * 1000), "memory_mb": usage.ru_maxrss // 1024}
+
+    def again(_: Any) -> None:
+        loop.at(loop.now + EACH, again)
+        note("status", **standing())
+
+    mains.handlers[KIND] = lambda conn, body, answer: answer(standing())
+    loop.at(loop.now + EACH, again)
+
+
+def by_service(backends: Iterable[tuple[str, str]]) -> Fields:
+    """Counts from pairs of service and state."""
+    counts = Counter(backends)
+    return {f"backends.{service}.{state}": count for (service, state), count in sorted(counts.items())}
+
+
+def inquire(address: Address, timeout: float) -> Mapping[str, Any]:
+    """Asks from outside a loop; raises Silent."""
+    due = time.monotonic() + timeout
+    came = bytearray()
+    try:
+        with socket.create_connection(address, timeout) as sock:
+            sock.sendall(encode(KIND, 1, None))
+            while True:
+                sock.settimeout(max(0.01, due - time.monotonic()))
+                data = sock.recv(65536)
+                if not data:
+                    raise Silent("closed without an answer")
+                came += data
+                for kind, number, body in decode(came):
+                    if not kind and number == 1 and isinstance(body, dict):
+                        return body
+                if time.monotonic() > due:
+                    raise Silent("no answer in time")
+    except (OSError, BadFrame) as error:
+        raise Silent(str(error)) from error
--- a/oakvale/sluice/process.py
+++ b/oakvale/sluice/process.py
@@ -18,6 +18,7 @@
 from oakvale.lifecycle.shutdown import Shutdown
 from oakvale.lifecycle.signals import Signals
 from oakvale.mains.links import Answer, Conn, Mains
+from oakvale.mains.standing import offer
 from oakvale.memory.requests import Answer as HttpAnswer
 from oakvale.memory.requests import InHand
 from oakvale.penstock.feed import Feed
@@ -26,6 +27,7 @@
 from oakvale.sluice.bounds import bounds
 from oakvale.sluice.plant import Plant
 from oakvale.sluice.routes import backends, configured, members
+from oakvale.sluice.standing import standing
 from oakvale.wire.clients import Incoming, plain
 
 JOIN = 500_000  # microseconds between two tries to join
@@ -207,6 +209,7 @@
         raise BadSettings("sluice needs [network.bind] http")
     sluice = Sluice(settings)
     shutdown = Shutdown(sluice)
+    offer(sluice.mains, "sluice", settings.node, lambda: standing(sluice))
 
     def stop() -> None:
         shutdown.begin()
