--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -9,6 +9,7 @@
 from oakvale.headworks.core import Core
 from oakvale.headworks.ctl import Ctl
 from oakvale.headworks.gates import Gates
+from oakvale.headworks.jury import Jury
 from oakvale.headworks.standing import standing
 from oakvale.intake.settings import BadSettings, Settings
 from oakvale.lane import Shared
@@ -38,7 +39,7 @@
     except sqlite3.Error as error:
         raise BadSettings(f"[self] datadir {settings.datadir}: {error}") from error
     core = Core(loop, mains, settings, cistern)
-    Gates(core, loop, mains)
+    Gates(core, Jury(loop, mains, cistern), loop, mains)
     offer(mains, "headworks", settings.node, lambda: standing(core))
     shared = Shared(loop, limits)
     ctl = Ctl(shared, core, settings)
--- a/oakvale/mains/standing.py
+++ b/oakvale/mains/standing.py
@@ -41,7 +41,7 @@
 
     def again(_: Any) -> None:
         loop.at(loop.now + EACH, again)
-        note("status", **standing())
+        note("standing", **standing())
 
     mains.handlers[KIND] = lambda conn, body, answer: answer(standing())
     loop.at(loop.now + EACH, again)
--- a/oakvale/sluice/standing.py
+++ b/oakvale/sluice/standing.py
@@ -21,7 +21,7 @@
         "source": spelled(source) if source else "", "pulse": "/".join(map(str, feed.pulse)),
         "news": "/".join(map(str, sluice.table.high)),
         "news_age_ms": (now - feed.fresh_at) // MS if feed.fresh_at else -1, "relays": len(feed.outlet),
-        "duties": ",".join(sluice.gauge.duties()),
+        "duties": ",".join(sluice.gauge.held()),
         "clients": len(plant.clients.all), "in_hand": len(plant.requests),
         "backend_connections": sluice.shared.backend_connections, "idle_connections": sluice.shared.idle.count,
     } | plant.tally.fields() | by_service(
