--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -4,7 +4,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 from collections.abc import Callable
 from functools import partial
@@ -13,6 +12,7 @@
 from oakvale.gauge.ballots import Ask, Candidate, Word
 from oakvale.gauge.floors import Alone, Floors, Quota, Read, Terms
 from oakvale.lifecycle.configuration import Address, parse_address, spelled
+from oakvale.lifecycle.daybook import Writer
 from oakvale.lifecycle.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.penstock.tree import Member, next_on_ring, place
@@ -29,7 +29,7 @@
 DOUBT = 80_000  # after an unanswered call, the counter is not waited for
 KEPT = 10_000_000  # how long the number of gateways is remembered at its highest
 
-log = logging.getLogger(__name__)
+note = Writer(__name__)
 
 Told = Callable[[bool, int, bool], None]  # passes, microseconds until one more would, whether it was counted
 
@@ -249,7 +249,7 @@
             self._counters[duty] = counter
             self._holders.pop(duty, None)
             self._found(duty)
-            log.info("counting", extra={"duty": duty})
+            note("counting", duty=duty)
             for address in self._others():
                 self.mains.tell(address, "gauge", [duty, self._own])
 
@@ -290,7 +290,7 @@
         greeted: set[Address] = set()
         for duty in self._duties:
             if duty in self._counters and not self._counts(duty):
-                log.info("counts no longer", extra={"duty": duty})
+                note("counts no longer", duty=duty)
                 del self._counters[duty]
             if duty in self._ranks or duty in self._counters:
                 silent = max(self._contact.get(duty, 0), self._born)
--- a/oakvale/lifecycle/status.py
+++ b/oakvale/lifecycle/status.py
@@ -15,7 +15,7 @@
 
 
 class Tally:
-    """Counts since the last line: requests given to the module, answers to clients by status (health checks
+    """Counts since the start: requests given to the module, answers to clients by status (health checks
     and what is malformed among them), attempts and counter calls by ending."""
 
     def __init__(self) -> None:
@@ -38,20 +38,22 @@
         self._host = host
         self._cpu = 0.0
         self._turns = 0
+        self._told: dict[str, Any] = {}
 
     def begin(self) -> None:
         self._host.loop.at(self._host.loop.now + self._host.limits.status, self._tell)
 
     def _tell(self, _: None) -> None:
         host = self._host
-        tally, host.tally = host.tally, Tally()
+        counts, told = host.tally.fields(), self._told
+        since = {name: count - told.get(name, 0) for name, count in counts.items()}
         usage = resource.getrusage(resource.RUSAGE_SELF)
         cpu = usage.ru_utime + usage.ru_stime
-        log.info("status", extra=tally.fields() | {
+        log.info("status", extra={name: count for name, count in since.items() if count or name == "requests"} | {
             "in_hand": len(host.requests), "clients": len(host.clients.all),
             "backend_connections": host.backend_connections, "idle_connections": host.idle.count,
             "buffers_taken": host.buffers.taken,
             "turns": host.loop.turns - self._turns, "cpu_ms": round((cpu - self._cpu) * 1000),
             "memory_mb": usage.ru_maxrss // 1024})
-        self._cpu, self._turns = cpu, host.loop.turns
+        self._cpu, self._turns, self._told = cpu, host.loop.turns, counts
         self.begin()
--- a/oakvale/sluice/process.py
+++ b/oakvale/sluice/process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import logging
 import secrets
 from dataclasses import replace
 from typing import Any
@@ -14,11 +13,13 @@
 from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor, listening
 from oakvale.lifecycle.configuration import parse_address, spelled
+from oakvale.lifecycle.daybook import Writer
 from oakvale.lifecycle.loop import Clock, Loop, Rank
 from oakvale.lifecycle.shutdown import Shutdown
 from oakvale.lifecycle.signals import Signals
 from oakvale.lifecycle.status import Status
 from oakvale.mains.links import Answer, Conn, Mains
+from oakvale.mains.standing import offer
 from oakvale.memory.requests import Answer as HttpAnswer
 from oakvale.memory.requests import InHand
 from oakvale.penstock.feed import Feed
@@ -27,6 +28,7 @@
 from oakvale.sluice.bounds import bounds
 from oakvale.sluice.plant import Plant
 from oakvale.sluice.routes import backends, configured, members
+from oakvale.sluice.standing import standing
 from oakvale.wire.clients import Incoming, plain
 
 JOIN = 150_000  # microseconds between two tries to join
@@ -36,7 +38,7 @@
 MISSED = 2_200_000  # without a heartbeat for so long, the primary is told
 SWEEP = 1_000_000
 
-log = logging.getLogger(__name__)
+note = Writer(__name__)
 
 
 class Readyz:
@@ -183,7 +185,7 @@
             held = self.table.get("config")
             if held is not None and held["gen"] > picture.gen:
                 picture = replace(picture, **configured(bytes(held["text"])))
-                log.info("configuration", extra={"gen": picture.gen})
+                note("configuration", gen=picture.gen)
         if any(key.startswith("backend/") for key in keys):
             picture = replace(picture, backends=backends(self.table))
         moved = any(key.startswith("gate/") for key in keys)
@@ -211,6 +213,7 @@
         raise BadSettings("sluice needs [network.bind] http")
     sluice = Sluice(settings)
     shutdown = Shutdown(sluice)
+    offer(sluice.mains, "sluice", settings.node, lambda: standing(sluice))
 
     def stop() -> None:
         shutdown.begin()
@@ -220,11 +223,11 @@
     Status(sluice.shared).begin()
     gc.collect()
     gc.freeze()
-    log.info("sluice", extra={"node": settings.node, "own": sluice.own, "life": sluice.life})
+    note("sluice", node=settings.node, own=sluice.own, life=sluice.life)
     try:
         sluice.loop.run()
     finally:
         shutdown.close()
         signals.close()
-    log.info("stopped", extra={"node": settings.node})
+    note("stopped", node=settings.node)
     return 0
