--- a/oakvale/gauge/ballots.py
+++ b/oakvale/gauge/ballots.py
@@ -106,7 +106,6 @@
         self._bids: dict[str, Bid] = {}
         self._round = 0
         self._not_before: dict[str, int] = {}
-        self._won: dict[str, Number] = {}
         self.until: dict[str, int] = {}  # duties held, and until when by this gateway's clock
 
     def holds(self, duty: str, now: int) -> bool:
@@ -120,7 +119,8 @@
         if self.holds(duty, now):
             if bid is None and now < self._not_before.get(duty, 0):
                 return None
-            bid = self._bids[duty] = Bid(self._won[duty], "elect", now)
+            self._round += 1  # a number of its own: late words say until when an earlier vote binds
+            bid = self._bids[duty] = Bid((self._round, self._life), "elect", now)
             return Ask(duty, bid.kind, bid.number)
         self._bids.pop(duty, None)
         self.until.pop(duty, None)
@@ -150,7 +150,6 @@
         self.until[word.duty] = bid.at + SPAN - MARGIN
         self._not_before[word.duty] = bid.at + RENEW
         self._round = max(self._round, bid.number[0])
-        self._won[word.duty] = bid.number
         del self._bids[word.duty]
         return None
 
--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -86,7 +86,7 @@
         self.succession = Succession(self.own, durable, copies, SILENCE, patience)
         self._known = {*seeds}
         self._zones: dict[str, str] = {}
-        for kind in ("prepare", "promise", "accept", "accepted", "decided", "refused"):
+        for kind in ("prepare", "promise", "accept", "accepted", "decided", "refused", "void", "voided"):
             mains.handlers[kind] = self._council(kind)
         mains.handlers["core"] = self._heard
         mains.handlers["append"] = self._append
@@ -175,6 +175,8 @@
                 if backup not in self._clean:  # a change behind the state did not arrive
                     self._send_all(backup, view)
             else:
+                if answer == "void":
+                    self.succession.voided_by_backup(view.number)
                 self._clean.discard(backup)
                 self.loop.at(self.loop.now + AGAIN, lambda _: self._send_all(backup, view))
 
@@ -222,10 +224,15 @@
         self.ledger.table.put(entries)
         self.outlet = Outlet(self.ledger.table)
 
+        def complete() -> None:
+            state = self.succession.state
+            if state.void == view.number:
+                return answer("void")
+            answer(self._follows(view, sender) and state.complete == view.number)
+
         def stored() -> None:
             self._carry(self.succession.synced(view.number))
-            self.cistern.write(("fact", ("last-sync", str(view.number).encode())),
-                               lambda: answer(self._follows(view, sender)))
+            self.cistern.write(("fact", ("last-sync", str(view.number).encode())), complete)
 
         self.cistern.write(("whole", _rows(entries)), stored)
 
--- a/oakvale/headworks/succession.py
+++ b/oakvale/headworks/succession.py
@@ -11,6 +11,10 @@
 - a seat is complete in view n+1 if it was complete in n and is a copy in n+1, or once it has synced the state
   that n+1's primary sent. That primary acknowledges nothing before all backups of n+1 are complete, and each
   later change needs all of them; a backup that has moved on to another view refuses.
+
+A view may be decided long after its primary proposed it and died: then no copy of it is complete, nor ever will
+be. One backup's word that it is not complete and won't be voids the view: nothing was or will be acknowledged in
+it, so who was complete in the view before is complete in this one.
 """
 
 from __future__ import annotations
@@ -75,17 +79,18 @@
     promised: Ballot = NONE  # for the successor of `view`
     accepted: tuple[Ballot, View] | None = None
     complete: int = 0  # the newest view in which this seat holds all that was acknowledged
+    void: int = 0  # the newest view that it refuses to become complete in
 
     def pack(self) -> list[Any]:
         accepted = _packed(self.accepted)
         return [self.view.pack() if self.view else None, [self.promised[0], list(self.promised[1])], accepted,
-                self.complete]
+                self.complete, self.void]
 
 
 def unpack_durable(data: Any) -> Durable:
-    view, promised, accepted, complete = data
+    view, promised, accepted, complete, void = data
     return Durable(unpack(view) if view else None, (int(promised[0]), seat(promised[1])),
-                   _unpacked(accepted), int(complete))
+                   _unpacked(accepted), int(complete), int(void))
 
 
 def _packed(accepted: tuple[Ballot, View] | None) -> list[Any] | None:
@@ -154,6 +159,7 @@
         self._out: list[Out] = []
         self._born: int | None = None
         self._stored = state.view.number if state.view else 0  # the newest view that is on disk
+        self._refused_in = 0  # a view of its own that a backup has voided
 
     # ---- what it is told
 
@@ -178,7 +184,8 @@
 
     def message(self, now: int, sender: Seat, kind: str, body: list[Any]) -> list[Out]:
         {"prepare": self._prepare, "promise": self._promise, "accept": self._accept,
-         "accepted": self._accepted, "decided": self._decided, "refused": self._refused}[kind](now, sender, body)
+         "accepted": self._accepted, "decided": self._decided, "refused": self._refused,
+         "void": self._void, "voided": self._voided}[kind](now, sender, body)
         return self._flush()
 
     def learn(self, view: View) -> list[Out]:
@@ -196,10 +203,15 @@
 
     def synced(self, view: int) -> list[Out]:
         """All that the primary of this view sent is on disk here."""
-        if self.state.view is not None and self.state.view.number == view and self.state.complete < view:
+        number = self.state.view.number if self.state.view else 0
+        if number == view and self.state.complete < view and self.state.void != view:
             self._keep(replace(self.state, complete=view), [])
         return self._flush()
 
+    def voided_by_backup(self, view: int) -> None:
+        """A backup will never be complete in this seat's view: it needs another."""
+        self._refused_in = max(self._refused_in, view)
+
     # ---- what it knows
 
     def is_primary(self) -> bool:
@@ -216,16 +228,19 @@
         if campaign is not None and now - campaign.began < self._silence:
             return
         self._campaign = None
-        if self.state.complete != view.number or self.own not in view.copies or now < self._next_try:
+        if now < self._next_try or self._stored != view.number:
+            return  # not on disk: after a crash it'd be back in the view before, and not complete in one it won here
+        if self.state.complete == view.number - 1 and not self.alive(view.primary, now):
+            self._next_try = now + self._silence // 2
+            self._out += [Say(backup, "void", [view.pack()]) for backup in view.backups]
+        if self.state.complete != view.number:
             return
-        if self._stored != view.number:
-            return  # after a crash this seat would be back in the view before, and not complete in the one it won
         wanted = self._wanted(now, view)
         if wanted is None:
             self._wanted_since = 0
             return
         # copies of a rank wait for those before them: two proposers at once only delay each other
-        rank = view.copies.index(self.own)
+        rank = view.copies.index(self.own) if self.own in view.copies else len(view.copies)
         self._wanted_since = self._wanted_since or now
         if now - self._wanted_since < rank * self._silence // 4:
             return
@@ -245,7 +260,8 @@
         def up(peer: Seat) -> bool:
             return self.alive(peer, now)
 
-        if self.own != view.primary and up(view.primary):
+        void = self._refused_in == view.number or self.own not in view.copies  # complete, no copy: it was voided
+        if self.own != view.primary and up(view.primary) and not void:
             return None
         witnesses = list(view.witnesses)
         for spare in sorted(self._spares, key=lambda s: (s[0] not in {w[0] for w in witnesses}, s)):
@@ -279,7 +295,7 @@
         found = View(view.number + 1, self.own, tuple(backups), tuple(witnesses))
         same = (found.primary, set(found.backups), set(found.witnesses)) == (
             view.primary, set(view.backups), set(view.witnesses))
-        return None if same else found
+        return None if same and not void else found
 
     def _promise(self, now: int, sender: Seat, body: list[Any]) -> None:
         number, ballot, accepted = int(body[0]), (int(body[1][0]), seat(body[1][1])), body[2]
@@ -346,6 +362,19 @@
             return False
         return self.own in own.witnesses
 
+    def _void(self, now: int, sender: Seat, body: list[Any]) -> None:
+        view = unpack(body[0])
+        self._learn(view)
+        own = self.state.view
+        if own == view and self.own in view.backups and self.state.complete < view.number:
+            self._keep(replace(self.state, void=view.number), [Say(sender, "voided", [view.number])])
+
+    def _voided(self, now: int, sender: Seat, body: list[Any]) -> None:
+        view = self.state.view
+        if (view is not None and view.number == int(body[0]) and sender in view.backups
+                and self.state.complete == view.number - 1):
+            self._keep(replace(self.state, complete=view.number), [])
+
     def _decided(self, now: int, sender: Seat, body: list[Any]) -> None:
         self._learn(unpack(body[0]))
 
@@ -362,7 +391,7 @@
         self._campaign = None
         self._wanted_since = 0
         self._spares = {s: t for s, t in self._spares.items() if s not in view.witnesses}
-        self._keep(Durable(view, NONE, None, complete), [Moved(view)])
+        self._keep(Durable(view, NONE, None, complete, self.state.void), [Moved(view)])
 
     def _keep(self, state: Durable, after: list[Out]) -> None:
         self.state = state
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -48,6 +48,37 @@
     assert roles(world)[1].view() == view
 
 
+@pytest.mark.parametrize("wiped", [True, False])
+def test_a_view_whose_primary_died_before_it_was_decided(wiped: bool) -> None:
+    """Another seat had to finish its ballot. No copy was complete in that view, and the system stood for good."""
+    world = settled()
+    machine, _, backup = roles(world)
+    world.change(machine)
+    world.run(SECOND)
+    world.down(machine, 4 * SECOND, wiped)
+    backup._carry(backup.succession.learn(View(2, A, (C,), ABC.witnesses)))
+    world.run(3_500 * MS)
+    now = world.serving()
+    assert now is not None and now.core is backup
+    world.read(now)
+    world.run(SECOND)
+    assert (world.acknowledged, world.reads) == (1, 1)
+
+
+def test_a_primary_whose_view_was_voided_gets_another() -> None:
+    world = World(1)
+    world.run(5 * MS)
+    primary, backup, other = (m.core for m in world.machines)
+    assert primary is not None and backup is not None and other is not None
+    view = View(2, A, (C,), ABC.witnesses)
+    other._carry(other.succession.message(world.now, B, "void", [view.pack()]))
+    backup._carry(backup.succession.learn(view))
+    primary._carry(primary.succession.learn(view))
+    world.machines[1].kill()
+    world.run(4 * SECOND)
+    assert world.serving() is world.machines[0]
+
+
 def test_more_witnesses_than_seeds_where_the_tolerance_needs_them() -> None:
     """Three witnesses, as many as there are seeds, do not outlive the loss of two."""
     world = settled(5, 2, 3)
--- a/tests/world.py
+++ b/tests/world.py
@@ -464,6 +464,8 @@
         self.change(found)
         self.run(SECOND)
         assert (self.acknowledged, self.reads) == (acknowledged + 1, reads + 1), "serves, but keeps nothing"
+        assert found.core is not None
+        assert self.gateway.since(NOTHING) == found.core.ledger.table.since(NOTHING), "the news are not the state"
 
 
 class Wire:
