The decisions split by concern: oakvale/policy in place of logic.py, every action as before

Change: quota and counting, lending, choice, limits and refusal, attempts and budgets, health, admission, list and timers are small classes that know only those below them; what all share lies on one desk.

--- a/oakvale/adapter/host.py
+++ b/oakvale/adapter/host.py
@@ -11,7 +11,7 @@
 from oakvale import interface as i
 from oakvale import settings
 from oakvale.adapter import wire
-from oakvale.logic import Gateway
+from oakvale.policy.gateway import Gateway
 
 
 class Instance:
--- a/oakvale/interface.py
+++ b/oakvale/interface.py
@@ -1,4 +1,4 @@
-"""The types, events, actions and settings that `oakvale.logic` works with. No decisions live here.
+"""The types, events, actions and settings that `oakvale.policy` works with. No decisions live here.
 
 Times are integer microseconds, counter names are strings, ids are passed through untouched.
 """
--- a/oakvale/lane.py
+++ b/oakvale/lane.py
@@ -19,7 +19,7 @@
 from oakvale.lifecycle.limits import Limits
 from oakvale.lifecycle.loop import Loop
 from oakvale.lifecycle.status import Tally
-from oakvale.logic import Gateway
+from oakvale.policy.gateway import Gateway
 from oakvale.memory.buffers import BufferPool, Room
 from oakvale.memory.idle import Clients, IdleConnections
 from oakvale.memory.requests import Answer, AttemptOut, InHand, RequestsInHand
--- a/oakvale/lifecycle/limits.py
+++ b/oakvale/lifecycle/limits.py
@@ -1,6 +1,6 @@
 """Every size, count and time that bounds the gateway, in one type that is filled at start and handed down.
 
-These guard the process. What is decided about requests is in `oakvale.logic` alone.
+These guard the process. What is decided about requests is in `oakvale.policy` alone.
 """
 
 from __future__ import annotations
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -27,7 +27,7 @@
     Settings,
     Timer,
 )
-from oakvale.logic import Gateway
+from oakvale.policy.gateway import Gateway
 
 T = TypeVar("T")
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,7 +7,7 @@
 import pytest
 
 from oakvale import interface as i
-from oakvale.logic import Gateway
+from oakvale.policy.gateway import Gateway
 from tests.node import MS, Node, StandIn, answer, request
 
 SECOND = 1_000_000
@@ -519,14 +519,14 @@
     n = Node(script=False)
     gateway = n.host.gateway
     assert isinstance(gateway, Gateway)
-    real, gateway.batch = gateway.batch, None  # type: ignore[method-assign, assignment]
-    gateway.lends = True
+    real, gateway.lending.batch = gateway.lending.batch, None  # type: ignore[method-assign, assignment]
+    gateway.lending.lends = True
     n.pass_time(250 * MS)
-    gateway.batch = real  # type: ignore[method-assign]
-    before = gateway.now
+    gateway.lending.batch = real  # type: ignore[method-assign]
+    before = gateway.desk.now
     for _ in range(8):
         n.pass_time(250 * MS)
-    assert gateway.now == before + 8 * 250 * MS
+    assert gateway.desk.now == before + 8 * 250 * MS
     n.close()
 
 
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -7,8 +7,8 @@
 def lender() -> Drive:
     """Fifty customers with a floor each, nearly unused, and one soft customer that has used its own up."""
     d = Drive(backends=200)
-    d.now += d.gw.span - d.now % d.gw.span
-    d.now += 3 * d.gw.span + 1_234  # some way into the count, where a unit is no round number
+    d.now += d.gw.lending.span - d.now % d.gw.lending.span
+    d.now += 3 * d.gw.lending.span + 1_234  # some way into the count, where a unit is no round number
     for k in range(50):
         d.ask(customer=f"quiet{k}")
     while of(d.ask(customer="soft", plan=1)[1], Attempt):
@@ -18,10 +18,10 @@
 
 def borrowed(d: Drive, plan: int = 1, customer: str = "soft", most: int = 60) -> int:
     """How many pass beyond the floor, some way into the window."""
-    d.now += d.gw.span // 2
+    d.now += d.gw.lending.span // 2
     d.count(d.send(Timer(0)))
-    if customer in d.gw.customers:
-        d.gw.customers[customer].store, d.gw.customers[customer].at = 0.0, d.now
+    if customer in d.gw.desk.customers:
+        d.gw.desk.customers[customer].store, d.gw.desk.customers[customer].at = 0.0, d.now
     return sum(bool(of(d.ask(customer=customer, plan=plan)[1], Attempt)) for _ in range(most))
 
 
@@ -36,7 +36,7 @@
 
 def test_nothing_is_lent_while_servers_slow() -> None:
     d = lender()
-    d.gw.lat, d.gw.base = 300_000.0, 100_000.0
+    d.gw.health.lat, d.gw.health.base = 300_000.0, 100_000.0
     assert borrowed(d) == 0
 
 
@@ -52,4 +52,4 @@
     d = lender()
     n = borrowed(d, most=400)
     floors = 50 * 2.0 + 10.0
-    assert n <= 0.3 * floors * d.gw.span / 1e6
+    assert n <= 0.3 * floors * d.gw.lending.span / 1e6
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -32,15 +32,15 @@
         host, module = self.host, self.host.gateway
         in_hand = list(host.requests._by_id.values())
         out = Counter(a.backend for r in in_hand for a in r.out.values())
-        assert out == Counter({k: len(b.inflight) for k, b in module.backends.items() if b.inflight})
+        assert out == Counter({k: len(b.inflight) for k, b in module.desk.backends.items() if b.inflight})
         assert sum(out.values()) == host.backend_connections - host.idle.count
-        assert sum(c.out for c in module.customers.values()) == sum(out.values())
+        assert sum(c.out for c in module.desk.customers.values()) == sum(out.values())
         assert host.counter is not None
         owed = {name: len(calls) for name, calls in host.counter._by_name.items()}
-        assert owed == {name: len(calls) for name, calls in module.calls.items()}
+        assert owed == {name: len(calls) for name, calls in module.counter.calls.items()}
         written = [c for connection in host.counter.connections for c in held(connection) if c.ending is None]
         assert len(written) == sum(owed.values())
-        assert {r.id for r in in_hand if not r.over} == {rid for rid, h in module.held.items() if not h.over}
+        assert {r.id for r in in_hand if not r.over} == {rid for rid, h in module.desk.held.items() if not h.over}
         waiting = {c.request.id for c in host.clients.all if c.request is not None}
         assert waiting == {r.id for r in in_hand if not r.over}
 
@@ -85,20 +85,20 @@
     client, backend = node.sent("b1")
     client.close(reset=True)
     node.step()
-    assert sum(len(b.inflight) for b in node.host.gateway.backends.values()) == 1  # still out, for nobody
+    assert sum(len(b.inflight) for b in node.host.gateway.desk.backends.values()) == 1  # still out, for nobody
     backend.close(reset=True)
     node.step()
     client, backend = node.sent("b2")
     node.host.discovery.take({"index": 50, "snapshot": True, "endpoints": [row("s-9", node.backend.text)]})
     node.step()
-    assert set(node.host.gateway.backends) == {1, 2}  # what is out at the one that left is still owed an end
+    assert set(node.host.gateway.desk.backends) == {1, 2}  # what is out at the one that left is still owed an end
     backend.send(answer())
     node.step()
     node.host.discovery.take({"index": 51, "snapshot": False, "endpoints": []})
     node.host.discovery.take({"index": 52, "snapshot": False, "endpoints": [row("s-9", node.backend.text)]})
     node.step()
-    assert set(node.host.gateway.backends) == set(node.host.backend_names._addresses) == {2}
-    assert not node.host.requests._by_id and not node.host.gateway.held
+    assert set(node.host.gateway.desk.backends) == set(node.host.backend_names._addresses) == {2}
+    assert not node.host.requests._by_id and not node.host.gateway.desk.held
     node.close()
 
 
@@ -106,7 +106,7 @@
     node = Watched()
     client = node.client()
     node.ask(client, "a1", X_Call_Terms="units=1,spread=1,first=0")
-    node.until(lambda: node.host.gateway.calls)
+    node.until(lambda: node.host.gateway.counter.calls)
     side = node.taken(node.counter)
     node.reads(side, b"\r\n")
     node.compare()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -51,16 +51,16 @@
         if finals:
             break
         backend, hop = more[0].backend, hop + 1
-    assert hop < 4 and rid not in d.gw.held
+    assert hop < 4 and rid not in d.gw.desk.held
 
 
 def test_nothing_follows_the_end_of_a_request() -> None:
     d = Drive()
     rid, backend = first_attempt(d)
-    token = max(d.gw.tokens)
+    token = max(d.gw.attempts.tokens)
     assert not of(d.send(Withdrawn(rid)), Refuse)
     assert not of(d.end(rid, backend, ending=Ending.RESET, over=True), Attempt)
-    assert d.send(Timer(token)) == [] and not d.gw.held
+    assert d.send(Timer(token)) == [] and not d.gw.desk.held
     assert d.end("unknown", backend) == [] and d.send(Withdrawn("unknown")) == []
 
 
@@ -69,9 +69,9 @@
     rid, backend = first_attempt(d)
     d.send(Head(rid, backend, 0))
     d.now += 10_000_000
-    assert d.send(Timer(max(d.gw.tokens))) == []
+    assert d.send(Timer(max(d.gw.attempts.tokens))) == []
     d.end(rid, backend, over=True)
-    assert not d.gw.held
+    assert not d.gw.desk.held
 
 
 # -- no effect twice
@@ -121,9 +121,9 @@
 
 def test_where_the_list_must_be_asked_for_it_is_subscribed_to() -> None:
     d = Drive(on_request=True)
-    assert d.send(Backends(ListForm.FAILED)) and d.gw.backends
+    assert d.send(Backends(ListForm.FAILED)) and d.gw.desk.backends
     fresh = Drive(on_request=True, backends=0)
-    fresh.gw.born = False
+    fresh.gw.desk.born = 0
     assert of(fresh.send(Backends(ListForm.CACHED)), Watch)
 
 
@@ -192,6 +192,6 @@
     rid, actions = d.ask(units=1)
     [a] = of(actions, Attempt)
     d.send(Ended(rid, a.backend, 0, True, Ending.SERVED, 50_000, true_units=5))
-    assert d.gw.customers["a"].store == 3
+    assert d.gw.desk.customers["a"].store == 3
     d.ask(units=1)
     assert list(d.numbers.values()) == [6]
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -1,11 +1,19 @@
-"""The module's size and width, and that decisions stay out of the other files' way."""
+"""The size and width of the decisions, and that all of their files are named to the operators."""
 
+import tomllib
 from pathlib import Path
 
-LOGIC = Path(__file__).parent.parent / "oakvale" / "logic.py"
+ROOT = Path(__file__).parent.parent
+POLICY = sorted((ROOT / "oakvale" / "policy").glob("*.py"))
 
 
 def test_size_and_width() -> None:
-    lines = LOGIC.read_text().splitlines()
+    lines = [line for path in POLICY for line in path.read_text().splitlines()]
     assert 0 < sum(1 for line in lines if line.strip()) <= 660
     assert max(map(len, lines)) <= 110
+
+
+def test_the_deploy_file_names_them() -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    assert [ROOT / name for name in deploy["policy"]] == POLICY
+    assert all((ROOT / name).exists() for name in deploy["node"])
