Imports run one way: connections know their owner by a protocol, basics in oakvale/base

Need: wire, memory and host imported each other in a circle, status and host in another, and the headworks took their bounds from the sluice.

Change: loop, limits, addresses and the configuration of the gateway in service move to oakvale/base, the counts of what was done to memory/tally.py, the bounds of a system's process to intake. Connections to backends, the counter and discovery take an `Owner` protocol each, as clients had; memory knows connections as `Carrier` and `Client`. tests/test_order.py holds the order over all imports, also those inside functions, and that every package says in three sentences what it owns, what it must not do and where to begin. No behaviour changed.

--- a/oakvale/adapter/__init__.py
+++ b/oakvale/adapter/__init__.py
@@ -1,1 +1,3 @@
-"""The simulator's wire: decoding, encoding and hosting instances. No decisions live here."""
+"""Adapter: the same decisions on a simulator's wire, many instances in one process. It decodes, hosts and
+encodes, and must neither decide nor open a socket. Begin with `host`.
+"""
--- a/oakvale/lifecycle/configuration.py
+++ b/oakvale/base/configuration.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -12,10 +11,8 @@
 
 from oakvale import interface as i
 from oakvale import settings as site
-from oakvale.lifecycle.limits import MB, Limits
-
-Address = tuple[str, int]
-PORT = re.compile(r"[0-9]{1,5}")
+from oakvale.base.address import Address, parse_address
+from oakvale.base.limits import MB, Limits
 
 
 class BadConfiguration(Exception):
@@ -42,16 +39,6 @@
         return replace(fresh, environment=self.environment)
 
 
-def parse_address(text: Any) -> Address | None:
-    """`host:port`, or None for what is not."""
-    host, _, port = str(text or "").rpartition(":")
-    return (host, int(port)) if host and PORT.fullmatch(port) and 0 < int(port) < 65536 else None
-
-
-def spelled(address: Address) -> str:
-    return f"{address[0]}:{address[1]}"
-
-
 def address(text: Any, what: str) -> Address:
     parsed = parse_address(text)
     if parsed is None:
--- a/oakvale/lifecycle/loop.py
+++ b/oakvale/base/loop.py
@@ -15,10 +15,9 @@
 from collections import deque
 from collections.abc import Callable, Generator
 from enum import IntEnum
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import Any, TypeVar
 
-if TYPE_CHECKING:
-    from oakvale.lifecycle.limits import Limits
+from oakvale.base.limits import Limits
 
 READ = select.EPOLLIN | select.EPOLLRDHUP
 WRITE = select.EPOLLOUT
--- a/oakvale/cistern/store.py
+++ b/oakvale/cistern/store.py
@@ -17,7 +17,7 @@
 from queue import SimpleQueue
 from typing import Any
 
-from oakvale.lifecycle.loop import READ, Coroutine, Loop, Rank
+from oakvale.base.loop import READ, Coroutine, Loop, Rank
 
 Row = tuple[str, bytes]
 Write = tuple[str, Any]  # ("fact", (name, value)) | ("rows", [row...]) | ("whole", [row...])
--- a/oakvale/cli.py
+++ b/oakvale/cli.py
@@ -9,7 +9,9 @@
 from typing import NoReturn
 
 from oakvale import __version__
-from oakvale.lifecycle import configuration, logs
+from oakvale.base import configuration
+from oakvale.base.address import spelled
+from oakvale.lifecycle import logs
 
 LEVELS = ("debug", "info", "warning", "error")
 
@@ -37,7 +39,7 @@
     try:
         listener = serving.listening(config.listen, config.limits.backlog)
     except OSError as error:
-        fail(f"cannot listen on {configuration.spelled(config.listen)}: {error.strerror}", 1)
+        fail(f"cannot listen on {spelled(config.listen)}: {error.strerror}", 1)
     logs.configure(args.log_level, config.limits.log_same)
     sys.exit(serving.serve(config, listener, signals))
 
@@ -45,7 +47,7 @@
 def check_config(args: argparse.Namespace) -> None:
     """Read the configuration as serve would and say what it holds."""
     config = load()
-    print(f"{config.name} would listen on {configuration.spelled(config.listen)}")
+    print(f"{config.name} would listen on {spelled(config.listen)}")
     print(f"classes: {', '.join(config.names.classes)}")
     print(f"plans: {', '.join(config.names.plans)}")
     print(f"backends known: {len(config.known.get('endpoints') or [])}")
--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable
 from typing import Any
 
+from oakvale.base.address import Address, parse_address
+from oakvale.base.loop import Loop
 from oakvale.gauge.ballots import Ask, Candidate, Juror, Word
 from oakvale.gauge.floors import Alone, Floors, Quota, Read, Terms
-from oakvale.lifecycle.configuration import Address, parse_address
-from oakvale.lifecycle.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.penstock.tree import Member, jury, place
 
--- a/oakvale/headworks/ctl.py
+++ b/oakvale/headworks/ctl.py
@@ -9,8 +9,8 @@
 from oakvale.headworks.resources import JSON, Backends, Config, Reply, primary_url
 from oakvale.intake.settings import Settings
 from oakvale.lane import Shared
-from oakvale.lifecycle.status import Tally
 from oakvale.memory.requests import Answer, InHand
+from oakvale.memory.tally import Tally
 from oakvale.wire.clients import Incoming, plain, response
 
 PREFIX = "/oakvale/"
--- a/oakvale/headworks/gates.py
+++ b/oakvale/headworks/gates.py
@@ -5,8 +5,8 @@
 import logging
 from typing import Any
 
+from oakvale.base.loop import Loop
 from oakvale.headworks.core import Core
-from oakvale.lifecycle.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 
 AGREE = 2  # watchers that must miss a gateway before it is taken from the list
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -6,18 +6,18 @@
 import logging
 import sqlite3
 
+from oakvale.base.limits import Limits
+from oakvale.base.loop import Clock, Loop, Rank
 from oakvale.cistern.store import Cistern
 from oakvale.headworks.core import Core
 from oakvale.headworks.ctl import Ctl
 from oakvale.headworks.gates import Gates
+from oakvale.intake.bounds import bounds
 from oakvale.intake.settings import BadSettings, Settings
 from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor, listening
-from oakvale.lifecycle.limits import Limits
-from oakvale.lifecycle.loop import Clock, Loop, Rank
 from oakvale.lifecycle.signals import Signals
 from oakvale.mains.links import Mains
-from oakvale.sluice.bounds import bounds
 
 log = logging.getLogger(__name__)
 SWEEP = 1_000_000
--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -6,9 +6,10 @@
 from functools import lru_cache, partial
 
 from oakvale import interface as i
+from oakvale.base.address import Address
+from oakvale.base.configuration import Configuration
+from oakvale.base.loop import Loop
 from oakvale.lane import Lane, Shared
-from oakvale.lifecycle.configuration import Address, Configuration
-from oakvale.lifecycle.loop import Loop
 from oakvale.memory.names import BackendNames
 from oakvale.memory.requests import Answer, InHand
 from oakvale.wire.backends import ServiceDialect
--- a/oakvale/intake/__init__.py
+++ b/oakvale/intake/__init__.py
@@ -1,3 +1,4 @@
-"""Intake: what a process of the system is told. It reads and checks the settings file and the operator's
-configurations and turns them into plain values. It holds no state and talks to nobody. Begin with `settings`.
+"""Intake: what a process of the system is told, as it reads and checks the settings file and the operator's
+configurations and turns them into plain values and bounds. It must hold no state and talk to nobody. Begin
+with `settings`.
 """
--- a/oakvale/intake/settings.py
+++ b/oakvale/intake/settings.py
@@ -11,8 +11,8 @@
 from pathlib import Path
 from typing import Any
 
+from oakvale.base.address import Address, parse_address
 from oakvale.intake.times import micros
-from oakvale.lifecycle.configuration import Address, parse_address
 
 DEFAULT_PATH = "/etc/oakvale/settings.toml"
 MS = 1_000
--- a/oakvale/lane.py
+++ b/oakvale/lane.py
@@ -15,14 +15,14 @@
 from typing import Any
 
 from oakvale import interface as i
-from oakvale.lifecycle.configuration import Address
-from oakvale.lifecycle.limits import Limits
-from oakvale.lifecycle.loop import Loop
-from oakvale.lifecycle.status import Tally
-from oakvale.policy.gateway import Gateway
+from oakvale.base.address import Address
+from oakvale.base.limits import Limits
+from oakvale.base.loop import Loop
 from oakvale.memory.buffers import BufferPool, Room
 from oakvale.memory.idle import Clients, IdleConnections
 from oakvale.memory.requests import Answer, AttemptOut, InHand, RequestsInHand
+from oakvale.memory.tally import Tally
+from oakvale.policy.gateway import Gateway
 from oakvale.wire.backends import BackendConnection, Dialect
 from oakvale.wire.clients import response
 
--- a/oakvale/lifecycle/acceptor.py
+++ b/oakvale/lifecycle/acceptor.py
@@ -6,7 +6,7 @@
 import logging
 import socket
 
-from oakvale.lifecycle.loop import READ, Coroutine, Loop, Rank
+from oakvale.base.loop import READ, Coroutine, Loop, Rank
 from oakvale.wire.clients import ClientConnection, Owner
 from oakvale.wire.tcp import stamp_arrivals
 
--- a/oakvale/lifecycle/serving.py
+++ b/oakvale/lifecycle/serving.py
@@ -7,10 +7,11 @@
 import os
 import socket
 
+from oakvale.base.address import spelled
+from oakvale.base.configuration import BadConfiguration, Configuration
+from oakvale.base.loop import Clock, Loop, Rank
 from oakvale.host import Host
 from oakvale.lifecycle.acceptor import Acceptor, listening
-from oakvale.lifecycle.configuration import BadConfiguration, Configuration, spelled
-from oakvale.lifecycle.loop import Clock, Loop, Rank
 from oakvale.lifecycle.shutdown import Shutdown
 from oakvale.lifecycle.signals import Signals
 from oakvale.lifecycle.status import Status
--- a/oakvale/lifecycle/shutdown.py
+++ b/oakvale/lifecycle/shutdown.py
@@ -5,7 +5,7 @@
 import logging
 from typing import Any, Protocol
 
-from oakvale.lifecycle.loop import Loop, Task
+from oakvale.base.loop import Loop, Task
 
 log = logging.getLogger(__name__)
 
--- a/oakvale/lifecycle/signals.py
+++ b/oakvale/lifecycle/signals.py
@@ -7,7 +7,7 @@
 import socket
 from collections.abc import Callable
 
-from oakvale.lifecycle.loop import READ, Coroutine
+from oakvale.base.loop import READ, Coroutine
 
 log = logging.getLogger(__name__)
 
--- a/oakvale/lifecycle/status.py
+++ b/oakvale/lifecycle/status.py
@@ -1,35 +1,16 @@
-"""What the gateway has done, counted, and told in one log line at intervals."""
+"""What the gateway has done, told in one log line at intervals."""
 
 from __future__ import annotations
 
 import logging
 import resource
-from collections import Counter
-from typing import TYPE_CHECKING, Any
 
-if TYPE_CHECKING:
-    from oakvale.host import Host
+from oakvale.host import Host
+from oakvale.memory.tally import Tally
 
 log = logging.getLogger(__name__)
 
 
-class Tally:
-    """Counts since the last line: requests given to the module, answers to clients by status (health checks
-    and what is malformed among them), attempts and counter calls by ending."""
-
-    def __init__(self) -> None:
-        self.requests = 0
-        self.answers: Counter[str] = Counter()
-        self.attempts: Counter[str] = Counter()
-        self.calls: Counter[str] = Counter()
-
-    def fields(self) -> dict[str, Any]:
-        fields: dict[str, Any] = {"requests": self.requests}
-        for word, counts in (("answer", self.answers), ("attempt", self.attempts), ("call", self.calls)):
-            fields |= {f"{word}_{key}": counts[key] for key in sorted(counts)}
-        return fields
-
-
 class Status:
     def __init__(self, host: Host) -> None:
         self._host = host
--- a/oakvale/mains/__init__.py
+++ b/oakvale/mains/__init__.py
@@ -1,3 +1,3 @@
-"""Mains: what the system's own processes say to each other, `cbor2` frames over TCP. It knows connections,
-questions, answers and time-outs; it knows nothing of what is said. Begin with `links`.
+"""Mains: what the system's own processes say to each other, `cbor2` frames over TCP, with connections,
+questions, answers and time-outs. It must know nothing of what is said. Begin with `links`.
 """
--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -13,8 +13,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from oakvale.lifecycle.configuration import Address
-from oakvale.lifecycle.loop import READ, TIMED_OUT, WRITE, Coroutine, Loop, Rank, Timer, call_off
+from oakvale.base.address import Address
+from oakvale.base.loop import READ, TIMED_OUT, WRITE, Coroutine, Loop, Rank, Timer, call_off
 from oakvale.mains.frames import BadFrame, Frame, decode, encode
 
 TCP_USER_TIMEOUT = 18  # Linux; milliseconds that sent bytes may stay unacknowledged
--- a/oakvale/memory/idle.py
+++ b/oakvale/memory/idle.py
@@ -4,28 +4,26 @@
 
 from collections import deque
 from itertools import islice
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-if TYPE_CHECKING:
-    from oakvale.wire.backends import BackendConnection
-    from oakvale.wire.clients import ClientConnection
+from oakvale.memory.requests import Carrier
 
 
 class IdleConnections:
     def __init__(self, longest: int, settle: int) -> None:
         self._longest, self._settle = longest, settle
-        self._by_backend: dict[int, deque[BackendConnection]] = {}
+        self._by_backend: dict[int, deque[Carrier]] = {}
         self.count = 0
 
-    def put(self, connection: BackendConnection) -> None:
+    def put(self, connection: Carrier) -> None:
         self._by_backend.setdefault(connection.backend, deque()).append(connection)
         self.count += 1
 
-    def take(self, backend: int, now: int) -> BackendConnection | None:
+    def take(self, backend: int, now: int) -> Carrier | None:
         """The latest used that is still whole. Some backends send a copy or noise right behind an answer:
         on a connection used again at once it would be taken for the next one's."""
         connections = self._by_backend.get(backend)
-        unsettled: list[BackendConnection] = []
+        unsettled: list[Carrier] = []
         found = None
         while connections and found is None:
             connection = connections.pop()
@@ -41,7 +39,7 @@
             connections.extend(reversed(unsettled))
         return found
 
-    def remove(self, connection: BackendConnection) -> None:
+    def remove(self, connection: Carrier) -> None:
         connections = self._by_backend.get(connection.backend)
         if connections and connection in connections:
             connections.remove(connection)
@@ -68,11 +66,23 @@
         self._end(oldest)
         return True
 
-    def _end(self, connections: deque[BackendConnection]) -> None:
+    def _end(self, connections: deque[Carrier]) -> None:
         self.count -= 1
         connections.popleft().end()
 
 
+class Client(Protocol):
+    """A client's connection."""
+
+    @property
+    def opened(self) -> int: ...
+
+    def end_if_idle(self) -> bool:
+        """Closes the connection unless a request has come that was not read yet."""
+
+    def end(self) -> None: ...
+
+
 class Clients:
     """Clients' connections. Apart, the longest first: those that have their last answer and only have not
     ended, those that never sent anything, and those between requests. In this order they make room, but one
@@ -80,31 +90,31 @@
 
     def __init__(self, grace: int, idle: int) -> None:
         self._grace, self._most_idle = grace, idle
-        self.all: set[ClientConnection] = set()
-        self.lingering: dict[ClientConnection, None] = {}
-        self.silent: dict[ClientConnection, None] = {}
-        self.idle: dict[ClientConnection, None] = {}
+        self.all: set[Client] = set()
+        self.lingering: dict[Client, None] = {}
+        self.silent: dict[Client, None] = {}
+        self.idle: dict[Client, None] = {}
 
-    def add(self, connection: ClientConnection) -> None:
+    def add(self, connection: Client) -> None:
         self.all.add(connection)
 
-    def remove(self, connection: ClientConnection) -> None:
+    def remove(self, connection: Client) -> None:
         self.all.discard(connection)
         self.lingering.pop(connection, None)
         self.works(connection)
 
-    def waits(self, connection: ClientConnection, silent: bool) -> None:
+    def waits(self, connection: Client, silent: bool) -> None:
         """Of those between requests only so many stay: clients that ask once and keep their connection would
         leave no place for the next, here or in what is in front of this gateway."""
         (self.silent if silent else self.idle)[connection] = None
         if len(self.idle) > self._most_idle:
             self._end_one(list(islice(self.idle, 8)))
 
-    def works(self, connection: ClientConnection) -> None:
+    def works(self, connection: Client) -> None:
         self.silent.pop(connection, None)
         self.idle.pop(connection, None)
 
-    def lingers(self, connection: ClientConnection) -> None:
+    def lingers(self, connection: Client) -> None:
         self.lingering[connection] = None
 
     def can_make_room(self) -> bool:
@@ -118,7 +128,7 @@
         slow = [c for c in oldest if now - c.opened >= self._grace]
         return self._end_one([*slow, *islice(self.idle, 8), *oldest])
 
-    def _end_one(self, connections: list[ClientConnection]) -> bool:
+    def _end_one(self, connections: list[Client]) -> bool:
         return any(connection.end_if_idle() for connection in connections)
 
     def end_idle(self) -> None:
--- a/oakvale/memory/names.py
+++ b/oakvale/memory/names.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from oakvale import interface as i
-from oakvale.lifecycle.configuration import Address, parse_address
+from oakvale.base.address import Address, parse_address
 from oakvale.numbers import decimal, whole
 from oakvale.settings import Names
 
--- a/oakvale/memory/requests.py
+++ b/oakvale/memory/requests.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from oakvale.interface import Ending
 
-if TYPE_CHECKING:
-    from oakvale.wire.backends import BackendConnection
-
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -48,11 +45,28 @@
     hop: int
     sent: int
     due: int
-    connection: BackendConnection | None = None
+    connection: Carrier | None = None
     written: bool = False
     ending: Ending | None = None
 
 
+class Carrier(Protocol):
+    """A connection to a backend, which carries one attempt at a time."""
+
+    @property
+    def backend(self) -> int: ...
+    @property
+    def used(self) -> int: ...
+
+    def use(self, attempt: AttemptOut) -> None:
+        """Gives an idle connection its next request."""
+
+    def whole(self) -> bool:
+        """Neither ended nor holding stray bytes."""
+
+    def end(self) -> None: ...
+
+
 class RequestsInHand:
     def __init__(self, most: int) -> None:
         self._most = most
--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from oakvale.lifecycle.configuration import Address, parse_address
-from oakvale.lifecycle.loop import Loop
+from oakvale.base.address import Address, parse_address
+from oakvale.base.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.penstock.table import NOTHING, Entry, Table, Version, pack, unpack
 
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -9,11 +9,11 @@
 from typing import Any
 
 from oakvale import interface as i
+from oakvale.base.address import Address, parse_address
 from oakvale.gauge.service import Gauge
 from oakvale.lane import Lane, Shared
-from oakvale.lifecycle.configuration import Address, parse_address
-from oakvale.lifecycle.status import Tally
 from oakvale.memory.requests import Answer, InHand
+from oakvale.memory.tally import Tally
 from oakvale.sluice.dialect import SystemDialect
 from oakvale.sluice.routes import Backend, Picture, Route
 from oakvale.wire.clients import BadRequest, Incoming, plain
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -2,22 +2,22 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+import logging
+from typing import Protocol
 
 import h11
 
+from oakvale.base.address import Address
+from oakvale.base.limits import Limits
+from oakvale.base.loop import READ, WOKEN, Coroutine, Loop, Rank, Step
 from oakvale.interface import Ending
-from oakvale.lifecycle.configuration import Address
-from oakvale.lifecycle.loop import READ, WOKEN, Coroutine, Rank, Step
-from oakvale.memory.buffers import Share
+from oakvale.memory.buffers import BufferPool, Room, Share
+from oakvale.memory.idle import IdleConnections
 from oakvale.memory.requests import Answer, AttemptOut, Headers
 from oakvale.numbers import decimal
 from oakvale.wire.http import END, end_to_end, more
 from oakvale.wire.tcp import Gone, connect, new_socket, peek, write_all
 
-if TYPE_CHECKING:
-    from oakvale.lane import Lane
-
 FOR_US = frozenset({b"endpoint-load-metrics", b"x-never-ran"})  # what backends tell gateways, not clients
 OURS = frozenset({b"x-trace-id", b"x-expires-in"})
 LOAD = b"endpoint-load-metrics"
@@ -121,8 +121,36 @@
         return None
 
 
+class Owner(Protocol):
+    """What a connection to a backend needs of the lane that it belongs to."""
+
+    backend_connections: int
+
+    @property
+    def loop(self) -> Loop: ...
+    @property
+    def limits(self) -> Limits: ...
+    @property
+    def buffers(self) -> BufferPool: ...
+    @property
+    def bodies(self) -> Room: ...
+    @property
+    def idle(self) -> IdleConnections: ...
+    @property
+    def log(self) -> logging.Logger: ...
+    @property
+    def dialect(self) -> Dialect: ...
+
+    def serves(self, backend: int) -> bool:
+        """Neither leaving nor left: a connection to it may be kept."""
+
+    def attempt_ended(self, attempt: AttemptOut, ending: Ending, answer: Answer | None = None,
+                      report: tuple[float, ...] = ()) -> None:
+        """Said once of every attempt."""
+
+
 class BackendConnection:
-    def __init__(self, host: Lane, attempt: AttemptOut, address: Address) -> None:
+    def __init__(self, host: Owner, attempt: AttemptOut, address: Address) -> None:
         self.host, self.backend, self.used = host, attempt.backend, host.loop.now
         self.attempt: AttemptOut | None = attempt
         self._share = Share(host.bodies)
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import re
 import select
 import socket
@@ -13,10 +14,12 @@
 import h11
 
 from oakvale import interface as i
-from oakvale.lifecycle.limits import Limits
-from oakvale.lifecycle.loop import BROKEN, READ, TIMED_OUT, WOKEN, Coroutine, Loop, Rank, Step
+from oakvale.base.limits import Limits
+from oakvale.base.loop import BROKEN, READ, TIMED_OUT, WOKEN, Coroutine, Loop, Rank, Step
 from oakvale.memory.buffers import BufferPool, Room, Share
+from oakvale.memory.idle import Clients
 from oakvale.memory.requests import Answer, Headers, InHand
+from oakvale.memory.tally import Tally
 from oakvale.numbers import decimal, whole
 from oakvale.settings import Names
 from oakvale.wire.http import END, more
@@ -132,11 +135,11 @@
     @property
     def bodies(self) -> Room: ...
     @property
-    def clients(self) -> Any: ...
+    def clients(self) -> Clients: ...
     @property
-    def log(self) -> Any: ...
+    def log(self) -> logging.Logger: ...
     @property
-    def tally(self) -> Any: ...
+    def tally(self) -> Tally: ...
     @property
     def stopping(self) -> bool: ...
     @property
--- a/oakvale/wire/counter.py
+++ b/oakvale/wire/counter.py
@@ -6,21 +6,19 @@
 
 from __future__ import annotations
 
+import logging
 import re
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from oakvale.base.address import Address
+from oakvale.base.limits import Limits
+from oakvale.base.loop import READ, TIMED_OUT, WRITE, Coroutine, Loop, Rank, Timer, call_off
 from oakvale.interface import Ending
-from oakvale.lifecycle.configuration import Address
-from oakvale.lifecycle.loop import READ, TIMED_OUT, WRITE, Coroutine, Rank, Timer, call_off
+from oakvale.memory.buffers import BufferPool
 from oakvale.numbers import decimal
 from oakvale.wire.tcp import connect, new_socket, peek
 
-if TYPE_CHECKING:
-    from oakvale.host import Host
-    from oakvale.lifecycle.limits import Limits
-
-
 # what the beginning of an answer may look like, which also bounds its length
 PARTIAL = re.compile(rb"(o(k( (-?([0-9.]{1,32}([eE][+-]?[0-9]{0,2})?\r?)?)?)?)?)?"
                      rb"|b(u(s(y\r?)?)?)?|e(r(r(o(r\r?)?)?)?)?")
@@ -56,8 +54,24 @@
     raise ValueError(f"not an answer: {line[:64]!r}")
 
 
+class Owner(Protocol):
+    """What the counter's connections need of the gateway that asks."""
+
+    @property
+    def loop(self) -> Loop: ...
+    @property
+    def limits(self) -> Limits: ...
+    @property
+    def buffers(self) -> BufferPool: ...
+    @property
+    def log(self) -> logging.Logger: ...
+
+    def counted(self, name: str, ending: Ending, level: float, sent: int) -> None:
+        """The outcome of a call, in the order of its name's calls."""
+
+
 class Counter:
-    def __init__(self, host: Host, address: Address) -> None:
+    def __init__(self, host: Owner, address: Address) -> None:
         self.host, self.address = host, address
         self.connections: list[CounterConnection] = []
         self.retry_at = 0
--- a/oakvale/wire/discovery.py
+++ b/oakvale/wire/discovery.py
@@ -2,22 +2,23 @@
 
 from __future__ import annotations
 
+import logging
 import socket
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import h11
 import orjson
 
 from oakvale import interface as i
-from oakvale.lifecycle.configuration import Address, spelled
-from oakvale.lifecycle.loop import Coroutine, Rank, Step, Task
+from oakvale.base.address import Address, spelled
+from oakvale.base.limits import Limits
+from oakvale.base.loop import Coroutine, Loop, Rank, Step, Task
+from oakvale.memory.buffers import BufferPool
+from oakvale.memory.names import BackendNames
 from oakvale.numbers import whole as whole_number
 from oakvale.wire.http import END, more
 from oakvale.wire.tcp import Gone, connect, new_socket, write_all
 
-if TYPE_CHECKING:
-    from oakvale.host import Host
-
 PATH = b"/catalog/members"
 
 
@@ -25,8 +26,30 @@
     """What discovery sent is not a list of backends."""
 
 
+class Owner(Protocol):
+    """What discovery needs of the gateway that follows it."""
+
+    @property
+    def loop(self) -> Loop: ...
+    @property
+    def limits(self) -> Limits: ...
+    @property
+    def buffers(self) -> BufferPool: ...
+    @property
+    def log(self) -> logging.Logger: ...
+    @property
+    def settings(self) -> i.Settings: ...
+    @property
+    def backend_names(self) -> BackendNames: ...
+    @property
+    def ended(self) -> bool: ...
+
+    def backends_changed(self, form: i.ListForm, entries: tuple[i.Entry, ...], freed: list[int]) -> None:
+        """A list or what changed in it; connections to the backends in `freed` are of no use."""
+
+
 class Discovery:
-    def __init__(self, host: Host, address: Address) -> None:
+    def __init__(self, host: Owner, address: Address) -> None:
         self.host, self.address = host, address
         self.index = 0
         self.wanted = self.watching = self.fetching = False
--- a/oakvale/wire/http.py
+++ b/oakvale/wire/http.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from oakvale.lifecycle.loop import READ, TIMED_OUT, Step
+from oakvale.base.loop import READ, TIMED_OUT, Step
 from oakvale.memory.buffers import BufferPool
 from oakvale.memory.requests import Headers
 from oakvale.wire.tcp import Gone, read_stamped
--- a/oakvale/wire/tcp.py
+++ b/oakvale/wire/tcp.py
@@ -6,8 +6,8 @@
 import socket
 import struct
 
-from oakvale.lifecycle.configuration import Address
-from oakvale.lifecycle.loop import TIMED_OUT, WOKEN, WRITE, Step
+from oakvale.base.address import Address
+from oakvale.base.loop import TIMED_OUT, WOKEN, WRITE, Step
 
 SO_TIMESTAMPNS = 35  # Linux; the socket module has no name for it
 TIMESPEC = struct.Struct("qq")
--- a/tests/node.py
+++ b/tests/node.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 from oakvale import interface as i
-from oakvale.lifecycle.configuration import Configuration, decode
-from oakvale.lifecycle.loop import Loop
+from oakvale.base.configuration import Configuration, decode
+from oakvale.base.loop import Loop
 from oakvale.lifecycle.serving import Server, listening
 
 START = 1_800_000_000_000_000  # Unix time in microseconds
--- a/tests/test_attempts_wire.py
+++ b/tests/test_attempts_wire.py
@@ -7,7 +7,7 @@
 
 from oakvale import interface as i
 from oakvale.interface import Ending
-from oakvale.wire.backends import load_report
+from oakvale.wire.backends import BackendConnection, load_report
 from tests.node import MS, Node, Party, StandIn, answer, request, row
 
 RESET = True
@@ -285,8 +285,10 @@
     client.send(request("a1", method="POST", target="/save?key=00000000b4d65521", body=b"x" * 65536))
     sending.came(i.Request)
     held = sending.host.requests.get("a1")
-    assert held is not None and held.out[0].connection is not None
-    held.out[0].connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+    assert held is not None
+    connection = held.out[0].connection
+    assert isinstance(connection, BackendConnection)
+    connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
     backend = sending.taken(sending.backend)
     sending.turns(10)
     assert not held.out[0].written
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,6 +8,7 @@
 
 from oakvale import interface as i
 from oakvale.policy.gateway import Gateway
+from oakvale.wire.clients import ClientConnection
 from tests.node import MS, Node, StandIn, answer, request
 
 SECOND = 1_000_000
@@ -316,6 +317,7 @@
     backend = node.taken(node.backend)
     node.reads(backend)
     for connection in node.host.clients.all:
+        assert isinstance(connection, ClientConnection)
         connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     backend.send(answer(body=body))
     node.came(i.Ended)
@@ -338,6 +340,7 @@
     backend = node.taken(node.backend)
     node.reads(backend)
     for connection in node.host.clients.all:
+        assert isinstance(connection, ClientConnection)
         connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     backend.send(answer(body=b"x" * 65536))
     node.came(i.Ended)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -10,8 +10,8 @@
 import pytest
 
 from oakvale import interface as i
-from oakvale.lifecycle.limits import Limits
-from oakvale.lifecycle.loop import READ, TIMED_OUT, WOKEN, Clock, Coroutine, Loop, Rank, call_off
+from oakvale.base.limits import Limits
+from oakvale.base.loop import READ, TIMED_OUT, WOKEN, Clock, Coroutine, Loop, Rank, call_off
 from tests.node import MS, FakeClock, Node
 
 LIMITS = Limits(timer_slack=0, wake_slack=0)
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from oakvale.wire.clients import ClientConnection
 from oakvale.wire.counter import Call, CounterConnection
 from tests.node import MS, Node, StandIn, answer, row
 
@@ -41,7 +42,8 @@
         written = [c for connection in host.counter.connections for c in held(connection) if c.ending is None]
         assert len(written) == sum(owed.values())
         assert {r.id for r in in_hand if not r.over} == {rid for rid, h in module.desk.held.items() if not h.over}
-        waiting = {c.request.id for c in host.clients.all if c.request is not None}
+        asked = {c.request for c in host.clients.all if isinstance(c, ClientConnection)}
+        waiting = {request.id for request in asked if request is not None}
         assert waiting == {r.id for r in in_hand if not r.over}
 
     def sent(self, rid: str) -> tuple[StandIn, StandIn]:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -12,8 +12,8 @@
 import pytest
 
 from oakvale import interface as i
+from oakvale.base.loop import Rank
 from oakvale.interface import Ending, ListForm
-from oakvale.lifecycle.loop import Rank
 from oakvale.lifecycle.shutdown import Shutdown
 from oakvale.lifecycle.signals import Signals
 from tests.node import MS, Node, Party, StandIn, chunk, row
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -7,7 +7,7 @@
 import pytest
 
 from oakvale import interface as i
-from oakvale.lifecycle.limits import Limits
+from oakvale.base.limits import Limits
 from oakvale.lifecycle.serving import listening
 from oakvale.lifecycle.shutdown import Shutdown
 from oakvale.lifecycle.status import Status
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -14,7 +14,7 @@
 import pytest
 
 from oakvale import __version__
-from oakvale.lifecycle.configuration import BadConfiguration, decode, load
+from oakvale.base.configuration import BadConfiguration, decode, load
 from oakvale.lifecycle.logs import KeyValueFormatter, PipeHandler, Seldom
 from oakvale.memory.buffers import BufferPool
 from tests.helpers import invoke
