--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -29,9 +29,9 @@
     unpack_durable,
 )
 from oakvale.intake.settings import Settings
-from oakvale.lifecycle.configuration import Address, parse_address, spelled
+from oakvale.base.address import Address, parse_address, spelled
 from oakvale.lifecycle.daybook import Writer
-from oakvale.lifecycle.loop import Loop
+from oakvale.base.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.penstock.feed import PULSE, Outlet
 from oakvale.penstock.table import NOTHING, Entry, Version, pack
--- a/oakvale/headworks/jury.py
+++ b/oakvale/headworks/jury.py
@@ -8,8 +8,8 @@
 
 from oakvale.cistern.store import Cistern
 from oakvale.gauge.ballots import Ask, Juror
-from oakvale.lifecycle.configuration import parse_address
-from oakvale.lifecycle.loop import Loop
+from oakvale.base.address import parse_address
+from oakvale.base.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 
 PROBE = 250_000  # microseconds for a holder to say which life it is
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -15,12 +15,12 @@
 from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor, listening
 from oakvale.lifecycle.daybook import Writer
-from oakvale.lifecycle.limits import Limits
-from oakvale.lifecycle.loop import Clock, Loop, Rank
+from oakvale.base.limits import Limits
+from oakvale.base.loop import Clock, Loop, Rank
 from oakvale.lifecycle.signals import Signals
 from oakvale.mains.links import Mains
 from oakvale.mains.standing import offer
-from oakvale.sluice.bounds import bounds
+from oakvale.intake.bounds import bounds
 
 note = Writer(__name__)
 SWEEP = 1_000_000
--- a/oakvale/intake/check.py
+++ b/oakvale/intake/check.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from oakvale.intake import deploy, settings
-from oakvale.lifecycle.configuration import spelled
+from oakvale.base.address import spelled
 
 
 class Wrong(Exception):
--- a/oakvale/lifecycle/status.py
+++ b/oakvale/lifecycle/status.py
@@ -1,38 +1,17 @@
-"""What the gateway has done, counted, and told in one log line at intervals."""
+"""What the gateway has done, told in one log line at intervals."""
 
 from __future__ import annotations
 
 import logging
 import resource
-from collections import Counter
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-if TYPE_CHECKING:
-    from oakvale.host import Host
-    from oakvale.lane import Shared
+from oakvale.host import Host
+from oakvale.lane import Shared
 
 log = logging.getLogger(__name__)
 
 
-class Tally:
-    """Counts since the start: requests given to the module, answers to clients by status (health checks
-    and what is malformed among them), attempts and counter calls by ending."""
-
-    def __init__(self) -> None:
-        self.requests = 0
-        self.answers: Counter[str] = Counter()
-        self.attempts: Counter[str] = Counter()
-        self.calls: Counter[str] = Counter()
-        self.refusals: Counter[str] = Counter()  # of the gateway's own, by why
-
-    def fields(self) -> dict[str, Any]:
-        fields: dict[str, Any] = {"requests": self.requests}
-        for word, counts in (("answer", self.answers), ("attempt", self.attempts), ("call", self.calls),
-                             ("refused", self.refusals)):
-            fields |= {f"{word}_{key}": counts[key] for key in sorted(counts)}
-        return fields
-
-
 class Status:
     def __init__(self, host: Host | Shared) -> None:
         self._host = host
--- a/oakvale/mains/standing.py
+++ b/oakvale/mains/standing.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-from oakvale.lifecycle.configuration import Address
+from oakvale.base.address import Address
 from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.frames import BadFrame, decode, encode
 from oakvale.mains.links import Mains
--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -10,9 +10,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from oakvale.lifecycle.configuration import Address, parse_address
+from oakvale.base.address import Address, parse_address
 from oakvale.lifecycle.daybook import Writer
-from oakvale.lifecycle.loop import Loop
+from oakvale.base.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.penstock.table import NOTHING, Entry, Table, Version, pack, unpack
 
--- a/oakvale/sluice/standing.py
+++ b/oakvale/sluice/standing.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-from oakvale.lifecycle.configuration import spelled
+from oakvale.base.address import spelled
 from oakvale.mains.standing import MS, by_service
-
-if TYPE_CHECKING:
-    from oakvale.sluice.process import Sluice
+from oakvale.sluice.gate import Sluice
 
 
 def standing(sluice: Sluice) -> dict[str, Any]:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,7 +7,8 @@
 import pytest
 
 from oakvale import interface as i
-from oakvale.logic import Gateway
+from oakvale.policy.gateway import Gateway
+from oakvale.wire.clients import ClientConnection
 from tests.node import MS, Node, StandIn, answer, request
 
 SECOND = 1_000_000
@@ -316,6 +317,7 @@
     backend = node.taken(node.backend)
     node.reads(backend)
     for connection in node.host.clients.all:
+        assert isinstance(connection, ClientConnection)
         connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     backend.send(answer(body=body))
     node.came(i.Ended)
@@ -338,6 +340,7 @@
     backend = node.taken(node.backend)
     node.reads(backend)
     for connection in node.host.clients.all:
+        assert isinstance(connection, ClientConnection)
         connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     backend.send(answer(body=b"x" * 65536))
     node.came(i.Ended)
@@ -519,14 +522,14 @@
     n = Node(script=False)
     gateway = n.host.gateway
     assert isinstance(gateway, Gateway)
-    real, gateway.batch = gateway.batch, None  # type: ignore[method-assign, assignment]
-    gateway.lends = True
+    real, gateway.lending.batch = gateway.lending.batch, None  # type: ignore[method-assign, assignment]
+    gateway.lending.lends = True
     n.pass_time(250 * MS)
-    gateway.batch = real  # type: ignore[method-assign]
-    before = gateway.now
+    gateway.lending.batch = real  # type: ignore[method-assign]
+    before = gateway.desk.now
     for _ in range(8):
         n.pass_time(250 * MS)
-    assert gateway.now == before + 8 * 250 * MS
+    assert gateway.desk.now == before + 8 * 250 * MS
     n.close()
 
 
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -10,8 +10,8 @@
 import pytest
 
 from oakvale import interface as i
-from oakvale.lifecycle.limits import Limits
-from oakvale.lifecycle.loop import READ, TIMED_OUT, WOKEN, Clock, Coroutine, Loop, Rank, call_off
+from oakvale.base.limits import Limits
+from oakvale.base.loop import READ, TIMED_OUT, WOKEN, Clock, Coroutine, Loop, Rank, call_off
 from tests.node import MS, FakeClock, Node
 
 LIMITS = Limits(timer_slack=0, wake_slack=0)
@@ -303,7 +303,7 @@
     n = Node(script=False)
     for _ in range(40):
         n.pass_time(250 * MS)
-    assert n.host.gateway.gap == 0 and n.host.gateway.now == n.clock.now
+    assert n.host.gateway.desk.gap == 0 and n.host.gateway.desk.now == n.clock.now
     n.close()
 
 
