What every connection needs of its process is named once, in wire/owner.py

Need: the four protocols named loop, limits, buffers and log each for itself. Change: they build on `Process`. No behaviour changed.

--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Protocol
 
 import h11
 
 from oakvale.base.address import Address
-from oakvale.base.limits import Limits
-from oakvale.base.loop import READ, WOKEN, Coroutine, Loop, Rank, Step
+from oakvale.base.loop import READ, WOKEN, Coroutine, Rank, Step
 from oakvale.interface import Ending
-from oakvale.memory.buffers import BufferPool, Room, Share
+from oakvale.memory.buffers import Room, Share
 from oakvale.memory.idle import IdleConnections
 from oakvale.memory.requests import Answer, AttemptOut, Headers
 from oakvale.numbers import decimal
 from oakvale.wire.http import END, end_to_end, more
+from oakvale.wire.owner import Process
 from oakvale.wire.tcp import Gone, connect, new_socket, peek, write_all
 
 FOR_US = frozenset({b"endpoint-load-metrics", b"x-never-ran"})  # what backends tell gateways, not clients
@@ -121,24 +120,16 @@
         return None
 
 
-class Owner(Protocol):
+class Owner(Process, Protocol):
     """What a connection to a backend needs of the lane that it belongs to."""
 
     backend_connections: int
 
-    @property
-    def loop(self) -> Loop: ...
-    @property
-    def limits(self) -> Limits: ...
-    @property
-    def buffers(self) -> BufferPool: ...
     @property
     def bodies(self) -> Room: ...
     @property
     def idle(self) -> IdleConnections: ...
     @property
-    def log(self) -> logging.Logger: ...
-    @property
     def dialect(self) -> Dialect: ...
 
     def serves(self, backend: int) -> bool:
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import re
 import select
 import socket
@@ -14,15 +13,15 @@
 import h11
 
 from oakvale import interface as i
-from oakvale.base.limits import Limits
-from oakvale.base.loop import BROKEN, READ, TIMED_OUT, WOKEN, Coroutine, Loop, Rank, Step
-from oakvale.memory.buffers import BufferPool, Room, Share
+from oakvale.base.loop import BROKEN, READ, TIMED_OUT, WOKEN, Coroutine, Rank, Step
+from oakvale.memory.buffers import Room, Share
 from oakvale.memory.idle import Clients
 from oakvale.memory.requests import Answer, Headers, InHand
 from oakvale.memory.tally import Tally
 from oakvale.numbers import decimal, whole
 from oakvale.settings import Names
 from oakvale.wire.http import END, more
+from oakvale.wire.owner import Process
 from oakvale.wire.tcp import Gone, peek, write_all
 
 HEALTH = b"/_health"
@@ -123,22 +122,14 @@
     return Answer(status, headers, why.encode("latin-1", "replace") + b"\n")
 
 
-class Owner(Protocol):
+class Owner(Process, Protocol):
     """What a client's connection needs of the process that it belongs to."""
 
-    @property
-    def loop(self) -> Loop: ...
-    @property
-    def limits(self) -> Limits: ...
-    @property
-    def buffers(self) -> BufferPool: ...
     @property
     def bodies(self) -> Room: ...
     @property
     def clients(self) -> Clients: ...
     @property
-    def log(self) -> logging.Logger: ...
-    @property
     def tally(self) -> Tally: ...
     @property
     def stopping(self) -> bool: ...
--- a/oakvale/wire/counter.py
+++ b/oakvale/wire/counter.py
@@ -6,17 +6,16 @@
 
 from __future__ import annotations
 
-import logging
 import re
 from collections import deque
 from typing import Protocol
 
 from oakvale.base.address import Address
 from oakvale.base.limits import Limits
-from oakvale.base.loop import READ, TIMED_OUT, WRITE, Coroutine, Loop, Rank, Timer, call_off
+from oakvale.base.loop import READ, TIMED_OUT, WRITE, Coroutine, Rank, Timer, call_off
 from oakvale.interface import Ending
-from oakvale.memory.buffers import BufferPool
 from oakvale.numbers import decimal
+from oakvale.wire.owner import Process
 from oakvale.wire.tcp import connect, new_socket, peek
 
 # what the beginning of an answer may look like, which also bounds its length
@@ -54,18 +53,9 @@
     raise ValueError(f"not an answer: {line[:64]!r}")
 
 
-class Owner(Protocol):
+class Owner(Process, Protocol):
     """What the counter's connections need of the gateway that asks."""
 
-    @property
-    def loop(self) -> Loop: ...
-    @property
-    def limits(self) -> Limits: ...
-    @property
-    def buffers(self) -> BufferPool: ...
-    @property
-    def log(self) -> logging.Logger: ...
-
     def counted(self, name: str, ending: Ending, level: float, sent: int) -> None:
         """The outcome of a call, in the order of its name's calls."""
 
--- a/oakvale/wire/discovery.py
+++ b/oakvale/wire/discovery.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import socket
 from typing import Any, Protocol
 
@@ -11,12 +10,11 @@
 
 from oakvale import interface as i
 from oakvale.base.address import Address, spelled
-from oakvale.base.limits import Limits
-from oakvale.base.loop import Coroutine, Loop, Rank, Step, Task
-from oakvale.memory.buffers import BufferPool
+from oakvale.base.loop import Coroutine, Rank, Step, Task
 from oakvale.memory.names import BackendNames
 from oakvale.numbers import whole as whole_number
 from oakvale.wire.http import END, more
+from oakvale.wire.owner import Process
 from oakvale.wire.tcp import Gone, connect, new_socket, write_all
 
 PATH = b"/catalog/members"
@@ -26,17 +24,9 @@
     """What discovery sent is not a list of backends."""
 
 
-class Owner(Protocol):
+class Owner(Process, Protocol):
     """What discovery needs of the gateway that follows it."""
 
-    @property
-    def loop(self) -> Loop: ...
-    @property
-    def limits(self) -> Limits: ...
-    @property
-    def buffers(self) -> BufferPool: ...
-    @property
-    def log(self) -> logging.Logger: ...
     @property
     def settings(self) -> i.Settings: ...
     @property
