--- a/oakvale/headworks/gates.py
+++ b/oakvale/headworks/gates.py
@@ -2,39 +2,51 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Any
 
-from oakvale.base.loop import Loop
 from oakvale.headworks.core import Core
+from oakvale.headworks.jury import Jury
+from oakvale.lifecycle.daybook import Writer
+from oakvale.base.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 
 AGREE = 2  # watchers that must miss a gateway before it is taken from the list
 TOGETHER = 3_000_000  # microseconds within which they must say so
 
-log = logging.getLogger(__name__)
+note = Writer(__name__)
 
 
 class Gates:
-    def __init__(self, core: Core, loop: Loop, mains: Mains) -> None:
+    def __init__(self, core: Core, jury: Jury, loop: Loop, mains: Mains) -> None:
+        self._jury = jury
         self._core, self._loop = core, loop
         self._missed: dict[str, dict[str, int]] = {}  # gateway's node and life -> watcher -> when
+        core.on_change.append(self._turned)
         mains.handlers["join"] = self._join
         mains.handlers["missing"] = self._missing
 
+    def _turned(self, serves: bool) -> None:
+        """A view is in force: the gateways are told whom it names."""
+        view = self._core.view()
+        if serves and view is not None:
+            told = {"copies": [seat[0] for seat in view.copies], "witnesses": [seat[0] for seat in view.witnesses]}
+            if self._core.ledger.latest("core") != told:
+                self._core.change({"core": told}, lambda done: None)
+
     def _join(self, conn: Conn, body: Any, answer: Answer) -> None:
         core = self._core
         if not core.serving():
             primary = core.primary()
             return answer({"primary": primary[0] if primary and primary != core.own else None})
-        view = core.view()
-        told = {"core": [seat[0] for seat in view.copies] + [seat[0] for seat in view.witnesses] if view else []}
         entry = {"addr": str(body["addr"]), "az": str(body["az"]), "life": str(body["life"])}
         key = f"gate/{body['node']}"
         if core.ledger.latest(key) == entry:
-            return answer(told | {"joined": True})
-        log.info("gateway joins", extra={"gateway": body["node"], "addr": entry["addr"]})
-        core.change({key: entry}, lambda done: answer(told | {"joined": done}))
+            return answer({"joined": True})
+        before = core.ledger.latest(key)
+        if before is not None:
+            self._jury.ended(before["life"])
+        note("gateway joins", gateway=body["node"], addr=entry["addr"])
+        core.change({key: entry}, lambda done: answer({"joined": done}))
 
     def _missing(self, conn: Conn, body: Any, _: Answer) -> None:
         """One watcher's word may be its own trouble."""
@@ -48,6 +60,6 @@
         recent = [w for w, at in said.items() if now - at < TOGETHER]
         others = len(core.ledger.table.items("gate/")) - 1
         if len(recent) >= min(AGREE, max(1, others)):
-            log.warning("gateway is gone", extra={"gateway": node, "said": ",".join(sorted(recent))})
+            note("gateway is gone", "warning", gateway=node, said=",".join(sorted(recent)))
             self._missed.pop(f"{node} {life}", None)
             core.change({f"gate/{node}": None}, lambda done: None)
--- a/oakvale/memory/tally.py
+++ b/oakvale/memory/tally.py
@@ -7,7 +7,7 @@
 
 
 class Tally:
-    """Counts since the last line: requests given to the module, answers to clients by status (health checks
+    """Counts since the start: requests given to the module, answers to clients by status (health checks
     and what is malformed among them), attempts and counter calls by ending."""
 
     def __init__(self) -> None:
@@ -15,9 +15,11 @@
         self.answers: Counter[str] = Counter()
         self.attempts: Counter[str] = Counter()
         self.calls: Counter[str] = Counter()
+        self.refusals: Counter[str] = Counter()  # of the gateway's own, by why
 
     def fields(self) -> dict[str, Any]:
         fields: dict[str, Any] = {"requests": self.requests}
-        for word, counts in (("answer", self.answers), ("attempt", self.attempts), ("call", self.calls)):
+        for word, counts in (("answer", self.answers), ("attempt", self.attempts), ("call", self.calls),
+                             ("refused", self.refusals)):
             fields |= {f"{word}_{key}": counts[key] for key in sorted(counts)}
         return fields
--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -7,11 +7,11 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
 from typing import Any
 
 from oakvale.base.address import Address, parse_address
+from oakvale.lifecycle.daybook import Writer
 from oakvale.base.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.penstock.table import NOTHING, Entry, Table, Version, pack, unpack
@@ -19,9 +19,10 @@
 PULSE = 250_000  # microseconds between two of the primary's pulses
 STALE = 800_000  # without a new one, another source is tried
 TRY = 400_000  # for a source to send its first
+AGAIN = 60_000  # before another is asked, after one that could not help
 REPAIR = 5_000_000  # between two comparisons of digests
 
-log = logging.getLogger(__name__)
+note = Writer(__name__)
 
 
 class Outlet:
@@ -120,7 +121,7 @@
         if self._source is not None:
             self._failed[f"{self._source[0]}:{self._source[1]}"] = now
             if self.fresh_at:
-                log.info("news are stale", extra={"source": self._source[0], "for_ms": (now - self.fresh_at) // 1000})
+                note("news are stale", source=self._source[0], for_ms=(now - self.fresh_at) // 1000)
         self._failed = {a: t for a, t in self._failed.items() if now - t < 20 * STALE}
         ways = self._sources(self._failed)
         if ways:
@@ -137,11 +138,14 @@
         self.mains.ask(address, "subscribe", body, TRY, lambda answer: self._subscribed(address, answer))
 
     def _subscribed(self, address: Address, answer: Any) -> None:
-        """A core machine that is not primary names the one that is."""
-        if isinstance(answer, dict) and answer.get("primary") and self._source == address:
-            other = parse_address(answer["primary"])
-            if other is not None and other != address:
-                self._ask(other)
+        """A core machine that is not primary names the one that is; who can't help is not waited for."""
+        if self._source != address or isinstance(answer, dict) and not answer:
+            return
+        other = parse_address(answer["primary"]) if isinstance(answer, dict) and answer.get("primary") else None
+        if other is not None and other != address:
+            self._ask(other)
+        elif not self.fresh():
+            self.loop.at(self.loop.now + AGAIN, lambda _: self._next(self.loop.now) if not self.fresh() else None)
 
     def _news(self, conn: Conn, body: Any, _: Answer) -> None:
         pulse, entries, floor = (int(body[0][0]), int(body[0][1])), unpack(body[1]), body[2]
@@ -170,7 +174,7 @@
             entries = unpack(answer)
             changed = self.table.put(entries)
             if changed:
-                log.warning("table mended", extra={"entries": len(changed)})
+                note("table mended", "warning", entries=len(changed))
                 self._changed(changed)
                 self.outlet.publish(self.pulse, [entry for entry in entries if entry[0] in set(changed)])
 
--- a/oakvale/policy/limits.py
+++ b/oakvale/policy/limits.py
@@ -39,7 +39,8 @@
 
     def left(self, held: Held) -> int:
         """Time in which an answer is worth something: to the aim, or to an impatient client's deadline."""
-        return min(held.came + held.cls.aim, held.req.deadline) - self.desk.now
+        aimed = held.req.deadline if self.desk.s.late_earns else held.came + held.cls.aim
+        return min(aimed, held.req.deadline) - self.desk.now
 
     def under_ceiling(self, held: Held) -> bool:
         """Rule: each keeps its part of a hard ceiling, empty at its start as an earlier life spent it."""
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -25,6 +25,7 @@
     ("penstock",),
     ("gauge",),
     ("headworks", "sluice"),
+    ("demo",),
     ("cli",),
     ("__main__",),
 )
