--- a/oakvale/cistern/store.py
+++ b/oakvale/cistern/store.py
@@ -16,8 +16,8 @@
 from queue import SimpleQueue
 from typing import Any
 
-from oakvale.lifecycle.daybook import Writer
 from oakvale.base.loop import READ, Coroutine, Loop, Rank
+from oakvale.lifecycle.daybook import Writer
 
 Row = tuple[str, bytes]
 Write = tuple[str, Any]  # ("fact", (name, value)) | ("rows", [row...]) | ("whole", [row...])
--- a/oakvale/demo/__init__.py
+++ b/oakvale/demo/__init__.py
@@ -1,3 +1,3 @@
-"""Demo owns a whole small system on loopback, each machine an address of its own, with a stand-in backend. It
-must serve no traffic of anybody. Begin with `show`.
+"""Demo: a whole small system on loopback, each machine an address of its own, with a stand-in backend. It
+shows the system at work and must serve no traffic. Begin with `show`.
 """
--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -9,11 +9,11 @@
 from functools import partial
 from typing import Any
 
+from oakvale.base.address import Address, parse_address, spelled
+from oakvale.base.loop import Loop
 from oakvale.gauge.ballots import Ask, Candidate, Word
 from oakvale.gauge.floors import Alone, Floors, Quota, Read, Terms
-from oakvale.base.address import Address, parse_address, spelled
 from oakvale.lifecycle.daybook import Writer
-from oakvale.base.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.penstock.tree import Member, next_on_ring, place
 
--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -11,6 +11,8 @@
 
 import cbor2
 
+from oakvale.base.address import Address, parse_address, spelled
+from oakvale.base.loop import Loop
 from oakvale.cistern.store import Cistern
 from oakvale.headworks.ledger import Ledger, Then
 from oakvale.headworks.succession import (
@@ -29,9 +31,7 @@
     unpack_durable,
 )
 from oakvale.intake.settings import Settings
-from oakvale.base.address import Address, parse_address, spelled
 from oakvale.lifecycle.daybook import Writer
-from oakvale.base.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.penstock.feed import PULSE, Outlet
 from oakvale.penstock.table import NOTHING, Entry, Version, pack
--- a/oakvale/headworks/gates.py
+++ b/oakvale/headworks/gates.py
@@ -4,10 +4,10 @@
 
 from typing import Any
 
+from oakvale.base.loop import Loop
 from oakvale.headworks.core import Core
 from oakvale.headworks.jury import Jury
 from oakvale.lifecycle.daybook import Writer
-from oakvale.base.loop import Loop
 from oakvale.mains.links import Answer, Conn, Mains
 
 AGREE = 2  # watchers that must miss a gateway before it is taken from the list
--- a/oakvale/headworks/jury.py
+++ b/oakvale/headworks/jury.py
@@ -6,10 +6,10 @@
 
 import cbor2
 
-from oakvale.cistern.store import Cistern
-from oakvale.gauge.ballots import Ask, Juror
 from oakvale.base.address import parse_address
 from oakvale.base.loop import Loop
+from oakvale.cistern.store import Cistern
+from oakvale.gauge.ballots import Ask, Juror
 from oakvale.mains.links import Answer, Conn, Mains
 
 PROBE = 250_000  # microseconds for a holder to say which life it is
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -5,22 +5,22 @@
 import gc
 import sqlite3
 
+from oakvale.base.limits import Limits
+from oakvale.base.loop import Clock, Loop, Rank
 from oakvale.cistern.store import Cistern
 from oakvale.headworks.core import Core
 from oakvale.headworks.ctl import Ctl
 from oakvale.headworks.gates import Gates
 from oakvale.headworks.jury import Jury
 from oakvale.headworks.standing import standing
+from oakvale.intake.bounds import bounds
 from oakvale.intake.settings import BadSettings, Settings
 from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor, listening
 from oakvale.lifecycle.daybook import Writer
-from oakvale.base.limits import Limits
-from oakvale.base.loop import Clock, Loop, Rank
 from oakvale.lifecycle.signals import Signals
 from oakvale.mains.links import Mains
 from oakvale.mains.standing import offer
-from oakvale.intake.bounds import bounds
 
 note = Writer(__name__)
 SWEEP = 1_000_000
--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -13,14 +13,14 @@
 
 import orjson
 
+from oakvale.base.address import parse_address, spelled
+from oakvale.base.loop import Loop
 from oakvale.headworks.core import Core
 from oakvale.headworks.succession import View
 from oakvale.intake import model
 from oakvale.intake.settings import Settings
 from oakvale.intake.times import micros
-from oakvale.base.address import parse_address, spelled
 from oakvale.lifecycle.daybook import Writer
-from oakvale.base.loop import Loop
 
 JSON = (b"content-type", b"application/json")
 ID = re.compile(r"[!-~]{1,128}")
--- a/oakvale/intake/check.py
+++ b/oakvale/intake/check.py
@@ -4,8 +4,8 @@
 
 from pathlib import Path
 
-from oakvale.intake import deploy, settings
 from oakvale.base.address import spelled
+from oakvale.intake import deploy, settings
 
 
 class Wrong(Exception):
--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 from oakvale.base.address import Address
-from oakvale.lifecycle.daybook import Writer
 from oakvale.base.loop import READ, TIMED_OUT, WRITE, Coroutine, Loop, Rank, Timer, call_off
+from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.frames import BadFrame, Frame, decode, encode
 
 TCP_USER_TIMEOUT = 18  # Linux; milliseconds that sent bytes may stay unacknowledged
--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -11,8 +11,8 @@
 from typing import Any
 
 from oakvale.base.address import Address, parse_address
-from oakvale.lifecycle.daybook import Writer
 from oakvale.base.loop import Loop
+from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.penstock.table import NOTHING, Entry, Table, Version, pack, unpack
 
--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -6,21 +6,21 @@
 from dataclasses import replace
 from typing import Any
 
+from oakvale.base.address import parse_address, spelled
+from oakvale.base.loop import Clock, Loop
 from oakvale.gauge.floors import Quota, Terms
 from oakvale.gauge.service import Gauge
+from oakvale.intake.bounds import bounds
 from oakvale.intake.settings import Settings
 from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor, listening
-from oakvale.base.address import parse_address, spelled
 from oakvale.lifecycle.daybook import Writer
-from oakvale.base.loop import Clock, Loop
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.memory.requests import Answer as HttpAnswer
 from oakvale.memory.requests import InHand
 from oakvale.penstock.feed import Feed
 from oakvale.penstock.table import Table
 from oakvale.penstock.tree import Member, sources, watchers
-from oakvale.intake.bounds import bounds
 from oakvale.sluice.plant import Plant
 from oakvale.sluice.routes import backends, configured, members
 from oakvale.wire.clients import Incoming, plain
--- a/tests/drawn.py
+++ b/tests/drawn.py
@@ -48,7 +48,7 @@
         max_retry_after=rng.choice((0, 200 * MS, SECOND)), retry_after=rng.random() < 0.8,
         may_cancel=rng.random() < 0.7, may_count=rng.random() < 0.75,
         counter_timeout=rng.choice((20 * MS, 50 * MS)), largest=rng.choice((1.0, 4.0)),
-        post_paid=rng.random() < 0.3, cross_zone_price=rng.choice((0.0, 1.0)),
+        post_paid=rng.random() < 0.3, late_earns=rng.random() < 0.3, cross_zone_price=rng.choice((0.0, 1.0)),
         cold_from=rng.choice((0.1, 0.5, 1.0)), ramp=rng.choice((0, 5 * SECOND, 30 * SECOND)),
         fall_span=rng.choice((500 * MS, SECOND)))
 
--- a/tests/test_daybook.py
+++ b/tests/test_daybook.py
@@ -53,11 +53,11 @@
         raise ValueError("odd")
     except ValueError:
         daybook.Writer("oakvale.mains.links").fault("message failed", kind="news")
-        logging.getLogger("oakvale.lifecycle.loop").exception("timer failed", extra={"party": "client"})
+        logging.getLogger("oakvale.base.loop").exception("timer failed", extra={"party": "client"})
     logging.getLogger("oakvale.host").debug("unheard")
     own, taken = lines()
     assert own.startswith('level=error part=mains.links event="message failed" kind=news traceback="Traceback')
-    assert taken.startswith('level=error part=lifecycle.loop event="timer failed" party=client traceback="Trace')
+    assert taken.startswith('level=error part=base.loop event="timer failed" party=client traceback="Trace')
     assert "ValueError: odd" in own and "ValueError: odd" in taken
 
 
