--- a/oakvale/intake/model.py
+++ b/oakvale/intake/model.py
@@ -120,7 +120,7 @@
         where = f"routes.{route.name}"
         if route.split is None and route.svc is None:
             raise Invalid(f"{where}: neither svc nor split")
-        named = [part.svc for part in route.split] if route.split is not None else [route.svc or ""]
+        named = [part.svc for part in route.split or []] + ([] if route.svc is None else [route.svc])
         for name in named:
             if name not in services:
                 raise Invalid(f"{where}: unknown service {name!r}")
--- a/oakvale/intake/settings.py
+++ b/oakvale/intake/settings.py
@@ -117,6 +117,12 @@
         except ValueError as error:
             raise BadSettings(f"[{self._place}] {name}: {error}") from error
 
+    def texts(self, name: str) -> tuple[str, ...]:
+        found = self.get(name, list, [])
+        if not all(isinstance(text, str) for text in found):
+            raise BadSettings(f"[{self._place}] {name} holds what is not a text: {found!r}")
+        return tuple(found)
+
     def addresses(self, name: str) -> tuple[Address, ...]:
         found = tuple(parse_address(text) for text in self.get(name, list, []))
         if None in found:
@@ -147,7 +153,7 @@
         figures[name] = float(given.get(name.replace("_", "-"), (int, float), getattr(Bounds(), name)))
     return Settings(
         node=own.get("node", str), ip=own.get("ip", str), zone=own.get("az", str, ""),
-        region=own.get("rgn", str, ""), serves=tuple(own.get("serves", list, [])),
+        region=own.get("rgn", str, ""), serves=own.texts("serves"),
         voting=own.get("voting", bool, False), bootstrap=own.get("bootstrap", bool, False),
         datadir=own.get("datadir", str, None),
         seeds=network.addresses("seeds"), bind=bound, ports=(ports[0], ports[1]),
@@ -156,4 +162,4 @@
         cpu=float(limits.get("cpu", (int, float), 1.0)), memory_mb=limits.get("mem-mb", int, 192),
         nofile=limits.get("nofile", int, 1024), disk_mb=limits.get("disk-mb", int, 0),
         tolerate=tolerance.get("nodes", int, 0), tolerate_zones=tolerance.get("azs", int, 0),
-        clauses=frozenset(terms.get("clauses", list, [])), bounds=Bounds(**figures))
+        clauses=frozenset(terms.texts("clauses")), bounds=Bounds(**figures))
--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -20,6 +20,7 @@
 STALE = 800_000  # without a new one, another source is tried
 TRY = 400_000  # for a source to send its first
 REPAIR = 5_000_000  # between two comparisons of digests
+FORGIVEN = 20 * STALE  # a source that failed is asked like the others again
 
 log = logging.getLogger(__name__)
 
@@ -75,6 +76,7 @@
         self.pulse: Version = NOTHING
         self.fresh_at = 0  # when the latest new pulse came
         self._source: Address | None = None
+        self._former: Address | None = None  # still gives news until the new one has agreed to
         self._asked_at = 0
         self._failed: dict[str, int] = {}
         self._tries = 0
@@ -106,6 +108,9 @@
 
     def _tick(self, _: Any) -> None:
         now = self.loop.now
+        failed = {a: t for a, t in self._failed.items() if now - t < FORGIVEN}
+        if len(failed) < len(self._failed):
+            self._failed, self._settled = failed, False
         if not self.fresh():
             if now - self._asked_at >= TRY:
                 self._next(now)
@@ -121,7 +126,6 @@
             self._failed[f"{self._source[0]}:{self._source[1]}"] = now
             if self.fresh_at:
                 log.info("news are stale", extra={"source": self._source[0], "for_ms": (now - self.fresh_at) // 1000})
-        self._failed = {a: t for a, t in self._failed.items() if now - t < 20 * STALE}
         ways = self._sources(self._failed)
         if ways:
             address = parse_address(ways[0])
@@ -131,17 +135,30 @@
     def _ask(self, address: Address) -> None:
         now = self.loop.now
         if self._source is not None and self._source != address:
-            self.mains.tell(self._source, "leave", None)
+            if self._former is None and self.fresh():
+                self._former = self._source
+            elif self._source != self._former:
+                self.mains.tell(self._source, "leave", None)
         self._source, self._asked_at = address, now
         body = self._own() | {"high": list(self.table.high)}
         self.mains.ask(address, "subscribe", body, TRY, lambda answer: self._subscribed(address, answer))
 
     def _subscribed(self, address: Address, answer: Any) -> None:
         """A core machine that is not primary names the one that is."""
-        if isinstance(answer, dict) and answer.get("primary") and self._source == address:
+        if self._source != address:
+            return
+        former = self._former
+        if isinstance(answer, dict) and answer.get("primary"):
             other = parse_address(answer["primary"])
             if other is not None and other != address:
                 self._ask(other)
+        elif answer == {} or not self.fresh():
+            self._former = None
+            if former is not None and former != address:
+                self.mains.tell(former, "leave", None)
+        elif former is not None:
+            self._failed[f"{address[0]}:{address[1]}"] = self.loop.now
+            self._source, self._former = former, None
 
     def _news(self, conn: Conn, body: Any, _: Answer) -> None:
         pulse, entries, floor = (int(body[0][0]), int(body[0][1])), unpack(body[1]), body[2]
--- /dev/null
+++ b/tests/test_penstock.py
@@ -0,0 +1,345 @@
+"""The news: the table, the tree, and feeds in simulated time whose relays die, are cut off and come back."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import Any, cast
+
+import cbor2
+import pytest
+
+from oakvale.lifecycle.configuration import parse_address
+from oakvale.penstock.feed import FORGIVEN, PULSE, STALE, TRY, Feed, Outlet
+from oakvale.penstock.table import GRAVES, NOTHING, Table, Version
+from oakvale.penstock.tree import FAN_OUT, Member, jury, ring, sources, watchers
+
+MS, SECOND = 1_000, 1_000_000
+
+
+# ---- the table
+
+
+def test_entries_only_go_forward() -> None:
+    table = Table()
+    assert table.put([("a", (1, 2), "x"), ("b", (1, 3), "y")]) == ["a", "b"]
+    assert table.put([("a", (1, 1), "old"), ("b", (1, 3), "again"), ("c", (2, 1), None)]) == ["c"]
+    assert (table.get("a"), table.get("c"), table.version("c"), table.high) == ("x", None, (2, 1), (2, 1))
+    assert table.since((1, 2)) == [("b", (1, 3), "y"), ("c", (2, 1), None)]
+    assert table.items("") == [("a", "x"), ("b", "y")]
+
+
+def test_a_whole_state_takes_away_what_its_sender_forgot_and_nothing_newer() -> None:
+    table = Table()
+    table.put([("gone", (1, 1), 1), ("kept", (1, 2), 2), ("newer", (1, 9), 3)])
+    assert table.whole([("kept", (1, 2), 2), ("x", (1, 5), 4)], (1, 3)) == ["gone", "x"]
+    assert dict(table.items("")) == {"kept": 2, "newer": 3, "x": 4} and table.floor == (1, 3)
+
+
+def test_pruned_graves_reach_those_who_were_behind() -> None:
+    """By the floor a subscriber that has seen less is known, and is given everything anew."""
+    table, behind = Table(), Table()
+    table.put([(f"k{n}", (1, n + 1), n) for n in range(3 * GRAVES)])
+    behind.put(table.since(NOTHING))
+    table.put([(f"k{n}", (2, n + 1), None) for n in range(3 * GRAVES)])
+    forgotten = table.prune()
+    assert len(forgotten) == 2 * GRAVES and table.floor == (2, 2 * GRAVES)
+    sent: list[Any] = []
+    conn: Any = type("Below", (), {"on_close": [], "send": lambda self, kind, number, body: sent.append(body)})()
+    Outlet(table).subscribe(conn, behind.high, (2, 1))
+    [(_, entries, floor)] = sent
+    behind.whole([(key, (view, place), value) for key, view, place, value in entries], tuple(floor))
+    assert behind.since(NOTHING) == table.since(NOTHING)
+
+
+def test_digests_find_what_differs_and_no_more() -> None:
+    rng = random.Random(1)
+    one, other = Table(), Table()
+    entries = [(f"k{n}", (1, n + 1), n) for n in range(200)]
+    one.put(entries)
+    other.put(entries)
+    assert one.differing(other.digests()) == []
+    for key, _, _ in rng.sample(entries, 3):
+        one.put([(key, (2, rng.randrange(99)), "new")])
+    found = one.differing(other.digests())
+    assert 3 <= len(found) < 100
+    other.put(found)
+    assert other.digests() == one.digests()
+
+
+# ---- the tree
+
+
+def members(count: int, zones: int = 3) -> dict[str, Member]:
+    return {f"n{k}": Member(f"n{k}", f"10.0.{k % zones}.{k}:7340", f"z{k % zones}", f"l{k}") for k in range(count)}
+
+
+@pytest.mark.parametrize("count", [1, 2, 7, 60, 300])
+def test_every_way_leads_up_to_the_core(count: int) -> None:
+    known = members(count)
+    load: dict[str, int] = {}
+    for member in known.values():
+        path = sources(known, member.node, member.zone, ["core"], {})
+        assert path[-1] == "core" and member.address not in path and len(path) <= 5
+        load[path[0]] = load.get(path[0], 0) + 1
+        if path[0] != "core":  # its own parent's way is the rest of this one: no circles
+            above = next(m for m in known.values() if m.address == path[0])
+            assert above.zone == member.zone and sources(known, above.node, above.zone, ["core"], {}) == path[1:]
+            assert sources(known, member.node, member.zone, ["core"], {path[0]: 5})[-1] == path[0]
+    assert load["core"] == min(3, count) and max(load.values()) <= max(3, FAN_OUT)
+
+
+def test_ring_neighbours_and_juries_move_little() -> None:
+    known = list(members(40).values())
+    order = [m.node for m in ring(known)]
+    for member in known:
+        found = [m.node for m in watchers(known, member.node, 3)]
+        at = order.index(member.node)
+        assert found == [order[(at + k) % 40] for k in (1, 2, 3)]
+    assert watchers(known, "unknown", 3) == [] and watchers(known[:1], "n0", 3) == []
+    for duty in (f"gauge/{k}" for k in range(4)):
+        before = jury(known, duty, 5)
+        assert jury(reversed(known), duty, 5) == before and len(before) == 5
+        without = jury([m for m in known if m != before[2]], duty, 5)
+        assert [m for m in before if m != before[2]] == without[:4]
+
+
+# ---- feeds
+
+
+class Net:
+    def __init__(self, seed: int) -> None:
+        self.rng, self.now, self._heap, self._order = random.Random(seed), 1_000 * SECOND, list[Any](), 0
+        self.ports: dict[Any, Port] = {}
+        self.cut: set[Any] = set()
+
+    def at(self, due: int, call: Callable[[], None]) -> None:
+        self._order += 1
+        heapq.heappush(self._heap, (due, self._order, call))
+
+    def run(self, span: int) -> None:
+        end = self.now + span
+        while self._heap and self._heap[0][0] <= end:
+            self.now, _, call = heapq.heappop(self._heap)
+            call()
+        self.now = end
+
+
+class End:
+    """One end of a connection."""
+
+    def __init__(self, port: Port) -> None:
+        self.port, self.alive, self.on_close = port, True, list[Any]()
+        self.other: End = self
+        self.last = 0
+        self.waiting: dict[int, Any] = {}
+
+    def send(self, kind: str, number: int, body: Any) -> None:
+        net, data = self.port.net, cbor2.dumps(body)
+        self.last = due = max(self.last + 1, net.now + net.rng.randrange(300, 4_000))
+
+        def arrive() -> None:
+            there = self.other.port
+            if not (self.alive and self.other.alive and there.alive):
+                return self.end()
+            if (self.port.address in net.cut) != (there.address in net.cut):
+                if net.now - due > 1_500 * MS:
+                    return self.end()
+                self.last = max(self.last, net.now + 100 * MS)
+                return net.at(net.now + 100 * MS, arrive)
+            there.take(self.other, kind, number, cbor2.loads(data))
+
+        net.at(due, arrive)
+
+    def end(self) -> None:
+        for side in (self, self.other):
+            if side.alive:
+                side.alive = False
+                for call in side.on_close if side.port.alive else []:
+                    call(side)
+
+
+class Port:
+    """A process's mains and loop."""
+
+    def __init__(self, net: Net, address: str) -> None:
+        self.net, self.address, self.alive, self.handlers = net, parse_address(address), True, dict[str, Any]()
+        self._out: dict[Any, End] = {}
+        self._number = 0
+        net.ports[self.address] = self
+
+    @property
+    def now(self) -> int:
+        return self.net.now
+
+    def at(self, due: int, call: Callable[[Any], None]) -> None:
+        self.net.at(due, lambda: call(None) if self.alive else None)
+
+    def link(self, address: Any) -> End | None:
+        end, there = self._out.get(address), self.net.ports.get(address)
+        if end is not None and end.alive and end.other.port.alive:
+            return end
+        if end is not None:
+            end.end()
+        if there is None or not there.alive:
+            return None
+        end = self._out[address] = End(self)
+        end.other = End(there)
+        end.other.other = end
+        return end
+
+    def tell(self, address: Any, kind: str, body: Any) -> None:
+        end = self.link(address)
+        if end is not None:
+            end.send(kind, 0, body)
+
+    def ask(self, address: Any, kind: str, body: Any, timeout: int, then: Callable[[Any], None]) -> None:
+        end = self.link(address)
+        if end is None:
+            return self.at(self.now, then)
+        self._number += 1
+        number = self._number
+        end.waiting[number] = then
+        end.send(kind, number, body)
+        self.at(self.now + timeout, lambda _: end.waiting.pop(number, lambda _: None)(None))
+
+    def take(self, end: End, kind: str, number: int, body: Any) -> None:
+        if not kind:
+            return cast(None, end.waiting.pop(number, lambda _: None)(body))
+        if kind in self.handlers:
+            self.handlers[kind](end, body, lambda said: end.send("", number, said) if number else None)
+
+
+class Core:
+    """What gateways see of a core machine."""
+
+    def __init__(self, net: Net, address: str, table: Table) -> None:
+        self.port, self.address, self.table, self.outlet = Port(net, address), address, table, Outlet(table)
+        self.view, self.tick, self.primary = 1, 0, ""
+        self.port.handlers.update(subscribe=self.subscribe, leave=lambda conn, body, answer: self.outlet.leave(conn),
+                                  digests=lambda conn, body, answer: self.outlet.mend(conn, body, answer))
+        self.pulse(None)
+
+    def subscribe(self, conn: Any, body: Any, answer: Any) -> None:
+        if self.primary != self.address:
+            return cast(None, answer({"primary": self.primary}))
+        answer({})
+        self.outlet.subscribe(conn, (body["high"][0], body["high"][1]), self.next())
+
+    def next(self) -> Version:
+        self.tick += 1
+        return (self.view, self.tick)
+
+    def pulse(self, _: Any) -> None:
+        if self.primary == self.address:
+            self.outlet.publish(self.next(), [])
+        self.port.at(self.port.now + PULSE, self.pulse)
+
+    def change(self, key: str, value: Any) -> None:
+        place = self.table.high[1] + 1 if self.table.high[0] == self.view else 1
+        entries = [(key, (self.view, place), value)]
+        self.table.put(entries)
+        self.outlet.publish(self.next(), entries)
+
+
+class Fleet:
+    def __init__(self, seed: int, gateways: int) -> None:
+        self.net = net = Net(seed)
+        self.table = Table()  # of the control state: each primary goes on with it
+        self.cores = [Core(net, f"10.9.0.{k}:7340", self.table) for k in range(3)]
+        self.members = members(gateways)
+        self.feeds: dict[str, Feed] = {}
+        self.first = 0
+        self.elect(0)
+        for node in self.members:
+            self.start(node)
+
+    def elect(self, core: int) -> None:
+        self.first = core
+        for other in self.cores:
+            other.outlet.drop()
+            other.primary, other.view = self.cores[core].address, other.view + 1
+
+    def start(self, node: str) -> None:
+        member = self.members[node]
+        port, table, seen = Port(self.net, member.address), Table(), dict[str, Version]()
+        core = [c.address for c in self.cores]
+
+        def changed(keys: list[str]) -> None:
+            for key in keys:
+                assert table.version(key) >= seen.get(key, NOTHING), f"{key} goes back"
+                seen[key] = table.version(key)
+
+        self.feeds[node] = Feed(cast(Any, port), cast(Any, port), table, dict,
+                                lambda failed: sources(self.members, node, member.zone, core, failed), changed)
+
+    def kill(self, node: str) -> None:
+        port = cast(Port, self.feeds[node].mains)
+        port.alive = False
+        for other in self.net.ports.values():  # a process that ends resets its connections
+            for end in list(other._out.values()):
+                if end.other.port is port:
+                    end.end()
+
+    def behind(self) -> list[str]:
+        return [node for node, feed in self.feeds.items() if not feed.fresh() or feed.table.since(NOTHING)
+                != self.table.since(NOTHING)]
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_all_tables_follow_the_primary_whatever_becomes_of_relays(seed: int) -> None:
+    fleet = Fleet(seed, 12 + 6 * (seed % 3))
+    net, rng = fleet.net, fleet.net.rng
+    net.run(2 * SECOND)
+    assert not fleet.behind()
+    for step in range(40):
+        fleet.cores[fleet.first].change(f"k{rng.randrange(30)}", rng.choice([step, step, None]))
+        node = rng.choice(list(fleet.feeds))
+        kind = rng.random()
+        if kind < 0.15:
+            fleet.kill(node)
+            net.at(net.now + rng.randrange(50, 3_000) * MS, lambda node=node: fleet.start(node))  # type: ignore[misc]
+        elif kind < 0.3:
+            net.cut ^= {parse_address(fleet.members[node].address)}
+        elif kind < 0.35:
+            fleet.elect(rng.randrange(3))
+        net.run(rng.randrange(10, 400) * MS)
+    net.cut.clear()
+    net.run(3_100 * MS)  # those killed last are back
+    net.run(STALE + 6 * TRY + 2 * PULSE)
+    assert not fleet.behind()
+
+
+def test_all_find_their_place_in_the_tree_and_news_pass_it_soon() -> None:
+    """At the start nobody is fresh and all turn to the core; most took their news from there ever after."""
+    fleet = Fleet(1, 60)
+    fleet.net.run(FORGIVEN + 3 * SECOND)
+    assert not fleet.behind()
+    assert all(len(core.outlet) <= 3 for core in fleet.cores)  # the first of each zone
+    fleet.cores[0].change("a", 1)
+    fleet.net.run(20 * MS)
+    assert not fleet.behind()
+
+
+def test_turning_to_a_source_that_has_no_news_costs_none() -> None:
+    """The former source was left before the new one had agreed: news stood still until a third was found."""
+    fleet = Fleet(1, 9)
+    fleet.net.run(2 * SECOND)
+    feed = fleet.feeds["n4"]
+    fleet.kill("n5")
+    feed.turn(fleet.members["n5"].address)
+    fleet.cores[0].change("a", 1)
+    fleet.net.run(20 * MS)
+    assert feed.table.get("a") == 1
+    fleet.net.run(SECOND)
+    assert feed.fresh() and feed.source() != parse_address(fleet.members["n5"].address)
+
+
+def test_what_is_lost_without_a_trace_is_mended() -> None:
+    fleet = Fleet(1, 9)
+    fleet.cores[0].change("a", 1)
+    fleet.net.run(2 * SECOND)
+    del fleet.feeds["n4"].table._entries["a"]
+    fleet.net.run(6 * SECOND)
+    assert not fleet.behind()
