--- a/oakvale/headworks/succession.py
+++ b/oakvale/headworks/succession.py
@@ -28,6 +28,7 @@
 
 FOUNDER = "founder"  # the incarnation of the seats that a new system starts with
 NONE: Ballot = (0, ("", ""))
+LASTS = 4  # times the silence, for one attempt at a successor
 
 
 @dataclass(slots=True, frozen=True)
@@ -136,6 +137,7 @@
     value: View
     ballot: Ballot
     began: int
+    said: int  # when it was put to the witnesses last
     promises: dict[Seat, tuple[Ballot, View] | None] = field(default_factory=dict)
     accepts: set[Seat] = field(default_factory=set)
     chosen: View | None = None  # the value put to the vote, once a majority has promised
@@ -225,8 +227,8 @@
 
     def _consider(self, now: int, view: View) -> None:
         campaign = self._campaign
-        if campaign is not None and now - campaign.began < self._silence:
-            return
+        if campaign is not None and now - campaign.began < LASTS * self._silence:
+            return self._say_again(now, view, campaign)
         self._campaign = None
         if now < self._next_try or self._stored != view.number:
             return  # not on disk: after a crash it'd be back in the view before, and not complete in one it won here
@@ -248,13 +250,25 @@
         self._next_try = now + self._silence // 2 * (1 + rank)
         ballot = (max(self._round, self.state.promised[0] + 1), self.own)
         self._round = ballot[0]
-        self._campaign = Campaign(wanted, ballot, now)
+        self._campaign = Campaign(wanted, ballot, now, now)
         # its own promise comes to disk first: after a crash the same ballot must not go out with another value
         packed = [ballot[0], list(ballot[1])]
         self._keep(replace(self.state, promised=ballot), [
             *(Say(witness, "prepare", [view.pack(), packed]) for witness in view.witnesses if witness != self.own),
             Say(self.own, "promise", [view.number, packed, _packed(self.state.accepted)])])
 
+    def _say_again(self, now: int, view: View, campaign: Campaign) -> None:
+        """Words get lost, and disks may be slow: a new ballot each time would overtake its own answers."""
+        if now - campaign.said < self._silence or self.own not in campaign.promises:
+            return
+        campaign.said = now
+        packed = [campaign.ballot[0], list(campaign.ballot[1])]
+        for witness in view.witnesses:
+            if campaign.chosen is not None and witness not in campaign.accepts:
+                self._out.append(Say(witness, "accept", [view.pack(), packed, campaign.chosen.pack()]))
+            elif campaign.chosen is None and witness not in campaign.promises:
+                self._out.append(Say(witness, "prepare", [view.pack(), packed]))
+
     def _wanted(self, now: int, view: View) -> View | None:
         """The successor that this seat would have; None where the view in force serves."""
         def up(peer: Seat) -> bool:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -212,6 +212,20 @@
     assert seat.part.state.promised[0] == 1
 
 
+def test_a_slow_disk_gets_the_time_to_answer() -> None:
+    """A new ballot every 0.9 s overtook the answers to the one before, and nobody was ever elected."""
+    seat = Alone(B, founded(ABC, B))
+    seat.run(2 * SECOND, (C,))
+    assert seat.part.state.promised[0] == 1 and len(seat.kept()) == 2
+    again = seat.run(SECOND, (C,))
+    assert [(item.to, item.kind, item.body[1][0]) for item in again] == [(A, "prepare", 1), (C, "prepare", 1)]
+    seat.sort(seat.part.message(seat.now, C, "promise", [1, [1, list(B)], None]))
+    assert [item.kind for item in seat.run(SECOND, (C,))] == ["accept", "accept"]
+    seat.part.message(seat.now, C, "accepted", [1, [1, list(B)]])
+    seat.part.kept(99)
+    assert seat.part.is_primary()
+
+
 def test_a_promise_binds_and_is_told() -> None:
     seat = Alone(C, founded(ABC, C))
     value = View(2, B, (C,), ABC.witnesses)
--- a/tests/world.py
+++ b/tests/world.py
@@ -423,6 +423,7 @@
         elif kind == "slow":
             machine.sync_ms = rng.choice([8, 60, 400, 900])
             self.trouble(machine, self.now + 10 * SECOND)
+            self.at(self.now + 10 * SECOND, lambda: setattr(machine, "sync_ms", 8))
         elif kind == "pause":
             self.pause(machine, span)
         elif kind == "closing" and not lost:
