--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -21,6 +21,7 @@
 TRY = 400_000  # for a source to send its first
 AGAIN = 60_000  # before another is asked, after one that could not help
 REPAIR = 5_000_000  # between two comparisons of digests
+FORGIVEN = 20 * STALE  # a source that failed is asked like the others again
 
 note = Writer(__name__)
 
@@ -76,6 +77,7 @@
         self.pulse: Version = NOTHING
         self.fresh_at = 0  # when the latest new pulse came
         self._source: Address | None = None
+        self._former: Address | None = None  # still gives news until the new one has agreed to
         self._asked_at = 0
         self._failed: dict[str, int] = {}
         self._tries = 0
@@ -107,6 +109,9 @@
 
     def _tick(self, _: Any) -> None:
         now = self.loop.now
+        failed = {a: t for a, t in self._failed.items() if now - t < FORGIVEN}
+        if len(failed) < len(self._failed):
+            self._failed, self._settled = failed, False
         if not self.fresh():
             if now - self._asked_at >= TRY:
                 self._next(now)
@@ -122,7 +127,6 @@
             self._failed[f"{self._source[0]}:{self._source[1]}"] = now
             if self.fresh_at:
                 note("news are stale", source=self._source[0], for_ms=(now - self.fresh_at) // 1000)
-        self._failed = {a: t for a, t in self._failed.items() if now - t < 20 * STALE}
         ways = self._sources(self._failed)
         if ways:
             address = parse_address(ways[0])
@@ -132,19 +136,30 @@
     def _ask(self, address: Address) -> None:
         now = self.loop.now
         if self._source is not None and self._source != address:
-            self.mains.tell(self._source, "leave", None)
+            if self._former is None and self.fresh():
+                self._former = self._source
+            elif self._source != self._former:
+                self.mains.tell(self._source, "leave", None)
         self._source, self._asked_at = address, now
         body = self._own() | {"high": list(self.table.high)}
         self.mains.ask(address, "subscribe", body, TRY, lambda answer: self._subscribed(address, answer))
 
     def _subscribed(self, address: Address, answer: Any) -> None:
         """A core machine that is not primary names the one that is; who can't help is not waited for."""
-        if self._source != address or isinstance(answer, dict) and not answer:
+        if self._source != address:
             return
-        other = parse_address(answer["primary"]) if isinstance(answer, dict) and answer.get("primary") else None
+        former, named = self._former, answer.get("primary") if isinstance(answer, dict) else None
+        other = parse_address(named) if named else None
         if other is not None and other != address:
-            self._ask(other)
-        elif not self.fresh():
+            return self._ask(other)
+        if answer == {} or not self.fresh():
+            self._former = None
+            if former is not None and former != address:
+                self.mains.tell(former, "leave", None)
+        elif former is not None:
+            self._failed[f"{address[0]}:{address[1]}"] = self.loop.now
+            self._source, self._former = former, None
+        if answer != {} and not self.fresh():
             self.loop.at(self.loop.now + AGAIN, lambda _: self._next(self.loop.now) if not self.fresh() else None)
 
     def _news(self, conn: Conn, body: Any, _: Answer) -> None:
