A gateway works its place on the ring out once a change, not each heartbeat

With 85 gateways each worked out every gateway's watchers twice a second, which grew with the square of the fleet. Both sides come from the ring once a change of the list; a refused candidate asks again after 120 ms, and jurors that start ask the holders they voted for at once whether they live.

--- a/oakvale/gauge/ballots.py
+++ b/oakvale/gauge/ballots.py
@@ -19,7 +19,7 @@
 ROUND = 250_000  # a round without a majority is given up after this
 QUIET = 450_000  # a holder not heard for so long may be gone
 TURN = 120_000  # each who stands for a duty waits so much longer than the one before
-RETRY = 250_000  # after a refusal, however long the holder still has: it may be proven gone
+RETRY = 120_000  # after a refusal, however long the holder still has: it may be proven gone
 
 
 @dataclass(slots=True)
--- a/oakvale/headworks/jury.py
+++ b/oakvale/headworks/jury.py
@@ -12,6 +12,7 @@
 from oakvale.gauge.ballots import Ask, Juror
 from oakvale.mains.links import Answer, Conn, Mains
 
+START = 100_000  # after a start, all holders of before are asked
 PROBE = 250_000  # microseconds for a holder to say which life it is
 
 
@@ -23,6 +24,8 @@
         kept = {str(duty): (str(life), str(where)) for duty, (life, where) in found.items()}
         self._juror, self._kept = Juror(kept, loop.now), kept
         self._probing: set[str] = set()
+        for life, where in kept.values():
+            loop.at(loop.now + START, lambda _, life=life, where=where: self._probe(life, where))  # type: ignore[misc]
         mains.handlers["ballot"] = self._ballot
         mains.handlers["who"] = self._who
         mains.handlers["ended"] = lambda conn, body, answer: self._juror.ended(str(body), loop.now)
--- a/oakvale/penstock/tree.py
+++ b/oakvale/penstock/tree.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from functools import lru_cache
 from hashlib import blake2b
 
 FAN_OUT = 4
@@ -22,6 +23,7 @@
     life: str
 
 
+@lru_cache(4096)
 def place(name: str) -> int:
     """On the ring."""
     return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
@@ -41,6 +43,16 @@
     return turned[:count]
 
 
+def watched(members: Iterable[Member], node: str, count: int) -> list[Member]:
+    """Those whose heartbeats a gateway gets: the few before it on the ring."""
+    order = ring(members)
+    at = next((n for n, member in enumerate(order) if member.node == node), None)
+    if at is None:
+        return []
+    turned = order[at + 1:] + order[:at]
+    return turned[max(0, len(turned) - count):]
+
+
 def next_on_ring(members: Iterable[Member], duty: str, count: int) -> list[Member]:
     """The few that stand for a duty: those next on the ring from its own place."""
     order = ring(members)
--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -20,7 +20,7 @@
 from oakvale.memory.requests import InHand
 from oakvale.penstock.feed import Feed
 from oakvale.penstock.table import Table
-from oakvale.penstock.tree import Member, sources, watchers
+from oakvale.penstock.tree import Member, sources, watched, watchers
 from oakvale.sluice.plant import Plant
 from oakvale.sluice.routes import backends, configured, members
 from oakvale.wire.clients import Incoming, plain
@@ -81,6 +81,8 @@
         self.plant = Plant(self.shared, self.gauge, sorted(settings.zones), settings.zone)
         self.feed = Feed(self.loop, self.mains, self.table, lambda: {"node": settings.node, "life": self.life},
                          self._sources, self._changed)
+        self._watchers: list[Member] = []  # this gateway's, and those that it watches itself
+        self._watched: list[Member] = []
         self._heard: dict[str, int] = {}  # node and life -> its last heartbeat here
         self._turn = 0
         self._joined = False
@@ -154,16 +156,15 @@
         if own is None or own.life != self.life:
             self._joined = False
             return
-        for member in watchers(everyone.values(), self.settings.node, WATCHERS):
+        for member in self._watchers:
             address = parse_address(member.address)
             if address is not None:
                 self.mains.tell(address, "alive", [self.settings.node, self.life])
-        watched = [member for member in everyone.values() if member.node != self.settings.node and any(
-            w.node == self.settings.node for w in watchers(everyone.values(), member.node, WATCHERS))]
-        heard = {f"{m.node} {m.life}": self._heard.get(f"{m.node} {m.life}", now) for m in watched}
+        seen = self._watched
+        heard = {f"{m.node} {m.life}": self._heard.get(f"{m.node} {m.life}", now) for m in seen}
         self._heard = heard
         primary = parse_address(self._core[0]) if self._core else None
-        for member in watched:
+        for member in seen:
             if now - heard[f"{member.node} {member.life}"] > MISSED and primary is not None:
                 self.mains.tell(primary, "missing", {"node": member.node, "life": member.life,
                                                      "watcher": self.settings.node})
@@ -192,6 +193,9 @@
             copies = [str(address) for address in held.get("copies") or []]
             self._core = list(dict.fromkeys([*copies, *self._jurors, *self._core]))[:16]
         if moved:
+            everyone = picture.members.values()
+            self._watchers = watchers(everyone, self.settings.node, WATCHERS)
+            self._watched = watched(everyone, self.settings.node, WATCHERS)
             self.gauge.members_changed()
             self.feed.reconsider()
 
--- a/tests/test_penstock.py
+++ b/tests/test_penstock.py
@@ -13,7 +13,7 @@
 from oakvale.base.address import parse_address
 from oakvale.penstock.feed import FORGIVEN, PULSE, STALE, TRY, Feed, Outlet
 from oakvale.penstock.table import GRAVES, NOTHING, Table, Version
-from oakvale.penstock.tree import FAN_OUT, Member, next_on_ring, ring, sources, watchers
+from oakvale.penstock.tree import FAN_OUT, Member, next_on_ring, ring, sources, watched, watchers
 
 MS, SECOND = 1_000, 1_000_000
 
@@ -352,3 +352,12 @@
     del fleet.feeds["n4"].table._entries["a"]
     fleet.net.run(6 * SECOND)
     assert not fleet.behind()
+
+
+def test_who_is_watched_is_who_sends_heartbeats() -> None:
+    """Each gateway works out both sides from the ring alone; where they differed, a silent one was missed by none."""
+    fleet = [Member(f"n{n}", f"10.0.0.{n}:1", "a", "l") for n in range(9)]
+    for size in range(1, 10):
+        for one in fleet[:size]:
+            sends = {m.node for m in fleet[:size] if one in watchers(fleet[:size], m.node, 3)}
+            assert {m.node for m in watched(fleet[:size], one.node, 3)} == sends
