A board for each service: who keeps it sees all gateways' attempts and names a backend

The gateways that hold the counting duties keep a board of each service; a request's first attempt goes where it names, if the own news allow it, and by the own choice where nobody answers in 40 ms. Idle connections last as Keep-Alive says.

--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -74,6 +74,14 @@
     def held(self) -> list[str]:
         return sorted(duty for duty in self._counters if self._counts(duty))
 
+    def counts(self, duty: str) -> bool:
+        """Whether this gateway does a duty now."""
+        return self._counts(duty)
+
+    def holder(self, duty: str) -> Address | None:
+        """The other gateway that does it, as far as known."""
+        return self._holders.get(duty)
+
     # ---- asking
 
     def ask(self, tenant: str, again: bool, then: Told, late: bool = False) -> None:
--- a/oakvale/interface.py
+++ b/oakvale/interface.py
@@ -134,6 +134,7 @@
     first: int
     deadline: int  # clock time at which the client gives up
     flags: int = 0
+    hint: int = 0  # the backend that its first attempt had best go to; 0: none is known
 
 
 @dataclass(slots=True, frozen=True)
--- a/oakvale/lane.py
+++ b/oakvale/lane.py
@@ -35,7 +35,7 @@
         self.log = logging.getLogger("oakvale.host")
         self.buffers = BufferPool(limits.buffer, limits.buffers)
         self.requests = RequestsInHand(limits.requests)
-        self.idle = IdleConnections(limits.backend_idle, limits.backend_settle)
+        self.idle = IdleConnections(limits.backend_settle)
         self.clients = Clients(limits.client_grace, limits.clients_idle)
         self.tally = Tally()
         self.backend_connections = 0
--- a/oakvale/memory/idle.py
+++ b/oakvale/memory/idle.py
@@ -10,8 +10,8 @@
 
 
 class IdleConnections:
-    def __init__(self, longest: int, settle: int) -> None:
-        self._longest, self._settle = longest, settle
+    def __init__(self, settle: int) -> None:
+        self._settle = settle
         self._by_backend: dict[int, deque[Carrier]] = {}
         self.count = 0
 
@@ -31,7 +31,7 @@
                 unsettled.append(connection)
                 continue
             self.count -= 1
-            if connection.whole():
+            if now - connection.used < connection.lasts and connection.whole():
                 found = connection
             else:
                 connection.end()
@@ -50,8 +50,10 @@
     def sweep(self, now: int) -> None:
         """Ends those that stood idle too long; the oldest come first."""
         for connections in list(self._by_backend.values()):
-            while connections and now - connections[0].used >= self._longest:
-                self._end(connections)
+            for connection in [c for c in connections if now - c.used >= c.lasts]:
+                connections.remove(connection)
+                self.count -= 1
+                connection.end()
 
     def free(self, backend: int) -> None:
         connections = self._by_backend.pop(backend, None)
--- a/oakvale/memory/requests.py
+++ b/oakvale/memory/requests.py
@@ -57,6 +57,9 @@
     def backend(self) -> int: ...
     @property
     def used(self) -> int: ...
+    @property
+    def lasts(self) -> int:
+        """Microseconds for which it may stay idle and be used again."""
 
     def use(self, attempt: AttemptOut) -> None:
         """Gives an idle connection its next request."""
--- a/oakvale/sluice/dialect.py
+++ b/oakvale/sluice/dialect.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from oakvale.interface import Ending
 from oakvale.memory.requests import Answer, AttemptOut, Headers
 from oakvale.wire.backends import Spoilt
@@ -9,6 +11,7 @@
 
 OURS = frozenset({b"time-left", b"backend", b"tenant", b"authorization", b"attempt-id"})
 FOR_US = frozenset({b"not-run", b"served-by", b"keep-alive"})
+TIMEOUT = re.compile(rb"timeout\s*=\s*([0-9]{1,6})", re.IGNORECASE)
 PROMISES = (408, 421, 429, 503)  # a client takes these for 'it has not run and never will'
 
 
@@ -39,6 +42,14 @@
             return Ending.FULL
         return Ending.ERROR
 
+    def idle(self, headers: Headers) -> int | None:
+        """`Keep-Alive: timeout=10`, in whole seconds."""
+        for name, value in headers:
+            found = TIMEOUT.search(value) if name == b"keep-alive" else None
+            if found is not None:
+                return int(found[1]) * 1_000_000
+        return None
+
     def report(self, headers: Headers) -> tuple[float, ...]:
         return ()
 
--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -78,7 +78,7 @@
         terms = Terms(given.quota_win, given.quota_excess, given.quota_slack)
         self.gauge = Gauge(self.loop, self.mains, terms, settings.node, self.life, self.own,
                            self._members, lambda: self._jurors, self._quota)
-        self.plant = Plant(self.shared, self.gauge, sorted(settings.zones), settings.zone)
+        self.plant = Plant(self.shared, self.gauge, self.mains, settings.node, sorted(settings.zones), settings.zone)
         self.feed = Feed(self.loop, self.mains, self.table, lambda: {"node": settings.node, "life": self.life},
                          self._sources, self._changed)
         self._watchers: list[Member] = []  # this gateway's, and those that it watches itself
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -4,15 +4,18 @@
 
 import random
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Any
 
 from oakvale import interface as i
 from oakvale.base.address import Address, parse_address
+from oakvale.gauge.board import Offer
+from oakvale.gauge.dispatch import Boards, Pick
 from oakvale.gauge.service import Gauge
 from oakvale.lane import Lane, Shared
-from oakvale.memory.requests import Answer, InHand
+from oakvale.memory.requests import Answer, AttemptOut, InHand
+from oakvale.mains.links import Mains
 from oakvale.memory.tally import Tally
 from oakvale.sluice.dialect import SystemDialect
 from oakvale.sluice.routes import Backend, Picture, Route
@@ -27,6 +30,11 @@
 TEXT = (b"content-type", b"text/plain")
 
 
+OUTCOMES = {
+    i.Ending.SERVED: "served", i.Ending.ERROR: "error", i.Ending.FULL: "full", i.Ending.RESET: "lost",
+    i.Ending.TIMEOUT: "lost", i.Ending.NO_CONNECTION: "lost", i.Ending.CANCELLED: "none", i.Ending.MOOT: "none"}
+
+
 def later(status: int, wait: int, why: bytes) -> Answer:
     """A refusal: it never ran, and names a time to come back, in hundredths of a second upwards."""
     return Answer(status, [TEXT, (b"retry-after", b"%.2f" % (-(-max(wait, 10_000) // 10_000) / 100))], why)
@@ -42,15 +50,18 @@
     event: i.Request
     again: bool = False  # its client came back with it
     given: bool = False  # to the lane
+    pick: Pick | None = None  # the board's advice, until its ticket is handed back
     last: Answer | None = None  # a backend's own failure, if nothing better comes
 
 
 class ServiceLane(Lane):
     """One service: its backends, and the decisions on them."""
 
-    def __init__(self, shared: Shared, service: str, zones: dict[str, int], zone: str, seed: int) -> None:
+    def __init__(self, shared: Shared, boards: Boards, service: str, zones: dict[str, int], zone: str,
+                 seed: int) -> None:
+        self.boards = boards
         self._classes: dict[str, tuple[int, i.RequestClass]] = {}
-        self._zones, self._service = zones, service
+        self._zones, self.service = zones, service
         settings = i.Settings(classes=(), plans=(i.Plan(),), zone=zones.get(zone, 0), retry_after=True,
                               max_attempts=MOST_TRIES, max_retry_after=SECOND, may_cancel=True,
                               cross_zone_price=1.0, cold_from=1.0, late_earns=True)
@@ -61,6 +72,7 @@
         self._addresses: dict[int, Address] = {}
         self._ready: set[int] = set()
         self._known: dict[str, Backend] = {}
+        self._offers: list[Offer] = []
         self.listed = False
 
     def class_of(self, route: Route) -> int:
@@ -76,7 +88,7 @@
             return number
         return known[0]
 
-    def list(self, backends: list[Backend], numbers: dict[str, int]) -> None:
+    def learn(self, backends: list[Backend], numbers: dict[str, int]) -> None:
         known = {b.id: b for b in backends}
         if known == self._known and self.listed:
             return
@@ -93,12 +105,33 @@
                                    state=i.State.READY if backend.ready else i.State.DRAINING,
                                    slots=backend.slots))
         self._ready = {self._numbers[b.id] for b in backends if b.ready}
+        self._offers = [Offer(b.id, b.zone, b.slots, b.warm) for b in backends if b.ready]
         self.give(i.Backends(i.ListForm.FULL, tuple(entries)))
         for name, backend in was.items():
             now = known.get(name)
             if now is None or not now.ready or now.address != backend.address:
                 self.idle.free(self._numbers[name])
 
+    def number(self, backend: str) -> int:
+        """0 for one that is not known here."""
+        return self._numbers.get(backend, 0)
+
+    def attempt_ended(self, attempt: AttemptOut, ending: i.Ending, answer: Answer | None = None,
+                      report: tuple[float, ...] = ()) -> None:
+        """All gateways learn of it, by the keeper of the service's board."""
+        order: Order = attempt.request.event
+        name, latency, outcome = self.backend_id(attempt.backend), self.loop.now - attempt.sent, OUTCOMES[ending]
+        if attempt.hop in attempt.request.out:
+            if order.pick is not None and order.pick.backend == name:
+                self.boards.done(order.pick, order.route.name, latency, outcome)
+                order.pick = None
+            else:
+                self.boards.teach(self.service, name, order.route.name, latency, outcome)
+        super().attempt_ended(attempt, ending, answer, report)
+
+    def offers(self) -> list[Offer]:
+        return self._offers
+
     def backend_id(self, number: int) -> str:
         return self._ids.get(number, "")
 
@@ -121,8 +154,10 @@
 class Plant:
     """The owner of clients' connections."""
 
-    def __init__(self, shared: Shared, gauge: Gauge, zones: list[str], zone: str) -> None:
+    def __init__(self, shared: Shared, gauge: Gauge, mains: Mains, node: str, zones: list[str], zone: str) -> None:
         self.shared, self.gauge = shared, gauge
+        self.boards = Boards(shared.loop, mains, gauge, node, zone,
+                             lambda service: self._lane(service).offers())
         self.loop, self.limits, self.log = shared.loop, shared.limits, shared.log
         self.buffers, self.bodies, self.clients = shared.buffers, shared.bodies, shared.clients
         self.response = shared.response
@@ -173,12 +208,12 @@
             for backend in picture.backends.values():
                 by_service.setdefault(backend.service, []).append(backend)
             for service in {*self._lanes, *by_service}:
-                self._lane(service).list(by_service.get(service, []), self._numbers)
+                self._lane(service).learn(by_service.get(service, []), self._numbers)
 
     def _lane(self, service: str) -> ServiceLane:
         lane = self._lanes.get(service)
         if lane is None:
-            lane = self._lanes[service] = ServiceLane(self.shared, service, self._zones, self._zone,
+            lane = self._lanes[service] = ServiceLane(self.shared, self.boards, service, self._zones, self._zone,
                                                       self._rng.getrandbits(32))
         return lane
 
@@ -244,8 +279,21 @@
 
     def _go(self, request: InHand) -> None:
         order: Order = request.event
-        order.given = True
-        order.lane.request_came(request, order.event)
+        self.boards.ask(order.lane.service, request.deadline - self.loop.now, partial(self._advised, request))
+
+    def _advised(self, request: InHand, pick: Pick | None) -> None:
+        order: Order = request.event
+        if not request.over:
+            order.given, order.pick = True, pick
+            if pick is not None:
+                order.event = replace(order.event, hint=order.lane.number(pick.backend))
+            order.lane.request_came(request, order.event)
+            pick, out = order.pick, {attempt.backend for attempt in request.out.values()}
+            if pick is None or order.lane.number(pick.backend) in out:
+                return
+        if pick is not None:  # not followed
+            order.pick = None
+            self.boards.done(pick, order.route.name, 0, "none")
 
     def _final(self, request: InHand, answer: Answer) -> None:
         request.over = True
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -20,6 +20,7 @@
 FOR_US = frozenset({b"endpoint-load-metrics", b"x-never-ran"})  # what backends tell gateways, not clients
 OURS = frozenset({b"x-trace-id", b"x-expires-in"})
 LOAD = b"endpoint-load-metrics"
+SHY = 1_200_000  # microseconds before its end at which an idle connection is used no more
 
 
 class Spoilt(Exception):
@@ -83,6 +84,9 @@
     def ending(self, answer: Answer) -> Ending:
         """What a whole answer says of its attempt."""
 
+    def idle(self, headers: Headers) -> int | None:
+        """Microseconds that the backend keeps an idle connection, where an answer tells."""
+
     def report(self, headers: Headers) -> tuple[float, ...]:
         """The load that a backend tells of with an answer."""
 
@@ -110,6 +114,9 @@
     def ending(self, answer: Answer) -> Ending:
         return ending_of(answer)
 
+    def idle(self, headers: Headers) -> int | None:
+        return None
+
     def report(self, headers: Headers) -> tuple[float, ...]:
         found = [value for name, value in headers if name == LOAD]
         return load_report(found[-1], self._columns) if found else ()
@@ -144,6 +151,7 @@
     def __init__(self, host: Owner, attempt: AttemptOut, address: Address) -> None:
         self.host, self.backend, self.used = host, attempt.backend, host.loop.now
         self.attempt: AttemptOut | None = attempt
+        self.lasts = host.limits.backend_idle  # while idle
         self._share = Share(host.bodies)
         self._sock = new_socket()
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=host.limits.header)
@@ -206,6 +214,9 @@
             http.start_next_cycle()
             self._share.hold(0)
             self.attempt, self.used = None, self.host.loop.now
+            told = self.host.dialect.idle(answer.headers)
+            # well before the other side closes: what is written to a closed connection may have run
+            self.lasts = self.host.limits.backend_idle if told is None else max(told // 2, told - SHY)
             self.host.idle.put(self)
             self.host.attempt_ended(attempt, self.host.dialect.ending(answer), answer, report)
         else:
--- /dev/null
+++ b/tests/test_board.py
@@ -0,0 +1,94 @@
+"""The board of a service: one picture of what is open at its backends, whoever asks."""
+
+from __future__ import annotations
+
+import random
+
+from oakvale.gauge.board import Board, Offer
+
+MS = 1_000
+HERE = [Offer(f"b{n}", "z", 2, 0) for n in range(4)]
+
+
+def board() -> Board:
+    return Board(random.Random(7).random)
+
+
+def test_two_gateways_do_not_meet_at_one_backend_while_others_are_free() -> None:
+    """Each alone saw its own attempts only: two slots filled here, four attempts waited there."""
+    one = board()
+    named = [one.pick(HERE, f"g{n % 3}", "z", 10_000 * MS, 0) for n in range(8)]
+    counts = {offer.id: sum(1 for found in named if found and found[0] == offer.id) for offer in HERE}
+    assert set(counts.values()) == {2}
+
+
+def test_what_is_handed_back_is_free_again_and_what_never_is_runs_out() -> None:
+    one = board()
+    for _ in range(8):
+        one.pick(HERE, "g", "z", 500 * MS, 0)
+    full = one.pick(HERE, "g", "z", 500 * MS, 0)
+    assert full is not None
+    one.done(full[0], full[1], "r", 0, "none", 1)
+    assert sum(len(spot.open) for spot in one._spots.values()) == 8
+    one.pick(HERE, "g", "z", 900 * MS, 600 * MS)  # a gateway that died hands nothing back
+    assert sum(len(spot.open) for spot in one._spots.values()) == 1
+
+
+def test_one_that_loses_or_turns_away_what_it_gets_is_left_alone_for_a_while() -> None:
+    one = board()
+    found = one.pick(HERE, "g", "z", 10_000 * MS, 0)
+    assert found is not None
+    one.done(*found, "r", 20 * MS, "lost", 1)
+    named = {one.pick(HERE, "g", "z", 10_000 * MS, 2)[0] for _ in range(6)}  # type: ignore[index]
+    assert found[0] not in named
+
+
+def test_one_that_fails_in_part_gets_less_than_the_others() -> None:
+    one, draw, got = board(), random.Random(3), dict.fromkeys((o.id for o in HERE), 0)
+    for at in range(2_000):
+        name, ticket = one.pick(HERE, f"g{draw.randrange(9)}", "z", 10**9, at * 50 * MS) or ("", 0)
+        got[name] += 1
+        grey = name == "b0" and draw.random() < 0.5
+        one.done(name, ticket, "r", 100 * MS, "error" if grey else "served", at * 50 * MS + 1)
+    assert got["b0"] < min(got[name] for name in ("b1", "b2", "b3")) / 2
+
+
+def test_only_what_is_offered_is_named_and_nothing_of_the_rest_is_kept() -> None:
+    one = board()
+    for _ in range(8):
+        one.pick(HERE, "g", "z", 10_000 * MS, 0)
+    assert one.pick(HERE[:1], "g", "z", 10_000 * MS, 1) is not None
+    assert set(one._spots) == {"b0"}
+    assert one.pick([], "g", "z", 10_000 * MS, 2) is None
+
+
+def test_the_own_zone_goes_first_until_it_would_have_to_wait() -> None:
+    one = board()
+    offers = [Offer("near", "z", 2, 0), Offer("far", "y", 2, 0)]
+    named = [one.pick(offers, "g", "z", 10_000 * MS, 0) for _ in range(4)]
+    assert [found[0] for found in named if found] == ["near", "near", "far", "far"]
+
+
+def test_against_a_plain_model_attempts_wait_hardly_more_than_in_one_queue() -> None:
+    """Twelve gateways, four backends of two slots, 70% busy: with the board nearly nobody waits while a slot is
+    free elsewhere; by chance alone a third does."""
+    def waited(choose: bool) -> float:
+        one, draw, late = board(), random.Random(11), 0
+        busy: dict[str, list[tuple[int, int]]] = {offer.id: [] for offer in HERE}
+        now = 0
+        for _ in range(3_000):
+            now += int(draw.expovariate(1) * 100 * MS / (8 * 0.7))
+            for name, work in busy.items():
+                for end, ticket in [w for w in work if w[0] <= now]:
+                    work.remove((end, ticket))
+                    one.done(name, ticket, "r", 100 * MS, "served", now)
+            gate = f"g{draw.randrange(12)}"
+            by_chance = (f"b{draw.randrange(4)}", 0)
+            name, ticket = (one.pick(HERE, gate, "z", 10**12, now) or by_chance) if choose else by_chance
+            late += len(busy[name]) >= 2 and any(len(work) < 2 for work in busy.values())
+            ends = sorted(end for end, _ in busy[name])
+            start = now if len(ends) < 2 else ends[-2]
+            busy[name].append((start + 100 * MS, ticket))
+        return late / 3_000
+
+    assert waited(True) < 0.03 < 0.25 < waited(False)
