--- /dev/null
+++ b/tests/test_plant.py
@@ -0,0 +1,263 @@
+"""The data plane of the whole system on loopback sockets: each test is a rule, and the failure it guards against."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from oakvale.base.limits import Limits
+from oakvale.base.loop import Loop
+from oakvale.gauge.floors import Quota
+from oakvale.lane import Shared
+from oakvale.lifecycle.acceptor import Acceptor, listening
+from oakvale.sluice.plant import Plant
+from oakvale.sluice.routes import Backend, Picture, configured
+from tests.node import MS, FakeClock, Node, Party, StandIn, answer
+
+KEY = "ctnfzs989anu6wsjnban"
+CONFIG = {
+    "gen": 7,
+    "routes": {"cols": ["name", "vhost", "prefix", "type", "deadline", "target_time", "prio", "tries", "public", "svc"],
+               "rows": [["read", "a.example", "/r/", "safe", "5s", "800ms", 2, 2, False, "one"],
+                        ["deep", "a.example", "/r/deep/", "safe", "5s", "800ms", 2, 2, True, "two"],
+                        ["book", "a.example", "/b/", "unsafe", "6000ms", "1s", 1, 2, False, "one"]]},
+    "svcs": {"cols": ["name"], "rows": [["one"], ["two"]]},
+    "tenants": {"cols": ["name", "apikeys", "rate-per-s", "burst"], "rows": [["t1", [KEY], 10, 10]]},
+}
+
+
+class FakeGauge:
+    """Answers as it is told: whether a tenant's request passes, the wait, whether it was counted."""
+
+    def __init__(self) -> None:
+        self.word = (True, 0, True)
+        self.asked: list[tuple[str, bool]] = []
+
+    def ask(self, tenant: str, again: bool, then: Callable[[bool, int, bool], None]) -> None:
+        self.asked.append((tenant, again))
+        then(*self.word)
+
+    def counts(self, duty: str) -> bool:
+        return False
+
+    def holder(self, duty: str) -> None:
+        return None
+
+
+class FakeMains:
+    def __init__(self) -> None:
+        self.handlers: dict[str, Any] = {}
+
+
+class Gate(Node):
+    """The plant where `Node` has the server in service; its driving and its stand-ins stay."""
+
+    def __init__(self) -> None:
+        self.clock = FakeClock()
+        limits = Limits.fill(1024, 200 << 20, 300 * MS, 9_000 * MS, 150 * MS, 100)
+        self.limits = replace(limits, timer_slack=0, wake_slack=0)
+        self.loop = Loop(self.clock, self.limits)
+        self.first, self.second, self.other = Party(), Party(), Party()
+        self.gauge, self.peers = FakeGauge(), []
+        self.plant = Plant(Shared(self.loop, self.limits), self.gauge, FakeMains(), "g", ["z"], "z")  # type: ignore[arg-type]
+        listener = listening(("127.0.0.1", 0), 64)
+        self.address = listener.getsockname()
+        self.acceptor = Acceptor(self.plant, listener, self.loop)
+        self.show()
+
+    def show(self, gone: tuple[str, ...] = (), drain: tuple[str, ...] = (), **changes: Any) -> None:
+        places = {"i-1": ("one", self.first), "i-2": ("one", self.second), "i-3": ("two", self.other)}
+        backends = {name: Backend(name, service, party.text, "z", 2.0, name not in drain, 0)
+                    for name, (service, party) in places.items() if name not in gone}
+        parts = configured(json.dumps(CONFIG | changes).encode())
+        self.plant.show(replace(Picture(**parts), backends=backends))
+
+    def say(self, path: str = "/r/x", rid: str = "a1", key: str | None = KEY, method: str = "GET", body: bytes = b"",
+            **headers: str) -> StandIn:
+        fields = {"Host": "a.example", "Attempt-Id": rid, "Time-Left": "5000"}
+        fields |= {"Authorization": f"Bearer {key}"} if key else {}
+        fields |= {"Content-Length": str(len(body))} if body else {}
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+        head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        client = self.client()
+        client.send(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
+        return client
+
+    def at_backend(self) -> tuple[str, StandIn, bytes]:
+        """The next request that came to a backend of service one: which, its connection, what it read."""
+        def look() -> Any:
+            return next(((name, peer) for name, party in (("i-1", self.first), ("i-2", self.second))
+                         if (peer := party.take())), None)
+        name, peer = self.until(look)
+        return name, self._kept(peer), self.reads(peer)
+
+    def status(self, client: StandIn) -> int:
+        return int(self.reads(client).split()[1])
+
+    def close(self) -> None:
+        self.plant.ended = True
+        self.loop.close()
+        for party in (self.first, self.second, self.other):
+            party.close()
+        for peer in self.peers:
+            peer.close()
+
+
+@pytest.fixture
+def gate() -> Iterator[Gate]:
+    made = Gate()
+    yield made
+    made.close()
+
+
+def sealed(rid: str = "a1", body: bytes = b"ok") -> bytes:
+    return answer(body=body, Attempt_Id=rid, Seal="s")
+
+
+def test_a_backend_is_told_who_it_is_and_whose_the_request_is_and_never_the_key(gate: Gate) -> None:
+    client = gate.say(Tenant="someone-else", Backend="i-9", X_Other="kept")
+    name, backend, came = gate.at_backend()
+    fields = dict(line.split(": ", 1) for line in came.decode().split("\r\n")[1:-2])
+    fields = {name.lower(): value for name, value in fields.items()}
+    assert fields["backend"] == name and fields["tenant"] == "t1" and fields["attempt-id"] == "a1"
+    assert KEY not in came.decode() and fields["x-other"] == "kept" and int(fields["time-left"]) <= 5_000
+    backend.send(sealed())
+    assert gate.reads(client, b"ok").startswith(b"HTTP/1.1 200") and b"seal: s" in client.came.lower()
+
+
+@pytest.mark.parametrize("path, key, host, status", [
+    ("/none/", KEY, "a.example", 404), ("/r/x", KEY, "b.example", 404), ("/r/x", "wrong", "a.example", 401),
+    ("/r/x", None, "a.example", 401)])
+def test_what_no_configuration_allows_is_told_so(
+        gate: Gate, path: str, key: str | None, host: str, status: int) -> None:
+    assert gate.status(gate.say(path, key=key, Host=host)) == status
+
+
+def test_the_longest_prefix_decides_and_a_public_route_wants_no_key(gate: Gate) -> None:
+    gate.say("/r/deep/x", key=None)
+    assert b"tenant" not in gate.reads(gate.taken(gate.other)).lower()
+
+
+def test_nothing_is_denied_before_there_is_a_configuration(gate: Gate) -> None:
+    gate.plant.picture = Picture()
+    client = gate.say("/none/", key="wrong")
+    assert gate.status(client) == 503 and b"retry-after" in client.came
+
+
+@pytest.mark.parametrize("word, status", [((False, 250_000, True), 429), ((False, 200_000, False), 503)])
+def test_over_the_quota_or_not_counted_is_refused_at_once_with_a_time(gate: Gate, word: Any, status: int) -> None:
+    gate.gauge.word = word
+    client = gate.say()
+    assert gate.status(client) == status and b"retry-after: 0.2" in client.came
+    assert gate.first.take() is None and gate.second.take() is None
+
+
+def test_a_repeat_is_told_from_a_first_try_by_the_time_left(gate: Gate) -> None:
+    for rid, left in (("a1", "5000"), ("a2", "4982"), ("a3", "4700")):
+        gate.say(rid=rid, Time_Left=left)
+    gate.until(lambda: len(gate.gauge.asked) == 3)
+    assert [again for _, again in gate.gauge.asked] == [False, False, True]
+
+
+def test_an_unsafe_request_whose_connection_breaks_is_neither_sent_again_nor_promised(gate: Gate) -> None:
+    client = gate.say("/b/x", method="POST", body=b"slot")
+    _, backend, _ = gate.at_backend()
+    backend.close(reset=True)
+    assert gate.status(client) == 502
+    assert gate.first.take() is None and gate.second.take() is None
+
+
+def test_what_surely_never_ran_goes_to_another_backend(gate: Gate) -> None:
+    """421: the address is another's now. The unsafe request has not run and may be sent once more."""
+    client = gate.say("/b/x", method="POST", body=b"slot")
+    name, backend, _ = gate.at_backend()
+    backend.send(answer("421 Misdirected Request", Served_By="i-8"))
+    other, backend, _ = gate.at_backend()
+    assert other != name
+    backend.send(sealed())
+    assert gate.status(client) == 200
+
+
+def test_tries_are_kept_and_what_never_ran_is_refused_with_a_time(gate: Gate) -> None:
+    client = gate.say("/b/x", method="POST", body=b"slot")
+    for _ in range(2):
+        _, backend, _ = gate.at_backend()
+        backend.send(answer("503 Service Unavailable", Not_Run="1"))
+    assert gate.status(client) == 503 and b"retry-after" in client.came
+
+
+@pytest.mark.parametrize("status", ["503 Service Unavailable", "429 Too Many Requests"])
+def test_a_promise_that_no_backend_made_is_not_passed_on(gate: Gate, status: str) -> None:
+    """Without Not-Run it may have run: a client that took the 503 for a promise would have it run twice."""
+    client = gate.say("/b/x", method="POST", body=b"slot")
+    _, backend, _ = gate.at_backend()
+    backend.send(answer(status, Attempt_Id="a1"))
+    assert gate.status(client) == 502
+
+
+def test_a_surplus_answer_is_thrown_away_and_the_own_one_waited_for(gate: Gate) -> None:
+    client = gate.say(rid="a2")
+    _, backend, _ = gate.at_backend()
+    backend.send(sealed("a1", b"another's"))
+    gate.turns()
+    assert client.read() == b""
+    backend.send(sealed("a2", b"its own"))
+    assert gate.reads(client, b"its own").endswith(b"its own") and b"another's" not in client.came
+
+
+@pytest.mark.parametrize("spoilt", [
+    answer(body=b"ok", Attempt_Id="a1"),  # no seal
+    answer(body=b"ok", Attempt_Id="a1", Seal="s", Content_Encoding="gzip"),
+    b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nSeal: s\r\nContent-Length: 9\r\n\r\nhalf",
+    b"\0\1\2 no answer at all\r\n\r\n"])
+def test_a_spoilt_answer_never_looks_like_a_success(gate: Gate, spoilt: bytes) -> None:
+    client = gate.say("/b/x", method="POST", body=b"slot")
+    _, backend, _ = gate.at_backend()
+    backend.send(spoilt)
+    backend.close()
+    assert gate.status(client) == 502
+
+
+def test_a_failure_of_the_backends_own_goes_to_the_client_as_it_is(gate: Gate) -> None:
+    client = gate.say("/b/x", method="POST", body=b"slot")
+    _, backend, _ = gate.at_backend()
+    backend.send(answer("500 Internal Server Error", b"boom", Attempt_Id="a1", Seal="s"))
+    assert gate.reads(client, b"boom").startswith(b"HTTP/1.1 500")
+
+
+def test_a_drained_backend_gets_nothing_more_not_even_a_repeat(gate: Gate) -> None:
+    """Chosen before the drain and sent after it is a breach: the state is looked at when it is sent."""
+    client = gate.say()
+    name, backend, _ = gate.at_backend()
+    other = {"i-1": "i-2", "i-2": "i-1"}[name]
+    gate.show(drain=(other,))
+    backend.send(answer("503 Service Unavailable", Not_Run="1"))
+    gate.show(drain=(other, name))
+    assert gate.status(client) == 503
+    parties = {"i-1": gate.first, "i-2": gate.second}
+    assert parties[other].take() is None
+
+
+def test_a_kept_connection_to_an_address_that_has_another_life_is_not_used(gate: Gate) -> None:
+    client = gate.say()
+    name, backend, _ = gate.at_backend()
+    backend.send(sealed())
+    gate.reads(client, b"ok")
+    gate.show(gone=(name,))
+    gate.until(lambda: backend.read() and backend.ended)
+
+
+def test_a_new_picture_holds_for_the_next_request_whole(gate: Gate) -> None:
+    """Key and route of a version go together: a half of each would be no version that was ever sent."""
+    routes = CONFIG["routes"]["rows"]  # type: ignore[index]
+    gate.show(gen=8, routes={**CONFIG["routes"], "rows": routes[:1]},  # type: ignore[dict-item]
+              tenants={"cols": ["name", "apikeys"], "rows": [["t2", ["new"]]]})
+    assert gate.status(gate.say("/b/x", method="POST", key="new")) == 404
+    assert gate.status(gate.say("/r/x", key=KEY)) == 401
+    gate.say("/r/x", key="new")
+    assert b"tenant: t2" in gate.at_backend()[2].lower()
+    assert gate.plant.picture.tenants["t2"].quota == Quota()
