A successor is proposed as soon as the primary is known dead, or back without its disk

The backup waited out the dead primary's turn to propose, two ticks of the heartbeat in practice. After a start every seat gave the others 0.9 s to be heard, even where another seat spoke from the primary's address, so that its disk was gone.

--- a/oakvale/headworks/succession.py
+++ b/oakvale/headworks/succession.py
@@ -169,7 +169,7 @@
         """Several times a second. `healthy` is false while this seat's own disk does not answer."""
         self._born = now if self._born is None else self._born
         view = self.state.view
-        if view is not None and healthy and now - self._born > self._silence:
+        if view is not None and healthy and (now - self._born > self._silence or self._copy_lost(now, view)):
             self._consider(now, view)
         return self._flush()
 
@@ -223,6 +223,12 @@
     def alive(self, peer: Seat, now: int) -> bool:
         return peer == self.own or now - self._heard.get(peer, -self._silence) < self._silence
 
+    def _copy_lost(self, now: int, view: View) -> bool:
+        """A copy's address speaks as another seat, so its disk is gone; and enough are up to decide on that."""
+        speak = {spare[0] for spare in self._spares if self.alive(spare, now)}
+        return (any(peer[0] in speak and not self.alive(peer, now) for peer in view.copies)
+                and sum(self.alive(peer, now) for peer in view.witnesses) >= view.majority)
+
     # ---- proposing
 
     def _consider(self, now: int, view: View) -> None:
@@ -241,8 +247,9 @@
         if wanted is None:
             self._wanted_since = 0
             return
-        # copies of a rank wait for those before them: two proposers at once only delay each other
-        rank = view.copies.index(self.own) if self.own in view.copies else len(view.copies)
+        # copies of a rank wait for those before them that are up: two proposers at once only delay each other
+        before = view.copies[:view.copies.index(self.own)] if self.own in view.copies else view.copies
+        rank = sum(self.alive(peer, now) for peer in before)
         self._wanted_since = self._wanted_since or now
         if now - self._wanted_since < rank * self._silence // 4:
             return
