--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -80,7 +80,7 @@
         self._former: Address | None = None  # still gives news until the new one has agreed to
         self._asked_at = 0
         self._failed: dict[str, int] = {}
-        self._tries = 0
+        self._noted = 0  # the last pulse of the spell without news that was noted
         self._settled = False
         mains.handlers["news"] = self._news
         mains.handlers["subscribe"] = self._subscribe
@@ -125,7 +125,8 @@
     def _next(self, now: int) -> None:
         if self._source is not None:
             self._failed[f"{self._source[0]}:{self._source[1]}"] = now
-            if self.fresh_at:
+            if self.fresh_at != self._noted:  # once a spell: the others asked in it have not fallen silent
+                self._noted = self.fresh_at
                 note("news are stale", source=self._source[0], for_ms=(now - self.fresh_at) // 1000)
         ways = self._sources(self._failed)
         if ways:
--- a/tests/test_penstock.py
+++ b/tests/test_penstock.py
@@ -337,6 +337,25 @@
     assert feed.fresh() and feed.source() != parse_address(fleet.members["n5"].address)
 
 
+def test_a_spell_without_news_is_noted_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each source asked in it was said to have fallen silent, 15 lines a second: those that did not were hid."""
+    noted: list[Any] = []
+    monkeypatch.setattr("oakvale.penstock.feed.note", lambda event, **fields: noted.append(fields["source"]))
+    fleet = Fleet(1, 1)
+    fleet.net.run(2 * SECOND)
+    for core in fleet.cores:
+        core.primary = ""
+    fleet.net.run(5 * SECOND)
+    assert noted == ["10.9.0.0"] and not fleet.feeds["n0"].fresh()
+    fleet.elect(1)
+    fleet.net.run(SECOND)
+    assert fleet.feeds["n0"].fresh()
+    for core in fleet.cores:
+        core.primary = ""
+    fleet.net.run(2 * SECOND)
+    assert noted == ["10.9.0.0", "10.9.0.1"]
+
+
 def test_news_of_a_primary_that_was_replaced_are_passed_over() -> None:
     fleet = Fleet(1, 1)
     fleet.net.run(SECOND)
