--- /dev/null
+++ b/tests/test_gauge.py
@@ -0,0 +1,294 @@
+"""The counting in simulated time: every sliding window of the quota, and that a duty has one holder."""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_right
+
+import pytest
+
+from oakvale.gauge.ballots import MARGIN, ROUND, SPAN, TURN, Ask, Candidate, Juror, Word
+from oakvale.gauge.floors import ALONE, Alone, Floors, Quota, Read, Terms
+
+MS, SECOND = 1_000, 1_000_000
+TERMS = Terms(5 * SECOND, 0.1, 20)
+QUOTA = Quota(63, 63)
+
+
+def judge(passed: list[int], most: float) -> None:
+    """Every request begins a window."""
+    for first, at in enumerate(passed):
+        assert bisect_right(passed, at + TERMS.window - 1) - first <= most
+
+
+# ---- floors
+
+
+def test_the_floor_is_the_whole_quota() -> None:
+    """What is refused below the limit is worth lost: a tenant at its rate with its burst on top is served whole."""
+    floors, now = Floors(TERMS, 0), 100 * SECOND
+    assert all(floors.add("t", QUOTA, 1.0, False, now).passes for _ in range(63))
+    for _ in range(1_000):
+        now += SECOND // 63
+        assert floors.add("t", QUOTA, 1.0, False, now).passes
+    refused = [floors.add("t", QUOTA, 1.0, False, now) for _ in range(40)][-1]
+    assert not refused.passes and 0 < refused.wait <= SECOND
+    assert floors.add("t", QUOTA, 1.0, False, now + refused.wait).passes
+
+
+@pytest.mark.parametrize("rate", [20, 63])
+def test_every_window_of_a_counter_holds(rate: int) -> None:
+    rng, quota, now, passed = random.Random(rate), Quota(rate, rate), 100 * SECOND, list[int]()
+    floors = Floors(TERMS, 0)
+    while now < 130 * SECOND:
+        now += rng.choice([1, 5, 900]) * MS if rng.random() < 0.9 else 4 * SECOND
+        for _ in range(rng.choice([1, 4, 90])):
+            if floors.add("t", quota, 1.0, rng.random() < 0.3, now).passes:
+                passed.append(now)
+    assert len(passed) > 5 * rate
+    judge(passed, rate * 6 + 0.5 * TERMS.spare(quota))
+
+
+def test_what_none_knows_is_used_and_comes_back() -> None:
+    floors = Floors(TERMS, 10 * SECOND)
+    most = sum(floors.add("t", QUOTA, 1.0, False, 10 * SECOND).passes for _ in range(100))
+    assert most <= 0.15 * TERMS.spare(QUOTA)
+    assert sum(floors.add("u", QUOTA, 1.0, False, 11 * SECOND).passes for _ in range(100)) >= 63
+
+
+def test_what_none_has_known_for_long_is_not_used() -> None:
+    floors = Floors(TERMS, 10 * SECOND)
+    floors.nothing_before(9 * SECOND)
+    assert sum(floors.add("t", QUOTA, 1.0, False, 10 * SECOND).passes for _ in range(100)) >= 63
+
+
+def test_a_counter_leaves_those_out_of_reach_their_share() -> None:
+    """Half of the gateways pass alone: what comes back here is half the quota."""
+    floors, now = Floors(TERMS, 0), 10 * SECOND
+    for _ in range(100):
+        floors.add("t", QUOTA, 0.5, False, now)
+    passed = sum(floors.add("t", QUOTA, 0.5, False, now + n * 5 * MS).passes for n in range(1, 1_001))
+    assert 150 <= passed <= 160
+
+
+def test_one_that_comes_back_leaves_room_for_first_tries() -> None:
+    floors = Floors(TERMS, 0)
+    while floors.add("t", QUOTA, 1.0, True, 10 * SECOND).passes:
+        pass
+    assert [floors.add("t", QUOTA, 1.0, False, 10 * SECOND).passes for _ in range(3)] == [True, True, False]
+
+
+def test_no_rate_is_no_quota() -> None:
+    assert Floors(TERMS, 0).add("t", Quota(), 1.0, False, 0).passes
+    assert Alone(TERMS, lambda: 1.0, 0).passes("t", Quota(), 0, False, 0)
+
+
+def test_the_highest_of_several_readings_holds() -> None:
+    floors = Floors(TERMS, 0)
+    for level in (5.0, 40.0, 9.0):
+        floors.learn("t", level, SECOND)
+    assert floors.level("t", 63, 63, SECOND) == 40.0
+    assert floors.level("t", 63, 63, SECOND + 100 * MS) == pytest.approx(33.7)
+
+
+def test_readings_age() -> None:
+    read = Read()
+    read.note("t", 40.0, 0)
+    assert read.aged([("t", QUOTA), ("u", QUOTA)], 100 * MS) == {"t": pytest.approx(33.7)}
+    read.add("t", 100 * MS)
+    read.add("u", 100 * MS)
+    assert read.aged([("t", QUOTA)], 100 * MS)["t"] == pytest.approx(34.7)
+    assert read.aged([("t", QUOTA)], SECOND)["t"] == 0.0
+
+
+# ---- alone
+
+
+def test_shares_alone_sum_to_half_the_slack() -> None:
+    """Of any number of gateways, in every window, on average: less than a request each is drawn by lot."""
+    for gateways in (2, 9, 60):
+        rng = random.Random(gateways)
+        fleet = [Alone(TERMS, rng.random, 0) for _ in range(gateways)]
+        passed = [now for now in range(0, 60 * SECOND, 10 * MS)
+                  if fleet[rng.randrange(gateways)].passes("t", QUOTA, gateways, False, now)]
+        assert 0.4 * ALONE * TERMS.spare(QUOTA) * 12 < len(passed)
+        judge(passed, 1.4 * ALONE * TERMS.spare(QUOTA))
+
+
+def test_one_that_just_started_passes_nothing_alone() -> None:
+    alone = Alone(TERMS, lambda: 0.5, SECOND)
+    assert not alone.passes("t", QUOTA, 1, False, SECOND)
+    assert not Alone(TERMS, lambda: 0.0, 0).passes("t", QUOTA, 0, False, 10 * SECOND)
+
+
+def test_who_reaches_no_counter_passes_its_share_of_the_quota() -> None:
+    alone = Alone(TERMS, random.Random(1).random, 0)
+    passed = [now for now in range(0, 20 * SECOND, 10 * MS) if alone.passes("t", QUOTA, 5, True, now)]
+    assert 20 * 63 / 5 <= len(passed) <= 20 * 63 / 5 + 20
+    judge(passed, 6 * 63 / 5 + 10)
+
+
+# ---- ballots
+
+
+class Jury:
+    """Jurors and gateways that stand for one duty, in simulated time: words come late, out of order or not at all,
+    and jurors that start again know only whom they voted for."""
+
+    def __init__(self, seed: int, size: int = 5) -> None:
+        self.rng = random.Random(seed)
+        self.now = 1_000 * SECOND
+        self.size, self.lives = size, 0
+        self.jurors = [Juror({}, self.now) for _ in range(size)]
+        self.names = [""] * size
+        self.candidates = [Candidate("") for _ in range(size)]
+        self.frozen: dict[int, int] = {}
+        self.cut: set[int] = set()
+        self.mail: list[tuple[int, int, int, str, Ask | Word]] = []  # due, from, to, name of who asked
+        self.vacant = 0  # for how long nobody has held it
+        for at in range(size):
+            self.start(at)
+
+    def start(self, at: int) -> None:
+        """Another life. In half of the cases the jurors hear that the one before has ended."""
+        known = self.rng.random() < 0.5
+        if known:
+            for juror in self.jurors:
+                juror.ended(self.names[at], self.now)
+        self.lives += 1
+        self.names[at] = f"life{self.lives}"
+        self.candidates[at] = Candidate(self.names[at])
+
+    def start_juror(self, at: int) -> None:
+        self.jurors[at] = Juror(self.jurors[at].kept(), self.now)
+
+    def send(self, source: int, target: int, name: str, what: Ask | Word) -> None:
+        wait = self.rng.choice([0, 1, 5, 40]) * MS if self.rng.random() < 0.95 else self.rng.randrange(SECOND)
+        if not {source, target} & self.cut and self.rng.random() < 0.98:
+            self.mail.append((self.now + wait, source, target, name, what))
+
+    def ask(self, at: int, ask: Ask | None) -> None:
+        for juror in range(self.size) if ask is not None else ():
+            assert ask is not None
+            self.send(at, juror, self.names[at], ask)
+
+    def step(self) -> None:
+        self.now += 10 * MS
+        due = [m for m in self.mail if m[0] <= self.now and self.frozen.get(m[2], 0) <= self.now]
+        self.mail = [m for m in self.mail if m not in due]
+        for _, source, target, name, what in due:
+            if isinstance(what, Ask):
+                self.send(target, source, name, self.jurors[target].hear(what, f"at {name}", self.now))
+            elif name == self.names[target]:
+                self.ask(target, self.candidates[target].hear(what, str(source), self.size, self.now))
+        for at in range(self.size):
+            if self.frozen.get(at, 0) <= self.now and self.now // (10 * MS) % 6 == at:
+                self.ask(at, self.candidates[at].tick("d", 0, at, self.now))
+        holders = [at for at in range(self.size) if self.candidates[at].holds("d", self.now)]
+        assert len(holders) <= 1, f"{holders} hold it at once"
+        self.vacant = 0 if holders else self.vacant + 10 * MS
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_a_duty_has_one_holder_at_a_time(seed: int) -> None:
+    jury = Jury(seed, 3 if seed % 2 else 5)
+    held = 0
+    for _ in range(3_000):
+        jury.step()
+        at = jury.rng.randrange(jury.size)
+        if jury.rng.random() < 0.01:
+            jury.start(at)
+        if jury.rng.random() < 0.01:
+            jury.start_juror(at)
+        if jury.rng.random() < 0.005:
+            jury.frozen[at] = jury.now + jury.rng.randrange(3_000) * MS
+        if jury.rng.random() < 0.005:
+            jury.cut = jury.cut ^ {at} if len(jury.cut) < jury.size // 2 else set()
+        held += not jury.vacant
+    assert held > 300
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_vacant_duty_is_filled(seed: int) -> None:
+    """Once the span of its holder is over: two of five are down, and words are lost now and then."""
+    jury = Jury(seed)
+    for _ in range(4):
+        for at in jury.rng.sample(range(5), 2):
+            jury.start(at)
+            jury.cut = {at}
+        for _ in range(500):
+            jury.step()
+            assert jury.vacant < 2 * SPAN + 3 * ROUND + 5 * TURN, "vacant for too long"
+
+
+def won(candidate: Candidate, now: int) -> None:
+    ask = candidate.tick("d", 0, 0, now)
+    for kind in ("prepare", "elect"):
+        assert ask is not None and ask.kind == kind
+        for juror in "xy":
+            ask = candidate.hear(Word("d", kind, ask.number, True), juror, 3, now) or ask
+    assert candidate.holds("d", now)
+
+
+def test_late_words_of_a_renewal_do_not_count_for_the_next() -> None:
+    """They said until when the earlier one binds: with them a holder went on past the votes for it."""
+    candidate, now = Candidate("a"), 10 * SECOND
+    won(candidate, now)
+    now += SPAN // 2
+    first = candidate.tick("d", 0, 0, now)
+    now += ROUND
+    second = candidate.tick("d", 0, 0, now)
+    assert first is not None and second is not None
+    for juror in "xy":
+        candidate.hear(Word("d", "elect", first.number, True), juror, 3, now)
+    assert candidate.until["d"] <= now - ROUND + SPAN - MARGIN
+
+
+def test_a_holder_that_cannot_renew_stops_by_its_own_clock() -> None:
+    candidate = Candidate("a")
+    won(candidate, 10 * SECOND)
+    assert candidate.holds("d", 10 * SECOND + SPAN - MARGIN - 1)
+    assert not candidate.holds("d", 10 * SECOND + SPAN - MARGIN)
+    candidate.drop("d")
+    assert not candidate.holds("d", 10 * SECOND)
+
+
+def test_a_juror_that_starts_votes_for_no_other_than_before_for_a_span() -> None:
+    before = Juror({}, 0)
+    assert before.hear(Ask("d", "elect", (1, "a")), "here", 0).yes
+    assert before.kept() == {"d": ("a", "here")}
+    juror = Juror(before.kept(), SECOND)
+    refused = juror.hear(Ask("d", "elect", (2, "b")), "there", SECOND + SPAN - 1)
+    assert not refused.yes and (refused.holder, refused.where, refused.left) == ("a", "here", 1)
+    assert juror.holder("d", SECOND) == ("a", "here")
+    assert juror.hear(Ask("d", "elect", (3, "a")), "here", SECOND).yes
+    assert juror.hear(Ask("e", "elect", (1, "b")), "there", SECOND).yes
+
+
+def test_a_holder_that_ended_frees_its_votes() -> None:
+    juror = Juror({}, 0)
+    juror.hear(Ask("d", "elect", (1, "a")), "here", 0)
+    juror.ended("b", 1)
+    assert not juror.hear(Ask("d", "prepare", (2, "b")), "there", 1).yes
+    juror.ended("a", 2)
+    assert juror.holder("d", 2) is None
+    assert juror.hear(Ask("d", "prepare", (2, "b")), "there", 2).yes
+    assert not juror.hear(Ask("d", "prepare", (1, "c")), "over there", 2).yes  # one that is overtaken
+
+
+def test_those_who_stand_wait_their_turn() -> None:
+    first, second, now = Candidate("a"), Candidate("b"), 10 * SECOND
+    silent = now - 500 * MS
+    assert first.tick("d", silent, 0, now) is not None
+    assert second.tick("d", silent, 1, now) is None
+    assert second.tick("d", silent, 1, now + TURN) is not None
+
+
+def test_a_refused_one_asks_again_above_what_it_heard() -> None:
+    candidate, now = Candidate("a"), 10 * SECOND
+    ask = candidate.tick("d", 0, 0, now)
+    assert ask is not None
+    candidate.hear(Word("d", "prepare", ask.number, False, 7, "b", "there", SECOND), "x", 3, now)
+    assert candidate.tick("d", 0, 0, now + 60 * MS) is None
+    again = candidate.tick("d", 0, 0, now + 150 * MS)
+    assert again is not None and again.number[0] == 8
