--- a/oakvale/gauge/floors.py
+++ b/oakvale/gauge/floors.py
@@ -3,8 +3,9 @@
 No I/O and no clock. The floor is the whole quota and slides: use leaks away at the quota's rate, and a tenant
 is under its floor while its level stays under the burst, as quotas are judged in every window. Who has
 not reached the counter for a while passes its even share of the quota alone, and the counter, which has not heard
-of it for as long, lets so much less pass. Of the judges' slack, a small part lets the level go over the burst (a
-request that waited on its way is not refused for it), and half is what may pass alone before that while.
+of it for as long, lets so much less pass, of the rate and of the burst. Of the judges' slack, a small part lets the
+level go over the burst (a request that waited on its way is not refused for it), and half is what may pass alone
+before that while.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 ALONE = 0.5  # of the slack, for all gateways that reach no counter, together
 ALONE_AT_ONCE = 0.4  # of that, what may pass in one go; the rest comes back over a window
 FOR_FIRST = 2.0  # requests' room under a floor that is kept for those that come the first time
+CHANGES = 32  # of the share of gateways in reach, that a counter remembers
 LONGEST_WAIT = SECOND  # DESIGN: a refusal names the window's remaining time, a second at most
 
 
@@ -49,47 +51,79 @@
 
 
 class Floors:
-    """The counter of some tenants. What it doesn't know of a tenant counts as a full burst at its start: a new
-    counter may follow on one that let everything pass."""
+    """The counter of some tenants. What it can't know of a tenant counts as a full burst at its start: a new
+    counter may follow on one that let everything pass. That comes back at the quota's rate, so a tenant which
+    keeps under it hardly feels it.
+
+    `_clock` is time as far as use leaks away here: while a part of the gateways is out of reach, that part of the
+    quota is theirs, and so is that part of the burst, which they may have used once they are back."""
 
     def __init__(self, terms: Terms, now: int) -> None:
-        self._terms, self._began = terms, now
-        self._levels: dict[str, tuple[float, int]] = {}
+        self._terms = terms
+        self._at, self._clock, self._present = now, 0.0, 1.0
+        self._began = 0.0  # by the clock: when what is unknown was a full burst
+        self._past: list[tuple[float, float]] = []  # shares that were out of reach, and the clock when it ended
+        self._levels: dict[str, tuple[float, float]] = {}  # tenant -> level, and the clock then
+        self._uncounted: dict[str, float] = {}
         self.floors = 0.0  # DESIGN: of the tenants counted lately; nothing is lent, so they are only told
         self.served = 0
 
     def nothing_before(self, at: int) -> None:
-        """All gateways have said what they read, and none lived before then: what is unknown here can only
+        """All gateways have said what they read, and none lived before then: what they don't know can only
         have been used up before."""
-        self._began = min(self._began, at)
+        self._began = min(self._began, float(at - self._at))
 
-    def learn(self, tenant: str, level: float, now: int) -> None:
-        """What a gateway last read, aged by it to now; the highest of several holds."""
+    def learn(self, tenant: str, level: float, uncounted: float, now: int) -> None:
+        """What a gateway last read, aged by it to now, of which the highest holds; and what passed there
+        uncounted since, which adds up."""
+        self.reach(self._present, now)
         known = self._levels.get(tenant)
-        self._levels[tenant] = (max(level, known[0]) if known else level, now)
-
-    def level(self, tenant: str, rate: float, burst: float, now: int) -> float:
-        level, at = self._levels.get(tenant) or (burst, self._began)
-        return max(0.0, level - rate * (now - at) / SECOND)
-
-    def add(self, tenant: str, quota: Quota, present: float, again: bool, now: int) -> Verdict:
-        """Counts a request if it is within the floor, and reads the count back. `present`: the share of
-        gateways that reach this counter; the others pass theirs of the quota alone. `again`: it comes back
+        aged = max(level, known[0]) if known else level
+        self._levels[tenant] = (aged, self._clock)
+        self._uncounted[tenant] = self._uncounted.get(tenant, 0.0) + uncounted
+
+    def reach(self, present: float, now: int) -> None:
+        """`present`: the share of gateways that reach this counter; the others pass theirs of the quota alone."""
+        self._clock += self._present * (now - self._at)
+        self._at = now
+        if present > self._present:
+            self._past = [*self._past[1 - CHANGES:], (1 - self._present, self._clock)]
+        self._present = present
+
+    def level(self, tenant: str, quota: Quota, now: int) -> float:
+        self.reach(self._present, now)
+        rate, burst, clock = quota.rate / SECOND, quota.burst, self._clock
+        found = [burst * (1 - self._present), burst - rate * (clock - self._began)]
+        found += [burst * absent - rate * (clock - ended) for absent, ended in self._past]
+        if tenant in self._levels:
+            level, at = self._levels[tenant]
+            found.append(level - rate * (clock - at))
+        uncounted = self._uncounted.pop(tenant, 0.0)
+        level = max(found)
+        if uncounted:
+            level = max(level, min(level + uncounted, self._most(quota)))
+            self._levels[tenant] = (level, clock)
+        return level
+
+    def _most(self, quota: Quota) -> float:
+        return max(1.0, quota.burst) + OVER * self._terms.spare(quota)
+
+    def add(self, tenant: str, quota: Quota, again: bool, now: int) -> Verdict:
+        """Counts a request if it is within the floor, and reads the count back. `again`: it comes back
         after a refusal. Such a one leaves a little room for those that come first: who asks again at once and
         often gains nothing by it."""
         if quota.rate <= 0:
             return Verdict(True, 0.0, 0)
         if tenant not in self._levels:
             self.floors += quota.rate + quota.burst
-        rate = max(quota.rate * present, 1e-6)
-        level = self.level(tenant, rate, quota.burst, now)
-        most = max(1.0, quota.burst) + OVER * self._terms.spare(quota)
+        level, most = self.level(tenant, quota, now), self._most(quota)
         kept = min(FOR_FIRST, most / 4) if again else 0.0
         if level + 1 <= most - kept:
-            self._levels[tenant] = (level + 1, now)
+            self._levels[tenant] = (level + 1, self._clock)
             self.served += 1
             return Verdict(True, level + 1, 0)
-        self._levels[tenant] = (level, now)
+        self._levels[tenant] = (level, self._clock)
+        rate = max(quota.rate * self._present, 1e-6)
         wait = min(LONGEST_WAIT, round((level + 1 + kept - most) / rate * SECOND) + 1)
         return Verdict(False, level, wait)
 
@@ -101,42 +135,51 @@
 
     def __init__(self, terms: Terms, draw: Callable[[], float], born: int) -> None:
         self._terms, self._draw, self._born = terms, draw, born
-        self._left: dict[str, tuple[float, int]] = {}
+        self._left: dict[str, tuple[float, float, int]] = {}  # of the slack, of the quota, when
 
-    def passes(self, tenant: str, quota: Quota, gateways: int, absent: bool, now: int) -> bool:
-        """`absent`: no counter was reached for so long that none reckons with this gateway."""
+    def passes(self, tenant: str, quota: Quota, gateways: int, absent: int, now: int) -> bool:
+        """`absent`: for how long no counter has reckoned with this gateway, in microseconds. Its part of the quota
+        begins empty then, as the counter may have passed all of it before."""
         if quota.rate <= 0:
             return True
         if gateways <= 0:
             return False
         share = ALONE * self._terms.spare(quota) / gateways
-        most, rate = ALONE_AT_ONCE * share, (1 - ALONE_AT_ONCE) * share / self._terms.window
-        if absent:
-            most, rate = max(most, quota.burst / gateways), rate + quota.rate / gateways / SECOND
-        left, at = self._left.get(tenant, (0.0, self._born))  # a life before may have spent it
-        left = min(most, left + rate * (now - at))
-        if left >= 1:
-            self._left[tenant] = (left - 1, now)
+        slack, part, at = self._left.get(tenant, (0.0, 0.0, self._born))  # a life before may have spent it
+        past = now - at
+        slack = min(ALONE_AT_ONCE * share, slack + (1 - ALONE_AT_ONCE) * share * past / self._terms.window)
+        part = min(quota.burst / gateways,
+                   (part if absent >= past else 0.0) + quota.rate / gateways * min(absent, past) / SECOND)
+        if slack + part >= 1:
+            self._left[tenant] = (slack - max(0.0, 1 - part), max(0.0, part - 1), now)
             return True
-        self._left[tenant] = (0.0 if left > 0 else left, now)
-        return self._draw() < left
+        self._left[tenant] = (0.0, 0.0, now)
+        return self._draw() < slack + part
 
 
 class Read:
-    """What this gateway last read of each tenant's count, so that a new counter need not begin blind."""
+    """What this gateway last read of each tenant's count, and what it passed uncounted since, so that a new
+    counter need not begin blind."""
 
     def __init__(self) -> None:
         self._read: dict[str, tuple[float, int]] = {}
+        self._uncounted: dict[str, tuple[float, int]] = {}
 
     def note(self, tenant: str, level: float, now: int) -> None:
         self._read[tenant] = (level, now)
+        self._uncounted.pop(tenant, None)
 
     def add(self, tenant: str, now: int) -> None:
         """One that passed uncounted."""
-        level, at = self._read.get(tenant, (0.0, now))
-        if tenant in self._read:
-            self._read[tenant] = (level + 1, at)
-
-    def aged(self, quotas: Iterable[tuple[str, Quota]], now: int) -> dict[str, float]:
-        return {tenant: max(0.0, self._read[tenant][0] - quota.rate * (now - self._read[tenant][1]) / SECOND)
-                for tenant, quota in quotas if tenant in self._read}
+        self._uncounted[tenant] = (self._uncounted.get(tenant, (0.0, 0))[0] + 1, now)
+
+    def aged(self, quotas: Iterable[tuple[str, Quota]], gateways: int, now: int) -> dict[str, tuple[float, float]]:
+        """Level and uncounted. The latter leak away by this gateway's share of the rate, once no more come."""
+        found = {}
+        for tenant, quota in quotas:
+            level, at = self._read.get(tenant, (0.0, now))
+            more, last = self._uncounted.get(tenant, (0.0, now))
+            if tenant in self._read or more:
+                found[tenant] = (max(0.0, level - quota.rate * (now - at) / SECOND),
+                                 max(0.0, more - quota.rate / max(1, gateways) * (now - last) / SECOND))
+        return found
--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -12,7 +12,7 @@
 from oakvale.base.address import Address, parse_address, spelled
 from oakvale.base.loop import Loop
 from oakvale.gauge.ballots import Ask, Candidate, Word
-from oakvale.gauge.floors import Alone, Floors, Quota, Read, Terms
+from oakvale.gauge.floors import SECOND, Alone, Floors, Quota, Read, Terms
 from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.penstock.tree import Member, next_on_ring, place
@@ -21,13 +21,15 @@
 STAND = 4  # gateways that stand for a duty
 WAIT = 150_000  # microseconds for the counter's answer
 TICK = 60_000
-GREET = 300_000  # without a call to a counter for so long, it is greeted
-PRESENT = 700_000  # a counter reckons with who was heard this lately
-ABSENT = PRESENT + 100_000  # after so long without an answer, a gateway knows that none reckons with it
+GREET = 250_000  # without a call to a counter for so long, it is greeted
+PRESENT = 900_000  # a counter reckons with who has heard from it this lately, as far as it knows
+ABSENT = PRESENT + 100_000  # after so long without hearing from it, a gateway knows that none reckons with it
 GATHER = 100_000  # for what others last read, before a new counter begins
 MOMENT = 120_000  # a request waits so long for a counter to be found
 DOUBT = 80_000  # after an unanswered call, the counter is not waited for
-KEPT = 10_000_000  # how long the number of gateways is remembered at its highest
+KEPT = 10_000_000  # one that left the list may still pass its share, unless it is proven to have ended
+ALIKE = 10_000  # the share of gateways that is present is worked out anew after this
+REACHED = 2_000_000  # answers of other gateways this lately show that it is not this one that is cut off
 
 note = Writer(__name__)
 
@@ -56,7 +58,11 @@
         self._asked: dict[str, int] = {}
         self._heard: dict[str, int] = {}  # gateway -> when it last called here
         self._ranks: dict[str, int] = {}  # duty -> this gateway's place among those who stand for it
-        self._most: tuple[int, int] = (0, 0)  # gateways, and when so many were known
+        self._lately: dict[str, tuple[Member, int]] = {}  # gateways, and when each was last on the list
+        self._ended: dict[str, str] = {}  # gateway -> its life that is proven to have ended
+        self._share = (1.0, -ALIKE)  # of gateways that are present, and when that was worked out
+        self._reached: dict[Address, int] = {}  # gateway -> when it last answered, or was proven to have ended
+        self._stamps: dict[Address, Any] = {}  # counter -> its latest stamp, to be told back to it
         self._born = loop.now
         self._waiting: dict[str, dict[int, Callable[[], None]]] = {}
         self._number = 0
@@ -66,7 +72,7 @@
         mains.handlers["count"] = self._count
         mains.handlers["greet"] = self._greeted
         mains.handlers["gauge"] = self._announced
-        mains.handlers["counts"] = lambda conn, body, answer: answer(self._known(str(body)))
+        mains.handlers["counts"] = lambda conn, body, answer: answer([self._known(str(body))])
         mains.handlers["levels"] = self._levels
         mains.handlers["life"] = lambda conn, body, answer: answer(life)
         loop.at(loop.now + TICK, self._tick)
@@ -84,7 +90,8 @@
         self._tenants.add(tenant)
         duty, now = duty_of(tenant), self.loop.now
         if self._counts(duty):
-            verdict = self._counters[duty].add(tenant, quota, self._present(), again, now)
+            self._counters[duty].reach(self._present(), now)
+            verdict = self._counters[duty].add(tenant, quota, again, now)
             self._read.note(tenant, verdict.level, now)
             return then(verdict.passes, verdict.wait, True)
         holder = self._holders.get(duty)
@@ -98,13 +105,14 @@
                 self._unanswered(duty, holder)
                 return self._pass_alone(tenant, quota, then)
             self._doubt.pop(duty, None)
-            self._contact[duty] = self.loop.now
+            self._contact[duty], self._stamps[holder] = self.loop.now, answer[3]
             passes, level, wait = bool(answer[0]), float(answer[1]), int(answer[2])
             self._read.note(tenant, level, self.loop.now)
             then(passes, wait, True)
 
         self._called[duty] = now
-        self.mains.ask(holder, "count", [tenant, quota.rate, quota.burst, self._node, again], WAIT, answered)
+        self.mains.ask(holder, "count", [tenant, quota.rate, quota.burst, self._node, again, self._stamps.get(holder)],
+                       WAIT, answered)
 
     def _wait_for(self, duty: str, call: Callable[[], None]) -> None:
         """Nobody is known to count yet: a moment is given to the ballots."""
@@ -131,18 +139,26 @@
 
     def _pass_alone(self, tenant: str, quota: Quota, then: Told) -> None:
         now = self.loop.now
-        absent = now - self._contact.get(duty_of(tenant), -ABSENT) > ABSENT
-        passes = self.alone.passes(tenant, quota, self._gateways(), absent, now)
+        absent = now - max(self._contact.get(duty_of(tenant), 0), self._born) - ABSENT
+        if absent > KEPT - 2 * SECOND and not self._among_others():
+            absent = 0
+        passes = self.alone.passes(tenant, quota, len(self._lately), max(0, absent), now)
         if passes:
             self._read.add(tenant, now)
         then(passes, 200_000, False)
 
-    def _gateways(self) -> int:
-        """As many as there were lately: one that left the list may still pass its share."""
-        count, now = len(self._members()), self.loop.now
-        if count >= self._most[0] or now - self._most[1] > KEPT:
-            self._most = (count, now)
-        return self._most[0]
+    def _among_others(self) -> bool:
+        """Whether half of the others answer. One that is cut off from them is taken from the list, and after a while
+        its share is theirs."""
+        now = self.loop.now
+        others = [self._reached.get(address, -REACHED) for address in self._others()]
+        return 2 * sum(1 for at in others if now - at < REACHED) >= len(others)
+
+    def _remember(self) -> None:
+        now = self.loop.now
+        self._lately = {node: kept for node, kept in self._lately.items() if now - kept[1] <= KEPT}
+        for node, member in self._members().items():
+            self._lately[node] = (member, now)
 
     def _find(self, duty: str) -> None:
         """Asks the jurors, and a gateway or two for those who can't reach them, who counts."""
@@ -154,7 +170,12 @@
             self.mains.ask(address, "who", duty, WAIT, lambda answer: self._heard_of(duty, answer))
         others = self._others()
         for address in random.sample(others, min(2, len(others))):
-            self.mains.ask(address, "counts", duty, WAIT, lambda answer: self._heard_of(duty, answer))
+            self.mains.ask(address, "counts", duty, WAIT, partial(self._told_by, duty, address))
+
+    def _told_by(self, duty: str, address: Address, answer: Any) -> None:
+        if isinstance(answer, list) or self.mains.ended(address):
+            self._reached[address] = self.loop.now
+        self._heard_of(duty, answer[0] if isinstance(answer, list) else None)
 
     def _heard_of(self, duty: str, answer: Any) -> None:
         address = parse_address(answer) if answer else None
@@ -179,23 +200,49 @@
         return duty in self._counters and self._candidate.holds(duty, self.loop.now)
 
     def _present(self) -> float:
-        """The share of gateways that reach this one."""
+        """The share of gateways that are known to have heard from this one lately. Those that are proven to have
+        ended pass nothing, and leave nothing out."""
         now = self.loop.now
-        members = self._members()
-        here = sum(1 for node in members if node == self._node or now - self._heard.get(node, -PRESENT) < PRESENT)
-        return min(1.0, max(1, here) / max(1, self._gateways()))
+        if now - self._share[1] >= ALIKE:
+            may = {node for node, (member, _) in self._lately.items() if self._ended.get(node) != member.life}
+            here = sum(1 for node in may | {self._node} if node == self._node or self._here(node))
+            self._share = (min(1.0, here / max(1, len(may | {self._node}))), now)
+        return self._share[0]
+
+    def _here(self, node: str) -> bool:
+        return self.loop.now - self._heard.get(node, -PRESENT) < PRESENT
+
+    def _stamp(self) -> list[Any]:
+        return [self._life, self.loop.now]
+
+    def _hears(self, node: str, stamp: Any) -> None:
+        """A gateway tells back what was the latest that it heard from here: until when it surely waits."""
+        if isinstance(stamp, list) and stamp[0] == self._life:
+            self._heard[node] = max(self._heard.get(node, 0), int(stamp[1]))
+
+    def _prove(self) -> None:
+        """Who is not here may have ended."""
+        for node, (member, _) in self._lately.items():
+            address = parse_address(member.address)
+            if address and node != self._node and not self._here(node) and self._ended.get(node) != member.life:
+                self.mains.ask(address, "life", None, WAIT, partial(self._proven, member, address))
+
+    def _proven(self, member: Member, address: Address, answer: Any) -> None:
+        if isinstance(answer, str) and answer != member.life or answer is None and self.mains.ended(address):
+            self._ended[member.node] = member.life
 
     def _count(self, conn: Conn, body: Any, answer: Answer) -> None:
         tenant = str(body[0])
         duty = duty_of(tenant)
         if not self._counts(duty):
             return answer(None)
-        self._heard[str(body[3])] = self.loop.now
+        self._hears(str(body[3]), body[5])
         quota = self._quota(tenant)
         if quota.rate <= 0:
             quota = Quota(float(body[1]), float(body[2]))  # news of it have not come here yet
-        verdict = self._counters[duty].add(tenant, quota, self._present(), bool(body[4]), self.loop.now)
-        answer([verdict.passes, verdict.level, verdict.wait])
+        self._counters[duty].reach(self._present(), self.loop.now)
+        verdict = self._counters[duty].add(tenant, quota, bool(body[4]), self.loop.now)
+        answer([verdict.passes, verdict.level, verdict.wait, self._stamp()])
 
     def _greet(self, address: Address) -> None:
         """Who calls seldom is reckoned with all the same."""
@@ -205,20 +252,25 @@
 
         def answered(answer: Any) -> None:
             for duty in asked:
-                if isinstance(answer, list) and duty in answer:
-                    self._contact[duty] = self.loop.now
+                if isinstance(answer, list) and duty in answer[0]:
+                    self._contact[duty], self._stamps[address] = self.loop.now, answer[1]
                 elif self._holders.get(duty) == address:
                     self._unanswered(duty, address)
 
-        self.mains.ask(address, "greet", self._node, WAIT, answered)
+        self.mains.ask(address, "greet", [self._node, self._stamps.get(address)], WAIT, answered)
 
     def _greeted(self, conn: Conn, body: Any, answer: Answer) -> None:
-        self._heard[str(body)] = self.loop.now
-        answer(self.held())
+        self._hears(str(body[0]), body[1])
+        answer([self.held(), self._stamp()])
 
     def _levels(self, conn: Conn, body: Any, answer: Answer) -> None:
-        """What was last read here, and for how long this gateway has lived."""
-        answer([self._read.aged(self._of(str(body)), self.loop.now), self.loop.now - self._born])
+        """What was last read here, and for how long this gateway has lived. Who asks is elected and reckons with
+        this gateway from now on."""
+        duty = str(body[0])
+        self._contact[duty] = self.loop.now
+        levels = self._read.aged(self._of(duty), len(self._lately), self.loop.now)
+        answer([{tenant: list(known) for tenant, known in levels.items()}, self.loop.now - self._born, self._node,
+                body[1]])
 
     def _of(self, duty: str) -> list[tuple[str, Quota]]:
         return [(tenant, self._quota(tenant)) for tenant in self._tenants if duty_of(tenant) == duty]
@@ -228,19 +280,21 @@
         now = self.loop.now
         counter = Floors(self._terms, now)
         self._gathering.add(duty)
-        for tenant, level in self._read.aged(self._of(duty), now).items():
-            counter.learn(tenant, level, now)
+        for tenant, known in self._read.aged(self._of(duty), len(self._lately), now).items():
+            counter.learn(tenant, *known, now)
 
         others = self._others()
         ages = [now - self._born]
 
         def gathered(answer: Any) -> None:
-            if isinstance(answer, list) and duty in self._gathering:
-                ages.append(int(answer[1]))
-                for tenant, level in answer[0].items():
-                    counter.learn(str(tenant), float(level), self.loop.now)
-                if len(ages) > len(others):
-                    counter.nothing_before(now - min(ages))
+            if not isinstance(answer, list) or duty not in self._gathering:
+                return
+            ages.append(int(answer[1]))
+            self._hears(str(answer[2]), answer[3])
+            for tenant, (level, uncounted) in answer[0].items():
+                counter.learn(str(tenant), float(level), float(uncounted), self.loop.now)
+            if len(ages) > len(others):
+                counter.nothing_before(now - min(ages))
 
         def begin(_: Any) -> None:
             self._gathering.discard(duty)
@@ -254,7 +308,7 @@
                 self.mains.tell(address, "gauge", [duty, self._own])
 
         for address in others:
-            self.mains.ask(address, "levels", duty, GATHER, gathered)
+            self.mains.ask(address, "levels", [duty, self._stamp()], GATHER, gathered)
         self.loop.at(now + GATHER, begin)
 
     def _others(self) -> list[Address]:
@@ -273,6 +327,7 @@
     # ---- ballots
 
     def members_changed(self) -> None:
+        self._remember()
         members = self._members().values()
         self._ranks = {}
         for duty in self._duties:
@@ -288,10 +343,15 @@
         now = self.loop.now
         self.loop.at(now + TICK, self._tick)
         greeted: set[Address] = set()
+        self._remember()
+        if self.held():
+            self._prove()
         for duty in self._duties:
             if duty in self._counters and not self._counts(duty):
                 note("counts no longer", duty=duty)
                 del self._counters[duty]
+            elif duty in self._counters:
+                self._counters[duty].reach(self._present(), now)
             if duty in self._ranks or duty in self._counters:
                 silent = max(self._contact.get(duty, 0), self._born)
                 self._put(self._candidate.tick(duty, silent, self._ranks.get(duty, STAND), now))
--- a/oakvale/headworks/jury.py
+++ b/oakvale/headworks/jury.py
@@ -23,6 +23,7 @@
         found = cbor2.loads(stored) if stored else {}
         kept = {str(duty): (str(life), str(where)) for duty, (life, where) in found.items()}
         self._juror, self._kept = Juror(kept, loop.now), kept
+        self._unsaved = 0  # writes that are not on disk yet
         self._probing: set[str] = set()
         for life, where in kept.values():
             loop.at(loop.now + START, lambda _, life=life, where=where: self._probe(life, where))  # type: ignore[misc]
@@ -38,9 +39,15 @@
         word = self._juror.hear(Ask(duty, kind, number), where, self._loop.now)
         packed = [word.kind, list(word.number), word.yes, word.round, word.holder, word.where, word.left]
         kept = self._juror.kept()
-        if kept != self._kept:  # only another holder costs a sync, renewals don't
+        if kept != self._kept or self._unsaved:  # only another holder costs a sync, renewals don't
             self._kept = kept
-            self._cistern.write(("fact", ("votes", cbor2.dumps(kept))), lambda: answer(packed))
+            self._unsaved += 1
+
+            def saved() -> None:
+                self._unsaved -= 1
+                answer(packed)
+
+            self._cistern.write(("fact", ("votes", cbor2.dumps(kept))), saved)
         else:
             answer(packed)
         if not word.yes and word.holder:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,115 @@
+"""Gateways that count and their jurors in simulated time: faults drawn by seed; the judge is in `fleet`."""
+
+from __future__ import annotations
+
+from typing import Any, cast
+
+import cbor2
+import pytest
+
+from oakvale.headworks.jury import Jury
+from tests.fleet import MS, SECOND, Fleet
+
+FILLED = 1_500 * MS  # a duty whose holder's process ended is counted again after this at most
+OFF = 3_200 * MS  # where nothing proves that it ended: its span, and those who stand by turn
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_day_of_faults(seed: int) -> None:
+    fleet = Fleet(seed, (5, 8, 12)[seed % 3])
+    fleet.day(6)
+    fleet.judge()
+    assert fleet.longest < OFF
+    assert fleet.refused["calm"] <= 0.01 * fleet.asked["calm"] + 5
+
+
+def test_nobody_is_refused_in_calm_times() -> None:
+    fleet = Fleet(1, 10)
+    fleet.run(12 * SECOND)
+    fleet.judge()
+    assert fleet.asked["calm"] > 500 and fleet.refused["calm"] <= 0.002 * fleet.asked["calm"]
+    assert not fleet.longest
+
+
+def test_a_counter_that_is_killed_is_soon_replaced() -> None:
+    fleet = Fleet(2, 8)
+    fleet.run(7 * SECOND)
+    for span in (300 * MS, 1_200 * MS, 9 * SECOND):
+        fleet.down(fleet.holder(), span)
+        fleet.run(10 * SECOND)
+    fleet.judge()
+    assert fleet.longest < FILLED
+    assert fleet.refused["kill"] <= 0.05 * fleet.asked["kill"]
+    assert fleet.refused["calm"] <= 0.01 * fleet.asked["calm"]
+
+
+def test_a_counter_without_power_is_replaced_after_its_span() -> None:
+    fleet = Fleet(3, 8)
+    fleet.run(5 * SECOND)
+    fleet.down(fleet.holder(), 20 * SECOND, off=True)
+    fleet.run(8 * SECOND)
+    fleet.judge()
+    assert fleet.longest < OFF
+
+
+def test_gateways_go_on_without_any_juror() -> None:
+    """Each passes its share, however long it lasts, and the windows hold all the while."""
+    fleet = Fleet(4, 6)
+    for tenant in fleet.tenants.values():
+        tenant.sticky = False  # or it has but one gateway's share
+    fleet.run(5 * SECOND)
+    for juror in fleet.core:
+        fleet.down(juror, 60 * SECOND)
+    fleet.run(14 * SECOND)
+    asked, refused = fleet.asked["trouble"], fleet.refused["trouble"]
+    fleet.run(8 * SECOND)
+    fleet.judge()
+    assert fleet.refused["trouble"] - refused < 0.05 * (fleet.asked["trouble"] - asked)
+
+
+def test_one_that_is_cut_off_from_all_does_not_keep_its_share() -> None:
+    """It was off the list, the others had its share, and it passed it too."""
+    fleet = Fleet(5, 3)
+    fleet.run(4 * SECOND)
+    lost = fleet.gates[0]
+    fleet.cut([lost], [*fleet.gates, *fleet.core], 60 * SECOND, True)
+    fleet.run(30 * SECOND)
+    fleet.judge()
+
+
+class Held:
+    """A disk that keeps all writes waiting."""
+
+    def __init__(self) -> None:
+        self.writes: list[tuple[Any, Any]] = []
+
+    def fact(self, name: str) -> None:
+        return None
+
+    def write(self, what: Any, then: Any) -> None:
+        self.writes.append((cbor2.loads(what[1][1]), then))
+
+
+class Nothing:
+    """Loop and mains that do nothing by themselves."""
+
+    def __init__(self) -> None:
+        self.now, self.handlers = 0, dict[str, Any]()
+
+    def ask(self, *_: Any) -> None:
+        pass
+
+
+def test_a_juror_says_nothing_of_a_vote_that_is_not_on_disk() -> None:
+    """The same gateway asked once more while the write of its vote waited, and was answered at once: after a start
+    the juror knew nothing of it and voted for another."""
+    world, disk, answers = Nothing(), Held(), list[Any]()
+    Jury(cast(Any, world), cast(Any, world), cast(Any, disk))
+    for round_ in (1, 2):
+        world.handlers["ballot"](None, ["d", "elect", [round_, "a"], "1.1.1.1:1"], answers.append)
+    assert not answers and [kept for kept, _ in disk.writes] == [{"d": ["a", "1.1.1.1:1"]}] * 2
+    for _, then in disk.writes:
+        then()
+    assert len(answers) == 2
+    world.handlers["ballot"](None, ["d", "elect", [3, "a"], "1.1.1.1:1"], answers.append)
+    assert len(answers) == 3 and len(disk.writes) == 2
--- a/tests/test_gauge.py
+++ b/tests/test_gauge.py
@@ -4,6 +4,7 @@
 
 import random
 from bisect import bisect_right
+from typing import Any
 
 import pytest
 
@@ -15,6 +16,10 @@
 QUOTA = Quota(63, 63)
 
 
+def approx(*values: float) -> Any:
+    return pytest.approx(values)
+
+
 def judge(passed: list[int], most: float) -> None:
     """Every request begins a window."""
     for first, at in enumerate(passed):
@@ -27,13 +32,13 @@
 def test_the_floor_is_the_whole_quota() -> None:
     """What is refused below the limit is worth lost: a tenant at its rate with its burst on top is served whole."""
     floors, now = Floors(TERMS, 0), 100 * SECOND
-    assert all(floors.add("t", QUOTA, 1.0, False, now).passes for _ in range(63))
+    assert all(floors.add("t", QUOTA, False, now).passes for _ in range(63))
     for _ in range(1_000):
         now += SECOND // 63
-        assert floors.add("t", QUOTA, 1.0, False, now).passes
-    refused = [floors.add("t", QUOTA, 1.0, False, now) for _ in range(40)][-1]
+        assert floors.add("t", QUOTA, False, now).passes
+    refused = [floors.add("t", QUOTA, False, now) for _ in range(40)][-1]
     assert not refused.passes and 0 < refused.wait <= SECOND
-    assert floors.add("t", QUOTA, 1.0, False, now + refused.wait).passes
+    assert floors.add("t", QUOTA, False, now + refused.wait).passes
 
 
 @pytest.mark.parametrize("rate", [20, 63])
@@ -43,7 +48,7 @@
     while now < 130 * SECOND:
         now += rng.choice([1, 5, 900]) * MS if rng.random() < 0.9 else 4 * SECOND
         for _ in range(rng.choice([1, 4, 90])):
-            if floors.add("t", quota, 1.0, rng.random() < 0.3, now).passes:
+            if floors.add("t", quota, rng.random() < 0.3, now).passes:
                 passed.append(now)
     assert len(passed) > 5 * rate
     judge(passed, rate * 6 + 0.5 * TERMS.spare(quota))
@@ -51,54 +56,95 @@
 
 def test_what_none_knows_is_used_and_comes_back() -> None:
     floors = Floors(TERMS, 10 * SECOND)
-    most = sum(floors.add("t", QUOTA, 1.0, False, 10 * SECOND).passes for _ in range(100))
+    most = sum(floors.add("t", QUOTA, False, 10 * SECOND).passes for _ in range(100))
     assert most <= 0.15 * TERMS.spare(QUOTA)
-    assert sum(floors.add("u", QUOTA, 1.0, False, 11 * SECOND).passes for _ in range(100)) >= 63
+    assert sum(floors.add("u", QUOTA, False, 11 * SECOND).passes for _ in range(100)) >= 63
 
 
 def test_what_none_has_known_for_long_is_not_used() -> None:
     floors = Floors(TERMS, 10 * SECOND)
     floors.nothing_before(9 * SECOND)
-    assert sum(floors.add("t", QUOTA, 1.0, False, 10 * SECOND).passes for _ in range(100)) >= 63
+    assert sum(floors.add("t", QUOTA, False, 10 * SECOND).passes for _ in range(100)) >= 63
 
 
 def test_a_counter_leaves_those_out_of_reach_their_share() -> None:
-    """Half of the gateways pass alone: what comes back here is half the quota."""
+    """Half of the gateways pass alone: what comes back here is half the quota, and half the burst is theirs."""
     floors, now = Floors(TERMS, 0), 10 * SECOND
-    for _ in range(100):
-        floors.add("t", QUOTA, 0.5, False, now)
-    passed = sum(floors.add("t", QUOTA, 0.5, False, now + n * 5 * MS).passes for n in range(1, 1_001))
+    floors.reach(0.5, now)
+    assert sum(floors.add("t", QUOTA, False, now).passes for _ in range(100)) <= 32 + 0.15 * TERMS.spare(QUOTA)
+    passed = sum(floors.add("t", QUOTA, False, now + n * 5 * MS).passes for n in range(1, 1_001))
     assert 150 <= passed <= 160
 
 
+def test_what_those_out_of_reach_may_have_passed_comes_back() -> None:
+    floors, now = Floors(TERMS, 0), 10 * SECOND
+    floors.reach(0.5, now)
+    floors.reach(1.0, now + SECOND)
+    assert floors.level("t", QUOTA, now + SECOND) == pytest.approx(31.5)
+    assert floors.level("t", QUOTA, now + SECOND + 100 * MS) == pytest.approx(25.2)
+    assert floors.level("t", QUOTA, now + 2 * SECOND) == 0
+
+
+def test_use_leaks_away_by_the_share_that_was_present() -> None:
+    """And not by the one that is now: a tenant that came seldom got the whole rate for all the time between."""
+    floors = Floors(TERMS, 0)
+    floors.learn("t", 60.0, 0.0, 10 * SECOND)
+    floors.reach(0.1, 10 * SECOND)
+    floors.reach(1.0, 10 * SECOND + 500 * MS)
+    assert floors.level("t", QUOTA, 10 * SECOND + 500 * MS) == pytest.approx(60 - 3.15)
+
+
 def test_one_that_comes_back_leaves_room_for_first_tries() -> None:
     floors = Floors(TERMS, 0)
-    while floors.add("t", QUOTA, 1.0, True, 10 * SECOND).passes:
+    while floors.add("t", QUOTA, True, 10 * SECOND).passes:
         pass
-    assert [floors.add("t", QUOTA, 1.0, False, 10 * SECOND).passes for _ in range(3)] == [True, True, False]
+    assert [floors.add("t", QUOTA, False, 10 * SECOND).passes for _ in range(3)] == [True, True, False]
 
 
 def test_no_rate_is_no_quota() -> None:
-    assert Floors(TERMS, 0).add("t", Quota(), 1.0, False, 0).passes
-    assert Alone(TERMS, lambda: 1.0, 0).passes("t", Quota(), 0, False, 0)
+    assert Floors(TERMS, 0).add("t", Quota(), False, 0).passes
+    assert Alone(TERMS, lambda: 1.0, 0).passes("t", Quota(), 0, 0, 0)
 
 
 def test_the_highest_of_several_readings_holds() -> None:
     floors = Floors(TERMS, 0)
     for level in (5.0, 40.0, 9.0):
-        floors.learn("t", level, SECOND)
-    assert floors.level("t", 63, 63, SECOND) == 40.0
-    assert floors.level("t", 63, 63, SECOND + 100 * MS) == pytest.approx(33.7)
+        floors.learn("t", level, 0.0, SECOND)
+    assert floors.level("t", QUOTA, SECOND) == 40.0
+    assert floors.level("t", QUOTA, SECOND + 100 * MS) == pytest.approx(33.7)
+
+
+def test_what_passed_uncounted_adds_up() -> None:
+    """Each gateway knows its own alone: the highest of them was far below what had passed."""
+    floors = Floors(TERMS, 0)
+    for uncounted in (5.0, 4.0, 9.0):
+        floors.learn("t", 20.0, uncounted, 2 * SECOND)
+    assert floors.level("t", QUOTA, 2 * SECOND) == 38.0
+    floors.learn("t", 20.0, 500.0, 2 * SECOND)
+    assert floors.level("t", QUOTA, 2 * SECOND) <= 63 + 0.15 * TERMS.spare(QUOTA)
+
+
+def test_low_readings_do_not_vouch_for_a_gateway_that_did_not_answer() -> None:
+    """The one with the freshest reading may be the one that died."""
+    floors = Floors(TERMS, 10 * SECOND)
+    floors.learn("t", 2.0, 0.0, 10 * SECOND)
+    assert floors.level("t", QUOTA, 10 * SECOND) == 63
+    floors.nothing_before(8 * SECOND)
+    assert floors.level("t", QUOTA, 10 * SECOND) == 2
 
 
 def test_readings_age() -> None:
     read = Read()
     read.note("t", 40.0, 0)
-    assert read.aged([("t", QUOTA), ("u", QUOTA)], 100 * MS) == {"t": pytest.approx(33.7)}
-    read.add("t", 100 * MS)
+    assert read.aged([("t", QUOTA), ("u", QUOTA)], 3, 100 * MS) == {"t": approx(33.7, 0)}
+    for _ in range(5):
+        read.add("t", 100 * MS)
     read.add("u", 100 * MS)
-    assert read.aged([("t", QUOTA)], 100 * MS)["t"] == pytest.approx(34.7)
-    assert read.aged([("t", QUOTA)], SECOND)["t"] == 0.0
+    assert read.aged([("t", QUOTA)], 3, 100 * MS)["t"] == approx(33.7, 5)
+    assert read.aged([("t", QUOTA)], 3, 200 * MS)["t"] == approx(27.4, 2.9)
+    assert read.aged([("u", QUOTA)], 1, SECOND) == {"u": (0.0, 0.0)}
+    read.note("t", 40.0, SECOND)
+    assert read.aged([("t", QUOTA)], 3, SECOND)["t"] == (40.0, 0.0)
 
 
 # ---- alone
@@ -110,24 +156,34 @@
         rng = random.Random(gateways)
         fleet = [Alone(TERMS, rng.random, 0) for _ in range(gateways)]
         passed = [now for now in range(0, 60 * SECOND, 10 * MS)
-                  if fleet[rng.randrange(gateways)].passes("t", QUOTA, gateways, False, now)]
+                  if fleet[rng.randrange(gateways)].passes("t", QUOTA, gateways, 0, now)]
         assert 0.4 * ALONE * TERMS.spare(QUOTA) * 12 < len(passed)
         judge(passed, 1.4 * ALONE * TERMS.spare(QUOTA))
 
 
 def test_one_that_just_started_passes_nothing_alone() -> None:
     alone = Alone(TERMS, lambda: 0.5, SECOND)
-    assert not alone.passes("t", QUOTA, 1, False, SECOND)
-    assert not Alone(TERMS, lambda: 0.0, 0).passes("t", QUOTA, 0, False, 10 * SECOND)
+    assert not alone.passes("t", QUOTA, 1, 0, SECOND)
+    assert not Alone(TERMS, lambda: 0.0, 0).passes("t", QUOTA, 0, 0, 10 * SECOND)
 
 
 def test_who_reaches_no_counter_passes_its_share_of_the_quota() -> None:
     alone = Alone(TERMS, random.Random(1).random, 0)
-    passed = [now for now in range(0, 20 * SECOND, 10 * MS) if alone.passes("t", QUOTA, 5, True, now)]
+    passed = [now for now in range(0, 20 * SECOND, 10 * MS) if alone.passes("t", QUOTA, 5, now, now)]
     assert 20 * 63 / 5 <= len(passed) <= 20 * 63 / 5 + 20
     judge(passed, 6 * 63 / 5 + 10)
 
 
+def test_a_part_of_the_quota_is_earned_while_absent_alone() -> None:
+    """Who had not passed anything alone for long got a whole part at once, which the counter had given too."""
+    alone = Alone(TERMS, lambda: 0.9, 0)
+    passed = sum(alone.passes("t", QUOTA, 3, 100 * MS, 20 * SECOND) for _ in range(100))
+    assert passed <= 0.2 * TERMS.spare(QUOTA) / 3 + 3
+    assert sum(alone.passes("t", QUOTA, 3, 2 * SECOND, 22 * SECOND) for _ in range(100)) >= 21
+    alone.passes("u", QUOTA, 3, 2 * SECOND, 22 * SECOND)
+    assert sum(alone.passes("u", QUOTA, 3, 0, 23 * SECOND) for _ in range(100)) <= 5
+
+
 # ---- ballots
 
 
