--- a/oakvale/cistern/store.py
+++ b/oakvale/cistern/store.py
@@ -20,7 +20,7 @@
 from oakvale.lifecycle.daybook import Writer
 
 Row = tuple[str, bytes]
-Write = tuple[str, Any]  # ("fact", (name, value)) | ("rows", [row...]) | ("whole", [row...])
+Write = tuple[str, Any]  # ("fact", (name, value)) | ("rows", [row...]) | ("whole", [row...]) | ("gone", [key...])
 
 RETRY = 0.05  # seconds between two tries at a disk that refuses
 MOST = 64  # writes in one transaction
@@ -125,6 +125,8 @@
                 for _, (kind, data) in batch:
                     if kind == "fact":
                         self._db.execute("insert or replace into fact values (?, ?)", data)
+                    elif kind == "gone":
+                        self._db.executemany("delete from row where key = ?", [(key,) for key in data])
                     else:
                         if kind == "whole":
                             self._db.execute("delete from row")
--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -80,8 +80,8 @@
         durable = founded(unpack(first), self.own) if first else Durable()
         if state:
             durable = unpack_durable(cbor2.loads(state))
-        self.ledger.table.put((key, (version[0], version[1]), value) for key, version, value in (
-            (key, *cbor2.loads(data)) for key, data in cistern.rows()))
+        self.ledger.take([(key, (version[0], version[1]), value) for key, version, value in (
+            (key, *cbor2.loads(data)) for key, data in cistern.rows())])
         patience = settings.bounds.sync_time + settings.bounds.contact
         self.succession = Succession(self.own, durable, copies, SILENCE, patience)
         self._known = {*seeds}
@@ -95,6 +95,7 @@
         mains.handlers["leave"] = lambda conn, body, answer: self.outlet.leave(conn)
         mains.handlers["digests"] = lambda conn, body, answer: self.outlet.mend(conn, body, answer)
         cistern.write(("fact", ("self", cbor2.dumps([incarnation, self._life, first]))), lambda: self._begin(durable))
+        self._clear()
         loop.at(loop.now, self._beat)
         loop.at(loop.now + PULSE, self._pulse)
 
@@ -200,9 +201,16 @@
         came = self.ledger.synced(who, up_to)
         if came:
             self.outlet.publish(self._next_pulse(), came)
+            self._clear()
         for then in self.ledger.settled():
             then(True)
 
+    def _clear(self) -> None:
+        """What the table has forgotten goes from the disk, behind the floor that it was forgotten for."""
+        gone, self.ledger.forgotten = self.ledger.forgotten, []
+        if gone:
+            self.cistern.write(("gone", gone), lambda: None)
+
     # ---- as a backup
 
     def _append(self, conn: Conn, body: Any, answer: Answer) -> None:
@@ -211,8 +219,9 @@
             return answer(False)
         if self.ledger.table.high != (int(body[3][0]), int(body[3][1])):
             return answer(False)  # something before it did not arrive: an answer would vouch for that too
-        self.ledger.table.put(entries)
+        self.ledger.take(entries)
         self.cistern.write(("rows", _rows(entries)), lambda: answer(self._follows(view, sender)))
+        self._clear()
 
     def _sync(self, conn: Conn, body: Any, answer: Answer) -> None:
         view, sender, entries = unpack(body[0]), seat(body[1]), unpack_entries(body[3])
--- a/oakvale/headworks/gates.py
+++ b/oakvale/headworks/gates.py
@@ -55,6 +55,7 @@
         entry = core.ledger.latest(f"gate/{node}")
         if not core.serving() or entry is None or entry["life"] != life:
             return
+        self._missed = {who: said for who, said in self._missed.items() if now - max(said.values()) < TOGETHER}
         said = self._missed.setdefault(f"{node} {life}", {})
         said[watcher] = now
         recent = [w for w, at in said.items() if now - at < TOGETHER]
--- a/oakvale/headworks/ledger.py
+++ b/oakvale/headworks/ledger.py
@@ -31,6 +31,7 @@
         self._pending: deque[Pending] = deque()
         self._done: list[Then] = []
         self._place = self._view = 0
+        self.forgotten: list[str] = []  # keys whose rows may go from the disk
         self.last = NOTHING  # the version of the newest entry, in force or not
 
     def start(self, view: int) -> None:
@@ -73,6 +74,10 @@
 
         last.then = both
 
+    def take(self, entries: list[Entry]) -> None:
+        """Into the table."""
+        self.forgotten += [key for key in self.table.put(entries) if self.table.version(key) == NOTHING]
+
     def synced(self, who: Seat, up_to: Version) -> list[Entry]:
         """A seat has everything up to a version on disk. Gives what came into force by that, in order."""
         for pending in self._pending:
@@ -90,7 +95,7 @@
         done: list[Then] = []
         while self._pending and not self._pending[0].owed:
             pending = self._pending.popleft()
-            self.table.put(pending.entries)
+            self.take(pending.entries)
             came += pending.entries
             done.append(pending.then)
         self._done += done
@@ -106,7 +111,7 @@
         or it would be back after a start, behind what others were told meanwhile."""
         thens = [pending.then for pending in self._pending]
         for pending in self._pending:
-            self.table.put(pending.entries)
+            self.take(pending.entries)
         self._pending.clear()
         return thens
 
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -12,6 +12,7 @@
 from oakvale.headworks.ctl import Ctl
 from oakvale.headworks.gates import Gates
 from oakvale.headworks.jury import Jury
+from oakvale.headworks.pruning import Pruning
 from oakvale.headworks.standing import standing
 from oakvale.intake.bounds import bounds
 from oakvale.intake.settings import BadSettings, Settings
@@ -40,6 +41,7 @@
         raise BadSettings(f"[self] datadir {settings.datadir}: {error}") from error
     core = Core(loop, mains, settings, cistern)
     Gates(core, Jury(loop, mains, cistern), loop, mains)
+    Pruning(core, loop)
     offer(mains, "headworks", settings.node, lambda: standing(core))
     shared = Shared(loop, limits)
     ctl = Ctl(shared, core, settings)
--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -16,6 +16,7 @@
 from oakvale.base.address import parse_address, spelled
 from oakvale.base.loop import Loop
 from oakvale.headworks.core import Core
+from oakvale.headworks.pruning import LEFT
 from oakvale.headworks.succession import View
 from oakvale.intake import model
 from oakvale.intake.settings import Settings
@@ -108,7 +109,7 @@
         yes = Reply(200, orjson.dumps({"beat-url": self._url}))
         late = calls and calls <= max(self._calls.get(name, 0), held["calls"] if held else 0)
         gone = held is None and self._core.ledger.table.version(key) != (0, 0) and said["state"] != "ready"
-        if late or gone or name in self._left():
+        if late or gone or self._core.ledger.latest(f"left/{name}") is not None:
             return give(yes)
         self._calls[name] = calls
         if held is not None and all(held[field] == value for field, value in said.items()):
@@ -129,9 +130,6 @@
         self._core.change({f"backend/{name}": None, f"left/{name}": 1},
                           lambda done: give(Reply(200) if done else UNSURE))
 
-    def _left(self) -> set[str]:
-        return {name for name, _ in self._core.ledger.table.items("left/")}
-
     def _turned(self, serves: bool) -> None:
         """A new primary heard nothing before: silence counts from now."""
         if serves:
@@ -147,6 +145,10 @@
         if not self._core.serving():
             return
         listed = [name for name, _ in self._core.ledger.table.items("backend/")]
+        for name in set(self._calls) - set(listed):
+            if now - self._seen.get(name, 0) > LEFT:
+                del self._calls[name]
+                self._seen.pop(name, None)
         silent = [name for name in listed if now - self._seen.setdefault(name, now) > LOST_BEATS * self._beat]
         quiet = [name for name in listed if now - self._seen[name] > 2 * self._beat]
         if silent and (len(quiet) <= MASS * len(listed) or len(silent) == len(quiet) < len(listed)
--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -14,7 +14,7 @@
 from oakvale.base.loop import Loop
 from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.links import Answer, Conn, Mains
-from oakvale.penstock.table import NOTHING, Entry, Table, Version, pack, unpack
+from oakvale.penstock.table import FLOOR, NOTHING, Entry, Table, Version, pack, unpack
 
 PULSE = 250_000  # microseconds between two of the primary's pulses
 STALE = 800_000  # without a new one, another source is tried
@@ -59,7 +59,9 @@
             conn.send("news", 0, body)
 
     def mend(self, conn: Conn, digests: list[bytes], answer: Answer) -> None:
-        answer(pack(self._table.differing(digests)))
+        found = self._table.differing(digests)
+        floor = (FLOOR, self._table.version(FLOOR), self._table.get(FLOOR))
+        answer(pack([*found, floor] if found and floor[2] is not None else found))
 
     def drop(self) -> None:
         for conn in list(self._below):
@@ -187,6 +189,9 @@
     def _mended(self, answer: Any) -> None:
         if answer:
             entries = unpack(answer)
+            floor = next((value for key, _, value in entries if key == FLOOR), list(NOTHING))
+            if (int(floor[0]), int(floor[1])) < self.table.floor:
+                return  # behind this one: it may still hold what was forgotten here
             changed = self.table.put(entries)
             if changed:
                 note("table mended", "warning", entries=len(changed))
--- a/oakvale/penstock/table.py
+++ b/oakvale/penstock/table.py
@@ -2,7 +2,8 @@
 
 No I/O and no clock. A version is the number of the view in which an entry was made and its place in that view.
 What was taken away stays as an entry with the value None, so that the news of it can be passed on; a table
-forgets such entries only up to `floor`, and who has seen less than that is given everything anew.
+forgets such entries only up to `floor`, and who has seen less than that is given everything anew. The floor is
+an entry itself: all who hold it have forgotten the same.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 RANGES = 16
 NOTHING: Version = (0, 0)
 GRAVES = 500  # entries taken away that are kept to be passed on
+FLOOR = "floor"  # the key of the entry that raises it; its value is a version
 
 
 def range_of(key: str) -> int:
@@ -45,15 +47,26 @@
                 if value is not None and key.startswith(prefix)]
 
     def put(self, entries: Iterable[Entry]) -> list[str]:
-        """Takes entries that are newer than what is held; gives their keys."""
+        """Takes entries that are newer than what is held; gives their keys, and those that it forgets."""
         changed = []
         for key, version, value in entries:
-            if version > self.version(key):
+            if version > self.version(key) and (value is not None or version > self.floor or key in self._entries):
                 self._entries[key] = (version, value)
                 changed.append(key)
             self.high = max(self.high, version)
+        floor = self.get(FLOOR) if FLOOR in changed else None
+        if floor is not None:
+            self.floor = max(self.floor, (int(floor[0]), int(floor[1])))
+        if floor is not None or any(self.get(key) is None and self.version(key) <= self.floor for key in changed):
+            changed += self._forget()
         return changed
 
+    def _forget(self) -> list[str]:
+        gone = [key for key, (version, value) in self._entries.items() if value is None and version <= self.floor]
+        for key in gone:
+            del self._entries[key]
+        return gone
+
     def whole(self, entries: list[Entry], floor: Version) -> list[str]:
         """Everything that the sender holds: what is missing there and not newer than it is gone."""
         sent = {key for key, _, _ in entries}
@@ -71,14 +84,10 @@
         return sorted(((key, own, value) for key, (own, value) in self._entries.items() if own > version),
                       key=lambda entry: entry[1])
 
-    def prune(self) -> list[str]:
-        """Forgets the oldest of what was taken away; gives their keys."""
-        graves = sorted((version, key) for key, (version, value) in self._entries.items() if value is None)
-        old = graves[:-GRAVES] if len(graves) > 2 * GRAVES else []
-        for version, key in old:
-            del self._entries[key]
-            self.floor = max(self.floor, version)
-        return [key for _, key in old]
+    def next_floor(self) -> Version:
+        """Up to where what was taken away may be forgotten: the newest stay, as long as there are not twice as many."""
+        graves = sorted(version for version, value in self._entries.values() if value is None)
+        return graves[-GRAVES - 1] if len(graves) > 2 * GRAVES else self.floor
 
     # ---- repair
 
--- a/tests/test_penstock.py
+++ b/tests/test_penstock.py
@@ -12,7 +12,7 @@
 
 from oakvale.base.address import parse_address
 from oakvale.penstock.feed import FORGIVEN, PULSE, STALE, TRY, Feed, Outlet
-from oakvale.penstock.table import GRAVES, NOTHING, Table, Version
+from oakvale.penstock.table import FLOOR, GRAVES, NOTHING, Entry, Table, Version
 from oakvale.penstock.tree import FAN_OUT, Member, next_on_ring, ring, sources, watched, watchers
 
 MS, SECOND = 1_000, 1_000_000
@@ -43,8 +43,10 @@
     table.put([(f"k{n}", (1, n + 1), n) for n in range(3 * GRAVES)])
     behind.put(table.since(NOTHING))
     table.put([(f"k{n}", (2, n + 1), None) for n in range(3 * GRAVES)])
-    forgotten = table.prune()
-    assert len(forgotten) == 2 * GRAVES and table.floor == (2, 2 * GRAVES)
+    floor = table.next_floor()
+    forgotten = table.put([(FLOOR, (3, 1), list(floor))])
+    assert len(forgotten) == 2 * GRAVES + 1 and table.floor == floor == (2, 2 * GRAVES)
+    assert table.next_floor() == floor
     sent: list[Any] = []
     conn: Any = type("Below", (), {"on_close": [], "send": lambda self, kind, number, body: sent.append(body)})()
     Outlet(table).subscribe(conn, behind.high, (2, 1))
@@ -53,6 +55,33 @@
     assert behind.since(NOTHING) == table.since(NOTHING)
 
 
+def test_the_floor_travels_as_an_entry() -> None:
+    """All forget the same, so that their digests stay alike; what is older than the floor does not come back."""
+    one, other = Table(), Table()
+    entries: list[Entry] = [("a", (1, 1), 1), ("b", (1, 2), None), ("c", (1, 3), None), (FLOOR, (1, 4), [1, 2])]
+    assert one.put(entries) == ["a", "c", FLOOR] or one.version("b") == NOTHING
+    other.put(reversed(entries))
+    assert one.digests() == other.digests() and one.floor == other.floor == (1, 2)
+    assert one.put([("b", (1, 2), None)]) == [] and one.version("b") == NOTHING
+    other.put([("d", (1, 1), 1)])
+    assert other.put([("d", (1, 2), None)]) and other.version("d") == NOTHING
+
+
+def test_a_source_that_is_behind_brings_nothing_back() -> None:
+    """It still held what was taken away and forgotten here."""
+    behind, table, answers = Table(), Table(), list[Any]()
+    behind.put([("a", (1, 1), 1), ("b", (1, 2), 1)])
+    table.put([("a", (1, 3), None), ("b", (1, 2), 1), (FLOOR, (1, 4), [1, 3])])
+    nothing: Any = type("Nothing", (), {"now": 0, "handlers": {}, "at": lambda *_: None})()
+    feed = Feed(nothing, nothing, table, dict, lambda failed: [], lambda keys: None)
+    Outlet(behind).mend(nothing, table.digests(), answers.append)
+    assert answers[0]
+    feed._mended(answers[0])
+    assert table.version("a") == NOTHING and table.get("b") == 1
+    Outlet(table).mend(nothing, behind.digests(), answers.append)
+    assert any(key == FLOOR for key, *_ in answers[1])
+
+
 def test_digests_find_what_differs_and_no_more() -> None:
     rng = random.Random(1)
     one, other = Table(), Table()
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -4,11 +4,13 @@
 
 from typing import Any, cast
 
+import cbor2
 import pytest
 
 from oakvale.headworks.core import Core
 from oakvale.headworks.ledger import Ledger
 from oakvale.headworks.succession import FOUNDER, Durable, Keep, Moved, Say, Seat, Succession, View, founded, founding
+from oakvale.penstock.table import NOTHING
 from tests.world import MS, SECOND, Link, Machine, World
 
 SHAPES = ((3, 1, 3), (4, 1, 3), (5, 2, 5), (3, 1, 3), (5, 2, 3))  # machines, tolerance, seeds
@@ -22,6 +24,55 @@
     World(seed, *SHAPES[seed % len(SHAPES)]).day(5)
 
 
+@pytest.mark.parametrize("seed", range(100, 108))
+def test_a_day_of_faults_with_much_that_is_forgotten(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Markers and graves go from all copies, disks and gateways, whoever is primary."""
+    monkeypatch.setattr("oakvale.penstock.table.GRAVES", 3)
+    world = World(seed, *SHAPES[seed % len(SHAPES)], prunes=(200 * MS, 600 * MS))
+    world.day(5)
+    world.run(4 * SECOND)
+    for core in roles(world)[1:]:
+        assert core.ledger.table.floor > NOTHING
+        assert len(core.ledger.table.since(NOTHING)) < 20
+    for machine in (m for m in world.machines if m.core in roles(world)[1:]):
+        assert len(machine.disk.rows) < 20 and set(machine.disk.rows) == {
+            key for key, _, _ in cast(Core, machine.core).ledger.table.since(NOTHING)}
+
+
+def test_a_pruned_state_survives_a_takeover(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("oakvale.penstock.table.GRAVES", 3)
+    world = World(1, prunes=(200 * MS, 600 * MS))
+    world.run(2 * SECOND)
+    for _ in range(30):
+        world.change(roles(world)[0])
+        world.run(100 * MS)
+    world.run(4 * SECOND)
+    machine, core, backup = roles(world)
+    kept = core.ledger.table.since(NOTHING)
+    assert len(kept) < 15 and backup.ledger.table.since(NOTHING) == kept and core.ledger.table.floor > NOTHING
+    world.down(machine, 6 * SECOND)
+    world.run(3 * SECOND)
+    now, found, _ = roles(world)
+    assert found is backup and found.ledger.table.floor >= core.ledger.table.floor
+    assert [e for e in kept if e[0].startswith("k")] == [
+        e for e in found.ledger.table.since(NOTHING) if e[0].startswith("k")]
+    world.run(8 * SECOND)
+    world.change(now)
+    world.run(SECOND)
+    assert world.gateway.since(NOTHING) == roles(world)[1].ledger.table.since(NOTHING)
+
+
+def test_rows_whose_forgetting_was_cut_short_go_at_the_next_start() -> None:
+    world = settled()
+    machine = roles(world)[0]
+    machine.kill()
+    machine.disk.rows["left/x"] = cbor2.dumps([[1, 1], None])
+    machine.disk.rows["floor"] = cbor2.dumps([[1, 900], [1, 800]])
+    machine.start()
+    world.run(4 * SECOND)
+    assert "left/x" not in machine.disk.rows
+
+
 def settled(machines: int = 3, tolerate: int = 1, seeds: int | None = None) -> World:
     world = World(1, machines, tolerate, seeds)
     world.run(2 * SECOND)
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,6 +15,7 @@
 import cbor2
 
 from oakvale.headworks.core import Core
+from oakvale.headworks.pruning import Pruning
 from oakvale.headworks.succession import View, unpack_durable
 from oakvale.intake.settings import Bounds, Settings
 from oakvale.penstock.table import NOTHING, Table, Version, unpack
@@ -103,6 +104,9 @@
             self.facts[data[0]] = data[1]
         elif kind == "facts":
             self.facts.update(data)
+        elif kind == "gone":
+            for key in data:
+                self.rows.pop(key, None)
         else:
             if kind == "whole":
                 self.rows.clear()
@@ -182,6 +186,8 @@
         self.core = Core(cast(Any, Loop(self.world, self.life)), cast(Any, Mains(self.world, self.life)), settings,
                          cast(Any, Cistern(self.world, self.life)))
         self.core.on_change.append(lambda serves: self.world.turned(self, serves))
+        if self.world.prunes:
+            Pruning(self.core, cast(Any, Loop(self.world, self.life)), *self.world.prunes)
 
     def kill(self) -> None:
         if self.life is not None:
@@ -197,7 +203,9 @@
 
 
 class World:
-    def __init__(self, seed: int, machines: int = 3, tolerate: int = 1, seeds: int | None = None) -> None:
+    def __init__(self, seed: int, machines: int = 3, tolerate: int = 1, seeds: int | None = None,
+                 prunes: tuple[int, int] | None = None) -> None:
+        self.prunes = prunes  # how often, and how long what is taken away is kept
         self.rng = random.Random(seed)
         self.now = 1_000 * SECOND
         self.tolerate = tolerate
@@ -318,7 +326,10 @@
         self._pulse = cast(Version, pulse)
         for key, version, value in entries:
             self.content(key, version, value)
-        self.gateway.put(entries)
+        if body[2] is None:
+            self.gateway.put(entries)
+        else:
+            self.gateway.whole(entries, (int(body[2][0]), int(body[2][1])))
 
     def change(self, machine: Machine) -> None:
         core = machine.core
@@ -337,7 +348,7 @@
                 self.floor[key] = max(version, self.floor.get(key, NOTHING))
                 self.content(key, version, core.ledger.table.get(key))
 
-        core.change({key: value}, then)
+        core.change({key: value} | ({f"left/b{value}": 1} if self.prunes else {}), then)
 
     def read(self, machine: Machine) -> None:
         core = machine.core
