A retry budget that all gateways share: arrivals past the first, in every window

The budget is handed to the decisions. The gateway in service keeps the one it had; a lane of the whole system counts what backends see as arrivals, those turned away among them, against its part of ratio and slack.

--- a/oakvale/lane.py
+++ b/oakvale/lane.py
@@ -18,6 +18,7 @@
 from oakvale.base.address import Address
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Loop
+from oakvale.budget import Budget
 from oakvale.memory.buffers import BufferPool, Room
 from oakvale.memory.idle import Clients, IdleConnections
 from oakvale.memory.requests import Answer, AttemptOut, InHand, RequestsInHand
@@ -55,12 +56,12 @@
 class Lane:
     dialect: Dialect
 
-    def __init__(self, shared: Shared, settings: i.Settings, seed: int) -> None:
+    def __init__(self, shared: Shared, settings: i.Settings, seed: int, budget: Budget | None = None) -> None:
         self.shared, self.settings = shared, settings
         self.loop, self.limits, self.log = shared.loop, shared.limits, shared.log
         self.buffers, self.requests, self.idle = shared.buffers, shared.requests, shared.idle
         self.clients, self.bodies = shared.clients, shared.bodies
-        self.gateway = Gateway(settings, seed)
+        self.gateway = Gateway(settings, seed, budget)
         self._events: deque[i.Event] = deque()
         self._giving = False
         self._carry: dict[type[i.Action], Callable[[Any], None]] = {
--- a/oakvale/policy/attempts.py
+++ b/oakvale/policy/attempts.py
@@ -1,18 +1,17 @@
 """Attempts and budgets: what is sent where, when it is called off, and whether another follows."""
 
+from oakvale.budget import Budget
 from oakvale.interface import NEVER_RAN, Attempt, Cancel, Effect, Ended, Ending, Head, Wake
 from oakvale.policy.choice import Choice
 from oakvale.policy.lending import Lending
 from oakvale.policy.records import EASE, SECOND, Desk, Held
 
-RETRY_SHARE = 0.1  # retry budget: further attempts per answer, the customary tenth
-
 
 class Attempts:
-    def __init__(self, desk: Desk, lending: Lending, choice: Choice) -> None:
+    def __init__(self, desk: Desk, lending: Lending, choice: Choice, budget: Budget) -> None:
         self.desk, self.lending, self.choice = desk, lending, choice
         self.limits, self.health, self.quota = choice.limits, choice.health, choice.limits.quota
-        self.budget, self.tokens, self.next_token = 10.0, dict[int, tuple[str, int]](), 1  # further attempts
+        self.budget, self.tokens, self.next_token = budget, dict[int, tuple[str, int]](), 1
 
     def tries(self, held: Held) -> int:
         return held.cls.tries or self.desk.s.max_attempts
@@ -53,7 +52,7 @@
         lost = silent or now - max(sent, self.desk.gap) > max(4 * lat * units, 0.5 * aim)
         if silent:
             self.health.eject(b)
-        useful = self.limits.left(held) >= self.health.lat * units and self.budget >= 1
+        useful = self.limits.left(held) >= self.health.lat * units and self.budget.may(self.desk.now)
         if useful and (lost or lat > 3 * self.health.lat):
             return self.desk.do.append(Cancel(rid, hop))
         if not lost:
@@ -74,10 +73,11 @@
         if self.desk.s.post_paid and ev.true_units and held.taken:  # the guess is put right
             held.cust.store -= ev.true_units - held.req.units
             held.cust.unsent += (ev.true_units - held.req.units) * self.quota.swell(held.cust)
-        if self.desk.now > self.desk.gap and (known or ev.ending is Ending.SERVED):
+        learned = self.desk.now > self.desk.gap and bool(known or ev.ending is Ending.SERVED)
+        if learned:
             if self.health.learn(b, ev, held.req.units):  # what came while it stood still blames nobody
                 self.limits.follow(b, ev.ending)
-            self.budget = min(10.0, self.budget + RETRY_SHARE * (ev.ending is Ending.SERVED))
+        self.budget.ended(held.spent, ev.ending, learned, self.desk.now)
         held.cust.out -= 1
         self.quota.tell_open(held.cust)
         if held.ran is None and ev.ending not in NEVER_RAN:
@@ -89,10 +89,9 @@
 
     def again(self, held: Held, ending: Ending) -> None:
         """Another attempt where effect, budget and aim allow one; else the final answer at once."""
-        cost = 0 if ending in NEVER_RAN else 1
         useful = ending is not Ending.MOOT and self.limits.left(held) > self.health.lat * held.req.units / 2
-        if useful and self.budget >= cost and held.hops < self.tries(held) and self.repeatable(held):
-            self.budget -= cost
+        may = useful and held.hops < self.tries(held) and self.repeatable(held)
+        if may and self.budget.take(held.spent, ending, self.desk.now):
             return self.launch(held)
         self.limits.refuse(held, SECOND // 2)
 
--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -8,6 +8,7 @@
 
 from oakvale.base.address import parse_address, spelled
 from oakvale.base.loop import Clock, Loop
+from oakvale.budget import Retries
 from oakvale.gauge.floors import Quota, Terms
 from oakvale.gauge.service import Gauge
 from oakvale.intake.bounds import bounds
@@ -78,7 +79,8 @@
         terms = Terms(given.quota_win, given.quota_excess, given.quota_slack)
         self.gauge = Gauge(self.loop, self.mains, terms, settings.node, self.life, self.own,
                            self._members, lambda: self._jurors, self._quota)
-        self.plant = Plant(self.shared, self.gauge, sorted(settings.zones), settings.zone)
+        self.plant = Plant(self.shared, self.gauge, sorted(settings.zones), settings.zone,
+                           Retries(given.retry_win, given.retry_ratio, given.retry_slack))
         self.feed = Feed(self.loop, self.mains, self.table, lambda: {"node": settings.node, "life": self.life},
                          self._sources, self._changed)
         self._watchers: list[Member] = []  # this gateway's, and those that it watches itself
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -10,6 +10,7 @@
 
 from oakvale import interface as i
 from oakvale.base.address import Address, parse_address
+from oakvale.budget import Retries, SharedBudget
 from oakvale.gauge.service import Gauge
 from oakvale.lane import Lane, Shared
 from oakvale.memory.requests import Answer, InHand
@@ -48,13 +49,15 @@
 class ServiceLane(Lane):
     """One service: its backends, and the decisions on them."""
 
-    def __init__(self, shared: Shared, service: str, zones: dict[str, int], zone: str, seed: int) -> None:
+    def __init__(self, shared: Shared, service: str, zones: dict[str, int], zone: str, seed: int,
+                 budget: SharedBudget) -> None:
         self._classes: dict[str, tuple[int, i.RequestClass]] = {}
         self._zones, self._service = zones, service
         settings = i.Settings(classes=(), plans=(i.Plan(),), zone=zones.get(zone, 0), retry_after=True,
                               max_attempts=MOST_TRIES, max_retry_after=SECOND, may_cancel=True,
                               cross_zone_price=1.0, cold_from=1.0, late_earns=True)
-        super().__init__(shared, settings, seed)
+        super().__init__(shared, settings, seed, budget)
+        self._budget = budget
         self.dialect = SystemDialect()
         self._ids: dict[int, str] = {}
         self._numbers: dict[str, int] = {}
@@ -76,6 +79,10 @@
             return number
         return known[0]
 
+    def request_came(self, request: InHand, event: i.Request) -> None:
+        self._budget.came(self.loop.now)
+        super().request_came(request, event)
+
     def list(self, backends: list[Backend], numbers: dict[str, int]) -> None:
         known = {b.id: b for b in backends}
         if known == self._known and self.listed:
@@ -121,7 +128,7 @@
 class Plant:
     """The owner of clients' connections."""
 
-    def __init__(self, shared: Shared, gauge: Gauge, zones: list[str], zone: str) -> None:
+    def __init__(self, shared: Shared, gauge: Gauge, zones: list[str], zone: str, retries: Retries) -> None:
         self.shared, self.gauge = shared, gauge
         self.loop, self.limits, self.log = shared.loop, shared.limits, shared.log
         self.buffers, self.bodies, self.clients = shared.buffers, shared.bodies, shared.clients
@@ -130,7 +137,7 @@
         self._zones, self._zone = {name: n for n, name in enumerate(zones)}, zone
         self._lanes: dict[str, ServiceLane] = {}
         self._numbers: dict[str, int] = {}
-        self._rng = random.Random()
+        self._rng, self._retries = random.Random(), retries
         self.taking_ended = False
         self._longest: dict[str, int] = {}  # route -> the longest that a client would wait
 
@@ -178,8 +185,9 @@
     def _lane(self, service: str) -> ServiceLane:
         lane = self._lanes.get(service)
         if lane is None:
+            budget = SharedBudget(self._retries, lambda: len(self.picture.members), self._rng.random, self.loop.now)
             lane = self._lanes[service] = ServiceLane(self.shared, service, self._zones, self._zone,
-                                                      self._rng.getrandbits(32))
+                                                      self._rng.getrandbits(32), budget)
         return lane
 
     # ---- requests
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -13,7 +13,7 @@
 ORDER = (
     ("__init__",),
     ("interface", "numbers"),
-    ("settings",),
+    ("settings", "budget"),
     ("base", "policy"),
     ("memory",),
     ("wire",),
