--- a/oakvale/policy/gateway.py
+++ b/oakvale/policy/gateway.py
@@ -4,18 +4,20 @@
 from typing import Any
 
 from oakvale import interface as i
+from oakvale.budget import Budget, OwnBudget
 from oakvale.policy import admission, attempts, choice, health, lending, limits, quota, upkeep
 from oakvale.policy.records import BATCH, Desk
 
 
 class Gateway:
-    def __init__(self, settings: i.Settings, seed: int) -> None:
+    def __init__(self, settings: i.Settings, seed: int, budget: Budget | None = None) -> None:
         self.desk = desk = Desk(settings, seed)
+        self.resettle = desk.resettle  # other classes, same backends: what was learned of these stays
         self.counter, self.health = quota.Counter(desk), health.Health(desk)
         self.quota = quota.Quota(desk, self.counter)
         self.limits = limits.Limits(desk, self.health, self.quota)
         self.lending, self.choice = lending.Lending(desk, self.limits), choice.Choice(desk, self.limits)
-        self.attempts = attempts.Attempts(desk, self.lending, self.choice)
+        self.attempts = attempts.Attempts(desk, self.lending, self.choice, budget or OwnBudget())
         self.admission = admission.Admission(desk, self.attempts)
         self.upkeep = upkeep.Upkeep(desk, self.attempts)
         self.handlers: dict[type[i.Event], Callable[[Any], None]] = {
@@ -23,9 +25,6 @@
             i.Ended: self.attempts.on_ended, i.Head: self.attempts.on_head, i.Timer: self.upkeep.on_timer,
             i.Backends: self.upkeep.on_backends, i.Withdrawn: lambda ev: self.limits.finish(ev.id)}
 
-    def resettle(self, settings: i.Settings) -> None:
-        self.desk.resettle(settings)
-
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
         desk = self.desk
         if desk.now and now - desk.now > 2 * BATCH:  # it stood still: all that came meanwhile comes now
--- a/oakvale/policy/health.py
+++ b/oakvale/policy/health.py
@@ -24,8 +24,7 @@
         work, desk = max(b.inflight.values(), default=0.0), self.desk
         return work > 0 and desk.now - max(b.heard, desk.gap) > max(3 * self.lat * work, 0.25 * desk.aim)
 
-    def learn(self, b: Backend, ev: Ended, units: float) -> bool:
-        """True where something was learned of latencies."""
+    def learn(self, b: Backend, ev: Ended, units: float) -> bool:  # whether it told something of latencies
         per = ev.latency / max(units, 1.0)
         if ev.ending is Ending.SERVED:
             b.heard, b.fails, b.out_until = self.desk.now, max(0, b.fails - 1), b.out_until * (b.fails > 1)
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -12,6 +12,7 @@
 from oakvale.base.address import Address, parse_address
 from oakvale.gauge.board import Offer
 from oakvale.gauge.dispatch import Boards, Pick
+from oakvale.budget import Retries, SharedBudget
 from oakvale.gauge.service import Gauge
 from oakvale.lane import Lane, Shared
 from oakvale.memory.requests import Answer, AttemptOut, InHand
@@ -58,14 +59,15 @@
     """One service: its backends, and the decisions on them."""
 
     def __init__(self, shared: Shared, boards: Boards, service: str, zones: dict[str, int], zone: str,
-                 seed: int) -> None:
+                 seed: int, budget: SharedBudget) -> None:
         self.boards = boards
         self._classes: dict[str, tuple[int, i.RequestClass]] = {}
         self._zones, self.service = zones, service
         settings = i.Settings(classes=(), plans=(i.Plan(),), zone=zones.get(zone, 0), retry_after=True,
                               max_attempts=MOST_TRIES, max_retry_after=SECOND, may_cancel=True,
                               cross_zone_price=1.0, cold_from=1.0, late_earns=True)
-        super().__init__(shared, settings, seed)
+        super().__init__(shared, settings, seed, budget)
+        self._budget = budget
         self.dialect = SystemDialect()
         self._ids: dict[int, str] = {}
         self._numbers: dict[str, int] = {}
@@ -88,6 +90,10 @@
             return number
         return known[0]
 
+    def request_came(self, request: InHand, event: i.Request) -> None:
+        self._budget.came(self.loop.now)
+        super().request_came(request, event)
+
     def learn(self, backends: list[Backend], numbers: dict[str, int]) -> None:
         known = {b.id: b for b in backends}
         if known == self._known and self.listed:
@@ -154,7 +160,8 @@
 class Plant:
     """The owner of clients' connections."""
 
-    def __init__(self, shared: Shared, gauge: Gauge, mains: Mains, node: str, zones: list[str], zone: str) -> None:
+    def __init__(self, shared: Shared, gauge: Gauge, mains: Mains, node: str, zones: list[str], zone: str,
+                 retries: Retries) -> None:
         self.shared, self.gauge = shared, gauge
         self.boards = Boards(shared.loop, mains, gauge, node, zone,
                              lambda service: self._lane(service).offers())
@@ -165,7 +172,7 @@
         self._zones, self._zone = {name: n for n, name in enumerate(zones)}, zone
         self._lanes: dict[str, ServiceLane] = {}
         self._numbers: dict[str, int] = {}
-        self._rng = random.Random()
+        self._rng, self._retries = random.Random(), retries
         self.taking_ended = False
         self._longest: dict[str, int] = {}  # route -> the longest that a client would wait
 
@@ -213,8 +220,9 @@
     def _lane(self, service: str) -> ServiceLane:
         lane = self._lanes.get(service)
         if lane is None:
+            budget = SharedBudget(self._retries, lambda: len(self.picture.members), self._rng.random, self.loop.now)
             lane = self._lanes[service] = ServiceLane(self.shared, self.boards, service, self._zones, self._zone,
-                                                      self._rng.getrandbits(32))
+                                                      self._rng.getrandbits(32), budget)
         return lane
 
     # ---- requests
--- a/tests/test_plant.py
+++ b/tests/test_plant.py
@@ -11,6 +11,7 @@
 
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Loop
+from oakvale.budget import Retries
 from oakvale.gauge.floors import Quota
 from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor, listening
@@ -63,7 +64,8 @@
         self.loop = Loop(self.clock, self.limits)
         self.first, self.second, self.other = Party(), Party(), Party()
         self.gauge, self.peers = FakeGauge(), []
-        self.plant = Plant(Shared(self.loop, self.limits), self.gauge, FakeMains(), "g", ["z"], "z")  # type: ignore[arg-type]
+        self.plant = Plant(Shared(self.loop, self.limits), self.gauge, FakeMains(), "g", ["z"], "z",  # type: ignore[arg-type]
+                           Retries(10_000 * MS, 16.0, 60.0))  # plenty: what it earns is tested apart
         listener = listening(("127.0.0.1", 0), 64)
         self.address = listener.getsockname()
         self.acceptor = Acceptor(self.plant, listener, self.loop)
