Processes listen before the rest of them is read; a vacancy is known by the jurors' word

Sockets are opened first, connections wait in the backlog up to 0.4 s for a configuration, gateways join as soon as a primary is named, candidates stand as soon as most jurors know of nobody, and a new counter takes a third of the slack for what it can't know.

--- a/oakvale/base/limits.py
+++ b/oakvale/base/limits.py
@@ -51,6 +51,7 @@
     client_take: int = 10 * SECOND  # for a client to take its answer
     linger: int = 3 * SECOND  # for a client to close after the last answer
     accept_pause: int = 20 * MS
+    unready: int = 400 * MS  # new connections wait so long for a process that starts
     fault_pause: int = 250 * MS  # before a timer that failed is given again
     connect: int = 250 * MS
     answer_rest: int = 250 * MS  # between two reads of an answer
--- a/oakvale/cli.py
+++ b/oakvale/cli.py
@@ -1,4 +1,7 @@
-"""The command line: one program; what it does is the first word."""
+"""The command line: one program; what it does is the first word.
+
+Each command imports what it needs by itself: the time that a process takes to start is time without it.
+"""
 
 from __future__ import annotations
 
@@ -6,13 +9,15 @@
 import os
 import sys
 from collections.abc import Sequence
-from typing import NoReturn
+from typing import TYPE_CHECKING, NoReturn
 
 from oakvale import __version__
-from oakvale.base import configuration
 from oakvale.base.address import spelled
-from oakvale.lifecycle import logs
 
+if TYPE_CHECKING:
+    from oakvale.base.configuration import Configuration
+
+BACKLOG = 1024  # connections that wait to be accepted
 LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -21,7 +26,9 @@
     sys.exit(status)
 
 
-def load() -> configuration.Configuration:
+def load() -> Configuration:
+    from oakvale.base import configuration
+
     try:
         return configuration.load(os.environ)
     except configuration.BadConfiguration as error:
@@ -30,7 +37,7 @@
 
 def serve(args: argparse.Namespace) -> None:
     """The gateway in service: until SIGTERM, as LB_CONFIG and the other LB_ variables say."""
-    from oakvale.lifecycle import serving
+    from oakvale.lifecycle import logs, serving
     from oakvale.lifecycle.signals import Signals
 
     signals = Signals()
@@ -59,6 +66,8 @@
     """Ask the gateway at ADDRESS (host:port) whether it can serve; exit 0 if so."""
     import http.client
 
+    from oakvale.base import configuration
+
     try:
         host, port = configuration.address(args.address, "address")
         connection = http.client.HTTPConnection(host, port, timeout=args.timeout)
@@ -82,6 +91,8 @@
 
 def status(args: argparse.Namespace) -> None:
     """Ask a process of the whole system, at its mains address, how it stands; exit 0 if it answers."""
+    from oakvale.base import configuration
+    from oakvale.lifecycle import logs
     from oakvale.mains import standing
 
     try:
@@ -117,16 +128,20 @@
     """A process of the whole system, as the settings file that OAKVALE_SETTINGS names says."""
     from importlib import import_module
 
+    from oakvale.base.sockets import listening
     from oakvale.intake import settings
-    from oakvale.lifecycle import daybook
     from oakvale.lifecycle.signals import Signals
 
     signals = Signals()
     signals.watch()
     try:
         told = settings.load(os.environ)
+        # before the rest is imported: who comes meanwhile waits a moment instead of being turned away
+        listeners = {name: listening(address, BACKLOG) for name, address in told.bind.items()}
+        from oakvale.lifecycle import daybook
+
         daybook.configure(args.log_level, 20)
-        sys.exit(import_module(f"oakvale.{args.command}.process").serve(told, signals))
+        sys.exit(import_module(f"oakvale.{args.command}.process").serve(told, signals, listeners))
     except settings.BadSettings as error:
         fail(error)
     except OSError as error:
--- a/oakvale/gauge/ballots.py
+++ b/oakvale/gauge/ballots.py
@@ -65,6 +65,9 @@
         vote = self._votes.get(duty)
         return (vote.holder, vote.where) if vote and vote.until > now else None
 
+    def votes_for(self, life: str, now: int) -> bool:
+        return any(vote.holder == life and vote.until > now for vote in self._votes.values())
+
     def kept(self) -> dict[str, tuple[str, str]]:
         """What has to be on disk before a vote is spoken of."""
         return {duty: (vote.holder, vote.where) for duty, vote in self._votes.items() if vote.holder}
--- a/oakvale/gauge/floors.py
+++ b/oakvale/gauge/floors.py
@@ -17,6 +17,7 @@
 OVER = 0.15  # of the slack, for the level over the burst
 ALONE = 0.5  # of the slack, for all gateways that reach no counter, together
 ALONE_AT_ONCE = 0.4  # of that, what may pass in one go; the rest comes back over a window
+AT_START = 0.35  # of the slack, for what a new counter can't know: after an outage all come at once
 FOR_FIRST = 2.0  # requests' room under a floor that is kept for those that come the first time
 CHANGES = 32  # of the share of gateways in reach, that a counter remembers
 LONGEST_WAIT = SECOND  # DESIGN: a refusal names the window's remaining time, a second at most
@@ -93,7 +94,8 @@
     def level(self, tenant: str, quota: Quota, now: int) -> float:
         self.reach(self._present, now)
         rate, burst, clock = quota.rate / SECOND, quota.burst, self._clock
-        found = [burst * (1 - self._present), burst - rate * (clock - self._began)]
+        unknown = burst - AT_START * self._terms.spare(quota)
+        found = [burst * (1 - self._present), unknown - rate * (clock - self._began)]
         found += [burst * absent - rate * (clock - ended) for absent, ended in self._past]
         if tenant in self._levels:
             level, at = self._levels[tenant]
--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -11,7 +11,7 @@
 
 from oakvale.base.address import Address, parse_address, spelled
 from oakvale.base.loop import Loop
-from oakvale.gauge.ballots import Ask, Candidate, Word
+from oakvale.gauge.ballots import QUIET, Ask, Candidate, Word
 from oakvale.gauge.floors import SECOND, Alone, Floors, Quota, Read, Terms
 from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.links import Answer, Conn, Mains
@@ -26,6 +26,7 @@
 ABSENT = PRESENT + 100_000  # after so long without hearing from it, a gateway knows that none reckons with it
 GATHER = 100_000  # for what others last read, before a new counter begins
 MOMENT = 120_000  # a request waits so long for a counter to be found
+VACANT = 250_000  # how long a juror's word that nobody does a duty is good
 DOUBT = 80_000  # after an unanswered call, the counter is not waited for
 KEPT = 10_000_000  # one that left the list may still pass its share, unless it is proven to have ended
 ALIKE = 10_000  # the share of gateways that is present is worked out anew after this
@@ -56,6 +57,7 @@
         self._called: dict[str, int] = {}
         self._doubt: dict[str, int] = {}
         self._asked: dict[str, int] = {}
+        self._vacant: dict[str, dict[Address, int]] = {}  # duty -> juror -> when it last knew of nobody
         self._heard: dict[str, int] = {}  # gateway -> when it last called here
         self._ranks: dict[str, int] = {}  # duty -> this gateway's place among those who stand for it
         self._lately: dict[str, tuple[Member, int]] = {}  # gateways, and when each was last on the list
@@ -90,7 +92,7 @@
 
     # ---- asking
 
-    def ask(self, tenant: str, again: bool, then: Told, late: bool = False) -> None:
+    def ask(self, tenant: str, again: bool, then: Told, patience: int = MOMENT) -> None:
         """Whether one more request of this tenant passes; `again`: it came back after a refusal."""
         quota = self._quota(tenant)
         if quota.rate <= 0:
@@ -103,8 +105,8 @@
             self._read.note(tenant, verdict.level, now)
             return then(verdict.passes, verdict.wait, True)
         holder = self._holders.get(duty)
-        if holder is None and not late:
-            return self._wait_for(duty, partial(self.ask, tenant, again, then, True))
+        if holder is None and patience:
+            return self._wait_for(duty, partial(self.ask, tenant, again, then, 0), patience)
         if holder is None or now - self._doubt.get(duty, -DOUBT) < DOUBT:
             return self._pass_alone(tenant, quota, then)
 
@@ -122,7 +124,7 @@
         self.mains.ask(holder, "count", [tenant, quota.rate, quota.burst, self._node, again, self._stamps.get(holder)],
                        WAIT, answered)
 
-    def _wait_for(self, duty: str, call: Callable[[], None]) -> None:
+    def _wait_for(self, duty: str, call: Callable[[], None], patience: int) -> None:
         """Nobody is known to count yet: a moment is given to the ballots."""
         waiting = self._waiting.setdefault(duty, {})
         number = self._number = self._number + 1
@@ -132,7 +134,7 @@
             if waiting.pop(number, None) is not None:
                 call()
 
-        self.loop.at(self.loop.now + MOMENT, late)
+        self.loop.at(self.loop.now + patience, late)
 
     def _found(self, duty: str) -> None:
         waiting = self._waiting.pop(duty, {})
@@ -175,11 +177,21 @@
             return
         self._asked[duty] = now
         for address in self._jury():
-            self.mains.ask(address, "who", duty, WAIT, lambda answer: self._heard_of(duty, answer))
+            self.mains.ask(address, "who", duty, WAIT, partial(self._juror_said, duty, address))
         others = self._others()
         for address in random.sample(others, min(2, len(others))):
             self.mains.ask(address, "counts", duty, WAIT, partial(self._told_by, duty, address))
 
+    def _juror_said(self, duty: str, juror: Address, answer: Any) -> None:
+        if isinstance(answer, list):
+            self._heard_of(duty, answer[0])
+            self._vacant.setdefault(duty, {})[juror] = self.loop.now if answer[0] is None else -VACANT
+
+    def _is_vacant(self, duty: str) -> bool:
+        """Most jurors just said that nobody has their vote: a holder's silence need not be waited for."""
+        said = sum(1 for at in self._vacant.get(duty, {}).values() if self.loop.now - at < VACANT)
+        return said > len(self._jurors()) // 2
+
     def _told_by(self, duty: str, address: Address, answer: Any) -> None:
         if isinstance(answer, list) or self.mains.ended(address):
             self._reached[address] = self.loop.now
@@ -303,8 +315,11 @@
                 counter.learn(str(tenant), float(level), float(uncounted), self.loop.now)
             if len(ages) > len(others):
                 counter.nothing_before(now - min(ages))
+                begin(None)
 
         def begin(_: Any) -> None:
+            if duty not in self._gathering:
+                return
             self._gathering.discard(duty)
             if not self._candidate.holds(duty, self.loop.now):
                 return
@@ -362,6 +377,8 @@
                 self._counters[duty].reach(self._present(), now)
             if duty in self._ranks or duty in self._counters:
                 silent = max(self._contact.get(duty, 0), self._born)
+                if self._is_vacant(duty):
+                    silent = min(silent, now - QUIET)
                 self._put(self._candidate.tick(duty, silent, self._ranks.get(duty, STAND), now))
             holder = self._holders.get(duty)
             if duty in self._counters:
--- a/oakvale/headworks/jury.py
+++ b/oakvale/headworks/jury.py
@@ -12,7 +12,7 @@
 from oakvale.gauge.ballots import Ask, Juror
 from oakvale.mains.links import Answer, Conn, Mains
 
-START = 100_000  # after a start, all holders of before are asked
+AGAIN = 100_000  # before a holder that did not answer is asked once more
 PROBE = 250_000  # microseconds for a holder to say which life it is
 
 
@@ -26,7 +26,7 @@
         self._unsaved = 0  # writes that are not on disk yet
         self._probing: set[str] = set()
         for life, where in kept.values():
-            loop.at(loop.now + START, lambda _, life=life, where=where: self._probe(life, where))  # type: ignore[misc]
+            loop.at(loop.now, lambda _, life=life, where=where: self._probe(life, where))  # type: ignore[misc]
         mains.handlers["ballot"] = self._ballot
         mains.handlers["who"] = self._who
         mains.handlers["ended"] = lambda conn, body, answer: self._juror.ended(str(body), loop.now)
@@ -64,9 +64,11 @@
             self._probing.discard(life)
             if isinstance(answer, str) and answer != life or answer is None and self._mains.ended(address):
                 self._juror.ended(life, self._loop.now)
+            elif answer is None and self._juror.votes_for(life, self._loop.now):
+                self._loop.at(self._loop.now + AGAIN, lambda _: self._probe(life, where))
 
         self._mains.ask(address, "life", None, PROBE, answered)
 
     def _who(self, conn: Conn, body: Any, answer: Answer) -> None:
         held = self._juror.holder(str(body), self._loop.now)
-        answer(held[1] if held else None)
+        answer([held[1] if held else None])
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import socket
 import sqlite3
 import time
 
@@ -20,7 +21,7 @@
 from oakvale.intake.settings import BadSettings, Settings
 from oakvale.intake.watch import SettingsWatch
 from oakvale.lane import Shared
-from oakvale.lifecycle.acceptor import Acceptor, listening
+from oakvale.lifecycle.acceptor import Acceptor
 from oakvale.lifecycle.daybook import Writer
 from oakvale.lifecycle.signals import Signals
 from oakvale.mains.links import Mains
@@ -44,7 +45,7 @@
     raise AssertionError
 
 
-def serve(settings: Settings, signals: Signals) -> int:
+def serve(settings: Settings, signals: Signals, listeners: dict[str, socket.socket]) -> int:
     """Raises BadSettings, OSError."""
     if settings.datadir is None or "ctl" not in settings.bind:
         raise BadSettings("headworks needs [self] datadir and [network.bind] ctl")
@@ -59,7 +60,7 @@
     offer(mains, "headworks", settings.node, lambda: standing(core))
     shared = Shared(loop, limits)
     ctl = Ctl(shared, core, settings)
-    acceptor = Acceptor(ctl, listening(settings.bind["ctl"], limits.backlog), loop)
+    acceptor = Acceptor(ctl, listeners["ctl"], loop)
 
     def sweep(_: object) -> None:
         mains.sweep()
--- a/oakvale/lifecycle/acceptor.py
+++ b/oakvale/lifecycle/acceptor.py
@@ -5,7 +5,9 @@
 import errno
 import logging
 import socket
+from collections.abc import Callable
 
+from oakvale.base import sockets
 from oakvale.base.loop import READ, Coroutine, Loop, Rank
 from oakvale.wire.clients import ClientConnection, Owner
 from oakvale.wire.tcp import stamp_arrivals
@@ -14,22 +16,17 @@
 
 
 def listening(address: tuple[str, int], backlog: int) -> socket.socket:
-    """Bound at once after a kill, though connections of the life before may linger."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        stamp_arrivals(sock)
-        sock.bind(address)
-        sock.listen(backlog)
-    except OSError:
-        sock.close()
-        raise
+    """A listening socket whose connections have their arrivals stamped. Raises OSError."""
+    sock = sockets.listening(address, backlog)
+    stamp_arrivals(sock)
     return sock
 
 
 class Acceptor:
-    def __init__(self, owner: Owner, listener: socket.socket, loop: Loop) -> None:
-        self.owner, self.loop, self.listener = owner, loop, listener
+    def __init__(self, owner: Owner, listener: socket.socket, loop: Loop,
+                 ready: Callable[[], bool] = lambda: True) -> None:
+        """Connections wait in the backlog until `ready`, but not longer than `limits.unready`."""
+        self.owner, self.loop, self.listener, self._ready = owner, loop, listener, ready
         self._full = False
         self.task = loop.start(self._accept(), listener.fileno(), Rank.CLIENT)
 
@@ -38,6 +35,9 @@
         else new ones stay in the backlog for a moment: a failing accept never spins."""
         limits = self.owner.limits
         try:
+            latest = self.loop.now + limits.unready
+            while not self._ready() and self.loop.now < latest:
+                yield 0, self.loop.now + limits.accept_pause // 2
             while True:
                 yield READ, 0
                 try:
--- a/oakvale/lifecycle/serving.py
+++ b/oakvale/lifecycle/serving.py
@@ -75,7 +75,7 @@
     shutdown = Shutdown(server)
     loop.start(signals.run(shutdown.begin, server.reload), signals.fileno(), Rank.DISCOVERY)
     server.begin()
-    Status(server.host).begin()
+    Status(server.host.shared).begin()
     gc.collect()
     gc.freeze()  # what lives as long as the process is never looked at again
     log.info("serving", extra={"gateway": configuration.name, "pid": os.getpid(),
--- a/oakvale/lifecycle/status.py
+++ b/oakvale/lifecycle/status.py
@@ -6,14 +6,13 @@
 import resource
 from typing import Any
 
-from oakvale.host import Host
 from oakvale.lane import Shared
 
 log = logging.getLogger(__name__)
 
 
 class Status:
-    def __init__(self, host: Host | Shared) -> None:
+    def __init__(self, host: Shared) -> None:
         self._host = host
         self._cpu = 0.0
         self._turns = 0
--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+import socket
 from dataclasses import replace
 from typing import Any
 
@@ -14,7 +15,7 @@
 from oakvale.intake.bounds import bounds
 from oakvale.intake.settings import Settings
 from oakvale.lane import Shared
-from oakvale.lifecycle.acceptor import Acceptor, listening
+from oakvale.lifecycle.acceptor import Acceptor
 from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.memory.requests import Answer as HttpAnswer
@@ -64,7 +65,7 @@
 
 
 class Sluice:
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, listeners: dict[str, socket.socket]) -> None:
         self.settings = settings
         limits = bounds(settings)
         self.loop = Loop(Clock(), limits)
@@ -88,15 +89,15 @@
         self._watched: list[Member] = []
         self._heard: dict[str, int] = {}  # node and life -> its last heartbeat here
         self._turn = 0
-        self._joined = False
+        self._joined = self._asking = False
         self.mains.handlers["alive"] = self._alive
         self.loop.at(self.loop.now, self._join)
         self.loop.at(self.loop.now + HEARTBEAT, self._beat)
         self.loop.at(self.loop.now + SWEEP, self._sweep)
-        self.plant_acceptor = Acceptor(self.plant, listening(settings.bind["http"], limits.backlog), self.loop)
+        self.plant_acceptor = Acceptor(self.plant, listeners["http"], self.loop, lambda: self.plant.picture.gen >= 0)
         self.ready_acceptor: Acceptor | None = None
-        if "readyz" in settings.bind:
-            self.ready_acceptor = Acceptor(Readyz(self.shared, self), listening(settings.bind["readyz"], 64), self.loop)
+        if "readyz" in listeners:
+            self.ready_acceptor = Acceptor(Readyz(self.shared, self), listeners["readyz"], self.loop)
         self.accepting = self.plant_acceptor.task
         self.host = self.plant
         self.mains.listen()
@@ -132,21 +133,27 @@
         own = self.plant.picture.members.get(self.settings.node)
         here = own is not None and own.life == self.life
         self.loop.at(self.loop.now + (STAY if here else JOIN), self._join)
-        if here and self._joined:
-            return
+        if not here or not self._joined:
+            self._ask_in()
+
+    def _ask_in(self) -> None:
+        """Asks one core machine; at once the next where that one names the primary."""
         address = parse_address(self._core[self._turn % len(self._core)]) if self._core else None
-        self._turn += 1
-        if address is None:
+        if address is None or self._asking:
             return
+        self._turn += 1
+        self._asking = True
         body = {"node": self.settings.node, "addr": self.own, "az": self.settings.zone, "life": self.life}
 
         def answered(answer: Any) -> None:
+            self._asking = False
             if not isinstance(answer, dict):
                 return
             if answer.get("joined"):
                 self._joined = True
-            elif answer.get("primary"):
+            elif answer.get("primary") and answer["primary"] != spelled(address):
                 self._know(str(answer["primary"]))
+                self._ask_in()
 
         self.mains.ask(address, "join", body, 4 * JOIN, answered)
 
@@ -200,6 +207,9 @@
             self._jurors = [str(address) for address in held.get("witnesses") or []]
             copies = [str(address) for address in held.get("copies") or []]
             self._core = list(dict.fromkeys([*copies, *self._jurors, *self._core]))[:CORE]
+            if not self._joined:
+                self._turn = 0
+                self._ask_in()
         if moved:
             everyone = picture.members.values()
             self._watchers = watchers(everyone, self.settings.node, WATCHERS)
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -26,6 +26,7 @@
 DIGITS = re.compile(rb"[0-9]{1,9}")
 MS = 1_000
 SECOND = 1_000_000
+MOMENT = 250 * MS  # at most, and a fifth of the aim, for a counter to be found
 WAY = 45 * MS  # a first try has lost at most so much of its time when it comes
 MOST_TRIES = 64  # each route says how many it allows
 TEXT = (b"content-type", b"text/plain")
@@ -272,7 +273,7 @@
         self.requests.add(request)
         if order.tenant is None:
             return self._go(request)
-        self.gauge.ask(order.tenant, order.again, partial(self._counted, request))
+        self.gauge.ask(order.tenant, order.again, partial(self._counted, request), min(MOMENT, order.route.aim // 5))
 
     def _counted(self, request: InHand, passes: bool, wait: int, counted: bool) -> None:
         if request.over:
--- a/oakvale/sluice/process.py
+++ b/oakvale/sluice/process.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import socket
 
 from oakvale.base.loop import Rank
 from oakvale.intake.settings import BadSettings, Settings
@@ -19,11 +20,11 @@
 note = Writer(__name__)
 
 
-def serve(settings: Settings, signals: Signals) -> int:
+def serve(settings: Settings, signals: Signals, listeners: dict[str, socket.socket]) -> int:
     """Raises BadSettings, OSError."""
     if "http" not in settings.bind:
         raise BadSettings("sluice needs [network.bind] http")
-    sluice = Sluice(settings)
+    sluice = Sluice(settings, listeners)
     shutdown = Shutdown(sluice)
     offer(sluice.mains, "sluice", settings.node, lambda: standing(sluice))
 
