State that nothing reads is gone from the core and the links

Read once more: when a core machine became active, its zones and a way to drop a link were kept or offered and never used. Behaviour is as before; lint, types and the tests of control state, order of imports, data plane and start pass.

--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -58,7 +58,6 @@
         self.ledger = Ledger()
         self.outlet = Outlet(self.ledger.table)
         self.active = False
-        self.activated_at = 0
         self._leaving = False
         self.on_change: list[Callable[[bool], None]] = []  # hears when this seat begins or ends to serve
         self._tick_number = 0
@@ -86,7 +85,6 @@
         patience = settings.bounds.sync_time + settings.bounds.contact
         self.succession = Succession(self.own, durable, copies, SILENCE, patience)
         self._known = {*seeds}
-        self._zones: dict[str, str] = {}
         for kind in ("prepare", "promise", "accept", "accepted", "decided", "refused", "void", "voided"):
             mains.handlers[kind] = self._council(kind)
         mains.handlers["core"] = self._heard
@@ -206,7 +204,6 @@
         if self.active or self.view() != view or not set(view.backups) <= self._held:
             return
         self.active = True
-        self.activated_at = self.loop.now
         note("serving the control state", view=view.number, backups=_names(view.backups))
         for call in self.on_change:
             call(True)
--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -258,11 +258,6 @@
         """Whether a connection was refused there just now: the process that listened has ended."""
         return self.loop.now - self._refused.get(address, -2 * PAUSE) < 2 * PAUSE
 
-    def drop(self, address: Address) -> None:
-        conn = self._out.get(address)
-        if conn is not None:
-            conn.end()
-
     def sweep(self) -> None:
         """Ends links that nothing went out on for long."""
         for conn in list(self._out.values()):
