The operator's limits bind clients on every gateway of the system

Need: hdr-bytes, body-bytes, hdr and idle of a configuration were checked, kept and then read by nobody; a sluice had bounds of its own alone.

Change: a picture carries them (ClientBounds), the plant's limits are the process's with these in force; a head has a time of its own, and one that comes whole is measured too, as h11 bounds only heads that come in pieces. What is larger than the machine's memory bears is not let in by them.

--- a/oakvale/base/limits.py
+++ b/oakvale/base/limits.py
@@ -46,6 +46,7 @@
     client_grace: int = 500 * MS  # from the connection on, before it makes room for want of a word
     client_first: int = 2_500 * MS  # from the connection to the last byte of its first request
     client_send: int = 2_500 * MS  # from a later request's first byte to its last
+    client_head: int = 0  # from a request's first byte to the end of its head; 0: as the whole request
     client_idle: int = 2 * SECOND  # between requests
     client_wait: int = 3600 * SECOND  # for an answer, whatever it says
     client_take: int = 10 * SECOND  # for a client to take its answer
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -211,6 +211,7 @@
         was, self.picture = self.picture, picture
         if picture.gen != was.gen:
             self._longest.clear()
+            self.limits = picture.clients.within(self.shared.limits)
         if picture.backends is not was.backends:
             by_service: dict[str, list[Backend]] = {}
             for backend in picture.backends.values():
@@ -232,6 +233,8 @@
         picture, fields = self.picture, incoming.fields
         if picture.gen < 0:
             return later(503, SECOND // 2, b"no configuration yet\n")
+        if picture.clients.head and incoming.head_size() > self.limits.header:
+            raise BadRequest(431, "head too large")
         rid = fields.get(b"attempt-id", b"")
         if not ATTEMPT_ID.fullmatch(rid):
             raise BadRequest(400, "Attempt-Id is missing or not understood")
--- a/oakvale/sluice/routes.py
+++ b/oakvale/sluice/routes.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import orjson
 
+from oakvale.base.limits import Limits
 from oakvale.gauge.floors import Quota
 from oakvale.intake.times import micros
 from oakvale.penstock.table import Table
@@ -59,9 +60,28 @@
     warm: int
 
 
+@dataclass(slots=True, frozen=True)
+class ClientBounds:
+    """What the operator lets a client send, and how long it may take or stay idle; None or 0: as the process has it."""
+
+    head: int | None = None  # bytes
+    body: int | None = None
+    head_time: int | None = None  # microseconds
+    idle: int | None = None
+
+    def within(self, own: Limits) -> Limits:
+        """A process's limits with these in force. They bind more tightly than its own, or not at all: those guard its
+        memory. Only the times may be longer."""
+        return replace(
+            own, header=min(own.header, self.head or own.header),
+            body=min(own.body, self.body or own.body),
+            client_head=self.head_time or own.client_head, client_idle=self.idle or own.client_idle)
+
+
 @dataclass(slots=True, frozen=True)
 class Picture:
     gen: int = -1
+    clients: ClientBounds = ClientBounds()
     routes: Mapping[str, tuple[Route, ...]] = field(default_factory=dict)  # host -> longest prefix first
     keys: Mapping[str, Tenant] | None = None  # None: no key is asked for
     tenants: Mapping[str, Tenant] = field(default_factory=dict)
@@ -102,8 +122,11 @@
                         row.get("prio"))
         tenants[tenant.name] = tenant
         keys |= {str(key): tenant for key in row.get("apikeys") or []}
+    given = data.get("limits") or {}
     return {
         "gen": int(data["gen"]),
+        "clients": ClientBounds(given.get("hdr-bytes"), given.get("body-bytes"),
+                                *(micros(given[name]) if given.get(name) else None for name in ("hdr", "idle"))),
         "routes": {host: tuple(sorted(found, key=lambda r: -len(r.prefix))) for host, found in by_host.items()},
         "tenants": tenants, "keys": keys if data.get("tenants") is not None else None,
     }
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -80,6 +80,10 @@
     fields: dict[bytes, bytes]
     body: bytes = b""
 
+    def head_size(self) -> int:
+        """Bytes of its head, as they are sent most shortly: h11 bounds only heads that come in pieces."""
+        return len(self.method) + len(self.target) + 14 + sum(len(n) + len(v) + 4 for n, v in self.headers)
+
 
 def decode(incoming: Incoming, came: int, names: Names, longest: int, terms_of: Terms) -> i.Request:
     """A client's request as the module knows it; raises BadRequest."""
@@ -251,6 +255,8 @@
                         yield from write_all(self._sock, interim or b"", due)
                     wanted = began or not self._answers
                     due = self._due(began) if wanted else self.used + limits.client_idle
+                    if began and incoming is None and limits.client_head:
+                        due = min(due, began + limits.client_head)
                     arrived = yield from more(self._sock, http, host.buffers, due, stamped=True)
                     self._came = host.loop.now - host.waited(arrived)
                     if idle:
--- a/tests/test_plant.py
+++ b/tests/test_plant.py
@@ -151,6 +151,22 @@
     assert gate.status(client) == 503 and b"retry-after" in client.came
 
 
+def test_the_operators_bounds_on_clients_are_in_force_with_its_configuration(gate: Gate) -> None:
+    """They were checked and then forgotten: a client could send a head bit by bit for as long as the process let it."""
+    gate.show(gen=8, limits={"hdr-bytes": 400, "body-bytes": 8, "hdr": "1500ms", "idle": "4s"})
+    assert gate.status(gate.say("/b/x", method="POST", body=b"nine nine")) == 413
+    assert gate.status(gate.say(X_Long="x" * 500)) == 431
+    slow, idle = gate.client(), gate.say(rid="a2")
+    slow.send(b"GET /r/x HTTP/1.1\r\nHost: ")
+    gate.at_backend()[1].send(sealed("a2"))
+    assert gate.status(idle) == 200
+    gate.pass_time(1_600 * MS)
+    assert gate.status(slow) == 408 and (idle.read(), idle.ended)[1] is False
+    gate.pass_time(3_000 * MS)
+    gate.until(lambda: (idle.read(), idle.ended)[1])
+    assert gate.plant.limits.body == 8 and gate.plant.shared.limits.body > 8  # answers are bounded as before
+
+
 @pytest.mark.parametrize("word, status", [((False, 250_000, True), 429), ((False, 200_000, False), 503)])
 def test_over_the_quota_or_not_counted_is_refused_at_once_with_a_time(gate: Gate, word: Any, status: int) -> None:
     gate.gauge.word = word
