With strict-revoke, a gateway without news honours no key

Need: the settings may say strict-revoke; a sluice cut off from the news went on honouring keys that were taken away.

Change: without a pulse for half of the bound revoke, keyed requests get 503 with a time and readyz fails; the rest of it is what a pulse may take through the relays.

Measured: nothing changes where it is false; test of the plant's answers.

--- a/oakvale/intake/settings.py
+++ b/oakvale/intake/settings.py
@@ -40,10 +40,12 @@
     retry_slack: float = 0.0
     quota_excess: float = 0.0
     quota_slack: float = 0.0
+    revoke: int = 5_000 * MS
+    strict_revoke: bool = False  # a key is not honoured where its removal may have gone unheard for `revoke`
 
 
 TIMES = ("contact", "ack", "sync_time", "drain", "grace", "apply", "reuse", "recover", "retry_win",
-         "quota_win")
+         "quota_win", "revoke")
 FIGURES = ("retry_ratio", "retry_slack", "quota_excess", "quota_slack")
 
 
@@ -151,6 +153,7 @@
                                                 getattr(Bounds(), name)) for name in TIMES}
     for name in FIGURES:
         figures[name] = float(given.get(name.replace("_", "-"), (int, float), getattr(Bounds(), name)))
+    figures["strict_revoke"] = given.get("strict-revoke", bool, False)
     return Settings(
         node=own.get("node", str), ip=own.get("ip", str), zone=own.get("az", str, ""),
         region=own.get("rgn", str, ""), serves=own.texts("serves"),
--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -85,6 +85,8 @@
                            Retries(given.retry_win, given.retry_ratio, given.retry_slack))
         self.feed = Feed(self.loop, self.mains, self.table, lambda: {"node": settings.node, "life": self.life},
                          self._sources, self._changed)
+        if given.strict_revoke:  # half of it: a pulse may have been on its way through the relays for the rest
+            self.plant.sure = lambda: self.feed.fresh(given.revoke // 2)
         self._watchers: list[Member] = []  # this gateway's, and those that it watches itself
         self._watched: list[Member] = []
         self._heard: dict[str, int] = {}  # node and life -> its last heartbeat here
@@ -109,7 +111,7 @@
 
     def ready(self) -> bool:
         picture = self.plant.picture
-        return picture.gen >= 0 and bool(picture.backends) and not self.plant.stopping
+        return picture.gen >= 0 and bool(picture.backends) and self.plant.sure() and not self.plant.stopping
 
     def know(self, seeds: tuple[Address, ...]) -> None:
         """Other core machines than those that are known, perhaps; tried behind them."""
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -4,6 +4,7 @@
 
 import random
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from functools import partial
 from typing import Any
@@ -176,6 +177,7 @@
         self._rng, self._retries = random.Random(), retries
         self.taking_ended = False
         self._longest: dict[str, int] = {}  # route -> the longest that a client would wait
+        self.sure: Callable[[], bool] = lambda: True  # whether a key's removal would have been heard of
 
     @property
     def tally(self) -> Tally:
@@ -251,6 +253,8 @@
             holder = picture.keys.get(key.strip()) if scheme.lower() == "bearer" else None
             if holder is None:
                 return plain(401, "no such key")
+            if not self.sure():
+                return later(503, SECOND // 2, b"keys may be out of date\n")
             tenant = holder.name
         name = rid.decode("latin-1")
         if self.requests.get(name) is not None:
--- a/tests/test_plant.py
+++ b/tests/test_plant.py
@@ -167,6 +167,16 @@
     assert gate.plant.limits.body == 8 and gate.plant.shared.limits.body > 8  # answers are bounded as before
 
 
+def test_a_key_that_may_have_been_taken_away_unheard_is_not_honoured(gate: Gate) -> None:
+    """With strict-revoke. A public route and an unknown key are answered as ever."""
+    gate.plant.sure = lambda: False
+    client = gate.say()
+    assert gate.status(client) == 503 and b"retry-after" in client.came
+    assert gate.status(gate.say(rid="a2", key="wrong")) == 401
+    gate.say("/r/deep/x", rid="a3", key=None)
+    gate.taken(gate.other)
+
+
 @pytest.mark.parametrize("word, status", [((False, 250_000, True), 429), ((False, 200_000, False), 503)])
 def test_over_the_quota_or_not_counted_is_refused_at_once_with_a_time(gate: Gate, word: Any, status: int) -> None:
     gate.gauge.word = word
