Loop gets its sockets and poller handed in

Everything of the system's roles that made a socket, drew by lot or named itself did so on its own, so that it could run on the real machine alone. A loop is now handed a Net, real unless said otherwise, and what runs on it asks there. What a process is made of stands in a class of each role's process module, apart from signals, the settings file and the cistern's opening, so that another world can start the same.

--- a/oakvale/base/loop.py
+++ b/oakvale/base/loop.py
@@ -18,6 +18,7 @@
 from typing import Any, TypeVar
 
 from oakvale.base.limits import Limits
+from oakvale.base.net import Net
 
 READ = select.EPOLLIN | select.EPOLLRDHUP
 WRITE = select.EPOLLOUT
@@ -117,12 +118,13 @@
 
 
 class Loop:
-    def __init__(self, clock: Callable[[], int], limits: Limits) -> None:
+    def __init__(self, clock: Callable[[], int], limits: Limits, net: Net | None = None) -> None:
         self.clock = clock
+        self.net = net or Net()  # what it waits with, and what everything on it makes sockets of
         self.now = clock()
         self._late = limits.late
         self.turns = 0
-        self._epoll = select.epoll()
+        self._poller = self.net.poller()
         self._tasks: dict[int, Task] = {}
         self._woken: deque[Task] = deque()
         self._timers, self._wakes = Timers(limits.timer_slack), Timers(limits.wake_slack)
@@ -158,7 +160,7 @@
     def _task(self, fd: int) -> Task:
         task = self._tasks.get(fd)
         if task is None:  # left open by what ended: it would be told of each turn
-            self._epoll.unregister(fd)
+            self._poller.unregister(fd)
             return NOBODY
         return task
 
@@ -185,9 +187,9 @@
 
     def _watch(self, task: Task, mask: int) -> None:
         if task.mask < 0:
-            self._epoll.register(task.fd, mask)
+            self._poller.register(task.fd, mask)
         else:
-            self._epoll.modify(task.fd, mask)
+            self._poller.modify(task.fd, mask)
         task.mask = mask
 
     # ---- timers
@@ -231,10 +233,10 @@
         """Waits for events or the next timer, then handles all that is there at one clock time."""
         wait = self.wait(longest)
         latest = self.now + int(wait * 1e6) + self._late
-        events = self._epoll.poll(wait)
+        events = self._poller.poll(wait)
         self.now = self.clock()
         if self.now > latest:  # it stood still: what came meanwhile is handled before the timers that passed
-            events = self._epoll.poll(0)
+            events = self._poller.poll(0)
         self.turns += 1
         if len(events) == 1:
             fd, flags = events[0]
@@ -260,4 +262,4 @@
     def close(self) -> None:
         for task in list(self._tasks.values()):
             self.end(task)
-        self._epoll.close()
+        self._poller.close()
--- a/oakvale/gauge/dispatch.py
+++ b/oakvale/gauge/dispatch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -73,7 +72,7 @@
     def _board(self, service: str) -> Board:
         board = self._boards.get(service)
         if board is None:
-            board = self._boards[service] = Board(random.random)
+            board = self._boards[service] = Board(self._loop.net.rng.random)
         return board
 
     def _picked(self, conn: Conn, body: Any, answer: Answer) -> None:
--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -4,7 +4,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -69,7 +68,7 @@
         self._waiting: dict[str, dict[int, Callable[[], None]]] = {}
         self._number = 0
         self._read = Read()
-        self.alone = Alone(terms, random.random, loop.now)
+        self.alone = Alone(terms, loop.net.rng.random, loop.now)
         self._tenants: set[str] = set()
         mains.handlers["count"] = self._count
         mains.handlers["greet"] = self._greeted
@@ -179,7 +178,7 @@
         for address in self._jury():
             self.mains.ask(address, "who", duty, WAIT, partial(self._juror_said, duty, address))
         others = self._others()
-        for address in random.sample(others, min(2, len(others))):
+        for address in self.loop.net.rng.sample(others, min(2, len(others))):
             self.mains.ask(address, "counts", duty, WAIT, partial(self._told_by, duty, address))
 
     def _juror_said(self, duty: str, juror: Address, answer: Any) -> None:
--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import secrets
 from collections.abc import Callable
 from typing import Any
 
@@ -72,7 +71,7 @@
         elif settings.bootstrap and spelled(mains.own) in seeds:
             incarnation, life, first = FOUNDER, 0, founding(seeds, copies).pack()
         else:
-            incarnation, life, first = secrets.token_hex(4), 0, None
+            incarnation, life, first = loop.net.token(4), 0, None
         self.own: Seat = (spelled(mains.own), incarnation)
         self._life = life + 1  # each start is another; what an earlier one said may still be on its way
         self._said = 0  # to backups in this life
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -4,12 +4,12 @@
 
 import gc
 import os
-import socket
 import sqlite3
 import time
+from collections.abc import Callable, Mapping
 
-from oakvale.base.limits import Limits
 from oakvale.base.loop import Clock, Loop, Rank
+from oakvale.base.net import Sock
 from oakvale.cistern.store import Cistern
 from oakvale.headworks.core import Core
 from oakvale.headworks.ctl import Ctl
@@ -45,45 +45,53 @@
     raise AssertionError
 
 
-def serve(settings: Settings, signals: Signals, listeners: dict[str, socket.socket]) -> int:
-    """Raises BadSettings, OSError."""
-    if settings.datadir is None or "ctl" not in settings.bind:
-        raise BadSettings("headworks needs [self] datadir and [network.bind] ctl")
-    limits: Limits = bounds(settings)
-    loop = Loop(Clock(), limits)
-    mains = Mains(loop, (settings.ip, settings.ports[0]))
-    mains.listen()
-    cistern = _opened(loop, settings.datadir)
-    core = Core(loop, mains, settings, cistern)
-    Gates(core, Jury(loop, mains, cistern), loop, mains)
-    Pruning(core, loop)
-    offer(mains, "headworks", settings.node, lambda: standing(core))
-    shared = Shared(loop, limits)
-    ctl = Ctl(shared, core, settings)
-    acceptor = Acceptor(ctl, listeners["ctl"], loop)
+class Process:
+    """All that runs on the loop, but for what the operating system tells."""
+
+    def __init__(self, settings: Settings, listeners: Mapping[str, Sock], loop: Loop,
+                 opened: Callable[[], Cistern]) -> None:
+        """`opened` gives the disk, and may take a while. Raises BadSettings, OSError."""
+        self.loop = loop
+        self.mains = Mains(loop, (settings.ip, settings.ports[0]))
+        self.mains.listen()
+        self.cistern = opened()
+        self.core = core = Core(loop, self.mains, settings, self.cistern)
+        Gates(core, Jury(loop, self.mains, self.cistern), loop, self.mains)
+        Pruning(core, loop)
+        offer(self.mains, "headworks", settings.node, lambda: standing(core))
+        self.shared = Shared(loop, bounds(settings))
+        self.acceptor = Acceptor(Ctl(self.shared, core, settings), listeners["ctl"], loop)
+        self.know = core.know
+        loop.at(loop.now + SWEEP, self._sweep)
+        note("headworks", node=settings.node, own=core.own[0], incarnation=core.own[1])
 
-    def sweep(_: object) -> None:
-        mains.sweep()
-        loop.at(loop.now + SWEEP, sweep)
+    def _sweep(self, _: object) -> None:
+        self.mains.sweep()
+        self.loop.at(self.loop.now + SWEEP, self._sweep)
 
-    watch = SettingsWatch(loop, os.environ, settings, lambda fresh: core.know(fresh.seeds))
+    def stop(self) -> None:
+        self.shared.stopping = True
+        self.core.resign()
+        self.shared.clients.end_idle()
+        self.loop.at(self.loop.now + 300_000, lambda _: self.loop.stop())
 
-    def stop() -> None:
-        shared.stopping = True
-        core.resign()
-        shared.clients.end_idle()
-        loop.at(loop.now + 300_000, lambda _: loop.stop())
 
-    loop.at(loop.now + SWEEP, sweep)
-    loop.start(signals.run(stop, watch.again), signals.fileno(), Rank.DISCOVERY)
+def serve(settings: Settings, signals: Signals, listeners: Mapping[str, Sock]) -> int:
+    """Raises BadSettings, OSError."""
+    datadir = settings.datadir
+    if datadir is None or "ctl" not in settings.bind:
+        raise BadSettings("headworks needs [self] datadir and [network.bind] ctl")
+    loop = Loop(Clock(), bounds(settings))
+    process = Process(settings, listeners, loop, lambda: _opened(loop, datadir))
+    watch = SettingsWatch(loop, os.environ, settings, lambda fresh: process.know(fresh.seeds))
+    loop.start(signals.run(process.stop, watch.again), signals.fileno(), Rank.DISCOVERY)
     gc.collect()
     gc.freeze()
-    note("headworks", node=settings.node, own=core.own[0], incarnation=core.own[1])
     try:
         loop.run()
     finally:
-        loop.end(acceptor.task)
-        cistern.close()
+        loop.end(process.acceptor.task)
+        process.cistern.close()
         loop.close()
         signals.close()
     note("stopped", node=settings.node)
--- a/oakvale/lane.py
+++ b/oakvale/lane.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
 from functools import lru_cache
@@ -43,7 +42,7 @@
         self.bodies = Room(limits.bodies)
         self.stopping = self.ended = False
         self.response = lru_cache(limits.cached)(response)
-        self.unix_time = time.time_ns  # the clock of the kernel's stamps
+        self.unix_time = loop.net.unix_time  # the clock of the kernel's stamps
 
     # ---- what the connections ask
 
--- a/oakvale/lifecycle/acceptor.py
+++ b/oakvale/lifecycle/acceptor.py
@@ -9,6 +9,7 @@
 
 from oakvale.base import sockets
 from oakvale.base.loop import READ, Coroutine, Loop, Rank
+from oakvale.base.net import Sock
 from oakvale.wire.clients import ClientConnection, Owner
 from oakvale.wire.tcp import stamp_arrivals
 
@@ -23,7 +24,7 @@
 
 
 class Acceptor:
-    def __init__(self, owner: Owner, listener: socket.socket, loop: Loop,
+    def __init__(self, owner: Owner, listener: Sock, loop: Loop,
                  ready: Callable[[], bool] = lambda: True) -> None:
         """Connections wait in the backlog until `ready`, but not longer than `limits.unready`."""
         self.owner, self.loop, self.listener, self._ready = owner, loop, listener, ready
--- a/oakvale/lifecycle/serving.py
+++ b/oakvale/lifecycle/serving.py
@@ -5,11 +5,11 @@
 import gc
 import logging
 import os
-import socket
 
 from oakvale.base.address import spelled
 from oakvale.base.configuration import BadConfiguration, Configuration
 from oakvale.base.loop import Clock, Loop, Rank
+from oakvale.base.net import Sock
 from oakvale.host import Host
 from oakvale.lifecycle.acceptor import Acceptor, listening
 from oakvale.lifecycle.shutdown import Shutdown
@@ -23,7 +23,7 @@
 
 
 class Server:
-    def __init__(self, configuration: Configuration, listener: socket.socket, loop: Loop) -> None:
+    def __init__(self, configuration: Configuration, listener: Sock, loop: Loop) -> None:
         self.loop, self.listener = loop, listener
         self.host = Host(configuration, loop)
         self.configuration, self.limits = configuration, configuration.limits
@@ -69,7 +69,7 @@
         self.loop.at(self.loop.now + self.limits.sweep, self._sweep)
 
 
-def serve(configuration: Configuration, listener: socket.socket, signals: Signals) -> int:
+def serve(configuration: Configuration, listener: Sock, signals: Signals) -> int:
     loop = Loop(Clock(), configuration.limits)
     server = Server(configuration, listener, loop)
     shutdown = Shutdown(server)
--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -14,6 +14,7 @@
 
 from oakvale.base.address import Address
 from oakvale.base.loop import READ, TIMED_OUT, WRITE, Coroutine, Loop, Rank, Timer, call_off
+from oakvale.base.net import Sock
 from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.frames import BadFrame, Frame, decode, encode
 
@@ -36,7 +37,7 @@
 class Conn:
     """One connection, either way. `on_close` hears once that it is gone."""
 
-    def __init__(self, mains: Mains, sock: socket.socket, address: Address, out: bool) -> None:
+    def __init__(self, mains: Mains, sock: Sock, address: Address, out: bool) -> None:
         self.mains, self.sock, self.address, self._out = mains, sock, address, out
         self.alive, self.up = True, not out
         self.refused = False  # nobody listens there: whoever did has ended
@@ -167,13 +168,10 @@
 
     def listen(self) -> None:
         """Raises OSError where the address can't be had."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(self.own)
-        sock.listen(256)
+        sock = self.loop.net.listen(self.own, 256)
         self.loop.start(self._accept(sock), sock.fileno(), Rank.COUNTER)
 
-    def _accept(self, listener: socket.socket) -> Coroutine:
+    def _accept(self, listener: Sock) -> Coroutine:
         try:
             while True:
                 yield READ, 0
@@ -188,7 +186,7 @@
             listener.close()
 
     @staticmethod
-    def _tune(sock: socket.socket) -> None:
+    def _tune(sock: Sock) -> None:
         sock.setblocking(False)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -220,7 +218,7 @@
             return None
         self._failed.pop(address, None)
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock = self.loop.net.stream()
         except OSError:
             return None
         self._tune(sock)
@@ -254,6 +252,7 @@
     def links(self) -> tuple[int, int]:
         """How many there are, outgoing and incoming."""
         return len(self._out), len(self._in)
+
     def ended(self, address: Address) -> bool:
         """Whether a connection was refused there just now: the process that listened has ended."""
         return self.loop.now - self._refused.get(address, -2 * PAUSE) < 2 * PAUSE
--- a/oakvale/mains/standing.py
+++ b/oakvale/mains/standing.py
@@ -4,7 +4,6 @@
 
 from __future__ import annotations
 
-import resource
 import socket
 import time
 from collections import Counter
@@ -34,10 +33,10 @@
     loop, began = mains.loop, mains.loop.now
 
     def standing() -> Fields:
-        usage, (out, come) = resource.getrusage(resource.RUSAGE_SELF), mains.links()
+        (cpu, memory), (out, come) = loop.net.used(), mains.links()
         return {"role": role, "node": node, "up_ms": (loop.now - began) // MS} | tell() | {
             "links_out": out, "links_in": come, "sent_bytes": mains.sent_bytes, "turns": loop.turns,
-            "cpu_ms": round((usage.ru_utime + usage.ru_stime) * 1000), "memory_mb": usage.ru_maxrss // 1024}
+            "cpu_ms": round(cpu * 1000), "memory_mb": memory}
 
     def again(_: Any) -> None:
         loop.at(loop.now + EACH, again)
--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import secrets
-import socket
+from collections.abc import Mapping
 from dataclasses import replace
 from typing import Any
 
 from oakvale.base.address import Address, parse_address, spelled
-from oakvale.base.loop import Clock, Loop
+from oakvale.base.loop import Loop
+from oakvale.base.net import Sock
 from oakvale.budget import Retries
 from oakvale.gauge.floors import Quota, Terms
 from oakvale.gauge.service import Gauge
@@ -65,11 +65,11 @@
 
 
 class Sluice:
-    def __init__(self, settings: Settings, listeners: dict[str, socket.socket]) -> None:
+    def __init__(self, settings: Settings, listeners: Mapping[str, Sock], loop: Loop) -> None:
         self.settings = settings
         limits = bounds(settings)
-        self.loop = Loop(Clock(), limits)
-        self.life = secrets.token_hex(6)
+        self.loop = loop
+        self.life = loop.net.token(6)
         # two roles of a machine share its ports: the headworks takes the first
         self.mains = Mains(self.loop, (settings.ip, settings.ports[0] + 1))
         self.own = spelled(self.mains.own)
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import re
 from dataclasses import dataclass, replace
 from functools import partial
@@ -10,13 +9,13 @@
 
 from oakvale import interface as i
 from oakvale.base.address import Address, parse_address
+from oakvale.budget import Retries, SharedBudget
 from oakvale.gauge.board import Offer
 from oakvale.gauge.dispatch import Boards, Pick
-from oakvale.budget import Retries, SharedBudget
 from oakvale.gauge.service import Gauge
 from oakvale.lane import Lane, Shared
-from oakvale.memory.requests import Answer, AttemptOut, InHand
 from oakvale.mains.links import Mains
+from oakvale.memory.requests import Answer, AttemptOut, InHand
 from oakvale.memory.tally import Tally
 from oakvale.sluice.dialect import SystemDialect
 from oakvale.sluice.routes import Backend, Picture, Route
@@ -173,7 +172,7 @@
         self._zones, self._zone = {name: n for n, name in enumerate(zones)}, zone
         self._lanes: dict[str, ServiceLane] = {}
         self._numbers: dict[str, int] = {}
-        self._rng, self._retries = random.Random(), retries
+        self._rng, self._retries = self.loop.net.rng, retries
         self.taking_ended = False
         self._longest: dict[str, int] = {}  # route -> the longest that a client would wait
 
--- a/oakvale/sluice/process.py
+++ b/oakvale/sluice/process.py
@@ -4,9 +4,11 @@
 
 import gc
 import os
-import socket
+from collections.abc import Mapping
 
-from oakvale.base.loop import Rank
+from oakvale.base.loop import Clock, Loop, Rank
+from oakvale.base.net import Sock
+from oakvale.intake.bounds import bounds
 from oakvale.intake.settings import BadSettings, Settings
 from oakvale.intake.watch import SettingsWatch
 from oakvale.lifecycle.daybook import Writer
@@ -20,29 +22,37 @@
 note = Writer(__name__)
 
 
-def serve(settings: Settings, signals: Signals, listeners: dict[str, socket.socket]) -> int:
-    """Raises BadSettings, OSError."""
-    if "http" not in settings.bind:
-        raise BadSettings("sluice needs [network.bind] http")
-    sluice = Sluice(settings, listeners)
-    shutdown = Shutdown(sluice)
-    offer(sluice.mains, "sluice", settings.node, lambda: standing(sluice))
+class Process:
+    """All that runs on the loop, but for what the operating system tells."""
+
+    def __init__(self, settings: Settings, listeners: Mapping[str, Sock], loop: Loop) -> None:
+        """Raises OSError."""
+        self.sluice = sluice = Sluice(settings, listeners, loop)
+        self.shutdown = Shutdown(sluice)
+        offer(sluice.mains, "sluice", settings.node, lambda: standing(sluice))
+        self.know = sluice.know
+        Status(sluice.shared).begin()
+        note("sluice", node=settings.node, own=sluice.own, life=sluice.life)
 
-    watch = SettingsWatch(sluice.loop, os.environ, settings, lambda fresh: sluice.know(fresh.seeds))
+    def stop(self) -> None:
+        self.shutdown.begin()
+        self.sluice.gauge.release()
 
-    def stop() -> None:
-        shutdown.begin()
-        sluice.gauge.release()
 
-    sluice.loop.start(signals.run(stop, watch.again), signals.fileno(), Rank.DISCOVERY)
-    Status(sluice.shared).begin()
+def serve(settings: Settings, signals: Signals, listeners: Mapping[str, Sock]) -> int:
+    """Raises BadSettings, OSError."""
+    if "http" not in settings.bind:
+        raise BadSettings("sluice needs [network.bind] http")
+    loop = Loop(Clock(), bounds(settings))
+    process = Process(settings, listeners, loop)
+    watch = SettingsWatch(loop, os.environ, settings, lambda fresh: process.know(fresh.seeds))
+    loop.start(signals.run(process.stop, watch.again), signals.fileno(), Rank.DISCOVERY)
     gc.collect()
     gc.freeze()
-    note("sluice", node=settings.node, own=sluice.own, life=sluice.life)
     try:
-        sluice.loop.run()
+        loop.run()
     finally:
-        shutdown.close()
+        process.shutdown.close()
         signals.close()
     note("stopped", node=settings.node)
     return 0
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -157,7 +157,7 @@
         self.attempt: AttemptOut | None = attempt
         self.lasts = host.limits.backend_idle  # while idle
         self._share = Share(host.bodies)
-        self._sock = new_socket()
+        self._sock = new_socket(host.loop.net)
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=host.limits.header)
         attempt.connection = self
         host.backend_connections += 1
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -14,6 +14,7 @@
 
 from oakvale import interface as i
 from oakvale.base.loop import BROKEN, READ, TIMED_OUT, WOKEN, Coroutine, Rank, Step
+from oakvale.base.net import Sock
 from oakvale.memory.buffers import Room, Share
 from oakvale.memory.idle import Clients
 from oakvale.memory.requests import Answer, Headers, InHand
@@ -152,7 +153,7 @@
 
 
 class ClientConnection:
-    def __init__(self, host: Owner, sock: socket.socket) -> None:
+    def __init__(self, host: Owner, sock: Sock) -> None:
         self.host, self.used, self.opened = host, host.loop.now, host.loop.now
         self._answers = 0
         self._share = Share(host.bodies)
--- a/oakvale/wire/counter.py
+++ b/oakvale/wire/counter.py
@@ -149,7 +149,7 @@
         self._partial: Call | None = None  # one that the socket took in part, and what is left of its line
         self._tail = b""
         self._buffer = b""
-        self._sock = new_socket()
+        self._sock = new_socket(self.host.loop.net)
         counter.connections.append(self)
         self._task = self.host.loop.start(self._run(), self._sock.fileno(), Rank.COUNTER)
 
--- a/oakvale/wire/discovery.py
+++ b/oakvale/wire/discovery.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from typing import Any, Protocol
 
 import h11
@@ -11,6 +10,7 @@
 from oakvale import interface as i
 from oakvale.base.address import Address, spelled
 from oakvale.base.loop import Coroutine, Rank, Step, Task
+from oakvale.base.net import Sock
 from oakvale.memory.names import BackendNames
 from oakvale.numbers import whole as whole_number
 from oakvale.wire.http import END, more
@@ -107,7 +107,7 @@
 
     def _start(self, follow: bool) -> None:
         try:
-            sock = new_socket()
+            sock = new_socket(self.host.loop.net)
         except OSError as error:
             self.host.log.warning("no socket for discovery", extra={"why": str(error)})
             return self._ended(follow)
@@ -124,7 +124,7 @@
         if self.host.settings.on_request or not follow:
             self.host.backends_changed(i.ListForm.FAILED, (), [])
 
-    def _run(self, sock: socket.socket, follow: bool, era: int) -> Coroutine:
+    def _run(self, sock: Sock, follow: bool, era: int) -> Coroutine:
         fetched = False
         try:
             fetched = yield from self._talk(sock, follow, era)
@@ -144,7 +144,7 @@
             elif not self.host.ended and not fetched:
                 self._ended(follow)
 
-    def _talk(self, sock: socket.socket, follow: bool, era: int) -> Step[bool]:
+    def _talk(self, sock: Sock, follow: bool, era: int) -> Step[bool]:
         host = self.host
         limits, loop = host.limits, host.loop
         if not (yield from connect(sock, self.address, loop.now + limits.discovery_silence)):
--- a/oakvale/wire/http.py
+++ b/oakvale/wire/http.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import socket
-
 import h11
 
 from oakvale.base.loop import READ, TIMED_OUT, Step
+from oakvale.base.net import Sock
 from oakvale.memory.buffers import BufferPool
 from oakvale.memory.requests import Headers
 from oakvale.wire.tcp import Gone, read_stamped
@@ -29,7 +28,7 @@
     return kept
 
 
-def receive(sock: socket.socket, http: h11.Connection, pool: BufferPool, stamped: bool) -> int | None:
+def receive(sock: Sock, http: h11.Connection, pool: BufferPool, stamped: bool) -> int | None:
     """Hands the parser what has come; gives the stamp of its arrival (0: none), None where nothing had come.
     Raises OSError when the connection broke."""
     buffer = pool.take()
@@ -43,7 +42,7 @@
         pool.give(buffer)
 
 
-def more(sock: socket.socket, http: h11.Connection, pool: BufferPool, due: int,
+def more(sock: Sock, http: h11.Connection, pool: BufferPool, due: int,
          stamped: bool = False) -> Step[int]:
     """Waits until the parser has been given something new; gives the stamp of its arrival. Raises Gone."""
     while True:
--- a/oakvale/wire/tcp.py
+++ b/oakvale/wire/tcp.py
@@ -8,6 +8,7 @@
 
 from oakvale.base.address import Address
 from oakvale.base.loop import TIMED_OUT, WOKEN, WRITE, Step
+from oakvale.base.net import Net, Sock
 
 SO_TIMESTAMPNS = 35  # Linux; the socket module has no name for it
 TIMESPEC = struct.Struct("qq")
@@ -23,13 +24,13 @@
         self.timed_out, self.begun = timed_out, begun
 
 
-def new_socket() -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+def new_socket(net: Net) -> Sock:
+    sock = net.stream()
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
 
 
-def connect(sock: socket.socket, address: Address, due: int) -> Step[bool]:
+def connect(sock: Sock, address: Address, due: int) -> Step[bool]:
     """True once the connection is up; False when it is refused, breaks, or is not up in time."""
     code = sock.connect_ex(address)
     if code != errno.EINPROGRESS:
@@ -39,7 +40,7 @@
     return signal != TIMED_OUT and not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
 
 
-def write_all(sock: socket.socket, data: bytes, due: int) -> Step[None]:
+def write_all(sock: Sock, data: bytes, due: int) -> Step[None]:
     """Writes what the socket takes and waits for the rest; raises Gone if it never all goes."""
     sent = 0
     while True:
@@ -55,7 +56,7 @@
             raise Gone(timed_out=True, begun=sent > 0)
 
 
-def stamp_arrivals(listener: socket.socket) -> None:
+def stamp_arrivals(listener: Sock) -> None:
     """Has the kernel note when bytes arrive on the connections that are accepted here. Without it, how long a
     request waited in this gateway's own socket while it stood still or was busy would be unseen."""
     try:
@@ -64,7 +65,7 @@
         pass  # then waits count as none
 
 
-def read_stamped(sock: socket.socket, buffer: memoryview) -> tuple[int, int]:
+def read_stamped(sock: Sock, buffer: memoryview) -> tuple[int, int]:
     """How many bytes were read, and when the last of them arrived: Unix time in nanoseconds, 0 if unknown."""
     count, ancillary, _, _ = sock.recvmsg_into([buffer], ANCILLARY)
     for level, kind, data in ancillary:
@@ -74,7 +75,7 @@
     return count, 0
 
 
-def peek(sock: socket.socket) -> bytes | None:
+def peek(sock: Sock) -> bytes | None:
     """What has come and was not read: None for nothing, empty when the other side ended or broke it."""
     try:
         return sock.recv(1, socket.MSG_PEEK)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 from typing import Any, cast
 
 import cbor2
@@ -42,7 +43,7 @@
 
 class Loop:
     def __init__(self, life: Life) -> None:
-        self._life = life
+        self._life, self.net = life, life.machine.fleet.net
 
     @property
     def now(self) -> int:
@@ -216,7 +217,7 @@
 class Fleet:
     def __init__(self, seed: int, gateways: int, jurors: int = 3) -> None:
         self.rng = random.Random(seed)
-        random.seed(seed)  # the gauge draws by lot
+        self.net = SimpleNamespace(rng=random.Random(seed))  # the gauge draws by lot
         self.now = 1_000 * SECOND
         self.lives = 0
         self._heap: list[tuple[int, int, Callable[[], None]]] = []
--- a/tests/test_counter_wire.py
+++ b/tests/test_counter_wire.py
@@ -1,6 +1,7 @@
 """The counter's lines: how each call ends, answers owed, order within a name, stuck and idle connections."""
 
 import socket
+from typing import cast
 
 import pytest
 
@@ -180,7 +181,7 @@
         def __getattr__(self, name: str) -> object:
             return getattr(self.sock, name)
 
-    connection._sock = Narrow(connection._sock)  # type: ignore[assignment]
+    connection._sock = Narrow(cast(socket.socket, connection._sock))  # type: ignore[assignment]
     call(node, *(i.Charge(n, 1.0, 1_000_000_000) for n in ("n1", "n2", "n3")))
     counter.close(reset=True)
     assert sorted(outcomes(node)[1:]) == [("n1", Ending.RESET, 0.0), ("n2", Ending.NO_CONNECTION, 0.0),
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -156,7 +156,7 @@
     other.send(b"x")
     loop.turn(0)  # it ends
     loop.turn(0)  # its descriptor is found to be nobody's
-    assert loop._epoll.poll(0) == []
+    assert loop._poller.poll(0) == []
     loop.close()
 
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -127,7 +127,7 @@
             return getattr(self.sock, name)
 
     failing = NoDescriptors(node.listener)
-    node.server.acceptor.listener = failing  # type: ignore[assignment]
+    node.server.acceptor.listener = failing
     client = node.client()
     node.ask(client)
     node.turns(20)
--- a/tests/world.py
+++ b/tests/world.py
@@ -10,6 +10,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any, cast
 
 import cbor2
@@ -36,7 +37,7 @@
 
 class Loop:
     def __init__(self, world: World, life: Life) -> None:
-        self._world, self._life = world, life
+        self._world, self._life, self.net = world, life, world.net
 
     @property
     def now(self) -> int:
@@ -207,6 +208,8 @@
                  prunes: tuple[int, int] | None = None) -> None:
         self.prunes = prunes  # how often, and how long what is taken away is kept
         self.rng = random.Random(seed)
+        names = random.Random(f"names {seed}")
+        self.net = SimpleNamespace(token=lambda size: names.randbytes(size).hex())
         self.now = 1_000 * SECOND
         self.tolerate = tolerate
         self._heap: list[tuple[int, int, Callable[[], None]]] = []
