--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -25,7 +25,7 @@
     ("penstock",),
     ("gauge",),
     ("headworks", "sluice"),
-    ("demo",),
+    ("demo", "lab"),
     ("cli",),
     ("__main__",),
 )
