--- /dev/null
+++ b/oakvale/headworks/copying.py
@@ -0,0 +1,391 @@
+"""The primary's side and the backup's in the control state: what is sent to be copied, taken, refused, and in force.
+
+No I/O and no clock: it is told what came and what is on disk, and says what to write, ask, answer and tell, in this
+order. It joins `succession` (who is primary) and `ledger` (what is in force). What follows a write or an answer is
+kept here as data, so that a seat can be copied and compared whole (`oakvale/lab/sounding` does).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import cbor2
+
+from oakvale.headworks.ledger import Ledger, Then
+from oakvale.headworks.succession import (
+    FOUNDER,
+    Durable,
+    Keep,
+    Out,
+    Say,
+    Seat,
+    Succession,
+    View,
+    founded,
+    seat,
+    unpack,
+    unpack_durable,
+)
+from oakvale.penstock.table import NOTHING, Entry, Version, pack
+from oakvale.penstock.table import unpack as unpack_entries
+
+CALL = 1_000_000  # microseconds for a backup to sync
+
+# ---- what comes out, to be done in order
+
+
+@dataclass(slots=True, frozen=True)
+class Write:
+    """Sync this, then call `written(number)`."""
+
+    number: int
+    what: tuple[str, Any]  # as the cistern takes it
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """Ask this, then call `answered(number, answer)`; None where there was no answer in `timeout` microseconds."""
+
+    number: int
+    to: Seat
+    kind: str
+    body: list[Any]
+    timeout: int
+
+
+@dataclass(slots=True, frozen=True)
+class Tell:
+    to: Seat
+    kind: str
+    body: list[Any]
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """The answer to the question that came with this ticket."""
+
+    ticket: Any
+    answer: Any
+
+
+@dataclass(slots=True, frozen=True)
+class Again:
+    """Call `again(backup, view)` after a while."""
+
+    backup: Seat
+    view: View
+
+
+@dataclass(slots=True, frozen=True)
+class Told:
+    """The author of a change hears of it."""
+
+    then: Then
+    done: bool
+
+
+@dataclass(slots=True, frozen=True)
+class News:
+    """These came into force."""
+
+    entries: list[Entry]
+
+
+@dataclass(slots=True, frozen=True)
+class Entered:
+    """Another view is in force here."""
+
+    view: View
+
+
+@dataclass(slots=True, frozen=True)
+class Turned:
+    """This seat begins or ends to serve."""
+
+    serves: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Resigned:
+    """Nobody gets news from here any more."""
+
+
+@dataclass(slots=True, frozen=True)
+class Replaced:
+    """The table is another."""
+
+
+Do = Write | Ask | Tell | Reply | Again | Told | News | Entered | Turned | Resigned | Replaced
+
+
+@dataclass(slots=True, frozen=True)
+class Start:
+    """Who a seat is at one start, from what its disk holds."""
+
+    own: Seat
+    life: int  # each start is another; what an earlier one said may still be on its way
+    durable: Durable
+    stored: bytes  # to be synced under "self" before it acts
+
+
+def start(address: str, stored: bytes | None, state: bytes | None, first: View | None,
+          fresh: Callable[[], str]) -> Start:
+    """`stored` and `state` are the facts "self" and "state"; `first` is the founding view where this is a founder
+    that begins, `fresh` gives an incarnation that never was."""
+    begins: list[Any] | None = None
+    if stored is not None:
+        incarnation, life, begins = cbor2.loads(stored)
+    elif first is not None:
+        incarnation, life, begins = FOUNDER, 0, first.pack()
+    else:
+        incarnation, life = fresh(), 0
+    own = (address, incarnation)
+    durable = founded(unpack(begins), own) if begins else Durable()
+    if state:
+        durable = unpack_durable(cbor2.loads(state))
+    return Start(own, life + 1, durable, cbor2.dumps([incarnation, life + 1, begins]))
+
+
+class Copying:
+    """One seat, from one start to its end."""
+
+    def __init__(self, began: Start, rows: Iterable[tuple[str, bytes]], copies: int, silence: int,
+                 patience: int) -> None:
+        self.own, self.life = began.own, began.life
+        self.succession = Succession(began.own, began.durable, copies, silence, patience)
+        self.ledger = Ledger()  # another one once a primary has sent its state
+        self.active = False
+        self._said = 0  # to backups in this life
+        self._newest = (0, 0, 0)  # as a backup: view, life and number of the latest that the primary said
+        self._held: set[Seat] = set()  # backups that have synced the state in this view
+        self._clean: set[Seat] = set()  # backups that hold the state and take changes
+        self._sending: set[Seat] = set()
+        self._numbers = 0
+        self._writes: dict[int, tuple[Any, ...]] = {}  # what follows each write
+        self._asks: dict[int, tuple[Any, ...]] = {}  # what each question that is out was about
+        self._out: list[Do] = []
+        self.ledger.take([(key, (version[0], version[1]), value) for key, version, value in (
+            (key, *cbor2.loads(data)) for key, data in rows)])
+        self._write(("fact", ("self", began.stored)), ("begin", began.durable.view))
+        self._clear()
+
+    def view(self) -> View | None:
+        return self.succession.state.view
+
+    def flush(self) -> list[Do]:
+        out, self._out = self._out, []
+        return out
+
+    # ---- what it is told
+
+    def change(self, changes: dict[str, Any], then: Then) -> list[Do]:
+        """Makes a change; `then` hears True once it is in force and the news of it are on their way."""
+        view = self.view()
+        if not self.active or view is None or view.primary != self.own:
+            self._out.append(Told(then, False))
+            return self.flush()
+        before = self.ledger.last
+        entries = self.ledger.propose(changes, {self.own, *view.backups}, then)
+        up_to = entries[-1][1]
+        self._write(("rows", _rows(entries)), ("synced", up_to))
+        for backup in view.backups:
+            if backup in self._clean:
+                self._ask(backup, "append", [list(before), pack(entries)], ("append", backup, view, up_to), CALL)
+        return self.flush()
+
+    def carry(self, out: list[Out]) -> list[Do]:
+        """What the succession says."""
+        self._carry(out)
+        return self.flush()
+
+    def written(self, number: int) -> list[Do]:
+        kind, *about = self._writes.pop(number)
+        if kind == "begin":
+            if about[0] is not None:  # who this is lasts: it may act on what it kept
+                self._moved(about[0])
+        elif kind == "synced":
+            self._synced(self.own, about[0])
+        elif kind == "kept":
+            self._carry(self.succession.kept(about[0]))
+        elif kind == "append":
+            view, sender, ticket = about
+            self._out.append(Reply(ticket, self._follows(view, sender)))
+        elif kind == "sync":
+            self._carry(self.succession.synced(about[0].number))
+            self._write(("fact", ("last-sync", str(about[0].number).encode())), ("complete", *about))
+        elif kind == "complete":
+            view, sender, ticket = about
+            state = self.succession.state
+            complete = self._follows(view, sender) and state.complete == view.number
+            self._out.append(Reply(ticket, "void" if state.void == view.number else complete))
+        return self.flush()
+
+    def answered(self, number: int, answer: Any) -> list[Do]:
+        """None: there was no answer."""
+        kind, backup, view, up_to = self._asks.pop(number)
+        if kind == "append":
+            self._append_answered(backup, view, up_to, answer)
+        else:
+            self._sync_answered(backup, view, up_to, answer)
+        return self.flush()
+
+    def again(self, backup: Seat, view: View) -> list[Do]:
+        self._send_all(backup, view)
+        return self.flush()
+
+    # ---- as primary
+
+    def _append_answered(self, backup: Seat, view: View, up_to: Version, answer: Any) -> None:
+        if self.view() != view:
+            return
+        if answer is True:
+            self._synced(backup, up_to)
+        else:
+            self._clean.discard(backup)
+            self._send_all(backup, view)
+
+    def _send_all(self, backup: Seat, view: View) -> None:
+        """The whole state, small as it is, until it has arrived: to a new backup, or one that missed something."""
+        if backup in self._sending or self.view() != view:
+            return
+        self._sending.add(backup)
+        entries = self.ledger.everything()
+        up_to = max((version for _, version, _ in entries), default=NOTHING)
+        self._clean.add(backup)  # what is changed from here on follows on the same connection
+        self._ask(backup, "sync", [pack(entries)], ("sync", backup, view, up_to), 2 * CALL)
+
+    def _sync_answered(self, backup: Seat, view: View, up_to: Version, answer: Any) -> None:
+        self._sending.discard(backup)
+        if self.view() != view:
+            return
+        if answer is True:
+            self._held.add(backup)
+            self._synced(backup, up_to)
+            self._activate(view)
+            if backup not in self._clean:  # a change behind the state did not arrive
+                self._send_all(backup, view)
+        else:
+            if answer == "void":
+                self.succession.voided_by_backup(view.number)
+            self._clean.discard(backup)
+            self._out.append(Again(backup, view))
+
+    def _activate(self, view: View) -> None:
+        if self.active or self.view() != view or not set(view.backups) <= self._held:
+            return
+        self.active = True
+        self._out.append(Turned(True))
+
+    def _synced(self, who: Seat, up_to: Version) -> None:
+        came = self.ledger.synced(who, up_to)
+        if came:
+            self._out.append(News(came))
+            self._clear()
+        self._out += [Told(then, True) for then in self.ledger.settled()]
+
+    def _clear(self) -> None:
+        """What the table has forgotten goes from the disk, behind the floor that it was forgotten for."""
+        gone, self.ledger.forgotten = self.ledger.forgotten, []
+        if gone:
+            self._write(("gone", gone), ("gone",))
+
+    # ---- as backup
+
+    def append(self, body: Any, ticket: Any) -> list[Do]:
+        self._append(body, ticket)
+        return self.flush()
+
+    def sync(self, body: Any, ticket: Any) -> list[Do]:
+        self._sync(body, ticket)
+        return self.flush()
+
+    def _append(self, body: Any, ticket: Any) -> None:
+        view, sender, entries = unpack(body[0]), seat(body[1]), unpack_entries(body[4])
+        if not self._in_order(view, sender, body[2]) or self.succession.state.complete != view.number:
+            return self._out.append(Reply(ticket, False))
+        if not self._follows_on((int(body[3][0]), int(body[3][1]))):
+            return self._out.append(Reply(ticket, False))
+        self.ledger.take(entries)
+        self._write(("rows", _rows(entries)), ("append", view, sender, ticket))
+        self._clear()
+
+    def _follows_on(self, before: Version) -> bool:
+        """Something before it did not arrive otherwise: an answer would vouch for that too."""
+        return self.ledger.table.high == before
+
+    def _sync(self, body: Any, ticket: Any) -> None:
+        view, sender, entries = unpack(body[0]), seat(body[1]), unpack_entries(body[3])
+        self._carry(self.succession.learn(view))
+        if not self._in_order(view, sender, body[2]):
+            return self._out.append(Reply(ticket, False))
+        self._resign()
+        self.ledger = Ledger()
+        self.ledger.table.put(entries)
+        self._out.append(Replaced())
+        self._write(("whole", _rows(entries)), ("sync", view, sender, ticket))
+
+    def _follows(self, view: View, sender: Seat) -> bool:
+        own = self.view()
+        return own is not None and own.number == view.number and sender == view.primary and self.own in view.backups
+
+    def _in_order(self, view: View, sender: Seat, order: Any) -> bool:
+        """A connection that was given up may deliver late: an older state would undo what this seat vouched for."""
+        number = (view.number, int(order[0]), int(order[1]))
+        if not self._follows(view, sender) or number <= self._newest:
+            return False
+        self._newest = number
+        return True
+
+    # ---- views
+
+    def _carry(self, out: list[Out]) -> None:
+        for item in out:
+            if isinstance(item, Keep):
+                self._write(("fact", ("state", cbor2.dumps(item.state.pack()))), ("kept", item.number))
+            elif isinstance(item, Say):
+                self._out.append(Tell(item.to, item.kind, item.body))
+            else:
+                self._moved(item.view)
+
+    def _moved(self, view: View) -> None:
+        current = self.view()
+        if current is not None and current.number > view.number:
+            return  # already past it
+        was = self.active
+        self.active = False
+        self._clean, self._sending, self._held = set(), set(), set()
+        self._out.append(Entered(view))
+        if self.succession.is_primary():
+            self.ledger.start(view.number)
+            self.ledger.owed_by(set(view.backups), self.own)
+            for backup in view.backups:
+                self._send_all(backup, view)
+            self._activate(view)
+        else:
+            self._resign()
+        if was and not self.active:
+            self._out.append(Turned(False))
+
+    def _resign(self) -> None:
+        self._out += [Told(then, False) for then in self.ledger.abandon()]
+        self._out.append(Resigned())
+
+    # ---- numbers
+
+    def _write(self, what: tuple[str, Any], follows: tuple[Any, ...]) -> None:
+        self._numbers += 1
+        self._writes[self._numbers] = follows
+        self._out.append(Write(self._numbers, what))
+
+    def _ask(self, backup: Seat, kind: str, body: list[Any], about: tuple[Any, ...], timeout: int) -> None:
+        view = about[2]
+        self._said += 1
+        self._asks[self._said] = about
+        self._out.append(Ask(self._said, backup, kind, [view.pack(), list(self.own), [self.life, self._said], *body],
+                             timeout))
+
+
+def _rows(entries: list[Entry]) -> list[tuple[str, bytes]]:
+    return [(key, cbor2.dumps([list(version), value])) for key, version, value in entries]
