What all owners of connections share is one base in lane.py

Host, Plant and Ctl each passed stopping, ended, the tally and the shared parts through by hand, and gave a request its final answer alike. Owner does it once; the clock of the kernel's stamps stays with the gateway in service, the only one to read it.

--- a/oakvale/headworks/ctl.py
+++ b/oakvale/headworks/ctl.py
@@ -2,29 +2,25 @@
 
 from __future__ import annotations
 
-from functools import lru_cache
 from typing import Any
 
 from oakvale.headworks.core import Core
 from oakvale.headworks.resources import JSON, Backends, Config, Reply, primary_url
 from oakvale.intake.settings import Settings
-from oakvale.lane import Shared
+from oakvale.lane import Owner, Shared
 from oakvale.memory.requests import Answer, InHand
-from oakvale.memory.tally import Tally
-from oakvale.wire.clients import Incoming, plain, response
+from oakvale.wire.clients import Incoming, plain
 
 PREFIX = "/oakvale/"
 READYZ = b"/oakvale/readyz"
 
 
-class Ctl:
+class Ctl(Owner):
     """The owner of `ctl` connections."""
 
     def __init__(self, shared: Shared, core: Core, settings: Settings) -> None:
-        self.shared, self.core = shared, core
-        self.loop, self.limits, self.log = shared.loop, shared.limits, shared.log
-        self.buffers, self.bodies, self.clients = shared.buffers, shared.bodies, shared.clients
-        self.response = lru_cache(64)(response)
+        super().__init__(shared)
+        self.core = core
         self._port = settings.bind["ctl"][1]
         config, backends = Config(core), Backends(core, shared.loop, settings)
         self._calls = {
@@ -34,17 +30,6 @@
             (b"POST", "Backends.Leave"): backends.leave,
         }
 
-    @property
-    def tally(self) -> Tally:
-        return self.shared.tally
-
-    @property
-    def stopping(self) -> bool:
-        return self.shared.stopping
-
-    def waited(self, arrived: int) -> int:
-        return 0
-
     def open(self, client: Any, incoming: Incoming, came: int) -> Answer | InHand:
         path = incoming.target.partition(b"?")[0]
         if path == READYZ:
@@ -69,12 +54,9 @@
 
         def give(reply: Reply) -> None:
             if not request.over:
-                request.over = True
-                request.client.give(Answer(reply.status, [JSON, *reply.headers], reply.body))
+                self.final(request, Answer(reply.status, [JSON, *reply.headers], reply.body))
 
         call(rest, request.body, give)
 
     def client_gone(self, request: InHand) -> None:
         request.over = True
-
-
--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import time
 from functools import lru_cache, partial
 
 from oakvale import interface as i
@@ -28,31 +28,7 @@
         self.counter = Counter(self, configuration.counter) if configuration.counter else None
         self.discovery = Discovery(self, configuration.discovery)
         self.terms = lru_cache(self.limits.cached)(partial(terms, self.settings))
-        self.response = self.shared.response
-
-    @property
-    def unix_time(self) -> Callable[[], int]:
-        return self.shared.unix_time
-
-    @unix_time.setter
-    def unix_time(self, clock: Callable[[], int]) -> None:
-        self.shared.unix_time = clock
-
-    @property
-    def stopping(self) -> bool:
-        return self.shared.stopping
-
-    @stopping.setter
-    def stopping(self, stops: bool) -> None:
-        self.shared.stopping = stops
-
-    @property
-    def ended(self) -> bool:
-        return self.shared.ended
-
-    @ended.setter
-    def ended(self, ends: bool) -> None:
-        self.shared.ended = ends
+        self.unix_time = time.time_ns  # the clock of the kernel's stamps
 
     # ---- what a lane asks
 
@@ -75,7 +51,9 @@
     # ---- what a client's connection asks
 
     def waited(self, arrived: int) -> int:
-        return self.shared.waited(arrived)
+        """One from the future or from long ago tells of a step of the clock."""
+        waited = (self.unix_time() - arrived) // 1000 if arrived else 0
+        return waited if 0 < waited < self.limits.clock_step else 0
 
     def open(self, client: object, incoming: Incoming, came: int) -> Answer | InHand:
         if incoming.target == HEALTH:
--- a/oakvale/lane.py
+++ b/oakvale/lane.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
 from functools import lru_cache
@@ -29,7 +28,7 @@
 
 
 class Shared:
-    """What all lanes of a process hold together."""
+    """What all owners of a process's connections hold together."""
 
     def __init__(self, loop: Loop, limits: Limits) -> None:
         self.loop, self.limits = loop, limits
@@ -43,24 +42,57 @@
         self.bodies = Room(limits.bodies)
         self.stopping = self.ended = False
         self.response = lru_cache(limits.cached)(response)
-        self.unix_time = time.time_ns  # the clock of the kernel's stamps
 
-    # ---- what the connections ask
+
+class Owner:
+    """Whom connections belong to: the process's shared parts, under the names that connections ask for."""
+
+    def __init__(self, shared: Shared) -> None:
+        self.shared = shared
+        self.loop, self.limits, self.log = shared.loop, shared.limits, shared.log
+        self.buffers, self.requests, self.idle = shared.buffers, shared.requests, shared.idle
+        self.clients, self.bodies, self.response = shared.clients, shared.bodies, shared.response
+
+    @property
+    def tally(self) -> Tally:
+        return self.shared.tally
+
+    @tally.setter
+    def tally(self, tally: Tally) -> None:
+        self.shared.tally = tally
+
+    @property
+    def stopping(self) -> bool:
+        return self.shared.stopping
+
+    @stopping.setter
+    def stopping(self, stops: bool) -> None:
+        self.shared.stopping = stops
+
+    @property
+    def ended(self) -> bool:
+        return self.shared.ended
+
+    @ended.setter
+    def ended(self, ends: bool) -> None:
+        self.shared.ended = ends
 
     def waited(self, arrived: int) -> int:
-        """Microseconds since a stamp. One from the future or from long ago tells of a step of the clock."""
-        waited = (self.unix_time() - arrived) // 1000 if arrived else 0
-        return waited if 0 < waited < self.limits.clock_step else 0
+        """Microseconds since the kernel's stamp of an arrival; 0 where the time of day, which jumps, is not asked."""
+        return 0
 
+    def final(self, request: InHand, answer: Answer) -> None:
+        request.over = True
+        request.client.give(answer)
+        self.requests.drop_if_done(request)
 
-class Lane:
+
+class Lane(Owner):
     dialect: Dialect
 
     def __init__(self, shared: Shared, settings: i.Settings, seed: int, budget: Budget | None = None) -> None:
-        self.shared, self.settings = shared, settings
-        self.loop, self.limits, self.log = shared.loop, shared.limits, shared.log
-        self.buffers, self.requests, self.idle = shared.buffers, shared.requests, shared.idle
-        self.clients, self.bodies = shared.clients, shared.bodies
+        super().__init__(shared)
+        self.settings = settings
         self.gateway = Gateway(settings, seed, budget)
         self._events: deque[i.Event] = deque()
         self._giving = False
@@ -69,14 +101,6 @@
             i.Wake: self._wake, i.Charge: self._charge, i.Watch: self._watch, i.Fetch: self._fetch,
             i.Log: self._record}
 
-    @property
-    def tally(self) -> Tally:
-        return self.shared.tally
-
-    @tally.setter
-    def tally(self, tally: Tally) -> None:
-        self.shared.tally = tally
-
     @property
     def backend_connections(self) -> int:
         return self.shared.backend_connections
@@ -128,7 +152,7 @@
             self.loop.wake_at(self.loop.now + self.limits.fault_pause, self._due, event.token)
         request = self.requests.get(getattr(event, "id", ""))
         if request is not None and not request.over:
-            self._final(request, Answer(500, [(b"content-type", b"text/plain")], b"internal error\n"))
+            self.final(request, Answer(500, [(b"content-type", b"text/plain")], b"internal error\n"))
             self._events.append(i.Withdrawn(request.id))
 
     def request_came(self, request: InHand, event: i.Request) -> None:
@@ -151,7 +175,7 @@
         if answer is not None and not request.over:
             passed = self.dialect.passes(attempt, ending, answer)
             if passed is not None:
-                self._final(request, passed)
+                self.final(request, passed)
         self.requests.drop_if_done(request)
         self.give(i.Ended(request.id, attempt.backend, attempt.hop, request.over, ending,
                           self.loop.now - attempt.sent, report=report))
@@ -195,17 +219,12 @@
     def _refuse(self, action: i.Refuse) -> None:
         request = self.requests.get(action.id)
         if request is not None and not request.over:
-            self._final(request, self.answer_of(request, action))
+            self.final(request, self.answer_of(request, action))
 
     def _fail(self, action: i.Fail) -> None:
         request = self.requests.get(action.id)
         if request is not None and not request.over:
-            self._final(request, self.answer_of(request, action))
-
-    def _final(self, request: InHand, answer: Answer) -> None:
-        request.over = True
-        request.client.give(answer)
-        self.requests.drop_if_done(request)
+            self.final(request, self.answer_of(request, action))
 
     def _wake(self, action: i.Wake) -> None:
         self.loop.wake_at(self.loop.now + action.delay, self._due, action.token)
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -14,10 +14,9 @@
 from oakvale.gauge.dispatch import Boards, Pick
 from oakvale.budget import Retries, SharedBudget
 from oakvale.gauge.service import Gauge
-from oakvale.lane import Lane, Shared
+from oakvale.lane import Lane, Owner, Shared
 from oakvale.memory.requests import Answer, AttemptOut, InHand
 from oakvale.mains.links import Mains
-from oakvale.memory.tally import Tally
 from oakvale.sluice.dialect import SystemDialect
 from oakvale.sluice.routes import Backend, Picture, Route
 from oakvale.wire.clients import BadRequest, Incoming, plain
@@ -158,17 +157,15 @@
         return later(503, action.retry_after, b"try again later\n")
 
 
-class Plant:
+class Plant(Owner):
     """The owner of clients' connections."""
 
     def __init__(self, shared: Shared, gauge: Gauge, mains: Mains, node: str, zones: list[str], zone: str,
                  retries: Retries) -> None:
-        self.shared, self.gauge = shared, gauge
+        super().__init__(shared)
+        self.gauge = gauge
         self.boards = Boards(shared.loop, mains, gauge, node, zone,
                              lambda service: self._lane(service).offers())
-        self.loop, self.limits, self.log = shared.loop, shared.limits, shared.log
-        self.buffers, self.bodies, self.clients = shared.buffers, shared.bodies, shared.clients
-        self.response = shared.response
         self.picture = Picture()
         self._zones, self._zone = {name: n for n, name in enumerate(zones)}, zone
         self._lanes: dict[str, ServiceLane] = {}
@@ -177,33 +174,6 @@
         self.taking_ended = False
         self._longest: dict[str, int] = {}  # route -> the longest that a client would wait
 
-    @property
-    def tally(self) -> Tally:
-        return self.shared.tally
-
-    @property
-    def stopping(self) -> bool:
-        return self.shared.stopping
-
-    @stopping.setter
-    def stopping(self, stops: bool) -> None:
-        self.shared.stopping = stops
-
-    @property
-    def ended(self) -> bool:
-        return self.shared.ended
-
-    @ended.setter
-    def ended(self, ends: bool) -> None:
-        self.shared.ended = ends
-
-    @property
-    def requests(self) -> Any:
-        return self.shared.requests
-
-    def waited(self, arrived: int) -> int:
-        return 0  # stamps are of the time of day, which jumps here
-
     # ---- the news
 
     def show(self, picture: Picture) -> None:
@@ -282,9 +252,9 @@
             return self._go(request)
         self.tally.refusals["quota" if counted else "uncounted"] += 1
         if counted:
-            self._final(request, later(429, wait, b"over the quota\n"))
+            self.final(request, later(429, wait, b"over the quota\n"))
         else:
-            self._final(request, later(503, wait, b"not counted\n"))
+            self.final(request, later(503, wait, b"not counted\n"))
 
     def _go(self, request: InHand) -> None:
         order: Order = request.event
@@ -304,11 +274,6 @@
             order.pick = None
             self.boards.done(pick, order.route.name, 0, "none")
 
-    def _final(self, request: InHand, answer: Answer) -> None:
-        request.over = True
-        request.client.give(answer)
-        self.requests.drop_if_done(request)
-
     def client_gone(self, request: InHand) -> None:
         order: Order = request.event
         if order.given:
