--- a/oakvale/cli.py
+++ b/oakvale/cli.py
@@ -129,7 +129,7 @@
     from importlib import import_module
 
     from oakvale.base.sockets import listening
-    from oakvale.intake import settings
+    from oakvale.intake import settings, table
     from oakvale.lifecycle.signals import Signals
 
     signals = Signals()
@@ -142,7 +142,7 @@
 
         daybook.configure(args.log_level, 20)
         sys.exit(import_module(f"oakvale.{args.command}.process").serve(told, signals, listeners))
-    except settings.BadSettings as error:
+    except table.BadFile as error:
         fail(error)
     except OSError as error:
         fail(f"cannot start: {error}", 1)
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -18,7 +18,8 @@
 from oakvale.headworks.pruning import Pruning
 from oakvale.headworks.standing import standing
 from oakvale.intake.bounds import bounds
-from oakvale.intake.settings import BadSettings, Settings
+from oakvale.intake.settings import Settings
+from oakvale.intake.table import BadFile
 from oakvale.intake.watch import SettingsWatch
 from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor
@@ -39,16 +40,16 @@
             return Cistern(loop, folder)
         except (sqlite3.Error, OSError) as error:
             if tries == OPENS - 1:
-                raise BadSettings(f"[self] datadir {folder}: {error}") from error
+                raise BadFile(f"[self] datadir {folder}: {error}") from error
             note("disk refuses", "warning", why=str(error))
             time.sleep(PAUSE)
     raise AssertionError
 
 
 def serve(settings: Settings, signals: Signals, listeners: dict[str, socket.socket]) -> int:
-    """Raises BadSettings, OSError."""
+    """Raises BadFile, OSError."""
     if settings.datadir is None or "ctl" not in settings.bind:
-        raise BadSettings("headworks needs [self] datadir and [network.bind] ctl")
+        raise BadFile("headworks needs [self] datadir and [network.bind] ctl")
     limits: Limits = bounds(settings)
     loop = Loop(Clock(), limits)
     mains = Mains(loop, (settings.ip, settings.ports[0]))
--- a/oakvale/intake/check.py
+++ b/oakvale/intake/check.py
@@ -6,6 +6,7 @@
 
 from oakvale.base.address import spelled
 from oakvale.intake import deploy, settings
+from oakvale.intake.table import BadFile
 
 
 class Wrong(Exception):
@@ -15,7 +16,7 @@
 def check(kind: str, path: str) -> list[str]:
     try:
         return {"settings": of_settings, "deploy": of_deploy, "config": of_config}[kind](path)
-    except (settings.BadSettings, deploy.BadDeploy) as error:
+    except BadFile as error:
         raise Wrong(str(error)) from error
 
 
--- a/oakvale/intake/settings.py
+++ b/oakvale/intake/settings.py
@@ -1,27 +1,21 @@
 """The settings file of a process in the system (`OAKVALE_SETTINGS`, TOML), read and checked.
 
-Unknown fields are skipped. A missing or broken field that is needed raises `BadSettings`, which names it.
+Unknown fields are skipped. A missing or broken field that is needed raises `BadFile`, which names it.
 """
 
 from __future__ import annotations
 
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import Any
 
 from oakvale.base.address import Address, parse_address
-from oakvale.intake.times import micros
+from oakvale.intake.table import Table, read
 
 DEFAULT_PATH = "/etc/oakvale/settings.toml"
 MS = 1_000
 
 
-class BadSettings(Exception):
-    """One line: the file, the field, what is wrong with it."""
-
-
 @dataclass(slots=True, frozen=True)
 class Bounds:
     """The figures of the rules, times in microseconds. What a file does not give keeps the page's example."""
@@ -73,64 +67,9 @@
 
 
 def load(environment: Mapping[str, str]) -> Settings:
+    """Raises BadFile."""
     path = environment.get("OAKVALE_SETTINGS") or DEFAULT_PATH
-    try:
-        data = tomllib.loads(Path(path).read_text())
-    except OSError as error:
-        raise BadSettings(f"{path}: cannot be read: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise BadSettings(f"{path}: not TOML: {error}") from error
-    try:
-        return decode(data)
-    except BadSettings as error:
-        raise BadSettings(f"{path}: {error}") from error
-
-
-class Table:
-    """One table of the file; every read of a field says where it stands when it is wrong."""
-
-    def __init__(self, data: Any, place: str) -> None:
-        if data is None:
-            data = {}
-        if not isinstance(data, dict):
-            raise BadSettings(f"[{place}] is not a table")
-        self._data, self._place = data, place
-
-    def table(self, name: str) -> Table:
-        return Table(self._data.get(name), f"{self._place}.{name}" if self._place else name)
-
-    def get(self, name: str, kind: type | tuple[type, ...], default: Any = ...) -> Any:
-        value = self._data.get(name, default)
-        if value is ...:
-            raise BadSettings(f"[{self._place}] {name} is missing")
-        odd = not isinstance(value, kind) or isinstance(value, bool) and kind is not bool
-        if value is not default and odd:
-            raise BadSettings(f"[{self._place}] {name} is not understood: {value!r}")
-        return value
-
-    def time(self, name: str, default: int) -> int:
-        value = self._data.get(name)
-        if value is None:
-            return default
-        try:
-            return micros(value)
-        except ValueError as error:
-            raise BadSettings(f"[{self._place}] {name}: {error}") from error
-
-    def texts(self, name: str) -> tuple[str, ...]:
-        found = self.get(name, list, [])
-        if not all(isinstance(text, str) for text in found):
-            raise BadSettings(f"[{self._place}] {name} holds what is not a text: {found!r}")
-        return tuple(found)
-
-    def addresses(self, name: str) -> tuple[Address, ...]:
-        found = tuple(parse_address(text) for text in self.get(name, list, []))
-        if None in found:
-            raise BadSettings(f"[{self._place}] {name} holds what is not host:port")
-        return tuple(address for address in found if address is not None)
-
-    def keys(self) -> list[str]:
-        return list(self._data)
+    return read(path, decode)
 
 
 def decode(data: dict[str, Any]) -> Settings:
@@ -140,12 +79,12 @@
     given, tolerance = terms.table("bounds"), terms.table("tolerance")
     ports = network.get("port-range", list)
     if len(ports) != 2 or not all(isinstance(p, int) and 0 < p < 65536 for p in ports) or ports[0] > ports[1]:
-        raise BadSettings(f"[network] port-range is not two ports: {ports!r}")
+        raise network.wrong("port-range", f"is not two ports: {ports!r}")
     bound: dict[str, Address] = {}
     for name in bind.keys():
         address = parse_address(bind.get(name, str))
         if address is None:
-            raise BadSettings(f"[network.bind] {name} is not host:port")
+            raise bind.wrong(name, "is not host:port")
         bound[name] = address
     figures: dict[str, Any] = {name: given.time(name if name in ("sync_time",) else name.replace("_", "-"),
                                                 getattr(Bounds(), name)) for name in TIMES}
--- a/oakvale/intake/watch.py
+++ b/oakvale/intake/watch.py
@@ -11,7 +11,8 @@
 from dataclasses import replace
 
 from oakvale.base.loop import Loop
-from oakvale.intake.settings import DEFAULT_PATH, BadSettings, Settings, load
+from oakvale.intake.settings import DEFAULT_PATH, Settings, load
+from oakvale.intake.table import BadFile
 from oakvale.lifecycle.daybook import Writer
 
 LOOK = 2_000_000  # microseconds between two looks at the file
@@ -45,7 +46,7 @@
         self._seen = self._stamp()
         try:
             fresh = load(self._environment)
-        except BadSettings as error:
+        except BadFile as error:
             note("settings refused", "error", why=str(error))
             return
         was, self.settings = self.settings, fresh
--- a/oakvale/sluice/process.py
+++ b/oakvale/sluice/process.py
@@ -7,7 +7,8 @@
 import socket
 
 from oakvale.base.loop import Rank
-from oakvale.intake.settings import BadSettings, Settings
+from oakvale.intake.settings import Settings
+from oakvale.intake.table import BadFile
 from oakvale.intake.watch import SettingsWatch
 from oakvale.lifecycle.daybook import Writer
 from oakvale.lifecycle.shutdown import Shutdown
@@ -21,9 +22,9 @@
 
 
 def serve(settings: Settings, signals: Signals, listeners: dict[str, socket.socket]) -> int:
-    """Raises BadSettings, OSError."""
+    """Raises BadFile, OSError."""
     if "http" not in settings.bind:
-        raise BadSettings("sluice needs [network.bind] http")
+        raise BadFile("sluice needs [network.bind] http")
     sluice = Sluice(settings, listeners)
     shutdown = Shutdown(sluice)
     offer(sluice.mains, "sluice", settings.node, lambda: standing(sluice))
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -10,6 +10,7 @@
 
 from oakvale.intake.watch import SettingsWatch
 from oakvale.intake import model, settings
+from oakvale.intake.table import BadFile
 from oakvale.intake.times import micros
 
 FILE = """
@@ -84,13 +85,13 @@
 ])
 def test_what_is_wrong_in_a_settings_file_is_named(tmp_path: Path, was: str, becomes: str, named: str) -> None:
     assert was in FILE
-    with pytest.raises(settings.BadSettings) as error:
+    with pytest.raises(BadFile) as error:
         load(tmp_path, FILE.replace(was, becomes))
     assert named in str(error.value) and "settings.toml" in str(error.value) and "\n" not in str(error.value)
 
 
 def test_a_file_that_is_not_there(tmp_path: Path) -> None:
-    with pytest.raises(settings.BadSettings, match="cannot be read"):
+    with pytest.raises(BadFile, match="cannot be read"):
         settings.load({"OAKVALE_SETTINGS": str(tmp_path / "none")})
 
 
