Simulated time, lives and machines of both simulated systems in one module

The gateways that count and the core's machines had each their own queue of what is to come, standing still and messages in order.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from bisect import bisect_right
 from collections import deque
@@ -21,37 +20,23 @@
 from oakvale.gauge.service import DUTIES, Gauge
 from oakvale.headworks.jury import Jury
 from oakvale.penstock.tree import Member
+from tests import simulated
+from tests.simulated import MS, SECOND, Loop, Time
 
-MS, SECOND = 1_000, 1_000_000
 TERMS = Terms(5 * SECOND, 0.1, 20)
 CALM = 3 * SECOND  # after the last trouble
 OFF_LIST = 2_500 * MS  # a silent gateway is taken from the list after this
 
 
-class Life:
-    """One run of a process."""
+class Life(simulated.Life):
+    machine: Machine
 
     def __init__(self, machine: Machine, number: int) -> None:
-        self.machine, self.name, self.alive = machine, f"life{number}", True
-        self.born = machine.fleet.now
+        super().__init__(machine)
+        self.name, self.born = f"life{number}", machine.fleet.now
         self.refused: dict[Address, int] = {}
         self.waiting: dict[int, tuple[Life, Callable[[Any], None]]] = {}
         self.handlers: dict[str, Any] = {}
-        self.last: dict[Address, int] = {}
-
-
-class Loop:
-    def __init__(self, life: Life) -> None:
-        self._life = life
-
-    @property
-    def now(self) -> int:
-        return self._life.machine.fleet.now
-
-    def at(self, due: int, call: Callable[[Any], Any], argument: Any = None) -> list[Any]:
-        life = self._life
-        life.machine.fleet.at(due, lambda: life.machine.run(life, lambda: call(argument)))
-        return []
 
 
 class Mains:
@@ -126,8 +111,9 @@
         then()
 
 
-class Machine:
+class Machine(simulated.Machine):
     def __init__(self, fleet: Fleet, name: str, juror: bool) -> None:
+        super().__init__()
         self.fleet, self.name, self.juror = fleet, name, juror
         self.address: Address = (name, 7000)
         self.life: Life | None = None
@@ -137,23 +123,16 @@
         self.off = False  # without power: nothing is refused either
         self.slow = 0  # microseconds more, each way
         self.lossy = 0.0
-        self.paused, self.held = False, list[Callable[[], None]]()
         self.members: dict[str, Member] = {}  # as the news have come here
         self.silent_since = 0
 
-    def run(self, life: Life, call: Callable[[], Any]) -> None:
-        if life.alive and self.paused:
-            self.held.append(lambda: self.run(life, call))
-        elif life.alive:
-            call()
-
     def start(self) -> None:
         if self.life is not None:
             return
         self.off = False
         self.fleet.lives += 1
         life = self.life = Life(self, self.fleet.lives)
-        loop, mains = cast(Any, Loop(life)), cast(Any, Mains(life))
+        loop, mains = cast(Any, Loop(self.fleet, life)), cast(Any, Mains(life))
         if self.juror:
             Jury(loop, mains, cast(Any, Cistern(life)))
             return
@@ -165,7 +144,7 @@
     def kill(self, off: bool = False) -> None:
         life, self.life, self.gauge = self.life, None, None
         self.off = off
-        self.paused, self.held = False, []
+        self.forget()
         self.silent_since = self.fleet.now
         if life is None:
             return
@@ -180,12 +159,6 @@
     def swift(self) -> None:
         self.slow, self.lossy = 0, 0.0
 
-    def resume(self) -> None:
-        self.paused = False
-        held, self.held = self.held, []
-        for call in held:
-            call()
-
 
 @dataclass
 class Tenant:
@@ -213,14 +186,11 @@
                    for n, at in enumerate([*self.passed, 0]))
 
 
-class Fleet:
+class Fleet(Time):
     def __init__(self, seed: int, gateways: int, jurors: int = 3) -> None:
-        self.rng = random.Random(seed)
+        super().__init__(seed)
         random.seed(seed)  # the gauge draws by lot
-        self.now = 1_000 * SECOND
         self.lives = 0
-        self._heap: list[tuple[int, int, Callable[[], None]]] = []
-        self._order = 0
         self.cuts: set[tuple[str, str]] = set()
         self.core = [Machine(self, f"core{n}", True) for n in range(jurors)]
         self.gates = [Machine(self, f"gate{n}", False) for n in range(gateways)]
@@ -254,21 +224,9 @@
 
     # ---- time and the network
 
-    def at(self, due: int, call: Callable[[], Any]) -> None:
-        self._order += 1
-        heapq.heappush(self._heap, (due, self._order, call))
-
     def later(self, least: int, most: int, call: Callable[[], Any]) -> None:
         self.at(self.now + self.rng.randrange(least, most) * MS, call)
 
-    def run(self, span: int) -> None:
-        end = self.now + span
-        while self._heap and self._heap[0][0] <= end:
-            due, _, call = heapq.heappop(self._heap)
-            self.now = max(self.now, due)
-            call()
-        self.now = end
-
     def reaches(self, one: Machine, other: Machine) -> bool:
         return (one.name, other.name) not in self.cuts and (other.name, one.name) not in self.cuts
 
@@ -280,7 +238,7 @@
         due = self.now + self.rng.randrange(150, 1_500) + one.slow + other.slow
         if one.slow + other.slow:
             due += self.rng.randrange(one.slow + other.slow)
-        due = source.last[other.address] = max(due, source.last.get(other.address, 0) + 1)
+        due = source.behind(other.address, due)
         sent = self.now
 
         def deliver() -> None:
--- /dev/null
+++ b/tests/simulated.py
@@ -0,0 +1,82 @@
+"""Simulated time and machines, on which processes live, stand still and end; what tests/fleet.py and tests/world.py
+share. What a link does to a message is theirs.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import Any
+
+MS, SECOND = 1_000, 1_000_000
+
+
+class Time:
+    """What is to come, in order; of what is due together, the first said."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = 1_000 * SECOND
+        self._heap: list[tuple[int, int, Callable[[], Any]]] = []
+        self._order = 0
+
+    def at(self, due: int, call: Callable[[], Any]) -> None:
+        self._order += 1
+        heapq.heappush(self._heap, (due, self._order, call))
+
+    def run(self, span: int) -> None:
+        end = self.now + span
+        while self._heap and self._heap[0][0] <= end:
+            due, _, call = heapq.heappop(self._heap)
+            self.now = max(self.now, due)
+            call()
+        self.now = end
+
+
+class Life:
+    """One run of a machine's process: everything it set going ends with it."""
+
+    def __init__(self, machine: Any) -> None:
+        self.machine, self.alive = machine, True
+        self.last: dict[Any, int] = {}  # line -> when the latest message on it comes
+
+    def behind(self, line: Any, due: int) -> int:
+        """When a message comes that would come at `due` but for those before it on its line."""
+        due = self.last[line] = max(due, self.last.get(line, 0) + 1)
+        return due
+
+
+class Machine:
+    """What a process that stands still is told waits until it goes on."""
+
+    def __init__(self) -> None:
+        self.paused, self.held = False, list[Callable[[], Any]]()
+
+    def run(self, life: Life, call: Callable[[], Any]) -> None:
+        if life.alive and self.paused:
+            self.held.append(lambda: self.run(life, call))
+        elif life.alive:
+            call()
+
+    def resume(self) -> None:
+        self.paused = False
+        held, self.held = self.held, []
+        for call in held:
+            call()
+
+    def forget(self) -> None:
+        self.paused, self.held = False, []
+
+
+class Loop:
+    def __init__(self, time: Time, life: Life) -> None:
+        self._time, self._life = time, life
+
+    @property
+    def now(self) -> int:
+        return self._time.now
+
+    def at(self, due: int, call: Callable[[Any], Any], argument: Any = None) -> list[Any]:
+        self._time.at(due, lambda: self._life.machine.run(self._life, lambda: call(argument)))
+        return []
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,8 @@
 import pytest
 
 from oakvale.headworks.jury import Jury
-from tests.fleet import MS, SECOND, Fleet
+from tests.fleet import Fleet
+from tests.simulated import MS, SECOND
 
 FILLED = 1_500 * MS  # a duty whose holder's process ended is counted again after this at most
 OFF = 3_200 * MS  # where nothing proves that it ended: its span, and those who stand by turn
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -11,7 +11,8 @@
 from oakvale.headworks.ledger import Ledger
 from oakvale.headworks.succession import FOUNDER, Durable, Keep, Moved, Say, Seat, Succession, View, founded, founding
 from oakvale.penstock.table import NOTHING
-from tests.world import MS, SECOND, Link, Machine, World
+from tests.simulated import MS, SECOND
+from tests.world import Link, Machine, World
 
 SHAPES = ((3, 1, 3), (4, 1, 3), (5, 2, 5), (3, 1, 3), (5, 2, 3))  # machines, tolerance, seeds
 A, B, C = (("10.0.0.1:7340", FOUNDER), ("10.0.0.2:7340", FOUNDER), ("10.0.0.3:7340", FOUNDER))
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import heapq
-import random
 from collections import deque
 from collections.abc import Callable
 from typing import Any, cast
@@ -19,40 +17,26 @@
 from oakvale.headworks.succession import View, unpack_durable
 from oakvale.intake.settings import Bounds, Settings
 from oakvale.penstock.table import NOTHING, Table, Version, unpack
+from tests import simulated
+from tests.simulated import MS, SECOND, Loop, Time
 
-MS, SECOND = 1_000, 1_000_000
 PORT = 7340
 KEYS = 4
 
 
-class Life:
-    """One run of a machine's process: everything it set going ends with it."""
+class Life(simulated.Life):
+    machine: Machine
 
     def __init__(self, machine: Machine) -> None:
-        self.machine = machine
-        self.alive = True
+        super().__init__(machine)
         self.out: dict[tuple[str, int], Link] = {}
 
 
-class Loop:
-    def __init__(self, world: World, life: Life) -> None:
-        self._world, self._life = world, life
-
-    @property
-    def now(self) -> int:
-        return self._world.now
-
-    def at(self, due: int, call: Callable[[Any], None], argument: Any = None) -> list[Any]:
-        self._world.at(due, lambda: self._life.machine.run(self._life, lambda: call(argument)))
-        return []
-
-
 class Link:
     """A connection: in order until it breaks; what was on its way then may still come, long after."""
 
     def __init__(self, life: Life, other: Life | None) -> None:
         self.life, self.other, self.alive = life, other, True
-        self.last = {True: 0, False: 0}
         self.waiting: dict[int, Callable[[Any], None]] = {}
         self.on_close: list[Any] = []
 
@@ -161,23 +145,16 @@
         self._start()
 
 
-class Machine:
+class Machine(simulated.Machine):
     def __init__(self, world: World, name: str, zone: str) -> None:
+        super().__init__()
         self.world, self.address = world, (name, PORT)
         self.zone = zone
         self.disk, self.disk_hangs, self.sync_ms = Disk(), 0, 8
         self.life: Life | None = None
         self.core: Core | None = None
-        self.paused = False
-        self.held: list[Callable[[], Any]] = []
         self.troubled = 0  # counts as lost until then
 
-    def run(self, life: Life, call: Callable[[], Any]) -> None:
-        if life.alive and self.paused:
-            self.held.append(lambda: self.run(life, call))
-        elif life.alive:
-            call()
-
     def start(self, bootstrap: bool = False) -> None:
         if self.life is not None:
             return
@@ -193,24 +170,15 @@
         if self.life is not None:
             self.life.alive = False
             self.life = self.core = None
-            self.paused, self.held = False, []
-
-    def resume(self) -> None:
-        self.paused = False
-        held, self.held = self.held, []
-        for call in held:
-            call()
+            self.forget()
 
 
-class World:
+class World(Time):
     def __init__(self, seed: int, machines: int = 3, tolerate: int = 1, seeds: int | None = None,
                  prunes: tuple[int, int] | None = None) -> None:
+        super().__init__(seed)
         self.prunes = prunes  # how often, and how long what is taken away is kept
-        self.rng = random.Random(seed)
-        self.now = 1_000 * SECOND
         self.tolerate = tolerate
-        self._heap: list[tuple[int, int, Callable[[], None]]] = []
-        self._order = 0
         self.machines = [Machine(self, f"10.0.0.{n + 1}", f"z{n % 3}") for n in range(machines)]
         self._seeds = tuple((m.address[0], 8783) for m in self.machines[:seeds or machines])
         self.cuts: set[tuple[str, str]] = set()
@@ -229,20 +197,6 @@
         return Settings(ip, ip, machine.zone, "", ("ctl",), True, bootstrap, "/", self._seeds, {}, (PORT, PORT + 9),
                         {}, SECOND, 1.0, 200, 1024, 200, self.tolerate, 0, frozenset(), Bounds())
 
-    # ---- time
-
-    def at(self, due: int, call: Callable[[], None]) -> None:
-        self._order += 1
-        heapq.heappush(self._heap, (due, self._order, call))
-
-    def run(self, span: int) -> None:
-        end = self.now + span
-        while self._heap and self._heap[0][0] <= end:
-            due, _, call = heapq.heappop(self._heap)
-            self.now = max(self.now, due)
-            call()
-        self.now = end
-
     # ---- the network
 
     def _reaches(self, one: Machine, other: Machine) -> bool:
@@ -286,15 +240,14 @@
         """One way along a link, in order, unless it is cut: then held up until it heals, or lost with the link."""
         assert link.other is not None
         source, target = (link.life, link.other) if there else (link.other, link.life)
-        due = max(link.last[there] + 1, self.now + self.rng.randrange(300, 3_000))
-        link.last[there] = due
+        due = source.behind(link, self.now + self.rng.randrange(300, 3_000))
 
         def deliver() -> None:
             if not target.alive:
                 return link.end()
             if not self._reaches(source.machine, target.machine) or not self._reaches(target.machine, source.machine):
                 if self.rng.random() < 0.5 and self.now - due < 4 * SECOND:
-                    link.last[there] = max(link.last[there], self.now + 200 * MS)
+                    source.behind(link, self.now + 200 * MS)
                     if self.now - due > 1_500 * MS:
                         link.end()  # given up by its maker; its bytes may arrive yet
                     return self.at(self.now + 200 * MS, deliver)
