A soft plan without a price borrows nothing instead of dividing by no weights

Where all soft plans have price 0 the weights of those who may borrow sum to 0, and the first request beyond the floor raised ZeroDivisionError in lending.

--- a/oakvale/policy/lending.py
+++ b/oakvale/policy/lending.py
@@ -49,7 +49,7 @@
             self.added[kind] += amount
 
     def soft(self, plan: Plan) -> bool:
-        return plan.over_worth > plan.over_cost  # lending earns more than it costs
+        return plan.over_worth > plan.over_cost and plan.price > 0  # lending earns more than it costs
 
     def borrow(self, held: Held) -> bool:
         cust, units, now = held.cust, held.req.units, self.desk.now
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -1,7 +1,9 @@
 """Lending: what unused floors leave over goes to soft plans, and to nobody while servers slow."""
 
+from dataclasses import replace
+
 from oakvale.interface import Attempt, Timer
-from tests.helpers import Drive, of
+from tests.helpers import SOFT, Drive, of
 
 
 def lender() -> Drive:
@@ -53,3 +55,14 @@
     n = borrowed(d, most=400)
     floors = 50 * 2.0 + 10.0
     assert n <= 0.3 * floors * d.gw.lending.span / 1e6
+
+
+def test_a_soft_plan_of_no_price_has_no_weight_and_borrows_nothing() -> None:
+    """Its share was worked out as a part of no weights at all, and the request with it came to nothing."""
+    d = Drive(backends=200, plans=(SOFT, replace(SOFT, price=0.0)))
+    d.now += 3 * d.gw.lending.span + 1_234
+    for k in range(50):
+        d.ask(customer=f"quiet{k}", plan=1)
+    for _ in range(60):
+        d.ask(customer="free", plan=1)
+    assert borrowed(d, customer="free") == 0
