--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -18,7 +18,8 @@
 from oakvale.headworks.pruning import Pruning
 from oakvale.headworks.standing import standing
 from oakvale.intake.bounds import bounds
-from oakvale.intake.settings import BadSettings, Settings
+from oakvale.intake.settings import Settings
+from oakvale.intake.table import BadFile
 from oakvale.intake.watch import SettingsWatch
 from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor
@@ -39,7 +40,7 @@
             return Cistern(loop, folder)
         except (sqlite3.Error, OSError) as error:
             if tries == OPENS - 1:
-                raise BadSettings(f"[self] datadir {folder}: {error}") from error
+                raise BadFile(f"[self] datadir {folder}: {error}") from error
             note("disk refuses", "warning", why=str(error))
             time.sleep(PAUSE)
     raise AssertionError
@@ -50,7 +51,7 @@
 
     def __init__(self, settings: Settings, listeners: Mapping[str, Sock], loop: Loop,
                  opened: Callable[[], Cistern]) -> None:
-        """`opened` gives the disk, and may take a while. Raises BadSettings, OSError."""
+        """`opened` gives the disk, and may take a while. Raises BadFile, OSError."""
         self.loop = loop
         self.mains = Mains(loop, (settings.ip, settings.ports[0]))
         self.mains.listen()
@@ -77,10 +78,10 @@
 
 
 def serve(settings: Settings, signals: Signals, listeners: Mapping[str, Sock]) -> int:
-    """Raises BadSettings, OSError."""
+    """Raises BadFile, OSError."""
     datadir = settings.datadir
     if datadir is None or "ctl" not in settings.bind:
-        raise BadSettings("headworks needs [self] datadir and [network.bind] ctl")
+        raise BadFile("headworks needs [self] datadir and [network.bind] ctl")
     loop = Loop(Clock(), bounds(settings))
     process = Process(settings, listeners, loop, lambda: _opened(loop, datadir))
     watch = SettingsWatch(loop, os.environ, settings, lambda fresh: process.know(fresh.seeds))
