--- /dev/null
+++ b/oakvale/lab/judge/leaving.py
@@ -0,0 +1,144 @@
+"""Rules on leaving in order: DRAIN, LOST."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections import defaultdict
+from collections.abc import Iterator
+
+from oakvale.lab.judge.cases import Case, Matter
+from oakvale.lab.judge.words import MS, SECOND, Broken
+from oakvale.lab.record import Closed, Event, Fate, Got, Happened, State
+
+EARLY = 2 * MS  # `Time-Left` is in whole milliseconds
+MORE = 3  # times as many around configurations as at other times
+
+
+def drain(matter: Matter) -> Iterator[Broken]:
+    calm, bounds = matter.calm, matter.bounds
+    gone: dict[str, int] = {}
+    for said in matter.record.said:
+        if said.state is State.READY or said.acked_at is None or said.by is None:
+            continue
+        if calm.in_touch(said.by, said.acked_at):
+            gone[said.backend] = min(gone.get(said.backend, said.acked_at), said.acked_at)
+    for case in matter.cases.values():
+        if case.sent is None:
+            continue
+        for arrival in case.arrived:
+            since = gone.get(arrival.backend)
+            if since is None or arrival.at <= since + bounds.drain:
+                continue
+            if any(d.backend == arrival.backend and d.status == 421 for d in case.declined):
+                continue
+            if not calm.in_touch(case.sent.gateway, case.sent.at, arrival.at):
+                continue
+            if arrival.gateway != case.sent.gateway and not calm.in_touch(arrival.gateway, arrival.at):
+                continue
+            if calm.held_up(arrival.gateway, arrival.backend, arrival.at):
+                continue
+            yield Broken("DRAIN", arrival.at, (case.id, arrival.backend), f"{arrival.gateway} sent to it "
+                         f"{(arrival.at - since) / 1e6:.2f} s after it was acknowledged as leaving")
+
+
+def lost(matter: Matter) -> Iterator[Broken]:
+    """Around planned work: a read request whose connection ended without a complete answer."""
+    terms, hups = _spans(matter, Event.TERM), _spans(matter, Event.HUP)
+    orders = [(v.at, v.acked_at + matter.bounds.apply + SECOND) for v in matter.force.proper if v.acked_at is not None]
+    during: list[Broken] = []
+    beside = 0
+    for case in matter.cases.values():
+        sent = case.sent
+        if sent is None or case.whole_at is None:
+            continue
+        cut = _cut_at(case)
+        if cut is None:
+            taken = _taken_over(matter, case, terms.get(sent.gateway, []))
+            if taken:
+                yield taken
+            continue
+        if not _counts(matter, case, cut.at):
+            continue
+        term = _within(terms.get(sent.gateway, []), cut.at, matter.bounds.grace + SECOND)
+        if term is not None:
+            if not _still_working(case, term.at + matter.bounds.grace // 2, cut.at):
+                yield Broken("LOST", cut.at, (case.id,), f"{sent.gateway} ended a request that it had read, "
+                             f"{(cut.at - term.at) / 1e6:.2f} s after SIGTERM")
+            continue
+        if any(sent.at < hup.at + matter.bounds.apply and hup.at <= cut.at and sent.at >= hup.at - SECOND * 60
+               for hup in hups.get(sent.gateway, [])):
+            yield Broken("LOST", cut.at, (case.id,), f"{sent.gateway} ended a request that it had read, around SIGHUP")
+        elif any(begin <= cut.at <= end for begin, end in orders):
+            during.append(Broken("LOST", cut.at, (case.id,), f"{sent.gateway} ended a request that it had read, around "
+                                 "a new configuration"))
+        else:
+            beside += 1
+    if len(during) > MORE * beside:
+        yield from during
+
+
+def _spans(matter: Matter, kind: Event) -> dict[str, list[Happened]]:
+    found: dict[str, list[Happened]] = defaultdict(list)
+    for span in matter.record.happened:
+        if span.kind is kind:
+            for name in span.machines:
+                found[name].append(span)
+    return found
+
+
+def _within(spans: list[Happened], at: int, after: int) -> Happened | None:
+    index = bisect_right([span.at for span in spans], at) - 1
+    return spans[index] if index >= 0 and at <= spans[index].at + after else None
+
+
+def _cut_at(case: Case) -> Closed | Got | None:
+    """The end of a request without a complete answer, not by the client; it had been read."""
+    closed, got = case.closed, case.got[0] if case.got else None
+    if got is not None:
+        return got if not got.whole and got.status else None
+    return closed if closed is not None and closed.read and not closed.by_client else None
+
+
+def _counts(matter: Matter, case: Case, end: int) -> bool:
+    """It was passed on, or held for longer than `loss-slack`, and nothing else excuses it."""
+    assert case.sent is not None and case.whole_at is not None
+    if not case.arrived and end <= case.whole_at + matter.bounds.loss_slack:
+        return False
+    if any(a.fate is not Fate.WHOLE for a in case.answered) or any(d.own for d in case.dropped):
+        return False
+    if any(d.status == 0 for d in case.declined) or end >= _limit(matter, case) - EARLY:
+        return False
+    return not matter.calm.unplanned(case.sent.at - matter.bounds.contact, end)
+
+
+def _limit(matter: Matter, case: Case) -> int:
+    """The deadline, or the route's time-out where that is shorter."""
+    assert case.sent is not None
+    sent, found = case.sent, case.sent.deadline
+    for version in matter.force.proper:
+        route = version.table.route(sent.host, sent.path) if version.table else None
+        if route is not None:
+            found = min(found, sent.at + route.deadline)
+    return found
+
+
+def _still_working(case: Case, since: int, until: int) -> bool:
+    """A backend was working on it in the second half of `grace`."""
+    return any(ran.at <= until and not any(a.backend == ran.backend and a.at < since for a in case.answered)
+               for ran in case.ran) and until >= since
+
+
+def _taken_over(matter: Matter, case: Case, terms: list[Happened]) -> Broken | None:
+    """After a SIGTERM: an answer of the gateway's own in place of the one that a backend is working on."""
+    if not case.got or not case.ran or case.sent is None:
+        return None
+    got = case.got[0]
+    term = _within(terms, got.at, matter.bounds.grace + SECOND)
+    if term is None or got.status < 400 or got.seal is not None:
+        return None
+    done = {a.backend for a in case.answered if a.at <= got.at} | {d.backend for d in case.dropped if d.at <= got.at}
+    busy = [ran for ran in case.ran if ran.at <= got.at and ran.backend not in done]
+    if not busy or got.at >= term.at + matter.bounds.grace // 2 or not _counts(matter, case, got.at):
+        return None
+    return Broken("LOST", got.at, (case.id,), f"{case.sent.gateway} answered {got.status} itself while "
+                  f"{busy[0].backend} was working, {(got.at - term.at) / 1e6:.2f} s after SIGTERM")
