--- a/oakvale/cli.py
+++ b/oakvale/cli.py
@@ -148,6 +148,22 @@
         fail(f"cannot start: {error}", 1)
 
 
+def lab(args: argparse.Namespace) -> None:
+    """The laboratory, whose words are its own: `main` hands them over unread."""
+    laboratory([])
+
+
+def laboratory(words: Sequence[str]) -> None:
+    try:
+        from oakvale.lab import commands
+    except ModuleNotFoundError as error:
+        fail(f"lab needs {error.name}: pip install -r requirements-lab.txt")
+    try:
+        sys.exit(commands.main(words))
+    except commands.Wrong as error:
+        fail(error)
+
+
 def parser() -> argparse.ArgumentParser:
     whole = argparse.ArgumentParser(
         prog="oakvale", description="A gateway that holds customers to their quotas before a shared back end.")
@@ -179,10 +195,14 @@
     asked.add_argument("--timeout", type=float, default=2.0, help="seconds to wait for the answer")
     add("demo", demo, "a small system on loopback: three headworks, two sluices, a backend, one request").add_argument(
         "--stay", action="store_true", help="keep it until interrupted, for requests of your own and oakvale status")
+    add("lab", lab, "the laboratory: days in a simulated world, experiments, hunts, load; oakvale lab -h says more")
     add("version", version, "print the version")
     return whole
 
 
 def main(words: Sequence[str] | None = None) -> None:
+    words = sys.argv[1:] if words is None else words
+    if words and words[0] == "lab":  # before the parser is built: no other command knows its words or pays for them
+        laboratory(words[1:])
     args = parser().parse_args(words)
     args.call(args)
