Emulated backends, clients and operator, on loopback sockets and any other net

Decisions are classes without I/O (workshop, asks, walk, platform, orders); drivers are coroutines on the loop that speak with h11 and spoil bytes by hand.

--- a/oakvale/lab/models/backend.py
+++ b/oakvale/lab/models/backend.py
@@ -250,8 +250,12 @@
 
     def _worked(self, visit: Visit, peer: h11.Connection, job: Job) -> Step[bool]:
         """Until its work is over, or it was declined in the queue; False where it was dropped."""
-        job.started = lambda: visit.task is not None and self.loop.wake(visit.task)  # type: ignore[assignment,func-returns-value]
-        noted, watch = job.probe, READ
+        def started() -> None:
+            if visit.task is not None:
+                self.loop.wake(visit.task)
+
+        job.started = started
+        noted = job.probe
         try:
             while not job.status:
                 if job.began and not noted:
@@ -259,29 +263,33 @@
                     self.record.add(Ran(self.loop.now, job.id, self.terms.id, self.terms.service))
                 if job.began and job.due <= self.loop.now:
                     return True
-                flags = yield watch, job.due if job.began else 0
-                if flags > 0:
-                    data = read(visit.sock)
-                    if data:
-                        peer.receive_data(data)
-                    elif data is not None and self.shop.drop(self.loop.now, job):
-                        return self._dropped(job, noted, own=False)
-                    elif data is not None:
-                        watch = 0
+                flags = yield READ, job.due if job.began else 0
+                if flags > 0 and (data := read(visit.sock)) is not None:
+                    if not data:
+                        raise Ended(False)
+                    peer.receive_data(data)
         except Ended:
             if self.shop.drop(self.loop.now, job):
-                return self._dropped(job, noted, own=False)
-            while job.due > self.loop.now:
-                yield 0, job.due
+                self._dropped(job, noted, own=False)
+            else:
+                self.loop.at(job.due, self._unheard, job)
+            return False
         except GeneratorExit:  # this life ended
             self._dropped(job, noted, own=True)
             raise
         return True
 
-    def _dropped(self, job: Job, noted: bool, own: bool) -> bool:
+    def _dropped(self, job: Job, noted: bool, own: bool) -> None:
         if noted and not job.probe:
             self.record.add(Dropped(self.loop.now, job.id, self.terms.id, own))
-        return False
+
+    def _unheard(self, job: Job) -> None:
+        """It worked on, though its caller had gone."""
+        if self.alive:
+            outcome = self.shop.ends(self.loop.now, job)
+            if not job.probe:
+                self.record.add(Answered(self.loop.now, job.id, self.terms.id, outcome.status, outcome.seal,
+                                         digest(outcome.body), Fate.WHOLE))
 
     # ---- answers
 
--- a/oakvale/lab/models/crowd.py
+++ b/oakvale/lab/models/crowd.py
@@ -45,13 +45,6 @@
     tenant: str = ""
 
 
-class Answering(Exception):
-    """The answer broke off after its head."""
-
-    def __init__(self, response: h11.Response, body: bytes) -> None:
-        self.response, self.body = response, body
-
-
 @dataclass(eq=False, slots=True)
 class Line:
     """A client's connection to a gateway."""
@@ -107,7 +100,8 @@
         self.record.add(Sent(self.loop.now, name, ask.client, ask.host, ask.path, ask.method, digest(ask.body), ask.key,
                              ask.tenant, ask.route, ask.deadline, edge.machine, number, ask.tries[0], ask.zone))
 
-    def _over(self, ask: Ask, end: End | int, number: int, retry_after: float | None = None, read: bool = False) -> None:
+    def _over(self, ask: Ask, end: End | int, number: int, retry_after: float | None = None,
+              read: bool = False) -> None:
         self.out -= 1
         now = self.loop.now
         if isinstance(end, End):
@@ -175,8 +169,9 @@
             wait = float(told) if told else None
         except ValueError:
             wait = None
-        self.record.add(Got(self.loop.now, name, response.status_code, value(headers, b"seal"), digest(body), whole, wait,
-                            line.number, value(headers, b"attempt-id"), value(headers, b"content-encoding") is not None))
+        self.record.add(Got(self.loop.now, name, response.status_code, value(headers, b"seal"), digest(body), whole,
+                            wait, line.number, value(headers, b"attempt-id"),
+                            value(headers, b"content-encoding") is not None))
         self._over(ask, response.status_code if whole else 0, line.number, wait)
         return whole
 
--- /dev/null
+++ b/oakvale/lab/models/operator.py
@@ -0,0 +1,136 @@
+"""An operator on the loop's sockets: sends orders until they are taken, probes what is in force, reads back."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from random import Random
+
+from oakvale.base.address import Address
+from oakvale.base.loop import Loop
+from oakvale.lab.models.asks import Ask
+from oakvale.lab.models.crowd import Senders
+from oakvale.lab.models.orders import Books, Order
+from oakvale.lab.models.platform import LOOK, Edge, Platform
+from oakvale.lab.models.walk import Walk, walk
+from oakvale.lab.models.ways import Reply, ask
+from oakvale.lab.record import Ordered, ReadBack, Record, digest
+
+MS, SECOND = 1_000, 1_000_000
+PROBES = (200 * MS, 900 * MS)  # after `apply`
+PROBE_WAITS = 2 * SECOND
+READ_EACH = 300 * MS
+READ_LONGEST = 20 * SECOND
+
+
+class Operator:
+    def __init__(self, loop: Loop, record: Record, books: Books, platform: Platform, ctl: Callable[[], list[Address]],
+                 machine: Callable[[str], str], rng: Random, apply: int, contact: int) -> None:
+        self.loop, self.record, self.books, self._platform = loop, record, books, platform
+        self._ctl, self._machine, self._rng, self._apply, self._contact = ctl, machine, rng, apply, contact
+        self._open: dict[int, tuple[Order, int]] = {}  # under way, by a number, with when they began
+        self._number = 0
+        self._highest = -1
+        self._stops = 1 << 62
+        self.done = False
+        self._senders = Senders(loop, record, rng, self._none, "operator")
+
+    def _none(self, asked: Ask) -> Edge:
+        raise LookupError("probes go where they are sent")
+
+    # ---- orders
+
+    def order(self, order: Order, then: Callable[[str], None] | None = None, first: Address | None = None) -> None:
+        """Sends it until its outcome is clear; `then` hears which machine acknowledged it, at once."""
+        self._number += 1
+        number, at = self._number, self.loop.now
+        self._open[number] = (order, at)
+        name = self.record.order(order.text)
+
+        def heard(reply: Reply | None, by: Address) -> None:
+            if self._open.pop(number, None) is None:
+                return  # the day is over
+            good = reply is not None and 200 <= reply.status < 300
+            machine = self._machine(by[0])
+            self.record.add(Ordered(at, order.gen, order.valid, name, reply.at if good and reply else None,
+                                    reply.status if reply else 0, machine if reply else None))
+            if good:
+                if then is not None:
+                    then(machine)
+                self._acked(order)
+
+        walk(self.loop, Walk(self._ctl, self._rng, self._stops, first=first), "POST", "/oakvale/Config.Replace",
+             lambda: order.text, heard)
+
+    def _acked(self, order: Order) -> None:
+        if order.gen <= self._highest or not order.valid:
+            return
+        self._highest = order.gen
+        self.books.taken(order, self.loop.now, self._apply)
+        for after in PROBES:
+            self.loop.at(self.loop.now + self._apply + after, self._probe, order)
+
+    def _probe(self, order: Order) -> None:
+        """A few requests to each gateway that is ready or receives clients."""
+        edges = self._platform.edges
+        reached = {edge.machine for zone in {e.zone for e in edges} for edge in self._platform.reach(zone)}
+        for edge in edges:
+            if edge.machine in reached or self._platform.inside(edge.machine):
+                for host, path, key in order.probes:
+                    now = self.loop.now
+                    asked = Ask("", host, path, "GET", b"", key, None, True, "operator", edge.zone, now,
+                                now + PROBE_WAITS)
+                    self._senders.send(asked, edge=edge)
+
+    # ---- the platform's looks
+
+    def look(self, _: object = None) -> None:
+        self.loop.at(self.loop.now + LOOK, self.look)
+        for edge in self._platform.edges:
+            def looked(reply: Reply | None, machine: str = edge.machine) -> None:
+                self._platform.looked(machine, reply is not None and reply.status == 200)
+            ask(self.loop, edge.readyz, "GET", "/oakvale/readyz", None, LOOK - 10 * MS, looked)
+
+    # ---- the end
+
+    def read_back(self, _: object = None) -> None:
+        """Repeatedly for at least `contact`; the last answer is what counts."""
+        began = self.loop.now
+        last: ReadBack | None = None
+
+        def again(_: object = None) -> None:
+            steps = Walk(self._ctl, self._rng, began + READ_LONGEST)
+            walk(self.loop, steps, "GET", "/oakvale/Config.Read", None, heard)
+
+        def heard(reply: Reply | None, by: Address) -> None:
+            nonlocal last
+            if reply is not None and 200 <= reply.status < 300:
+                last = self._read(reply)
+            if self.loop.now - began >= self._contact and last is not None or self.loop.now - began >= READ_LONGEST:
+                self._finish(last)
+            else:
+                self.loop.at(self.loop.now + READ_EACH, again)
+
+        again()
+
+    def _read(self, reply: Reply) -> ReadBack:
+        """The same JSON as a text that was sent counts as that text."""
+        try:
+            data = json.loads(reply.body)
+            gen = int(data["gen"])
+        except (ValueError, KeyError, TypeError):
+            return ReadBack(reply.at, 0, digest(reply.body))
+        for name, text in self.record.texts.items():
+            try:
+                if json.loads(text) == data:
+                    return ReadBack(reply.at, gen, name)
+            except ValueError:
+                continue
+        return ReadBack(reply.at, gen, digest(reply.body))
+
+    def _finish(self, last: ReadBack | None) -> None:
+        self.record.add(last or ReadBack(self.loop.now, -1, ""))
+        for order, at in self._open.values():
+            self.record.add(Ordered(at, order.gen, order.valid, digest(order.text), None, 0, None))
+        self._open.clear()
+        self.done = True
--- a/oakvale/lab/models/workshop.py
+++ b/oakvale/lab/models/workshop.py
@@ -171,7 +171,7 @@
         return word * max(1, round(self._rng.lognormvariate(3, 0.6)))
 
     def drop(self, now: int, job: Job) -> bool:
-        """Its connection closed: whether it ceases."""
+        """Its connection closed: whether it ceases. One that waits always does."""
         if job in self._busy:
             if not self.terms.drops:
                 return False
