--- a/oakvale/cli.py
+++ b/oakvale/cli.py
@@ -162,6 +162,8 @@
         sys.exit(commands.main(words))
     except commands.Wrong as error:
         fail(error)
+    except commands.Failed as error:
+        fail(error, 1)
 
 
 def parser() -> argparse.ArgumentParser:
--- a/oakvale/lab/commands.py
+++ b/oakvale/lab/commands.py
@@ -8,14 +8,19 @@
 
 import argparse
 import json
+import os
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from oakvale.lab.days import Day
     from oakvale.lab.pump.tally import Tally
+    from oakvale.lab.trials.outcome import Outcome
+    from oakvale.lab.trials.variants import Spec
 
+BROKEN = 1
 INTERRUPTED = 130
 
 
@@ -23,6 +28,188 @@
     """One line: the file or argument, the place, the field, what is wrong with it."""
 
 
+class Failed(Exception):
+    """One line: what could not be done, though nothing was wrong with what was asked."""
+
+
+def day(args: argparse.Namespace) -> int:
+    """Play a day and judge it: each rule, what was earned of what was owed, the worst seconds."""
+    from oakvale.lab.trials import player
+
+    played = _days([args.file])[0]
+    one = player.world(played, played.seed if args.seed is None else args.seed, _variant(args.variant))
+    if one.failed:
+        raise Failed(f"{args.file}: the run came to no end: {one.failed}")
+    lines = [f"{one.day}, seed {one.seed}, variant {one.variant}: worth {one.worth:.4f} ({one.earned:g} of "
+             f"{one.owed:g}); served {one.served}, refused {one.refused}, lost {one.lost}; answers "
+             f"p50 {one.p50_ms:.1f} ms, p99 {one.p99_ms:.1f} ms; {one.arrivals} arrivals; {one.wall_s:.1f} s to play; "
+             f"record {one.fingerprint}"]
+    if one.series is not None and (bad := [row for row in one.series.worth if row[1] < row[2]]):
+        worst = sorted(bad, key=lambda row: row[1] / row[2])[:5]
+        lines.append("worst seconds: " + ", ".join(f"{second} ({earned / owed:.2f})" for second, earned, owed in worst))
+    lines += [f"rule {rule} broken {many} times" for rule, many in one.broken.items()]
+    lines.append(f"first: {one.first}" if one.broken else "no rule broken")
+    print("\n".join(lines))
+    if args.json:
+        _write(args.json, json.dumps(one.told(), indent=1) + "\n")
+    return BROKEN if one.broken else 0
+
+
+def experiment(args: argparse.Namespace) -> int:
+    """Play variants x days x seeds over the cores; say of each variant: better, worse or noise."""
+    from oakvale.lab import days, files
+    from oakvale.lab.trials import findings, page, player, report, runs, spec
+
+    try:
+        told, played = spec.load(args.file)
+    except (files.BadFile, days.BadDay) as error:
+        raise Wrong(error) from error
+    folder = Path(args.out or Path(args.file).with_suffix("").name + "-report")
+    jobs = [(one, seed, variant) for seed in told.seeds_drawn() for one in played for variant in told.variants]
+    outcomes = []
+    interrupted = False
+    with Progress(len(jobs), "runs", args.quiet) as bar:
+        try:
+            for one in runs.played(jobs, args.jobs, player.world):
+                outcomes.append(one)
+                bar.show(len(outcomes), f"{one.day} {one.variant}")
+        except KeyboardInterrupt:
+            interrupted = True
+    if not outcomes:
+        raise Failed("interrupted before the first run had ended: there is nothing to report")
+    found = findings.rows(told, outcomes)
+    text = report.markdown(told, found, outcomes, len(jobs))
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+    except OSError as error:
+        raise Wrong(f"{folder}: cannot be made: {error.strerror}") from error
+    _write(str(folder / "report.md"), text)
+    _write(str(folder / "report.html"), page.page(told, found, outcomes, len(jobs)))
+    _write(str(folder / "outcomes.json"), json.dumps([one.told() for one in outcomes]) + "\n")
+    print(text + f"\n{folder}/report.md, report.html, outcomes.json")
+    return INTERRUPTED if interrupted else BROKEN if all(one.failed for one in outcomes) else 0
+
+
+def hunt(args: argparse.Namespace) -> int:
+    """Play drawn days until a rule breaks; keep that day, and with --shrink the smallest one that still breaks it."""
+    from oakvale.lab.trials import draw, player
+    from oakvale.lab.trials import hunt as hunting
+
+    like = _days([args.like])[0] if args.like else None
+    variant, kinds = _variant(args.variant), tuple(args.kinds.split(",")) if args.kinds else ()
+    if odd := [kind for kind in kinds if kind not in draw.WAYS]:
+        raise Wrong(f"--kinds: {odd[0]!r} is no kind of trouble (there are {', '.join(draw.WAYS)})")
+    first = args.first_seed
+    done = 0
+    found: list[tuple[Day, Outcome]] = []
+    interrupted = False
+    with Progress(args.days, "days", args.quiet) as bar:
+        try:
+            for played, one in hunting.hunted(first, args.days, args.jobs, player.world, variant, like, kinds):
+                done += 1
+                bar.show(done, f"{len(found)} found")
+                if hunting.faults(one):
+                    found.append((played, one))
+                    if not args.all:
+                        break
+        except KeyboardInterrupt:
+            interrupted = True
+    print(f"{'interrupted: ' if interrupted else ''}{done} of {args.days} days from seed {first} played, "
+          f"{len(found)} with a fault")
+    for played, one in sorted(found, key=lambda pair: pair[0].seed):
+        rules = hunting.faults(one)
+        path = hunting.keep(played, rules, one.failed or one.first, variant, Path(args.out))
+        print(f"{', '.join(sorted(rules))}: {one.failed or one.first}\n  {path}")
+        if args.shrink and not interrupted:
+            _shrunk(played, rules, args.most, variant, path, args.quiet)
+    return INTERRUPTED if interrupted else BROKEN if found else 0
+
+
+def shrink(args: argparse.Namespace) -> int:
+    """Cut a day that breaks a rule down to the smallest one that still does."""
+    from oakvale.lab.trials import hunt as hunting
+    from oakvale.lab.trials import player
+
+    played, variant = _days([args.file])[0], _variant(args.variant)
+    one = player.world(played, played.seed, variant)
+    rules = hunting.faults(one)
+    if args.rule and args.rule not in rules:
+        raise Failed(f"{args.file}: breaks {', '.join(sorted(rules)) or 'no rule'}, not {args.rule}")
+    if not rules:
+        raise Failed(f"{args.file}: breaks no rule, so there is nothing to shrink")
+    return _shrunk(played, {args.rule} if args.rule else rules, args.most, variant, Path(args.file), args.quiet,
+                   Path(args.out) if args.out else None)
+
+
+def _shrunk(played: Day, rules: set[str], most: int, variant: Spec, path: Path, quiet: bool,
+            out: Path | None = None) -> int:
+    """Writes the smallest day beside `path`; an interrupt keeps the smallest so far."""
+    from oakvale.lab.trials import hunt as hunting
+    from oakvale.lab.trials import player
+    from oakvale.lab.trials import shrink as shrinking
+
+    best, last, asked = [played], [""], 0
+    interrupted = False
+    with Progress(most, "plays", quiet) as bar:
+        def breaks(candidate: Day) -> bool:
+            nonlocal asked
+            asked += 1
+            one = player.world(candidate, candidate.seed, variant)
+            bar.show(asked, _size(best[0]))
+            if hunting.faults(one) & rules:
+                last[0] = one.failed or one.first
+                return True
+            return False
+
+        try:
+            shrinking.smallest(played, breaks, most, lambda smaller: best.__setitem__(0, smaller))
+        except KeyboardInterrupt:
+            interrupted = True
+    small = best[0].model_copy(update={"name": f"{played.name}-small"[:40]})
+    kept = hunting.keep(small, rules, last[0], variant, out or path.parent, "-small")
+    print(f"{'interrupted: the smallest so far' if interrupted else 'smallest'} after {asked} plays: {_size(small)} "
+          f"(was {_size(played)})\n  {kept}")
+    return INTERRUPTED if interrupted else 0
+
+
+def _size(one: Day) -> str:
+    return (f"{len(one.troubles) + len(one.plan)} troubles, {one.seconds:g} s, {len(one.edges())} edges, {one.cores} "
+            f"cores, {len(one.services)} services, {len(one.routes)} routes, {len(one.tenants)} tenants")
+
+
+def check(args: argparse.Namespace) -> int:
+    """Look at every interleaving of the control state's small core."""
+    from importlib import import_module
+
+    status: int = import_module("oakvale.lab.sounding.command").run(args)
+    return status
+
+
+def _days(paths: Sequence[str]) -> list[Day]:
+    from oakvale.lab import days
+
+    try:
+        return [days.load(path) for path in paths]
+    except days.BadDay as error:
+        raise Wrong(error) from error
+
+
+def _variant(path: str | None) -> Spec:
+    from oakvale.lab import files
+    from oakvale.lab.trials import player, variants
+
+    if path is None:
+        return player.BASE
+    try:
+        spec = files.load(path, variants.Spec)
+        variants.patches(spec)
+    except files.BadFile as error:
+        raise Wrong(error) from error
+    except variants.BadVariant as error:
+        raise Wrong(f"{path}: {error}") from error
+    return spec
+
+
 def load(args: argparse.Namespace) -> int:
     """Requests to URL at a steady rate, whatever the answers do; latency runs from when each was due."""
     from oakvale.lab.pump import drive
@@ -114,6 +301,39 @@
         command.add_argument("--quiet", action="store_true", help="no progress bar")
         return command
 
+    def over(command: argparse.ArgumentParser) -> None:
+        command.add_argument("--jobs", type=_whole, default=len(os.sched_getaffinity(0)),
+                             help="runs at once (default: the cores, %(default)s)")
+
+    def varied(command: argparse.ArgumentParser) -> None:
+        command.add_argument("--variant", metavar="FILE", help="a file with name, and set or swap, of code that is "
+                                                               "exchanged for the run")
+
+    one = add("day", day, "play a day in the simulated world and judge it; ends with 1 if a rule is broken")
+    one.add_argument("file", help="a day (TOML), as lab/days/still.toml")
+    one.add_argument("--seed", type=int, help="instead of the day's own")
+    varied(one)
+    one.add_argument("--json", metavar="FILE", help="the outcome with its series")
+    tried = add("experiment", experiment, "play variants x days x seeds; say what is better, worse or noise")
+    tried.add_argument("file", help="an experiment (TOML)")
+    tried.add_argument("--out", metavar="FOLDER", help="of report.md, report.html, outcomes.json (NAME-report)")
+    over(tried)
+    hunted = add("hunt", hunt, "play drawn days until a rule breaks; ends with 1 if one does")
+    hunted.add_argument("--days", type=_whole, default=40, help="at most (default: %(default)s)")
+    hunted.add_argument("--first-seed", type=_whole, default=1, help="of the first day (default: %(default)s)")
+    hunted.add_argument("--like", metavar="FILE", help="a day whose site is kept; its troubles are drawn")
+    hunted.add_argument("--kinds", metavar="KIND,...", help="the kinds of trouble to draw from (all)")
+    hunted.add_argument("--all", action="store_true", help="go on after the first find")
+    hunted.add_argument("--shrink", action="store_true", help="cut what is found down")
+    hunted.add_argument("--out", default="lab/found", metavar="FOLDER", help="(default: %(default)s)")
+    cut = add("shrink", shrink, "cut a day that breaks a rule down to the smallest one that still does")
+    cut.add_argument("file", help="a day (TOML)")
+    cut.add_argument("--rule", help="the one that has to break (any that the day breaks)")
+    cut.add_argument("--out", metavar="FOLDER", help="(that of the day)")
+    for command in (hunted, cut):
+        command.add_argument("--most", type=_whole, default=300, help="plays of the shrinking (default: %(default)s)")
+        varied(command)
+    over(hunted)
     pump = add("load", load, "open-loop load on a loopback URL, with latencies from when each request was due")
     pump.add_argument("url", help="http://127.0.0.1:PORT/PATH; anything but loopback is refused")
     pump.add_argument("--rate", type=_over(0), default=100.0, help="requests a second (default: %(default)g)")
--- /dev/null
+++ b/oakvale/lab/trials/draw.py
@@ -0,0 +1,170 @@
+"""Days drawn from a seed: a small site of any size and a mix of troubles, such that all rules can be kept.
+
+`fair` says whether a day asks for no more than `tolerance` lets be lost at once: while a disk is wiped, and for
+`sync_time` around it, nothing else befalls the core.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from oakvale.lab import days
+from oakvale.lab.days import Day, Trouble
+
+Range = tuple[float, float]
+SYLLABLES = ("al", "ber", "cor", "dun", "el", "fen", "gar", "hol", "ist", "kel", "lin", "mor", "nor", "ost", "pel",
+             "ras", "sen", "tor", "ul", "ven")
+
+
+@dataclass(slots=True, frozen=True)
+class Way:
+    """How a kind of trouble is drawn; a range that is None leaves the field out."""
+
+    for_s: Range | None = None
+    share: Range | None = None
+    count: tuple[int, int] | None = None
+    x: Range | None = None
+    gap_s: Range | None = None
+    hows: tuple[str, ...] = ("",)
+    on: tuple[str, ...] = ("",)  # "service": one of the day's
+    planned: bool = False
+
+
+SERVICE = ("service",)
+WAYS: dict[str, tuple[Way, ...]] = {
+    "hot_tenant": (Way((3, 8), x=(2, 9)),),
+    "burst": (Way((2, 6), x=(1.5, 4)),),
+    "srv_crash": (Way((2, 6), share=(0.1, 0.5), hows=("", "dark", "gone", "dark gone"), on=SERVICE),),
+    "srv_slow": (Way((3, 8), share=(0.1, 0.5), x=(2, 8), on=SERVICE),),
+    "srv_grey": (Way((3, 8), share=(0.1, 0.5), x=(0.05, 0.5), on=SERVICE), Way((3, 8), count=(1, 1), x=(3, 20),
+                                                                               on=SERVICE)),
+    "srv_flap": (Way((3, 8), share=(0.1, 0.4), gap_s=(0.4, 1.5), on=SERVICE),),
+    "srv_lying_health": (Way((3, 8), share=(0.1, 0.4), on=SERVICE),),
+    "release": (Way(share=(0.3, 1.0), x=(1, 2), gap_s=(0.5, 1.5), on=SERVICE, planned=True),),
+    "scale_in": (Way(share=(0.1, 0.4), on=SERVICE, planned=True),),
+    "answer_lost": (Way((3, 6), share=(0.3, 0.7), x=(0.01, 0.06), hows=("", "reset"), on=SERVICE),),
+    "garble": (Way((3, 6), share=(0.3, 0.7), x=(0.01, 0.05), hows=("", "extra", "extra late"), on=SERVICE),),
+    "idle_race": (Way((3, 8), share=(0.3, 1.0), x=(0.3, 2), on=SERVICE),),
+    "node_kill": (Way((1, 4), count=(1, 1), hows=("", "leader", "seed"), on=("core",)),
+                  Way((1, 4), share=(0.1, 0.5), on=("edge",))),
+    "herd_kill": (Way((1, 3), share=(0.3, 0.9), hows=("", "power")),),
+    "after_ack_kill": (Way((1, 4)),),
+    "after_ack_wipe": (Way((1, 4)),),
+    "clock_step": (Way((3, 6), share=(0.2, 0.6), x=(200, 5_000), hows=("ahead", "back")),),
+    "core_cut": (Way((1, 6), count=(1, 1), hows=("", "leader")),),
+    "node_cut": (Way((1, 6), share=(0.1, 0.4)),),
+    "zone_cut": (Way((1, 4), count=(1, 1)),),
+    "disk_slow": (Way((3, 6), count=(1, 1), x=(5, 40), hows=("", "leader")),),
+    "disk_stall": (Way((1, 3), count=(1, 1), hows=("", "leader")),),
+    "lossy": (Way((2, 6), share=(0.1, 0.4), x=(0.01, 0.1)),),
+    "node_slow": (Way((2, 6), share=(0.1, 0.3), x=(2, 6)),),
+    "config_change": (Way(hows=("route", "weights", "tenant", "quota", "idle", "timeout"), planned=True),),
+    "config_race": (Way(count=(1, 3), gap_s=(0.8, 1.5)),),
+    "bad_config": (Way(count=(1, 3), gap_s=(0.8, 1.5)),),
+    "revoke": (Way(count=(1, 2), gap_s=(1, 2)),),
+    "seed_turnover": (Way(),),
+    "closing": (Way((1, 2), hows=("power", "kill", "wipe")),),
+    "restart": (Way(gap_s=(0.5, 1.5), on=("edge", "core"), planned=True),),
+    "drain": (Way(share=(0.1, 0.4), on=SERVICE, planned=True),),
+}
+CORE = frozenset({"node_kill", "herd_kill", "after_ack_kill", "after_ack_wipe", "core_cut", "node_cut", "zone_cut",
+                  "disk_slow", "disk_stall", "lossy", "node_slow", "clock_step", "seed_turnover", "restart", "closing"})
+
+
+def wipes(trouble: Trouble) -> bool:
+    return trouble.kind == "after_ack_wipe" or trouble.kind == "closing" and "wipe" in trouble.how
+
+
+def fair(day: Day) -> bool:
+    """Whether no more is lost at once than may be. A change that a trouble waits for comes within `ack` of its time."""
+    rest, ack = day.time("sync_time") / 1e6, day.time("ack") / 1e6
+    struck = [one for one in day.troubles + day.plan if one.kind in CORE and one.on in ("", "core")]
+
+    def span(one: Trouble) -> tuple[float, float]:
+        waits = ack if one.kind in ("after_ack_kill", "after_ack_wipe", "closing") else 0.0
+        return one.at, one.at + waits + one.for_s
+    for at, one in enumerate(struck):
+        if not wipes(one):
+            continue
+        begin, end = span(one)
+        for other in struck[:at] + struck[at + 1:]:
+            its_begin, its_end = span(other)
+            if its_begin < end + rest and begin < its_end + rest:
+                return False
+        if day.tolerance < 1:
+            return False
+    return sum(one.kind == "closing" for one in struck) <= 1
+
+
+def drawn(seed: int, like: Day | None = None, kinds: tuple[str, ...] = ()) -> Day:
+    """The day of a seed: of the site of `like`, where there is one, with troubles of `kinds` alone, where some are."""
+    draw = random.Random(f"day {seed}")
+    site = _site(draw) if like is None else {
+        name: value for name, value in like.model_dump(mode="python").items() if name not in ("troubles", "plan")}
+    names = [service["name"] for service in site["services"]]
+    wanted = [kind for kind in WAYS if not kinds or kind in kinds]
+    for _ in range(1_000):
+        rows = [_trouble(draw, kind, float(site["seconds"]), names)
+                for kind in draw.choices(wanted, k=draw.randint(1, 6))]
+        found = days.decode(site | {
+            "name": f"drawn-{seed}", "seed": seed,
+            "troubles": tuple(row for planned, row in rows if not planned),
+            "plan": tuple(row for planned, row in rows if planned)})
+        if fair(found):
+            return found
+    raise ValueError(f"no fair day among 1,000 of seed {seed}")
+
+
+def _trouble(draw: random.Random, kind: str, seconds: float, services: list[str]) -> tuple[bool, dict[str, Any]]:
+    way = draw.choice(WAYS[kind])
+    part = draw.uniform(0.7, 0.8) if kind == "closing" else draw.uniform(0.05, 0.75)
+    row: dict[str, Any] = {"kind": kind, "at": round(part * seconds, 2)}
+    for name, span in (("for_s", way.for_s), ("share", way.share), ("x", way.x), ("gap_s", way.gap_s)):
+        if span is not None:
+            row[name] = round(draw.uniform(*span), 2)
+    if way.count is not None:
+        row["count"] = draw.randint(*way.count)
+    row["how"], on = draw.choice(way.hows), draw.choice(way.on)
+    row["on"] = draw.choice(services) if on == "service" else on
+    return way.planned, row
+
+
+def _site(draw: random.Random) -> dict[str, Any]:
+    names: list[str] = []
+    while len(names) < 16:
+        if (new := "".join(draw.sample(SYLLABLES, 2))) not in names:
+            names.append(new)
+    zones = [names.pop() for _ in range(draw.randint(1, 4))]
+    cores = draw.choice((3, 3, 4, 5))
+    services: list[dict[str, Any]] = []
+    routes: list[dict[str, Any]] = []
+    for _ in range(draw.randint(1, 3)):
+        name, backends, slots = names.pop(), draw.randint(2, 8), draw.randint(1, 4)
+        services.append({"name": name, "backends": backends, "slots": slots,
+                         "work_spread": round(draw.uniform(0, 0.8), 2), "reset_when_full": draw.random() < 0.3,
+                         "cold_factor": draw.choice((1.0, 2.0))})
+        many = draw.randint(1, 2)
+        for number in range(many):
+            work = round(10 ** draw.uniform(1.0, 2.4), 1)
+            load = draw.uniform(0.15, 0.7)  # of what the service can do
+            aim = work * draw.uniform(3, 8) + 50
+            routes.append({
+                "name": f"{name}-{number}", "service": name, "safe": draw.random() < 0.5, "work_ms": work,
+                "per_s": round(max(0.5, min(60.0, load * backends * slots * 1000 / work / many)), 2),
+                "aim_ms": round(aim), "deadline_ms": round(aim * draw.uniform(4, 7)), "tries": draw.randint(1, 3),
+                "prio": draw.randint(0, 2), "worth": draw.choice((1.0, 2.0)), "public": draw.random() < 0.1})
+    whole = sum(route["per_s"] for route in routes)
+    tenants, weights = [], [draw.uniform(0.3, 3) for _ in range(draw.randint(1, 6))]
+    for number, weight in enumerate(weights):
+        rate = whole * weight / sum(weights) * draw.uniform(1.1, 2.0)
+        tenants.append({"name": f"tenant-{number}", "keys": draw.randint(1, 3), "weight": round(weight, 2)} |
+                       ({"rate_per_s": round(rate, 1), "burst": round(rate * draw.uniform(1, 3), 1)}
+                        if draw.random() < 0.8 else {}))
+    return {
+        "name": "drawn", "seconds": draw.choice((12.0, 18.0, 24.0, 32.0)), "lead_s": 8.0, "zones": zones,
+        "edges_per_zone": draw.randint(1, 4), "delay_ms": round(draw.uniform(0.2, 5), 2),
+        "client_delay_ms": round(draw.uniform(0.5, 10), 1), "sync_ms": round(draw.uniform(0.5, 8), 1), "cores": cores,
+        "tolerance": (cores - 1) // 2, "services": services, "routes": routes, "tenants": tenants,
+        "bounds": {"retry-slack": 40.0}}
--- a/oakvale/lab/trials/variants.py
+++ b/oakvale/lab/trials/variants.py
@@ -14,6 +14,9 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 
+ROLES = ("oakvale.headworks.process", "oakvale.sluice.process", "oakvale.intake.model")
+
+
 class Spec(BaseModel):
     """A variant as a file gives it."""
 
@@ -63,6 +66,8 @@
 
 def patches(spec: Spec) -> dict[str, Any]:
     """Dotted name -> what stands there for the run; raises BadVariant."""
+    for role in ROLES:  # whoever reads a name has to be there to be found
+        importlib.import_module(role)
     whole: dict[str, Any] = {}
     for dotted, value in spec.set.items():
         holder, name = found(dotted)
