--- /dev/null
+++ b/oakvale/lab/sounding/machine.py
@@ -0,0 +1,239 @@
+"""One core machine of the model: the real decisions over a disk, of which only what was synced outlasts a kill.
+
+A machine is told one event, and says what goes out. Time is put aside: whatever waits for a time may happen at any
+time, so what the seat notes of times is set to "long ago" before each event and cleared after it.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import pickle
+from collections import deque
+from typing import Any
+
+import cbor2
+
+from oakvale.headworks import copying
+from oakvale.headworks.copying import Again, Ask, Copying, Reply, Tell, Told, Turned, Write
+from oakvale.headworks.succession import Seat, founding, seat, unpack
+from oakvale.penstock.table import Version
+
+NAMES = "abcdefg"
+SILENCE = 900_000
+NOW = 10**12  # microseconds: anything noted as 0 is long ago
+
+Event = tuple[Any, ...]
+Sent = tuple[Any, ...]  # what goes out, as `Machine.out` says
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Author:
+    """Who made write `number`; hears through what goes out."""
+
+    number: int
+
+    def __call__(self, done: bool) -> None:
+        raise AssertionError("told through what goes out")
+
+
+class Machine:
+    def __init__(self, address: str, addresses: tuple[str, ...], copies: int) -> None:
+        self.address, self.addresses, self.copies = address, addresses, copies
+        self.founds = True  # started as one of a new system's, until that is on its disk
+        self.drawn = 1  # incarnations
+        self.facts: dict[str, bytes] = {}
+        self.rows: dict[str, bytes] = {}
+        self.queue: list[tuple[int, tuple[str, Any]]] = []  # writes that are not on disk yet
+        self.part: Copying | None = None
+        self.agains: list[Again] = []
+        self.out: list[Sent] = []
+
+    def told(self, event: Event) -> None:
+        """One event; `out` then holds what it sent: ("say", to, kind, body), ("ask", to, kind, body, ticket),
+        ("reply", ticket, answer), ("told", write, done) and ("turned", serves)."""
+        self.out = []
+        getattr(self, f"_{event[0]}")(*event[1:])
+        self._put_time_aside()
+
+    # ---- the process and the disk
+
+    def _start(self) -> None:
+        assert self.part is None
+        first = founding(self.addresses, self.copies) if self.founds else None
+        if "self" not in self.facts and not first:
+            self.drawn += 1
+        began = copying.start(self.address, self.facts.get("self"), self.facts.get("state"), first,
+                              lambda: str(self.drawn))
+        self.part = Copying(began, sorted(self.rows.items()), self.copies, SILENCE, 0)
+        self._do(self.part.flush())
+
+    def _kill(self, kept: int) -> None:
+        """`kept` of the writes that wait had come to the disk, though nobody was told."""
+        for _, what in self.queue[:kept]:
+            self._apply(*what)
+        self.part, self.queue, self.agains = None, [], []
+
+    def _wipe(self) -> None:
+        self._kill(0)
+        self.facts, self.rows, self.founds = {}, {}, False
+
+    def _sync(self) -> None:
+        assert self.part is not None
+        number, what = self.queue.pop(0)
+        self._apply(*what)
+        self._do(self.part.written(number))
+
+    def _apply(self, kind: str, data: Any) -> None:
+        if kind == "fact":
+            self.facts[data[0]] = data[1]
+            self.founds = False
+        elif kind == "gone":
+            for key in data:
+                self.rows.pop(key, None)
+        else:
+            if kind == "whole":
+                self.rows = {}
+            self.rows.update(data)
+
+    # ---- peers, time and authors
+
+    def _message(self, kind: str, body: Any, ticket: Any) -> None:
+        assert self.part is not None
+        if kind in ("append", "sync"):
+            self._do(getattr(self.part, kind)(body, ticket))
+        else:
+            sender, inner = body
+            self._do(self.part.carry(self.part.succession.message(NOW, seat(sender), kind, inner)))
+
+    def _answer(self, number: int, answer: Any) -> None:
+        """None: it is waited for no longer, or its connection is gone."""
+        assert self.part is not None
+        self._do(self.part.answered(number, answer))
+
+    def _again(self, place: int) -> None:
+        assert self.part is not None
+        item = self.agains.pop(place)
+        self._do(self.part.again(item.backup, item.view))
+
+    def _change(self, number: int) -> None:
+        assert self.part is not None
+        self._do(self.part.change({f"w{number}": number}, Author(number)))
+
+    def _learn(self, view: Any) -> None:
+        """By a heartbeat, or by the word that it is decided."""
+        assert self.part is not None
+        self._do(self.part.carry(self.part.succession.learn(unpack(view))))
+
+    def _wake(self, up: tuple[Seat, ...], again: bool) -> None:
+        """A tick, after such a time that it tries anew, or once more, with these peers heard and no others."""
+        assert self.part is not None
+        succession = self.part.succession
+        campaign = succession._campaign
+        if campaign is not None and again:
+            campaign.began = campaign.said = NOW - SILENCE
+        succession._born, succession._wanted_since = 0, 1
+        for peer in up:
+            self._do(self.part.carry(succession.heard(NOW, peer, "", None)))
+        self._do(self.part.carry(succession.tick(NOW)))
+
+    # ---- what comes out
+
+    def _do(self, items: list[copying.Do]) -> None:
+        for item in items:
+            match item:
+                case Write(number, what):
+                    self.queue.append((number, what))
+                case Ask(number, to, kind, body, _):
+                    assert self.part is not None
+                    ticket = (self.address, self.part.own[1], self.part.life, number)
+                    self.out.append(("ask", to[0], kind, frozen(body), ticket))
+                case Tell(to, kind, body):
+                    assert self.part is not None
+                    self.out.append(("say", to[0], kind, frozen([self.part.own, body])))
+                case Reply(ticket, answer):
+                    self.out.append(("reply", ticket, answer))
+                case Again():
+                    self.agains.append(item)
+                case Told(then, done):
+                    assert isinstance(then, Author)
+                    self.out.append(("told", then.number, done))
+                case Turned(serves):
+                    self.out.append(("turned", serves))
+
+    def _put_time_aside(self) -> None:
+        part = self.part
+        if part is None:
+            return
+        succession = part.succession
+        succession._heard, succession._spares, succession._zones = {}, {}, {}
+        succession._born, succession._next_try, succession._wanted_since = None, 0, 0
+        if succession._campaign is not None:
+            succession._campaign.began = succession._campaign.said = 0
+        if not succession._after:
+            succession._numbers = 0  # only their order counts
+        if not part._writes:
+            part._numbers = 0
+
+    # ---- as a value
+
+    def packed(self) -> bytes:
+        out, self.out = self.out, []
+        data = pickle.dumps(self, 5)
+        self.out = out
+        return data
+
+    def key(self) -> Any:
+        """Equal where machines will do the same for ever."""
+        return (self.founds, self.drawn, frozen(self.facts), frozen(self.rows), frozen(self.queue), frozen(self.agains),
+                frozen(self.part))
+
+
+def frozen(item: Any) -> Any:
+    """Hashable, and equal for equal contents in whatever order they were put in; objects by all their fields."""
+    if item is None or isinstance(item, (int, str, bytes)):
+        return item
+    if isinstance(item, (list, tuple, deque)):
+        return tuple([frozen(x) for x in item])
+    if isinstance(item, (set, frozenset)):
+        return tuple(sorted(frozen(x) for x in item))
+    if isinstance(item, dict):
+        return tuple(sorted(((frozen(k), frozen(v)) for k, v in item.items()), key=lambda pair: repr(pair[0])))
+    if dataclasses.is_dataclass(item):
+        return type(item).__name__, tuple([frozen(getattr(item, f.name)) for f in dataclasses.fields(item)])
+    return type(item).__name__, frozen(vars(item))
+
+
+class Facts:
+    """What the model asks of a machine in one state."""
+
+    __slots__ = ("active", "agains", "asks", "campaigns", "complete", "durable", "kept", "life", "own", "queue", "seat",
+                 "shown", "up", "view", "waiting")
+
+    def __init__(self, machine: Machine) -> None:
+        part = machine.part
+        self.up = part is not None
+        stored = machine.facts.get("self")
+        self.seat: Seat | None = (machine.address, cbor2.loads(stored)[0]) if stored else None  # the disk's
+        self.durable = self.complete = 0  # on disk: the number of the view, and of the newest that it is complete in
+        if stored:
+            state = copying.start(machine.address, stored, machine.facts.get("state"), None, str).durable
+            self.durable, self.complete = state.view.number if state.view else 0, state.complete
+        self.kept: dict[int, Version] = {}  # writes on disk
+        for data in machine.rows.values():
+            version, value = cbor2.loads(data)
+            self.kept[value] = (version[0], version[1])
+        self.queue = len(machine.queue)
+        self.agains = len(machine.agains)
+        self.own = part.own if part else None
+        self.life = part.life if part else 0
+        view = part.view() if part else None
+        self.active = part is not None and part.active and view is not None and view.primary == part.own
+        self.view = frozen(view.pack()) if view else None
+        self.asks = tuple(part._asks) if part else ()
+        self.campaigns = part is not None and part.succession._campaign is not None
+        self.waiting = frozenset(p.then.number for p in part.ledger._pending if isinstance(p.then, Author)
+                                 ) if part else frozenset()
+        self.shown: dict[int, Version] = {}  # writes in the table
+        if part is not None:
+            self.shown = {value: part.ledger.table.version(key) for key, value in part.ledger.table.items("w")
+                          for key in ["w" + key]}
--- /dev/null
+++ b/oakvale/lab/sounding/model.py
@@ -0,0 +1,526 @@
+"""All that can happen next to three machines, and what must hold whatever did.
+
+A state is a tuple of numbers and tuples: each machine's (kept once, by what it is), what is on its way, what was
+acknowledged, and how much of each fault was spent. What one event does to one machine is worked out once by the
+real code and looked up from then on.
+
+What is on its way arrives in any order or never; nothing is doubled, as connections do not; what was on its way to
+a process ends with it, what it sent does not. A connection that was given up is one whose question is waited for no
+longer, though it may still arrive. Heartbeats are beliefs: whoever wakes may hold any others for up, also the seats
+of disks that are gone, and may at any time learn of any view that was ever decided.
+"""
+
+from __future__ import annotations
+
+import pickle
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from itertools import product
+from typing import Any, NamedTuple
+
+from oakvale.headworks.succession import Seat
+from oakvale.lab.sounding.machine import NAMES, Event, Facts, Machine, Sent
+from oakvale.penstock.table import Version
+
+COPIES = 2  # tolerance 1
+COUNCIL = frozenset(("prepare", "promise", "accept", "accepted", "void", "voided", "refused"))
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """How much of each may happen on one way through the states."""
+
+    machines: int = 3
+    writes: int = 1
+    kills: int = 1
+    wipes: int = 1
+    wakes: int = 1  # attempts to replace a view, or words said again
+    retries: int = 1  # questions given up, or state sent once more
+
+
+KILLS, WIPES, WAKES, RETRIES, WRITES = range(5)
+COST = {"kill": KILLS, "wipe": WIPES, "wake": WAKES, "again": RETRIES, "answer": RETRIES, "change": WRITES}
+OUTWARD = frozenset(("kill", "wipe", "change"))
+ROUNDS = 12  # of everything that waits for a time, until somebody serves
+LONG = 400  # steps that one round may take
+Acked = tuple[int, Version, int]  # write, its version, the number of the view that said yes
+Step = tuple[int, Event]  # machine, what happens to it
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What the world outside knows."""
+
+    acked: tuple[Acked, ...] = ()
+    asked: tuple[tuple[int, tuple[int, ...]], ...] = ()  # writes that wait, with those acknowledged before each
+    decided: tuple[Any, ...] = ()  # views, by their numbers
+    troubled: int = -1  # whose disk was wiped, until all is well again
+
+
+class State(NamedTuple):
+    """Whole numbers alone, so that its hash is the same in every run."""
+
+    seats: tuple[int, ...]  # of machines' states
+    mail: tuple[int, ...]  # of messages on their way, sorted
+    told: int  # of what the world outside knows
+    spent: tuple[int, ...]
+
+
+UNSPENT = (0,) * 5
+
+
+class Broken(Exception):
+    """What must hold does not."""
+
+    def __init__(self, rule: str, why: str) -> None:
+        super().__init__(f"{rule}: {why}")
+        self.rule, self.why = rule, why
+
+
+class Model:
+    def __init__(self, bounds: Bounds) -> None:
+        self.bounds = bounds
+        self.addresses = tuple(f"{name}:1" for name in NAMES[:bounds.machines])
+        self._place = {address: n for n, address in enumerate(self.addresses)}
+        self._numbers: dict[Any, int] = {}  # a machine's key -> its number
+        self._packed: list[bytes] = []
+        self.facts: list[Facts] = []
+        self._steps: dict[tuple[int, Event], tuple[int, tuple[Sent, ...]]] = {}
+        self._mail_numbers: dict[Any, int] = {}
+        self.mails: list[tuple[int, str, Any, Any]] = []  # to whom, kind, body, ticket
+        self._to: list[int] = []
+        self._over: dict[tuple[int, int], bool] = {}
+        self._tolds: dict[Told, int] = {}
+        self.tolds: list[Told] = []
+        self._holding: set[tuple[int, int]] = set()  # machines' states that hold what they must, by what is known
+        self._wakings: dict[tuple[int, ...], tuple[Step, ...]] = {}
+
+    # ---- machines
+
+    def _number(self, place: int, machine: Machine) -> int:
+        key = place, machine.key()
+        found = self._numbers.get(key)
+        if found is None:
+            found = self._numbers[key] = len(self._packed)
+            self._packed.append(machine.packed())
+            self.facts.append(Facts(machine))
+        return found
+
+    def machine(self, number: int) -> Machine:
+        found: Machine = pickle.loads(self._packed[number])
+        return found
+
+    def local(self, place: int, number: int, event: Event) -> tuple[int, tuple[Sent, ...]]:
+        """What the real code makes of an event: the machine's next state, and what goes out."""
+        known = self._steps.get((number, event))
+        if known is None:
+            machine = self.machine(number)
+            if event[0] == "mail":
+                _, kind, body, ticket = self.mails[event[1]]
+                machine.told(("answer", body[2], body[3]) if kind == "answer" else ("message", kind, body, ticket))
+            else:
+                machine.told(event)
+            known = self._steps[number, event] = self._number(place, machine), tuple(machine.out)
+        return known
+
+    def cold(self) -> State:
+        """Nothing was ever started."""
+        seats = tuple(self._number(place, Machine(address, self.addresses, COPIES))
+                      for place, address in enumerate(self.addresses))
+        return State(seats, (), self._known(Told()), UNSPENT)
+
+    def settled(self) -> State:
+        """The founding view serves."""
+        return self.heal(self.cold(), write=None)._replace(spent=UNSPENT, mail=())
+
+    def _known(self, told: Told) -> int:
+        found = self._tolds.get(told)
+        if found is None:
+            found = self._tolds[told] = len(self.tolds)
+            self.tolds.append(told)
+        return found
+
+    # ---- what can happen
+
+    def steps(self, state: State) -> Iterator[Step]:
+        seats, mail, known, spent = state
+        bounds, facts, to = self.bounds, self.facts, self._to
+        told = self.tolds[known]
+        last = -1
+        for number in mail:
+            if number != last:
+                last = number
+                place = to[number]
+                if facts[seats[place]].up:
+                    yield place, ("mail", number)
+        wipes = spent[WIPES] < bounds.wipes and told.troubled < 0
+        for place, seat in enumerate(seats):
+            own = facts[seat]
+            if wipes and own.seat is not None:
+                yield place, ("wipe",)
+            if not own.up:
+                yield place, ("start",)
+                continue
+            if own.queue:
+                yield place, ("sync",)
+            if spent[RETRIES] < bounds.retries:
+                for number in own.asks:
+                    yield place, ("answer", number, None)
+                for n in range(own.agains):
+                    yield place, ("again", n)
+            if own.active and spent[WRITES] < bounds.writes:
+                yield place, ("change", spent[WRITES] + 1)
+            for view in told.decided:
+                if own.view is None or view[0] > own.view[0]:
+                    yield place, ("learn", view)
+            if spent[KILLS] < bounds.kills:
+                for kept in range(own.queue + 1):
+                    yield place, ("kill", kept)
+        if spent[WAKES] < bounds.wakes:
+            found = self._wakings.get(seats)
+            if found is None:
+                found = self._wakings[seats] = tuple(
+                    (place, wake) for place, seat in enumerate(seats) for wake in self._wakes(seats, place)
+                    if self.local(place, seat, wake) != (seat, ()))
+            yield from found
+
+    def _wakes(self, seats: tuple[int, ...], place: int) -> Iterator[Event]:
+        own = self.facts[seats[place]]
+        if own.view is None:
+            return
+        known = {own.view[1], *own.view[2], *own.view[3]}
+        ways: list[list[Seat | None]] = []
+        for other, seat in enumerate(seats):
+            if other != place:
+                now = self.facts[seat].seat
+                old = sorted(s for s in known if s[0] == self.addresses[other] and s != now)
+                ways.append([None, *([now] if now else []), *old])
+        for chosen in product(*ways):
+            up = tuple(s for s in chosen if s is not None)
+            yield "wake", up, False
+            if own.campaigns:
+                yield "wake", up, True
+
+    def after(self, state: State, step: Step) -> State:
+        """Raises Broken."""
+        seats, mail, known, spent = state
+        place, event = step
+        kind = event[0]
+        before = seats[place]
+        now, sent = self.local(place, before, event)
+        left = list(mail)
+        if kind == "mail":
+            left.remove(event[1])
+        elif kind in ("kill", "wipe"):
+            left = [n for n in left if self._to[n] != place]
+        cost = COST.get(kind)
+        if cost is not None:
+            spent = (*spent[:cost], spent[cost] + 1, *spent[cost + 1:])
+        view = self.facts[now].view
+        if now != before:
+            seats = (*seats[:place], now, *seats[place + 1:])
+            if kind in OUTWARD or view != self.facts[before].view:
+                known = self._known(self._seen(self._outward(self.tolds[known], place, before, event), view))
+            left = [n for n in left if self._to[n] != place or not self._is_over(place, now, n)]
+        for item in sent:
+            if item[0] == "told" or item[0] == "turned":
+                known = self._known(self._heard(self.tolds[known], seats, place, item))
+            else:
+                self._may_say(self.tolds[known], now, item)
+                number = self._posted(seats, item)
+                if number is not None:
+                    left.append(number)
+        left.sort()
+        for seat in seats:
+            if (seat, known) not in self._holding:
+                self._holds(self.tolds[known], seat)
+                self._holding.add((seat, known))
+        told = self.tolds[known]
+        if told.troubled >= 0 and self._well(told, seats):
+            known = self._known(replace(told, troubled=-1))
+        return State(seats, tuple(left), known, spent)
+
+    def _outward(self, told: Told, place: int, before: int, event: Event) -> Told:
+        kind = event[0]
+        if kind == "change":
+            return replace(told, asked=(*told.asked, (event[1], tuple(n for n, _, _ in told.acked))))
+        if kind in ("kill", "wipe"):  # its authors will never hear
+            waiting = self.facts[before].waiting
+            told = replace(told, asked=tuple(item for item in told.asked if item[0] not in waiting))
+        return replace(told, troubled=place) if kind == "wipe" else told
+
+    # ---- what is on its way
+
+    def _posted(self, seats: tuple[int, ...], item: Sent) -> int | None:
+        """The number of a message; None for one that can do nothing."""
+        message: tuple[int, str, Any, Any]
+        if item[0] == "reply":
+            (address, incarnation, life, number), answer = item[1:]
+            place = self._place[address]
+            message = place, "answer", (incarnation, life, number, answer), None
+            if not self._awaited(seats[place], message[2]):
+                return None
+        else:
+            place, kind, body = self._place[item[1]], item[2], item[3]
+            own = self.facts[seats[place]].view
+            if kind == "decided" or kind == "refused" and own is not None and own[0] != body[1][0][0]:
+                return None  # any view that was decided may be learned at any time
+            message = place, kind, body, item[4] if item[0] == "ask" else None
+        found = self._mail_numbers.get(message)
+        if found is None:
+            found = self._mail_numbers[message] = len(self.mails)
+            self.mails.append(message)
+            self._to.append(place)
+        return None if self._is_over(place, seats[place], found) else found
+
+    def _awaited(self, seat: int, body: Any) -> bool:
+        own = self.facts[seat]
+        return own.own is not None and own.own[1] == body[0] and own.life == body[1] and body[2] in own.asks
+
+    def _is_over(self, place: int, seat: int, number: int) -> bool:
+        """It does nothing here, and never will: nobody waits for this answer; or it is of the council, about no later
+        view than the one here, and the real code makes nothing of it, with all on disk that this stands on. (Promises
+        and ballots only rise, and what is on its way to a process ends with it.)"""
+        found = self._over.get((seat, number))
+        if found is None:
+            _, kind, body, _ = self.mails[number]
+            own = self.facts[seat]
+            if kind == "answer":
+                found = not self._awaited(seat, body)
+            elif kind in COUNCIL and own.up and own.view is not None:
+                about = body[1][0]
+                view = about if isinstance(about, int) else about[0] if about else 0
+                settled = view < own.durable or view <= own.view[0] and not own.queue
+                found = settled and self._does_nothing(place, seat, number)
+            else:
+                found = False
+            self._over[seat, number] = found
+        return found
+
+    def _does_nothing(self, place: int, seat: int, number: int) -> bool:
+        now, sent = self.local(place, seat, ("mail", number))
+        return now == seat and all(item[0] == "say" and item[2] == "refused" for item in sent)
+
+    # ---- what must hold
+
+    def _seen(self, told: Told, view: Any) -> Told:
+        if view is None or view in told.decided:
+            return told
+        same = [v for v in told.decided if v[0] == view[0]]
+        if same:
+            raise Broken("one view for each number", f"{view_text(same[0])} and {view_text(view)}")
+        return replace(told, decided=tuple(sorted((*told.decided, view))))
+
+    def _may_say(self, told: Told, seat: int, item: Sent) -> None:
+        """Only a witness of the view votes on its successor."""
+        if item[0] == "say" and item[2] in ("promise", "accepted"):
+            sender, (number, *_) = item[3]
+            for view in told.decided:
+                if view[0] == number and sender not in view[3]:
+                    raise Broken("only witnesses vote", f"{seat_text(sender)} in {view_text(view)}")
+
+    def _heard(self, told: Told, seats: tuple[int, ...], place: int, item: Sent) -> Told:
+        if item[0] == "turned":
+            return self._turned(told, seats, place) if item[1] else told
+        return self._answered(told, seats, place, item[1], item[2])
+
+    def _answered(self, told: Told, seats: tuple[int, ...], place: int, write: int, done: bool) -> Told:
+        """An author hears that its change is in force, or that it is not known to be."""
+        floor = dict(told.asked).get(write, ())
+        told = replace(told, asked=tuple(item for item in told.asked if item[0] != write))
+        if not done:
+            return told
+        own = self.facts[seats[place]]
+        assert own.view is not None
+        version = own.shown.get(write)
+        if version is None:
+            raise Broken("what is acknowledged is there", f"w{write} is not in its primary's table")
+        held = {n: v for n, v, _ in told.acked}
+        for n in floor:
+            if own.shown.get(n) != held[n]:
+                raise Broken("nothing acknowledged is lost", f"w{n} is not there where w{write} is acknowledged")
+            if held[n] >= version:
+                raise Broken("later is newer", f"w{write} is {version}, and w{n} before it {held[n]}")
+        # of the view that it was made in, or of a later one that its primary has gone on in
+        views = [v for v in told.decided if version[0] <= v[0] <= own.view[0]]
+        view = next((v for v in views if not self._lacking(seats, v, write, version)), None)
+        if view is None:
+            lacks = self._lacking(seats, own.view, write, version)
+            raise Broken("both copies synced it", f"w{write} is not on the disk of {seat_text(lacks[0])}")
+        for other in seats:
+            then = self.facts[other]
+            if then.active and then.view is not None and then.view[0] > view[0] and write not in then.shown:
+                raise Broken("a replaced primary says no",
+                             f"w{write}: view {then.view[0]} serves, and does not hold it")
+        return self._acked(told, write, version, view[0])
+
+    def _lacking(self, seats: tuple[int, ...], view: Any, write: int, version: Version) -> list[Seat]:
+        """The copies of a view that do not have it on disk; a disk that was wiped since is no witness."""
+        found = []
+        for seat in (view[1], *view[2]):
+            disk = self.facts[seats[self._place[seat[0]]]]
+            if disk.seat == seat and disk.kept.get(write) != version:
+                found.append(seat)
+        return found
+
+    def _acked(self, told: Told, write: int, version: Version, view: int) -> Told:
+        if any(n == write for n, _, _ in told.acked):
+            return told
+        if any(v == version for _, v, _ in told.acked):
+            raise Broken("one content for each version", f"{version} is w{write} and another")
+        return replace(told, acked=tuple(sorted((*told.acked, (write, version, view)))))
+
+    def _turned(self, told: Told, seats: tuple[int, ...], place: int) -> Told:
+        """It begins to serve: whoever asks for its table is shown all of it."""
+        own = self.facts[seats[place]]
+        assert own.view is not None
+        for other, seat in enumerate(seats):
+            then = self.facts[seat]
+            if other != place and then.active and then.view is not None and then.view[0] == own.view[0]:
+                raise Broken("one primary in a view", f"two serve view {own.view[0]}")
+        for n, version, view in told.acked:
+            if view <= own.view[0] and own.shown.get(n) != version:
+                raise Broken("nothing acknowledged is lost", f"view {own.view[0]} serves without w{n}")
+        for n, version in own.shown.items():
+            told = self._acked(told, n, version, own.view[0])
+        return told
+
+    def _holds(self, told: Told, seat: int) -> None:
+        """Whoever is complete in its view has all on disk that was acknowledged up to it."""
+        disk = self.facts[seat]
+        if disk.complete and disk.complete == disk.durable:
+            for n, version, view in told.acked:
+                if view <= disk.durable and disk.kept.get(n) != version:
+                    raise Broken("complete means all acknowledged",
+                                 f"{seat_text(disk.seat)} is complete in view {disk.durable} without w{n}")
+
+    def _well(self, told: Told, seats: tuple[int, ...]) -> bool:
+        """All are up and agree, and the one that was wiped is a witness again."""
+        parts = [self.facts[seat] for seat in seats]
+        newest = told.decided[-1] if told.decided else None
+        return (newest is not None and any(p.active for p in parts)
+                and all(p.up and not p.queue and p.view == newest and p.durable == newest[0] for p in parts)
+                and parts[told.troubled].own in newest[3])
+
+    # ---- all heals
+
+    def heal(self, state: State, write: int | None = 99, passed: set[State] | None = None,
+             trace: list[Step] | None = None) -> State:
+        """All run, hear each other and are fast from here on: somebody serves, and takes a write. Raises Broken.
+
+        `passed` are states from which that was so before; `trace` is given the steps."""
+        fair = _Fair(self, state._replace(spent=UNSPENT), set() if passed is None else passed, trace)
+        if fair.serves() and write is not None:
+            fair.takes(write)
+        if passed is not None:
+            passed |= fair.new
+        return fair.state
+
+
+class _Fair:
+    """One way on from a state, on which all that is under way ends."""
+
+    def __init__(self, model: Model, state: State, passed: set[State], trace: list[Step] | None) -> None:
+        self.model, self.state, self._passed, self._trace = model, state, passed, trace
+        self.new: set[State] = set()
+        self.known = False  # it came where an earlier way went on well
+
+    def _do(self, place: int, event: Event) -> None:
+        if self._trace is not None:
+            self._trace.append((place, event))
+        self.state = self.model.after(self.state, (place, event))._replace(spent=UNSPENT)
+        self.new.add(self.state)
+        self.known = self.known or self.state in self._passed
+
+    def _facts(self) -> list[Facts]:
+        return [self.model.facts[seat] for seat in self.state.seats]
+
+    def serves(self) -> bool:
+        """False where an earlier way has shown the rest."""
+        for place, own in enumerate(self._facts()):
+            if not own.up:
+                self._do(place, ("start",))
+        for _ in range(ROUNDS):
+            self._run_dry()
+            if self.known:
+                return False
+            newest = max((own.view for own in self._facts() if own.view is not None), default=None)
+            late = [place for place, own in enumerate(self._facts()) if newest is not None and own.view != newest]
+            if late:
+                for place in late:
+                    self._do(place, ("learn", newest))
+                continue
+            self._again()
+            if self.known:
+                return False
+            if self._serving() is not None:
+                return True
+            self._wake_all()
+        raise Broken("somebody serves once all is well", f"nobody after {ROUNDS} rounds")
+
+    def _serving(self) -> int | None:
+        """Who is primary, with all its backups up: only such a one calls itself serving."""
+        up = {own.own for own in self._facts()}
+        return next((place for place, own in enumerate(self._facts())
+                     if own.active and own.view is not None and up.issuperset(own.view[2])), None)
+
+    def _again(self) -> None:
+        for place in [place for place, own in enumerate(self._facts()) for _ in range(own.agains)]:
+            if not self.known:
+                self._do(place, ("again", 0))
+                self._run_dry()
+
+    def _wake_all(self) -> None:
+        for place in range(len(self.state.seats)):
+            up = tuple(own.own for other, own in enumerate(self._facts()) if other != place and own.own is not None)
+            wake = ("wake", up, False)
+            seat = self.state.seats[place]
+            if self.model.local(place, seat, wake) != (seat, ()):
+                self._do(place, wake)
+                self._run_dry()
+
+    def takes(self, write: int) -> None:
+        serving = self._serving()
+        assert serving is not None
+        self._do(serving, ("change", write))
+        for _ in range(ROUNDS):
+            self._run_dry()
+            self._again()
+            if self.known:
+                return
+        if not any(n == write for n, _, _ in self.model.tolds[self.state.told].acked):
+            raise Broken("somebody serves once all is well", "it serves, but keeps nothing")
+
+    def _run_dry(self) -> None:
+        """Everything that is on its way arrives, everything waiting is synced or given up."""
+        for _ in range(LONG):
+            step = self._next()
+            if step is None or self.known:
+                return
+            self._do(*step)
+        raise Broken("somebody serves once all is well", "words go to and fro without end")
+
+    def _next(self) -> Step | None:
+        for number in self.state.mail:
+            return self.model.mails[number][0], ("mail", number)
+        for place, own in enumerate(self._facts()):
+            if own.queue:
+                return place, ("sync",)
+        for place, own in enumerate(self._facts()):
+            if own.asks:
+                return place, ("answer", own.asks[0], None)
+        return None
+
+
+def seat_text(seat: Any) -> str:
+    """A, and A' once its disk was lost, A'' and so on."""
+    if seat is None:
+        return "?"
+    name: str = seat[0].partition(":")[0].upper()
+    return name if seat[1] == "founder" else name + "'" * (int(seat[1]) - 1)
+
+
+def view_text(view: Any) -> str:
+    number, primary, backups, witnesses = view
+    return (f"view {number} ({seat_text(primary)}+{'+'.join(map(seat_text, backups))}"
+            f" by {''.join(map(seat_text, witnesses))})")
