--- a/oakvale/lab/models/crowd.py
+++ b/oakvale/lab/models/crowd.py
@@ -120,6 +120,7 @@
             try:
                 yield from connect(line.sock, line.edge.http, min(self.loop.now + UP, ask.deadline))
             except (Ended, Late):
+                line.ask = None
                 self._over(ask, End.OVER if self.loop.now >= ask.deadline else End.UNREACHED, line.number)
                 return
             while line.ask is not None:
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -227,6 +228,14 @@
     assert {a.fate for a in record.answered} <= {Fate(ill) if ill != "errors" else Fate.WHOLE}
 
 
+def test_a_client_that_reaches_nobody_tries_again_once_at_a_time() -> None:
+    """A failed connection was once told twice, and each of both tried again."""
+    record = served(lambda backend: backend.end())
+    tries = Counter(sent.first for sent in record.sent)
+    assert set(tries.values()) == {4} and len(record.closed) == len(record.sent)
+    assert not any(closed.read or closed.by_client for closed in record.closed)
+
+
 def test_a_lost_answer_by_reset_is_tried_again() -> None:
     def fall_ill(backend: Backend) -> None:
         backend.shop.ill.lost, backend.shop.ill.lost_by_reset = 0.5, True
