--- a/oakvale/lab/commands.py
+++ b/oakvale/lab/commands.py
@@ -65,7 +65,7 @@
     except (files.BadFile, days.BadDay) as error:
         raise Wrong(error) from error
     folder = Path(args.out or Path(args.file).with_suffix("").name + "-report")
-    jobs = [(one, seed, variant) for seed in told.seeds_drawn() for one in played for variant in told.variants]
+    jobs = told.jobs(played)
     outcomes = []
     interrupted = False
     with Progress(len(jobs), "runs", args.quiet) as bar:
@@ -146,30 +146,13 @@
     """Writes the smallest day beside `path`; an interrupt keeps the smallest so far."""
     from oakvale.lab.trials import hunt as hunting
     from oakvale.lab.trials import player
-    from oakvale.lab.trials import shrink as shrinking
 
-    best, last, asked = [played], [""], 0
-    interrupted = False
     with Progress(most, "plays", quiet) as bar:
-        def breaks(candidate: Day) -> bool:
-            nonlocal asked
-            asked += 1
-            one = player.world(candidate, candidate.seed, variant)
-            bar.show(asked, _size(best[0]))
-            if hunting.faults(one) & rules:
-                last[0] = one.failed or one.first
-                return True
-            return False
-
-        try:
-            shrinking.smallest(played, breaks, most, lambda smaller: best.__setitem__(0, smaller))
-        except KeyboardInterrupt:
-            interrupted = True
-    small = best[0].model_copy(update={"name": f"{played.name}-small"[:40]})
-    kept = hunting.keep(small, rules, last[0], variant, out or path.parent, "-small")
-    print(f"{'interrupted: the smallest so far' if interrupted else 'smallest'} after {asked} plays: {_size(small)} "
-          f"(was {_size(played)})\n  {kept}")
-    return INTERRUPTED if interrupted else 0
+        cut = hunting.cut(played, rules, most, player.world, variant, lambda asked, day: bar.show(asked, _size(day)))
+    kept = hunting.keep(cut.day, rules, cut.first, variant, out or path.parent, "-small")
+    print(f"{'interrupted: the smallest so far' if cut.interrupted else 'smallest'} after {cut.asked} plays: "
+          f"{_size(cut.day)} (was {_size(played)})\n  {kept}")
+    return INTERRUPTED if cut.interrupted else 0
 
 
 def _size(one: Day) -> str:
--- a/oakvale/lab/trials/findings.py
+++ b/oakvale/lab/trials/findings.py
@@ -49,10 +49,10 @@
             ended = [one for one in mine if not one.failed]
             if not mine:
                 continue
+            over = [name for name in names if day in (name, ALL) and (name, spec.name) in by]
             medians, changes = {}, {}
             for name, (shown, more) in MEASURES.items():
-                own = _by_seed(by, names if day == ALL else [day], spec.name, shown)
-                other = _by_seed(by, names if day == ALL else [day], base, shown)
+                own, other = _by_seed(by, over, spec.name, shown), _by_seed(by, over, base, shown)
                 if own:
                     medians[name] = median(list(own.values()), experiment.confidence)
                 if spec.name != base and (both := sorted(own.keys() & other.keys())):
--- a/oakvale/lab/trials/hunt.py
+++ b/oakvale/lab/trials/hunt.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from dataclasses import replace
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from oakvale.lab import days
 from oakvale.lab.days import Day
-from oakvale.lab.trials import draw, runs
+from oakvale.lab.trials import draw, runs, shrink
 from oakvale.lab.trials.outcome import Outcome
 from oakvale.lab.trials.player import Player
 from oakvale.lab.trials.variants import Spec
@@ -30,6 +30,41 @@
     return set(one.broken) | ({NO_END} if one.failed else set())
 
 
+@dataclass
+class Cut:
+    """A day cut down, or as far as that came; `first`: what broke in it."""
+
+    day: Day
+    first: str = ""
+    asked: int = 0
+    interrupted: bool = False
+
+
+def cut(day: Day, rules: set[str], most: int, player: Player, spec: Spec, told: Callable[[int, Day], None]) -> Cut:
+    """The smallest day that still breaks one of `rules`; `told` hears how many plays there were, and the smallest day
+    so far. An interrupt ends it with that."""
+    found = Cut(day.model_copy(update={"name": f"{day.name[:34]}-small"}))
+    seen: dict[str, str] = {}
+
+    def breaks(candidate: Day) -> bool:
+        found.asked += 1
+        one = player(candidate, candidate.seed, spec)
+        told(found.asked, found.day)
+        if not faults(one) & rules:
+            return False
+        seen[candidate.model_dump_json()] = one.failed or one.first
+        return True
+
+    def smaller(candidate: Day) -> None:
+        found.day, found.first = candidate, seen[candidate.model_dump_json()]
+
+    try:
+        shrink.smallest(found.day, breaks, most, smaller)
+    except KeyboardInterrupt:
+        found.interrupted = True
+    return found
+
+
 def keep(day: Day, rules: set[str], first: str, variant: Spec, folder: Path, suffix: str = "") -> Path:
     """Writes the day where a test finds it; the first line says what it broke."""
     said = " ".join(sorted(rules)).replace(" ", "-").lower()
--- a/oakvale/lab/trials/spec.py
+++ b/oakvale/lab/trials/spec.py
@@ -13,6 +13,12 @@
 from oakvale.lab.trials.variants import Spec
 
 
+class Tried(Spec):
+    """A variant in an experiment; `days`: those of the experiment's files that it is played on (none: all)."""
+
+    days: list[str] = []
+
+
 class Experiment(BaseModel):
     model_config = ConfigDict(extra="forbid", frozen=True)
 
@@ -23,18 +29,28 @@
     first_seed: Annotated[int, Field(ge=0)] = 1
     confidence: Annotated[float, Field(gt=0.5, lt=1)] = 0.95
     least: Annotated[float, Field(ge=0)] = 0.0  # a difference of the score under it is noise however sure it is
-    variants: Annotated[list[Spec], Field(min_length=1)]
+    variants: Annotated[list[Tried], Field(min_length=1)]
 
     @model_validator(mode="after")
     def _names(self) -> Self:
         for part, names in (("variants", [one.name for one in self.variants]), ("days", self.days)):
             if twice := sorted({name for name in names if names.count(name) > 1}):
                 raise ValueError(f"{part}: {twice[0]!r} is there twice")
+        for one in self.variants:
+            if odd := [name for name in one.days if name not in self.days]:
+                raise ValueError(f"variants.{one.name}.days: {odd[0]!r} is none of the experiment's days")
+        if self.variants[0].days:
+            raise ValueError(f"variants.{self.variants[0].name}.days: the first variant is played on all days")
         return self
 
     def seeds_drawn(self) -> list[int]:
         return list(range(self.first_seed, self.first_seed + self.seeds))
 
+    def jobs(self, played: list[Day]) -> list[tuple[Day, int, Spec]]:
+        """All runs, seed by seed, so that what an interrupt leaves has pairs."""
+        return [(day, seed, one) for seed in self.seeds_drawn() for name, day in zip(self.days, played, strict=True)
+                for one in self.variants if not one.days or name in one.days]
+
 
 def load(path: str | Path) -> tuple[Experiment, list[Day]]:
     """The experiment and its days, with all names looked up; raises BadFile or BadDay."""
--- a/tests/test_lab_trials.py
+++ b/tests/test_lab_trials.py
@@ -65,8 +65,7 @@
 
 def test_rows_pair_seeds_and_count_what_broke(told: Path) -> None:
     experiment, its_days = spec.load(told)
-    outcomes = [played(day, seed, one) for day in its_days for seed in experiment.seeds_drawn()
-                for one in experiment.variants]
+    outcomes = [played(*job) for job in experiment.jobs(its_days)]
     rows = {(row.day, row.variant): row for row in findings.rows(experiment, outcomes)}
     assert set(rows) == set(product(("still", "squall", findings.ALL), ("base", "longer", "unsafe")))
     longer, unsafe = rows["still", "longer"], rows["squall", "unsafe"]
@@ -110,7 +109,9 @@
     ("oakvale.gauge", "os.gauge", "variants.longer: os.gauge.service.DUTIES: no name of oakvale's"),
     ('"longer"', '"base"', "variants: 'base' is there twice"),
     ("seeds = 8", "seeds = 0", "seeds: Input should be greater than or equal to 1"),
-    ("seeds = 8", "seed = 8", "seed: Extra inputs are not permitted")])
+    ("seeds = 8", "seed = 8", "seed: Extra inputs are not permitted"),
+    ('"unsafe"', '"unsafe"\ndays = ["storm.toml"]',
+     "variants.unsafe.days: 'storm.toml' is none of the experiment's days")])
 def test_a_bad_experiment_is_told_by_place_and_field(told: Path, old: str, new: str, said: str) -> None:
     told.write_text(FILE.replace(old, new))
     with pytest.raises(commands.Wrong) as raised:
