--- a/oakvale/lab/days.py
+++ b/oakvale/lab/days.py
@@ -191,18 +191,27 @@
 
 
 def load(path: str | Path) -> Day:
+    """A day from its file. `site` names another, from this one's folder: what this one leaves out is taken there."""
     try:
-        data = tomllib.loads(Path(path).read_text())
-    except OSError as error:
-        raise BadDay(f"{path}: cannot be read: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise BadDay(f"{path}: not TOML: {error}") from error
-    try:
+        data = read(path)
+        if "site" in data:
+            if not isinstance(site := data.pop("site"), str):
+                raise BadDay("site: not the name of a file")
+            data = read(Path(path).parent / site) | data
         return decode(data)
     except BadDay as error:
         raise BadDay(f"{path}: {error}") from error
 
 
+def read(path: str | Path) -> dict[str, Any]:
+    try:
+        return tomllib.loads(Path(path).read_text())
+    except OSError as error:
+        raise BadDay(f"{path} cannot be read: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise BadDay(f"{path} is not TOML: {error}") from error
+
+
 def decode(data: dict[str, Any]) -> Day:
     try:
         return Day.model_validate(data)
--- a/tests/test_lab_days.py
+++ b/tests/test_lab_days.py
@@ -9,8 +9,10 @@
 import pytest
 
 from oakvale.lab import days
+from oakvale.lab.trials import spec
 
-FILES = sorted((Path(__file__).parent.parent / "lab" / "days").glob("*.toml"))
+ROOT = Path(__file__).parent.parent
+FILES = sorted((ROOT / "lab" / "days").glob("*.toml"))
 
 
 @pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
@@ -45,3 +47,18 @@
     with pytest.raises(days.BadDay) as raised:
         days.load(file)
     assert str(raised.value) == f"{file}: {told}"
+
+
+@pytest.mark.parametrize("path", sorted((ROOT / "lab").glob("*.toml")), ids=lambda path: path.stem)
+def test_the_experiments_that_come_along_fit_the_code(path: Path) -> None:
+    """A constant that was renamed would leave an experiment that nobody can run."""
+    told, played = spec.load(path)
+    assert len(told.jobs(played)) >= told.seeds
+
+
+def test_a_site_is_shared_by_days(tmp_path: Path) -> None:
+    still = days.load(ROOT / "lab" / "agreement" / "still.toml")
+    assert still.name == "still" and len(still.edges()) == 9 and still.plan and not still.troubles
+    (file := tmp_path / "lone.toml").write_text('site = "none.toml"')
+    with pytest.raises(days.BadDay, match="lone.toml: .*none.toml cannot be read: No such file"):
+        days.load(file)
