--- /dev/null
+++ b/oakvale/lab/undone.py
@@ -0,0 +1,60 @@
+"""Fixes taken out: what stood there before, for variants to swap in. The laboratory has to find again with each of them
+what the users' bench had found, and not without it (docs/incidents/system.md, docs/results.md)."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from oakvale.base.address import parse_address
+from oakvale.headworks.succession import LASTS, Campaign, Say, Seat, Succession, View, _packed
+from oakvale.penstock.feed import Feed, note
+
+
+def copy_lost(self: Succession, now: int, view: View) -> bool:
+    """A copy that came back without its disk was not told from one that is silent: inc-5ca6 and four more."""
+    return False
+
+
+def consider(self: Succession, now: int, view: View) -> None:
+    """As `Succession._consider`, but copies waited for those before them, dead ones too: inc-5ca6 and four more."""
+    campaign = self._campaign
+    if campaign is not None and now - campaign.began < LASTS * self._silence:
+        return self._say_again(now, view, campaign)
+    self._campaign = None
+    if now < self._next_try or self._stored != view.number:
+        return
+    if self.state.complete == view.number - 1 and not self.alive(view.primary, now):
+        self._next_try = now + self._silence // 2
+        self._out += [Say(backup, "void", [view.pack()]) for backup in view.backups]
+    if self.state.complete != view.number:
+        return
+    wanted = self._wanted(now, view)
+    if wanted is None:
+        self._wanted_since = 0
+        return
+    rank = view.copies.index(self.own) if self.own in view.copies else len(view.copies)
+    self._wanted_since = self._wanted_since or now
+    if now - self._wanted_since < rank * self._silence // 4:
+        return
+    self._round += 1
+    self._next_try = now + self._silence // 2 * (1 + rank)
+    ballot: tuple[int, Seat] = (max(self._round, self.state.promised[0] + 1), self.own)
+    self._round = ballot[0]
+    self._campaign = Campaign(wanted, ballot, now, now)
+    packed: list[Any] = [ballot[0], list(ballot[1])]
+    self._keep(replace(self.state, promised=ballot), [
+        *(Say(witness, "prepare", [view.pack(), packed]) for witness in view.witnesses if witness != self.own),
+        Say(self.own, "promise", [view.number, packed, _packed(self.state.accepted)])])
+
+
+def next_source(self: Feed, now: int) -> None:
+    """As `Feed._next`, but each source asked in a spell without news was noted as fallen silent: 236 to 306 lines a day
+    on the same five days."""
+    if self._source is not None:
+        self._failed[f"{self._source[0]}:{self._source[1]}"] = now
+        if self.fresh_at:
+            note("news are stale", source=self._source[0], for_ms=(now - self.fresh_at) // 1000)
+    ways = self._sources(self._failed)
+    if ways and (address := parse_address(ways[0])) is not None:
+        self._ask(address)
