A core that comes back does not import what only changes of configuration and lanes need

Of the processor time to start a headworks a third went into pydantic's models, which only Config.Replace reads, and into the decisions of lanes, which no core has.

--- a/oakvale/headworks/ctl.py
+++ b/oakvale/headworks/ctl.py
@@ -7,8 +7,8 @@
 from oakvale.headworks.core import Core
 from oakvale.headworks.resources import JSON, Backends, Config, Reply, primary_url
 from oakvale.intake.settings import Settings
-from oakvale.lane import Owner, Shared
 from oakvale.memory.requests import Answer, InHand
+from oakvale.shared import Owner, Shared
 from oakvale.wire.clients import Incoming, plain
 
 PREFIX = "/oakvale/"
--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -18,7 +18,6 @@
 from oakvale.headworks.core import Core
 from oakvale.headworks.pruning import LEFT
 from oakvale.headworks.succession import View
-from oakvale.intake import model
 from oakvale.intake.settings import Settings
 from oakvale.intake.times import micros
 from oakvale.lifecycle.daybook import Writer
@@ -55,6 +54,8 @@
         self._core = core
 
     def replace(self, rest: str, body: bytes, give: Give) -> None:
+        from oakvale.intake import model  # slow to import: a core that comes back serves without it
+
         try:
             config = model.parse(body)
         except model.Invalid as error:
--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -9,9 +9,10 @@
 from oakvale.base.address import Address
 from oakvale.base.configuration import Configuration
 from oakvale.base.loop import Loop
-from oakvale.lane import Lane, Shared
+from oakvale.lane import Lane
 from oakvale.memory.names import BackendNames
 from oakvale.memory.requests import Answer, InHand
+from oakvale.shared import Shared
 from oakvale.wire.backends import ServiceDialect
 from oakvale.wire.clients import HEALTH, METHODS, BadRequest, Incoming, decode, plain, terms
 from oakvale.wire.counter import Counter
--- a/oakvale/lifecycle/status.py
+++ b/oakvale/lifecycle/status.py
@@ -6,7 +6,7 @@
 import resource
 from typing import Any
 
-from oakvale.lane import Shared
+from oakvale.shared import Shared
 
 log = logging.getLogger(__name__)
 
--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -14,7 +14,6 @@
 from oakvale.gauge.service import Gauge
 from oakvale.intake.bounds import bounds
 from oakvale.intake.settings import Settings
-from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor
 from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.links import Answer, Conn, Mains
@@ -23,6 +22,7 @@
 from oakvale.penstock.feed import Feed
 from oakvale.penstock.table import Table
 from oakvale.penstock.tree import Member, sources, watched, watchers
+from oakvale.shared import Shared
 from oakvale.sluice.plant import Plant
 from oakvale.sluice.routes import backends, configured, members
 from oakvale.wire.clients import Incoming, plain
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -14,9 +14,10 @@
 from oakvale.gauge.dispatch import Boards, Pick
 from oakvale.budget import Retries, SharedBudget
 from oakvale.gauge.service import Gauge
-from oakvale.lane import Lane, Owner, Shared
+from oakvale.lane import Lane
 from oakvale.memory.requests import Answer, AttemptOut, InHand
 from oakvale.mains.links import Mains
+from oakvale.shared import Owner, Shared
 from oakvale.sluice.dialect import SystemDialect
 from oakvale.sluice.routes import Backend, Picture, Route
 from oakvale.wire.clients import BadRequest, Incoming, plain
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -17,6 +17,7 @@
     ("base", "policy"),
     ("memory",),
     ("wire",),
+    ("shared",),
     ("lane",),
     ("host",),
     ("lifecycle", "adapter"),
--- a/tests/test_plant.py
+++ b/tests/test_plant.py
@@ -13,7 +13,7 @@
 from oakvale.base.loop import Loop
 from oakvale.budget import Retries
 from oakvale.gauge.floors import Quota
-from oakvale.lane import Shared
+from oakvale.shared import Shared
 from oakvale.lifecycle.acceptor import Acceptor, listening
 from oakvale.sluice.plant import Plant
 from oakvale.sluice.routes import Backend, Picture, configured
