--- a/oakvale/lab/models/crowd.py
+++ b/oakvale/lab/models/crowd.py
@@ -68,7 +68,7 @@
         self.loop, self.record, self.rng, self._lead, self._name = loop, record, rng, lead, name
         self._numbers = 0
         self._idle: dict[str, list[Line]] = {}
-        self.out = 0  # tries
+        self.out = 0  # asks that are not over
 
     def send(self, ask: Ask, keep: bool = False, edge: Edge | None = None) -> None:
         """One more try of an ask, on a kept connection only if it is the first."""
@@ -96,18 +96,19 @@
         name = f"{self.rng.getrandbits(64):016x}"
         ask.tries.append(name)
         ask.met.append(edge.machine)
-        self.out += 1
+        self.out += len(ask.tries) == 1
         self.record.add(Sent(self.loop.now, name, ask.client, ask.host, ask.path, ask.method, digest(ask.body), ask.key,
                              ask.tenant, ask.route, ask.deadline, edge.machine, number, ask.tries[0], ask.zone))
 
     def _over(self, ask: Ask, end: End | int, number: int, retry_after: float | None = None,
               read: bool = False) -> None:
-        self.out -= 1
         now = self.loop.now
         if isinstance(end, End):
             self.record.add(Closed(now, ask.tries[-1], number, read, end in (End.OVER, End.GIVEN_UP)))
         due = ask.again(now, end, retry_after) if ask.route else None
-        if due is not None:
+        if due is None:
+            self.out -= 1
+        else:
             self.loop.at(due, self.send, ask)
 
     # ---- a connection
--- a/oakvale/lab/models/launch.py
+++ b/oakvale/lab/models/launch.py
@@ -84,8 +84,8 @@
 
     @property
     def done(self) -> bool:
-        """The operator has read back."""
-        return self.operator.done
+        """The operator has read back, and each client has an answer or gave up at its deadline."""
+        return self.operator.done and not any(crowd.senders.out for crowd in self.crowds)
 
 
 class Launch:
