--- a/oakvale/lab/commands.py
+++ b/oakvale/lab/commands.py
@@ -12,7 +12,7 @@
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from oakvale.lab.days import Day
@@ -162,10 +162,14 @@
 
 def check(args: argparse.Namespace) -> int:
     """Look at every interleaving of the control state's small core."""
+    status: int = _checker().check(args)
+    return status
+
+
+def _checker() -> Any:
     from importlib import import_module
 
-    status: int = import_module("oakvale.lab.sounding.command").run(args)
-    return status
+    return import_module("oakvale.lab.sounding.check")
 
 
 def _days(paths: Sequence[str]) -> list[Day]:
@@ -274,7 +278,7 @@
     return name, value.strip()
 
 
-def parser() -> argparse.ArgumentParser:
+def parser(words: Sequence[str] = ()) -> argparse.ArgumentParser:
     whole = argparse.ArgumentParser(prog="oakvale lab", description="The laboratory of oakvale.")
     commands = whole.add_subparsers(dest="command", required=True, metavar="COMMAND")
 
@@ -317,6 +321,9 @@
         command.add_argument("--most", type=_whole, default=300, help="plays of the shrinking (default: %(default)s)")
         varied(command)
     over(hunted)
+    checked = add("check", check, "search all interleavings of the control state's small core; 1 if one is bad")
+    if words[:1] == ["check"]:  # its arguments are told by what it imports
+        _checker().arguments(checked)
     pump = add("load", load, "open-loop load on a loopback URL, with latencies from when each request was due")
     pump.add_argument("url", help="http://127.0.0.1:PORT/PATH; anything but loopback is refused")
     pump.add_argument("--rate", type=_over(0), default=100.0, help="requests a second (default: %(default)g)")
@@ -337,6 +344,6 @@
 
 
 def main(words: Sequence[str]) -> int:
-    args = parser().parse_args(words)
+    args = parser(words).parse_args(words)
     status: int = args.call(args)
     return status
