Each that is turned away is told a time of its own to come back

The counter now gives each its turn at the quota's rate, a second ahead at most, and names the time at which one that comes again finds room.

--- a/oakvale/gauge/floors.py
+++ b/oakvale/gauge/floors.py
@@ -66,6 +66,7 @@
         self._past: list[tuple[float, float]] = []  # shares that were out of reach, and the clock when it ended
         self._levels: dict[str, tuple[float, float]] = {}  # tenant -> level, and the clock then
         self._uncounted: dict[str, float] = {}
+        self._invited: dict[str, int] = {}  # tenant -> when the latest of those turned away is to come back
         self.floors = 0.0  # DESIGN: of the tenants counted lately; nothing is lent, so they are only told
         self.served = 0
 
@@ -119,15 +120,21 @@
         if tenant not in self._levels:
             self.floors += quota.rate + quota.burst
         level, most = self.level(tenant, quota, now), self._most(quota)
-        kept = min(FOR_FIRST, most / 4) if again else 0.0
-        if level + 1 <= most - kept:
+        kept = min(FOR_FIRST, most / 4)
+        if level + 1 <= most - (kept if again else 0.0):
             self._levels[tenant] = (level + 1, self._clock)
             self.served += 1
             return Verdict(True, level + 1, 0)
         self._levels[tenant] = (level, self._clock)
+        return Verdict(False, level, self._invite(tenant, quota, level + 1 + kept - most, now))
+
+    def _invite(self, tenant: str, quota: Quota, over: float, now: int) -> int:
+        """The wait of one that is turned away. Each is told a time of its own: all who were told when there is room
+        for one would come back together, and one would find it."""
         rate = max(quota.rate * self._present, 1e-6)
-        wait = min(LONGEST_WAIT, round((level + 1 + kept - most) / rate * SECOND) + 1)
-        return Verdict(False, level, wait)
+        soonest, turn = now + round(over / rate * SECOND) + 1, self._invited.get(tenant, 0) + round(SECOND / rate)
+        at = self._invited[tenant] = min(now + LONGEST_WAIT, max(soonest, turn))
+        return at - now
 
 
 class Alone:
--- a/tests/test_gauge.py
+++ b/tests/test_gauge.py
@@ -54,6 +54,15 @@
     judge(passed, rate * 6 + 0.5 * TERMS.spare(quota))
 
 
+def test_each_that_is_turned_away_is_told_a_time_of_its_own() -> None:
+    """Six in ten were told the same few milliseconds, came back together and were turned away for good."""
+    floors, now = Floors(TERMS, 0), 100 * SECOND
+    turned = [v.wait for v in (floors.add("t", QUOTA, False, now) for _ in range(110)) if not v.passes]
+    assert 30 < len(turned) < 60 and turned == sorted(turned) and turned[-1] < SECOND
+    assert all(floors.add("t", QUOTA, True, now + wait).passes for wait in turned)
+    assert max(floors.add("t", QUOTA, False, now + SECOND).wait for _ in range(400)) == SECOND
+
+
 def test_what_none_knows_is_used_and_comes_back() -> None:
     floors = Floors(TERMS, 10 * SECOND)
     most = sum(floors.add("t", QUOTA, False, 10 * SECOND).passes for _ in range(100))
