While there are no news, a source that says nothing is not the only one that is asked

A machine that is dark or just starting drops the first packet of a connection; after all power was gone half of the gateways waited 370 ms for such a core machine while another served.

--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -19,6 +19,7 @@
 PULSE = 250_000  # microseconds between two of the primary's pulses
 STALE = 800_000  # without a new one, another source is tried
 TRY = 400_000  # for a source to send its first
+UNHEARD = 150_000  # one that is silent for so long while there are no news need not be the only one that is asked
 AGAIN = 60_000  # before another is asked, after one that could not help
 REPAIR = 5_000_000  # between two comparisons of digests
 FORGIVEN = 20 * STALE  # a source that failed is asked like the others again
@@ -146,6 +147,12 @@
         self._source, self._asked_at = address, now
         body = self._own() | {"high": list(self.table.high)}
         self.mains.ask(address, "subscribe", body, TRY, lambda answer: self._subscribed(address, answer))
+        self.loop.at(now + UNHEARD, lambda _: self._unheard(address, now))
+
+    def _unheard(self, address: Address, asked_at: int) -> None:
+        """A machine that is dark, or just starting, lets the first packet of a connection fall."""
+        if self._source == address and self._asked_at == asked_at and not self.fresh():
+            self._next(self.loop.now)
 
     def _subscribed(self, address: Address, answer: Any) -> None:
         """A core machine that is not primary names the one that is; who can't help is not waited for."""
--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -208,7 +208,7 @@
             copies = [str(address) for address in held.get("copies") or []]
             self._core = list(dict.fromkeys([*copies, *self._jurors, *self._core]))[:CORE]
             if not self._joined:
-                self._turn = 0
+                self._turn, self._asking = 0, False  # who was asked last may be dark
                 self._ask_in()
         if moved:
             everyone = picture.members.values()
--- a/tests/test_penstock.py
+++ b/tests/test_penstock.py
@@ -11,7 +11,7 @@
 import pytest
 
 from oakvale.base.address import parse_address
-from oakvale.penstock.feed import FORGIVEN, PULSE, STALE, TRY, Feed, Outlet
+from oakvale.penstock.feed import FORGIVEN, PULSE, STALE, TRY, UNHEARD, Feed, Outlet
 from oakvale.penstock.table import FLOOR, GRAVES, NOTHING, Entry, Table, Version
 from oakvale.penstock.tree import FAN_OUT, Member, next_on_ring, ring, sources, watched, watchers
 
@@ -366,6 +366,16 @@
     assert feed.fresh() and feed.source() != parse_address(fleet.members["n5"].address)
 
 
+def test_a_dark_machine_does_not_keep_a_gateway_without_news() -> None:
+    """After all power was gone half of the gateways waited 370 ms more for a core machine that was still dark."""
+    fleet = Fleet(1, 1)
+    fleet.elect(1)
+    fleet.net.cut.add(parse_address(fleet.cores[0].address))
+    fleet.start("n0")
+    fleet.net.run(UNHEARD + 20 * MS)
+    assert fleet.feeds["n0"].fresh()
+
+
 def test_a_spell_without_news_is_noted_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """Each source asked in it was said to have fallen silent, 15 lines a second: those that did not were hid."""
     noted: list[Any] = []
