A former holder's next life frees its votes as soon as it asks who counts

After all power was gone, a juror's question to the former holder was begun while that machine was dark, and its vote stood until the connection was given up, though the holder's next life was up and asking who counts.

--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -177,7 +177,8 @@
             return
         self._asked[duty] = now
         for address in self._jury():
-            self.mains.ask(address, "who", duty, WAIT, partial(self._juror_said, duty, address))
+            self.mains.ask(address, "who", [duty, self._own, self._life], WAIT,
+                           partial(self._juror_said, duty, address))
         others = self._others()
         for address in random.sample(others, min(2, len(others))):
             self.mains.ask(address, "counts", duty, WAIT, partial(self._told_by, duty, address))
--- a/oakvale/headworks/jury.py
+++ b/oakvale/headworks/jury.py
@@ -70,5 +70,17 @@
         self._mains.ask(address, "life", None, PROBE, answered)
 
     def _who(self, conn: Conn, body: Any, answer: Answer) -> None:
-        held = self._juror.holder(str(body), self._loop.now)
-        answer([held[1] if held else None])
+        """Who asks may live where the holder did, which then has ended; but the question may be one that was long on
+        its way, so it is asked back."""
+        duty, where, life = str(body[0]), str(body[1]), str(body[2])
+        held = self._juror.holder(duty, self._loop.now)
+        if held is None or held[1] != where or held[0] == life:
+            return answer([held[1] if held else None])
+
+        def alive(said: Any) -> None:
+            if said == life:
+                self._juror.ended(held[0], self._loop.now)
+            now = self._juror.holder(duty, self._loop.now)
+            answer([now[1] if now else None])
+
+        self._mains.ask_on(conn, "life", None, PROBE, alive)
--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -240,7 +240,11 @@
         conn = self.link(address)
         if conn is None:
             self.loop.at(self.loop.now, lambda _: then(None))
-            return
+        else:
+            self.ask_on(conn, kind, body, timeout, then)
+
+    def ask_on(self, conn: Conn, kind: str, body: Any, timeout: int, then: Then) -> None:
+        """As `ask`, of the very process at the other end of a connection, whoever made it."""
         self._number += 1
         number = self._number
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -19,6 +19,7 @@
 from oakvale.gauge.floors import Quota, Terms
 from oakvale.gauge.service import DUTIES, Gauge
 from oakvale.headworks.jury import Jury
+from oakvale.mains.links import CONNECT
 from oakvale.penstock.tree import Member
 from tests import simulated
 from tests.simulated import MS, SECOND, Loop, Time
@@ -35,6 +36,7 @@
         super().__init__(machine)
         self.name, self.born = f"life{number}", machine.fleet.now
         self.refused: dict[Address, int] = {}
+        self.stuck: dict[Address, int] = {}  # address -> when a connection that is being made is given up
         self.waiting: dict[int, tuple[Life, Callable[[Any], None]]] = {}
         self.handlers: dict[str, Any] = {}
 
@@ -49,6 +51,27 @@
     def ask(self, address: Address, kind: str, body: Any, timeout: int, then: Callable[[Any], None]) -> None:
         life, fleet = self._life, self._life.machine.fleet
         there = fleet.machines[address]
+        if there.off and life.stuck.get(address, 0) < fleet.now:  # nothing passes until the connection is given up
+            life.stuck[address] = fleet.now + CONNECT
+        stuck = life.stuck.get(address, 0) >= fleet.now
+        if there.life is not None and not stuck:
+            return self.ask_on(there.life, kind, body, timeout, then)
+        self._number += 1
+        number = self._number
+        life.waiting[number] = (life, then)
+
+        def nothing(refused: bool) -> None:
+            if refused:
+                life.refused[address] = fleet.now
+            if life.waiting.pop(number, None) is not None:
+                then(None)
+
+        fleet.at(fleet.now + timeout, lambda: life.machine.run(life, lambda: nothing(False)))
+        if not stuck and fleet.reaches(life.machine, there):
+            fleet.at(fleet.now + MS, lambda: life.machine.run(life, lambda: nothing(True)))
+
+    def ask_on(self, target: Life, kind: str, body: Any, timeout: int, then: Callable[[Any], None]) -> None:
+        life, fleet = self._life, self._life.machine.fleet
         self._number += 1
         number, data = self._number, cbor2.dumps(body)
 
@@ -62,22 +85,13 @@
         def arrive() -> None:
             handler = target.handlers.get(kind)
             if handler is not None:
-                handler(None, cbor2.loads(data), answered)
+                handler(life, cbor2.loads(data), answered)
 
         def answered(answer: Any) -> None:
             packed = cbor2.dumps(answer)
             fleet.ship(target, life, lambda: told(cbor2.loads(packed)))
 
         fleet.at(fleet.now + timeout, lambda: hear(None))
-        if there.life is None:
-            life.waiting[number] = (life, then)
-            if not there.off and fleet.reaches(life.machine, there):
-                def refused() -> None:
-                    life.refused[address] = fleet.now
-                    told(None)
-                fleet.at(fleet.now + MS, lambda: life.machine.run(life, refused))
-            return
-        target = there.life
         life.waiting[number] = (target, then)
         fleet.ship(life, target, arrive)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,12 +7,14 @@
 import cbor2
 import pytest
 
+from oakvale.gauge.service import DUTIES
 from oakvale.headworks.jury import Jury
 from tests.fleet import Fleet
 from tests.simulated import MS, SECOND
 
 FILLED = 1_500 * MS  # a duty whose holder's process ended is counted again after this at most
 OFF = 3_200 * MS  # where nothing proves that it ended: its span, and those who stand by turn
+AGAIN_COUNTED = 300 * MS  # after the last machine has its power back: a list, a round, what is left of a stuck one
 
 
 @pytest.mark.parametrize("seed", range(5))
@@ -53,6 +55,22 @@
     assert fleet.longest < OFF
 
 
+def test_after_all_power_was_gone_duties_are_soon_counted_again() -> None:
+    """A juror's question to the former holder, begun while that was dark, kept its vote for 0.3 s more, though the
+    holder's next life was up and asking."""
+    fleet = Fleet(3, 10)
+    fleet.run(7 * SECOND)
+    for machine in fleet.machines.values():
+        fleet.down(machine, fleet.rng.randrange(1_200, 1_700) * MS, off=True)
+    fleet.run(1_700 * MS)
+    began = fleet.now
+    while len({duty for gate in fleet.gates if gate.gauge for duty in gate.gauge.held()}) < DUTIES:
+        fleet.run(10 * MS)
+        assert fleet.now - began <= AGAIN_COUNTED
+    fleet.run(2 * SECOND)
+    fleet.judge()
+
+
 def test_gateways_go_on_without_any_juror() -> None:
     """Each passes its share, however long it lasts, and the windows hold all the while."""
     fleet = Fleet(4, 6)
