--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -7,7 +7,6 @@
 import socket
 import sqlite3
 import time
-from importlib import import_module
 
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Clock, Loop, Rank
@@ -31,7 +30,6 @@
 
 note = Writer(__name__)
 SWEEP = 1_000_000
-READY = 3_000_000  # after the start; by then, who waited for this process has been served
 OPENS, PAUSE = 50, 0.2  # tries at the disk at the start, and seconds between them
 
 
@@ -69,10 +67,6 @@
         mains.sweep()
         loop.at(loop.now + SWEEP, sweep)
 
-    def ready(_: object) -> None:
-        """For the operator, who need not wait for the import."""
-        import_module("oakvale.intake.model")
-
     watch = SettingsWatch(loop, os.environ, settings, lambda fresh: core.know(fresh.seeds))
 
     def stop() -> None:
@@ -82,7 +76,6 @@
         loop.at(loop.now + 300_000, lambda _: loop.stop())
 
     loop.at(loop.now + SWEEP, sweep)
-    loop.at(loop.now + READY, ready)
     loop.start(signals.run(stop, watch.again), signals.fileno(), Rank.DISCOVERY)
     gc.collect()
     gc.freeze()
--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -54,7 +54,7 @@
         self._core = core
 
     def replace(self, rest: str, body: bytes, give: Give) -> None:
-        from oakvale.intake import model  # slow to import: a core that comes back serves without it
+        from oakvale.intake import model  # slow to import; only a primary needs it
 
         try:
             config = model.parse(body)
