--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import secrets
-import socket
+from collections.abc import Mapping
 from dataclasses import replace
 from typing import Any
 
 from oakvale.base.address import Address, parse_address, spelled
-from oakvale.base.loop import Clock, Loop
+from oakvale.base.loop import Loop
+from oakvale.base.net import Sock
 from oakvale.budget import Retries
 from oakvale.gauge.floors import Quota, Terms
 from oakvale.gauge.service import Gauge
@@ -65,11 +65,11 @@
 
 
 class Sluice:
-    def __init__(self, settings: Settings, listeners: dict[str, socket.socket]) -> None:
+    def __init__(self, settings: Settings, listeners: Mapping[str, Sock], loop: Loop) -> None:
         self.settings = settings
         limits = bounds(settings)
-        self.loop = Loop(Clock(), limits)
-        self.life = secrets.token_hex(6)
+        self.loop = loop
+        self.life = loop.net.token(6)
         # two roles of a machine share its ports: the headworks takes the first
         self.mains = Mains(self.loop, (settings.ip, settings.ports[0] + 1))
         self.own = spelled(self.mains.own)
@@ -85,6 +85,8 @@
                            Retries(given.retry_win, given.retry_ratio, given.retry_slack))
         self.feed = Feed(self.loop, self.mains, self.table, lambda: {"node": settings.node, "life": self.life},
                          self._sources, self._changed)
+        if given.strict_revoke:  # half of it: a pulse may have been on its way through the relays for the rest
+            self.plant.sure = lambda: self.feed.fresh(given.revoke // 2)
         self._watchers: list[Member] = []  # this gateway's, and those that it watches itself
         self._watched: list[Member] = []
         self._heard: dict[str, int] = {}  # node and life -> its last heartbeat here
@@ -109,7 +111,7 @@
 
     def ready(self) -> bool:
         picture = self.plant.picture
-        return picture.gen >= 0 and bool(picture.backends) and not self.plant.stopping
+        return picture.gen >= 0 and bool(picture.backends) and self.plant.sure() and not self.plant.stopping
 
     def know(self, seeds: tuple[Address, ...]) -> None:
         """Other core machines than those that are known, perhaps; tried behind them."""
