--- a/oakvale/lab/flume/machines.py
+++ b/oakvale/lab/flume/machines.py
@@ -195,6 +195,12 @@
         """With its machine's power: nothing is said to anybody."""
         self._die(lambda waits: waits.vanish())
 
+    def cut_off(self) -> None:
+        """Its machine's power goes and its program lives on: an emulated one, which plays several lives."""
+        for waits in list(self.net.open.values()):
+            if isinstance(waits, (Stream, Listener)):
+                waits.vanish()
+
     def _die(self, part: Callable[[Stream | Listener], None]) -> None:
         if not self.alive:
             return
--- /dev/null
+++ b/oakvale/lab/flume/troubles.py
@@ -0,0 +1,185 @@
+"""What a day does to the system's machines, links and disks, each kind as the operators' pages word it. What it does to
+clients, backends and the operator is the models'."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from oakvale.lab.days import Day, Trouble
+from oakvale.lab.flume.machines import Machine
+from oakvale.lab.flume.works import SEEDS, Station, Works
+from oakvale.lab.record import Event
+
+MS, SECOND = 1_000, 1_000_000
+DARK = 2 * SECOND  # that a machine is without power where nothing is said
+LASTS = 3 * SECOND  # a trouble that must end, and does not say when
+STEP = 4 * SECOND  # of a clock
+LOSS, SLOWER = 0.05, 4.0
+
+
+class Troubles:
+    def __init__(self, works: Works, rng: Random) -> None:
+        self._works, self._rng = works, rng
+
+    def plan(self, day: Day, began: int) -> None:
+        """Those that strike at a time; `struck` does the others."""
+        for rows in (day.troubles, day.plan):
+            for trouble in rows:
+                call: Callable[[Trouble], None] | None = getattr(self, f"_{trouble.kind}", None)
+                if call is not None:
+                    self._works.events.at(began + round(trouble.at * SECOND), call, trouble)
+
+    def struck(self, trouble: Trouble, name: str) -> None:
+        """`name` has just acknowledged something."""
+        station, down = self._works.stations.get(name), self._lasts(trouble, DARK)
+        if trouble.kind == "closing":
+            return self._close(trouble.how, down)
+        if station is not None:
+            station.power_off(down, wiped=trouble.kind == "after_ack_wipe")
+
+    def _close(self, how: str, down: int) -> None:
+        """The closing fault."""
+        works, now = self._works, self._works.events.now
+        how = how or self._rng.choice(("power", "kill", "wipe"))
+        everyone = list(works.stations.values())
+        works.happened(Event.CLOSING, now, now + down + SECOND, tuple(s.name for s in everyone))
+        wiped = self._rng.sample(works.cores, min(works.layout.tolerance, len(works.cores))) if "wipe" in how else []
+        for station in everyone:
+            if "kill" in how:
+                station.kill(down)
+            elif "wipe" not in how or station.core:
+                station.power_off(down, wiped=station in wiped)
+
+    # ---- whom it strikes
+
+    @staticmethod
+    def _lasts(trouble: Trouble, default: int = LASTS) -> int:
+        return round(trouble.for_s * SECOND) or default
+
+    def _some(self, trouble: Trouble, on: str = "edge") -> list[Station]:
+        on = trouble.on or on
+        found = {"core": self._works.cores, "edge": self._works.edges}.get(on, [*self._works.stations.values()])
+        found = [station for station in found if trouble.zone in ("", station.machine.zone)]
+        return self._rng.sample(found, trouble.many(len(found)))
+
+    def _span(self, trouble: Trouble, kind: Event, stations: list[Station]) -> int:
+        """Tells of it; gives its end."""
+        now = self._works.events.now
+        until = now + self._lasts(trouble)
+        self._works.happened(kind, now, until, tuple(station.name for station in stations))
+        return until
+
+    # ---- processes
+
+    def _node_kill(self, trouble: Trouble) -> None:
+        """`how`: `power` takes the machine's power, `wipe` its disk as well."""
+        for station in self._some(trouble):
+            if "wipe" in trouble.how or "power" in trouble.how:
+                station.power_off(self._lasts(trouble, DARK), wiped="wipe" in trouble.how)
+            else:
+                station.kill(round(trouble.for_s * SECOND))
+
+    def _herd_kill(self, trouble: Trouble) -> None:
+        for station in self._some(trouble, "all"):
+            station.kill(round(trouble.for_s * SECOND))
+
+    def _node_slow(self, trouble: Trouble) -> None:
+        """`how`: `freeze` stops it altogether."""
+        stations = self._some(trouble)
+        if "freeze" in trouble.how:
+            for station in stations:
+                station.freeze(self._lasts(trouble))
+            return
+        until, factor = self._span(trouble, Event.SLOW, stations), trouble.x if trouble.x > 1 else SLOWER
+        self._for(until, stations, lambda m: setattr(m, "slow", m.slow * factor),
+                  lambda m: setattr(m, "slow", m.slow / factor))
+
+    def _for(self, until: int, stations: list[Station], on: Callable[[Machine], None],
+             off: Callable[[Machine], None]) -> None:
+        for station in stations:
+            on(station.machine)
+            self._works.events.at(until, lambda _, s=station: off(s.machine))  # type: ignore[misc]
+
+    def _restart(self, trouble: Trouble) -> None:
+        self._one_by_one(trouble, 0)
+
+    def _drain(self, trouble: Trouble) -> None:
+        """They stay away for its time."""
+        self._one_by_one(trouble, self._lasts(trouble))
+
+    def _one_by_one(self, trouble: Trouble, down: int) -> None:
+        events = self._works.events
+        for index, station in enumerate(self._some(trouble)):
+            events.at(events.now + round(index * trouble.gap_s * SECOND),
+                      lambda _, s=station: s.terminate(down))  # type: ignore[misc]
+
+    def _clock_step(self, trouble: Trouble) -> None:
+        """`x` seconds; `how`: `back`. Its time of day jumps, and processes that start later begin with it."""
+        step = round(trouble.x * SECOND) if trouble.x != 1 else STEP
+        for station in self._some(trouble):
+            now = self._works.events.now
+            self._works.happened(Event.CLOCK, now, now, (station.name,))
+            station.machine.offset += -step if "back" in trouble.how else step
+
+    def _seed_turnover(self, trouble: Trouble) -> None:
+        """The operator's list is another: the settings name others."""
+        seeds = tuple((station.machine.ip, self._works.seeds[0][1])
+                      for station in self._rng.sample(self._works.cores, min(SEEDS, len(self._works.cores))))
+        for station in self._works.stations.values():
+            station.tell_seeds(seeds)
+
+    # ---- links
+
+    def _core_cut(self, trouble: Trouble) -> None:
+        """So many core machines from the other ones; `how`: `off` cuts them from everybody."""
+        on = trouble.model_copy(update={"on": "core"})
+        ones = self._some(on)
+        others = [station for station in self._works.cores if station not in ones]
+        self._cut(trouble, ones, None if "off" in trouble.how else others)
+
+    def _node_cut(self, trouble: Trouble) -> None:
+        self._cut(trouble, self._some(trouble), None)
+
+    def _zone_cut(self, trouble: Trouble) -> None:
+        zone = trouble.zone or self._rng.choice(self._works.layout.zones)
+        here = [s for s in self._works.stations.values() if s.machine.zone == zone]
+        self._cut(trouble, here, [s for s in self._works.stations.values() if s.machine.zone != zone])
+
+    def _cut(self, trouble: Trouble, ones: list[Station], others: list[Station] | None) -> None:
+        """`how`: `one-way` keeps only what the cut ones say from the others. None: from all there are."""
+        works, now = self._works, self._works.events.now
+        inside = [station.machine for station in ones]
+        outside = ([station.machine for station in others] if others is not None
+                   else [m for m in works.wires.machines.values() if m not in inside])
+        pairs = works.wires.cut(inside, outside, both="one-way" not in trouble.how)
+        until = now + self._lasts(trouble)
+        works.happened(Event.CUT, now, until, tuple(s.name for s in ones),
+                       others=() if others is None else tuple(s.name for s in others))
+        works.events.at(until, lambda _: works.wires.heal(pairs))
+
+    def _lossy(self, trouble: Trouble) -> None:
+        """`x` below one: the share of segments that are lost."""
+        stations, loss = self._some(trouble), trouble.x if trouble.x < 1 else LOSS
+        until = self._span(trouble, Event.LINK, stations)
+        self._for(until, stations, lambda m: setattr(m, "loss", m.loss + loss),
+                  lambda m: setattr(m, "loss", max(0.0, m.loss - loss)))
+
+    # ---- disks
+
+    def _disk_slow(self, trouble: Trouble) -> None:
+        stations, factor = self._some(trouble, "core"), trouble.x if trouble.x > 1 else 20.0
+        until = self._span(trouble, Event.DISK, stations)
+        for disk in [s.disk for s in stations if s.disk is not None]:
+            disk.slow *= factor
+            self._works.events.at(until, lambda _, d=disk: setattr(d, "slow", d.slow / factor))  # type: ignore[misc]
+
+    def _disk_stall(self, trouble: Trouble) -> None:
+        """`how`: `refuse` refuses writes instead of keeping them waiting."""
+        stations = self._some(trouble, "core")
+        until = self._span(trouble, Event.DISK, stations)
+        for disk in [s.disk for s in stations if s.disk is not None]:
+            if "refuse" in trouble.how:
+                disk.refuses = max(disk.refuses, until)
+            else:
+                disk.hangs = max(disk.hangs, until)
--- a/oakvale/lab/flume/wires.py
+++ b/oakvale/lab/flume/wires.py
@@ -492,6 +492,7 @@
 
     def vanish(self) -> None:
         self.closed = True
+        self.leave()
         self.machine.ports.pop(self.address[1], None)
         for stream in [*self._queue, *self._coming]:
             stream.vanish()
