--- a/oakvale/lab/models/launch.py
+++ b/oakvale/lab/models/launch.py
@@ -32,8 +32,8 @@
 BODY = 2_000
 FREED = 8 * SECOND  # a backend that was told to leave has ended by then
 OURS = frozenset({"hot_tenant", "burst", "srv_crash", "srv_slow", "srv_grey", "srv_flap", "srv_lying_health", "release",
-                  "scale_in", "answer_lost", "garble", "idle_race", "config_change", "config_race", "bad_config",
-                  "revoke"})
+                  "scale_in", "drain", "answer_lost", "garble", "idle_race", "config_change", "config_race",
+                  "bad_config", "revoke"})
 AFTER_ACK = frozenset({"after_ack_kill", "after_ack_wipe", "closing"})  # ours until the acknowledgement
 
 
@@ -287,6 +287,8 @@
         for seat in seats:
             self._leaves(seat, at)
 
+    _drain = _scale_in  # the same, as planned work
+
     def _leaves(self, seat: Seat, at: int) -> None:
         seat.freed = at + FREED
 
