--- a/oakvale/lab/flume/machines.py
+++ b/oakvale/lab/flume/machines.py
@@ -14,7 +14,6 @@
 
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Loop, Timer
-from oakvale.lab.flume.events import Events
 from oakvale.lab.flume.wires import ERR, HUP, PORTS, FlumeNet, Listener, Stream, Wires
 
 LONG = 3600.0  # seconds that a loop may wait: the world turns it when something is due
