--- a/oakvale/lab/models/orders.py
+++ b/oakvale/lab/models/orders.py
@@ -214,8 +214,9 @@
             probes += self._probe(row)
         for _ in range(ADDED):
             like = self._rng.choice(self._original(state))
+            # public: a tenant that is at its limit would hide from the probes what is in force
             row = like | {"name": name(self._rng, "r-"), "vhost": self._rng.choice(self._hosts),
-                          "prefix": self._prefix(), "type": "safe"}
+                          "prefix": self._prefix(), "type": "safe", "public": True}
             state.routes.append(row)
             state.added.append(row["name"])
             self.work[row["vhost"], row["prefix"]] = 20 * MS
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -504,6 +504,16 @@
         t.get(20 * SECOND + n + 1, t.send(20 * SECOND + n, "new"), status=400)
 
 
+@case()
+def added_routes_are_over_a_quota(t: Told) -> None:
+    """Probes with the key of a tenant at its limit say nothing of the routes; once flagged."""
+    for n in range(30):
+        t.serve(n)
+    t.order(2, text(2, MORE), 10 * SECOND)
+    for n in range(30):
+        t.get(20 * SECOND + n + 1, t.send(20 * SECOND + n, "new"), status=429)
+
+
 # ---- BUDGET, QUOTA
 
 
