--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -32,7 +32,7 @@
 
 note = Writer(__name__)
 SWEEP = 1_000_000
-READY = 3_000_000  # after the start; by then, who waited for this process has been served
+READY = 3_000_000  # after it began to serve; by then, who waited for it has been served
 OPENS, PAUSE = 50, 0.2  # tries at the disk at the start, and seconds between them
 
 
@@ -49,9 +49,11 @@
     raise AssertionError
 
 
-def _import_aside(name: str) -> None:
-    """For the operator, who need not wait for it; in a thread, as it may take longer than a heartbeat may be late."""
-    threading.Thread(target=import_module, args=(name,), daemon=True).start()
+def _ready_for_operators(loop: Loop) -> None:
+    """A primary imports what it checks configurations with before one comes: later, as those who wait for news of a
+    core that is back go first, and in a thread, as it may take longer than a heartbeat may be late."""
+    thread = threading.Thread(target=import_module, args=("oakvale.intake.model",), daemon=True)
+    loop.at(loop.now + READY, lambda _: None if thread.ident else thread.start())
 
 
 class Process:
@@ -93,7 +95,7 @@
     loop = Loop(Clock(), bounds(settings))
     process = Process(settings, listeners, loop, lambda: _opened(loop, datadir))
     watch = SettingsWatch(loop, os.environ, settings, lambda fresh: process.know(fresh.seeds))
-    loop.at(loop.now + READY, lambda _: _import_aside("oakvale.intake.model"))
+    process.core.on_change.append(lambda serves: _ready_for_operators(loop) if serves else None)
     loop.start(signals.run(process.stop, watch.again), signals.fileno(), Rank.DISCOVERY)
     gc.collect()
     gc.freeze()
