Chunked bodies take room as they come, not the longest body's until the answer

A chunked request held limits.body (64 MB on the system's machines, of 69 MB for all bodies) from its head to its answer, so a gateway refused every second one at the same time with 503 'no room for a body'.

--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -276,13 +276,17 @@
                         raise BadRequest(400, "a GET has no body")
                     if int(length) > host.limits.body:
                         raise BadRequest(413, "body too large")
-                    if not self._share.grow(limits.body if chunked else int(length)):
+                    if not self._share.grow(int(length)):
                         raise BadRequest(503, "no room for a body")
                 elif type(event) is h11.Data:
                     parts.append(bytes(event.data))
                     size += len(parts[-1])
                     if size > host.limits.body:
                         raise BadRequest(413, "body too large")
+                    # chunks tell no length before their end: what the longest would take, held from the first on
+                    # to the answer, left room for one such request at a time
+                    if not self._share.grow(size):
+                        raise BadRequest(503, "no room for a body")
                 elif type(event) is h11.EndOfMessage and incoming is not None:
                     incoming.body = b"".join(parts)
                     return incoming
