--- a/oakvale/lab/sounding/breakages.py
+++ b/oakvale/lab/sounding/breakages.py
@@ -150,9 +150,9 @@
     Breakage("own-value", "a proposer puts its own view to the vote though another may be decided",
              ((Succession, "_promise", _own_value),), replace(QUIET, wakes=2), heals=4),
     Breakage("words-before-disk", "a witness answers before what it says is on its disk",
-             ((Succession, "_keep", _promise_before_disk),), replace(QUIET, wakes=2, kills=1), heals=4),
+             ((Succession, "_keep", _promise_before_disk),), replace(QUIET, wakes=2, kills=1), heals=2),
     Breakage("complete-at-once", "a new copy counts as complete before it has the state",
              ((Succession, "_learn", _complete_at_once),), replace(QUIET, writes=1, wakes=1), heals=4),
     Breakage("void-unkept", "a backup voids a view, and then becomes complete in it",
-             ((Succession, "_void", _voids_nothing),), replace(QUIET, wakes=2), heals=64),
+             ((Succession, "_void", _voids_nothing),), replace(QUIET, wakes=2), heals=128),
 )
--- a/oakvale/lab/sounding/check.py
+++ b/oakvale/lab/sounding/check.py
@@ -9,6 +9,7 @@
 from oakvale.lab.sounding.breakages import BREAKAGES, Breakage
 from oakvale.lab.sounding.model import Bounds
 from oakvale.lab.sounding.search import Found, Search
+from oakvale.lab.sounding.walks import Walks
 
 NONE = Bounds(writes=0, kills=0, wipes=0, wakes=0, retries=0)
 FAULTS = tuple(field.name for field in fields(Bounds) if field.name not in ("machines", "writes"))
@@ -57,6 +58,9 @@
     parser.add_argument("--states", type=int, default=20_000_000, metavar="N",
                         help="of each search, at most; a million take about 0.5 GB")
     parser.add_argument("--seconds", type=float, default=300.0, metavar="S", help="for each search, at most")
+    parser.add_argument("--walks", type=int, default=0, metavar="N",
+                        help="so many drawn ways instead, each through several takeovers and losses of a disk")
+    parser.add_argument("--seed", type=int, default=1, metavar="N", help="of the drawn ways")
     parser.add_argument("--broken", metavar="NAME", choices=["all", *(b.name for b in BREAKAGES)],
                         help="break the protocol on purpose, and show the shortest way to where it shows")
 
@@ -74,6 +78,8 @@
     if args.broken:
         chosen = [b for b in BREAKAGES if args.broken in ("all", b.name)]
         return 0 if all([_shown(breakage) for breakage in chosen]) else 1
+    if args.walks:
+        return _walked(args)
     try:
         wanted = searches(args)
     except BadFaults as error:
@@ -81,8 +87,7 @@
         return 2
     good = True
     for start, bounds in wanted:
-        search = Search(bounds, start, args.depth, args.states, args.seconds,
-                        show=lambda text: print(text, file=sys.stderr, flush=True))
+        search = Search(bounds, start, args.depth, args.states, args.seconds, show=_say)
         try:
             search.run()
         except KeyboardInterrupt:
@@ -93,6 +98,21 @@
     return 0 if good else 1
 
 
+def _walked(args: argparse.Namespace) -> int:
+    walks = Walks(start=args.start, seed=args.seed, show=_say)
+    try:
+        walks.run(args.walks, args.seconds)
+    except KeyboardInterrupt:
+        print(walks.line(), "(stopped)", flush=True)
+        return 130
+    print(walks.line(), *walks.found.trace, sep="\n", flush=True)
+    return 1 if walks.found.broken else 0
+
+
+def _say(text: str) -> None:
+    print(text, file=sys.stderr, flush=True)
+
+
 def find(breakage: Breakage) -> Found:
     """The shortest way on which it shows; where that is far, one from which no step can be left out."""
     with breakage.made():
--- a/oakvale/lab/sounding/machine.py
+++ b/oakvale/lab/sounding/machine.py
@@ -190,17 +190,28 @@
 
 def frozen(item: Any) -> Any:
     """Hashable, and equal for equal contents in whatever order they were put in; objects by all their fields."""
-    if item is None or isinstance(item, (int, str, bytes)):
+    kind = type(item)
+    if kind in PLAIN:
         return item
-    if isinstance(item, (list, tuple, deque)):
+    if kind in (list, tuple, deque):
         return tuple([frozen(x) for x in item])
-    if isinstance(item, (set, frozenset)):
-        return tuple(sorted(frozen(x) for x in item))
-    if isinstance(item, dict):
-        return tuple(sorted(((frozen(k), frozen(v)) for k, v in item.items()), key=lambda pair: repr(pair[0])))
-    if dataclasses.is_dataclass(item):
-        return type(item).__name__, tuple([frozen(getattr(item, f.name)) for f in dataclasses.fields(item)])
-    return type(item).__name__, frozen(vars(item))
+    if kind in (set, frozenset):
+        return tuple(sorted([frozen(x) for x in item]))
+    if kind is dict:
+        return tuple(sorted([(frozen(k), frozen(v)) for k, v in item.items()], key=_by_key))
+    names = _FIELDS.get(kind)
+    if names is None:
+        fields = dataclasses.fields(item) if dataclasses.is_dataclass(item) else ()
+        names = _FIELDS[kind] = tuple(field.name for field in fields) or tuple(sorted(vars(item)))
+    return kind.__name__, tuple([frozen(getattr(item, name)) for name in names])
+
+
+def _by_key(pair: tuple[Any, Any]) -> Any:
+    return pair[0]  # of one kind in any one dict here; values need no order
+
+
+PLAIN = frozenset((int, str, bytes, bool, type(None)))
+_FIELDS: dict[type, tuple[str, ...]] = {}
 
 
 class Facts:
--- a/oakvale/lab/sounding/model.py
+++ b/oakvale/lab/sounding/model.py
@@ -142,7 +142,7 @@
 
     # ---- what can happen
 
-    def steps(self, state: State) -> Iterator[Step]:
+    def steps(self, state: State, wakes: bool = True) -> Iterator[Step]:
         seats, mail, known, spent = state
         bounds, facts, to = self.bounds, self.facts, self._to
         for place, seat in enumerate(seats):
@@ -176,15 +176,16 @@
             if spent[KILLS] < bounds.kills:
                 for kept in range(own.queue + 1):
                     yield place, ("kill", kept)
-        if spent[WAKES] < bounds.wakes:
+        if wakes and spent[WAKES] < bounds.wakes:
             found = self._wakings.get(seats)
             if found is None:
                 found = self._wakings[seats] = tuple(
-                    (place, wake) for place, seat in enumerate(seats) for wake in self._wakes(seats, place)
+                    (place, wake) for place, seat in enumerate(seats) for wake in self.wakes(seats, place)
                     if self.local(place, seat, wake) != (seat, ()))
             yield from found
 
-    def _wakes(self, seats: tuple[int, ...], place: int) -> Iterator[Event]:
+    def wakes(self, seats: tuple[int, ...], place: int) -> Iterator[Event]:
+        """What a machine might believe when it looks whether it should do something."""
         own = self.facts[seats[place]]
         if own.view is None:
             return
@@ -251,6 +252,23 @@
                 return number, broken
         return None
 
+    def shortened(self, state: State, way: list[Step], rule: str) -> list[Step]:
+        """A way that breaks the same rule and from which no single step can be left out."""
+        size = max(1, len(way) // 2)
+        while True:
+            place, shorter = len(way), False
+            while place > 0:
+                place -= size
+                tried = way[:max(place, 0)] + way[place + size:]
+                ends = self.replay(state, tried)
+                if ends is not None and ends[1].rule == rule:
+                    way, shorter = tried[:ends[0]], True
+                    place = min(place, len(way))
+            if size > 1:
+                size //= 2
+            elif not shorter:
+                return way
+
     def _may(self, state: State, step: Step) -> bool:
         place, event = step
         kind, own = event[0], self.facts[state.seats[place]]
--- a/oakvale/lab/sounding/search.py
+++ b/oakvale/lab/sounding/search.py
@@ -77,15 +77,7 @@
         if found.broken is None:
             return
         first = model.cold() if found.start == "cold" else model.settled()
-        shorter = True
-        while shorter:
-            shorter = False
-            for place in range(len(found.way) - 1, -1, -1):
-                way = [*found.way[:place], *found.way[place + 1:]]
-                ends = model.replay(first, way)
-                if ends is not None and ends[1].rule == found.broken.rule:
-                    found.way, found.broken, shorter = way[:ends[0]], ends[1], True
-                    break
+        found.way = model.shortened(first, found.way, found.broken.rule)
         found.trace = trace.lines(model, first, found.way)
 
     def _explore(self, first: State, began: float) -> None:
