A primary that begins calls the gateways, and those without news ask it at once

A gateway that searched while the primary was dark sat on a connection whose first packet was lost, 0.3 s more, though the primary served.

--- a/oakvale/headworks/gates.py
+++ b/oakvale/headworks/gates.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from oakvale.base.address import parse_address
 from oakvale.base.loop import Loop
 from oakvale.headworks.core import Core
 from oakvale.headworks.jury import Jury
@@ -11,6 +12,7 @@
 from oakvale.mains.links import Answer, Conn, Mains
 
 AGREE = 2  # watchers that must miss a gateway before it is taken from the list
+CALLED = 64  # gateways that a new primary calls; a tree is soon grown from these
 TOGETHER = 3_000_000  # microseconds within which they must say so
 
 note = Writer(__name__)
@@ -19,15 +21,20 @@
 class Gates:
     def __init__(self, core: Core, jury: Jury, loop: Loop, mains: Mains) -> None:
         self._jury = jury
-        self._core, self._loop = core, loop
+        self._core, self._loop, self._mains = core, loop, mains
         self._missed: dict[str, dict[str, int]] = {}  # gateway's node and life -> watcher -> when
         core.on_change.append(self._turned)
         mains.handlers["join"] = self._join
         mains.handlers["missing"] = self._missing
 
     def _turned(self, serves: bool) -> None:
-        """A view is in force: the gateways are told whom it names."""
+        """A view is in force: the gateways are told whom it names. Those without news search, and may just wait for a
+        machine that was dark until now; a call to each spares them that."""
         view = self._core.view()
+        addresses = [parse_address(str(gate["addr"])) for _, gate in self._core.ledger.table.items("gate/")]
+        for address in addresses[:CALLED] if serves else ():
+            if address is not None:
+                self._mains.tell(address, "serves", self._core.own[0])
         if serves and view is not None:
             told = {"copies": [seat[0] for seat in view.copies], "witnesses": [seat[0] for seat in view.witnesses]}
             if self._core.ledger.latest("core") != told:
--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -230,6 +230,15 @@
             return conn
         return None
 
+    def afresh(self, address: Address) -> None:
+        """Who listens there is known to be up: a connection whose first packet may have met a dark machine is not
+        waited for any longer."""
+        conn = self._out.get(address)
+        if conn is not None and not conn.up:
+            del self._out[address]
+            conn.end()
+        self._failed.pop(address, None)
+
     def tell(self, address: Address, kind: str, body: Any) -> None:
         conn = self.link(address)
         if conn is not None:
--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -87,6 +87,7 @@
         self._settled = False
         mains.handlers["news"] = self._news
         mains.handlers["subscribe"] = self._subscribe
+        mains.handlers["serves"] = self._served
         mains.handlers["leave"] = lambda conn, body, answer: self.outlet.leave(conn)
         mains.handlers["digests"] = lambda conn, body, answer: self.outlet.mend(conn, body, answer)
         loop.at(loop.now, self._tick)
@@ -110,6 +111,13 @@
 
     # ---- from above
 
+    def _served(self, conn: Conn, body: Any, _: Answer) -> None:
+        """A primary has begun: who finds it first need not search on."""
+        address = parse_address(str(body))
+        if address is not None and not self.fresh():
+            self.mains.afresh(address)
+            self._ask(address)
+
     def _tick(self, _: Any) -> None:
         now = self.loop.now
         failed = {a: t for a, t in self._failed.items() if now - t < FORGIVEN}
--- a/tests/test_penstock.py
+++ b/tests/test_penstock.py
@@ -218,6 +218,9 @@
         end.other.other = end
         return end
 
+    def afresh(self, address: Any) -> None:
+        pass  # connections are made at once here
+
     def tell(self, address: Any, kind: str, body: Any) -> None:
         end = self.link(address)
         if end is not None:
@@ -376,6 +379,21 @@
     assert fleet.feeds["n0"].fresh()
 
 
+def test_a_primary_that_begins_calls_those_without_news_and_no_others() -> None:
+    fleet = Fleet(1, 2)
+    fleet.net.run(SECOND)
+    was = fleet.feeds["n0"].source()
+    fleet.feeds["n0"].mains.handlers["serves"](cast(Any, None), fleet.cores[2].address, print)
+    assert fleet.feeds["n0"].source() == was
+    for core in fleet.cores:
+        core.primary = ""
+    fleet.net.run(2 * SECOND)
+    fleet.elect(2)
+    fleet.feeds["n0"].mains.handlers["serves"](cast(Any, None), fleet.cores[2].address, print)
+    fleet.net.run(10 * MS)
+    assert fleet.feeds["n0"].fresh()
+
+
 def test_a_spell_without_news_is_noted_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """Each source asked in it was said to have fallen silent, 15 lines a second: those that did not were hid."""
     noted: list[Any] = []
