Contract hours: drains that move a tenant's traffic only in the hours of its contract

Operators empty gateways, backends and zones; until now a drain took every tenant at any hour. Contracts stand in a file of the operators; without the file nothing changes. Decisions are in oakvale/towpath, the primary writes each move as an entry of the control state, and gateways keep a moved tenant's new requests off the node.

--- a/oakvale/cli.py
+++ b/oakvale/cli.py
@@ -102,6 +102,42 @@
     print("\n".join(logs.pairs({name: value}) for name, value in told.items()))
 
 
+def drain(args: argparse.Namespace) -> None:
+    """Plan, order, show or cancel a drain, or print the account of all, by any headworks."""
+    import json
+
+    from oakvale.base import configuration
+    from oakvale.towpath import call
+
+    body = None
+    if args.what in ("plan", "order"):
+        kind, target = next((kind, named) for kind in ("gateway", "backend", "zone")
+                            if (named := getattr(args, kind)) is not None)
+        body = {"kind": kind, "target": target, "by": args.by, "why": args.why, "due": args.due}
+    elif args.what == "cancel":
+        body = {"by": args.by, "why": args.why}
+    verb = "Drains." + {"account": "Show"}.get(args.what, args.what.capitalize())
+    try:
+        addresses = [configuration.address(text, "--ctl") for text in args.ctl.split(",")]
+        told = call.call(addresses, verb, getattr(args, "name", None) or "", body, args.timeout)
+    except configuration.BadConfiguration as error:
+        fail(error)
+    except call.Refused as error:
+        if isinstance(error.body, dict) and "plan" in error.body:
+            print("\n".join(call.lines(error.body["plan"])))
+        fail(error, 1)
+    if args.what == "account" and args.format == "csv":
+        from oakvale.towpath import account
+
+        print(account.as_csv(told), end="")
+    elif args.what == "account" or args.json:
+        print(json.dumps(told, indent=2))
+    else:
+        print("\n".join(call.lines(told)) or "kept")
+    if args.what == "plan" and told["obstacles"]:
+        sys.exit(1)
+
+
 def demo(args: argparse.Namespace) -> None:
     """A small system on loopback: one request through it, or until it is interrupted."""
     import signal
@@ -166,8 +202,8 @@
                                            help="the least that is logged (default: %(default)s)")
     add("check-config", check_config, "read the configuration as serve would and say what it holds")
     held = add("check", check, "check a file of the whole system and say what it holds, or what is wrong and where")
-    held.add_argument("kind", choices=("settings", "deploy", "config"),
-                      help="a process's settings, the deploy file, or an operator's configuration (JSON)")
+    held.add_argument("kind", choices=("settings", "deploy", "config", "contracts"),
+                      help="a process's settings, the deploy file, an operator's configuration (JSON), or contracts")
     held.add_argument("file")
     asked = add("health", health, "ask a running gateway whether it can serve; exit 0 if so")
     asked.add_argument("address", help="host:port")
@@ -177,12 +213,41 @@
     asked.add_argument("address", help="host:port between gateways: the first of port-range for a headworks, "
                                        "the second for a sluice")
     asked.add_argument("--timeout", type=float, default=2.0, help="seconds to wait for the answer")
+    drains(add("drain", drain, "move tenants off a gateway, a backend or a zone, in the hours of their contracts"))
     add("demo", demo, "a small system on loopback: three headworks, two sluices, a backend, one request").add_argument(
         "--stay", action="store_true", help="keep it until interrupted, for requests of your own and oakvale status")
     add("version", version, "print the version")
     return whole
 
 
+def drains(whole: argparse.ArgumentParser) -> None:
+    verbs = whole.add_subparsers(dest="what", required=True, metavar="WHAT")
+    for name, text in (("plan", "what an order would do and when; nothing moves"),
+                       ("order", "give an order, unless its plan has an obstacle"),
+                       ("show", "orders and moves"),
+                       ("cancel", "no further move; what has moved comes back, each tenant in its hours"),
+                       ("account", "what moved when, what was in flight, how each ended")):
+        verb = verbs.add_parser(name, help=text, description=text)
+        verb.add_argument("--ctl", required=True, help="host:port of a headworks' ctl, or some with commas between")
+        verb.add_argument("--timeout", type=float, default=10.0, help="seconds until the answer has to be clear")
+        if name in ("order", "cancel"):
+            verb.add_argument("name", help="of the order, given once: letters, digits, dot, dash")
+        elif name in ("show", "account"):
+            verb.add_argument("name", nargs="?", help="of one order; without it, of all")
+        if name in ("plan", "order"):
+            node = verb.add_mutually_exclusive_group(required=True)
+            for kind, meant in (("gateway", "its node name"), ("backend", "its id"), ("zone", "all nodes in it")):
+                node.add_argument(f"--{kind}", help=meant)
+            verb.add_argument("--due", required=True, help="by when, with its zone: 2026-12-03T05:00:00-05:00")
+        if name in ("plan", "order", "cancel"):
+            verb.add_argument("--by", required=name != "plan", default="plan", help="who orders it")
+            verb.add_argument("--why", required=name != "plan", default="plan", help="one line")
+        if name == "account":
+            verb.add_argument("--format", choices=("csv", "json"), default="csv")
+        else:
+            verb.add_argument("--json", action="store_true", help="the answer as it came")
+
+
 def main(words: Sequence[str] | None = None) -> None:
     args = parser().parse_args(words)
     args.call(args)
--- a/oakvale/gauge/board.py
+++ b/oakvale/gauge/board.py
@@ -56,7 +56,8 @@
         self._means: dict[str, float] = {}  # route -> microseconds
         self._ticket = 0
 
-    def pick(self, offers: Iterable[Offer], asker: str, zone: str, until: int, now: int) -> tuple[str, int] | None:
+    def pick(self, offers: Iterable[Offer], asker: str, zone: str, until: int, now: int,
+             without: frozenset[str] = frozenset()) -> tuple[str, int] | None:
         """The backend that will likely answer first, and a ticket that is to be handed back."""
         offers = list(offers)
         known = {offer.id for offer in offers}
@@ -64,6 +65,8 @@
             del self._spots[name]
         best: tuple[float, Offer] | None = None
         for offer in offers:
+            if without and offer.id in without:
+                continue
             spot = self._spots.get(offer.id)
             if spot is None:
                 spot = self._spots[offer.id] = Spot(now + offer.warm)
--- a/oakvale/gauge/dispatch.py
+++ b/oakvale/gauge/dispatch.py
@@ -36,11 +36,12 @@
         mains.handlers["pick"] = self._picked
         mains.handlers["done"] = self._ended
 
-    def ask(self, service: str, wait: int, then: Callable[[Pick | None], None]) -> None:
-        """`wait`: microseconds after which the attempt is over in any case."""
+    def ask(self, service: str, wait: int, then: Callable[[Pick | None], None],
+            without: frozenset[str] = frozenset()) -> None:
+        """`wait`: microseconds after which the attempt is over in any case; `without`: backends not to be named."""
         duty, now = duty_of(f"service {service}"), self._loop.now
         if self._gauge.counts(duty):
-            found = self._board(service).pick(self._offers(service), self._node, self._zone, now + wait, now)
+            found = self._board(service).pick(self._offers(service), self._node, self._zone, now + wait, now, without)
             return then(Pick(service, *found, duty) if found else None)
         holder = self._gauge.holder(duty)
         if holder is None or now - self._doubt.get(duty, -DOUBT) < DOUBT:
@@ -52,7 +53,8 @@
                 return then(None)
             then(Pick(service, str(answer[0]), int(answer[1]), duty))
 
-        self._mains.ask(holder, "pick", [service, self._node, self._zone, wait], PICK, answered)
+        body = [service, self._node, self._zone, wait, *([sorted(without)] if without else [])]
+        self._mains.ask(holder, "pick", body, PICK, answered)
 
     def done(self, pick: Pick, route: str, latency: int, outcome: str) -> None:
         self._tell(pick.keeper, pick.service, pick.backend, pick.ticket, route, latency, outcome)
@@ -82,7 +84,8 @@
             self._boards.pop(service, None)
             return answer(None)
         now = self._loop.now
-        found = self._board(service).pick(self._offers(service), asker, zone, now + wait, now)
+        without = frozenset(map(str, body[4])) if len(body) > 4 else frozenset()
+        found = self._board(service).pick(self._offers(service), asker, zone, now + wait, now, without)
         answer(list(found) if found else None)
 
     def _ended(self, conn: Conn, body: Any, _: Answer) -> None:
--- a/oakvale/headworks/ctl.py
+++ b/oakvale/headworks/ctl.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from functools import lru_cache
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from oakvale.headworks.core import Core
 from oakvale.headworks.resources import JSON, Backends, Config, Reply, primary_url
@@ -13,6 +13,9 @@
 from oakvale.memory.tally import Tally
 from oakvale.wire.clients import Incoming, plain, response
 
+if TYPE_CHECKING:
+    from oakvale.headworks.drains import Drains
+
 PREFIX = "/oakvale/"
 READYZ = b"/oakvale/readyz"
 
@@ -26,12 +29,25 @@
         self.buffers, self.bodies, self.clients = shared.buffers, shared.bodies, shared.clients
         self.response = lru_cache(64)(response)
         self._port = settings.bind["ctl"][1]
-        config, backends = Config(core), Backends(core, shared.loop, settings)
+        config, self._backends = Config(core), Backends(core, shared.loop, settings)
         self._calls = {
             (b"POST", "Config.Replace"): config.replace,
             (b"GET", "Config.Read"): config.read,
-            (b"POST", "Backends.Heartbeat"): backends.heartbeat,
-            (b"POST", "Backends.Leave"): backends.leave,
+            (b"POST", "Backends.Heartbeat"): self._backends.heartbeat,
+            (b"POST", "Backends.Leave"): self._backends.leave,
+        }
+
+    def offer(self, drains: Drains) -> None:
+        """Drains can be ordered: there are contracts."""
+        from oakvale.headworks import resources
+
+        self._backends.leaves = drains.leaves
+        handler = resources.Drains(self.core, drains)
+        self._calls |= {
+            (b"POST", "Drains.Order"): handler.order,
+            (b"POST", "Drains.Plan"): handler.plan,
+            (b"POST", "Drains.Cancel"): handler.cancel,
+            (b"GET", "Drains.Show"): handler.show,
         }
 
     @property
--- /dev/null
+++ b/oakvale/headworks/drains.py
@@ -0,0 +1,155 @@
+"""Drains on a core machine: the file of contracts, the agreed time, and the hand of the primary that makes the moves.
+
+Nothing of this is there unless a file of contracts is.
+"""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from oakvale.base.loop import Loop
+from oakvale.headworks.core import Core, address_of
+from oakvale.intake import contracts
+from oakvale.lifecycle.daybook import Writer
+from oakvale.mains.links import Answer, Conn, Mains
+from oakvale.towpath import account
+from oakvale.towpath.clocks import Agreement
+from oakvale.towpath.course import KEPT, PUBLIC, Course, Facts, Hours, Plan, outside, plan
+from oakvale.towpath.hours import Contract
+
+STEP = 500_000  # microseconds between two steps
+TELL = 1_000_000  # between two words of this machine's clock
+LOOK = 2_000_000  # between two looks at the file
+MOST_OUTSIDE = 500  # records of moves outside hours that are kept, the latest
+
+note = Writer(__name__)
+
+
+class Drains:
+    def __init__(self, core: Core, loop: Loop, mains: Mains, path: str, pace: int,
+                 wall: Callable[[], int] = lambda: time.time_ns() // 1000) -> None:
+        """`pace`: between two moves, and what one takes to be in effect everywhere (the bound `apply`)."""
+        self._core, self._loop, self._mains, self._path, self._wall = core, loop, mains, path, wall
+        self.contracts: dict[str, Contract] | None = None
+        self.hours = Hours(pace)
+        self.course = Course(self.hours)
+        self.clock = Agreement()
+        self._writing = False
+        self._config: tuple[int, tuple[str, ...]] = (-1, ())
+        self._stamp: tuple[int, int] | None = None
+        mains.handlers["clock"] = self._clock
+        mains.handlers["towed"] = self._towed
+        core.on_change.append(self._turned)
+        self.again()
+        loop.at(loop.now, self._tell)
+        loop.at(loop.now + STEP, self._step)
+        loop.at(loop.now + LOOK, self._look)
+
+    # ---- the file
+
+    def again(self) -> None:
+        """Reads the file anew. One that can't be used changes nothing; at the start it leaves all hours closed."""
+        self._stamp = self._stamped()
+        try:
+            self.contracts = contracts.load(self._path)
+        except contracts.BadContracts as error:
+            return note("contracts refused", "error", why=str(error))
+        note("contracts", file=self._path, tenants=",".join(sorted(self.contracts)))
+
+    def _stamped(self) -> tuple[int, int] | None:
+        try:
+            found = os.stat(self._path)
+        except OSError:
+            return None
+        return found.st_mtime_ns, found.st_size
+
+    def _look(self, _: Any) -> None:
+        self._loop.at(self._loop.now + LOOK, self._look)
+        if self._stamped() not in (None, self._stamp):
+            self.again()
+
+    # ---- the clock
+
+    def _tell(self, _: Any) -> None:
+        now, wall, view = self._loop.now, self._wall(), self._core.view()
+        self._loop.at(now + TELL, self._tell)
+        self.clock.hear(self._core.own[0], wall, now)
+        if view is not None:
+            for peer in view.witnesses:
+                if peer[0] != self._core.own[0]:
+                    self._mains.tell(address_of(peer), "clock", [self._core.own[0], wall])
+            self.clock.look(now, len({peer[0] for peer in view.witnesses} | {self._core.own[0]}))
+
+    def _clock(self, conn: Conn, body: Any, _: Answer) -> None:
+        self.clock.hear(str(body[0]), int(body[1]), self._loop.now)
+
+    def now(self) -> int | None:
+        return self.clock.time(self._loop.now)
+
+    # ---- the hand
+
+    def facts(self, now: int) -> Facts:
+        table = self._core.ledger.table
+        held = table.get("config")
+        if held is not None and held["gen"] != self._config[0]:
+            data = orjson.loads(bytes(held["text"]))
+            tenants = data.get("tenants") or {"cols": [], "rows": []}
+            at = tenants["cols"].index("name") if "name" in tenants["cols"] else 0
+            self._config = (held["gen"], tuple(sorted(str(row[at]) for row in tenants["rows"])))
+        return Facts(now, dict(table.items("drain/")), dict(table.items("move/")), dict(table.items("backend/")),
+                     dict(table.items("gate/")), (PUBLIC, *self._config[1]), self.contracts or {})
+
+    def plan(self, order: dict[str, Any], now: int) -> Plan:
+        self.hours.use(self.contracts or {})
+        return plan(self.facts(now), self.hours, order)
+
+    def _turned(self, serves: bool) -> None:
+        self._writing = False
+        self.course = Course(self.hours)
+
+    def _step(self, _: Any) -> None:
+        self._loop.at(self._loop.now + STEP, self._step)
+        now, table = self.now(), self._core.ledger.table
+        if not self._core.serving() or self._writing or now is None or self.contracts is None:
+            return
+        orders, records = table.items("drain/"), table.items("outside/")
+        calm = len(orders) <= KEPT and all(order["state"] == "done" for _, order in orders)
+        changes = {} if calm else self.course.step(self.facts(now))
+        if len(records) > MOST_OUTSIDE:
+            oldest = sorted(records, key=lambda item: item[1]["at"])[:-MOST_OUTSIDE]
+            changes |= {f"outside/{name}": None for name, _ in oldest}
+        if changes:
+            self._writing = True
+            for key, value in changes.items():
+                if value is not None:
+                    note("drain", key=key, state=value["state"], why=value.get("why_state", ""))
+            self._core.change(changes, self._written)
+
+    def _written(self, done: bool) -> None:
+        self._writing = False
+
+    def _towed(self, conn: Conn, body: Any, _: Answer) -> None:
+        if self._core.serving():
+            node, life = str(body[0]), str(body[1])
+            for key, away, began, left, ends in body[2]:
+                self.course.hear(str(key), node, life, bool(away), int(began), int(left), dict(ends))
+
+    def leaves(self, name: str, why: str) -> dict[str, Any]:
+        """What is to be written with a backend's own leaving: whose hours it did not ask."""
+        if self.contracts is None or self._core.ledger.latest(f"outside/{name}") is not None:
+            return {}
+        record = outside(self.facts(self.now() or 0), self.hours, name, why)
+        if record is None:
+            return {}
+        note("moved outside hours", backend=name, why=why, tenants=",".join(record["tenants"]))
+        return {f"outside/{name}": record}
+
+    def told(self, only: str = "") -> dict[str, Any]:
+        table, now = self._core.ledger.table, self.now()
+        return {"time": account.stamp(now) if now is not None else "unknown: the clocks don't agree"} | account.told(
+            table.items("drain/"), table.items("move/"), table.items("outside/"), only)
--- a/oakvale/headworks/ledger.py
+++ b/oakvale/headworks/ledger.py
@@ -58,6 +58,10 @@
                     return value
         return self.table.get(key)
 
+    def waiting(self) -> list[str]:
+        """Keys that are not in force yet."""
+        return [key for pending in self._pending for key, _, _ in pending.entries]
+
     def waits(self) -> bool:
         return bool(self._pending)
 
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -7,6 +7,7 @@
 import socket
 import sqlite3
 import time
+from typing import Any
 
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Clock, Loop, Rank
@@ -67,6 +68,23 @@
         loop.at(loop.now + SWEEP, sweep)
 
     watch = SettingsWatch(loop, os.environ, settings, lambda fresh: core.know(fresh.seeds))
+    drains: list[Any] = []
+
+    def contracts() -> None:
+        """At the start and on SIGHUP; a file that is there is looked at anew by itself."""
+        if drains:
+            drains[0].again()
+        elif os.path.exists(settings.contracts):
+            from oakvale.headworks.drains import Drains  # its imports cost, and most systems have no contracts
+
+            drains.append(Drains(core, loop, mains, settings.contracts, settings.bounds.apply))
+            ctl.offer(drains[0])
+
+    def again() -> None:
+        watch.again()
+        contracts()
+
+    contracts()
 
     def stop() -> None:
         shared.stopping = True
@@ -75,7 +93,7 @@
         loop.at(loop.now + 300_000, lambda _: loop.stop())
 
     loop.at(loop.now + SWEEP, sweep)
-    loop.start(signals.run(stop, watch.again), signals.fileno(), Rank.DISCOVERY)
+    loop.start(signals.run(stop, again), signals.fileno(), Rank.DISCOVERY)
     gc.collect()
     gc.freeze()
     note("headworks", node=settings.node, own=core.own[0], incarnation=core.own[1])
--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -9,7 +9,7 @@
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
@@ -23,8 +23,12 @@
 from oakvale.intake.times import micros
 from oakvale.lifecycle.daybook import Writer
 
+if TYPE_CHECKING:  # it is there only with contracts
+    from oakvale.headworks.drains import Drains as Hand
+
 JSON = (b"content-type", b"application/json")
 ID = re.compile(r"[!-~]{1,128}")
+NAME = re.compile(r"[0-9A-Za-z._-]{1,64}")  # of an order
 LOST_BEATS = 4  # without so many a backend counts as crashed
 MASS = 0.34  # where more than this share falls silent at once, it is rather the way to here that broke
 
@@ -88,6 +92,7 @@
         self._url = spelled(settings.bind["ctl"]) if "ctl" in settings.bind else ""
         self._seen: dict[str, int] = {}
         self._calls: dict[str, int] = {}
+        self.leaves: Callable[[str, str], dict[str, Any]] = lambda name, why: {}  # is written with a backend's leaving
         core.on_change.append(self._turned)
         loop.at(loop.now + self._beat, self._sweep)
 
@@ -119,6 +124,9 @@
         for other, value in self._core.ledger.table.items("backend/"):
             if other != name and value["addr"] == said["addr"]:
                 changes[f"backend/{other}"] = None  # its address has another's life now
+                changes |= self.leaves(other, "replaced")
+        if held is not None and held["state"] == "ready" != said["state"]:
+            changes |= self.leaves(name, "drain")
         note("backend", backend=name, svc=said["svc"], state=said["state"], addr=said["addr"])
         self._core.change(changes, lambda done: give(yes if done else UNSURE))
 
@@ -127,7 +135,7 @@
         if self._core.ledger.latest(f"backend/{name}") is None:
             return self._core.confirm(lambda done: give(Reply(200) if done else UNSURE))
         note("backend leaves", backend=name)
-        self._core.change({f"backend/{name}": None, f"left/{name}": 1},
+        self._core.change({f"backend/{name}": None, f"left/{name}": 1} | self.leaves(name, "left"),
                           lambda done: give(Reply(200) if done else UNSURE))
 
     def _turned(self, serves: bool) -> None:
@@ -154,7 +162,90 @@
         if silent and (len(quiet) <= MASS * len(listed) or len(silent) == len(quiet) < len(listed)
                        and now - min(self._seen[name] for name in silent) > 4 * LOST_BEATS * self._beat):
             note("backends are silent", "warning", backends=",".join(silent))
-            self._core.change({f"backend/{name}": None for name in silent}, lambda done: None)
+            changes: dict[str, Any] = {f"backend/{name}": None for name in silent}
+            for name in silent:
+                changes |= self.leaves(name, "silent")
+            self._core.change(changes, lambda done: None)
+
+
+class Drains:
+    """Drain orders: `Order`, `Plan` (an order that is not kept), `Show` and `Cancel`. Off without contracts."""
+
+    def __init__(self, core: Core, drains: Hand) -> None:
+        self._core, self._drains = core, drains
+
+    def order(self, name: str, body: bytes, give: Give) -> None:
+        """Taken if its plan has no obstacle; sent again unchanged, it is answered as before."""
+        self._judge(name, body, give, keep=True)
+
+    def plan(self, name: str, body: bytes, give: Give) -> None:
+        self._judge(name, body, give, keep=False)
+
+    def _judge(self, name: str, body: bytes, give: Give, keep: bool) -> None:
+        from oakvale.intake import contracts  # here, as what they import is needed with contracts alone
+        from oakvale.towpath import account, course
+
+        now = self._drains.now()
+        if keep and not NAME.fullmatch(name):
+            return give(problem(400, "no name of the order: letters, digits, dot, dash, up to 64"))
+        try:
+            form = contracts.read(contracts.Order, body)
+        except contracts.BadOrder as error:
+            return give(problem(400, str(error)))
+        if self._drains.contracts is None:
+            return give(problem(409, "the file of contracts can't be used: see the log"))
+        if now is None:
+            return give(problem(503, "the clocks of the core machines don't agree on the time yet"))
+        given = {"kind": form.kind, "target": form.target, "by": form.by, "why": form.why, "due": form.due_at()}
+        held = self._core.ledger.latest(f"drain/{name}") if keep else None
+        if held is not None:
+            if any(held[field] != value for field, value in given.items()):
+                return give(problem(409, "another order has this name"))
+            return self._core.confirm(lambda done: give(Reply(200) if done else UNSURE))
+        if keep and any(key.startswith("drain/") for key in self._core.ledger.waiting()):
+            return give(UNSURE)  # another order is being kept: this one's plan has to know it
+        facts = self._drains.facts(now)
+        plan = self._drains.plan(given | {"at": now}, now)
+        told = account.of_plan(plan)
+        if not keep:
+            return give(Reply(200, orjson.dumps(told)))
+        if plan.obstacles:
+            return give(Reply(409, orjson.dumps({"error": "; ".join(plan.obstacles), "plan": told})))
+        nodes = course.targets(facts, form.kind, form.target)
+        lives = {node: facts.gates[node]["life"] for kind, node in nodes if kind == "gateway"}
+        note("drain ordered", order=name, kind=form.kind, target=form.target, by=form.by)
+        entry = given | {"at": now, "nodes": [list(node) for node in nodes], "lives": lives, "state": "open",
+                         "why_state": "", "empty": 0, "over": 0}
+        self._core.change({f"drain/{name}": entry},
+                          lambda done: give(Reply(200, orjson.dumps(told)) if done else UNSURE))
+
+    def cancel(self, name: str, body: bytes, give: Give) -> None:
+        """What has moved comes back, each tenant in its hours."""
+        from oakvale.intake import contracts
+
+        try:
+            form = contracts.read(contracts.Cancelled, body)
+        except contracts.BadOrder as error:
+            return give(problem(400, str(error)))
+        held = self._core.ledger.latest(f"drain/{name}")
+        if held is None:
+            return give(problem(404, "no such order"))
+        if held["state"] in ("cancelled", "done"):
+            return self._core.confirm(lambda done: give(Reply(200) if done else UNSURE))
+        note("drain cancelled", order=name, by=form.by)
+        entry = held | {"state": "cancelled", "why_state": f"cancelled by {form.by}: {form.why}",
+                        "over": held["over"] or self._drains.now() or held["at"]}
+        self._core.change({f"drain/{name}": entry}, lambda done: give(Reply(200) if done else UNSURE))
+
+    def show(self, name: str, body: bytes, give: Give) -> None:
+        def confirmed(done: bool) -> None:
+            if not done:
+                give(UNSURE)
+            elif name and self._core.ledger.table.get(f"drain/{name}") is None:
+                give(problem(404, "no such order"))
+            else:
+                give(Reply(200, orjson.dumps(self._drains.told(name))))
+        self._core.confirm(confirmed)
 
 
 def primary_url(view: View | None, port: int) -> str | None:
--- a/oakvale/intake/check.py
+++ b/oakvale/intake/check.py
@@ -14,7 +14,8 @@
 
 def check(kind: str, path: str) -> list[str]:
     try:
-        return {"settings": of_settings, "deploy": of_deploy, "config": of_config}[kind](path)
+        return {"settings": of_settings, "deploy": of_deploy, "config": of_config,
+                "contracts": of_contracts}[kind](path)
     except (settings.BadSettings, deploy.BadDeploy) as error:
         raise Wrong(str(error)) from error
 
@@ -66,3 +67,16 @@
         "tenants: no key is asked for" if config.tenants is None
         else f"tenants: {len(config.tenants)} with {keys} keys, {limited} of them with a quota",
     ]
+
+
+def of_contracts(path: str) -> list[str]:
+    from oakvale.intake import contracts  # as above
+    from oakvale.towpath.hours import DAY
+
+    try:
+        found = contracts.load(path)
+    except contracts.BadContracts as error:
+        raise Wrong(str(error)) from error
+    return [f"{name}: {contract.zone}, {sum(map(len, contract.week))} spans a week, {len(contract.dates)} exceptions, "
+            f"notice {contract.notice / DAY:g} days" for name, contract in sorted(found.items())] or [
+                "no contracts"]
--- /dev/null
+++ b/oakvale/intake/contracts.py
@@ -0,0 +1,169 @@
+"""The operators' file of contracts (TOML), read and checked by `pydantic`: whose traffic a drain may move when.
+
+A file that cannot be used raises `BadContracts` with file, tenant and field. An unknown field is refused, as a
+misspelt one would be passed over without a word.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from datetime import UTC, date, datetime
+from pathlib import Path
+from typing import Annotated, Any, Literal, TypeVar
+from zoneinfo import ZoneInfoNotFoundError
+
+from pydantic import AwareDatetime, BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
+
+from oakvale.towpath import hours
+
+DAYS = ("mon", "tue", "wed", "thu", "fri", "sat", "sun")
+TIME = re.compile(r"([01][0-9]|2[0-3]):([0-5][0-9])|24:00")
+LONG = re.compile(r"([0-9]{1,5})([dhm])")
+UNITS = {"d": hours.DAY, "h": hours.DAY // 24, "m": hours.DAY // 1440}
+
+
+class BadContracts(Exception):
+    """One line: the file, the tenant, the field, what is wrong with it."""
+
+
+def minute(text: object) -> int:
+    found = TIME.fullmatch(text) if isinstance(text, str) else None
+    if found is None:
+        raise ValueError(f"not a time of day such as 06:30 or 24:00: {text!r}")
+    return hours.MINUTES if found[1] is None else int(found[1]) * 60 + int(found[2])
+
+
+def long(text: object) -> int:
+    found = LONG.fullmatch(text) if isinstance(text, str) else None
+    if found is None:
+        raise ValueError(f"not a span such as 14d, 36h or 90m: {text!r}")
+    return int(found[1]) * UNITS[found[2]]
+
+
+T = TypeVar("T", bound=BaseModel)
+Minute = Annotated[int, BeforeValidator(minute)]
+
+
+class Part(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True, populate_by_name=True)
+
+
+class Hours(Part):
+    begin: Annotated[Minute, Field(alias="from")]
+    end: Annotated[Minute, Field(alias="to")]
+
+    def span(self) -> hours.Span:
+        if self.begin == self.end:
+            raise ValueError("from and to are the same; a whole day is 00:00 to 24:00")
+        if self.begin == hours.MINUTES:
+            raise ValueError("from is the end of a day")
+        return hours.Span(self.begin, self.end)
+
+
+class Weekly(Hours):
+    days: Annotated[list[Literal["mon", "tue", "wed", "thu", "fri", "sat", "sun"]], Field(min_length=1)]
+
+
+class Exceptional(Part):
+    on: Annotated[date, Field(alias="date")]
+    hours: list[Hours] = []
+
+
+class Contract(Part):
+    tenant: Annotated[str, Field(min_length=1)]
+    zone: str
+    notice: Annotated[int, BeforeValidator(long)] = 31 * hours.DAY
+    hours: list[Weekly]
+    exceptions: list[Exceptional] = []
+
+
+class File(Part):
+    contract: list[Contract] = []
+
+
+def load(path: str) -> dict[str, hours.Contract]:
+    """By tenant; `*` is the contract of all that have none of their own."""
+    try:
+        data = tomllib.loads(Path(path).read_text())
+    except OSError as error:
+        raise BadContracts(f"{path}: cannot be read: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise BadContracts(f"{path}: not TOML: {error}") from error
+    try:
+        return decode(data)
+    except BadContracts as error:
+        raise BadContracts(f"{path}: {error}") from error
+
+
+def decode(data: dict[str, Any]) -> dict[str, hours.Contract]:
+    try:
+        found = File.model_validate(data)
+    except ValidationError as error:
+        first = error.errors()[0]
+        place = list(first["loc"])
+        if place[:1] == ["contract"] and len(place) > 1:
+            row = data["contract"][place[1]]
+            place[:2] = [f"contract of {row.get('tenant') or f'number {int(place[1]) + 1}'}"
+                         if isinstance(row, dict) else "contract"]
+        field = ".".join(map(str, place[1:]))
+        raise BadContracts(": ".join([str(place[0]), *([field] if field else []), first["msg"]])) from error
+    contracts: dict[str, hours.Contract] = {}
+    for contract in found.contract:
+        where = f"contract of {contract.tenant}"
+        if contract.tenant in contracts:
+            raise BadContracts(f"{where}: tenant: there are two")
+        try:
+            hours.zone_of(contract.zone)
+        except (ZoneInfoNotFoundError, ValueError, OSError) as error:
+            raise BadContracts(f"{where}: zone: no such time zone: {contract.zone!r}") from error
+        week: list[list[hours.Span]] = [[] for _ in DAYS]
+        for at, weekly in enumerate(contract.hours):
+            for day in weekly.days:
+                week[DAYS.index(day)].append(_span(where, f"hours.{at}", weekly))
+        dates: dict[date, tuple[hours.Span, ...]] = {}
+        for at, exception in enumerate(contract.exceptions):
+            if exception.on in dates:
+                raise BadContracts(f"{where}: exceptions.{at}.date: {exception.on} is there twice")
+            dates[exception.on] = tuple(_span(where, f"exceptions.{at}.hours", found) for found in exception.hours)
+        contracts[contract.tenant] = hours.Contract(contract.tenant, contract.zone, tuple(map(tuple, week)), dates,
+                                                    contract.notice)
+    return contracts
+
+
+def _span(where: str, field: str, found: Hours) -> hours.Span:
+    try:
+        return found.span()
+    except ValueError as error:
+        raise BadContracts(f"{where}: {field}: {error}") from error
+
+
+class Order(Part):
+    """What an operator sends for a drain. A time without its zone would be read two ways, so it is refused."""
+
+    kind: Literal["gateway", "backend", "zone"]
+    target: Annotated[str, Field(min_length=1)]
+    by: Annotated[str, Field(min_length=1)]
+    why: Annotated[str, Field(min_length=1)]
+    due: AwareDatetime
+
+    def due_at(self) -> int:
+        return round((self.due - datetime(1970, 1, 1, tzinfo=UTC)).total_seconds() * hours.SECOND)
+
+
+class Cancelled(Part):
+    by: Annotated[str, Field(min_length=1)]
+    why: Annotated[str, Field(min_length=1)]
+
+
+class BadOrder(Exception):
+    """One line: the field and what is wrong with it."""
+
+
+def read(form: type[T], body: bytes) -> T:
+    """Raises BadOrder."""
+    try:
+        return form.model_validate_json(body)
+    except ValidationError as error:
+        first = error.errors()[0]
+        raise BadOrder(f"{'.'.join(map(str, first['loc'])) or 'body'}: {first['msg']}") from error
--- a/oakvale/intake/settings.py
+++ b/oakvale/intake/settings.py
@@ -14,6 +14,7 @@
 from oakvale.base.address import Address, parse_address
 from oakvale.intake.times import micros
 
+CONTRACTS = "deploy/contracts.toml"  # from where the process was started: the repository's root
 DEFAULT_PATH = "/etc/oakvale/settings.toml"
 MS = 1_000
 
@@ -70,6 +71,7 @@
     tolerate_zones: int
     clauses: frozenset[str]
     bounds: Bounds = field(default_factory=Bounds)
+    contracts: str = CONTRACTS  # the operators' file of contracts; where there is none, no drain is taken
 
 
 def load(environment: Mapping[str, str]) -> Settings:
@@ -162,4 +164,5 @@
         cpu=float(limits.get("cpu", (int, float), 1.0)), memory_mb=limits.get("mem-mb", int, 192),
         nofile=limits.get("nofile", int, 1024), disk_mb=limits.get("disk-mb", int, 0),
         tolerate=tolerance.get("nodes", int, 0), tolerate_zones=tolerance.get("azs", int, 0),
-        clauses=frozenset(terms.texts("clauses")), bounds=Bounds(**figures))
+        clauses=frozenset(terms.texts("clauses")), bounds=Bounds(**figures),
+        contracts=whole.table("contracts").get("file", str, CONTRACTS))
--- a/oakvale/lane.py
+++ b/oakvale/lane.py
@@ -171,7 +171,7 @@
             return self.attempt_ended(attempt, i.Ending.MOOT)
         connection = self.idle.take(action.backend, now)
         if connection is not None:
-            return connection.use(attempt)
+            return connection.use(attempt, self)
         address = self.address(action.backend)
         if address is None or not self._room_for_backend():
             return self.attempt_ended(attempt, i.Ending.NO_CONNECTION)
--- a/oakvale/lifecycle/shutdown.py
+++ b/oakvale/lifecycle/shutdown.py
@@ -27,11 +27,12 @@
 class Shutdown:
     def __init__(self, server: Stoppable) -> None:
         self.server, self.host, self.loop = server, server.host, server.loop
-        self._began = 0
+        self._began, self._begun = 0, False
 
     def begin(self) -> None:
-        if self.host.stopping:
+        if self._begun:
             return
+        self._begun = True
         limits, now = self.host.limits, self.loop.now
         self.host.stopping = True  # answers say from now on that the connection ends
         self._began = now
--- a/oakvale/memory/requests.py
+++ b/oakvale/memory/requests.py
@@ -61,8 +61,8 @@
     def lasts(self) -> int:
         """Microseconds for which it may stay idle and be used again."""
 
-    def use(self, attempt: AttemptOut) -> None:
-        """Gives an idle connection its next request."""
+    def use(self, attempt: AttemptOut, host: Any) -> None:
+        """Gives an idle connection its next request, which this lane hears the end of."""
 
     def whole(self) -> bool:
         """Neither ended nor holding stray bytes."""
@@ -78,6 +78,9 @@
     def __len__(self) -> int:
         return len(self._by_id)
 
+    def all(self) -> list[InHand]:
+        return list(self._by_id.values())
+
     def get(self, rid: str) -> InHand | None:
         return self._by_id.get(rid)
 
--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -25,6 +25,7 @@
 from oakvale.penstock.tree import Member, sources, watched, watchers
 from oakvale.sluice.plant import Plant
 from oakvale.sluice.routes import backends, configured, members
+from oakvale.sluice.tow import Tow
 from oakvale.wire.clients import Incoming, plain
 
 CORE = 24  # core machines' addresses that are remembered
@@ -85,6 +86,9 @@
                            Retries(given.retry_win, given.retry_ratio, given.retry_slack))
         self.feed = Feed(self.loop, self.mains, self.table, lambda: {"node": settings.node, "life": self.life},
                          self._sources, self._changed)
+        self.tow = Tow(self.loop, self.mains, self.plant, settings.node, self.life,
+                       lambda: parse_address(self._core[0]) if self._core else None)
+        self._born = True  # no news have come yet
         self._watchers: list[Member] = []  # this gateway's, and those that it watches itself
         self._watched: list[Member] = []
         self._heard: dict[str, int] = {}  # node and life -> its last heartbeat here
@@ -201,6 +205,11 @@
         moved = any(key.startswith("gate/") for key in keys)
         if moved:
             picture = replace(picture, members=members(self.table))
+        if any(key.startswith("move/") for key in keys):
+            avoid = self.tow.take(self.table.items("move/"), self._born)
+            if avoid != picture.avoid:
+                picture = replace(picture, avoid=avoid)
+        self._born = False
         self.plant.show(picture)
         if "core" in keys:
             held = self.table.get("core") or {}
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -20,6 +20,7 @@
 from oakvale.memory.tally import Tally
 from oakvale.sluice.dialect import SystemDialect
 from oakvale.sluice.routes import Backend, Picture, Route
+from oakvale.towpath.moves import kept
 from oakvale.wire.clients import BadRequest, Incoming, plain
 
 ATTEMPT_ID = re.compile(rb"[!-~]{1,128}")
@@ -60,15 +61,16 @@
     """One service: its backends, and the decisions on them."""
 
     def __init__(self, shared: Shared, boards: Boards, service: str, zones: dict[str, int], zone: str,
-                 seed: int, budget: SharedBudget) -> None:
-        self.boards = boards
+                 seed: int, budget: SharedBudget, without: frozenset[str] = frozenset()) -> None:
+        """`without`: backends that the tenants of this lane were moved off."""
+        self.boards, self.without, self.retired = boards, without, False
         self._classes: dict[str, tuple[int, i.RequestClass]] = {}
         self._zones, self.service = zones, service
         settings = i.Settings(classes=(), plans=(i.Plan(),), zone=zones.get(zone, 0), retry_after=True,
                               max_attempts=MOST_TRIES, max_retry_after=SECOND, may_cancel=True,
                               cross_zone_price=1.0, cold_from=1.0, late_earns=True)
         super().__init__(shared, settings, seed, budget)
-        self._budget = budget
+        self.budget = budget
         self.dialect = SystemDialect()
         self._ids: dict[int, str] = {}
         self._numbers: dict[str, int] = {}
@@ -92,10 +94,13 @@
         return known[0]
 
     def request_came(self, request: InHand, event: i.Request) -> None:
-        self._budget.came(self.loop.now)
+        self.budget.came(self.loop.now)
         super().request_came(request, event)
 
     def learn(self, backends: list[Backend], numbers: dict[str, int]) -> None:
+        if self.without:
+            off = kept({b.id: b.ready for b in backends}, self.without)
+            backends = [b for b in backends if b.id not in off]
         known = {b.id: b for b in backends}
         if known == self._known and self.listed:
             return
@@ -116,7 +121,7 @@
         self.give(i.Backends(i.ListForm.FULL, tuple(entries)))
         for name, backend in was.items():
             now = known.get(name)
-            if now is None or not now.ready or now.address != backend.address:
+            if name not in self.without and (now is None or not now.ready or now.address != backend.address):
                 self.idle.free(self._numbers[name])
 
     def number(self, backend: str) -> int:
@@ -136,6 +141,10 @@
                 self.boards.teach(self.service, name, order.route.name, latency, outcome)
         super().attempt_ended(attempt, ending, answer, report)
 
+    def _wake(self, action: i.Wake) -> None:
+        if not self.retired or any(request.event.lane is self for request in self.requests.all()):
+            super()._wake(action)
+
     def offers(self) -> list[Offer]:
         return self._offers
 
@@ -172,6 +181,8 @@
         self.picture = Picture()
         self._zones, self._zone = {name: n for n, name in enumerate(zones)}, zone
         self._lanes: dict[str, ServiceLane] = {}
+        self._aside: dict[tuple[str, frozenset[str]], ServiceLane] = {}  # of tenants that were moved off backends
+        self.leaving = False  # this gateway is drained: its clients are to come back elsewhere
         self._numbers: dict[str, int] = {}
         self._rng, self._retries = random.Random(), retries
         self.taking_ended = False
@@ -183,7 +194,8 @@
 
     @property
     def stopping(self) -> bool:
-        return self.shared.stopping
+        """Answers say that their connection ends, and `readyz` sends nobody here."""
+        return self.shared.stopping or self.leaving
 
     @stopping.setter
     def stopping(self, stops: bool) -> None:
@@ -217,6 +229,12 @@
                 by_service.setdefault(backend.service, []).append(backend)
             for service in {*self._lanes, *by_service}:
                 self._lane(service).learn(by_service.get(service, []), self._numbers)
+            for (service, _), lane in self._aside.items():
+                lane.learn(by_service.get(service, []), self._numbers)
+        if picture.avoid is not was.avoid:
+            held = {off for off in picture.avoid.values()}
+            for key in [key for key in self._aside if not any(key[1] <= off for off in held)]:
+                self._aside.pop(key).retired = True
 
     def _lane(self, service: str) -> ServiceLane:
         lane = self._lanes.get(service)
@@ -226,6 +244,21 @@
                                                       self._rng.getrandbits(32), budget)
         return lane
 
+    def _lane_of(self, service: str, tenant: str | None) -> ServiceLane:
+        """The lane of a tenant that was moved off some backends, if the service has any of them."""
+        lane = self._lane(service)
+        without = frozenset(name for name in self.picture.avoid.get(tenant or "", ())
+                            if (found := self.picture.backends.get(name)) is not None and found.service == service)
+        if not without:
+            return lane
+        aside = self._aside.get((service, without))
+        if aside is None:
+            aside = self._aside[service, without] = ServiceLane(
+                self.shared, self.boards, service, self._zones, self._zone, self._rng.getrandbits(32), lane.budget,
+                without)
+            aside.learn([b for b in self.picture.backends.values() if b.service == service], self._numbers)
+        return aside
+
     # ---- requests
 
     def open(self, client: Any, incoming: Incoming, came: int) -> Answer | InHand:
@@ -256,7 +289,8 @@
             return later(503, SECOND // 2, b"no room\n")
         left = fields.get(b"time-left", b"")
         wait = min(route.deadline, int(left) * MS if DIGITS.fullmatch(left) else route.deadline)
-        lane = self._lane(route.service(self._rng.random()))
+        service = route.service(self._rng.random())
+        lane = self._lane_of(service, tenant) if picture.avoid else self._lane(service)
         event = i.Request(name, "", lane.class_of(route), 0, 1.0, 1, 0, came + wait)
         order = Order(lane, route, tenant, event, again=self._comes_again(route, wait))
         return InHand(name, client, incoming.method, incoming.target, incoming.headers, incoming.body,
@@ -288,7 +322,8 @@
 
     def _go(self, request: InHand) -> None:
         order: Order = request.event
-        self.boards.ask(order.lane.service, request.deadline - self.loop.now, partial(self._advised, request))
+        self.boards.ask(order.lane.service, request.deadline - self.loop.now, partial(self._advised, request),
+                        order.lane.without)
 
     def _advised(self, request: InHand, pick: Pick | None) -> None:
         order: Order = request.event
--- a/oakvale/sluice/routes.py
+++ b/oakvale/sluice/routes.py
@@ -67,6 +67,7 @@
     tenants: Mapping[str, Tenant] = field(default_factory=dict)
     backends: Mapping[str, Backend] = field(default_factory=dict)
     members: Mapping[str, Member] = field(default_factory=dict)
+    avoid: Mapping[str, frozenset[str]] = field(default_factory=dict)  # tenant -> backends that it was moved off
 
     def match(self, host: str, path: str) -> Route | None:
         for route in self.routes.get(host, ()):
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -163,8 +163,9 @@
         host.backend_connections += 1
         self._task = host.loop.start(self._run(attempt, address), self._sock.fileno(), Rank.BACKEND)
 
-    def use(self, attempt: AttemptOut) -> None:
-        """Gives an idle connection its next request."""
+    def use(self, attempt: AttemptOut, host: Owner) -> None:
+        """Gives an idle connection its next request; two lanes of a service share them."""
+        self.host = host
         self.attempt, attempt.connection = attempt, self
         self.host.loop.wake(self._task)
 
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -19,7 +19,7 @@
     ("wire",),
     ("lane",),
     ("host",),
-    ("lifecycle", "adapter"),
+    ("lifecycle", "adapter", "towpath"),
     ("intake",),  # from here on, the whole system
     ("mains", "cistern"),
     ("penstock",),
