--- a/oakvale/headworks/drains.py
+++ b/oakvale/headworks/drains.py
@@ -19,7 +19,7 @@
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.towpath import account
 from oakvale.towpath.clocks import Agreement
-from oakvale.towpath.course import KEPT, PUBLIC, Course, Facts, Hours, Plan, outside, plan
+from oakvale.towpath.course import KEPT, PUBLIC, Course, Facts, Hours, Plan, outside, plan, targets
 from oakvale.towpath.hours import Contract
 
 STEP = 500_000  # microseconds between two steps
@@ -35,12 +35,14 @@
                  wall: Callable[[], int] = lambda: time.time_ns() // 1000) -> None:
         """`pace`: between two moves, and what one takes to be in effect everywhere (the bound `apply`)."""
         self._core, self._loop, self._mains, self._path, self._wall = core, loop, mains, path, wall
-        self.contracts: dict[str, Contract] | None = None
+        self.contracts: contracts.Contracts | None = None
+        self._serves_since: int | None = None
         self.hours = Hours(pace)
         self.course = Course(self.hours)
         self.clock = Agreement()
         self._writing = False
         self._config: tuple[int, tuple[str, ...]] = (-1, ())
+        self._refused: dict[str, list[str]] = {}
         self._stamp: tuple[int, int] | None = None
         mains.handlers["clock"] = self._clock
         mains.handlers["towed"] = self._towed
@@ -59,7 +61,8 @@
             self.contracts = contracts.load(self._path)
         except contracts.BadContracts as error:
             return note("contracts refused", "error", why=str(error))
-        note("contracts", file=self._path, tenants=",".join(sorted(self.contracts)))
+        note("contracts", file=self._path, tenants=",".join(sorted(self.contracts.by_tenant)),
+             orders=",".join(order.name for order in self.contracts.orders))
 
     def _stamped(self) -> tuple[int, int] | None:
         try:
@@ -102,31 +105,64 @@
             at = tenants["cols"].index("name") if "name" in tenants["cols"] else 0
             self._config = (held["gen"], tuple(sorted(str(row[at]) for row in tenants["rows"])))
         return Facts(now, dict(table.items("drain/")), dict(table.items("move/")), dict(table.items("backend/")),
-                     dict(table.items("gate/")), (PUBLIC, *self._config[1]), self.contracts or {})
+                     dict(table.items("gate/")), (PUBLIC, *self._config[1]), self._by_tenant())
+
+    def _by_tenant(self) -> dict[str, Contract]:
+        return self.contracts.by_tenant if self.contracts is not None else {}
 
     def plan(self, order: dict[str, Any], now: int) -> Plan:
-        self.hours.use(self.contracts or {})
+        self.hours.use(self._by_tenant())
         return plan(self.facts(now), self.hours, order)
 
     def _turned(self, serves: bool) -> None:
-        self._writing = False
+        self._writing, self._serves_since = False, self._loop.now if serves else None
         self.course = Course(self.hours)
 
+    def entry(self, given: dict[str, Any], now: int) -> tuple[dict[str, Any], Plan]:
+        """An order as it is kept, if its plan has no obstacle."""
+        plan, facts = self.plan(given | {"at": now}, now), self.facts(now)
+        nodes = targets(facts, given["kind"], given["target"])
+        lives = {node: facts.gates[node]["life"] for kind, node in nodes if node in facts.gates}
+        return given | {"at": now, "nodes": [list(node) for node in nodes], "lives": lives, "state": "open",
+                        "why_state": "", "empty": 0, "over": 0}, plan
+
+    def _written_ahead(self, now: int) -> dict[str, Any]:
+        """The first order of the file that is due to be given and has not been."""
+        since = self._loop.now if self._serves_since is None else self._serves_since
+        for order in self.contracts.orders if self.contracts is not None else ():
+            if self._loop.now - since < order.after or self._core.ledger.latest(f"drain/{order.name}") is not None:
+                continue
+            entry, plan = self.entry({"kind": order.kind, "target": order.target, "by": order.by, "why": order.why,
+                                      "due": now + order.within}, now)
+            if not plan.obstacles:
+                return {f"drain/{order.name}": entry}
+            if self._refused.get(order.name) != plan.obstacles:
+                self._refused[order.name] = plan.obstacles
+                note("order of the file waits", "warning", order=order.name, why="; ".join(plan.obstacles)[:300])
+        return {}
+
     def _step(self, _: Any) -> None:
         self._loop.at(self._loop.now + STEP, self._step)
         now, table = self.now(), self._core.ledger.table
         if not self._core.serving() or self._writing or now is None or self.contracts is None:
             return
+        if self.contracts.orders and (given := self._written_ahead(now)):
+            self._writing = True
+            note("drain ordered", order=next(iter(given)), by="the file of contracts")
+            return self._core.change(given, self._written)
         orders, records = table.items("drain/"), table.items("outside/")
         calm = len(orders) <= KEPT and all(order["state"] == "done" for _, order in orders)
         changes = {} if calm else self.course.step(self.facts(now))
+        for order in self.contracts.orders:  # it would be given again
+            if changes.get(f"drain/{order.name}", order) is None:
+                changes = {key: value for key, value in changes.items() if value is not None}
         if len(records) > MOST_OUTSIDE:
             oldest = sorted(records, key=lambda item: item[1]["at"])[:-MOST_OUTSIDE]
             changes |= {f"outside/{name}": None for name, _ in oldest}
         if changes:
             self._writing = True
             for key, value in changes.items():
-                if value is not None:
+                if value is not None and value["state"] != (table.get(key) or {}).get("state"):
                     note("drain", key=key, state=value["state"], why=value.get("why_state", ""))
             self._core.change(changes, self._written)
 
--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -183,7 +183,7 @@
 
     def _judge(self, name: str, body: bytes, give: Give, keep: bool) -> None:
         from oakvale.intake import contracts  # here, as what they import is needed with contracts alone
-        from oakvale.towpath import account, course
+        from oakvale.towpath import account
 
         now = self._drains.now()
         if keep and not NAME.fullmatch(name):
@@ -204,18 +204,13 @@
             return self._core.confirm(lambda done: give(Reply(200) if done else UNSURE))
         if keep and any(key.startswith("drain/") for key in self._core.ledger.waiting()):
             return give(UNSURE)  # another order is being kept: this one's plan has to know it
-        facts = self._drains.facts(now)
-        plan = self._drains.plan(given | {"at": now}, now)
+        entry, plan = self._drains.entry(given, now)
         told = account.of_plan(plan)
         if not keep:
             return give(Reply(200, orjson.dumps(told)))
         if plan.obstacles:
             return give(Reply(409, orjson.dumps({"error": "; ".join(plan.obstacles), "plan": told})))
-        nodes = course.targets(facts, form.kind, form.target)
-        lives = {node: facts.gates[node]["life"] for kind, node in nodes if kind == "gateway"}
         note("drain ordered", order=name, kind=form.kind, target=form.target, by=form.by)
-        entry = given | {"at": now, "nodes": [list(node) for node in nodes], "lives": lives, "state": "open",
-                         "why_state": "", "empty": 0, "over": 0}
         self._core.change({f"drain/{name}": entry},
                           lambda done: give(Reply(200, orjson.dumps(told)) if done else UNSURE))
 
--- a/oakvale/intake/check.py
+++ b/oakvale/intake/check.py
@@ -77,6 +77,7 @@
         found = contracts.load(path)
     except contracts.BadContracts as error:
         raise Wrong(str(error)) from error
-    return [f"{name}: {contract.zone}, {sum(map(len, contract.week))} spans a week, {len(contract.dates)} exceptions, "
-            f"notice {contract.notice / DAY:g} days" for name, contract in sorted(found.items())] or [
-                "no contracts"]
+    spans = [f"{name}: {contract.zone}, {sum(map(len, contract.week))} spans a week, {len(contract.dates)} exceptions, "
+             f"notice {contract.notice / DAY:g} days" for name, contract in sorted(found.by_tenant.items())]
+    orders = [f"order {order.name}: {order.kind} {order.target}, by {order.by}: {order.why}" for order in found.orders]
+    return spans + orders or ["no contracts"]
--- a/oakvale/intake/contracts.py
+++ b/oakvale/intake/contracts.py
@@ -8,6 +8,7 @@
 
 import re
 import tomllib
+from dataclasses import dataclass
 from datetime import UTC, date, datetime
 from pathlib import Path
 from typing import Annotated, Any, Literal, TypeVar
@@ -19,8 +20,8 @@
 
 DAYS = ("mon", "tue", "wed", "thu", "fri", "sat", "sun")
 TIME = re.compile(r"([01][0-9]|2[0-3]):([0-5][0-9])|24:00")
-LONG = re.compile(r"([0-9]{1,5})([dhm])")
-UNITS = {"d": hours.DAY, "h": hours.DAY // 24, "m": hours.DAY // 1440}
+LONG = re.compile(r"([0-9]{1,5})([dhms])")
+UNITS = {"d": hours.DAY, "h": hours.DAY // 24, "m": hours.DAY // 1440, "s": hours.SECOND}
 
 
 class BadContracts(Exception):
@@ -78,12 +79,31 @@
     exceptions: list[Exceptional] = []
 
 
+class Written(Part):
+    """An order that stands in the file: given once, by the primary, so long after it first served with the file."""
+
+    name: Annotated[str, Field(pattern=r"^[0-9A-Za-z._-]{1,64}$")]
+    kind: Literal["gateway", "backend", "zone"]
+    target: Annotated[str, Field(min_length=1)]
+    by: Annotated[str, Field(min_length=1)]
+    why: Annotated[str, Field(min_length=1)]
+    after: Annotated[int, BeforeValidator(long)] = 0
+    within: Annotated[int, BeforeValidator(long)]  # from when it is given
+
+
 class File(Part):
     contract: list[Contract] = []
+    order: list[Written] = []
+
+
+@dataclass(slots=True, frozen=True)
+class Contracts:
+    by_tenant: dict[str, hours.Contract]  # `*`: of all that have none of their own
+    orders: tuple[Written, ...] = ()
 
 
-def load(path: str) -> dict[str, hours.Contract]:
-    """By tenant; `*` is the contract of all that have none of their own."""
+def load(path: str) -> Contracts:
+    """Raises BadContracts."""
     try:
         data = tomllib.loads(Path(path).read_text())
     except OSError as error:
@@ -96,16 +116,17 @@
         raise BadContracts(f"{path}: {error}") from error
 
 
-def decode(data: dict[str, Any]) -> dict[str, hours.Contract]:
+def decode(data: dict[str, Any]) -> Contracts:
     try:
         found = File.model_validate(data)
     except ValidationError as error:
         first = error.errors()[0]
         place = list(first["loc"])
-        if place[:1] == ["contract"] and len(place) > 1:
-            row = data["contract"][place[1]]
-            place[:2] = [f"contract of {row.get('tenant') or f'number {int(place[1]) + 1}'}"
-                         if isinstance(row, dict) else "contract"]
+        if place[0] in ("contract", "order") and len(place) > 1:
+            what, at = str(place[0]), int(place[1])
+            row = data[what][at]
+            named = (row.get("tenant") or row.get("name")) if isinstance(row, dict) else None
+            place[:2] = [f"{'contract of' if what == 'contract' else 'order'} {named or f'number {at + 1}'}"]
         field = ".".join(map(str, place[1:]))
         raise BadContracts(": ".join([str(place[0]), *([field] if field else []), first["msg"]])) from error
     contracts: dict[str, hours.Contract] = {}
@@ -128,7 +149,10 @@
             dates[exception.on] = tuple(_span(where, f"exceptions.{at}.hours", found) for found in exception.hours)
         contracts[contract.tenant] = hours.Contract(contract.tenant, contract.zone, tuple(map(tuple, week)), dates,
                                                     contract.notice)
-    return contracts
+    names = [order.name for order in found.order]
+    if twice := [name for name in names if names.count(name) > 1]:
+        raise BadContracts(f"order {twice[0]}: name: there are two")
+    return Contracts(contracts, tuple(found.order))
 
 
 def _span(where: str, field: str, found: Hours) -> hours.Span:
--- a/oakvale/towpath/course.py
+++ b/oakvale/towpath/course.py
@@ -255,7 +255,8 @@
     def hear(self, key: str, node: str, life: str, away: bool, began: int, left: int, ends: dict[str, int]) -> None:
         """A gateway's word on a move: whether it keeps off the node, how many requests of the tenant it had there
         then, how many of its requests may still be there, how the others ended."""
-        self.told.setdefault(key, {})[life] = [node, away, began, left, ends]
+        # in the record, left is whether there is any: each other count would be another entry
+        self.told.setdefault(key, {})[life] = [node, away, began, min(left, 1), ends]
 
     def step(self, facts: Facts) -> dict[str, Any]:
         """The entries to write now; the next step is made once they are in force."""
@@ -299,7 +300,7 @@
         out = move["way"] == "out"
         done = True
         for life, said in gates.items():
-            node, away, _, left, ends = said
+            node, away, began, left, ends = said
             listed = facts.gates.get(node)
             if listed is not None and listed["life"] == life:
                 done = done and (away and not left if out else not away)
@@ -307,7 +308,8 @@
                 continue
             elif listed is not None or facts.now - self._off.get(life, facts.now) >= FORGOTTEN:
                 # another life has its place, or nobody has for long: what it had there is over
-                said[3], said[4] = 0, ends | ({"unknown": ends.get("unknown", 0) + left} if left else {})
+                lost = max(0, began - sum(ends.values()))
+                said[3], said[4] = 0, ends | ({"unknown": lost} if lost else {})
                 if listed is None:
                     unheard.add(node)
                 said[1] = out
