--- a/oakvale/headworks/drains.py
+++ b/oakvale/headworks/drains.py
@@ -124,7 +124,7 @@
         nodes = targets(facts, given["kind"], given["target"])
         lives = {node: facts.gates[node]["life"] for kind, node in nodes if node in facts.gates}
         return given | {"at": now, "nodes": [list(node) for node in nodes], "lives": lives, "state": "open",
-                        "why_state": "", "empty": 0, "over": 0}, plan
+                        "why_state": "", "cancelled": False, "empty": 0, "over": 0}, plan
 
     def _written_ahead(self, now: int) -> dict[str, Any]:
         """The first order of the file that is due to be given and has not been."""
@@ -151,7 +151,9 @@
             note("drain ordered", order=next(iter(given)), by="the file of contracts")
             return self._core.change(given, self._written)
         orders, records = table.items("drain/"), table.items("outside/")
-        calm = len(orders) <= KEPT and all(order["state"] == "done" for _, order in orders)
+        calm = len(orders) <= KEPT and not any(
+            order["state"] != "done" or table.get(f"{'gate' if kind == 'gateway' else kind}/{node}") is not None
+            for _, order in orders for kind, node in order["nodes"])
         changes = {} if calm else self.course.step(self.facts(now))
         for order in self.contracts.orders:  # it would be given again
             if changes.get(f"drain/{order.name}", order) is None:
--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -225,10 +225,10 @@
         held = self._core.ledger.latest(f"drain/{name}")
         if held is None:
             return give(problem(404, "no such order"))
-        if held["state"] in ("cancelled", "done"):
+        if held["cancelled"] or held["state"] == "done":
             return self._core.confirm(lambda done: give(Reply(200) if done else UNSURE))
         note("drain cancelled", order=name, by=form.by)
-        entry = held | {"state": "cancelled", "why_state": f"cancelled by {form.by}: {form.why}",
+        entry = held | {"state": "cancelled", "cancelled": True, "why_state": f"cancelled by {form.by}: {form.why}",
                         "over": held["over"] or self._drains.now() or held["at"]}
         self._core.change({f"drain/{name}": entry}, lambda done: give(Reply(200) if done else UNSURE))
 
--- a/oakvale/sluice/tow.py
+++ b/oakvale/sluice/tow.py
@@ -17,7 +17,7 @@
 from oakvale.mains.links import Mains
 from oakvale.memory.requests import Answer, InHand
 from oakvale.sluice.plant import Order, Plant
-from oakvale.towpath.moves import Moves
+from oakvale.towpath.moves import Avoid, Moves
 
 LOOK = 100_000  # microseconds between two looks at what is in flight
 TELL = 5  # looks between two words to the primary
@@ -72,7 +72,7 @@
         self._looking = False
         self._looks = 0
 
-    def take(self, entries: list[tuple[str, dict[str, Any]]], born: bool) -> dict[str, frozenset[str]]:
+    def take(self, entries: list[tuple[str, dict[str, Any]]], born: bool) -> Avoid:
         """The moves as they are now; gives who avoids what. Called before the picture with it is shown, so that
         what is in hand now is all that may still go to the node."""
         moves = dict(entries)
@@ -85,11 +85,11 @@
             self._look_at(key, move)
         for key in [key for key in self._watches if key not in self._moves.away]:
             del self._watches[key]
-        self._plant.leaving = self._moves.leaving()
+        self._plant.leaving = self._moves.leaving
         if self._moves.owed() and not self._looking:
             self._looking, self._looks = True, 0
             self._loop.at(self._loop.now, self._look)
-        return self._moves.avoid()
+        return self._moves.avoid
 
     def _concerned(self, request: InHand, move: dict[str, Any]) -> bool:
         order: Order = request.event
--- a/oakvale/towpath/course.py
+++ b/oakvale/towpath/course.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import lru_cache
 from typing import Any
 from urllib.parse import quote
 
@@ -67,6 +68,15 @@
     obstacles: list[str]
 
 
+@dataclass(slots=True)
+class Known:
+    """Windows of a unit, one after the other, from an instant on."""
+
+    since: int
+    upto: int  # until when there is no further one
+    windows: list[Window]
+
+
 class Hours:
     """Calendars of the contracts in force, kept as long as these stay the same."""
 
@@ -74,10 +84,11 @@
         self.pace = pace  # between two moves, and what a backend's move takes to be in effect everywhere
         self._of: Mapping[str, Contract] = {}
         self._calendars: dict[str, Calendar] = {}
+        self._known: dict[Unit, Known] = {}
 
     def use(self, contracts: Mapping[str, Contract]) -> None:
         if contracts != self._of:
-            self._of, self._calendars = contracts, {}
+            self._of, self._calendars, self._known = contracts, {}, {}
 
     def contract(self, tenant: str) -> Contract | None:
         """Requests without a key are nobody's: no contract is theirs."""
@@ -93,6 +104,18 @@
 
     def next(self, unit: Unit, now: int) -> Window | None:
         """The first window in which the unit may move; `closes` is the last moment at which a move may begin."""
+        known = self._known.get(unit)
+        if known is None or now < known.since:
+            known = self._known[unit] = Known(now, now, [])
+        while known.upto <= now and (not known.windows or known.windows[-1].closes < now):
+            found = self._ask(unit, now)
+            if found is None:
+                known.upto = now + DAY // 24
+            else:
+                known.windows.append(found)
+        return next((window for window in known.windows if window.closes >= now), None)
+
+    def _ask(self, unit: Unit, now: int) -> Window | None:
         lead = GATEWAY_LEAD if unit.kind == "gateway" else self.pace
         nexts: list[Callable[[int], Window | None]] = []
         for calendar in (self.calendar(tenant) for tenant in unit.tenants):
@@ -168,8 +191,10 @@
 
 
 def left_nodes(facts: Facts, besides: str = "") -> set[str]:
-    """Nodes that orders in force are emptying or have emptied."""
-    return {node for name, order in facts.orders.items() if name != besides and order["state"] in LIVE
+    """Nodes that orders are emptying or have emptied, and those that not all have come back to after a cancel."""
+    away = {move["order"] for move in facts.moves.values() if move["state"] != "returned"}
+    return {node for name, order in facts.orders.items() if name != besides
+            and (order["state"] in LIVE or order["state"] == "cancelled" and name in away)
             for _, node in order["nodes"]}
 
 
@@ -227,6 +252,7 @@
     return max((max(move["at"], move["back_at"]) for move in facts.moves.values()), default=-FOREVER)
 
 
+@lru_cache(4096)
 def key_of(order: str, node: str, tenant: str) -> str:
     return "/".join(quote(part, safe="") for part in (order, node, tenant))
 
@@ -340,12 +366,13 @@
         return node in facts.gates and facts.gates[node]["life"] == order["lives"].get(node)
 
     def _standing(self, name: str, order: Record, moves: Mapping[str, Record], facts: Facts) -> tuple[str, str]:
-        if order["state"] == "done":
-            return order["state"], order["why_state"]
         there = [(kind, node) for kind, node in order["nodes"] if self._node_there(kind, node, order, facts)]
         stay = [unit for unit in units(there, facts.tenants) if not self._all(name, unit, moves, ("moved",))]
-        if order["state"] == "cancelled":
-            return ("cancelled", order["why_state"]) if there else ("done", order["why_state"])
+        if order["cancelled"]:
+            return ("cancelled" if there else "done"), order["why_state"]
+        if order["state"] == "done":  # it was cut off for so long that it was off the list
+            return ("ended", "its node is back: cancel the order, or end the node") if there else (
+                "done", order["why_state"])
         if not there:
             by_itself = [unit for unit in units([tuple(n) for n in order["nodes"]], facts.tenants)
                          if not self._all(name, unit, moves, None)]
@@ -392,7 +419,7 @@
             key = key_of(name, unit.node, tenant)
             held = facts.moves.get(key)
             until = 0 if window.closes == FOREVER else window.closes
-            if facts.orders[name]["state"] == "cancelled":
+            if facts.orders[name]["cancelled"]:
                 if held is not None and held["state"] in ("leaving", "moved", "returning"):
                     at = facts.now
                     changes[f"move/{key}"] = held | {"way": "back", "state": "returning", "back_at": at, "until": until}
@@ -407,7 +434,7 @@
         """Units of an order that should move now, if their hours allow it."""
         nodes = [(kind, node) for kind, node in order["nodes"] if self._node_there(kind, node, order, facts)]
         state = order["state"]
-        if state == "cancelled":
+        if order["cancelled"]:
             return [unit for unit in units(nodes, facts.tenants) if self._returns(name, unit, facts)]
         if state not in ("open", "empty", "ended"):
             return []
@@ -442,7 +469,7 @@
     def _pruned(self, facts: Facts) -> dict[str, Any]:
         """Orders whose node is gone or whose tenants are back, but for the latest."""
         over = sorted((order["over"], name) for name, order in facts.orders.items()
-                      if order["state"] == "done" or order["state"] == "cancelled" and all(
+                      if order["state"] == "done" or order["cancelled"] and all(
                           move["state"] == "returned" for move in facts.moves.values()
                           if move["order"] == name))
         changes: dict[str, Any] = {}
--- a/oakvale/towpath/hours.py
+++ b/oakvale/towpath/hours.py
@@ -53,7 +53,20 @@
     return ZoneInfo(name)
 
 
+@lru_cache(16384)
+def _calm(day: date, zone: ZoneInfo) -> int | None:
+    """The instant at which a local day begins, if the clocks are not set on it or the next."""
+    begins = {_reading(day, 0, zone, later) for later in (False, True)}
+    ends = {_reading(day, 2 * MINUTES, zone, later) for later in (False, True)}
+    return begins.pop() if {begin + 2 * DAY for begin in begins} == ends and len(begins) == 1 else None
+
+
 def _instant(day: date, minute: int, zone: ZoneInfo, later: bool) -> int:
+    begins = _calm(day, zone)
+    return _reading(day, minute, zone, later) if begins is None else begins + minute * (DAY // MINUTES)
+
+
+def _reading(day: date, minute: int, zone: ZoneInfo, later: bool) -> int:
     wall = datetime(day.year, day.month, day.day) + timedelta(minutes=minute)
     readings = [wall.replace(tzinfo=zone, fold=fold).timestamp() for fold in (0, 1)]
     return round((max if later else min)(readings) * SECOND)
--- a/oakvale/towpath/moves.py
+++ b/oakvale/towpath/moves.py
@@ -22,6 +22,8 @@
         self._node, self._life = node, life
         self._known: dict[str, Record] = {}
         self.away: set[str] = set()  # moves that this life follows
+        self.avoid: Avoid = {}
+        self.leaving = False
 
     def take(self, entries: Iterable[tuple[str, Record]], wall: int, born: bool = False) -> set[str]:
         """All moves as the news have them now; gives those that this life begins to follow. `born`: the first news."""
@@ -38,21 +40,20 @@
                 self.away.discard(key)
         self.away &= set(fresh)
         self._known = fresh
+        self.avoid, self.leaving = self._followed()
         return began
 
     def _concerns(self, move: Record) -> bool:
         return move["kind"] == "backend" or move["node"] == self._node and self._life in move["gates"]
 
-    def avoid(self) -> dict[str, frozenset[str]]:
+    def _followed(self) -> tuple[Avoid, bool]:
         found: dict[str, set[str]] = {}
         for key in self.away:
             move = self._known[key]
             if move["kind"] == "backend":
                 found.setdefault(move["tenant"], set()).add(move["node"])
-        return {tenant: frozenset(names) for tenant, names in found.items()}
-
-    def leaving(self) -> bool:
-        return any(self._known[key]["kind"] == "gateway" for key in self.away)
+        return ({tenant: frozenset(names) for tenant, names in found.items()},
+                any(self._known[key]["kind"] == "gateway" for key in self.away))
 
     def owed(self) -> dict[str, Record]:
         """Moves of which the primary waits for this gateway's word."""
--- /dev/null
+++ b/tests/waterway.py
@@ -0,0 +1,302 @@
+"""Drains in simulated time: the real hand of the primary and the real gateways' part, with faults, and a plain model
+that judges them by the wall clock of each tenant and by a list of all requests.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from oakvale.towpath.course import GATEWAY_LEAD, LIVE, PUBLIC, Course, Facts, Hours, Plan, plan, targets
+from oakvale.towpath.hours import MINUTES, SECOND, Contract, Span
+from oakvale.towpath.moves import Moves, kept
+
+TICK = 4 * SECOND
+PACE = 5 * SECOND
+MINUTE = 60 * SECOND
+NOON = 1_796_212_800 * SECOND  # 12:00 UTC on a Wednesday
+OFFSETS = {"UTC": 0, "Asia/Jakarta": 7 * 60, "America/Jamaica": -5 * 60}  # zones without daylight saving, in minutes
+
+
+def in_hours(contract: Contract | None, at: int) -> bool:
+    """The slow way: is there a span whose wall times embrace this second, yesterday's over midnight among them?"""
+    if contract is None:
+        return True
+    minutes = at // MINUTE + OFFSETS[contract.zone]
+    day, minute = divmod(minutes, MINUTES)
+    weekday = (day + 3) % 7  # the first of January 1970 was a Thursday
+    today = any(span.begin <= minute < (span.end if span.end > span.begin else 10 * MINUTES)
+                for span in contract.week[weekday])
+    return today or any(span.end <= span.begin and minute < span.end for span in contract.week[weekday - 1])
+
+
+@dataclass(eq=False)
+class Request:
+    gate: Gate
+    tenant: str
+    service: str
+    node: str  # the backend
+    ends: int
+    runs: int = 1
+
+
+@dataclass(eq=False)
+class Gate:
+    node: str
+    zone: str
+    life: str
+    moves: Moves
+    cut: int = 0  # since when nothing reaches it or comes from it
+    skew: int = 0
+    born: bool = True
+    backends: dict[str, Any] = field(default_factory=dict)
+    watch: dict[str, list[Request]] = field(default_factory=dict)  # move -> what was in flight when it began
+    opened: dict[str, int] = field(default_factory=dict)
+
+
+class Waterway:
+    def __init__(self, seed: int, faults: bool = True) -> None:
+        self.rng = rng = random.Random(seed)
+        self.faults, self.now = faults, NOON + rng.randrange(60) * SECOND
+        self.tenants = (PUBLIC, "ana", "ben", "cai")[:rng.randint(2, 4)]
+        self.contracts = {name: self._contract(name) for name in self.tenants[1:] if rng.random() < 0.8}
+        self.orders: dict[str, Any] = {}
+        self.moves: dict[str, Any] = {}
+        self.backends: dict[str, Any] = {
+            f"{service}-{zone}{n}": {"svc": service, "az": zone, "state": "ready"}
+            for service in ("book", "rate") for zone in ("east", "west") for n in range(rng.randint(1, 3))}
+        self.lives = 0
+        self.gates: dict[str, Gate] = {}
+        for zone in ("east", "west"):
+            for n in range(rng.randint(2, 3)):
+                self.start(f"gate-{zone}{n}", zone)
+        self.listed = self._list()
+        self.hours = Hours(PACE)
+        self.course = Course(self.hours)
+        self.down = 0  # until when there is no primary
+        self.requests: list[Request] = []
+        self.sent = self.ended = 0
+        self.plans: dict[str, Plan] = {}
+        self.refused: list[list[str]] = []
+        self.counted: dict[str, int] = {}
+        self.tick()
+
+    def _contract(self, name: str) -> Contract:
+        rng, zone = self.rng, self.rng.choice(list(OFFSETS))
+        begin = (self.now // MINUTE + OFFSETS[zone] + rng.randint(-3, 5)) % MINUTES
+        spans = []
+        for _ in range(rng.choice((0, 1, 1, 2, 2))):
+            length = rng.choice((1, 3, 5, 8, 600))
+            spans.append(Span(begin, (begin + length) % MINUTES or MINUTES))
+            begin = (begin + length + rng.randint(0, 3)) % MINUTES
+        return Contract(name, zone, (tuple(spans),) * 7, notice=rng.choice((3, 9, 1000)) * MINUTE)
+
+    def start(self, node: str, zone: str) -> None:
+        self.lives += 1
+        life = f"life{self.lives}"
+        self.gates[node] = Gate(node, zone, life, Moves(node, life), backends=dict(self.backends))
+
+    def _list(self) -> dict[str, Any]:
+        """Watchers have those taken off that are cut off for long."""
+        return {gate.node: {"az": gate.zone, "life": gate.life} for gate in self.gates.values()
+                if not gate.cut or self.now - gate.cut < 3 * TICK}
+
+    def facts(self) -> Facts:
+        return Facts(self.now, self.orders, self.moves, self.backends, self.listed, self.tenants, self.contracts)
+
+    # ---- what operators and faults do
+
+    def order(self, name: str, kind: str, target: str, within: int) -> Plan:
+        given = {"kind": kind, "target": target, "by": "ana", "why": "a test", "due": self.now + within, "at": self.now}
+        facts = self.facts()
+        self.hours.use(self.contracts)
+        found = plan(facts, self.hours, given)
+        if found.obstacles:
+            self.refused.append(found.obstacles)
+            return found
+        nodes = targets(facts, kind, target)
+        lives = {node: self.listed[node]["life"] for what, node in nodes if what == "gateway"}
+        self.orders[name] = given | {"nodes": [list(node) for node in nodes], "lives": lives, "state": "open",
+                                     "why_state": "", "cancelled": False, "empty": 0, "over": 0}
+        self.plans[name] = found
+        return found
+
+    def cancel(self, name: str) -> None:
+        if self.orders[name]["state"] in LIVE:
+            self.orders[name] |= {"state": "cancelled", "cancelled": True, "why_state": "cancelled by ana: a test",
+                                  "over": self.now}
+
+    def leave(self, backend: str) -> None:
+        """It says `drain`, and the gateways that hear of it send it nothing more."""
+        self.backends[backend] = self.backends[backend] | {"state": "drain"}
+
+    def kill(self, node: str) -> None:
+        gate = self.gates[node]
+        self.requests = [request for request in self.requests if request.gate is not gate]
+        self.start(node, gate.zone)
+        self.listed = self._list()
+
+    def fault(self) -> None:
+        rng = self.rng
+        gate = rng.choice(list(self.gates.values()))
+        kind = rng.choice(("cut", "cut", "kill", "skew", "primary", "leave", "cancel", "order", "mend"))
+        if kind == "cut":
+            gate.cut = gate.cut or self.now
+        elif kind == "mend":
+            for gate in self.gates.values():
+                gate.cut, gate.skew = 0, 0
+        elif kind == "kill":
+            self.kill(gate.node)
+        elif kind == "skew":
+            gate.skew = rng.choice((-6, 6)) * SECOND
+        elif kind == "primary":
+            self.down = self.now + rng.choice((0, 3 * TICK))
+            self.course = Course(self.hours)
+        elif kind == "leave" and rng.random() < 0.3:
+            self.leave(rng.choice(list(self.backends)))
+        elif kind == "cancel" and self.orders:
+            self.cancel(rng.choice(list(self.orders)))
+        elif kind == "order":
+            self.draw_order()
+
+    def heal(self) -> None:
+        self.faults = False
+        for gate in self.gates.values():
+            gate.cut, gate.skew = 0, 0
+
+    def draw_order(self) -> None:
+        kind = self.rng.choice(("backend", "backend", "backend", "gateway", "gateway", "zone"))
+        target = self.rng.choice({"backend": list(self.backends), "gateway": list(self.gates),
+                                  "zone": ["east", "west"]}[kind])
+        self.order(f"o{len(self.orders)}", kind, target, self.rng.choice((2, 3, 4)) * MINUTE)
+
+    # ---- time
+
+    def tick(self) -> None:
+        self.listed = self._list()
+        if self.now >= self.down:
+            changes = self.course.step(self.facts())
+            for key, value in changes.items():
+                table = self.orders if key.startswith("drain/") else self.moves
+                name = key.split("/", 1)[1]
+                if value is None:
+                    table.pop(name)
+                    continue
+                if table is self.moves and value["state"] == "moved" != table.get(name, {}).get("state"):
+                    self.judge_moved(value)
+                if table is self.moves:
+                    self.judge_made(table.get(name), value)
+                table[name] = value
+            if changes and self.faults and self.rng.random() < 0.05:  # killed between a move and its news
+                self.down, self.course = self.now + 2 * TICK, Course(self.hours)
+        for gate in self.gates.values():
+            if not gate.cut and (self.now >= self.down or gate.born):
+                self.hear(gate)
+            self.serve(gate)
+        for request in [request for request in self.requests if request.ends <= self.now]:
+            self.requests.remove(request)
+            self.ended += 1
+        if self.now >= self.down:
+            for gate in self.gates.values():
+                if not gate.cut:
+                    self.tell(gate)
+        self.now += TICK
+
+    def settled(self) -> bool:
+        return (not any(order["state"] == "open" for order in self.orders.values())
+                and not any(move["state"] == "leaving" for move in self.moves.values()))
+
+    def run(self, span: int, whole: bool = True) -> None:
+        end = self.now + span
+        while self.now < end and (whole or not self.settled()):
+            if self.faults and self.rng.random() < 0.06:
+                self.fault()
+            self.tick()
+
+    def hear(self, gate: Gate) -> None:
+        before = set(gate.moves.away)
+        gate.moves.take(self.moves.items(), self.now + gate.skew, gate.born)
+        for key in before ^ gate.moves.away:
+            move = self.moves.get(key)
+            if move is None:
+                continue
+            if not gate.born:
+                contract = self.contracts.get(move["tenant"])
+                assert in_hours(contract, self.now), f"{move['tenant']} moved outside its hours at {gate.node}"
+                assert move["kind"] == "gateway" or in_hours(contract, self.now + PACE)
+            if move["way"] == "out":
+                gate.watch[key] = [] if gate.born else [
+                    request for request in self.requests if request.gate is gate and request.tenant == move["tenant"]
+                    and move["node"] in (request.node, gate.node)]
+                gate.opened[key] = len(gate.watch[key])
+        gate.born, gate.backends = False, dict(self.backends)
+
+    def serve(self, gate: Gate) -> None:
+        tenant, service = self.rng.choice(self.tenants), self.rng.choice(("book", "rate"))
+        ready = {name: b["state"] == "ready" for name, b in gate.backends.items() if b["svc"] == service}
+        avoid = gate.moves.avoid.get(tenant, frozenset())
+        off = kept(ready, avoid)
+        able = [name for name, up in ready.items() if up and name not in off]
+        if not able:
+            return
+        node = self.rng.choice(able)
+        assert node not in avoid or set(able) <= avoid, f"{tenant} is sent to {node}, which it has left"
+        if gate.moves.leaving and self.rng.random() < 0.7:
+            return  # its clients come back elsewhere
+        self.sent += 1
+        self.requests.append(Request(gate, tenant, service, node, self.now + self.rng.choice((1, 2, 9)) * TICK))
+
+    def tell(self, gate: Gate) -> None:
+        for key, move in gate.moves.owed().items():
+            watch = [request for request in gate.watch.get(key, ()) if request in self.requests]
+            there = watch if move["kind"] == "backend" else [r for r in self.requests if r.gate is gate]
+            began = gate.opened.get(key, 0)
+            self.course.hear(key, gate.node, gate.life, key in gate.moves.away, began, len(there),
+                             {"served": began - len(watch)} if began > len(watch) else {})
+
+    # ---- the judge
+
+    def judge_made(self, was: dict[str, Any] | None, move: dict[str, Any]) -> None:
+        """Whatever one clock does by some seconds, at either end."""
+        if was is None or (was["at"], was["back_at"]) != (move["at"], move["back_at"]):
+            lead = GATEWAY_LEAD if move["kind"] == "gateway" else PACE
+            for at in (self.now - 9 * SECOND, self.now, self.now + lead + 9 * SECOND):
+                assert in_hours(self.contracts.get(move["tenant"]), at), f"{move['tenant']} moves too near the edge"
+
+    def judge_moved(self, move: dict[str, Any]) -> None:
+        """Only then is a tenant counted as moved: nothing of it is at the node, from any gateway that is there."""
+        for request in self.requests:
+            gate = request.gate
+            if request.tenant != move["tenant"] or gate.node in move["unheard"] or gate.cut:
+                continue
+            if move["kind"] == "backend" and request.node == move["node"] and not self._alone(request):
+                assert gate.life not in move["gates"], f"{move['tenant']} is moved, with a request at {gate.node}"
+        for life, (node, away, began, left, ends) in move["gates"].items():
+            assert away and not left and sum(ends.values()) == began, f"{node} {life}: {began} in flight, ended {ends}"
+
+    def _alone(self, request: Request) -> bool:
+        """It went back there, as no other backend of its service is ready."""
+        ready = {name: b["state"] == "ready" for name, b in self.backends.items() if b["svc"] == request.service}
+        return not any(up for name, up in ready.items()
+                       if name not in request.gate.moves.avoid.get(request.tenant, frozenset()))
+
+    def judge_end(self) -> None:
+        for name, order in self.orders.items():
+            assert order["state"] != "open", f"{name} is neither done nor over"
+            if order["state"] == "ended":
+                assert order["why_state"]
+            if order["state"] == "empty":
+                left = [move for move in self.moves.values() if move["order"] == name]
+                assert left and all(move["state"] == "moved" for move in left)
+        for key, move in self.moves.items():
+            for gate in self.gates.values() if move["state"] in ("moved", "returned") else ():
+                if move["kind"] == "backend" or gate.life in move["gates"]:
+                    assert (key in gate.moves.away) == (move["way"] == "out"), f"{gate.node} missed {key}"
+        assert all(all(reasons) for reasons in self.refused)
+        times = sorted({move["at"] for move in self.moves.values()} | {m["back_at"] for m in self.moves.values()} - {0})
+        assert all(later - sooner >= PACE for sooner, later in zip(times, times[1:], strict=False)), "a herd"
+        assert self.ended + len(self.requests) <= self.sent
+
+
+__all__ = ["GATEWAY_LEAD", "MINUTE", "NOON", "PACE", "TICK", "Waterway", "in_hours"]
--- a/tests/world.py
+++ b/tests/world.py
@@ -186,6 +186,8 @@
         self.core = Core(cast(Any, Loop(self.world, self.life)), cast(Any, Mains(self.world, self.life)), settings,
                          cast(Any, Cistern(self.world, self.life)))
         self.core.on_change.append(lambda serves: self.world.turned(self, serves))
+        if self.world.equips is not None:
+            self.world.equips(self, Loop(self.world, self.life))
         if self.world.prunes:
             Pruning(self.core, cast(Any, Loop(self.world, self.life)), *self.world.prunes)
 
@@ -204,7 +206,9 @@
 
 class World:
     def __init__(self, seed: int, machines: int = 3, tolerate: int = 1, seeds: int | None = None,
-                 prunes: tuple[int, int] | None = None) -> None:
+                 prunes: tuple[int, int] | None = None,
+                 equips: Callable[[Machine, Loop], None] | None = None) -> None:
+        self.equips = equips  # gives a machine that starts what it has beside its core
         self.prunes = prunes  # how often, and how long what is taken away is kept
         self.rng = random.Random(seed)
         self.now = 1_000 * SECOND
