--- a/oakvale/headworks/drains.py
+++ b/oakvale/headworks/drains.py
@@ -184,7 +184,7 @@
         record = outside(self.facts(self.now() or 0), self.hours, name, why)
         if record is None:
             return {}
-        note("moved outside hours", backend=name, why=why, tenants=",".join(record["tenants"]))
+        note("moved outside hours", "warning", backend=name, why=why, tenants=",".join(record["tenants"]))
         return {f"outside/{name}": record}
 
     def told(self, only: str = "") -> dict[str, Any]:
