--- a/oakvale/gauge/board.py
+++ b/oakvale/gauge/board.py
@@ -63,10 +63,10 @@
         known = {offer.id for offer in offers}
         for name in [name for name in self._spots if name not in known]:
             del self._spots[name]
+        if without:
+            offers = [offer for offer in offers if offer.id not in without]
         best: tuple[float, Offer] | None = None
         for offer in offers:
-            if without and offer.id in without:
-                continue
             spot = self._spots.get(offer.id)
             if spot is None:
                 spot = self._spots[offer.id] = Spot(now + offer.warm)
--- a/oakvale/headworks/drains.py
+++ b/oakvale/headworks/drains.py
@@ -25,6 +25,7 @@
 STEP = 500_000  # microseconds between two steps
 TELL = 1_000_000  # between two words of this machine's clock
 LOOK = 2_000_000  # between two looks at the file
+AGAIN = 10_000_000  # before an order of the file whose plan has obstacles is planned anew
 MOST_OUTSIDE = 500  # records of moves outside hours that are kept, the latest
 
 note = Writer(__name__)
@@ -42,7 +43,7 @@
         self.clock = Agreement()
         self._writing = False
         self._config: tuple[int, tuple[str, ...]] = (-1, ())
-        self._refused: dict[str, list[str]] = {}
+        self._refused: dict[str, tuple[list[str], int]] = {}  # orders of the file, why and when
         self._stamp: tuple[int, int] | None = None
         mains.handlers["clock"] = self._clock
         mains.handlers["towed"] = self._towed
@@ -130,14 +131,16 @@
         """The first order of the file that is due to be given and has not been."""
         since = self._loop.now if self._serves_since is None else self._serves_since
         for order in self.contracts.orders if self.contracts is not None else ():
-            if self._loop.now - since < order.after or self._core.ledger.latest(f"drain/{order.name}") is not None:
+            why, asked = self._refused.get(order.name, ([], -AGAIN))
+            if (self._loop.now - since < order.after or self._loop.now - asked < AGAIN
+                    or self._core.ledger.latest(f"drain/{order.name}") is not None):
                 continue
             entry, plan = self.entry({"kind": order.kind, "target": order.target, "by": order.by, "why": order.why,
                                       "due": now + order.within}, now)
             if not plan.obstacles:
                 return {f"drain/{order.name}": entry}
-            if self._refused.get(order.name) != plan.obstacles:
-                self._refused[order.name] = plan.obstacles
+            self._refused[order.name] = (plan.obstacles, self._loop.now)
+            if why != plan.obstacles:
                 note("order of the file waits", "warning", order=order.name, why="; ".join(plan.obstacles)[:300])
         return {}
 
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -63,7 +63,7 @@
     def __init__(self, shared: Shared, boards: Boards, service: str, zones: dict[str, int], zone: str,
                  seed: int, budget: SharedBudget, without: frozenset[str] = frozenset()) -> None:
         """`without`: backends that the tenants of this lane were moved off."""
-        self.boards, self.without, self.retired = boards, without, False
+        self.boards, self.without = boards, without
         self._classes: dict[str, tuple[int, i.RequestClass]] = {}
         self._zones, self.service = zones, service
         settings = i.Settings(classes=(), plans=(i.Plan(),), zone=zones.get(zone, 0), retry_after=True,
@@ -141,9 +141,13 @@
                 self.boards.teach(self.service, name, order.route.name, latency, outcome)
         super().attempt_ended(attempt, ending, answer, report)
 
-    def _wake(self, action: i.Wake) -> None:
-        if not self.retired or any(request.event.lane is self for request in self.requests.all()):
-            super()._wake(action)
+    def retire(self) -> None:
+        """Nobody is given to this lane any more; its timers end with what it has in hand."""
+        self._carry[i.Wake] = self._last_wakes
+
+    def _last_wakes(self, action: i.Wake) -> None:
+        if any(request.event.lane is self for request in self.requests.all()):
+            self._wake(action)
 
     def offers(self) -> list[Offer]:
         return self._offers
@@ -234,7 +238,7 @@
         if picture.avoid is not was.avoid:
             held = {off for off in picture.avoid.values()}
             for key in [key for key in self._aside if not any(key[1] <= off for off in held)]:
-                self._aside.pop(key).retired = True
+                self._aside.pop(key).retire()
 
     def _lane(self, service: str) -> ServiceLane:
         lane = self._lanes.get(service)
--- a/tests/test_tow.py
+++ b/tests/test_tow.py
@@ -140,7 +140,12 @@
     assert gate.plant._lane_of("two", "t1") is gate.plant._lane("two")  # it has none of them
     lane = gate.plant._lane_of("one", "t1")
     gate.moves(move(way="back"))
-    assert lane.retired and gate.plant._lane_of("one", "t1") is gate.plant._lane("one")
+    gate.pass_time(300 * MS)  # its last tick
+    wakes: list[Any] = []
+    lane._wake = wakes.append  # type: ignore[assignment]
+    for _ in range(5):
+        gate.pass_time(300 * MS)
+    assert not wakes and gate.plant._lane_of("one", "t1") is gate.plant._lane("one")
 
 
 def test_a_gateway_that_is_left_says_so_and_serves_who_still_comes(gate: Moving) -> None:
