--- a/tests/test_drain_call.py
+++ b/tests/test_drain_call.py
@@ -14,7 +14,7 @@
 
 MOVE = {"kind": "backend", "node": "b0", "tenants": ["north"], "opens": "", "closes": "", "moves": "T1", "why": ""}
 PLAN = {"empty": "T2", "obstacles": [], "moves": [MOVE]}
-STAYS = {"empty": "", "obstacles": ["b0 is the last backend of book in east"], "moves": []}
+STAYS: dict[str, Any] = {"empty": "", "obstacles": ["b0 is the last backend of book in east"], "moves": []}
 
 
 class Headworks:
