--- a/oakvale/intake/check.py
+++ b/oakvale/intake/check.py
@@ -15,7 +15,8 @@
 
 def check(kind: str, path: str) -> list[str]:
     try:
-        return {"settings": of_settings, "deploy": of_deploy, "config": of_config}[kind](path)
+        return {"settings": of_settings, "deploy": of_deploy, "config": of_config,
+                "contracts": of_contracts}[kind](path)
     except BadFile as error:
         raise Wrong(str(error)) from error
 
@@ -67,3 +68,17 @@
         "tenants: no key is asked for" if config.tenants is None
         else f"tenants: {len(config.tenants)} with {keys} keys, {limited} of them with a quota",
     ]
+
+
+def of_contracts(path: str) -> list[str]:
+    from oakvale.intake import contracts  # as above
+    from oakvale.towpath.hours import DAY
+
+    try:
+        found = contracts.load(path)
+    except contracts.BadContracts as error:
+        raise Wrong(str(error)) from error
+    spans = [f"{name}: {contract.zone}, {sum(map(len, contract.week))} spans a week, {len(contract.dates)} exceptions, "
+             f"notice {contract.notice / DAY:g} days" for name, contract in sorted(found.by_tenant.items())]
+    orders = [f"order {order.name}: {order.kind} {order.target}, by {order.by}: {order.why}" for order in found.orders]
+    return spans + orders or ["no contracts"]
--- a/oakvale/lab/flume/works.py
+++ b/oakvale/lab/flume/works.py
@@ -66,7 +66,8 @@
     def __init__(self, works: Works, name: str, zone: str, ip: str, core: bool) -> None:
         layout = works.layout
         self.works, self.name, self.core = works, name, core
-        self.machine = Machine(works.wires, name, ip, zone, layout.core_share if core else layout.edge_share, layout.mbps)
+        share = layout.core_share if core else layout.edge_share
+        self.machine = Machine(works.wires, name, ip, zone, share, layout.mbps)
         self.disk = Disk(works.events, Random(works.rng.getrandbits(64)), layout.sync) if core else None
         self.process: Process | None = None
         self.up = False  # its process is made, and takes part
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -21,7 +21,7 @@
     ("shared",),
     ("lane",),
     ("host",),
-    ("lifecycle", "adapter"),
+    ("lifecycle", "adapter", "towpath"),
     ("intake",),  # from here on, the whole system
     ("mains", "cistern"),
     ("penstock",),
