--- a/oakvale/headworks/drains.py
+++ b/oakvale/headworks/drains.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import os
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +14,7 @@
 from oakvale.base.loop import Loop
 from oakvale.headworks.core import Core, address_of
 from oakvale.intake import contracts
+from oakvale.intake.table import BadFile
 from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.towpath import account
@@ -33,9 +33,10 @@
 
 class Drains:
     def __init__(self, core: Core, loop: Loop, mains: Mains, path: str, pace: int,
-                 wall: Callable[[], int] = lambda: time.time_ns() // 1000) -> None:
+                 wall: Callable[[], int] | None = None) -> None:
         """`pace`: between two moves, and what one takes to be in effect everywhere (the bound `apply`)."""
-        self._core, self._loop, self._mains, self._path, self._wall = core, loop, mains, path, wall
+        self._core, self._loop, self._mains, self._path = core, loop, mains, path
+        self._wall = wall or (lambda: loop.net.unix_time() // 1000)
         self.contracts: contracts.Contracts | None = None
         self._serves_since: int | None = None
         self.hours = Hours(pace)
@@ -60,7 +61,7 @@
         self._stamp = self._stamped()
         try:
             self.contracts = contracts.load(self._path)
-        except contracts.BadContracts as error:
+        except BadFile as error:
             return note("contracts refused", "error", why=str(error))
         note("contracts", file=self._path, tenants=",".join(sorted(self.contracts.by_tenant)),
              orders=",".join(order.name for order in self.contracts.orders))
--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -190,7 +190,7 @@
         if keep and not NAME.fullmatch(name):
             return give(problem(400, "no name of the order: letters, digits, dot, dash, up to 64"))
         try:
-            form = contracts.read(contracts.Order, body)
+            form = contracts.order(contracts.Order, body)
         except contracts.BadOrder as error:
             return give(problem(400, str(error)))
         if self._drains.contracts is None:
@@ -220,7 +220,7 @@
         from oakvale.intake import contracts
 
         try:
-            form = contracts.read(contracts.Cancelled, body)
+            form = contracts.order(contracts.Cancelled, body)
         except contracts.BadOrder as error:
             return give(problem(400, str(error)))
         held = self._core.ledger.latest(f"drain/{name}")
--- a/oakvale/intake/check.py
+++ b/oakvale/intake/check.py
@@ -74,10 +74,7 @@
     from oakvale.intake import contracts  # as above
     from oakvale.towpath.hours import DAY
 
-    try:
-        found = contracts.load(path)
-    except contracts.BadContracts as error:
-        raise Wrong(str(error)) from error
+    found = contracts.load(path)
     spans = [f"{name}: {contract.zone}, {sum(map(len, contract.week))} spans a week, {len(contract.dates)} exceptions, "
              f"notice {contract.notice / DAY:g} days" for name, contract in sorted(found.by_tenant.items())]
     orders = [f"order {order.name}: {order.kind} {order.target}, by {order.by}: {order.why}" for order in found.orders]
--- a/oakvale/intake/contracts.py
+++ b/oakvale/intake/contracts.py
@@ -1,21 +1,20 @@
 """The operators' file of contracts (TOML), read and checked by `pydantic`: whose traffic a drain may move when.
 
-A file that cannot be used raises `BadContracts` with file, tenant and field. An unknown field is refused, as a
+A file that cannot be used raises `BadFile` with file, tenant and field. An unknown field is refused, as a
 misspelt one would be passed over without a word.
 """
 
 from __future__ import annotations
 
 import re
-import tomllib
 from dataclasses import dataclass
 from datetime import UTC, date, datetime
-from pathlib import Path
 from typing import Annotated, Any, Literal, TypeVar
 from zoneinfo import ZoneInfoNotFoundError
 
 from pydantic import AwareDatetime, BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
 
+from oakvale.intake.table import BadFile, read
 from oakvale.towpath import hours
 
 DAYS = ("mon", "tue", "wed", "thu", "fri", "sat", "sun")
@@ -24,10 +23,6 @@
 UNITS = {"d": hours.DAY, "h": hours.DAY // 24, "m": hours.DAY // 1440, "s": hours.SECOND}
 
 
-class BadContracts(Exception):
-    """One line: the file, the tenant, the field, what is wrong with it."""
-
-
 def minute(text: object) -> int:
     found = TIME.fullmatch(text) if isinstance(text, str) else None
     if found is None:
@@ -103,17 +98,8 @@
 
 
 def load(path: str) -> Contracts:
-    """Raises BadContracts."""
-    try:
-        data = tomllib.loads(Path(path).read_text())
-    except OSError as error:
-        raise BadContracts(f"{path}: cannot be read: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise BadContracts(f"{path}: not TOML: {error}") from error
-    try:
-        return decode(data)
-    except BadContracts as error:
-        raise BadContracts(f"{path}: {error}") from error
+    """Raises BadFile with the file, the tenant and the field."""
+    return read(path, decode)
 
 
 def decode(data: dict[str, Any]) -> Contracts:
@@ -128,16 +114,16 @@
             named = (row.get("tenant") or row.get("name")) if isinstance(row, dict) else None
             place[:2] = [f"{'contract of' if what == 'contract' else 'order'} {named or f'number {at + 1}'}"]
         field = ".".join(map(str, place[1:]))
-        raise BadContracts(": ".join([str(place[0]), *([field] if field else []), first["msg"]])) from error
+        raise BadFile(": ".join([str(place[0]), *([field] if field else []), first["msg"]])) from error
     contracts: dict[str, hours.Contract] = {}
     for contract in found.contract:
         where = f"contract of {contract.tenant}"
         if contract.tenant in contracts:
-            raise BadContracts(f"{where}: tenant: there are two")
+            raise BadFile(f"{where}: tenant: there are two")
         try:
             hours.zone_of(contract.zone)
         except (ZoneInfoNotFoundError, ValueError, OSError) as error:
-            raise BadContracts(f"{where}: zone: no such time zone: {contract.zone!r}") from error
+            raise BadFile(f"{where}: zone: no such time zone: {contract.zone!r}") from error
         week: list[list[hours.Span]] = [[] for _ in DAYS]
         for at, weekly in enumerate(contract.hours):
             for day in weekly.days:
@@ -145,13 +131,13 @@
         dates: dict[date, tuple[hours.Span, ...]] = {}
         for at, exception in enumerate(contract.exceptions):
             if exception.on in dates:
-                raise BadContracts(f"{where}: exceptions.{at}.date: {exception.on} is there twice")
+                raise BadFile(f"{where}: exceptions.{at}.date: {exception.on} is there twice")
             dates[exception.on] = tuple(_span(where, f"exceptions.{at}.hours", found) for found in exception.hours)
         contracts[contract.tenant] = hours.Contract(contract.tenant, contract.zone, tuple(map(tuple, week)), dates,
                                                     contract.notice)
     names = [order.name for order in found.order]
     if twice := [name for name in names if names.count(name) > 1]:
-        raise BadContracts(f"order {twice[0]}: name: there are two")
+        raise BadFile(f"order {twice[0]}: name: there are two")
     return Contracts(contracts, tuple(found.order))
 
 
@@ -159,7 +145,7 @@
     try:
         return found.span()
     except ValueError as error:
-        raise BadContracts(f"{where}: {field}: {error}") from error
+        raise BadFile(f"{where}: {field}: {error}") from error
 
 
 class Order(Part):
@@ -184,7 +170,7 @@
     """One line: the field and what is wrong with it."""
 
 
-def read(form: type[T], body: bytes) -> T:
+def order(form: type[T], body: bytes) -> T:
     """Raises BadOrder."""
     try:
         return form.model_validate_json(body)
--- a/oakvale/sluice/tow.py
+++ b/oakvale/sluice/tow.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -64,9 +63,10 @@
 class Tow:
     def __init__(self, loop: Loop, mains: Mains, plant: Plant, node: str, life: str,
                  primary: Callable[[], Address | None],
-                 wall: Callable[[], int] = lambda: time.time_ns() // 1000) -> None:
+                 wall: Callable[[], int] | None = None) -> None:
         self._loop, self._mains, self._plant = loop, mains, plant
-        self._node, self._life, self._primary, self._wall = node, life, primary, wall
+        self._node, self._life, self._primary = node, life, primary
+        self._wall = wall or (lambda: loop.net.unix_time() // 1000)
         self._moves = Moves(node, life)
         self._watches: dict[str, Watch] = {}
         self._looking = False
--- a/tests/test_hours.py
+++ b/tests/test_hours.py
@@ -10,6 +10,7 @@
 import pytest
 
 from oakvale.intake import contracts
+from oakvale.intake.table import BadFile
 from oakvale.towpath.clocks import HEARD, SECOND, SETTLE, Agreement
 from oakvale.towpath.hours import DAY, MINUTES, Calendar, Contract, Span, windows
 
@@ -140,7 +141,7 @@
 def test_errors_of_the_file_name_file_tenant_and_field(tmp_path: Path, was: str, now: str, says: str) -> None:
     path = tmp_path / "contracts.toml"
     path.write_text(GOOD.replace(was, now, 1))
-    with pytest.raises(contracts.BadContracts) as error:
+    with pytest.raises(BadFile) as error:
         contracts.load(str(path))
     assert str(error.value).startswith(f"{path}: {says}") and "\n" not in str(error.value)
 
