--- a/oakvale/lab/models/launch.py
+++ b/oakvale/lab/models/launch.py
@@ -287,7 +287,10 @@
         for seat in seats:
             self._leaves(seat, at)
 
-    _drain = _scale_in  # the same, as planned work
+    def _drain(self, trouble: Trouble, at: int, lasts: int, gap: int) -> None:
+        """The same as planned work; on machines of the system it is not the models'."""
+        if trouble.on in self.seats:
+            self._scale_in(trouble, at, lasts, gap)
 
     def _leaves(self, seat: Seat, at: int) -> None:
         seat.freed = at + FREED
