--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -14,7 +14,7 @@
 from oakvale.gauge.floors import SECOND, Alone, Floors, Quota, Read, Terms
 from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.links import Answer, Conn, Mains
-from oakvale.penstock.tree import Member, next_on_ring, place
+from oakvale.penstock.tree import Member, Members, next_on_ring, place
 
 DUTIES = 4  # parts that the tenants are counted in
 STAND = 4  # gateways that stand for a duty
@@ -42,7 +42,7 @@
 
 class Gauge:
     def __init__(self, loop: Loop, mains: Mains, terms: Terms, node: str, life: str, own: str,
-                 members: Callable[[], dict[str, Member]], jurors: Callable[[], list[str]],
+                 members: Callable[[], Members], jurors: Callable[[], list[str]],
                  quota: Callable[[str], Quota]) -> None:
         self.loop, self.mains, self._terms = loop, mains, terms
         self._node, self._life, self._own = node, life, own
@@ -59,7 +59,11 @@
         self._vacant: dict[str, dict[Address, int]] = {}  # duty -> juror -> when it last knew of nobody
         self._heard: dict[str, int] = {}  # gateway -> when it last called here
         self._ranks: dict[str, int] = {}  # duty -> this gateway's place among those who stand for it
-        self._lately: dict[str, tuple[Member, int]] = {}  # gateways, and when each was last on the list
+        self._lately: dict[str, Member] = {}  # gateways that are on the list, or were lately
+        self._listed = Members()  # as last looked at, and when that was
+        self._looked = loop.now
+        self._left: dict[str, int] = {}  # of those no longer on it: when they were last seen there
+        self._addresses: tuple[Members, list[Address]] = (self._listed, [])
         self._ended: dict[str, str] = {}  # gateway -> its life that is proven to have ended
         self._share = (1.0, -ALIKE)  # of gateways that are present, and when that was worked out
         self._reached: dict[Address, int] = {}  # gateway -> when it last answered, or was proven to have ended
@@ -69,7 +73,7 @@
         self._number = 0
         self._read = Read()
         self.alone = Alone(terms, loop.net.rng.random, loop.now)
-        self._tenants: set[str] = set()
+        self._tenants: dict[str, None] = {}
         mains.handlers["count"] = self._count
         mains.handlers["greet"] = self._greeted
         mains.handlers["gauge"] = self._announced
@@ -96,7 +100,7 @@
         quota = self._quota(tenant)
         if quota.rate <= 0:
             return then(True, 0, True)
-        self._tenants.add(tenant)
+        self._tenants[tenant] = None
         duty, now = duty_of(tenant), self.loop.now
         if self._counts(duty):
             self._counters[duty].reach(self._present(), now)
@@ -165,9 +169,23 @@
 
     def _remember(self) -> None:
         now = self.loop.now
-        self._lately = {node: kept for node, kept in self._lately.items() if now - kept[1] <= KEPT}
-        for node, member in self._members().items():
-            self._lately[node] = (member, now)
+        listed, known = self._members(), self._listed
+        if listed is not known:
+            changes: dict[str, Member | None] = dict(listed)
+            if listed.before is known:
+                changes = listed.changes
+            else:
+                changes.update({node: None for node in known if node not in listed})
+            for node, member in changes.items():
+                if member is not None:
+                    self._lately[node] = member
+                    self._left.pop(node, None)
+                elif node in known:
+                    self._left[node] = self._looked
+            self._listed = listed
+        self._looked = now
+        for node in [node for node, at in self._left.items() if now - at > KEPT]:
+            del self._left[node], self._lately[node]
 
     def _find(self, duty: str) -> None:
         """Asks the jurors, and a gateway or two for those who can't reach them, who counts."""
@@ -223,7 +241,7 @@
         ended pass nothing, and leave nothing out."""
         now = self.loop.now
         if now - self._share[1] >= ALIKE:
-            may = {node for node, (member, _) in self._lately.items() if self._ended.get(node) != member.life}
+            may = {node for node, member in self._lately.items() if self._ended.get(node) != member.life}
             here = sum(1 for node in may | {self._node} if node == self._node or self._here(node))
             self._share = (min(1.0, here / max(1, len(may | {self._node}))), now)
         return self._share[0]
@@ -241,7 +259,7 @@
 
     def _prove(self) -> None:
         """Who is not here may have ended."""
-        for node, (member, _) in self._lately.items():
+        for node, member in self._lately.items():
             address = parse_address(member.address)
             if address and node != self._node and not self._here(node) and self._ended.get(node) != member.life:
                 self.mains.ask(address, "life", None, WAIT, partial(self._proven, member, address))
@@ -334,8 +352,11 @@
         self.loop.at(now + GATHER, begin)
 
     def _others(self) -> list[Address]:
-        found = [parse_address(member.address) for member in self._members().values() if member.node != self._node]
-        return [address for address in found if address is not None]
+        listed = self._members()
+        if self._addresses[0] is not listed:
+            found = [parse_address(member.address) for member in listed.values() if member.node != self._node]
+            self._addresses = listed, [address for address in found if address is not None]
+        return self._addresses[1]
 
     def _announced(self, conn: Conn, body: Any, _: Answer) -> None:
         duty, where = str(body[0]), str(body[1])
@@ -350,7 +371,7 @@
 
     def members_changed(self) -> None:
         self._remember()
-        members = self._members().values()
+        members = self._members()
         self._ranks = {}
         for duty in self._duties:
             for rank, member in enumerate(next_on_ring(members, duty, STAND)):
--- a/oakvale/lab/flume/events.py
+++ b/oakvale/lab/flume/events.py
@@ -4,19 +4,21 @@
 
 import heapq
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from oakvale.lab.flume.machines import Process
+from typing import Any, Protocol
 
 START = 1_800_000_000_000_000  # Unix time in microseconds, for all worlds alike
 
 
+class Running(Protocol):
+    @property
+    def name(self) -> str: ...
+
+
 class Events:
     def __init__(self) -> None:
         self.now = START
         self.done = 0
-        self.running: Process | None = None  # whose turn it is
+        self.running: Running | None = None  # whose turn it is
         self._heap: list[tuple[int, int, Callable[[Any], None], Any]] = []
         self._order = 0
 
--- a/oakvale/lab/flume/machines.py
+++ b/oakvale/lab/flume/machines.py
@@ -14,8 +14,8 @@
 
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Loop, Timer
-from oakvale.lab.flume.events import Events
-from oakvale.lab.flume.wires import ERR, HUP, PORTS, FlumeNet, Listener, Stream, Wires
+from oakvale.lab.flume.sockets import ERR, HUP, FlumeNet, Listener, Stream
+from oakvale.lab.flume.wires import Machine
 
 LONG = 3600.0  # seconds that a loop may wait: the world turns it when something is due
 NEVER = 1 << 62
@@ -35,42 +35,6 @@
 FREE = Costs(0.0, 0.0, 0.0, 0.0, 1)  # of who is not weighed: emulated clients and backends
 
 
-class Machine:
-    def __init__(self, wires: Wires, name: str, ip: str, zone: str, share: float = 1.0, mbps: float = 1000.0) -> None:
-        self.wires, self.events = wires, wires.events
-        self.name, self.ip, self.zone, self.share = name, ip, zone, share
-        self.link_us = 8 / mbps  # microseconds a byte
-        self.link_free = 0.0
-        self.off = False
-        self.lag = 0  # microseconds more on each way, and the share of segments that are lost
-        self.loss = 0.0
-        self.offset = 0  # of its time of day
-        self.slow = 1.0  # times the cost of everything
-        self.ports: dict[int, Listener] = {}
-        self.processes: list[Process] = []
-        self._port = PORTS
-        wires.machines[ip] = self
-
-    def port(self) -> int:
-        """One for a connection out, or for who does not mind."""
-        self._port = self._port + 1 if self._port < 65_535 else PORTS
-        return self._port
-
-    def power_off(self) -> None:
-        self.off = True
-        for process in list(self.processes):
-            process.vanish()
-
-    def pause(self) -> None:
-        for process in self.processes:
-            process.paused = True
-
-    def resume(self) -> None:
-        for process in self.processes:
-            process.paused = False
-            process.wake()
-
-
 class FlumeLoop(Loop):
     """The loop itself, which tells its process of timers that others set between its turns."""
 
@@ -90,7 +54,7 @@
     def __init__(self, machine: Machine, rng: Random, limits: Limits, costs: Costs, nofile: int = 4096,
                  ended: Callable[[Process], None] | None = None) -> None:
         self.machine, self.events, self.costs = machine, machine.events, costs
-        self.net = FlumeNet(machine.wires, self, rng, nofile)
+        self.net: FlumeNet = FlumeNet(machine.wires, self, rng, nofile)
         self.alive, self.paused = True, False
         self.used = 0.0  # microseconds of processor time
         self.turns = 0
@@ -103,6 +67,10 @@
         self._due = NEVER
         machine.processes.append(self)
 
+    @property
+    def name(self) -> str:
+        return self.machine.name
+
     # ---- time
 
     def clock(self) -> int:
--- a/oakvale/lab/flume/troubles.py
+++ b/oakvale/lab/flume/troubles.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from oakvale.lab.days import Day, Trouble
-from oakvale.lab.flume.machines import Machine
+from oakvale.lab.flume.wires import Machine
 from oakvale.lab.flume.works import SEEDS, Station, Works
 from oakvale.lab.record import Event
 
--- a/oakvale/lab/flume/works.py
+++ b/oakvale/lab/flume/works.py
@@ -20,8 +20,8 @@
 from oakvale.intake.settings import Settings, decode
 from oakvale.lab.flume.disks import Disk, FlumeCistern
 from oakvale.lab.flume.events import Events
-from oakvale.lab.flume.machines import FREE, Costs, Machine, Process
-from oakvale.lab.flume.wires import Wires
+from oakvale.lab.flume.machines import FREE, Costs, Process
+from oakvale.lab.flume.wires import Machine, Wires
 from oakvale.lab.record import Event
 from oakvale.lifecycle.daybook import BOOK
 from oakvale.sluice import process as sluice
@@ -66,7 +66,8 @@
     def __init__(self, works: Works, name: str, zone: str, ip: str, core: bool) -> None:
         layout = works.layout
         self.works, self.name, self.core = works, name, core
-        self.machine = Machine(works.wires, name, ip, zone, layout.core_share if core else layout.edge_share, layout.mbps)
+        share = layout.core_share if core else layout.edge_share
+        self.machine = Machine(works.wires, name, ip, zone, share, layout.mbps)
         self.disk = Disk(works.events, Random(works.rng.getrandbits(64)), layout.sync) if core else None
         self.process: Process | None = None
         self.up = False  # its process is made, and takes part
@@ -292,9 +293,9 @@
         if running is None:
             return  # of a life that has ended
         if level == "error":
-            self.faults.append(f"{running.machine.name}: {event}: {fields.get('traceback', '')}")
+            self.faults.append(f"{running.name}: {event}: {fields.get('traceback', '')}")
         if self._noted is not None:
-            self._noted(self.events.now, running.machine.name, level, event, fields)
+            self._noted(self.events.now, running.name, level, event, fields)
 
 
 class Faults(logging.Handler):
--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -22,7 +22,7 @@
 from oakvale.memory.requests import InHand
 from oakvale.penstock.feed import Feed
 from oakvale.penstock.table import Table
-from oakvale.penstock.tree import Member, sources, watched, watchers
+from oakvale.penstock.tree import Member, Members, sources, watched, watchers
 from oakvale.sluice.plant import Plant
 from oakvale.sluice.routes import backends, configured, members
 from oakvale.wire.clients import Incoming, plain
@@ -118,8 +118,8 @@
 
     # ---- the list of gateways
 
-    def _members(self) -> dict[str, Member]:
-        return dict(self.plant.picture.members)
+    def _members(self) -> Members:
+        return self.plant.picture.members
 
     def _quota(self, tenant: str) -> Quota:
         found = self.plant.picture.tenants.get(tenant)
@@ -200,7 +200,7 @@
             picture = replace(picture, backends=backends(self.table))
         moved = any(key.startswith("gate/") for key in keys)
         if moved:
-            picture = replace(picture, members=members(self.table))
+            picture = replace(picture, members=members(self.table, picture.members, keys))
         self.plant.show(picture)
         if "core" in keys:
             held = self.table.get("core") or {}
@@ -211,7 +211,7 @@
                 self._turn = 0
                 self._ask_in()
         if moved:
-            everyone = picture.members.values()
+            everyone = picture.members
             self._watchers = watchers(everyone, self.settings.node, WATCHERS)
             self._watched = watched(everyone, self.settings.node, WATCHERS)
             self.gauge.members_changed()
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -214,7 +214,7 @@
             by_service: dict[str, list[Backend]] = {}
             for backend in picture.backends.values():
                 by_service.setdefault(backend.service, []).append(backend)
-            for service in {*self._lanes, *by_service}:
+            for service in dict.fromkeys([*self._lanes, *by_service]):  # in an order that a replay has too
                 self._lane(service).learn(by_service.get(service, []), self._numbers)
 
     def _lane(self, service: str) -> ServiceLane:
--- a/oakvale/sluice/routes.py
+++ b/oakvale/sluice/routes.py
@@ -15,7 +15,7 @@
 from oakvale.gauge.floors import Quota
 from oakvale.intake.times import micros
 from oakvale.penstock.table import Table
-from oakvale.penstock.tree import Member
+from oakvale.penstock.tree import Member, Members
 
 
 @dataclass(slots=True, frozen=True)
@@ -66,7 +66,7 @@
     keys: Mapping[str, Tenant] | None = None  # None: no key is asked for
     tenants: Mapping[str, Tenant] = field(default_factory=dict)
     backends: Mapping[str, Backend] = field(default_factory=dict)
-    members: Mapping[str, Member] = field(default_factory=dict)
+    members: Members = field(default_factory=Members)
 
     def match(self, host: str, path: str) -> Route | None:
         for route in self.routes.get(host, ()):
@@ -115,5 +115,11 @@
             for name, v in table.items("backend/")}
 
 
-def members(table: Table) -> dict[str, Member]:
-    return {node: Member(node, str(v["addr"]), str(v["az"]), str(v["life"])) for node, v in table.items("gate/")}
+def members(table: Table, known: Members, keys: list[str]) -> Members:
+    """The list that follows, by the news of some keys."""
+    changes: dict[str, Member | None] = {}
+    for key in keys:
+        if key.startswith("gate/"):
+            node, value = key.removeprefix("gate/"), table.get(key)
+            changes[node] = value and Member(node, str(value["addr"]), str(value["az"]), str(value["life"]))
+    return known.changed(changes)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -21,7 +21,7 @@
 from oakvale.gauge.floors import Quota, Terms
 from oakvale.gauge.service import DUTIES, Gauge
 from oakvale.headworks.jury import Jury
-from oakvale.penstock.tree import Member
+from oakvale.penstock.tree import Member, Members
 
 MS, SECOND = 1_000, 1_000_000
 TERMS = Terms(5 * SECOND, 0.1, 20)
@@ -139,7 +139,7 @@
         self.slow = 0  # microseconds more, each way
         self.lossy = 0.0
         self.paused, self.held = False, list[Callable[[], None]]()
-        self.members: dict[str, Member] = {}  # as the news have come here
+        self.members = Members()  # as the news have come here
         self.silent_since = 0
 
     def run(self, life: Life, call: Callable[[], Any]) -> None:
@@ -158,8 +158,8 @@
         if self.juror:
             Jury(loop, mains, cast(Any, Cistern(life)))
             return
-        self.members = {}
-        self.gauge = Gauge(loop, mains, TERMS, self.name, life.name, spelled(self.address), lambda: dict(self.members),
+        self.members = Members()
+        self.gauge = Gauge(loop, mains, TERMS, self.name, life.name, spelled(self.address), lambda: self.members,
                            lambda: self.fleet.jurors if self.members else [], self.fleet.quota)
         self.fleet.later(100, 400, lambda: self.fleet.join(self, life))
 
@@ -318,7 +318,7 @@
             return
         if not self.core_up(machine):
             return self.later(100, 300, lambda: self.tell(machine))
-        machine.members = dict(self.listed)
+        machine.members = Members(self.listed.values())
         if machine.gauge is not None:
             machine.gauge.members_changed()
 
