--- a/oakvale/lab/flume/works.py
+++ b/oakvale/lab/flume/works.py
@@ -20,8 +20,8 @@
 from oakvale.intake.settings import Settings, decode
 from oakvale.lab.flume.disks import Disk, FlumeCistern
 from oakvale.lab.flume.events import Events
-from oakvale.lab.flume.machines import FREE, Costs, Machine, Process
-from oakvale.lab.flume.wires import Wires
+from oakvale.lab.flume.machines import FREE, Costs, Process
+from oakvale.lab.flume.wires import Machine, Wires
 from oakvale.lab.record import Event
 from oakvale.lifecycle.daybook import BOOK
 from oakvale.sluice import process as sluice
@@ -295,9 +295,9 @@
         if running is None:
             return  # of a life that has ended
         if level == "error":
-            self.faults.append(f"{running.machine.name}: {event}: {fields.get('traceback', '')}")
+            self.faults.append(f"{running.name}: {event}: {fields.get('traceback', '')}")
         if self._noted is not None:
-            self._noted(self.events.now, running.machine.name, level, event, fields)
+            self._noted(self.events.now, running.name, level, event, fields)
 
 
 class Faults(logging.Handler):
