Failover chains: planned ahead, places seen to fail, load moved within limits; off by default

When a zone's backends fail, each gateway found out by itself, and nothing kept the places that took over from being sent more than they hold.

oakvale/spillway works out from what boards measure how much each place may take (chains), judges by several observers whether one has failed (sight), takes it out and fills it again in steps (fall), lets in what a place can answer in time (weir), and the keeper of a service's board names only places that are up and have room (crest).

--- a/oakvale/cli.py
+++ b/oakvale/cli.py
@@ -102,6 +102,39 @@
     print("\n".join(logs.pairs({name: value}) for name, value in told.items()))
 
 
+def chain(args: argparse.Namespace) -> None:
+    """The chains that a process of the whole system holds: what they are, what they can't hold, what one says."""
+    from oakvale.base import configuration
+    from oakvale.intake import settings
+    from oakvale.mains import standing
+    from oakvale.spillway import telling
+    from oakvale.spillway.chains import unpack
+
+    try:
+        if args.at:
+            address = configuration.address(args.at, "--at")
+        else:
+            own = settings.load(os.environ)
+            address = own.ip, own.ports[0] + (0 if "ctl" in own.bind else 1)
+        held = standing.inquire(address, args.timeout, "chains")["held"]
+    except (configuration.BadConfiguration, settings.BadSettings) as error:
+        fail(error)
+    except standing.Silent as error:
+        fail(f"{spelled(address)}: {error}", 1)
+    if held is None:
+        fail(f"{spelled(address)}: holds no chains: no headworks has --chains, or this one is only a witness", 1)
+    chains = unpack(held)
+    try:
+        if args.what == "check":
+            lines = telling.check(chains)
+            print("\n".join(lines) or "every failure of one place or two can be held")
+            sys.exit(3 if lines else 0)
+        print("\n".join(telling.show(chains) if args.what == "show"
+                        else telling.explain(chains, args.place, args.service)))
+    except telling.Unknown as error:
+        fail(error)
+
+
 def demo(args: argparse.Namespace) -> None:
     """A small system on loopback: one request through it, or until it is interrupted."""
     import signal
@@ -141,7 +174,8 @@
         from oakvale.lifecycle import daybook
 
         daybook.configure(args.log_level, 20)
-        sys.exit(import_module(f"oakvale.{args.command}.process").serve(told, signals, listeners))
+        more = {"chains": args.chains} if args.command == "headworks" else {}
+        sys.exit(import_module(f"oakvale.{args.command}.process").serve(told, signals, listeners, **more))
     except settings.BadSettings as error:
         fail(error)
     except OSError as error:
@@ -162,8 +196,12 @@
             ("serve", serve, "the gateway in service, on its own"),
             ("headworks", role, "core role of the whole system: control state, backends, operator"),
             ("sluice", role, "edge role of the whole system: carries clients' requests")):
-        add(name, call, text).add_argument("--log-level", default="info", choices=LEVELS,
-                                           help="the least that is logged (default: %(default)s)")
+        command = add(name, call, text)
+        command.add_argument("--log-level", default="info", choices=LEVELS,
+                             help="the least that is logged (default: %(default)s)")
+        if name == "headworks":
+            command.add_argument("--chains", metavar="FILE", help="work out failover chains, as this file says "
+                                 "(docs/failover-chains.md); left out, nothing is moved")
     add("check-config", check_config, "read the configuration as serve would and say what it holds")
     held = add("check", check, "check a file of the whole system and say what it holds, or what is wrong and where")
     held.add_argument("kind", choices=("settings", "deploy", "config"),
@@ -177,6 +215,18 @@
     asked.add_argument("address", help="host:port between gateways: the first of port-range for a headworks, "
                                        "the second for a sluice")
     asked.add_argument("--timeout", type=float, default=2.0, help="seconds to wait for the answer")
+    told = add("chain", chain, "the failover chains that a running process holds").add_subparsers(
+        dest="what", required=True, metavar="WHAT")
+    for what, text in (("show", "places, what each takes, and where its load goes"),
+                       ("check", "the failures of one place or two that can't be held, and by how much; exit 3 if any"),
+                       ("explain", "what happens to a service when a place fails")):
+        one = told.add_parser(what, help=text, description=text)
+        if what == "explain":
+            one.add_argument("place", help="a zone, a region or a name above them")
+            one.add_argument("service")
+        one.add_argument("--at", metavar="HOST:PORT", help="between gateways, as for status; left out, the process "
+                                                           "whose settings OAKVALE_SETTINGS names")
+        one.add_argument("--timeout", type=float, default=2.0, help="seconds to wait for the answer")
     add("demo", demo, "a small system on loopback: three headworks, two sluices, a backend, one request").add_argument(
         "--stay", action="store_true", help="keep it until interrupted, for requests of your own and oakvale status")
     add("version", version, "print the version")
--- a/oakvale/gauge/board.py
+++ b/oakvale/gauge/board.py
@@ -19,6 +19,7 @@
 WORSE = 6.0  # a backend that fails everything looks so much slower, and one more
 FAR = 1.4  # another zone's: its bytes are paid for; still before one that would have it wait
 OWN = 0.4  # each gateway leans to backends of its own: fewer connections serve it, and they stay warm
+UNKNOWN = 300_000  # microseconds that an answer is reckoned with before one came
 PAUSES = 4  # doublings of the pause of one that fails again and again
 
 
@@ -56,14 +57,18 @@
         self._means: dict[str, float] = {}  # route -> microseconds
         self._ticket = 0
 
-    def pick(self, offers: Iterable[Offer], asker: str, zone: str, until: int, now: int) -> tuple[str, int] | None:
-        """The backend that will likely answer first, and a ticket that is to be handed back."""
+    def pick(self, offers: Iterable[Offer], asker: str, zone: str, until: int, now: int,
+             within: frozenset[str] | None = None) -> tuple[str, int] | None:
+        """The backend that will likely answer first, and a ticket that is to be handed back. `within`: zones that it
+        may stand in; None for all."""
         offers = list(offers)
         known = {offer.id for offer in offers}
         for name in [name for name in self._spots if name not in known]:
             del self._spots[name]
         best: tuple[float, Offer] | None = None
         for offer in offers:
+            if within is not None and offer.zone not in within:
+                continue
             spot = self._spots.get(offer.id)
             if spot is None:
                 spot = self._spots[offer.id] = Spot(now + offer.warm)
@@ -79,6 +84,32 @@
         spot.open[self._ticket] = until
         return offer.id, self._ticket
 
+    # ---- what a crest asks (oakvale/spillway)
+
+    def usual(self) -> int:
+        """Microseconds that an answer takes, of the slowest route."""
+        return int(max(self._means.values(), default=UNKNOWN))
+
+    def work(self, route: str) -> float:
+        """Slot-seconds that a request of a route takes at mean speed."""
+        return self._means.get(route, float(self.usual())) / 1_000_000
+
+    def held(self, offers: Iterable[Offer]) -> dict[str, tuple[int, float]]:
+        """Zone -> open attempts and slots."""
+        found: dict[str, tuple[int, float]] = {}
+        for offer in offers:
+            spot, (out, slots) = self._spots.get(offer.id), found.get(offer.zone, (0, 0.0))
+            found[offer.zone] = (out + (len(spot.open) if spot else 0), slots + offer.slots)
+        return found
+
+    def capacity(self, offers: Iterable[Offer]) -> dict[str, float]:
+        """Zone -> slots of mean speed, as answers were measured."""
+        found: dict[str, float] = {}
+        for offer in offers:
+            spot = self._spots.get(offer.id)
+            found[offer.zone] = found.get(offer.zone, 0.0) + offer.slots / max(spot.speed if spot else 1.0, 0.1)
+        return found
+
     def _cost(self, offer: Offer, spot: Spot, zone: str, now: int) -> float:
         if spot.open and min(spot.open.values()) <= now:
             for ticket in [t for t, until in spot.open.items() if until <= now]:
--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -157,6 +157,17 @@
             self._read.add(tenant, now)
         then(passes, 200_000, False)
 
+    def away(self, gateways: frozenset[str]) -> int:
+        """How many of them are not known to have heard from this one lately, nor to have ended: each of those may hold
+        itself to be `cut`."""
+        lives = {node: member.life for node, (member, _) in self._lately.items()}
+        return sum(1 for node in gateways if node != self._node and not self._here(node)
+                   and (node not in lives or self._ended.get(node) != lives[node]))
+
+    def cut(self, duty: str) -> bool:
+        """Who does this duty reckons with this gateway no longer."""
+        return self.loop.now - max(self._contact.get(duty, 0), self._born) >= ABSENT
+
     def _among_others(self) -> bool:
         """Whether half of the others answer. One that is cut off from them is taken from the list, and after a while
         its share is theirs."""
--- a/oakvale/headworks/ctl.py
+++ b/oakvale/headworks/ctl.py
@@ -27,6 +27,7 @@
         self.response = lru_cache(64)(response)
         self._port = settings.bind["ctl"][1]
         config, backends = Config(core), Backends(core, shared.loop, settings)
+        self.backends = backends
         self._calls = {
             (b"POST", "Config.Replace"): config.replace,
             (b"GET", "Config.Read"): config.read,
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -15,9 +15,11 @@
 from oakvale.headworks.ctl import Ctl
 from oakvale.headworks.gates import Gates
 from oakvale.headworks.jury import Jury
+from oakvale.headworks.planning import Planning
 from oakvale.headworks.pruning import Pruning
 from oakvale.headworks.standing import standing
 from oakvale.intake.bounds import bounds
+from oakvale.intake.chains import load
 from oakvale.intake.settings import BadSettings, Settings
 from oakvale.intake.watch import SettingsWatch
 from oakvale.lane import Shared
@@ -45,8 +47,9 @@
     raise AssertionError
 
 
-def serve(settings: Settings, signals: Signals, listeners: dict[str, socket.socket]) -> int:
-    """Raises BadSettings, OSError."""
+def serve(settings: Settings, signals: Signals, listeners: dict[str, socket.socket], chains: str | None = None) -> int:
+    """`chains`: the operators' file on chains, where these are wanted. Raises BadSettings, OSError."""
+    given = load(chains, settings) if chains is not None else None
     if settings.datadir is None or "ctl" not in settings.bind:
         raise BadSettings("headworks needs [self] datadir and [network.bind] ctl")
     limits: Limits = bounds(settings)
@@ -60,6 +63,7 @@
     offer(mains, "headworks", settings.node, lambda: standing(core))
     shared = Shared(loop, limits)
     ctl = Ctl(shared, core, settings)
+    Planning(core, ctl.backends, loop, mains, settings, given)
     acceptor = Acceptor(ctl, listeners["ctl"], loop)
 
     def sweep(_: object) -> None:
--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -130,6 +130,11 @@
         self._core.change({f"backend/{name}": None, f"left/{name}": 1},
                           lambda done: give(Reply(200) if done else UNSURE))
 
+    def silent(self, span: int) -> list[str]:
+        """Those on the list that have not beaten for so long."""
+        now = self._loop.now
+        return [name for name, _ in self._core.ledger.table.items("backend/") if now - self._seen.get(name, now) > span]
+
     def _turned(self, serves: bool) -> None:
         """A new primary heard nothing before: silence counts from now."""
         if serves:
--- /dev/null
+++ b/oakvale/intake/chains.py
@@ -0,0 +1,67 @@
+"""The operators' file on chains (TOML): what stands above the regions, and how much of a place may be used.
+
+    headroom = 0.95        # of what a place holds, while another is out; this is the default
+
+    [above]                # a region, or a name from here -> the name above it
+    kingston = "jamaica"
+
+Checked whole; raises BadSettings, which names file, place and field.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from oakvale.intake.settings import BadSettings, Settings
+
+HEADROOM = 0.95
+
+
+class File(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+    headroom: Annotated[float, Field(gt=0, le=1)] = HEADROOM
+    above: dict[str, str] = {}
+
+
+@dataclass(slots=True, frozen=True)
+class Given:
+    headroom: float = HEADROOM
+    above: Mapping[str, str] = field(default_factory=dict)
+
+
+def load(path: str, settings: Settings | None = None) -> Given:
+    """With the settings, also whether what stands below is there."""
+    try:
+        data = tomllib.loads(Path(path).read_text())
+    except OSError as error:
+        raise BadSettings(f"{path}: cannot be read: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise BadSettings(f"{path}: not TOML: {error}") from error
+    try:
+        found = File.model_validate(data)
+    except ValidationError as error:
+        first = error.errors()[0]
+        raise BadSettings(f"{path}: {'.'.join(map(str, first['loc']))}: {first['msg']}") from error
+    for name in found.above:
+        at, seen = name, {name}
+        while at in found.above:
+            at = found.above[at]
+            if at in seen:
+                raise BadSettings(f"{path}: above.{name}: {at} stands above itself")
+            seen.add(at)
+    if settings is not None:
+        there = {*settings.zones.values(), *found.above.values()}
+        for name in found.above:
+            if name not in there:
+                raise BadSettings(f"{path}: above.{name}: no region of the settings, and nothing stands below it")
+        for name in found.above.values():
+            if name in settings.zones:
+                raise BadSettings(f"{path}: above: {name} is a zone")
+    return Given(found.headroom, found.above)
--- a/oakvale/mains/standing.py
+++ b/oakvale/mains/standing.py
@@ -53,21 +53,21 @@
     return {f"backends.{service}.{state}": count for (service, state), count in sorted(counts.items())}
 
 
-def inquire(address: Address, timeout: float) -> Mapping[str, Any]:
+def inquire(address: Address, timeout: float, kind: str = KIND) -> Mapping[str, Any]:
     """Asks from outside a loop; raises Silent."""
     due = time.monotonic() + timeout
     came = bytearray()
     try:
         with socket.create_connection(address, timeout) as sock:
-            sock.sendall(encode(KIND, 1, None))
+            sock.sendall(encode(kind, 1, None))
             while True:
                 sock.settimeout(max(0.01, due - time.monotonic()))
                 data = sock.recv(65536)
                 if not data:
                     raise Silent("closed without an answer")
                 came += data
-                for kind, number, body in decode(came):
-                    if not kind and number == 1 and isinstance(body, dict):
+                for sort, number, body in decode(came):
+                    if not sort and number == 1 and isinstance(body, dict):
                         return body
                 if time.monotonic() > due:
                     raise Silent("no answer in time")
--- a/oakvale/memory/requests.py
+++ b/oakvale/memory/requests.py
@@ -81,6 +81,9 @@
     def get(self, rid: str) -> InHand | None:
         return self._by_id.get(rid)
 
+    def all(self) -> list[InHand]:
+        return list(self._by_id.values())
+
     def full(self) -> bool:
         return len(self._by_id) >= self._most
 
--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -24,6 +24,7 @@
 from oakvale.penstock.table import Table
 from oakvale.penstock.tree import Member, sources, watched, watchers
 from oakvale.sluice.plant import Plant
+from oakvale.spillway.chains import unpack
 from oakvale.sluice.routes import backends, configured, members
 from oakvale.wire.clients import Incoming, plain
 
@@ -34,6 +35,7 @@
 WATCHERS = 3
 MISSED = 2_200_000  # without a heartbeat for so long, the primary is told
 SWEEP = 1_000_000
+BLIND = 2_000_000  # without news for so long, what they said of silent places is not gone by
 
 note = Writer(__name__)
 
@@ -88,6 +90,11 @@
         self._watchers: list[Member] = []  # this gateway's, and those that it watches itself
         self._watched: list[Member] = []
         self._heard: dict[str, int] = {}  # node and life -> its last heartbeat here
+        self._quiet: frozenset[tuple[str, str]] = frozenset()  # service and zone whose backends the primary misses
+        self._gated: set[str] = set()  # zones that ever had a gateway
+        self._bare: frozenset[str] = frozenset()  # of these, those that have none now
+        self._sweeps = 0
+        self.plant.boards.missing = self._missing
         self._turn = 0
         self._joined = self._asking = False
         self.mains.handlers["alive"] = self._alive
@@ -202,6 +209,11 @@
         if moved:
             picture = replace(picture, members=members(self.table))
         self.plant.show(picture)
+        if "chains" in keys:
+            held = self.table.get("chains")
+            self.plant.boards.show(unpack(held) if held is not None else None)
+        if "quiet" in keys:
+            self._quiet = frozenset((str(service), str(zone)) for service, zone in self.table.get("quiet") or [])
         if "core" in keys:
             held = self.table.get("core") or {}
             self._jurors = [str(address) for address in held.get("witnesses") or []]
@@ -212,12 +224,34 @@
                 self._ask_in()
         if moved:
             everyone = picture.members.values()
+            zones = {member.zone for member in everyone}
+            self._gated |= zones
+            self._bare = frozenset(self._gated - zones)
             self._watchers = watchers(everyone, self.settings.node, WATCHERS)
             self._watched = watched(everyone, self.settings.node, WATCHERS)
             self.gauge.members_changed()
             self.feed.reconsider()
 
+    def _missing(self, service: str, zone: str) -> frozenset[str]:
+        """Who, besides gateways that send there, misses a place."""
+        found = set()
+        if (service, zone) in self._quiet:
+            found.add("beats")
+        if zone in self._bare:
+            found.add("members")
+        return frozenset(found) if found and self.feed.fresh(BLIND) else frozenset()
+
+    def _tell_flows(self) -> None:
+        """To the primary, which works out the chains."""
+        primary = parse_address(self._core[0]) if self._core else None
+        if primary is not None:
+            for flow in self.plant.boards.flows():
+                self.mains.tell(primary, "flows", flow)
+
     def _sweep(self, _: Any) -> None:
+        self._sweeps += 1
+        if self.plant.boards.chains is not None and self._sweeps % 2 == 0:
+            self._tell_flows()
         self.shared.idle.sweep(self.loop.now)
         self.mains.sweep()
         self.loop.at(self.loop.now + SWEEP, self._sweep)
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -11,7 +11,7 @@
 from oakvale import interface as i
 from oakvale.base.address import Address, parse_address
 from oakvale.gauge.board import Offer
-from oakvale.gauge.dispatch import Boards, Pick
+from oakvale.gauge.dispatch import Boards, Facts, Pick, Turned
 from oakvale.budget import Retries, SharedBudget
 from oakvale.gauge.service import Gauge
 from oakvale.lane import Lane, Shared
@@ -76,6 +76,7 @@
         self._ready: set[int] = set()
         self._known: dict[str, Backend] = {}
         self._offers: list[Offer] = []
+        self._closed: frozenset[str] = frozenset()  # zones that are out for this service
         self.listed = False
 
     def class_of(self, route: Route) -> int:
@@ -100,8 +101,35 @@
         if known == self._known and self.listed:
             return
         was, self._known, self.listed = self._known, known, True
+        self._list(numbers)
+        for name, backend in was.items():
+            now = known.get(name)
+            if now is None or not now.ready or now.address != backend.address:
+                self.idle.free(self._numbers[name])
+
+    def close(self, zones: frozenset[str], numbers: dict[str, int]) -> None:
+        """These zones are out: nothing more goes there. What has gone there and was not answered is given up: the
+        module tries it again if it may run twice and the budget allows, and else answers at once. An attempt that
+        was not written whole ends by itself, in the time for a connection."""
+        came, self._closed = zones - self._closed, zones
+        if not self._list(numbers):
+            return
+        gone = {self._numbers[b.id] for b in self._known.values() if b.zone in came}
+        for number in gone:
+            self.idle.free(number)
+        for attempt in [a for r in self.requests.all() if not r.over and r.event.lane is self for a in r.out.values()]:
+            if attempt.backend in gone and attempt.written and attempt.connection is not None:
+                attempt.connection.end()
+                self.attempt_ended(attempt, i.Ending.TIMEOUT)
+
+    def _list(self, numbers: dict[str, int]) -> bool:
+        """Whether zones that are out are left alone: not where nothing else is there."""
+        ready = {b.id for b in self._known.values() if b.ready}
+        up = {name for name in ready if self._known[name].zone not in self._closed}
+        heeds = bool(up) or not ready
+        up = up if heeds else ready
         entries = []
-        for backend in backends:
+        for backend in self._known.values():
             number = numbers.setdefault(backend.id, len(numbers) + 1)
             self._numbers[backend.id], self._ids[number] = number, backend.id
             address = parse_address(backend.address)
@@ -109,15 +137,12 @@
                 continue
             self._addresses[number] = address
             entries.append(i.Entry(number, self._zones.get(backend.zone, len(self._zones)),
-                                   state=i.State.READY if backend.ready else i.State.DRAINING,
+                                   state=i.State.READY if backend.id in up else i.State.DRAINING,
                                    slots=backend.slots))
-        self._ready = {self._numbers[b.id] for b in backends if b.ready}
-        self._offers = [Offer(b.id, b.zone, b.slots, b.warm) for b in backends if b.ready]
+        self._ready = {self._numbers[name] for name in up}
+        self._offers = [Offer(b.id, b.zone, b.slots, b.warm) for b in self._known.values() if b.ready]
         self.give(i.Backends(i.ListForm.FULL, tuple(entries)))
-        for name, backend in was.items():
-            now = known.get(name)
-            if now is None or not now.ready or now.address != backend.address:
-                self.idle.free(self._numbers[name])
+        return heeds
 
     def number(self, backend: str) -> int:
         """0 for one that is not known here."""
@@ -166,6 +191,7 @@
         self.shared, self.gauge = shared, gauge
         self.boards = Boards(shared.loop, mains, gauge, node, zone,
                              lambda service: self._lane(service).offers())
+        self.boards.on_closed = lambda service, zones: self._lane(service).close(zones, self._numbers)
         self.loop, self.limits, self.log = shared.loop, shared.limits, shared.log
         self.buffers, self.bodies, self.clients = shared.buffers, shared.bodies, shared.clients
         self.response = shared.response
@@ -288,10 +314,21 @@
 
     def _go(self, request: InHand) -> None:
         order: Order = request.event
-        self.boards.ask(order.lane.service, request.deadline - self.loop.now, partial(self._advised, request))
-
-    def _advised(self, request: InHand, pick: Pick | None) -> None:
+        facts = None
+        if self.boards.chains is not None:
+            route = order.route
+            holder = self.picture.tenants.get(order.tenant) if order.tenant is not None else None
+            rank = route.prio if holder is None or holder.prio is None else int(holder.prio)
+            facts = Facts(route.name, rank, order.tenant or "", route.safe, route.aim)
+        self.boards.ask(order.lane.service, request.deadline - self.loop.now, partial(self._advised, request), facts)
+
+    def _advised(self, request: InHand, pick: Pick | Turned | None) -> None:
         order: Order = request.event
+        if isinstance(pick, Turned):
+            if not request.over:
+                self.tally.refusals["no_room"] += 1
+                self._final(request, later(503, pick.wait, b"no place has room\n"))
+            return
         if not request.over:
             order.given, order.pick = True, pick
             if pick is not None:
--- a/oakvale/sluice/process.py
+++ b/oakvale/sluice/process.py
@@ -27,6 +27,7 @@
     sluice = Sluice(settings, listeners)
     shutdown = Shutdown(sluice)
     offer(sluice.mains, "sluice", settings.node, lambda: standing(sluice))
+    sluice.mains.handlers["chains"] = lambda conn, body, answer: answer({"held": sluice.table.get("chains")})
 
     watch = SettingsWatch(sluice.loop, os.environ, settings, lambda fresh: sluice.know(fresh.seeds))
 
--- /dev/null
+++ b/oakvale/spillway/crest.py
@@ -0,0 +1,314 @@
+"""Crest: one service's places, as the keeper of its board or a gateway on its own sees and fills them.
+
+No I/O and no clock; times are microseconds. While all places are open it counts what is asked and says nothing
+else. Once one has failed, each request is let to the nearest places that have room for it, or refused at once with
+a time to come back: the lowest rank first, and before it a tenant that alone takes more than all others.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+from oakvale.spillway.chains import Chains, Load
+from oakvale.spillway.fall import TRIAL, Fall, Flow
+from oakvale.spillway.sight import SILENT, Sight
+from oakvale.spillway.weir import SECOND, Weir, patience
+
+TICK = 50_000  # between two looks at the places
+GIVEN_UP = 1.5  # usual times after which an attempt that was called off tells of its place
+CROWDED = 1.5  # open attempts for each slot, besides those that the weir lets wait: half as many again
+SPREAD = 0.5  # seconds, or their aim, that those who are told to come back are spread over: they would come together
+BUSIEST = 1.5
+WHILE = 5_000_000  # a route that nobody asked for twice as long is reckoned with no longer
+LEAST_WAIT = 50_000
+
+Missing = Callable[[str], frozenset[str]]  # place -> kinds of observers, besides gateways, that miss it
+Away = Callable[[frozenset[str]], int]  # how many of these gateways are not known to be in reach, or to have ended
+Held = Callable[[], Mapping[str, tuple[int, float]]]  # place -> open attempts and slots of its backends
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """A request's first attempt, as its gateway tells of it."""
+
+    gateway: str
+    home: str  # the gateway's zone
+    rank: int = 0
+    tenant: str = ""
+    safe: bool = False
+    cost: float = 0.0  # slot-seconds
+    aim: int = 0  # microseconds
+
+
+@dataclass(slots=True, frozen=True)
+class Way:
+    zones: frozenset[str] | None  # None: wherever it likes
+
+
+@dataclass(slots=True, frozen=True)
+class Wait:
+    """It is refused; it never ran."""
+
+    micros: int
+
+
+@dataclass(slots=True, frozen=True)
+class Sent:
+    zone: str
+    ask: Ask
+    at: int
+    until: int
+
+
+def _nothing(_: str) -> frozenset[str]:
+    return frozenset()
+
+
+class Crest:
+    def __init__(self, service: str, draw: Callable[[], float], missing: Missing = _nothing,
+                 away: Away | None = None, cut: Callable[[], bool] | None = None) -> None:
+        """`away`: as the keeper. `cut`: as a gateway by itself; whether the keeper reckons with it no longer."""
+        self.service, self._draw, self._missing = service, draw, missing
+        self._away, self._cut = away, cut
+        self.chains = Chains()
+        self.sight = Sight()
+        self.falls: dict[str, Fall] = {}
+        self._weirs: dict[str, Weir] = {}
+        self._sent: dict[int, Sent] = {}
+        self._tried: dict[str, int] = {}  # place -> ticket of the request that tries it
+        self._ranks: list[int] = []
+        # of tenants, in slot-seconds: this second's, and the last's
+        self._used: tuple[dict[str, float], dict[str, float]] = ({}, {})
+        self._used_at = self._ticked = 0
+        self._asked: dict[tuple[str, int], float] = {}
+        self._counted_at = 0
+        self._gone = 0  # gateways that may use their part: not in reach
+        self._noted: dict[str, tuple[str, float]] = {}  # place -> its flow and share, as last told
+        self._least = (0.0, 0.0)  # the least patience of requests, in seconds: of this while, of the last
+        self._least_at = 0
+        self.turned = 0  # refused
+
+    # ---- what is known
+
+    def show(self, chains: Chains) -> None:
+        """Another version: what has been spent stays spent."""
+        if chains.version >= self.chains.version:
+            self.chains = chains
+
+    def follow(self, closed: Iterable[str], now: int) -> None:
+        """Another's word, who sees more."""
+        closed = set(closed)
+        for zone in closed:
+            fall = self.falls.setdefault(zone, Fall())
+            if fall.flow is not Flow.OUT:
+                fall.failed(now)
+        for zone, fall in self.falls.items():
+            if zone not in closed and fall.flow is not Flow.OPEN:
+                self.falls[zone] = Fall()
+
+    def closed(self, gateway: str) -> frozenset[str]:
+        """What is out for a gateway: also a place that is tried, but for the gateway whose request tries it."""
+        tries = {zone for zone, ticket in self._tried.items() if self._sent[ticket].ask.gateway == gateway}
+        return frozenset(zone for zone, fall in self.falls.items()
+                         if fall.flow is Flow.OUT or fall.flow is Flow.TRIED and zone not in tries)
+
+    def stand(self, now: int) -> dict[str, str]:
+        """Place -> slots that it may be sent, of its limit; and the slot-seconds that are saved (or owed)."""
+        found = {}
+        for zone in sorted(self.chains.limits.get(self.service, {})):
+            weir = self._weir(zone, now)
+            if weir is not None:
+                found[zone] = f"{weir.rate():.2f}/{self.chains.limits[self.service][zone]:.2f}/{weir.level:.2f}"
+        return found
+
+    def news(self) -> list[tuple[str, str, float]]:
+        """Places whose flow has changed since the last call: how they stand, and the share that they take."""
+        now = {zone: (fall.flow.value, fall.share()) for zone, fall in self.falls.items()
+               if fall.flow is not Flow.OPEN or zone in self._noted}
+        told = [(zone, *state) for zone, state in now.items() if self._noted.get(zone) != state]
+        self._noted = {zone: state for zone, state in now.items() if state[0] != Flow.OPEN.value}
+        return told
+
+    def moves(self) -> bool:
+        """Some place is out, or on its way back."""
+        return any(fall.flow is not Flow.OPEN for fall in self.falls.values())
+
+    # ---- requests
+
+    def ask(self, ask: Ask, places: Iterable[str], usual: int, held: Held | None, now: int) -> Way | Wait:
+        """`places`: the zones with backends that may be named; `usual`: microseconds that an answer takes."""
+        places = set(places)
+        self._count(ask, now)
+        self._tick(places, usual, now)
+        if not self.moves():
+            return Way(None)
+        here = {zone: self.falls.setdefault(zone, Fall()) for zone in places}
+        for zone, fall in here.items():
+            tries = ask.safe or fall.waits(now) and "beats" not in self._missing(zone)
+            if fall.flow is Flow.TRIED and tries and zone not in self._tried:
+                return Way(frozenset({zone}))
+        up = [zone for zone, fall in here.items() if fall.flow in (Flow.OPEN, Flow.FILLING)]
+        if not up:
+            return Way(None)  # nothing is better known than all being out
+        may = self._bears(ask, now)
+        crowd = self._crowded(held, usual, now)
+        low, wait = self._low(ask), SECOND
+        for tier in self._tiers(ask.home, up):
+            passing = set()
+            for zone in tier:
+                weir = self._weir(zone, now)
+                if weir is None or zone not in crowd and weir.passes(may, low, now):
+                    passing.add(zone)
+                elif weir.rate() > 0:
+                    wait = min(wait, weir.wait(may, low))
+            if passing:
+                return Way(frozenset(passing))
+        self.turned += 1
+        return Wait(max(LEAST_WAIT, wait) + int(max(SPREAD * SECOND, ask.aim) * self._draw()))
+
+    def sent(self, zone: str, ask: Ask, ticket: int, until: int, now: int) -> None:
+        self.sight.sent(zone, ask.gateway, ask.home, now)
+        self._sent[ticket] = Sent(zone, ask, now, until)
+        fall = self.falls.get(zone)
+        if fall is not None and fall.flow is Flow.TRIED:
+            self._tried[zone] = ticket
+        self._spend(zone, ask.tenant, ask.cost, now)
+
+    def ended(self, ticket: int, zone: str, ask: Ask, latency: int, outcome: str, usual: int, now: int) -> None:
+        """`ticket` 0: nobody asked here before that attempt; it weighs on the place all the same."""
+        known = self._sent.pop(ticket, None)
+        if self._tried.get(zone) == ticket and known is not None:
+            del self._tried[zone]
+        if outcome == "none" and latency < GIVEN_UP * usual:
+            if known is not None and latency == 0:
+                self._spend(zone, ask.tenant, -known.ask.cost, now)  # it was not made
+            return
+        if known is None:
+            self._spend(zone, ask.tenant, ask.cost, now)
+        fall = self.falls.get(zone)
+        if outcome == "full":
+            weir = self._weir(zone, now) if fall is not None and fall.flow is Flow.OPEN and self.moves() else None
+            return weir.crowded(now) if weir is not None else None
+        served = outcome in ("served", "error")  # its own error is an answer
+        if served:
+            self.sight.served(zone, ask.gateway, ask.home, now)
+        else:
+            self.sight.lost(zone, ask.gateway, ask.home, now - latency, now)
+        lately = known is None or served or now - latency >= (fall.since if fall is not None else 0)
+        if fall is not None and fall.flow in (Flow.TRIED, Flow.FILLING) and lately:
+            fall.ended(served, now)
+
+    def report(self, now: int) -> list[Load]:
+        """What was asked since the last report, in slots kept busy."""
+        span = max(1, now - self._counted_at) / SECOND
+        asked, self._asked, self._counted_at = self._asked, {}, now
+        return [Load(home, self.service, rank, work / span) for (home, rank), work in sorted(asked.items())]
+
+    # ---- inside
+
+    def _count(self, ask: Ask, now: int) -> None:
+        if not self._counted_at:
+            self._counted_at = now
+        key = (ask.home, ask.rank)
+        self._asked[key] = self._asked.get(key, 0.0) + ask.cost
+        if ask.rank not in self._ranks:
+            self._ranks = sorted([*self._ranks, ask.rank])
+
+    def _tick(self, places: set[str], usual: int, now: int) -> None:
+        if now - self._ticked < TICK:
+            return
+        self._ticked = now
+        self._gone = self._away(self.chains.may) if self._away is not None else 0
+        for ticket in [ticket for ticket, sent in self._sent.items() if sent.until <= now]:
+            sent = self._sent.pop(ticket)  # it was never handed back
+            if self._tried.get(sent.zone) == ticket:
+                del self._tried[sent.zone]
+        for zone, ticket in list(self._tried.items()):
+            if now - self._sent[ticket].at >= max(SILENT * usual, TRIAL):
+                del self._tried[zone]
+                self.falls[zone].ended(False, now)
+        for zone in [zone for zone in self.falls if zone not in places]:
+            if self.falls[zone].flow is not Flow.OUT:
+                self.falls.pop(zone)  # it has no backend any more: the list says so
+                self._tried.pop(zone, None)
+        for zone in places:
+            fall = self.falls.setdefault(zone, Fall(since=now))
+            fall.tick("beats" not in self._missing(zone), now)
+            others = [other for other in places if other != zone and self.falls.setdefault(
+                other, Fall(since=now)).flow is not Flow.OUT]
+            if (fall.flow in (Flow.OPEN, Flow.FILLING) and others
+                    and self.sight.failed(zone, usual, self._missing(zone), now)):
+                fall.failed(now)
+            if fall.flow is Flow.OUT:
+                self._weirs.pop(zone, None)  # what it was like before says nothing of what comes back
+                self.sight.forget(zone)
+                self._tried.pop(zone, None)
+
+    def _tiers(self, home: str, zones: Iterable[str]) -> list[list[str]]:
+        """Within a region a free slot next door is better than a wait at home; beyond, the nearest first."""
+        hierarchy = self.chains.hierarchy
+        tiers = hierarchy.tiers(home, zones)
+        near = [zone for tier in tiers for zone in tier if hierarchy.distance(home, zone) <= 1]
+        return ([near] if near else []) + [tier for tier in tiers if hierarchy.distance(home, tier[0]) > 1]
+
+    def _weir(self, zone: str, now: int) -> Weir | None:
+        """None: nothing is known of what it holds."""
+        limit = self._limit(zone)
+        if limit is None:
+            return None
+        weir = self._weirs.get(zone)
+        if weir is None:
+            weir = self._weirs[zone] = Weir(now)
+        fall = self.falls.get(zone)
+        weir.fill(now)
+        weir.limit = limit * (fall.share() if fall is not None else 1.0)
+        weir.level = min(weir.level, weir.most())
+        return weir
+
+    def _limit(self, zone: str) -> float | None:
+        chains, service = self.chains, self.service
+        if zone not in chains.limits.get(service, {}):
+            return None
+        if self._away is not None:
+            return max(0.0, chains.keeper[service][zone] - self._gone * chains.owed[service][zone])
+        part = chains.part[service][zone] if self._cut is not None and self._cut() else 0.0
+        return chains.spare[service][zone] + part
+
+    def _crowded(self, held: Held | None, usual: int, now: int) -> set[str]:
+        most = CROWDED + min(x for x in self._least if x) * SECOND / max(usual, 1) if any(self._least) else CROWDED
+        up = {zone for zone, fall in self.falls.items() if fall.flow is Flow.OPEN}
+        there = held() if held is not None else {}
+        found = {zone for zone, (out, slots) in there.items() if zone in up and out > most * slots + 1}
+        for zone in found:
+            weir = self._weir(zone, now)
+            if weir is not None:
+                weir.crowded(now)
+        return found
+
+    def _spend(self, zone: str, tenant: str, cost: float, now: int) -> None:
+        if not self.moves():
+            return
+        weir = self._weir(zone, now)
+        if weir is not None:
+            weir.take(cost)
+        if now - self._used_at >= SECOND:
+            self._used = ({}, self._used[0] if now - self._used_at < 2 * SECOND else {})
+            self._used_at = now
+        self._used[0][tenant] = self._used[0].get(tenant, 0.0) + cost
+
+    def _bears(self, ask: Ask, now: int) -> float:
+        """Seconds of queue for all alike: who bears more would fill it, and who bears less never get in."""
+        if now - self._least_at >= WHILE:
+            self._least, self._least_at = (0.0, self._least[0]), now
+        may = max(patience(ask.aim, ask.cost), 0.001)
+        self._least = (min(self._least[0] or may, may), self._least[1])
+        return min(x for x in self._least if x)
+
+    def _low(self, ask: Ask) -> float:
+        """0 for the highest rank, 1 for the lowest, and more for a tenant that takes more than all others."""
+        last = len(self._ranks) - 1
+        low = self._ranks.index(ask.rank) / last if last > 0 else 0.0
+        sums = [sum(used.values()) for used in self._used]
+        own = sum(used.get(ask.tenant, 0.0) for used in self._used)
+        return BUSIEST if ask.tenant and 2 * own > sum(sums) else low
--- /dev/null
+++ b/oakvale/spillway/sight.py
@@ -0,0 +1,82 @@
+"""Sight: whether a place has failed for a service, by several observers that do not depend on each other.
+
+No I/O and no clock; times are microseconds. An observer is a gateway that sends to the place, the primary that
+misses beats of all of its backends, or the ring that misses all of its gateways. A place that answers anybody has
+not failed: who alone can't see it is cut off from it. And a gateway says something of a place only while another
+place answers it, or it would be the gateway that is cut off.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+SILENT = 3.0  # usual times without any answer: about one in twenty requests takes longer, hardly all at a place do
+LOST = 3  # broken off one after the other, with no answer between: these come fast, and are waited for less long
+TOLD = 2  # observers that are needed
+FORGOTTEN = 30_000_000  # a gateway that has sent nothing to the place for so long is no observer of it
+
+
+@dataclass(slots=True)
+class Seen:
+    """A place as one gateway sees it."""
+
+    zone: str  # the gateway's
+    served_at: int = 0
+    since: int = 0  # when the first was sent that had no answer since; 0: none
+    sent: int = 0  # since then
+    lost: int = 0
+    at: int = 0  # when anything was last seen
+
+
+class Sight:
+    """All places of one service."""
+
+    def __init__(self) -> None:
+        self._seen: dict[str, dict[str, Seen]] = {}  # place -> gateway -> what it sees
+        self._served: dict[str, dict[str, int]] = {}  # gateway -> place -> when it was last answered by it
+
+    def sent(self, place: str, gateway: str, zone: str, now: int) -> None:
+        seen = self._seen.setdefault(place, {}).setdefault(gateway, Seen(zone))
+        seen.since, seen.sent, seen.at = seen.since or now, seen.sent + 1, now
+
+    def served(self, place: str, gateway: str, zone: str, now: int) -> None:
+        seen = self._seen.setdefault(place, {}).setdefault(gateway, Seen(zone))
+        seen.served_at = seen.at = now
+        seen.since = seen.sent = seen.lost = 0
+        self._served.setdefault(gateway, {})[place] = now
+
+    def lost(self, place: str, gateway: str, zone: str, began: int, now: int) -> None:
+        """Broken off, refused, or given up after it was silent for long."""
+        seen = self._seen.setdefault(place, {}).setdefault(gateway, Seen(zone))
+        seen.since = seen.since or max(began, 1)
+        seen.lost, seen.at = seen.lost + 1, now
+
+    def forget(self, place: str) -> None:
+        """What was seen before says nothing of it any more: it is tried anew."""
+        self._seen.pop(place, None)
+
+    def last_served(self, place: str) -> int:
+        return max((seen.served_at for seen in self._seen.get(place, {}).values()), default=0)
+
+    def observers(self, place: str, usual: int, now: int) -> list[Seen]:
+        """The gateways that see it failed, and whose word counts. Silence counts from the last answer to anybody."""
+        found, last = [], self.last_served(place)
+        for gateway, seen in self._seen.get(place, {}).items():
+            if not seen.since or now - seen.at > FORGOTTEN:
+                continue
+            silent = now - max(seen.since, last)
+            fails = seen.lost >= LOST and silent >= usual or seen.sent + seen.lost >= 2 and silent >= SILENT * usual
+            elsewhere = max((at for other, at in self._served.get(gateway, {}).items() if other != place), default=0)
+            if fails and elsewhere > seen.since:
+                found.append(seen)
+        return found
+
+    def failed(self, place: str, usual: int, others: Iterable[str], now: int) -> bool:
+        """`usual`: microseconds that an answer takes; `others`: kinds of observers, besides gateways, that miss it.
+        Those it answered lately and that wait for nothing speak for it: they must be fewer."""
+        told = self.observers(place, usual, now)
+        well = sum(1 for seen in self._seen.get(place, {}).values()
+                   if not seen.since and now - seen.served_at < 2 * SILENT * usual)
+        enough = len(told) + len(set(others)) >= TOLD
+        return enough and len(told) >= well and now - self.last_served(place) >= usual
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -23,6 +23,7 @@
     ("intake",),  # from here on, the whole system
     ("mains", "cistern"),
     ("penstock",),
+    ("spillway",),
     ("gauge",),
     ("headworks", "sluice"),
     ("demo",),
--- a/tests/test_plant.py
+++ b/tests/test_plant.py
@@ -12,11 +12,13 @@
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Loop
 from oakvale.budget import Retries
+from oakvale.gauge.dispatch import Turned
 from oakvale.gauge.floors import Quota
 from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor, listening
 from oakvale.sluice.plant import Plant
 from oakvale.sluice.routes import Backend, Picture, configured
+from oakvale.spillway.chains import Chains
 from tests.node import MS, FakeClock, Node, Party, StandIn, answer
 
 KEY = "ctnfzs989anu6wsjnban"
@@ -264,3 +266,84 @@
     gate.say("/r/x", key="new")
     assert b"tenant: t2" in gate.at_backend()[2].lower()
     assert gate.plant.picture.tenants["t2"].quota == Quota()
+
+
+def apart(gate: Gate) -> None:
+    """The second backend of service one stands in another zone."""
+    backends = dict(gate.plant.picture.backends)
+    backends["i-2"] = replace(backends["i-2"], zone="y")
+    gate.plant.show(replace(gate.plant.picture, backends=backends))
+
+
+def zone_of(name: str) -> str:
+    return "y" if name == "i-2" else "z"
+
+
+def test_a_place_that_is_out_gives_up_what_is_there_and_an_unsafe_request_ends_at_once(gate: Gate) -> None:
+    """A payment order at a failed place: its client waited for the deadline, and a second attempt would double it."""
+    apart(gate)
+    client = gate.say("/b/x", method="POST", body=b"order")
+    name, backend, _ = gate.at_backend()
+    gate.turns(4)
+    gate.plant.boards.on_closed("one", frozenset({zone_of(name)}))
+    assert gate.status(client) == 502
+    gate.turns(10)
+    assert gate.first.take() is None and gate.second.take() is None
+
+
+def test_a_safe_request_at_a_place_that_is_out_goes_on_elsewhere_and_nothing_follows_it_there(gate: Gate) -> None:
+    apart(gate)
+    client = gate.say()
+    name, _, _ = gate.at_backend()
+    gate.turns(4)
+    gate.plant.boards.on_closed("one", frozenset({zone_of(name)}))
+    other, backend, _ = gate.at_backend()
+    assert other != name
+    backend.send(sealed())
+    assert gate.status(client) == 200
+    for n in range(6):
+        again = gate.say(rid=f"c{n}")
+        there, backend, _ = gate.at_backend()
+        assert there == other
+        backend.send(sealed(f"c{n}"))
+        assert gate.status(again) == 200
+    gate.plant.boards.on_closed("one", frozenset({"y", "z"}))  # all out: better tried than refused
+    again = gate.say(rid="d")
+    _, backend, _ = gate.at_backend()
+    backend.send(sealed("d"))
+    assert gate.status(again) == 200
+
+
+def test_what_no_place_has_room_for_is_refused_with_a_time_to_come_back_and_never_runs(gate: Gate) -> None:
+    boards: Any = gate.plant.boards
+    boards.ask = lambda service, wait, then, facts=None: then(Turned(120 * MS))
+    text = gate.reads(gate.say("/b/x", method="POST", body=b"order"))
+    assert text.split()[1] == b"503" and b"retry-after: 0.12" in text.lower()
+    gate.turns(10)
+    assert gate.first.take() is None and gate.second.take() is None
+
+
+def test_without_chains_the_keeper_is_asked_in_the_words_of_before(gate: Gate) -> None:
+    """Off, nothing more is told, and nothing is kept."""
+    said: list[Any] = []
+
+    def ask(address: Any, kind: str, body: Any, wait: int, then: Callable[[Any], None]) -> None:
+        said.append(body)
+        then(["i-1", 4])
+
+    gate.gauge.holder = lambda duty: ("h", 1)  # type: ignore[method-assign,assignment]
+    mains: Any = gate.plant.boards._mains
+    mains.ask, mains.tell = ask, lambda address, kind, body: said.append(body)
+    client = gate.say()
+    _, backend, _ = gate.at_backend()
+    backend.send(sealed())
+    assert gate.status(client) == 200
+    assert [len(body) for body in said] == [4, 6]
+    gate.plant.boards.show(Chains())
+    client = gate.say(rid="a2")
+    _, backend, _ = gate.at_backend()
+    backend.send(sealed("a2"))
+    assert gate.status(client) == 200
+    assert [len(body) for body in said[2:]] == [5, 8]
+    gate.plant.boards.show(None)
+    assert gate.plant.boards.flows() == []
