--- a/oakvale/gauge/dispatch.py
+++ b/oakvale/gauge/dispatch.py
@@ -165,8 +165,9 @@
         ask = Ask(asker, zone, facts.rank, facts.tenant, facts.safe, board.work(facts.route), facts.aim)
         way = crest.ask(ask, {offer.zone for offer in offers}, board.usual(), lambda: board.held(offers), now)
         for place, flow, share in crest.news():
-            note("place", service=service, place=place, flow=flow, share=share, refused=crest.turned,
-                 **crest.stand(now))
+            note("place", service=service, place=place, flow=flow, share=share, refused=crest.turned)
+        if crest.flow_due(now):
+            note("flow", service=service, refused=crest.turned, **crest.flow(now))
         if isinstance(way, Wait):
             return ["", way.micros, sorted(crest.closed(asker))]
         found = board.pick(offers, asker, zone, now + wait, now, way.zones)
@@ -212,6 +213,8 @@
         found = []
         for service, crest in self._crests.items():
             if self._gauge.counts(duty_of(f"service {service}")):
+                if not crest.moves():
+                    note("flow", service=service, refused=crest.turned, **crest.flow(self._loop.now))
                 loads = [[load.home, load.rank, round(load.work, 3)] for load in crest.report(self._loop.now)]
                 held = self._board(service).capacity(self._offers(service))
                 found.append([service, {zone: round(slots, 3) for zone, slots in held.items()}, loads])
--- a/oakvale/spillway/crest.py
+++ b/oakvale/spillway/crest.py
@@ -19,6 +19,7 @@
 GIVEN_UP = 1.5  # usual times after which an attempt that was called off tells of its place
 CROWDED = 1.5  # open attempts for each slot, besides those that the weir lets wait: half as many again
 SPREAD = 0.5  # seconds, or their aim, that those who are told to come back are spread over: they would come together
+FLOW = 500_000  # between two notes of what goes where, while load moves
 BUSIEST = 1.5
 WHILE = 5_000_000  # a route that nobody asked for twice as long is reckoned with no longer
 LEAST_WAIT = 50_000
@@ -87,6 +88,8 @@
         self._noted: dict[str, tuple[str, float]] = {}  # place -> its flow and share, as last told
         self._least = (0.0, 0.0)  # the least patience of requests, in seconds: of this while, of the last
         self._least_at = 0
+        self._let: dict[str, float] = {}  # place -> slot-seconds that went there
+        self._let_at = 0
         self.turned = 0  # refused
 
     # ---- what is known
@@ -113,14 +116,15 @@
         return frozenset(zone for zone, fall in self.falls.items()
                          if fall.flow is Flow.OUT or fall.flow is Flow.TRIED and zone not in tries)
 
-    def stand(self, now: int) -> dict[str, str]:
-        """Place -> slots that it may be sent, of its limit; and the slot-seconds that are saved (or owed)."""
-        found = {}
-        for zone in sorted(self.chains.limits.get(self.service, {})):
-            weir = self._weir(zone, now)
-            if weir is not None:
-                found[zone] = f"{weir.rate():.2f}/{self.chains.limits[self.service][zone]:.2f}/{weir.level:.2f}"
-        return found
+    def flow(self, now: int) -> dict[str, str]:
+        """Since the last call: place -> slots' worth of work that went there, of its limit."""
+        span = max(1, now - self._let_at) / SECOND
+        let, self._let, self._let_at = self._let, {}, now
+        limits = self.chains.limits.get(self.service, {})
+        return {zone: f"{let.get(zone, 0.0) / span:.2f}/{limit:.2f}" for zone, limit in sorted(limits.items())}
+
+    def flow_due(self, now: int) -> bool:
+        return self.moves() and now - self._let_at >= FLOW
 
     def news(self) -> list[tuple[str, str, float]]:
         """Places whose flow has changed since the last call: how they stand, and the share that they take."""
@@ -287,6 +291,7 @@
         return found
 
     def _spend(self, zone: str, tenant: str, cost: float, now: int) -> None:
+        self._let[zone] = self._let.get(zone, 0.0) + cost
         if not self.moves():
             return
         weir = self._weir(zone, now)
