--- a/tests/test_spillway.py
+++ b/tests/test_spillway.py
@@ -11,10 +11,12 @@
 import cbor2
 import pytest
 
+from oakvale import cli
 from oakvale.headworks.ledger import Ledger
 from oakvale.headworks.planning import Planning
 from oakvale.intake.chains import Given, load
 from oakvale.intake.settings import BadSettings, decode
+from oakvale.mains import standing
 from oakvale.spillway import telling
 from oakvale.spillway.chains import Chains, Load, pack, plan, unpack
 from oakvale.spillway.crest import Ask, Crest, Wait, Way
@@ -470,3 +472,22 @@
     core.ledger.take([("chains", (2, 1), {"version": 4})])
     core.on_change[0](True)
     assert core.changes[1:] == [{"chains": None}]
+
+
+def test_the_command_line_asks_a_process_and_ends_with_3_where_a_failure_cannot_be_held(
+        monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
+    loads = [Load("a", "s", 0, 5.0)]
+    held = pack(plan(3, hierarchy(ZONES, {}), {(zone, "s"): 3.0 for zone in ZONES}, loads, ["g"]))
+    answers: list[Any] = [held, held, held, None]
+    monkeypatch.setattr(standing, "inquire", lambda address, timeout, kind: {"held": answers.pop(0)})
+    ends = []
+    for words in (["check"], ["explain", "b", "s"], ["explain", "b", "x"], ["show"]):
+        try:
+            cli.main(["chain", *words, "--at", "127.0.0.1:7"])
+            ends.append(0)
+        except SystemExit as end:
+            ends.append(int(end.code or 0))
+    assert ends == [3, 0, 2, 1]
+    told = capsys.readouterr()
+    assert "a and b out: s lacks 2.2 of 5.0 slots (43 %)" in told.out and "clients of a: a 2.8, then c 2.2" in told.out
+    assert "no service 'x'; there are s" in told.err and "holds no chains" in told.err
