--- a/oakvale/gauge/board.py
+++ b/oakvale/gauge/board.py
@@ -94,6 +94,12 @@
         """Slot-seconds that a request of a route takes at mean speed."""
         return self._means.get(route, float(self.usual())) / 1_000_000
 
+    def distrust(self, names: Iterable[str]) -> None:
+        """Their place failed: those that start anew there go before these, which may be listed and dead."""
+        for name in names:
+            if name in self._spots:
+                self._spots[name].bad = 1.0
+
     def held(self, offers: Iterable[Offer]) -> dict[str, tuple[int, float]]:
         """Zone -> open attempts and slots."""
         found: dict[str, tuple[int, float]] = {}
--- a/oakvale/gauge/dispatch.py
+++ b/oakvale/gauge/dispatch.py
@@ -165,6 +165,8 @@
         ask = Ask(asker, zone, facts.rank, facts.tenant, facts.safe, board.work(facts.route), facts.aim)
         way = crest.ask(ask, {offer.zone for offer in offers}, board.usual(), lambda: board.held(offers), now)
         for place, flow, share in crest.news():
+            if flow == "out":
+                board.distrust(offer.id for offer in offers if offer.zone == place)
             note("place", service=service, place=place, flow=flow, share=share, refused=crest.turned)
         if crest.flow_due(now):
             note("flow", service=service, refused=crest.turned, **crest.flow(now))
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -53,6 +53,19 @@
     assert got["b0"] < min(got[name] for name in ("b1", "b2", "b3")) / 2
 
 
+def test_at_a_place_that_failed_those_that_start_anew_are_named_first() -> None:
+    """The dead stay listed for a while, warm and idle by what was known: half of what came back went to them."""
+    one = board()
+    for _ in HERE[:2]:
+        name, ticket = one.pick(HERE[:2], "g", "z", 10_000 * MS, 0) or ("", 0)
+        one.done(name, ticket, "r", 100 * MS, "served", 1)
+        one.pick(HERE[:2], "g", "z", 2 * MS, 1)
+    one.distrust(offer.id for offer in HERE[:2])
+    cold = [Offer(offer.id, "z", 2, 3_000 * MS) for offer in HERE[2:]]
+    named = {one.pick([*HERE[:2], *cold], "g", "z", 10_000 * MS, 2)[0] for _ in range(4)}  # type: ignore[index]
+    assert named == {"b2", "b3"}
+
+
 def test_only_what_is_offered_is_named_and_nothing_of_the_rest_is_kept() -> None:
     one = board()
     for _ in range(8):
