--- a/oakvale/spillway/crest.py
+++ b/oakvale/spillway/crest.py
@@ -17,6 +17,7 @@
 
 TICK = 50_000  # between two looks at the places
 GIVEN_UP = 1.5  # usual times after which an attempt that was called off tells of its place
+COLD = 2.5  # times as long as usual, that answers of a place may take while it comes back
 CROWDED = 1.5  # open attempts for each slot, besides those that the weir lets wait: half as many again
 SPREAD = 0.5  # seconds, or their aim, that those who are told to come back are spread over: they would come together
 FLOW = 500_000  # between two notes of what goes where, while load moves
@@ -181,16 +182,17 @@
 
     def ended(self, ticket: int, zone: str, ask: Ask, latency: int, outcome: str, usual: int, now: int) -> None:
         """`ticket` 0: nobody asked here before that attempt; it weighs on the place all the same."""
+        fall = self.falls.get(zone)
         known = self._sent.pop(ticket, None)
         if self._tried.get(zone) == ticket and known is not None:
             del self._tried[zone]
-        if outcome == "none" and latency < GIVEN_UP * usual:
+        slow = COLD if fall is not None and fall.flow in (Flow.TRIED, Flow.FILLING) else 1.0
+        if outcome == "none" and latency < GIVEN_UP * slow * usual:
             if known is not None and latency == 0:
                 self._spend(zone, ask.tenant, -known.ask.cost, now)  # it was not made
             return
         if known is None:
             self._spend(zone, ask.tenant, ask.cost, now)
-        fall = self.falls.get(zone)
         if outcome == "full":
             weir = self._weir(zone, now) if fall is not None and fall.flow is Flow.OPEN and self.moves() else None
             return weir.crowded(now) if weir is not None else None
@@ -229,7 +231,7 @@
             if self._tried.get(sent.zone) == ticket:
                 del self._tried[sent.zone]
         for zone, ticket in list(self._tried.items()):
-            if now - self._sent[ticket].at >= max(SILENT * usual, TRIAL):
+            if now - self._sent[ticket].at >= max(SILENT * COLD * usual, TRIAL):
                 del self._tried[zone]
                 self.falls[zone].ended(False, now)
         for zone in [zone for zone in self.falls if zone not in places]:
@@ -241,8 +243,9 @@
             fall.tick("beats" not in self._missing(zone), now)
             others = [other for other in places if other != zone and self.falls.setdefault(
                 other, Fall(since=now)).flow is not Flow.OUT]
+            slow = COLD if fall.flow is Flow.FILLING else 1.0
             if (fall.flow in (Flow.OPEN, Flow.FILLING) and others
-                    and self.sight.failed(zone, usual, self._missing(zone), now)):
+                    and self.sight.failed(zone, int(slow * usual), self._missing(zone), now)):
                 fall.failed(now)
             if fall.flow is Flow.OUT:
                 self._weirs.pop(zone, None)  # what it was like before says nothing of what comes back
--- a/oakvale/spillway/sight.py
+++ b/oakvale/spillway/sight.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 SILENT = 3.0  # usual times without any answer: about one in twenty requests takes longer, hardly all at a place do
+SINGLE = 6.0  # with one request alone: a small place is full of those, and gets no more
 LOST = 3  # broken off one after the other, with no answer between: these come fast, and are waited for less long
 TOLD = 2  # observers that are needed
 FORGOTTEN = 30_000_000  # a gateway that has sent nothing to the place for so long is no observer of it
@@ -66,7 +67,8 @@
             if not seen.since or now - seen.at > FORGOTTEN:
                 continue
             silent = now - max(seen.since, last)
-            fails = seen.lost >= LOST and silent >= usual or seen.sent + seen.lost >= 2 and silent >= SILENT * usual
+            waits = SILENT if seen.sent + seen.lost >= 2 else SINGLE
+            fails = seen.lost >= LOST and silent >= usual or silent >= waits * usual
             elsewhere = max((at for other, at in self._served.get(gateway, {}).items() if other != place), default=0)
             if fails and elsewhere > seen.since:
                 found.append(seen)
