--- a/oakvale/headworks/drains.py
+++ b/oakvale/headworks/drains.py
@@ -19,8 +19,9 @@
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.towpath import account
 from oakvale.towpath.clocks import Agreement
-from oakvale.towpath.course import KEPT, PUBLIC, Course, Facts, Hours, Plan, outside, plan, targets
+from oakvale.towpath.course import KEPT, Course, outside
 from oakvale.towpath.hours import Contract
+from oakvale.towpath.planning import PUBLIC, Facts, Hours, Plan, plan, targets
 
 STEP = 500_000  # microseconds between two steps
 TELL = 1_000_000  # between two words of this machine's clock
--- a/oakvale/towpath/account.py
+++ b/oakvale/towpath/account.py
@@ -11,8 +11,8 @@
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
-from oakvale.towpath.course import Plan
 from oakvale.towpath.hours import FOREVER, Window
+from oakvale.towpath.planning import Plan
 
 ENDS = ("served", "answered", "failed", "refused", "client_gone", "unknown")
 COLUMNS = ("order", "kind", "node", "tenant", "state", "moved", "done", "opens", "closes", "back", "back_done", "again",
--- a/tests/test_drains_core.py
+++ b/tests/test_drains_core.py
@@ -12,8 +12,8 @@
 from oakvale.headworks.resources import Backends, Reply
 from oakvale.headworks.resources import Drains as Handler
 from oakvale.towpath import account
-from oakvale.towpath.course import MARGIN
 from oakvale.towpath.moves import Moves
+from oakvale.towpath.planning import MARGIN
 from tests.simulated import MS, SECOND, Loop
 from tests.world import Machine, World
 
