--- a/oakvale/lab/flume/scale.py
+++ b/oakvale/lab/flume/scale.py
@@ -207,7 +207,7 @@
     told = words.parse_args()
     import gc
 
-    gc.disable()
+    gc.set_threshold(100_000, 50, 50)  # a world's objects last
     for size in told.sizes:
         print(json.dumps(Scale(size, told.seed).play()), flush=True)
         gc.collect()
--- a/oakvale/lab/flume/works.py
+++ b/oakvale/lab/flume/works.py
@@ -73,6 +73,7 @@
         self.up = False  # its process is made, and takes part
         self.lives = 0
         self._held = 0  # not started again before
+        self._meant = True  # its end was the world's doing, or was asked for
         self._seeds = works.seeds
         self._bootstrap = True
 
@@ -101,7 +102,8 @@
         self.lives += 1
         process = self.process = Process(self.machine, Random(works.rng.getrandbits(64)), bounds(settings), works.costs,
                                          settings.nofile - FILES, self._ended)
-        works.happened(Event.START, works.events.now, works.events.now, (self.name,))
+        works.happened(Event.START if self._meant else Event.AGAIN, works.events.now, works.events.now, (self.name,))
+        self._meant = False
         listeners: dict[str, Sock] = {}
 
         def listens(_: Any) -> None:
@@ -130,6 +132,8 @@
     def _ended(self, process: Process) -> None:
         if self.process is process:
             self.process, self.up = None, False
+            if not self._meant:
+                self.works.happened(Event.END, self.works.events.now, self.works.events.now, (self.name,))
             if self.disk is not None:
                 self.disk.lose()
             self.works.moved()
@@ -143,13 +147,13 @@
     def kill(self, down: int = 0) -> None:
         """`down`: microseconds until it is started again at the earliest."""
         now = self.works.events.now
-        self._held = max(self._held, now + down)
+        self._meant, self._held = True, max(self._held, now + down)
         self.works.happened(Event.KILL, now, now, (self.name,))
         if self.process is not None:
             self.process.end()
 
     def power_off(self, down: int, wiped: bool = False) -> None:
-        now = self.works.events.now
+        now, self._meant = self.works.events.now, True
         self.works.happened(Event.OFF, now, now + down, (self.name,))
         self.machine.power_off()
         if wiped and self.disk is not None:
@@ -171,7 +175,7 @@
         works, process = self.works, self.process
         if process is None:
             return
-        began, name = works.events.now, self.name
+        began, name, self._meant = works.events.now, self.name, True
 
         def gone(_: Any) -> None:
             if process.alive:
--- a/oakvale/lab/play.py
+++ b/oakvale/lab/play.py
@@ -125,7 +125,7 @@
     def noted(at: int, machine: str, level: str, event: str, fields: Mapping[str, Any]) -> None:
         record.add(Noted(at, machine, event, {"level": level, **fields}))
 
-    with patched(variant.patches if variant is not None else {}), _without_pauses():
+    with patched(variant.patches if variant is not None else {}), seldom_cleaned():
         works = Works(layout(day), rng.getrandbits(64), costs, happened, noted)
         troubles = Troubles(works, Random(rng.getrandbits(64)))
         began = works.events.now + round(day.lead_s * SECOND)
@@ -142,13 +142,11 @@
 
 
 @contextmanager
-def _without_pauses() -> Iterator[None]:
-    """A world is many small objects that last as long as it: looking through them again and again takes a tenth of the
-    time. What ends with it is cleaned up when it has ended."""
-    was = gc.isenabled()
-    gc.disable()
+def seldom_cleaned() -> Iterator[None]:
+    """A world is many small objects that last as long as it: they are seldom looked through for what has ended."""
+    was = gc.get_threshold()
+    gc.set_threshold(100_000, 50, 50)
     try:
         yield
     finally:
-        if was:
-            gc.enable()
+        gc.set_threshold(*was)
--- a/tests/test_flume.py
+++ b/tests/test_flume.py
@@ -257,6 +257,21 @@
     assert whole(works.edges) and works.faults == []
 
 
+def test_a_process_that_ends_by_itself_is_told_of_and_started_again() -> None:
+    told: list[tuple[str, tuple[str, ...]]] = []
+    works = Works(Layout((("edge", "z"),), (("core", "z"),)), 1,
+                  happened=lambda kind, at, until, machines, **_: told.append((kind.value, machines)))
+    works.begin()
+    works.run_for(SECOND)
+    process = works.edges[0].process
+    assert process is not None and process.loop is not None
+    process.post(process.loop.stop)
+    works.run_for(SECOND)
+    works.edges[0].kill()
+    works.run_for(SECOND)
+    assert [kind for kind, machines in told if machines == ("edge",)] == ["start", "end", "again", "kill", "start"]
+
+
 def day(troubles: list[dict[str, Any]] | None = None, plan: list[dict[str, Any]] | None = None) -> Day:
     return decode({
         "name": "small", "seconds": 12.0, "lead_s": 6.0, "zones": list(ZONES), "edges_per_zone": 1,
