Bytes between processes are told by kind, so that a part's cost can be measured

Cause: one figure for all that a process says; which part grows with the fleet could not be told. Change: the mains count by kind, answers with their questions; `oakvale status` and the event standing show them.

--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -9,6 +9,7 @@
 
 import errno
 import socket
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -46,7 +47,8 @@
         self.used = mains.loop.now
         self._task = mains.loop.start(self._run(), sock.fileno(), Rank.COUNTER)
 
-    def send(self, kind: str, number: int, body: Any) -> None:
+    def send(self, kind: str, number: int, body: Any, of: str = "") -> None:
+        """`of`: the kind of the question that an answer is given to."""
         if not self.alive:
             return
         data = encode(kind, number, body)
@@ -54,7 +56,7 @@
             note("peer does not read", "warning", peer=self.address[0])
             return self.end()
         self.used = self.mains.loop.now
-        self.mains.sent_bytes += len(data)
+        self.mains.sent[kind or of] += len(data)
         if self.up and not self._going:
             try:
                 sent = self.sock.send(data)
@@ -142,7 +144,7 @@
         if handler is None:
             return
         try:
-            handler(self, body, (lambda answer: self.send("", number, answer)) if number else _nobody)
+            handler(self, body, (lambda answer: self.send("", number, answer, kind)) if number else _nobody)
         except Exception:
             # one peer's odd message never ends the process, nor the connection that others' news come on
             note.fault("message failed", kind=kind, peer=self.address[0])
@@ -158,7 +160,7 @@
     def __init__(self, loop: Loop, own: Address) -> None:
         self.loop, self.own = loop, own
         self.handlers: dict[str, Handler] = {}
-        self.sent_bytes = 0
+        self.sent: Counter[str] = Counter()  # bytes by kind, answers with their questions
         self._out: dict[Address, Conn] = {}
         self._failed: dict[Address, int] = {}
         self._refused: dict[Address, int] = {}
@@ -254,6 +256,7 @@
     def links(self) -> tuple[int, int]:
         """How many there are, outgoing and incoming."""
         return len(self._out), len(self._in)
+
     def ended(self, address: Address) -> bool:
         """Whether a connection was refused there just now: the process that listened has ended."""
         return self.loop.now - self._refused.get(address, -2 * PAUSE) < 2 * PAUSE
--- a/oakvale/mains/standing.py
+++ b/oakvale/mains/standing.py
@@ -36,8 +36,9 @@
     def standing() -> Fields:
         usage, (out, come) = resource.getrusage(resource.RUSAGE_SELF), mains.links()
         return {"role": role, "node": node, "up_ms": (loop.now - began) // MS} | tell() | {
-            "links_out": out, "links_in": come, "sent_bytes": mains.sent_bytes, "turns": loop.turns,
-            "cpu_ms": round((usage.ru_utime + usage.ru_stime) * 1000), "memory_mb": usage.ru_maxrss // 1024}
+            "links_out": out, "links_in": come, "sent_bytes": mains.sent.total(), "turns": loop.turns,
+            "cpu_ms": round((usage.ru_utime + usage.ru_stime) * 1000), "memory_mb": usage.ru_maxrss // 1024,
+            } | {f"sent.{kind}": count for kind, count in sorted(mains.sent.items())}
 
     def again(_: Any) -> None:
         loop.at(loop.now + EACH, again)
