Unsafe requests go out on connections younger than any that was forgotten lately

Cause: backends, or boxes on the way, forget idle connections without a word; what is written next is reset and may have run, so an unsafe request is lost. Each gateway would learn that by losses of its own, so they grow with the fleet. Change: an attempt that is reset on a kept connection before anything of an answer came is told to the keeper of the service's board with its idle time; the board's advice bears half of the shortest such time for 10 s, longer where it comes back. Unsafe requests use no connection older than that; safe ones do, are tried again, and renew what is known.

--- a/oakvale/gauge/board.py
+++ b/oakvale/gauge/board.py
@@ -13,6 +13,7 @@
 from functools import lru_cache
 from math import sqrt
 
+from oakvale.gauge.idling import Idling
 from oakvale.penstock.tree import place
 
 LEARN = 0.15  # weight of the newest sample in moving averages
@@ -55,6 +56,7 @@
         self._spots: dict[str, Spot] = {}
         self._means: dict[str, float] = {}  # route -> microseconds
         self._ticket = 0
+        self.idling = Idling()
 
     def pick(self, offers: Iterable[Offer], asker: str, zone: str, until: int, now: int) -> tuple[str, int] | None:
         """The backend that will likely answer first, and a ticket that is to be handed back."""
@@ -91,14 +93,17 @@
         cost += 100.0 if now < spot.out_until else 0.0  # only where all others are out too
         return cost * (1 + 0.02 * self._draw())
 
-    def done(self, name: str, ticket: int, route: str, latency: int, outcome: str, now: int) -> None:
-        """How an attempt ended: `served`, `error` (its own failure), `full`, `lost`, or `none` (never made)."""
+    def done(self, name: str, ticket: int, route: str, latency: int, outcome: str, now: int, dropped: int = 0) -> None:
+        """How an attempt ended: `served`, `error` (its own failure), `full`, `lost`, or `none` (never made).
+        `dropped`: it was lost as a connection that had been idle for so many microseconds was written to."""
         spot = self._spots.get(name)
         if spot is None:
             return
         spot.open.pop(ticket, None)
         alone = ticket in spot.free
         spot.free.discard(ticket)
+        if dropped and alone:  # a full backend may reset what it is sent, too
+            self.idling.dropped(dropped, now)
         if outcome == "none":
             return
         failed = outcome in ("lost", "full", "error")
--- a/oakvale/gauge/dispatch.py
+++ b/oakvale/gauge/dispatch.py
@@ -24,6 +24,7 @@
     backend: str
     ticket: int
     keeper: str  # a duty: what is handed back goes to who holds it then
+    youth: int | None = None  # microseconds that a connection may have been idle and surely be whole
 
 
 class Boards:
@@ -40,8 +41,9 @@
         """`wait`: microseconds after which the attempt is over in any case."""
         duty, now = duty_of(f"service {service}"), self._loop.now
         if self._gauge.counts(duty):
-            found = self._board(service).pick(self._offers(service), self._node, self._zone, now + wait, now)
-            return then(Pick(service, *found, duty) if found else None)
+            board = self._board(service)
+            found = board.pick(self._offers(service), self._node, self._zone, now + wait, now)
+            return then(Pick(service, *found, duty, board.idling.within(now)) if found else None)
         holder = self._gauge.holder(duty)
         if holder is None or now - self._doubt.get(duty, -DOUBT) < DOUBT:
             return then(None)
@@ -50,12 +52,12 @@
             if not isinstance(answer, list):
                 self._doubt[duty] = self._loop.now
                 return then(None)
-            then(Pick(service, str(answer[0]), int(answer[1]), duty))
+            then(Pick(service, str(answer[0]), int(answer[1]), duty, answer[2]))
 
         self._mains.ask(holder, "pick", [service, self._node, self._zone, wait], PICK, answered)
 
-    def done(self, pick: Pick, route: str, latency: int, outcome: str) -> None:
-        self._tell(pick.keeper, pick.service, pick.backend, pick.ticket, route, latency, outcome)
+    def done(self, pick: Pick, route: str, latency: int, outcome: str, dropped: int = 0) -> None:
+        self._tell(pick.keeper, pick.service, pick.backend, pick.ticket, route, latency, outcome, dropped)
 
     def teach(self, service: str, backend: str, route: str, latency: int, outcome: str) -> None:
         """How an attempt ended that nobody had named."""
@@ -63,12 +65,12 @@
             self._tell(duty_of(f"service {service}"), service, backend, 0, route, latency, outcome)
 
     def _tell(self, duty: str, service: str, backend: str, ticket: int, route: str, latency: int,
-              outcome: str) -> None:
+              outcome: str, dropped: int = 0) -> None:
         if self._gauge.counts(duty):
-            return self._board(service).done(backend, ticket, route, latency, outcome, self._loop.now)
+            return self._board(service).done(backend, ticket, route, latency, outcome, self._loop.now, dropped)
         holder = self._gauge.holder(duty)
         if holder is not None:
-            self._mains.tell(holder, "done", [service, backend, ticket, route, latency, outcome])
+            self._mains.tell(holder, "done", [service, backend, ticket, route, latency, outcome, dropped])
 
     def _board(self, service: str) -> Board:
         board = self._boards.get(service)
@@ -81,12 +83,12 @@
         if not self._gauge.counts(duty_of(f"service {service}")):
             self._boards.pop(service, None)
             return answer(None)
-        now = self._loop.now
-        found = self._board(service).pick(self._offers(service), asker, zone, now + wait, now)
-        answer(list(found) if found else None)
+        now, board = self._loop.now, self._board(service)
+        found = board.pick(self._offers(service), asker, zone, now + wait, now)
+        answer([*found, board.idling.within(now)] if found else None)
 
     def _ended(self, conn: Conn, body: Any, _: Answer) -> None:
         service = str(body[0])
         if service in self._boards:
             self._boards[service].done(str(body[1]), int(body[2]), str(body[3]), int(body[4]), str(body[5]),
-                                       self._loop.now)
+                                       self._loop.now, int(body[6]))
--- /dev/null
+++ b/oakvale/gauge/idling.py
@@ -0,0 +1,32 @@
+"""How long a service's idle connections last, as far as their ends tell.
+
+No I/O and no clock. A backend, or a box on the way to it, may forget an idle connection earlier than it says and
+without a word: what is written next is reset, and may have run for all that the sender knows. What one gateway loses
+so tells all, by the keeper of the service's board: until it is forgotten, what must not run twice goes out on younger
+connections, or on new ones.
+"""
+
+from __future__ import annotations
+
+MEMORY = 10_000_000  # microseconds for which one loss is remembered
+LONGEST = 16 * MEMORY  # one that comes back is remembered twice as long each time, up to this
+
+
+class Idling:
+    def __init__(self) -> None:
+        self._within: int | None = None
+        self._until = 0
+        self._memory = MEMORY
+
+    def dropped(self, idled: int, now: int) -> None:
+        """A connection that had been idle for `idled` microseconds was reset as soon as it was written to."""
+        if self.within(now) is None:
+            again = self._until and now - self._until < self._memory
+            self._memory = min(2 * self._memory, LONGEST) if again else MEMORY
+            self._within = idled
+        self._within = min(self._within or idled, idled)
+        self._until = now + self._memory
+
+    def within(self, now: int) -> int | None:
+        """The idle time up to which a connection is likely whole: half of the shortest that was lost. None: any."""
+        return self._within // 2 if self._within is not None and now < self._until else None
--- a/oakvale/lane.py
+++ b/oakvale/lane.py
@@ -95,6 +95,10 @@
         """Neither leaving nor left: a connection to it may be kept."""
         raise NotImplementedError
 
+    def youth(self, request: InHand) -> int | None:
+        """Microseconds that a connection may have been idle and carry this request; None for any."""
+        return None
+
     def answer_of(self, request: InHand, action: i.Refuse | i.Fail) -> Answer:
         """The final answer of a request that is given up."""
         raise NotImplementedError
@@ -169,7 +173,7 @@
         request.out[hop] = attempt
         if request.over or due <= now or hop >= self.settings.max_attempts:
             return self.attempt_ended(attempt, i.Ending.MOOT)
-        connection = self.idle.take(action.backend, now)
+        connection = self.idle.take(action.backend, now, self.youth(request))
         if connection is not None:
             return connection.use(attempt)
         address = self.address(action.backend)
--- a/oakvale/memory/idle.py
+++ b/oakvale/memory/idle.py
@@ -19,9 +19,9 @@
         self._by_backend.setdefault(connection.backend, deque()).append(connection)
         self.count += 1
 
-    def take(self, backend: int, now: int) -> Carrier | None:
-        """The latest used that is still whole. Some backends send a copy or noise right behind an answer:
-        on a connection used again at once it would be taken for the next one's."""
+    def take(self, backend: int, now: int, within: int | None = None) -> Carrier | None:
+        """The latest used that is still whole, idle for at most `within`. Some backends send a copy or noise right
+        behind an answer: on a connection used again at once it would be taken for the next one's."""
         connections = self._by_backend.get(backend)
         unsettled: list[Carrier] = []
         found = None
@@ -30,6 +30,9 @@
             if now - connection.used < self._settle:
                 unsettled.append(connection)
                 continue
+            if within is not None and now - connection.used > within:
+                connections.append(connection)  # as all that are left
+                break
             self.count -= 1
             if now - connection.used < connection.lasts and connection.whole():
                 found = connection
--- a/oakvale/memory/requests.py
+++ b/oakvale/memory/requests.py
@@ -48,6 +48,8 @@
     connection: Carrier | None = None
     written: bool = False
     ending: Ending | None = None
+    idled: int = 0  # microseconds that its connection had been idle; 0 on a new one
+    dropped: bool = False  # that connection ended before anything of an answer came
 
 
 class Carrier(Protocol):
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -53,6 +53,7 @@
     again: bool = False  # its client came back with it
     given: bool = False  # to the lane
     pick: Pick | None = None  # the board's advice, until its ticket is handed back
+    youth: int | None = None  # microseconds that a connection for it may have been idle, by the board
     last: Answer | None = None  # a backend's own failure, if nothing better comes
 
 
@@ -130,7 +131,8 @@
         name, latency, outcome = self.backend_id(attempt.backend), self.loop.now - attempt.sent, OUTCOMES[ending]
         if attempt.hop in attempt.request.out:
             if order.pick is not None and order.pick.backend == name:
-                self.boards.done(order.pick, order.route.name, latency, outcome)
+                dropped = attempt.idled if attempt.dropped else 0
+                self.boards.done(order.pick, order.route.name, latency, outcome, dropped)
                 order.pick = None
             else:
                 self.boards.teach(self.service, name, order.route.name, latency, outcome)
@@ -148,6 +150,11 @@
     def serves(self, backend: int) -> bool:
         return backend in self._ready
 
+    def youth(self, request: InHand) -> int | None:
+        """What may run once only is not risked on a connection that its backend may have forgotten."""
+        order: Order = request.event
+        return order.youth
+
     def answer_of(self, request: InHand, action: i.Refuse | i.Fail) -> Answer:
         order: Order = request.event
         if order.last is not None:
@@ -295,6 +302,7 @@
         if not request.over:
             order.given, order.pick = True, pick
             if pick is not None:
+                order.youth = None if order.route.safe else pick.youth
                 order.event = replace(order.event, hint=order.lane.number(pick.backend))
             order.lane.request_came(request, order.event)
             pick, out = order.pick, {attempt.backend for attempt in request.out.values()}
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -166,6 +166,7 @@
     def use(self, attempt: AttemptOut) -> None:
         """Gives an idle connection its next request."""
         self.attempt, attempt.connection = attempt, self
+        attempt.idled = max(1, self.host.loop.now - self.used)
         self.host.loop.wake(self._task)
 
     def whole(self) -> bool:
@@ -205,6 +206,8 @@
             if not attempt.written and not (gone.begun and self.host.dialect.part_may_run):
                 self._finish(Ending.NO_CONNECTION)
             else:
+                attempt.dropped = bool(attempt.idled) and not gone.timed_out and not self._http.trailing_data[0] and (
+                    self._http.their_state is h11.SEND_RESPONSE)
                 self._finish(Ending.TIMEOUT if gone.timed_out else Ending.RESET)
             return False
         except (h11.RemoteProtocolError, Spoilt) as error:
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -6,7 +6,7 @@
 
 from oakvale.gauge.board import Board, Offer
 
-MS = 1_000
+MS, SECOND = 1_000, 1_000_000
 HERE = [Offer(f"b{n}", "z", 2, 0) for n in range(4)]
 
 
@@ -92,3 +92,30 @@
         return late / 3_000
 
     assert waited(True) < 0.03 < 0.25 < waited(False)
+
+
+def test_one_connection_that_was_dropped_while_idle_tells_all_for_how_long_theirs_are_good() -> None:
+    """Each of many gateways lost requests that may run once only before it knew: the losses grew with the fleet."""
+    one = board()
+
+    def lose(idled: int, now: int) -> None:
+        found = one.pick(HERE, "g", "z", now + SECOND, now)
+        assert found is not None
+        one.done(*found, "r", MS, "lost", now, idled)
+
+    assert one.idling.within(0) is None
+    lose(400 * MS, 0)
+    assert one.idling.within(1) == 200 * MS
+    lose(150 * MS, SECOND)
+    lose(900 * MS, 2 * SECOND)  # longer ones go on to be lost: that tells nothing of the young
+    assert one.idling.within(11 * SECOND) == 75 * MS and one.idling.within(12 * SECOND) is None
+    lose(300 * MS, 13 * SECOND)  # it was forgotten too soon
+    assert one.idling.within(32 * SECOND) == 150 * MS and one.idling.within(33 * SECOND) is None
+
+
+def test_what_a_full_backend_resets_tells_nothing_of_idle_connections() -> None:
+    one = board()
+    named = [one.pick(HERE[:1], "g", "z", SECOND, 0) for _ in range(3)]
+    assert named[2] is not None
+    one.done(*named[2], "r", MS, "lost", 0, 400 * MS)
+    assert one.idling.within(0) is None
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -58,7 +58,8 @@
     assert len(serving) == 1 and serving[0]["own"] == serving[0]["primary"] == core[0]["primary"]
     for one in (*serving, *edge):
         by_kind = {name: int(count) for name, count in one.items() if name.startswith("sent.")}
-        assert sum(by_kind.values()) == int(one["sent_bytes"]) and by_kind["sent.news" if one in serving else "sent.join"]
+        assert sum(by_kind.values()) == int(one["sent_bytes"])
+        assert by_kind["sent.news" if one in serving else "sent.join"] > 0
         assert (one["gen"], one["gateways"], one["backends.calendar.ready"]) == ("1", "sluice-1,sluice-2", "1")
     assert all(one["ready"] == one["listed"] == "True" and int(one["news_age_ms"]) >= 0 for one in edge)
     assert sum(int(one["requests"]) for one in edge) == 1
--- a/tests/test_plant.py
+++ b/tests/test_plant.py
@@ -12,6 +12,7 @@
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Loop
 from oakvale.budget import Retries
+from oakvale.gauge.dispatch import Pick
 from oakvale.gauge.floors import Quota
 from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor, listening
@@ -174,6 +175,51 @@
     assert gate.first.take() is None and gate.second.take() is None
 
 
+@pytest.mark.parametrize("path, youth, kept", [("/b/x", 200 * MS, False), ("/b/x", 400 * MS, True),
+                                               ("/b/x", None, True), ("/r/x", 200 * MS, True)])
+def test_what_may_run_once_only_goes_out_on_a_young_connection(
+        gate: Gate, path: str, youth: int | None, kept: bool) -> None:
+    """Its backend had forgotten the connection without a word: it was reset, and nobody knew whether it ran."""
+    gate.show(gone=("i-2",))
+    first = gate.say()
+    _, backend, _ = gate.at_backend()
+    backend.send(sealed())
+    gate.reads(first, b"ok")
+    gate.pass_time(300 * MS)
+    gate.plant.boards.ask = lambda service, wait, then: then(  # type: ignore[method-assign]
+        Pick(service, "i-1", 1, "gauge/0", youth))
+    gate.say(path, rid="a2")
+    if kept:
+        assert b"a2" in gate.reads(backend, b"a2")
+    else:
+        assert b"a2" in gate.at_backend()[2]
+
+
+def test_a_connection_that_breaks_on_its_next_request_is_told_of_with_its_idle_time(gate: Gate) -> None:
+    gate.show(gone=("i-2",))
+    told: list[int] = []
+    gate.plant.boards.ask = lambda service, wait, then: then(  # type: ignore[method-assign]
+        Pick(service, "i-1", 1, "gauge/0"))
+    gate.plant.boards.done = lambda pick, route, latency, outcome, dropped=0: told.append(  # type: ignore[method-assign]
+        dropped)
+    for rid, ends in (("a1", False), ("a2", True), ("a3", False), ("a4", True)):
+        client = gate.say("/b/x", rid=rid, method="POST", body=b"slot")
+        if rid in ("a1", "a3"):
+            _, backend, _ = gate.at_backend()
+        else:
+            gate.reads(backend, rid.encode())
+        if rid == "a4":
+            backend.send(b"HTTP/1.1 2")  # it had begun to answer
+            gate.turns()
+        if ends:
+            backend.close(reset=True)
+        else:
+            backend.send(sealed(rid))
+        gate.status(client)
+        gate.pass_time(300 * MS)
+    assert told[0] == told[2] == told[3] == 0 and 300 * MS <= told[1] < 400 * MS
+
+
 def test_what_surely_never_ran_goes_to_another_backend(gate: Gate) -> None:
     """421: the address is another's now. The unsafe request has not run and may be sent once more."""
     client = gate.say("/b/x", method="POST", body=b"slot")
