A gateway that loses everywhere teaches the board nothing; what failures cost fades

Cause: one gateway with a bad link loses at each backend that it is named, each then rests, and the others meet at what is left. And a backend that failed once cost twice as much as any free one from then on, so it never got another try. Change: the board keeps the share of losses of each asker; one above a half and twice the others' is not believed. What failures cost a backend fades with 30 s.

--- a/oakvale/gauge/board.py
+++ b/oakvale/gauge/board.py
@@ -11,15 +11,18 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import lru_cache
-from math import sqrt
+from math import exp, sqrt
 
 from oakvale.gauge.idling import Idling
 from oakvale.penstock.tree import place
 
 LEARN = 0.15  # weight of the newest sample in moving averages
+FADE = 30_000_000  # microseconds after which a third is left of what failures cost: it is tried again
 WORSE = 6.0  # a backend that fails everything looks so much slower, and one more
 FAR = 1.4  # another zone's: its bytes are paid for; still before one that would have it wait
 OWN = 0.4  # each gateway leans to backends of its own: fewer connections serve it, and they stay warm
+WRONG = 0.5  # a gateway that loses more than this of what it sends, and twice what others do, is itself at fault
+ASKERS = 4_096  # gateways whose losses are remembered
 PAUSES = 4  # doublings of the pause of one that fails again and again
 
 
@@ -37,12 +40,16 @@
 class Spot:
     cold_until: int
     speed: float = 1.0  # its latency against the mean of the route's
-    bad: float = 0.0  # share of attempts that failed, lately
+    bad: float = 0.0  # share of attempts that failed, lately, as it stood at `bad_at`
+    bad_at: int = 0
     fails: int = 0
     out_until: int = 0
     open: dict[int, int] = field(default_factory=dict)  # ticket -> when it is over in any case
     free: set[int] = field(default_factory=set)  # tickets that found a free slot: their time is its speed
 
+    def badness(self, now: int) -> float:
+        return self.bad * exp((self.bad_at - now) / FADE) if self.bad else 0.0
+
 
 @lru_cache(32768)
 def leaning(asker: str, backend: str) -> float:
@@ -57,6 +64,8 @@
         self._means: dict[str, float] = {}  # route -> microseconds
         self._ticket = 0
         self.idling = Idling()
+        self._losses: dict[str, float] = {}  # asker -> share of its attempts that were lost, lately
+        self._lost = 0.0  # their sum
 
     def pick(self, offers: Iterable[Offer], asker: str, zone: str, until: int, now: int) -> tuple[str, int] | None:
         """The backend that will likely answer first, and a ticket that is to be handed back."""
@@ -88,14 +97,17 @@
                 spot.free.discard(ticket)
         waits = max(0.0, len(spot.open) + 1 - offer.slots) / max(offer.slots, 1.0)
         # a free slot is what counts; among free ones the faster goes first, but not at any price
-        cost = sqrt(spot.speed) * (1 + 2 * waits) * (1 + WORSE * spot.bad) * (FAR if offer.zone != zone else 1.0)
+        cost = sqrt(spot.speed) * (1 + 2 * waits) * (1 + WORSE * spot.badness(now))
+        cost *= FAR if offer.zone != zone else 1.0
         cost *= 2.0 if now < spot.cold_until else 1.0
         cost += 100.0 if now < spot.out_until else 0.0  # only where all others are out too
         return cost * (1 + 0.02 * self._draw())
 
-    def done(self, name: str, ticket: int, route: str, latency: int, outcome: str, now: int, dropped: int = 0) -> None:
+    def done(self, name: str, ticket: int, route: str, latency: int, outcome: str, now: int, dropped: int = 0,
+             asker: str = "") -> None:
         """How an attempt ended: `served`, `error` (its own failure), `full`, `lost`, or `none` (never made).
         `dropped`: it was lost as a connection that had been idle for so many microseconds was written to."""
+        believed = outcome == "none" or self._believes(asker, outcome == "lost")
         spot = self._spots.get(name)
         if spot is None:
             return
@@ -104,11 +116,12 @@
         spot.free.discard(ticket)
         if dropped and alone:  # a full backend may reset what it is sent, too
             self.idling.dropped(dropped, now)
-        if outcome == "none":
+        if outcome == "none" or outcome == "lost" and not believed:
             return
         failed = outcome in ("lost", "full", "error")
         if outcome != "full":
-            spot.bad += LEARN * (failed - spot.bad)
+            was = spot.badness(now)
+            spot.bad, spot.bad_at = was + LEARN * (failed - was), now
         if outcome == "served":
             spot.fails = max(0, spot.fails - 1)
             if alone:
@@ -119,3 +132,15 @@
             mean = max(self._means.values(), default=0.0) or 100_000.0
             spot.fails = min(spot.fails + 1, PAUSES)
             spot.out_until = now + int(mean * 2 ** (spot.fails - 3))
+
+    def _believes(self, asker: str, lost: bool) -> bool:
+        """Whether what an asker lost tells of backends: one whose own link is bad loses at all of them, and would
+        have the others sent away from each in turn."""
+        if len(self._losses) >= ASKERS:
+            self._losses.clear()
+            self._lost = 0.0
+        was = self._losses.get(asker, 0.0)
+        own = self._losses[asker] = was + LEARN * (lost - was)
+        self._lost += own - was
+        others = (self._lost - own) / max(1, len(self._losses) - 1)
+        return own < WRONG or len(self._losses) < 2 or others > own / 2
--- a/oakvale/gauge/dispatch.py
+++ b/oakvale/gauge/dispatch.py
@@ -67,10 +67,12 @@
     def _tell(self, duty: str, service: str, backend: str, ticket: int, route: str, latency: int,
               outcome: str, dropped: int = 0) -> None:
         if self._gauge.counts(duty):
-            return self._board(service).done(backend, ticket, route, latency, outcome, self._loop.now, dropped)
+            return self._board(service).done(backend, ticket, route, latency, outcome, self._loop.now, dropped,
+                                             self._node)
         holder = self._gauge.holder(duty)
         if holder is not None:
-            self._mains.tell(holder, "done", [service, backend, ticket, route, latency, outcome, dropped])
+            self._mains.tell(holder, "done", [service, backend, ticket, route, latency, outcome, dropped,
+                                             self._node])
 
     def _board(self, service: str) -> Board:
         board = self._boards.get(service)
@@ -91,4 +93,4 @@
         service = str(body[0])
         if service in self._boards:
             self._boards[service].done(str(body[1]), int(body[2]), str(body[3]), int(body[4]), str(body[5]),
-                                       self._loop.now, int(body[6]))
+                                       self._loop.now, int(body[6]), str(body[7]))
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -119,3 +119,35 @@
     assert named[2] is not None
     one.done(*named[2], "r", MS, "lost", 0, 400 * MS)
     assert one.idling.within(0) is None
+
+
+def test_one_gateway_that_loses_everywhere_does_not_empty_the_service() -> None:
+    """Its own link was bad: each backend that it was named rested in turn, and the others met at what was left."""
+    one, draw, rested = board(), random.Random(5), 0
+    for at in range(400):
+        now, asker = at * 10 * MS, f"g{draw.randrange(8)}"
+        found = one.pick(HERE, asker, "z", 10**9, now)
+        assert found is not None
+        one.done(*found, "r", 100 * MS, "lost" if asker == "g0" else "served", now + 1, 0, asker)
+        rested += at > 200 and sum(spot.out_until > now for spot in one._spots.values())
+    assert rested == 0
+    for at in range(400, 420):  # what all lose there is the backend's
+        found = one.pick(HERE, f"g{at % 8}", "z", 10**9, at * 10 * MS)
+        assert found is not None
+        one.done(*found, "r", 100 * MS, "lost" if found[0] == "b1" else "served", at * 10 * MS, 0, f"g{at % 8}")
+    assert one._spots["b1"].out_until > 4 * SECOND > one._spots["b2"].out_until
+
+
+def test_one_that_failed_is_tried_again_though_others_are_free() -> None:
+    """It failed once, was dearer than any free one from then on, and so never got the chance to show better."""
+    one = board()
+    found = one.pick(HERE, "g", "z", 10**9, 0)
+    assert found is not None
+    one.done(*found, "r", 20 * MS, "error", 1)
+
+    def named(now: int) -> set[str]:
+        picks = [one.pick(HERE, f"g{n}", "z", now + 1, now) for n in range(3)]
+        return {pick[0] for pick in picks if pick}
+
+    assert found[0] not in set().union(*(named(SECOND + n * MS) for n in range(60)))
+    assert found[0] in set().union(*(named(90 * SECOND + n * MS) for n in range(60)))
