A board looks at few backends for a pick and names the one that looking at all would

Change: backends are looked at in the order in which they lie for the asker, kept until the offers change, and the search ends where not even the fastest, free, would do.

--- a/oakvale/gauge/board.py
+++ b/oakvale/gauge/board.py
@@ -8,10 +8,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from functools import lru_cache
+from itertools import chain
 from math import exp, sqrt
+from operator import itemgetter
 
 from oakvale.gauge.idling import Idling
 from oakvale.penstock.tree import place
@@ -23,6 +25,8 @@
 OWN = 0.4  # each gateway leans to backends of its own: fewer connections serve it, and they stay warm
 WRONG = 0.5  # a gateway that loses more than this of what it sends, and twice what others do, is itself at fault
 ASKERS = 4_096  # gateways whose losses are remembered
+NEAR = 32  # backends that are kept in the order of each asker
+ORDERS = 1_000  # askers whose order is kept
 PAUSES = 4  # doublings of the pause of one that fails again and again
 
 
@@ -51,6 +55,9 @@
         return self.bad * exp((self.bad_at - now) / FADE) if self.bad else 0.0
 
 
+Place = tuple[float, Offer, Spot]  # how it lies for an asker: 1 or more, the less the better
+
+
 @lru_cache(32768)
 def leaning(asker: str, backend: str) -> float:
     """0 to 1, drawn once for each pair by their names."""
@@ -63,34 +70,62 @@
         self._spots: dict[str, Spot] = {}
         self._means: dict[str, float] = {}  # route -> microseconds
         self._ticket = 0
+        self._offers: Sequence[Offer] | None = None
+        self._orders: dict[tuple[str, str], list[Place]] = {}  # by asker and its zone
+        self._least = 1.0  # speed of the fastest, or less
         self.idling = Idling()
         self._losses: dict[str, float] = {}  # asker -> share of its attempts that were lost, lately
         self._lost = 0.0  # their sum
 
-    def pick(self, offers: Iterable[Offer], asker: str, zone: str, until: int, now: int) -> tuple[str, int] | None:
-        """The backend that will likely answer first, and a ticket that is to be handed back."""
-        offers = list(offers)
-        known = {offer.id for offer in offers}
-        for name in [name for name in self._spots if name not in known]:
-            del self._spots[name]
-        best: tuple[float, Offer] | None = None
-        for offer in offers:
-            spot = self._spots.get(offer.id)
-            if spot is None:
-                spot = self._spots[offer.id] = Spot(now + offer.warm)
-            cost = self._cost(offer, spot, zone, now) * (1 + OWN * leaning(asker, offer.id))
-            if best is None or cost < best[0]:
-                best = (cost, offer)
-        if best is None:
+    def pick(self, offers: Sequence[Offer], asker: str, zone: str, until: int, now: int) -> tuple[str, int] | None:
+        """The backend that will likely answer first, and a ticket that is to be handed back. Few are looked at as a
+        rule: those that lie best for the asker first, until not even the fastest, free, would do any more."""
+        if offers is not self._offers:
+            self._take(offers, now)
+        near = self._orders.get((asker, zone))
+        if near is None:
+            near = self._order(asker, zone)
+        fastest, best, found = sqrt(self._least), 0.0, None
+        for lies, offer, spot in chain(near, self._far(asker, zone)):
+            if found is not None and lies * fastest >= best:
+                break
+            cost = lies * self._cost(offer, spot, now)
+            if found is None or cost < best:
+                best, found = cost, (offer, spot)
+        if found is None:
             return None
-        offer, spot = best[1], self._spots[best[1].id]
+        offer, spot = found
         self._ticket += 1
         if len(spot.open) < offer.slots:
             spot.free.add(self._ticket)
         spot.open[self._ticket] = until
         return offer.id, self._ticket
 
-    def _cost(self, offer: Offer, spot: Spot, zone: str, now: int) -> float:
+    def _take(self, offers: Sequence[Offer], now: int) -> None:
+        """Others are on offer."""
+        self._offers = offers
+        self._spots = {offer.id: self._spots.get(offer.id) or Spot(now + offer.warm) for offer in offers}
+        self._orders.clear()
+        self._least = min((spot.speed for spot in self._spots.values()), default=1.0)
+
+    def _lying(self, asker: str, zone: str) -> list[Place]:
+        made = [((1 + OWN * leaning(asker, offer.id)) * (FAR if offer.zone != zone else 1.0), offer,
+                 self._spots[offer.id]) for offer in self._offers or ()]
+        made.sort(key=itemgetter(0))
+        return made
+
+    def _order(self, asker: str, zone: str) -> list[Place]:
+        if len(self._orders) >= ORDERS:
+            self._orders.clear()
+        made = self._orders[asker, zone] = self._lying(asker, zone)[:NEAR]
+        return made
+
+    def _far(self, asker: str, zone: str) -> Iterator[Place]:
+        """Those behind the near ones; worked out only where none of these will do."""
+        if len(self._spots) > NEAR:
+            yield from self._lying(asker, zone)[NEAR:]
+
+    def _cost(self, offer: Offer, spot: Spot, now: int) -> float:
         if spot.open and min(spot.open.values()) <= now:
             for ticket in [t for t, until in spot.open.items() if until <= now]:
                 del spot.open[ticket]
@@ -98,7 +133,6 @@
         waits = max(0.0, len(spot.open) + 1 - offer.slots) / max(offer.slots, 1.0)
         # a free slot is what counts; among free ones the faster goes first, but not at any price
         cost = sqrt(spot.speed) * (1 + 2 * waits) * (1 + WORSE * spot.badness(now))
-        cost *= FAR if offer.zone != zone else 1.0
         cost *= 2.0 if now < spot.cold_until else 1.0
         cost += 100.0 if now < spot.out_until else 0.0  # only where all others are out too
         return cost * (1 + 0.02 * self._draw())
@@ -128,6 +162,7 @@
                 mean = self._means.get(route, float(latency))
                 self._means[route] = mean + LEARN / 3 * (latency - mean)
                 spot.speed += LEARN * (min(latency / max(mean, 1.0), 4.0) - spot.speed)
+                self._least = min(self._least, spot.speed)
         elif outcome in ("lost", "full"):
             mean = max(self._means.values(), default=0.0) or 100_000.0
             spot.fails = min(spot.fails + 1, PAUSES)
