--- a/oakvale/gauge/board.py
+++ b/oakvale/gauge/board.py
@@ -22,6 +22,8 @@
 FADE = 30_000_000  # microseconds after which a third is left of what failures cost: it is tried again
 WORSE = 6.0  # a backend that fails everything looks so much slower, and one more
 FAR = 1.4  # another zone's: its bytes are paid for; still before one that would have it wait
+WARM = 0.7  # where the asker has an idle connection: a new one costs the backend, and a round trip
+KEPT = 4  # such connections of one asker to one backend that are remembered
 OWN = 0.4  # each gateway leans to backends of its own: fewer connections serve it, and they stay warm
 WRONG = 0.5  # a gateway that loses more than this of what it sends, and twice what others do, is itself at fault
 ASKERS = 4_096  # gateways whose losses are remembered
@@ -72,6 +74,7 @@
         self._ticket = 0
         self._offers: Sequence[Offer] | None = None
         self._orders: dict[tuple[str, str], list[Place]] = {}  # by asker and its zone
+        self._kept: dict[str, dict[str, list[int]]] = {}  # asker -> backend -> when its idle connections end
         self._least = 1.0  # speed of the fastest, or less
         self.idling = Idling()
         self._losses: dict[str, float] = {}  # asker -> share of its attempts that were lost, lately
@@ -86,6 +89,11 @@
         if near is None:
             near = self._order(asker, zone)
         fastest, best, found = sqrt(self._least), 0.0, None
+        kept = self._kept.get(asker, {})
+        for lies, offer, spot in self._warm(kept, near, asker, zone, now) if kept else ():
+            cost = lies * self._cost(offer, spot, now)
+            if len(spot.open) < offer.slots and (found is None or cost < best):  # none is worth a wait
+                best, found = cost, (offer, spot)
         for lies, offer, spot in chain(near, self._far(asker, zone)):
             if found is not None and lies * fastest >= best:
                 break
@@ -95,6 +103,8 @@
         if found is None:
             return None
         offer, spot = found
+        if kept.get(offer.id):
+            kept[offer.id].pop()
         self._ticket += 1
         if len(spot.open) < offer.slots:
             spot.free.add(self._ticket)
@@ -108,6 +118,15 @@
         self._orders.clear()
         self._least = min((spot.speed for spot in self._spots.values()), default=1.0)
 
+    def _warm(self, kept: dict[str, list[int]], near: list[Place], asker: str, zone: str, now: int) -> list[Place]:
+        """Those to which the asker has an idle connection."""
+        for name in [name for name, until in kept.items() if not until or until[-1] <= now or name not in self._spots]:
+            del kept[name]
+        found = [place for place in near if place[1].id in kept]
+        if len(found) < len(kept):
+            found = [place for place in self._lying(asker, zone) if place[1].id in kept]
+        return [(WARM * lies, offer, spot) for lies, offer, spot in found]
+
     def _lying(self, asker: str, zone: str) -> list[Place]:
         made = [((1 + OWN * leaning(asker, offer.id)) * (FAR if offer.zone != zone else 1.0), offer,
                  self._spots[offer.id]) for offer in self._offers or ()]
@@ -138,9 +157,16 @@
         return cost * (1 + 0.02 * self._draw())
 
     def done(self, name: str, ticket: int, route: str, latency: int, outcome: str, now: int, dropped: int = 0,
-             asker: str = "") -> None:
+             asker: str = "", kept: int = 0) -> None:
         """How an attempt ended: `served`, `error` (its own failure), `full`, `lost`, or `none` (never made).
-        `dropped`: it was lost as a connection that had been idle for so many microseconds was written to."""
+        `dropped`: it was lost as a connection that had been idle for so many microseconds was written to; `kept`: its
+        connection stays with the asker for so many."""
+        if kept:
+            if len(self._kept) >= ASKERS:
+                self._kept.clear()
+            ends = self._kept.setdefault(asker, {}).setdefault(name, [])
+            ends.append(now + kept)
+            del ends[:-KEPT]
         believed = outcome == "none" or self._believes(asker, outcome == "lost")
         spot = self._spots.get(name)
         if spot is None:
--- a/oakvale/gauge/dispatch.py
+++ b/oakvale/gauge/dispatch.py
@@ -56,23 +56,23 @@
 
         self._mains.ask(holder, "pick", [service, self._node, self._zone, wait], PICK, answered)
 
-    def done(self, pick: Pick, route: str, latency: int, outcome: str, dropped: int = 0) -> None:
-        self._tell(pick.keeper, pick.service, pick.backend, pick.ticket, route, latency, outcome, dropped)
+    def done(self, pick: Pick, route: str, latency: int, outcome: str, dropped: int = 0, kept: int = 0) -> None:
+        self._tell(pick.keeper, pick.service, pick.backend, pick.ticket, route, latency, outcome, dropped, kept)
 
-    def teach(self, service: str, backend: str, route: str, latency: int, outcome: str) -> None:
+    def teach(self, service: str, backend: str, route: str, latency: int, outcome: str, kept: int = 0) -> None:
         """How an attempt ended that nobody had named."""
         if outcome != "none":
-            self._tell(duty_of(f"service {service}"), service, backend, 0, route, latency, outcome)
+            self._tell(duty_of(f"service {service}"), service, backend, 0, route, latency, outcome, 0, kept)
 
     def _tell(self, duty: str, service: str, backend: str, ticket: int, route: str, latency: int,
-              outcome: str, dropped: int = 0) -> None:
+              outcome: str, dropped: int = 0, kept: int = 0) -> None:
         if self._gauge.counts(duty):
             return self._board(service).done(backend, ticket, route, latency, outcome, self._loop.now, dropped,
-                                             self._node)
+                                             self._node, kept)
         holder = self._gauge.holder(duty)
         if holder is not None:
             self._mains.tell(holder, "done", [service, backend, ticket, route, latency, outcome, dropped,
-                                             self._node])
+                                             self._node, kept])
 
     def _board(self, service: str) -> Board:
         board = self._boards.get(service)
@@ -93,4 +93,4 @@
         service = str(body[0])
         if service in self._boards:
             self._boards[service].done(str(body[1]), int(body[2]), str(body[3]), int(body[4]), str(body[5]),
-                                       self._loop.now, int(body[6]), str(body[7]))
+                                       self._loop.now, int(body[6]), str(body[7]), int(body[8]))
--- a/oakvale/memory/requests.py
+++ b/oakvale/memory/requests.py
@@ -49,6 +49,7 @@
     written: bool = False
     ending: Ending | None = None
     idled: int = 0  # microseconds that its connection had been idle; 0 on a new one
+    kept: int = 0  # microseconds that its connection may be idle, now that it has ended well
     dropped: bool = False  # that connection ended before anything of an answer came
 
 
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -134,10 +134,10 @@
         if attempt.hop in attempt.request.out:
             if order.pick is not None and order.pick.backend == name:
                 dropped = attempt.idled if attempt.dropped else 0
-                self.boards.done(order.pick, order.route.name, latency, outcome, dropped)
+                self.boards.done(order.pick, order.route.name, latency, outcome, dropped, attempt.kept)
                 order.pick = None
             else:
-                self.boards.teach(self.service, name, order.route.name, latency, outcome)
+                self.boards.teach(self.service, name, order.route.name, latency, outcome, attempt.kept)
         super().attempt_ended(attempt, ending, answer, report)
 
     def offers(self) -> list[Offer]:
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -224,6 +224,7 @@
             told = self.host.dialect.idle(answer.headers)
             # well before the other side closes: what is written to a closed connection may have run
             self.lasts = self.host.limits.backend_idle if told is None else max(told // 2, told - SHY)
+            attempt.kept = self.lasts
             self.host.idle.put(self)
             self.host.attempt_ended(attempt, self.host.dialect.ending(answer), answer, report)
         else:
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from oakvale.gauge.board import FAR, OWN, Board, Offer, leaning
+from oakvale.gauge.board import FAR, OWN, WARM, Board, Offer, leaning
 
 MS, SECOND = 1_000, 1_000_000
 HERE = [Offer(f"b{n}", "z", 2, 0) for n in range(4)]
@@ -159,7 +159,10 @@
 def plainly(one: Board, offers: list[Offer], asker: str, zone: str, now: int) -> str:
     """By looking at all of them."""
     def cost(offer: Offer) -> float:
+        one._cost(offer, one._spots[offer.id], now)  # forgets what is over
         lies = (1 + OWN * leaning(asker, offer.id)) * (FAR if offer.zone != zone else 1.0)
+        warm = [end for end in one._kept.get(asker, {}).get(offer.id, []) if end > now]
+        lies *= WARM if warm and len(one._spots[offer.id].open) < offer.slots else 1.0
         return lies * one._cost(offer, one._spots[offer.id], now)
     return min(offers, key=cost).id
 
@@ -178,8 +181,36 @@
         meant = plainly(one, offers, asker, zone, now)
         found = one.pick(offers, asker, zone, now + 400 * MS, now)
         assert found is not None and found[0] == meant
-        out.append(found)
+        out.append((asker, found))
         if len(out) > 2 * load * len(offers):
-            name, ticket = out.pop(draw.randrange(len(out)))
+            asker, (name, ticket) = out.pop(draw.randrange(len(out)))
             outcome = draw.choices(("served", "error", "lost", "full"), (94, 3, 2, 1))[0]
-            one.done(name, ticket, "r", int(100 * MS * pace.get(name, 1.0)), outcome, now, 0, asker)
+            one.done(name, ticket, "r", int(100 * MS * pace.get(name, 1.0)), outcome, now, 0, asker,
+                     300 * MS * (outcome == "served"))
+
+
+def test_a_gateway_is_named_the_backend_that_it_has_a_connection_to() -> None:
+    """Each pick went by lot among those that lay as well: one in eight attempts opened a connection in a fleet."""
+    one, draw, new, idle = Board(random.Random(3).random), random.Random(4), 0, set[tuple[str, str]]()
+    offers = [Offer(f"b{n}", f"z{n % 2}", 2, 0) for n in range(40)]
+    for at in range(4_000):
+        now, asker = at * 20 * MS, f"g{draw.randrange(30)}"
+        found = one.pick(offers, asker, "z0", now + SECOND, now)
+        assert found is not None
+        new += (asker, found[0]) not in idle
+        idle.add((asker, found[0]))
+        speed = 1 + offers.index(Offer(found[0], f"z{int(found[0][1:]) % 2}", 2, 0)) % 5 / 10
+        one.done(*found, "r", int(speed * draw.uniform(80, 120)) * MS, "served", now + 1, 0, asker, 8 * SECOND)
+    assert new < 2 * 30
+
+
+@pytest.mark.parametrize("asker", [f"g{n}" for n in range(6)])
+def test_a_connection_is_not_worth_a_wait(asker: str) -> None:
+    """A full backend in the own zone with an idle connection went before a free one elsewhere."""
+    one, offers = board(), [Offer("here", "z", 2, 0), Offer("there", "y", 2, 0)]
+    one.pick(offers, asker, "z", 0, 0)
+    one.done("here", 0, "r", MS, "served", 1, 0, asker, 8 * SECOND)
+    for _ in range(2):
+        one.pick(offers[:1], "other", "z", SECOND, 2)
+    found = one.pick(offers, asker, "z", SECOND, 3)
+    assert found is not None and found[0] == "there"
--- a/tests/test_plant.py
+++ b/tests/test_plant.py
@@ -200,7 +200,7 @@
     told: list[int] = []
     gate.plant.boards.ask = lambda service, wait, then: then(  # type: ignore[method-assign]
         Pick(service, "i-1", 1, "gauge/0"))
-    gate.plant.boards.done = lambda pick, route, latency, outcome, dropped=0: told.append(  # type: ignore[method-assign]
+    gate.plant.boards.done = lambda pick, route, latency, outcome, dropped=0, kept=0: told.append(  # type: ignore[method-assign]
         dropped)
     for rid, ends in (("a1", False), ("a2", True), ("a3", False), ("a4", True)):
         client = gate.say("/b/x", rid=rid, method="POST", body=b"slot")
