--- a/oakvale/gauge/dispatch.py
+++ b/oakvale/gauge/dispatch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import astuple, dataclass, replace
 from typing import Any
 
 from oakvale.base.loop import Loop
@@ -29,6 +29,7 @@
     backend: str
     ticket: int
     keeper: str  # a duty: what is handed back goes to who holds it then
+    youth: int | None = None  # microseconds that a connection may have been idle and surely be whole
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,6 +53,22 @@
     aim: int  # microseconds
 
 
+@dataclass(slots=True, frozen=True)
+class End:
+    """How an attempt ended, as a keeper is told."""
+
+    service: str
+    backend: str
+    ticket: int  # 0: nobody had named it; below, this gateway by itself
+    route: str
+    latency: int  # microseconds
+    outcome: str  # as Board.done has them
+    dropped: int  # microseconds that the connection had been idle that was lost at once; 0: none was
+    gateway: str
+    kept: int  # microseconds that the connection may stay idle there
+    zone: str  # the gateway's, told where chains are shown
+
+
 class Boards:
     """With chains shown, the keeper of a board also says which places are out, and turns away what none can hold;
     a gateway that reaches no keeper goes by its own part of what the places may take."""
@@ -109,29 +126,27 @@
             body.append(sorted(without))
         self._mains.ask(holder, "pick", body, PICK, answered)
 
-    def done(self, pick: Pick, route: str, latency: int, outcome: str) -> None:
-        self._tell(pick.keeper or duty_of(f"service {pick.service}"), pick.service, pick.backend, pick.ticket, route,
-                   latency, outcome)
+    def done(self, pick: Pick, route: str, latency: int, outcome: str, dropped: int = 0, kept: int = 0) -> None:
+        self._tell(pick.keeper or duty_of(f"service {pick.service}"), End(
+            pick.service, pick.backend, pick.ticket, route, latency, outcome, dropped, self._node, kept, self._zone))
 
-    def teach(self, service: str, backend: str, route: str, latency: int, outcome: str) -> None:
+    def teach(self, service: str, backend: str, route: str, latency: int, outcome: str, kept: int = 0) -> None:
         """How an attempt ended that nobody had named."""
         if outcome != "none" or self.chains is not None and latency:
-            self._tell(duty_of(f"service {service}"), service, backend, 0, route, latency, outcome)
-
-    def _tell(self, duty: str, service: str, backend: str, ticket: int, route: str, latency: int,
-              outcome: str) -> None:
-        if self.chains is not None and service in self._alone:
-            self._learn(self._alone[service], service, backend, min(ticket, 0), route, latency, outcome, self._node,
-                        self._zone)
-        ticket = max(ticket, 0)
+            self._tell(duty_of(f"service {service}"), End(
+                service, backend, 0, route, latency, outcome, 0, self._node, kept, self._zone))
+
+    def _tell(self, duty: str, end: End) -> None:
+        alone = self._alone.get(end.service)
+        if self.chains is not None and alone is not None:
+            self._learn(alone, end, min(end.ticket, 0))
+        end = replace(end, ticket=max(end.ticket, 0))
         if self._gauge.counts(duty):
-            return self._end(service, backend, ticket, route, latency, outcome, self._node, self._zone)
+            return self._end(end)
         holder = self._gauge.holder(duty)
         if holder is not None:
-            body: list[Any] = [service, backend, ticket, route, latency, outcome]
-            if self.chains is not None:
-                body += [self._node, self._zone]
-            self._mains.tell(holder, "done", body)
+            body = list(astuple(end))
+            self._mains.tell(holder, "done", body if self.chains is not None else body[:-1])
 
     def _board(self, service: str) -> Board:
         board = self._boards.get(service)
@@ -153,51 +168,51 @@
         answer(self._pick(service, asker, zone, wait, facts, without))
 
     def _ended(self, conn: Conn, body: Any, _: Answer) -> None:
-        service = str(body[0])
-        if service in self._boards:
-            gateway, zone = (str(body[6]), str(body[7])) if len(body) > 7 else ("", "")
-            self._end(service, str(body[1]), int(body[2]), str(body[3]), int(body[4]), str(body[5]), gateway, zone)
+        if str(body[0]) in self._boards:
+            self._end(End(str(body[0]), str(body[1]), int(body[2]), str(body[3]), int(body[4]), str(body[5]),
+                          int(body[6]), str(body[7]), int(body[8]), str(body[9]) if len(body) > 9 else ""))
 
     # ---- as the keeper
 
     def _pick(self, service: str, asker: str, zone: str, wait: int, facts: Facts | None,
               without: frozenset[str] = frozenset()) -> list[Any] | None:
-        """Backend and ticket; behind them the places that are out, if any is. No backend: turned away, for so long."""
+        """Backend, ticket and youth; behind them the places that are out, if any is. No backend: turned away, for so
+        long."""
         now, board, offers = self._loop.now, self._board(service), self._offers(service)
         if self.chains is None or facts is None or not offers:
             found = board.pick(offers, asker, zone, now + wait, now, None, without)
-            return list(found) if found else None
+            return [*found, board.idling.within(now)] if found else None
         crest = self._crest(service)
         ask = Ask(asker, zone, facts.rank, facts.tenant, facts.safe, board.work(facts.route), facts.aim)
         way = crest.ask(ask, {offer.zone for offer in offers}, board.usual(), lambda: board.held(offers), now)
         for place, flow, share in crest.news():
             if flow == "out":
-                board.distrust(offer.id for offer in offers if offer.zone == place)
+                board.distrust((offer.id for offer in offers if offer.zone == place), now)
             note("place", service=service, place=place, flow=flow, share=share, refused=crest.turned)
         if crest.flow_due(now):
             note("flow", service=service, refused=crest.turned, **crest.flow(now))
         if isinstance(way, Wait):
-            return ["", way.micros, sorted(crest.closed(asker))]
+            return ["", way.micros, None, sorted(crest.closed(asker))]
         found = board.pick(offers, asker, zone, now + wait, now, way.zones, without)
         if found is None:
             return None
         crest.sent(next(offer.zone for offer in offers if offer.id == found[0]), ask, found[1], now + wait, now)
-        return [*found, sorted(crest.closed(asker))] if crest.moves() else list(found)
-
-    def _end(self, service: str, backend: str, ticket: int, route: str, latency: int, outcome: str, gateway: str,
-             zone: str) -> None:
-        crest = self._crests.get(service)
-        if crest is not None and gateway:
-            self._learn(crest, service, backend, ticket, route, latency, outcome, gateway, zone)
-        self._board(service).done(backend, ticket, route, latency, outcome, self._loop.now)
-
-    def _learn(self, crest: Crest, service: str, backend: str, ticket: int, route: str, latency: int, outcome: str,
-               gateway: str, zone: str) -> None:
-        there = next((offer.zone for offer in self._offers(service) if offer.id == backend), None)
+        named = [*found, board.idling.within(now)]
+        return [*named, sorted(crest.closed(asker))] if crest.moves() else named
+
+    def _end(self, end: End) -> None:
+        crest = self._crests.get(end.service)
+        if crest is not None and end.zone:
+            self._learn(crest, end, end.ticket)
+        self._board(end.service).done(end.backend, end.ticket, end.route, end.latency, end.outcome, self._loop.now,
+                                      end.dropped, end.gateway, end.kept)
+
+    def _learn(self, crest: Crest, end: End, ticket: int) -> None:
+        there = next((offer.zone for offer in self._offers(end.service) if offer.id == end.backend), None)
         if there is not None:
-            board = self._board(service)
-            crest.ended(ticket, there, Ask(gateway, zone, cost=board.work(route)), latency, outcome, board.usual(),
-                        self._loop.now)
+            board = self._board(end.service)
+            crest.ended(ticket, there, Ask(end.gateway, end.zone, cost=board.work(end.route)), end.latency, end.outcome,
+                        board.usual(), self._loop.now)
 
     def _crest(self, service: str) -> Crest:
         crest = self._crests.get(service)
@@ -232,12 +247,14 @@
 
     def _take(self, service: str, duty: str, answer: list[Any] | None) -> Pick | Turned | None:
         if self.chains is not None:
-            closed = frozenset(map(str, answer[2])) if answer and len(answer) > 2 else frozenset()
+            closed = frozenset(map(str, answer[3])) if answer and len(answer) > 3 else frozenset()
             if closed or service in self._closed:
                 self._close(service, closed)
         if not answer:
             return None
-        return Pick(service, str(answer[0]), int(answer[1]), duty) if answer[0] else Turned(int(answer[1]))
+        if not answer[0]:
+            return Turned(int(answer[1]))
+        return Pick(service, str(answer[0]), int(answer[1]), duty, answer[2])
 
     def _close(self, service: str, closed: frozenset[str]) -> None:
         was = self._closed.pop(service, (frozenset(), 0))[0]
--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -210,10 +210,10 @@
                 picture = replace(picture, **configured(bytes(held["text"])))
                 note("configuration", gen=picture.gen)
         if any(key.startswith("backend/") for key in keys):
-            picture = replace(picture, backends=backends(self.table))
+            picture = replace(picture, backends=backends(self.table, keys, picture.backends))
         moved = any(key.startswith("gate/") for key in keys)
         if moved:
-            picture = replace(picture, members=members(self.table, picture.members, keys))
+            picture = replace(picture, members=members(self.table, keys, picture.members))
         if any(key.startswith("move/") for key in keys):
             avoid = self.tow.take(self.table.items("move/"), self._born)
             if avoid != picture.avoid:
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -54,6 +54,7 @@
     again: bool = False  # its client came back with it
     given: bool = False  # to the lane
     pick: Pick | None = None  # the board's advice, until its ticket is handed back
+    youth: int | None = None  # microseconds that a connection for it may have been idle, by the board
     last: Answer | None = None  # a backend's own failure, if nothing better comes
 
 
@@ -145,7 +146,9 @@
                                    state=i.State.READY if backend.id in up else i.State.DRAINING,
                                    slots=backend.slots))
         self._ready = {self._numbers[name] for name in up}
-        self._offers = [Offer(b.id, b.zone, b.slots, b.warm) for b in self._known.values() if b.ready]
+        offers = [Offer(b.id, b.zone, b.slots, b.warm) for b in self._known.values() if b.ready]
+        if offers != self._offers:
+            self._offers = offers
         self.give(i.Backends(i.ListForm.FULL, tuple(entries)))
         return heeds
 
@@ -160,10 +163,11 @@
         name, latency, outcome = self.backend_id(attempt.backend), self.loop.now - attempt.sent, OUTCOMES[ending]
         if attempt.hop in attempt.request.out:
             if order.pick is not None and order.pick.backend == name:
-                self.boards.done(order.pick, order.route.name, latency, outcome)
+                dropped = attempt.idled if attempt.dropped else 0
+                self.boards.done(order.pick, order.route.name, latency, outcome, dropped, attempt.kept)
                 order.pick = None
             else:
-                self.boards.teach(self.service, name, order.route.name, latency, outcome)
+                self.boards.teach(self.service, name, order.route.name, latency, outcome, attempt.kept)
         super().attempt_ended(attempt, ending, answer, report)
 
     def retire(self) -> None:
@@ -186,6 +190,11 @@
     def serves(self, backend: int) -> bool:
         return backend in self._ready
 
+    def youth(self, request: InHand) -> int | None:
+        """What may run once only is not risked on a connection that its backend may have forgotten."""
+        order: Order = request.event
+        return order.youth
+
     def answer_of(self, request: InHand, action: i.Refuse | i.Fail) -> Answer:
         order: Order = request.event
         if order.last is not None:
@@ -356,6 +365,7 @@
         if not request.over:
             order.given, order.pick = True, pick
             if pick is not None:
+                order.youth = None if order.route.safe else pick.youth
                 order.event = replace(order.event, hint=order.lane.number(pick.backend))
             order.lane.request_came(request, order.event)
             pick, out = order.pick, {attempt.backend for attempt in request.out.values()}
