--- a/tests/test_plant.py
+++ b/tests/test_plant.py
@@ -400,7 +400,7 @@
 
     def ask(address: Any, kind: str, body: Any, wait: int, then: Callable[[Any], None]) -> None:
         said.append(body)
-        then(["i-1", 4])
+        then(["i-1", 4, None])
 
     gate.gauge.holder = lambda duty: ("h", 1)  # type: ignore[method-assign,assignment]
     mains: Any = gate.plant.boards._mains
@@ -409,12 +409,12 @@
     _, backend, _ = gate.at_backend()
     backend.send(sealed())
     assert gate.status(client) == 200
-    assert [len(body) for body in said] == [4, 6]
+    assert [len(body) for body in said] == [4, 9]
     gate.plant.boards.show(Chains())
     client = gate.say(rid="a2")
     _, backend, _ = gate.at_backend()
     backend.send(sealed("a2"))
     assert gate.status(client) == 200
-    assert [len(body) for body in said[2:]] == [5, 8]
+    assert [len(body) for body in said[2:]] == [5, 10]
     gate.plant.boards.show(None)
     assert gate.plant.boards.flows() == []
