--- a/oakvale/lab/sounding/search.py
+++ b/oakvale/lab/sounding/search.py
@@ -67,8 +67,9 @@
             found.trace = trace.lines(self.model, first, way.steps, way.healing)
         except Broken as broken:  # before anything went wrong
             found.broken = broken
-        found.seconds = time.monotonic() - began
-        found.machines = len(self.model.facts)
+        finally:  # also where it was stopped
+            found.seconds = time.monotonic() - began
+            found.machines, found.states = len(self.model.facts), len(self._index)
         return found
 
     def shorten(self) -> None:
@@ -113,11 +114,9 @@
                     if self._show is not None:
                         self._show(f"depth {found.depth}: {len(index)} states, {time.monotonic() - began:.0f} s")
                 if len(index) >= self._most or time.monotonic() - began > self._seconds:
-                    found.states = len(index)
                     return
             edge = after
             found.depth += bool(edge)
-            found.states = len(index)
         found.whole = True
 
     def _heal_edge(self, edge: list[State], began: float) -> None:
