--- a/oakvale/lab/commands.py
+++ b/oakvale/lab/commands.py
@@ -42,8 +42,8 @@
         raise Failed(f"{args.file}: the run came to no end: {one.failed}")
     lines = [f"{one.day}, seed {one.seed}, variant {one.variant}: worth {one.worth:.4f} ({one.earned:g} of "
              f"{one.owed:g}); served {one.served}, refused {one.refused}, lost {one.lost}; answers "
-             f"p50 {one.p50_ms:.1f} ms, p99 {one.p99_ms:.1f} ms; {one.arrivals} arrivals; {one.wall_s:.1f} s to play; "
-             f"record {one.fingerprint}"]
+             f"p50 {one.p50_ms:.1f} ms, p99 {one.p99_ms:.1f} ms; {one.arrivals} arrivals; "
+             f"{one.cpu_s:.1f} s of a core to play; record {one.fingerprint}"]
     if one.series is not None and (bad := [row for row in one.series.worth if row[1] < row[2]]):
         worst = sorted(bad, key=lambda row: row[1] / row[2])[:5]
         lines.append("worst seconds: " + ", ".join(f"{second} ({earned / owed:.2f})" for second, earned, owed in worst))
--- a/oakvale/lab/trials/findings.py
+++ b/oakvale/lab/trials/findings.py
@@ -61,8 +61,8 @@
                     change = compared([sign * other[seed] for seed in both], [sign * own[seed] for seed in both],
                                       experiment.confidence, least)
                     if sign < 0:  # told as it was measured; the word stays
-                        plain = change.change
-                        change = Compared(change.pairs, Median(-plain.value, -plain.high, -plain.low), change.word)
+                        its = change.change
+                        change = Compared(change.pairs, Median(0 - its.value, 0 - its.high, 0 - its.low), change.word)
                     changes[name] = change
             found.append(Row(day, spec.name, len(mine), len(mine) - len(ended), tally(mine), medians, changes))
     return found
--- a/oakvale/lab/trials/outcome.py
+++ b/oakvale/lab/trials/outcome.py
@@ -7,6 +7,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
+from oakvale.intake import model
 from oakvale.lab.days import Day
 from oakvale.lab.judge.words import Verdict
 from oakvale.lab.record import Record
@@ -45,7 +46,7 @@
     p99_ms: float = 0.0
     arrivals: int = 0
     fingerprint: str = ""
-    wall_s: float = 0.0
+    cpu_s: float = 0.0
     series: Series | None = None
 
     @property
@@ -65,7 +66,7 @@
         return asdict(self)
 
 
-def of(variant: str, day: Day, record: Record, verdict: Verdict, wall_s: float) -> Outcome:
+def of(variant: str, day: Day, record: Record, verdict: Verdict, cpu_s: float) -> Outcome:
     broken = {rule: len(found) for rule, found in verdict.rules.items() if found}
     first = min(verdict.broken, key=lambda one: one.at, default=None)
     worth, times = verdict.worth, sorted(latencies(record))
@@ -73,7 +74,7 @@
         variant, day.name, record.seed, "", worth.earned, worth.owed, worth.served, worth.refused, worth.failed, broken,
         "" if first is None else f"{first.rule} at {(first.at - record.began) / 1e6:.3f} s: {first.why} "
                                  f"({', '.join(first.ids[:4])})",
-        quantile(times, 0.5) / 1e3, quantile(times, 0.99) / 1e3, len(record.arrived), record.fingerprint(), wall_s,
+        quantile(times, 0.5) / 1e3, quantile(times, 0.99) / 1e3, len(record.arrived), record.fingerprint(), cpu_s,
         series(day, record, verdict))
 
 
@@ -133,24 +134,32 @@
 
 
 def quota(day: Day, record: Record) -> dict[str, list[tuple[float, float]]]:
-    """What ran of each tenant in the window up to a time, as a part of what the rule lets it have."""
+    """What ran of each tenant in the window up to a time, as a part of what the rule lets it have by the newest version
+    that was acknowledged then. Tenants go by the names that they have in the configuration."""
     whose = {came.id: came.tenant for came in record.arrived}
     window, terms = day.time("quota-win"), day.terms()
     ran: dict[str, list[int]] = defaultdict(list)
     for one in record.ran:
         if (tenant := whose.get(one.id)) is not None:
             ran[tenant].append(one.at)
-    found = {}
-    for limit in day.tenants:
-        if not limit.rate_per_s:
-            continue
-        bound = ((limit.rate_per_s * window / 1e6 + limit.burst) * (1 + float(terms["quota-excess"]))
-                 + float(terms["quota-slack"]))
-        times = sorted(ran[limit.name])
-        found[limit.name] = [
-            (round((at - record.began) / 1e6, 2),
-             round((bisect_left(times, at) - bisect_left(times, at - window)) / bound, 4))
-            for at in range(record.began, record.ended, STEP)]
+    versions = limits(record)
+    found: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    for at in range(record.began, record.ended, STEP):
+        for name, (rate, burst) in next((table for since, table in reversed(versions) if since <= at), {}).items():
+            bound = (rate * window / 1e6 + burst) * (1 + float(terms["quota-excess"])) + float(terms["quota-slack"])
+            times = ran[name]
+            use = (bisect_left(times, at) - bisect_left(times, at - window)) / bound
+            found[name].append((round((at - record.began) / 1e6, 2), round(use, 4)))
+    return dict(sorted(found.items()))
+
+
+def limits(record: Record) -> list[tuple[int, dict[str, tuple[float, float]]]]:
+    """From when on which rate and burst was each tenant's, those without a limit left out."""
+    found = []
+    for one in sorted((one for one in record.ordered if one.valid and one.acked_at is not None), key=lambda it: it.gen):
+        tenants = model.parse(record.texts[one.content_digest]).tenants or []
+        table = {tenant.name: (tenant.rate, tenant.burst) for tenant in tenants if tenant.rate}
+        found.append((one.acked_at or 0, table))
     return found
 
 
--- a/oakvale/lab/trials/player.py
+++ b/oakvale/lab/trials/player.py
@@ -19,13 +19,13 @@
 
 def world(day: Day, seed: int, spec: Spec) -> Outcome:
     """In the simulated world. What goes wrong in a run is told in its outcome: the other runs go on."""
-    began = time.monotonic()
+    began = time.process_time()
     try:
         from oakvale.lab.judge import verdict
 
         play: Any = import_module("oakvale.lab.play")
         record = play.play(day, seed, play.Variant(spec.name, variants.patches(spec)))
-        return outcome.of(spec.name, day, record, verdict.judge(record), round(time.monotonic() - began, 2))
+        return outcome.of(spec.name, day, record, verdict.judge(record), round(time.process_time() - began, 2))
     except Exception as error:
         where = traceback.extract_tb(error.__traceback__)[-1]
         return Outcome(spec.name, day.name, seed, f"{type(error).__name__}: {error} "
--- a/oakvale/lab/trials/report.py
+++ b/oakvale/lab/trials/report.py
@@ -45,7 +45,7 @@
             lines.append(f"- {one.day}, {one.variant}, seed {one.seed}: {one.failed or one.first}")
         if len(told) > 40:
             lines.append(f"- and {len(told) - 40} more runs")
-    lines += ["", f"{len(outcomes)} runs, {sum(one.wall_s for one in outcomes):.0f} s of one core."]
+    lines += ["", f"{len(outcomes)} runs, {sum(one.cpu_s for one in outcomes):.0f} s of one core."]
     return "\n".join(lines) + "\n"
 
 
--- a/tests/test_lab_outcome.py
+++ b/tests/test_lab_outcome.py
@@ -5,6 +5,7 @@
 import random
 from pathlib import Path
 
+import orjson
 import pytest
 
 from oakvale.lab import days
@@ -31,7 +32,11 @@
         took = draw.randint(1_000, 600_000)
         if draw.random() < 0.8:
             found.add(Got(at + took, number, draw.choice((200, 200, 503)), "s", "", draw.random() < 0.95, None, 1))
-    found.add(Ordered(BEGAN + 50, 2, True, "d", BEGAN + 90, 200, "core"))
+    text = found.order(orjson.dumps({
+        "gen": 2, "routes": {"cols": [], "rows": []}, "svcs": {"cols": [], "rows": []},
+        "tenants": {"cols": ["name", "apikeys", "rate-per-s", "burst"],
+                    "rows": [["pilots", [], 60, 120], ["ferries", [], 40, 80], ["free", [], 0, 0]]}}))
+    found.add(Ordered(BEGAN + 50, 2, True, text, BEGAN + 90, 200, "core"))
     for machine, after in (("edge-1", 400_000), ("edge-2", 100_000), ("edge-2", 900_000)):
         found.add(Noted(BEGAN + 50 + after, machine, "configuration", {"gen": 2}))
     found.add(Noted(BEGAN + 30, "core-1", "view", {"view": 4}))
@@ -54,6 +59,7 @@
         assert shown.news == {"2": [0.1, 0.4]} and shown.takeovers == [(0.0, "core-1", "view 4")]
         whose = {sent.id: sent.tenant for sent in told.sent}
         bound = {"pilots": (60 * 5 + 120) * 1.1 + 20, "ferries": (40 * 5 + 80) * 1.1 + 20}
+        assert set(shown.quota) == set(bound)
         for tenant, points in shown.quota.items():
             for at, use in points:
                 ran = sum(whose[ran.id] == tenant and BEGAN + at * SECOND - 5 * SECOND <= ran.at < BEGAN + at * SECOND
