--- a/oakvale/lab/flume/scale.py
+++ b/oakvale/lab/flume/scale.py
@@ -11,6 +11,7 @@
 import argparse
 import json
 import resource
+import sys
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
@@ -86,7 +87,8 @@
         self.uncounted = 0
         self.row: dict[str, Any] = {"gateways": size}
         self._frames = Frames()
-        self._killed = 0
+        self._lives: dict[str, str] = {}  # gateway -> its present life
+        self._right: dict[str, Any] = {}  # gateway -> its list, once that was found to be right
 
     def _noted(self, at: int, machine: str, level: str, event: str, fields: Mapping[str, Any]) -> None:
         if event == "configuration" and machine.startswith("edge"):
@@ -97,13 +99,20 @@
         if not station.up or station.process is None or station.process.works is None:
             return False
         sluice = station.process.works.sluice
-        listed = {node: member.life for node, member in sluice.plant.picture.members.items()}
-        return bool(sluice.feed.fresh()) and listed == self._lives
+        listed = sluice.plant.picture.members
+        if self._right.get(station.name) is not listed:
+            if {node: member.life for node, member in listed.items()} != self._lives:
+                return False
+            self._right[station.name] = listed
+        return bool(sluice.feed.fresh())
 
     def whole(self) -> bool:
         if not all(station.up for station in self.works.edges):
             return False
-        self._lives = {s.name: s.process.works.sluice.life for s in self.works.edges if s.process}
+        lives = {s.name: s.process.works.sluice.life for s in self.works.edges if s.process}
+        if lives != self._lives:
+            self._lives = lives
+            self._right.clear()
         return all(self._knows(station) for station in self.works.edges)
 
     def held(self) -> int:
@@ -200,17 +209,49 @@
         return row
 
 
+PLOTS = (("peace_bytes_per_gateway_s", "bytes a second of a gateway in peace"),
+         ("spread_max_ms", "ms until the last gateway knows a change"),
+         ("call_p99_ms", "ms of a counter's call, 99th of 100"),
+         ("whole_after_kill_ms", "ms until all know all, half killed"),
+         ("start_cpu_s", "s of one core to simulate the first 10 s"), ("cpu_s", "s of one core to simulate 30 s"))
+
+
+def plot(rows: list[dict[str, Any]], file: str) -> None:
+    """Each figure against the size, both by powers of ten."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    matplotlib.rcParams["svg.hashsalt"] = "scale"  # the same file for the same rows
+    from matplotlib import pyplot
+
+    rows = sorted(rows, key=lambda row: int(row["gateways"]))
+    figure, axes = pyplot.subplots(2, 3, figsize=(12, 6.5), layout="constrained")
+    for axis, (name, title) in zip(axes.flat, PLOTS, strict=True):
+        known = [(row["gateways"], row[name]) for row in rows if row[name] > 0]
+        axis.plot([size for size, _ in known], [value for _, value in known], marker="o", color="#1f5f8b")
+        axis.set(xscale="log", yscale="log", title=title, xlabel="gateways")
+        axis.title.set_fontsize(9)
+        axis.grid(True, which="both", alpha=0.25)
+    figure.savefig(file, metadata={"Date": None})
+    pyplot.close(figure)
+
+
 def main() -> None:
     words = argparse.ArgumentParser(prog="python -m oakvale.lab.flume.scale", description=__doc__)
-    words.add_argument("sizes", type=int, nargs="+", help="how many gateways")
+    words.add_argument("sizes", type=int, nargs="*", help="how many gateways")
     words.add_argument("--seed", type=int, default=1)
+    words.add_argument("--plot", metavar="FILE", help="an SVG of the rows; with no sizes, of those on standard input")
     told = words.parse_args()
     import gc
 
     gc.set_threshold(100_000, 50, 50)  # a world's objects last
+    rows = [] if told.sizes else [json.loads(line) for line in sys.stdin]
     for size in told.sizes:
-        print(json.dumps(Scale(size, told.seed).play()), flush=True)
+        rows.append(Scale(size, told.seed).play())
+        print(json.dumps(rows[-1]), flush=True)
         gc.collect()
+    if told.plot:
+        plot(rows, told.plot)
 
 
 if __name__ == "__main__":
