--- a/oakvale/host.py
+++ b/oakvale/host.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from functools import lru_cache, partial
 
 from oakvale import interface as i
 from oakvale.base.address import Address
 from oakvale.base.configuration import Configuration
 from oakvale.base.loop import Loop
-from oakvale.lane import Lane, Shared
+from oakvale.lane import Lane
 from oakvale.memory.names import BackendNames
 from oakvale.memory.requests import Answer, InHand
+from oakvale.shared import Shared
 from oakvale.wire.backends import ServiceDialect
 from oakvale.wire.clients import HEALTH, METHODS, BadRequest, Incoming, decode, plain, terms
 from oakvale.wire.counter import Counter
@@ -28,31 +28,7 @@
         self.counter = Counter(self, configuration.counter) if configuration.counter else None
         self.discovery = Discovery(self, configuration.discovery)
         self.terms = lru_cache(self.limits.cached)(partial(terms, self.settings))
-        self.response = self.shared.response
-
-    @property
-    def unix_time(self) -> Callable[[], int]:
-        return self.shared.unix_time
-
-    @unix_time.setter
-    def unix_time(self, clock: Callable[[], int]) -> None:
-        self.shared.unix_time = clock
-
-    @property
-    def stopping(self) -> bool:
-        return self.shared.stopping
-
-    @stopping.setter
-    def stopping(self, stops: bool) -> None:
-        self.shared.stopping = stops
-
-    @property
-    def ended(self) -> bool:
-        return self.shared.ended
-
-    @ended.setter
-    def ended(self, ends: bool) -> None:
-        self.shared.ended = ends
+        self.unix_time = loop.net.unix_time  # the clock of the kernel's stamps
 
     # ---- what a lane asks
 
@@ -75,7 +51,9 @@
     # ---- what a client's connection asks
 
     def waited(self, arrived: int) -> int:
-        return self.shared.waited(arrived)
+        """One from the future or from long ago tells of a step of the clock."""
+        waited = (self.unix_time() - arrived) // 1000 if arrived else 0
+        return waited if 0 < waited < self.limits.clock_step else 0
 
     def open(self, client: object, incoming: Incoming, came: int) -> Answer | InHand:
         if incoming.target == HEALTH:
--- a/oakvale/lifecycle/status.py
+++ b/oakvale/lifecycle/status.py
@@ -5,7 +5,7 @@
 import logging
 from typing import Any
 
-from oakvale.lane import Shared
+from oakvale.shared import Shared
 
 log = logging.getLogger(__name__)
 
