--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -14,13 +14,13 @@
 from oakvale.gauge.floors import SECOND, Alone, Floors, Quota, Read, Terms
 from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.links import Answer, Conn, Mains
-from oakvale.penstock.tree import Member, next_on_ring, place
+from oakvale.penstock.tree import Member, Members, next_on_ring, place
 
 DUTIES = 4  # parts that the tenants are counted in
 STAND = 4  # gateways that stand for a duty
 WAIT = 150_000  # microseconds for the counter's answer
 TICK = 60_000
-GREET = 250_000  # without a call to a counter for so long, it is greeted
+GREET = 400_000  # twice within PRESENT; without a call to a counter for so long, it is greeted
 PRESENT = 900_000  # a counter reckons with who has heard from it this lately, as far as it knows
 ABSENT = PRESENT + 100_000  # after so long without hearing from it, a gateway knows that none reckons with it
 GATHER = 100_000  # for what others last read, before a new counter begins
@@ -29,6 +29,9 @@
 DOUBT = 80_000  # after an unanswered call, the counter is not waited for
 KEPT = 10_000_000  # one that left the list may still pass its share, unless it is proven to have ended
 ALIKE = 10_000  # the share of gateways that is present is worked out anew after this
+LONG = 2_000_000  # without a keeper for so long, a gateway is cut off: another keeper is found sooner
+LONG_GONE = 3_000_000  # and surely knows it then: its last call was under way for a fraction of a second
+FEW = 0.25  # of its even share it uses then: it sees few clients, or is without power
 REACHED = 2_000_000  # answers of other gateways this lately show that it is not this one that is cut off
 
 note = Writer(__name__)
@@ -42,7 +45,7 @@
 
 class Gauge:
     def __init__(self, loop: Loop, mains: Mains, terms: Terms, node: str, life: str, own: str,
-                 members: Callable[[], dict[str, Member]], jurors: Callable[[], list[str]],
+                 members: Callable[[], Members], jurors: Callable[[], list[str]],
                  quota: Callable[[str], Quota]) -> None:
         self.loop, self.mains, self._terms = loop, mains, terms
         self._node, self._life, self._own = node, life, own
@@ -51,6 +54,7 @@
         self._candidate = Candidate(life)
         self._counters: dict[str, Floors] = {}  # of the duties held here
         self._gathering: set[str] = set()
+        self._counts_since = 0  # when a duty was last won
         self._holders: dict[str, Address] = {}
         self._contact: dict[str, int] = {}  # duty -> when its counter last answered
         self._called: dict[str, int] = {}
@@ -59,7 +63,11 @@
         self._vacant: dict[str, dict[Address, int]] = {}  # duty -> juror -> when it last knew of nobody
         self._heard: dict[str, int] = {}  # gateway -> when it last called here
         self._ranks: dict[str, int] = {}  # duty -> this gateway's place among those who stand for it
-        self._lately: dict[str, tuple[Member, int]] = {}  # gateways, and when each was last on the list
+        self._lately: dict[str, Member] = {}  # gateways that are on the list, or were lately
+        self._listed = Members()  # as last looked at, and when that was
+        self._looked = loop.now
+        self._left: dict[str, int] = {}  # of those no longer on it: when they were last seen there
+        self._addresses: tuple[Members, list[Address]] = (self._listed, [])
         self._ended: dict[str, str] = {}  # gateway -> its life that is proven to have ended
         self._share = (1.0, -ALIKE)  # of gateways that are present, and when that was worked out
         self._reached: dict[Address, int] = {}  # gateway -> when it last answered, or was proven to have ended
@@ -69,7 +77,7 @@
         self._number = 0
         self._read = Read()
         self.alone = Alone(terms, loop.net.rng.random, loop.now)
-        self._tenants: set[str] = set()
+        self._tenants: dict[str, None] = {}
         mains.handlers["count"] = self._count
         mains.handlers["greet"] = self._greeted
         mains.handlers["gauge"] = self._announced
@@ -96,7 +104,7 @@
         quota = self._quota(tenant)
         if quota.rate <= 0:
             return then(True, 0, True)
-        self._tenants.add(tenant)
+        self._tenants[tenant] = None
         duty, now = duty_of(tenant), self.loop.now
         if self._counts(duty):
             self._counters[duty].reach(self._present(), now)
@@ -156,6 +164,19 @@
             self._read.add(tenant, now)
         then(passes, 200_000, False)
 
+    def away(self, gateways: frozenset[str]) -> float:
+        """How many of them are not known to have heard from this one lately, nor to have ended: each of those may hold
+        itself to be `cut`. Those of long ago count in part."""
+        now, lives = self.loop.now, {node: member.life for node, member in self._lately.items()}
+        return sum(FEW if now - self._heard.get(node, self._counts_since) >= LONG_GONE else 1.0 for node in gateways
+                   if node != self._node and not self._here(node)
+                   and (node not in lives or self._ended.get(node) != lives[node]))
+
+    def cut(self, duty: str) -> float:
+        """Of its even share, what this gateway may use, as who does this duty reckons with it no longer."""
+        silent = self.loop.now - max(self._contact.get(duty, 0), self._born)
+        return 0.0 if silent < ABSENT else 1.0 if silent < LONG else FEW
+
     def _among_others(self) -> bool:
         """Whether half of the others answer. One that is cut off from them is taken from the list, and after a while
         its share is theirs."""
@@ -165,9 +186,23 @@
 
     def _remember(self) -> None:
         now = self.loop.now
-        self._lately = {node: kept for node, kept in self._lately.items() if now - kept[1] <= KEPT}
-        for node, member in self._members().items():
-            self._lately[node] = (member, now)
+        listed, known = self._members(), self._listed
+        if listed is not known:
+            changes: dict[str, Member | None] = dict(listed)
+            if listed.before is known:
+                changes = listed.changes
+            else:
+                changes.update({node: None for node in known if node not in listed})
+            for node, member in changes.items():
+                if member is not None:
+                    self._lately[node] = member
+                    self._left.pop(node, None)
+                elif node in known:
+                    self._left[node] = self._looked
+            self._listed = listed
+        self._looked = now
+        for node in [node for node, at in self._left.items() if now - at > KEPT]:
+            del self._left[node], self._lately[node]
 
     def _find(self, duty: str) -> None:
         """Asks the jurors, and a gateway or two for those who can't reach them, who counts."""
@@ -176,7 +211,8 @@
             return
         self._asked[duty] = now
         for address in self._jury():
-            self.mains.ask(address, "who", duty, WAIT, partial(self._juror_said, duty, address))
+            self.mains.ask(address, "who", [duty, self._own, self._life], WAIT,
+                           partial(self._juror_said, duty, address))
         others = self._others()
         for address in self.loop.net.rng.sample(others, min(2, len(others))):
             self.mains.ask(address, "counts", duty, WAIT, partial(self._told_by, duty, address))
@@ -223,7 +259,7 @@
         ended pass nothing, and leave nothing out."""
         now = self.loop.now
         if now - self._share[1] >= ALIKE:
-            may = {node for node, (member, _) in self._lately.items() if self._ended.get(node) != member.life}
+            may = {node for node, member in self._lately.items() if self._ended.get(node) != member.life}
             here = sum(1 for node in may | {self._node} if node == self._node or self._here(node))
             self._share = (min(1.0, here / max(1, len(may | {self._node}))), now)
         return self._share[0]
@@ -241,7 +277,7 @@
 
     def _prove(self) -> None:
         """Who is not here may have ended."""
-        for node, (member, _) in self._lately.items():
+        for node, member in self._lately.items():
             address = parse_address(member.address)
             if address and node != self._node and not self._here(node) and self._ended.get(node) != member.life:
                 self.mains.ask(address, "life", None, WAIT, partial(self._proven, member, address))
@@ -323,6 +359,7 @@
             if not self._candidate.holds(duty, self.loop.now):
                 return
             self._counters[duty] = counter
+            self._counts_since = self.loop.now
             self._holders.pop(duty, None)
             self._found(duty)
             note("counting", duty=duty)
@@ -334,8 +371,11 @@
         self.loop.at(now + GATHER, begin)
 
     def _others(self) -> list[Address]:
-        found = [parse_address(member.address) for member in self._members().values() if member.node != self._node]
-        return [address for address in found if address is not None]
+        listed = self._members()
+        if self._addresses[0] is not listed:
+            found = [parse_address(member.address) for member in listed.values() if member.node != self._node]
+            self._addresses = listed, [address for address in found if address is not None]
+        return self._addresses[1]
 
     def _announced(self, conn: Conn, body: Any, _: Answer) -> None:
         duty, where = str(body[0]), str(body[1])
@@ -350,7 +390,7 @@
 
     def members_changed(self) -> None:
         self._remember()
-        members = self._members().values()
+        members = self._members()
         self._ranks = {}
         for duty in self._duties:
             for rank, member in enumerate(next_on_ring(members, duty, STAND)):
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -5,8 +5,11 @@
 import gc
 import os
 import sqlite3
+import threading
 import time
 from collections.abc import Callable, Mapping
+from importlib import import_module
+from typing import TYPE_CHECKING
 
 from oakvale.base.loop import Clock, Loop, Rank
 from oakvale.base.net import Sock
@@ -15,21 +18,27 @@
 from oakvale.headworks.ctl import Ctl
 from oakvale.headworks.gates import Gates
 from oakvale.headworks.jury import Jury
+from oakvale.headworks.planning import Planning
 from oakvale.headworks.pruning import Pruning
 from oakvale.headworks.standing import standing
 from oakvale.intake.bounds import bounds
 from oakvale.intake.settings import Settings
 from oakvale.intake.table import BadFile
 from oakvale.intake.watch import SettingsWatch
-from oakvale.lane import Shared
 from oakvale.lifecycle.acceptor import Acceptor
 from oakvale.lifecycle.daybook import Writer
 from oakvale.lifecycle.signals import Signals
 from oakvale.mains.links import Mains
 from oakvale.mains.standing import offer
+from oakvale.shared import Shared
+
+if TYPE_CHECKING:
+    from oakvale.headworks.drains import Drains
+    from oakvale.intake.chains import Given
 
 note = Writer(__name__)
 SWEEP = 1_000_000
+READY = 3_000_000  # after it began to serve; by then, who waited for it has been served
 OPENS, PAUSE = 50, 0.2  # tries at the disk at the start, and seconds between them
 
 
@@ -46,6 +55,13 @@
     raise AssertionError
 
 
+def _ready_for_operators(loop: Loop) -> None:
+    """A primary imports what it checks configurations with before one comes: later, as those who wait for news of a
+    core that is back go first, and in a thread, as it may take longer than a heartbeat may be late."""
+    thread = threading.Thread(target=import_module, args=("oakvale.intake.model",), daemon=True)
+    loop.at(loop.now + READY, lambda _: None if thread.ident else thread.start())
+
+
 class Process:
     """All that runs on the loop, but for what the operating system tells."""
 
@@ -61,7 +77,9 @@
         Pruning(core, loop)
         offer(self.mains, "headworks", settings.node, lambda: standing(core))
         self.shared = Shared(loop, bounds(settings))
-        self.acceptor = Acceptor(Ctl(self.shared, core, settings), listeners["ctl"], loop)
+        self._ctl = Ctl(self.shared, core, settings)
+        self.acceptor = Acceptor(self._ctl, listeners["ctl"], loop)
+        self._drains: Drains | None = None
         self.know = core.know
         loop.at(loop.now + SWEEP, self._sweep)
         note("headworks", node=settings.node, own=core.own[0], incarnation=core.own[1])
@@ -70,6 +88,20 @@
         self.mains.sweep()
         self.loop.at(self.loop.now + SWEEP, self._sweep)
 
+    def plan(self, settings: Settings, given: Given | None) -> None:
+        """Works out failover chains, where they are wanted."""
+        Planning(self.core, self._ctl.backends, self.loop, self.mains, settings, given)
+
+    def contracts(self, settings: Settings) -> None:
+        """At the start and on SIGHUP; a file that is there is looked at anew by itself."""
+        if self._drains is not None:
+            self._drains.again()
+        elif os.path.exists(settings.contracts):
+            from oakvale.headworks.drains import Drains  # its imports cost, and most systems have no contracts
+
+            self._drains = Drains(self.core, self.loop, self.mains, settings.contracts, settings.bounds.apply)
+            self._ctl.offer(self._drains)
+
     def stop(self) -> None:
         self.shared.stopping = True
         self.core.resign()
@@ -77,15 +109,28 @@
         self.loop.at(self.loop.now + 300_000, lambda _: self.loop.stop())
 
 
-def serve(settings: Settings, signals: Signals, listeners: Mapping[str, Sock]) -> int:
-    """Raises BadFile, OSError."""
+def serve(settings: Settings, signals: Signals, listeners: Mapping[str, Sock], chains: str | None = None) -> int:
+    """`chains`: the operators' file on chains, where these are wanted. Raises BadFile, OSError."""
+    given = None
+    if chains is not None:
+        from oakvale.intake.chains import load  # its imports cost, and most systems have no chains
+
+        given = load(chains, settings)
     datadir = settings.datadir
     if datadir is None or "ctl" not in settings.bind:
         raise BadFile("headworks needs [self] datadir and [network.bind] ctl")
     loop = Loop(Clock(), bounds(settings))
     process = Process(settings, listeners, loop, lambda: _opened(loop, datadir))
+    process.plan(settings, given)
     watch = SettingsWatch(loop, os.environ, settings, lambda fresh: process.know(fresh.seeds))
-    loop.start(signals.run(process.stop, watch.again), signals.fileno(), Rank.DISCOVERY)
+    process.core.on_change.append(lambda serves: _ready_for_operators(loop) if serves else None)
+
+    def again() -> None:
+        watch.again()
+        process.contracts(settings)
+
+    process.contracts(settings)
+    loop.start(signals.run(process.stop, again), signals.fileno(), Rank.DISCOVERY)
     gc.collect()
     gc.freeze()
     try:
--- a/oakvale/lab/commands.py
+++ b/oakvale/lab/commands.py
@@ -12,7 +12,7 @@
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from oakvale.lab.days import Day
@@ -42,8 +42,8 @@
         raise Failed(f"{args.file}: the run came to no end: {one.failed}")
     lines = [f"{one.day}, seed {one.seed}, variant {one.variant}: worth {one.worth:.4f} ({one.earned:g} of "
              f"{one.owed:g}); served {one.served}, refused {one.refused}, lost {one.lost}; answers "
-             f"p50 {one.p50_ms:.1f} ms, p99 {one.p99_ms:.1f} ms; {one.arrivals} arrivals; {one.wall_s:.1f} s to play; "
-             f"record {one.fingerprint}"]
+             f"p50 {one.p50_ms:.1f} ms, p99 {one.p99_ms:.1f} ms; {one.arrivals} arrivals; "
+             f"{one.cpu_s:.1f} s of a core to play; record {one.fingerprint}"]
     if one.series is not None and (bad := [row for row in one.series.worth if row[1] < row[2]]):
         worst = sorted(bad, key=lambda row: row[1] / row[2])[:5]
         lines.append("worst seconds: " + ", ".join(f"{second} ({earned / owed:.2f})" for second, earned, owed in worst))
@@ -65,7 +65,7 @@
     except (files.BadFile, days.BadDay) as error:
         raise Wrong(error) from error
     folder = Path(args.out or Path(args.file).with_suffix("").name + "-report")
-    jobs = [(one, seed, variant) for seed in told.seeds_drawn() for one in played for variant in told.variants]
+    jobs = told.jobs(played)
     outcomes = []
     interrupted = False
     with Progress(len(jobs), "runs", args.quiet) as bar:
@@ -146,30 +146,13 @@
     """Writes the smallest day beside `path`; an interrupt keeps the smallest so far."""
     from oakvale.lab.trials import hunt as hunting
     from oakvale.lab.trials import player
-    from oakvale.lab.trials import shrink as shrinking
 
-    best, last, asked = [played], [""], 0
-    interrupted = False
     with Progress(most, "plays", quiet) as bar:
-        def breaks(candidate: Day) -> bool:
-            nonlocal asked
-            asked += 1
-            one = player.world(candidate, candidate.seed, variant)
-            bar.show(asked, _size(best[0]))
-            if hunting.faults(one) & rules:
-                last[0] = one.failed or one.first
-                return True
-            return False
-
-        try:
-            shrinking.smallest(played, breaks, most, lambda smaller: best.__setitem__(0, smaller))
-        except KeyboardInterrupt:
-            interrupted = True
-    small = best[0].model_copy(update={"name": f"{played.name}-small"[:40]})
-    kept = hunting.keep(small, rules, last[0], variant, out or path.parent, "-small")
-    print(f"{'interrupted: the smallest so far' if interrupted else 'smallest'} after {asked} plays: {_size(small)} "
-          f"(was {_size(played)})\n  {kept}")
-    return INTERRUPTED if interrupted else 0
+        cut = hunting.cut(played, rules, most, player.world, variant, lambda asked, day: bar.show(asked, _size(day)))
+    kept = hunting.keep(cut.day, rules, cut.first, variant, out or path.parent, "-small")
+    print(f"{'interrupted: the smallest so far' if cut.interrupted else 'smallest'} after {cut.asked} plays: "
+          f"{_size(cut.day)} (was {_size(played)})\n  {kept}")
+    return INTERRUPTED if cut.interrupted else 0
 
 
 def _size(one: Day) -> str:
@@ -179,10 +162,14 @@
 
 def check(args: argparse.Namespace) -> int:
     """Look at every interleaving of the control state's small core."""
+    status: int = _checker().check(args)
+    return status
+
+
+def _checker() -> Any:
     from importlib import import_module
 
-    status: int = import_module("oakvale.lab.sounding.command").run(args)
-    return status
+    return import_module("oakvale.lab.sounding.check")
 
 
 def _days(paths: Sequence[str]) -> list[Day]:
@@ -291,7 +278,7 @@
     return name, value.strip()
 
 
-def parser() -> argparse.ArgumentParser:
+def parser(words: Sequence[str] = ()) -> argparse.ArgumentParser:
     whole = argparse.ArgumentParser(prog="oakvale lab", description="The laboratory of oakvale.")
     commands = whole.add_subparsers(dest="command", required=True, metavar="COMMAND")
 
@@ -334,6 +321,9 @@
         command.add_argument("--most", type=_whole, default=300, help="plays of the shrinking (default: %(default)s)")
         varied(command)
     over(hunted)
+    checked = add("check", check, "search all interleavings of the control state's small core; 1 if one is bad")
+    if words[:1] == ["check"]:  # its arguments are told by what it imports
+        _checker().arguments(checked)
     pump = add("load", load, "open-loop load on a loopback URL, with latencies from when each request was due")
     pump.add_argument("url", help="http://127.0.0.1:PORT/PATH; anything but loopback is refused")
     pump.add_argument("--rate", type=_over(0), default=100.0, help="requests a second (default: %(default)g)")
@@ -354,6 +344,6 @@
 
 
 def main(words: Sequence[str]) -> int:
-    args = parser().parse_args(words)
+    args = parser(words).parse_args(words)
     status: int = args.call(args)
     return status
--- a/oakvale/lab/models/launch.py
+++ b/oakvale/lab/models/launch.py
@@ -32,8 +32,8 @@
 BODY = 2_000
 FREED = 8 * SECOND  # a backend that was told to leave has ended by then
 OURS = frozenset({"hot_tenant", "burst", "srv_crash", "srv_slow", "srv_grey", "srv_flap", "srv_lying_health", "release",
-                  "scale_in", "answer_lost", "garble", "idle_race", "config_change", "config_race", "bad_config",
-                  "revoke"})
+                  "scale_in", "drain", "answer_lost", "garble", "idle_race", "config_change", "config_race",
+                  "bad_config", "revoke"})
 AFTER_ACK = frozenset({"after_ack_kill", "after_ack_wipe", "closing"})  # ours until the acknowledgement
 
 
@@ -84,8 +84,8 @@
 
     @property
     def done(self) -> bool:
-        """The operator has read back."""
-        return self.operator.done
+        """The operator has read back, and each client has an answer or gave up at its deadline."""
+        return self.operator.done and not any(crowd.senders.out for crowd in self.crowds)
 
 
 class Launch:
@@ -212,7 +212,7 @@
         life = seat.now
         if life is None:
             return
-        life.idle = ills.pop("idle", 0) if "idle" in ills else 0
+        life.idle = ills.get("idle", 0)
         life.shop.ill = Ailment(**{k: v for k, v in ills.items() if k != "idle"})
         self._happened(life.loop.now, until, Event.BACKEND, (life.terms.id,), why)
         life.loop.at(until, self._well, life)
@@ -287,6 +287,11 @@
         for seat in seats:
             self._leaves(seat, at)
 
+    def _drain(self, trouble: Trouble, at: int, lasts: int, gap: int) -> None:
+        """The same as planned work; on machines of the system it is not the models'."""
+        if trouble.on in self.seats:
+            self._scale_in(trouble, at, lasts, gap)
+
     def _leaves(self, seat: Seat, at: int) -> None:
         seat.freed = at + FREED
 
--- a/oakvale/lab/trials/findings.py
+++ b/oakvale/lab/trials/findings.py
@@ -49,10 +49,10 @@
             ended = [one for one in mine if not one.failed]
             if not mine:
                 continue
+            over = [name for name in names if day in (name, ALL) and (name, spec.name) in by]
             medians, changes = {}, {}
             for name, (shown, more) in MEASURES.items():
-                own = _by_seed(by, names if day == ALL else [day], spec.name, shown)
-                other = _by_seed(by, names if day == ALL else [day], base, shown)
+                own, other = _by_seed(by, over, spec.name, shown), _by_seed(by, over, base, shown)
                 if own:
                     medians[name] = median(list(own.values()), experiment.confidence)
                 if spec.name != base and (both := sorted(own.keys() & other.keys())):
@@ -61,8 +61,8 @@
                     change = compared([sign * other[seed] for seed in both], [sign * own[seed] for seed in both],
                                       experiment.confidence, least)
                     if sign < 0:  # told as it was measured; the word stays
-                        plain = change.change
-                        change = Compared(change.pairs, Median(-plain.value, -plain.high, -plain.low), change.word)
+                        its = change.change
+                        change = Compared(change.pairs, Median(0 - its.value, 0 - its.high, 0 - its.low), change.word)
                     changes[name] = change
             found.append(Row(day, spec.name, len(mine), len(mine) - len(ended), tally(mine), medians, changes))
     return found
--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -9,6 +9,7 @@
 
 import errno
 import socket
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -47,7 +48,8 @@
         self.used = mains.loop.now
         self._task = mains.loop.start(self._run(), sock.fileno(), Rank.COUNTER)
 
-    def send(self, kind: str, number: int, body: Any) -> None:
+    def send(self, kind: str, number: int, body: Any, of: str = "") -> None:
+        """`of`: the kind of the question that an answer is given to."""
         if not self.alive:
             return
         data = encode(kind, number, body)
@@ -55,7 +57,7 @@
             note("peer does not read", "warning", peer=self.address[0])
             return self.end()
         self.used = self.mains.loop.now
-        self.mains.sent_bytes += len(data)
+        self.mains.sent[kind or of] += len(data)
         if self.up and not self._going:
             try:
                 sent = self.sock.send(data)
@@ -143,7 +145,7 @@
         if handler is None:
             return
         try:
-            handler(self, body, (lambda answer: self.send("", number, answer)) if number else _nobody)
+            handler(self, body, (lambda answer: self.send("", number, answer, kind)) if number else _nobody)
         except Exception:
             # one peer's odd message never ends the process, nor the connection that others' news come on
             note.fault("message failed", kind=kind, peer=self.address[0])
@@ -159,7 +161,7 @@
     def __init__(self, loop: Loop, own: Address) -> None:
         self.loop, self.own = loop, own
         self.handlers: dict[str, Handler] = {}
-        self.sent_bytes = 0
+        self.sent: Counter[str] = Counter()  # bytes by kind, answers with their questions
         self._out: dict[Address, Conn] = {}
         self._failed: dict[Address, int] = {}
         self._refused: dict[Address, int] = {}
@@ -228,6 +230,15 @@
             return conn
         return None
 
+    def afresh(self, address: Address) -> None:
+        """Who listens there is known to be up: a connection whose first packet may have met a dark machine is not
+        waited for any longer."""
+        conn = self._out.get(address)
+        if conn is not None and not conn.up:
+            del self._out[address]
+            conn.end()
+        self._failed.pop(address, None)
+
     def tell(self, address: Address, kind: str, body: Any) -> None:
         conn = self.link(address)
         if conn is not None:
@@ -238,7 +249,11 @@
         conn = self.link(address)
         if conn is None:
             self.loop.at(self.loop.now, lambda _: then(None))
-            return
+        else:
+            self.ask_on(conn, kind, body, timeout, then)
+
+    def ask_on(self, conn: Conn, kind: str, body: Any, timeout: int, then: Then) -> None:
+        """As `ask`, of the very process at the other end of a connection, whoever made it."""
         self._number += 1
         number = self._number
 
--- a/oakvale/memory/requests.py
+++ b/oakvale/memory/requests.py
@@ -48,6 +48,9 @@
     connection: Carrier | None = None
     written: bool = False
     ending: Ending | None = None
+    idled: int = 0  # microseconds that its connection had been idle; 0 on a new one
+    kept: int = 0  # microseconds that its connection may be idle, now that it has ended well
+    dropped: bool = False  # that connection ended before anything of an answer came
 
 
 class Carrier(Protocol):
@@ -61,8 +64,8 @@
     def lasts(self) -> int:
         """Microseconds for which it may stay idle and be used again."""
 
-    def use(self, attempt: AttemptOut) -> None:
-        """Gives an idle connection its next request."""
+    def use(self, attempt: AttemptOut, host: Any) -> None:
+        """Gives an idle connection its next request, which this lane hears the end of."""
 
     def whole(self) -> bool:
         """Neither ended nor holding stray bytes."""
@@ -78,6 +81,9 @@
     def __len__(self) -> int:
         return len(self._by_id)
 
+    def all(self) -> list[InHand]:
+        return list(self._by_id.values())
+
     def get(self, rid: str) -> InHand | None:
         return self._by_id.get(rid)
 
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -12,13 +12,15 @@
 from oakvale.base.address import Address, parse_address
 from oakvale.budget import Retries, SharedBudget
 from oakvale.gauge.board import Offer
-from oakvale.gauge.dispatch import Boards, Pick
+from oakvale.gauge.dispatch import Boards, Facts, Pick, Turned
 from oakvale.gauge.service import Gauge
-from oakvale.lane import Lane, Owner, Shared
+from oakvale.lane import Lane
 from oakvale.mains.links import Mains
 from oakvale.memory.requests import Answer, AttemptOut, InHand
+from oakvale.shared import Owner, Shared
 from oakvale.sluice.dialect import SystemDialect
 from oakvale.sluice.routes import Backend, Picture, Route
+from oakvale.towpath.moves import kept
 from oakvale.wire.clients import BadRequest, Incoming, plain
 
 ATTEMPT_ID = re.compile(rb"[!-~]{1,128}")
@@ -52,6 +54,7 @@
     again: bool = False  # its client came back with it
     given: bool = False  # to the lane
     pick: Pick | None = None  # the board's advice, until its ticket is handed back
+    youth: int | None = None  # microseconds that a connection for it may have been idle, by the board
     last: Answer | None = None  # a backend's own failure, if nothing better comes
 
 
@@ -59,15 +62,16 @@
     """One service: its backends, and the decisions on them."""
 
     def __init__(self, shared: Shared, boards: Boards, service: str, zones: dict[str, int], zone: str,
-                 seed: int, budget: SharedBudget) -> None:
-        self.boards = boards
+                 seed: int, budget: SharedBudget, without: frozenset[str] = frozenset()) -> None:
+        """`without`: backends that the tenants of this lane were moved off."""
+        self.boards, self.without = boards, without
         self._classes: dict[str, tuple[int, i.RequestClass]] = {}
         self._zones, self.service = zones, service
         settings = i.Settings(classes=(), plans=(i.Plan(),), zone=zones.get(zone, 0), retry_after=True,
                               max_attempts=MOST_TRIES, max_retry_after=SECOND, may_cancel=True,
                               cross_zone_price=1.0, cold_from=1.0, late_earns=True)
         super().__init__(shared, settings, seed, budget)
-        self._budget = budget
+        self.budget = budget
         self.dialect = SystemDialect()
         self._ids: dict[int, str] = {}
         self._numbers: dict[str, int] = {}
@@ -75,6 +79,7 @@
         self._ready: set[int] = set()
         self._known: dict[str, Backend] = {}
         self._offers: list[Offer] = []
+        self._closed: frozenset[str] = frozenset()  # zones that are out for this service
         self.listed = False
 
     def class_of(self, route: Route) -> int:
@@ -91,16 +96,46 @@
         return known[0]
 
     def request_came(self, request: InHand, event: i.Request) -> None:
-        self._budget.came(self.loop.now)
+        self.budget.came(self.loop.now)
         super().request_came(request, event)
 
     def learn(self, backends: list[Backend], numbers: dict[str, int]) -> None:
+        if self.without:
+            off = kept({b.id: b.ready for b in backends}, self.without)
+            backends = [b for b in backends if b.id not in off]
         known = {b.id: b for b in backends}
         if known == self._known and self.listed:
             return
         was, self._known, self.listed = self._known, known, True
+        self._list(numbers)
+        for name, backend in was.items():
+            now = known.get(name)
+            if name not in self.without and (now is None or not now.ready or now.address != backend.address):
+                self.idle.free(self._numbers[name])
+
+    def close(self, zones: frozenset[str], numbers: dict[str, int]) -> None:
+        """These zones are out: nothing more goes there. What has gone there and was not answered is given up: the
+        module tries it again if it may run twice and the budget allows, and else answers at once. An attempt that
+        was not written whole ends by itself, in the time for a connection."""
+        came, self._closed = zones - self._closed, zones
+        if not self._list(numbers):
+            return
+        gone = {self._numbers[b.id] for b in self._known.values() if b.zone in came}
+        for number in gone:
+            self.idle.free(number)
+        for attempt in [a for r in self.requests.all() if not r.over and r.event.lane is self for a in r.out.values()]:
+            if attempt.backend in gone and attempt.written and attempt.connection is not None:
+                attempt.connection.end()
+                self.attempt_ended(attempt, i.Ending.TIMEOUT)
+
+    def _list(self, numbers: dict[str, int]) -> bool:
+        """Whether zones that are out are left alone: not where nothing else is there."""
+        ready = {b.id for b in self._known.values() if b.ready}
+        up = {name for name in ready if self._known[name].zone not in self._closed}
+        heeds = bool(up) or not ready
+        up = up if heeds else ready
         entries = []
-        for backend in backends:
+        for backend in self._known.values():
             number = numbers.setdefault(backend.id, len(numbers) + 1)
             self._numbers[backend.id], self._ids[number] = number, backend.id
             address = parse_address(backend.address)
@@ -108,15 +143,14 @@
                 continue
             self._addresses[number] = address
             entries.append(i.Entry(number, self._zones.get(backend.zone, len(self._zones)),
-                                   state=i.State.READY if backend.ready else i.State.DRAINING,
+                                   state=i.State.READY if backend.id in up else i.State.DRAINING,
                                    slots=backend.slots))
-        self._ready = {self._numbers[b.id] for b in backends if b.ready}
-        self._offers = [Offer(b.id, b.zone, b.slots, b.warm) for b in backends if b.ready]
+        self._ready = {self._numbers[name] for name in up}
+        offers = [Offer(b.id, b.zone, b.slots, b.warm) for b in self._known.values() if b.ready]
+        if offers != self._offers:
+            self._offers = offers
         self.give(i.Backends(i.ListForm.FULL, tuple(entries)))
-        for name, backend in was.items():
-            now = known.get(name)
-            if now is None or not now.ready or now.address != backend.address:
-                self.idle.free(self._numbers[name])
+        return heeds
 
     def number(self, backend: str) -> int:
         """0 for one that is not known here."""
@@ -129,12 +163,21 @@
         name, latency, outcome = self.backend_id(attempt.backend), self.loop.now - attempt.sent, OUTCOMES[ending]
         if attempt.hop in attempt.request.out:
             if order.pick is not None and order.pick.backend == name:
-                self.boards.done(order.pick, order.route.name, latency, outcome)
+                dropped = attempt.idled if attempt.dropped else 0
+                self.boards.done(order.pick, order.route.name, latency, outcome, dropped, attempt.kept)
                 order.pick = None
             else:
-                self.boards.teach(self.service, name, order.route.name, latency, outcome)
+                self.boards.teach(self.service, name, order.route.name, latency, outcome, attempt.kept)
         super().attempt_ended(attempt, ending, answer, report)
 
+    def retire(self) -> None:
+        """Nobody is given to this lane any more; its timers end with what it has in hand."""
+        self._carry[i.Wake] = self._last_wakes
+
+    def _last_wakes(self, action: i.Wake) -> None:
+        if any(request.event.lane is self for request in self.requests.all()):
+            self._wake(action)
+
     def offers(self) -> list[Offer]:
         return self._offers
 
@@ -147,6 +190,11 @@
     def serves(self, backend: int) -> bool:
         return backend in self._ready
 
+    def youth(self, request: InHand) -> int | None:
+        """What may run once only is not risked on a connection that its backend may have forgotten."""
+        order: Order = request.event
+        return order.youth
+
     def answer_of(self, request: InHand, action: i.Refuse | i.Fail) -> Answer:
         order: Order = request.event
         if order.last is not None:
@@ -166,15 +214,27 @@
         self.gauge = gauge
         self.boards = Boards(shared.loop, mains, gauge, node, zone,
                              lambda service: self._lane(service).offers())
+        self.boards.on_closed = lambda service, zones: self._lane(service).close(zones, self._numbers)
         self.picture = Picture()
         self._zones, self._zone = {name: n for n, name in enumerate(zones)}, zone
         self._lanes: dict[str, ServiceLane] = {}
+        self._aside: dict[tuple[str, frozenset[str]], ServiceLane] = {}  # of tenants that were moved off backends
+        self.leaving = False  # this gateway is drained: its clients are to come back elsewhere
         self._numbers: dict[str, int] = {}
         self._rng, self._retries = self.loop.net.rng, retries
         self.taking_ended = False
         self._longest: dict[str, int] = {}  # route -> the longest that a client would wait
         self.sure: Callable[[], bool] = lambda: True  # whether a key's removal would have been heard of
 
+    @property
+    def stopping(self) -> bool:
+        """Answers say that their connection ends, and `readyz` sends nobody here."""
+        return self.shared.stopping or self.leaving
+
+    @stopping.setter
+    def stopping(self, stops: bool) -> None:
+        self.shared.stopping = stops
+
     # ---- the news
 
     def show(self, picture: Picture) -> None:
@@ -187,8 +247,14 @@
             by_service: dict[str, list[Backend]] = {}
             for backend in picture.backends.values():
                 by_service.setdefault(backend.service, []).append(backend)
-            for service in {*self._lanes, *by_service}:
+            for service in dict.fromkeys([*self._lanes, *by_service]):  # in an order that a replay has too
                 self._lane(service).learn(by_service.get(service, []), self._numbers)
+            for (service, _), lane in self._aside.items():
+                lane.learn(by_service.get(service, []), self._numbers)
+        if picture.avoid is not was.avoid:
+            held = {off for off in picture.avoid.values()}
+            for key in [key for key in self._aside if not any(key[1] <= off for off in held)]:
+                self._aside.pop(key).retire()
 
     def _lane(self, service: str) -> ServiceLane:
         lane = self._lanes.get(service)
@@ -198,6 +264,21 @@
                                                       self._rng.getrandbits(32), budget)
         return lane
 
+    def _lane_of(self, service: str, tenant: str | None) -> ServiceLane:
+        """The lane of a tenant that was moved off some backends, if the service has any of them."""
+        lane = self._lane(service)
+        without = frozenset(name for name in self.picture.avoid.get(tenant or "", ())
+                            if (found := self.picture.backends.get(name)) is not None and found.service == service)
+        if not without:
+            return lane
+        aside = self._aside.get((service, without))
+        if aside is None:
+            aside = self._aside[service, without] = ServiceLane(
+                self.shared, self.boards, service, self._zones, self._zone, self._rng.getrandbits(32), lane.budget,
+                without)
+            aside.learn([b for b in self.picture.backends.values() if b.service == service], self._numbers)
+        return aside
+
     # ---- requests
 
     def open(self, client: Any, incoming: Incoming, came: int) -> Answer | InHand:
@@ -232,7 +313,8 @@
             return later(503, SECOND // 2, b"no room\n")
         left = fields.get(b"time-left", b"")
         wait = min(route.deadline, int(left) * MS if DIGITS.fullmatch(left) else route.deadline)
-        lane = self._lane(route.service(self._rng.random()))
+        service = route.service(self._rng.random())
+        lane = self._lane_of(service, tenant) if picture.avoid else self._lane(service)
         event = i.Request(name, "", lane.class_of(route), 0, 1.0, 1, 0, came + wait)
         order = Order(lane, route, tenant, event, again=self._comes_again(route, wait))
         return InHand(name, client, incoming.method, incoming.target, incoming.headers, incoming.body,
@@ -264,13 +346,26 @@
 
     def _go(self, request: InHand) -> None:
         order: Order = request.event
-        self.boards.ask(order.lane.service, request.deadline - self.loop.now, partial(self._advised, request))
-
-    def _advised(self, request: InHand, pick: Pick | None) -> None:
+        facts = None
+        if self.boards.chains is not None:
+            route = order.route
+            holder = self.picture.tenants.get(order.tenant) if order.tenant is not None else None
+            rank = route.prio if holder is None or holder.prio is None else int(holder.prio)
+            facts = Facts(route.name, rank, order.tenant or "", route.safe, route.aim)
+        self.boards.ask(order.lane.service, request.deadline - self.loop.now, partial(self._advised, request), facts,
+                        order.lane.without)
+
+    def _advised(self, request: InHand, pick: Pick | Turned | None) -> None:
         order: Order = request.event
+        if isinstance(pick, Turned):
+            if not request.over:
+                self.tally.refusals["no_room"] += 1
+                self.final(request, later(503, pick.wait, b"no place has room\n"))
+            return
         if not request.over:
             order.given, order.pick = True, pick
             if pick is not None:
+                order.youth = None if order.route.safe else pick.youth
                 order.event = replace(order.event, hint=order.lane.number(pick.backend))
             order.lane.request_came(request, order.event)
             pick, out = order.pick, {attempt.backend for attempt in request.out.values()}
--- a/oakvale/sluice/process.py
+++ b/oakvale/sluice/process.py
@@ -31,6 +31,7 @@
         self.sluice = sluice = Sluice(settings, listeners, loop)
         self.shutdown = Shutdown(sluice)
         offer(sluice.mains, "sluice", settings.node, lambda: standing(sluice))
+        sluice.mains.handlers["chains"] = lambda conn, body, answer: answer({"held": sluice.table.get("chains")})
         self.know = sluice.know
         Status(sluice.shared).begin()
         note("sluice", node=settings.node, own=sluice.own, life=sluice.life)
--- a/oakvale/sluice/routes.py
+++ b/oakvale/sluice/routes.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -16,7 +16,7 @@
 from oakvale.gauge.floors import Quota
 from oakvale.intake.times import micros
 from oakvale.penstock.table import Table
-from oakvale.penstock.tree import Member
+from oakvale.penstock.tree import Member, Members
 
 
 @dataclass(slots=True, frozen=True)
@@ -86,7 +86,8 @@
     keys: Mapping[str, Tenant] | None = None  # None: no key is asked for
     tenants: Mapping[str, Tenant] = field(default_factory=dict)
     backends: Mapping[str, Backend] = field(default_factory=dict)
-    members: Mapping[str, Member] = field(default_factory=dict)
+    members: Members = field(default_factory=Members)
+    avoid: Mapping[str, frozenset[str]] = field(default_factory=dict)  # tenant -> backends that it was moved off
 
     def match(self, host: str, path: str) -> Route | None:
         for route in self.routes.get(host, ()):
@@ -132,11 +133,25 @@
     }
 
 
-def backends(table: Table) -> dict[str, Backend]:
-    return {name: Backend(name, str(v["svc"]), str(v["addr"]), str(v["az"]), float(v["slots"]),
-                          v["state"] == "ready", int(v.get("warm") or 0))
-            for name, v in table.items("backend/")}
-
-
-def members(table: Table) -> dict[str, Member]:
-    return {node: Member(node, str(v["addr"]), str(v["az"]), str(v["life"])) for node, v in table.items("gate/")}
+def backends(table: Table, keys: Iterable[str], was: Mapping[str, Backend]) -> dict[str, Backend]:
+    """With only the changed keys read anew: a service whose backends are exchanged brings as many news as it has, and
+    each would read all of them."""
+    found = dict(was)
+    for key in keys:
+        if key.startswith("backend/"):
+            name, v = key.removeprefix("backend/"), table.get(key)
+            found.pop(name, None)
+            if v is not None:
+                found[name] = Backend(name, str(v["svc"]), str(v["addr"]), str(v["az"]), float(v["slots"]),
+                                      v["state"] == "ready", int(v.get("warm") or 0))
+    return found
+
+
+def members(table: Table, keys: Iterable[str], known: Members) -> Members:
+    """The list that follows, by the news of some keys."""
+    changes: dict[str, Member | None] = {}
+    for key in keys:
+        if key.startswith("gate/"):
+            node, value = key.removeprefix("gate/"), table.get(key)
+            changes[node] = value and Member(node, str(value["addr"]), str(value["az"]), str(value["life"]))
+    return known.changed(changes)
--- a/tests/test_lab_trials.py
+++ b/tests/test_lab_trials.py
@@ -65,8 +65,7 @@
 
 def test_rows_pair_seeds_and_count_what_broke(told: Path) -> None:
     experiment, its_days = spec.load(told)
-    outcomes = [played(day, seed, one) for day in its_days for seed in experiment.seeds_drawn()
-                for one in experiment.variants]
+    outcomes = [played(*job) for job in experiment.jobs(its_days)]
     rows = {(row.day, row.variant): row for row in findings.rows(experiment, outcomes)}
     assert set(rows) == set(product(("still", "squall", findings.ALL), ("base", "longer", "unsafe")))
     longer, unsafe = rows["still", "longer"], rows["squall", "unsafe"]
@@ -110,7 +109,9 @@
     ("oakvale.gauge", "os.gauge", "variants.longer: os.gauge.service.DUTIES: no name of oakvale's"),
     ('"longer"', '"base"', "variants: 'base' is there twice"),
     ("seeds = 8", "seeds = 0", "seeds: Input should be greater than or equal to 1"),
-    ("seeds = 8", "seed = 8", "seed: Extra inputs are not permitted")])
+    ("seeds = 8", "seed = 8", "seed: Extra inputs are not permitted"),
+    ('"unsafe"', '"unsafe"\ndays = ["storm.toml"]',
+     "variants.unsafe.days: 'storm.toml' is none of the experiment's days")])
 def test_a_bad_experiment_is_told_by_place_and_field(told: Path, old: str, new: str, said: str) -> None:
     told.write_text(FILE.replace(old, new))
     with pytest.raises(commands.Wrong) as raised:
@@ -126,7 +127,18 @@
     assert found["oakvale.base.limits.MB"] == found["oakvale.intake.bounds.MB"] == 2
     assert all(getattr(*variants.found(name)) == oakvale.base.limits.MB for name in found)
     swapped = variants.patches(Spec(name="other", swap={"oakvale.intake.times.micros": "oakvale.numbers.whole"}))
-    assert len({id(value) for value in swapped.values()}) == 1 and "oakvale.intake.model.micros" in swapped
+    same = [name for name in swapped if name.endswith(".micros")]
+    assert len({id(swapped[name]) for name in same}) == 1 and "oakvale.intake.model.micros" in same
+
+
+def test_what_follows_from_a_constant_changes_with_it() -> None:
+    """The bench plays edited sources; a variant that left a default as it was would be another one there than here."""
+    found = variants.patches(Spec(name="slow", set={"oakvale.penstock.feed.STALE": 1_000_000}))
+    assert found["oakvale.penstock.feed.FORGIVEN"] == 20_000_000
+    assert found["oakvale.penstock.feed.Feed.fresh.__defaults__"] == (1_000_000,)
+    assert found.keys() >= {"oakvale.penstock.feed.STALE"} and all(variants.found(name) for name in found)
+    assert variants.patches(Spec(name="later", set={"oakvale.gauge.service.PRESENT": 5}))[
+        "oakvale.gauge.service.ABSENT"] == 100_005
 
 
 def test_a_hunt_keeps_what_it_found_as_a_day(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
