--- a/tests/test_lab_failures.py
+++ b/tests/test_lab_failures.py
@@ -51,3 +51,17 @@
     undone = play.play(given, seed, play.Variant(spec.name, variants.patches(spec)))
     assert shown(fixed) <= bound < shown(undone)
     assert not verdict.judge(fixed).broken
+
+
+@pytest.mark.parametrize("path", sorted((FOLDER.parent / "found").glob("*.toml")), ids=lambda path: path.stem)
+def test_a_day_that_was_found_stays_whole(path: Path) -> None:
+    given = days.load(path)
+    assert not verdict.judge(play.play(given, given.seed)).broken
+
+
+def test_a_found_day_still_finds_what_it_was_cut_down_for() -> None:
+    """The counter lets far too much over the burst: the quota breaks in a day of one edge, one tenant, one trouble."""
+    given = days.load(FOLDER.parent / "found" / "quota-9-small.toml")
+    lavish = variants.patches(Spec(name="lavish", set={"oakvale.gauge.floors.OVER": 40.0}))
+    found = verdict.judge(play.play(given, given.seed, play.Variant("lavish", lavish)))
+    assert {one.rule for one in found.broken} == {"QUOTA"}
