--- a/oakvale/gauge/board.py
+++ b/oakvale/gauge/board.py
@@ -56,12 +56,15 @@
         self._means: dict[str, float] = {}  # route -> microseconds
         self._ticket = 0
 
-    def pick(self, offers: Iterable[Offer], asker: str, zone: str, until: int, now: int) -> tuple[str, int] | None:
+    def pick(self, offers: Iterable[Offer], asker: str, zone: str, until: int, now: int,
+             without: frozenset[str] = frozenset()) -> tuple[str, int] | None:
         """The backend that will likely answer first, and a ticket that is to be handed back."""
         offers = list(offers)
         known = {offer.id for offer in offers}
         for name in [name for name in self._spots if name not in known]:
             del self._spots[name]
+        if without:
+            offers = [offer for offer in offers if offer.id not in without]
         best: tuple[float, Offer] | None = None
         for offer in offers:
             spot = self._spots.get(offer.id)
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable, Mapping
 from importlib import import_module
+from typing import TYPE_CHECKING
 
 from oakvale.base.loop import Clock, Loop, Rank
 from oakvale.base.net import Sock
@@ -30,9 +31,12 @@
 from oakvale.mains.standing import offer
 from oakvale.shared import Shared
 
+if TYPE_CHECKING:
+    from oakvale.headworks.drains import Drains
+
 note = Writer(__name__)
 SWEEP = 1_000_000
-READY = 3_000_000  # after the start; by then, who waited for this process has been served
+READY = 3_000_000  # after it began to serve; by then, who waited for it has been served
 OPENS, PAUSE = 50, 0.2  # tries at the disk at the start, and seconds between them
 
 
@@ -49,9 +53,11 @@
     raise AssertionError
 
 
-def _import_aside(name: str) -> None:
-    """For the operator, who need not wait for it; in a thread, as it may take longer than a heartbeat may be late."""
-    threading.Thread(target=import_module, args=(name,), daemon=True).start()
+def _ready_for_operators(loop: Loop) -> None:
+    """A primary imports what it checks configurations with before one comes: later, as those who wait for news of a
+    core that is back go first, and in a thread, as it may take longer than a heartbeat may be late."""
+    thread = threading.Thread(target=import_module, args=("oakvale.intake.model",), daemon=True)
+    loop.at(loop.now + READY, lambda _: None if thread.ident else thread.start())
 
 
 class Process:
@@ -69,7 +75,9 @@
         Pruning(core, loop)
         offer(self.mains, "headworks", settings.node, lambda: standing(core))
         self.shared = Shared(loop, bounds(settings))
-        self.acceptor = Acceptor(Ctl(self.shared, core, settings), listeners["ctl"], loop)
+        self._ctl = Ctl(self.shared, core, settings)
+        self.acceptor = Acceptor(self._ctl, listeners["ctl"], loop)
+        self._drains: Drains | None = None
         self.know = core.know
         loop.at(loop.now + SWEEP, self._sweep)
         note("headworks", node=settings.node, own=core.own[0], incarnation=core.own[1])
@@ -78,6 +86,16 @@
         self.mains.sweep()
         self.loop.at(self.loop.now + SWEEP, self._sweep)
 
+    def contracts(self, settings: Settings) -> None:
+        """At the start and on SIGHUP; a file that is there is looked at anew by itself."""
+        if self._drains is not None:
+            self._drains.again()
+        elif os.path.exists(settings.contracts):
+            from oakvale.headworks.drains import Drains  # its imports cost, and most systems have no contracts
+
+            self._drains = Drains(self.core, self.loop, self.mains, settings.contracts, settings.bounds.apply)
+            self._ctl.offer(self._drains)
+
     def stop(self) -> None:
         self.shared.stopping = True
         self.core.resign()
@@ -93,8 +111,14 @@
     loop = Loop(Clock(), bounds(settings))
     process = Process(settings, listeners, loop, lambda: _opened(loop, datadir))
     watch = SettingsWatch(loop, os.environ, settings, lambda fresh: process.know(fresh.seeds))
-    loop.at(loop.now + READY, lambda _: _import_aside("oakvale.intake.model"))
-    loop.start(signals.run(process.stop, watch.again), signals.fileno(), Rank.DISCOVERY)
+    process.core.on_change.append(lambda serves: _ready_for_operators(loop) if serves else None)
+
+    def again() -> None:
+        watch.again()
+        process.contracts(settings)
+
+    process.contracts(settings)
+    loop.start(signals.run(process.stop, again), signals.fileno(), Rank.DISCOVERY)
     gc.collect()
     gc.freeze()
     try:
--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -228,6 +228,15 @@
             return conn
         return None
 
+    def afresh(self, address: Address) -> None:
+        """Who listens there is known to be up: a connection whose first packet may have met a dark machine is not
+        waited for any longer."""
+        conn = self._out.get(address)
+        if conn is not None and not conn.up:
+            del self._out[address]
+            conn.end()
+        self._failed.pop(address, None)
+
     def tell(self, address: Address, kind: str, body: Any) -> None:
         conn = self.link(address)
         if conn is not None:
@@ -238,7 +247,11 @@
         conn = self.link(address)
         if conn is None:
             self.loop.at(self.loop.now, lambda _: then(None))
-            return
+        else:
+            self.ask_on(conn, kind, body, timeout, then)
+
+    def ask_on(self, conn: Conn, kind: str, body: Any, timeout: int, then: Then) -> None:
+        """As `ask`, of the very process at the other end of a connection, whoever made it."""
         self._number += 1
         number = self._number
 
--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -25,6 +25,7 @@
 from oakvale.shared import Shared
 from oakvale.sluice.plant import Plant
 from oakvale.sluice.routes import backends, configured, members
+from oakvale.sluice.tow import Tow
 from oakvale.wire.clients import Incoming, plain
 
 CORE = 24  # core machines' addresses that are remembered
@@ -87,6 +88,9 @@
                          self._sources, self._changed)
         if given.strict_revoke:  # half of it: a pulse may have been on its way through the relays for the rest
             self.plant.sure = lambda: self.feed.fresh(given.revoke // 2)
+        self.tow = Tow(self.loop, self.mains, self.plant, settings.node, self.life,
+                       lambda: parse_address(self._core[0]) if self._core else None)
+        self._born = True  # no news have come yet
         self._watchers: list[Member] = []  # this gateway's, and those that it watches itself
         self._watched: list[Member] = []
         self._heard: dict[str, int] = {}  # node and life -> its last heartbeat here
@@ -203,6 +207,11 @@
         moved = any(key.startswith("gate/") for key in keys)
         if moved:
             picture = replace(picture, members=members(self.table, picture.members, keys))
+        if any(key.startswith("move/") for key in keys):
+            avoid = self.tow.take(self.table.items("move/"), self._born)
+            if avoid != picture.avoid:
+                picture = replace(picture, avoid=avoid)
+        self._born = False
         self.plant.show(picture)
         if "core" in keys:
             held = self.table.get("core") or {}
@@ -210,7 +219,7 @@
             copies = [str(address) for address in held.get("copies") or []]
             self._core = list(dict.fromkeys([*copies, *self._jurors, *self._core]))[:CORE]
             if not self._joined:
-                self._turn = 0
+                self._turn, self._asking = 0, False  # who was asked last may be dark
                 self._ask_in()
         if moved:
             everyone = picture.members
--- a/tests/world.py
+++ b/tests/world.py
@@ -164,6 +164,8 @@
         self.core = Core(cast(Any, Loop(self.world, self.life)), cast(Any, Mains(self.world, self.life)), settings,
                          cast(Any, Cistern(self.world, self.life)))
         self.core.on_change.append(lambda serves: self.world.turned(self, serves))
+        if self.world.equips is not None:
+            self.world.equips(self, Loop(self.world, self.life))
         if self.world.prunes:
             Pruning(self.core, cast(Any, Loop(self.world, self.life)), *self.world.prunes)
 
@@ -176,8 +178,10 @@
 
 class World(Time):
     def __init__(self, seed: int, machines: int = 3, tolerate: int = 1, seeds: int | None = None,
-                 prunes: tuple[int, int] | None = None) -> None:
+                 prunes: tuple[int, int] | None = None,
+                 equips: Callable[[Machine, Loop], None] | None = None) -> None:
         super().__init__(seed)
+        self.equips = equips  # gives a machine that starts what it has beside its core
         self.prunes = prunes  # how often, and how long what is taken away is kept
         names = random.Random(f"names {seed}")
         self.net.token = lambda size: names.randbytes(size).hex()
