--- a/oakvale/sluice/routes.py
+++ b/oakvale/sluice/routes.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -133,13 +133,21 @@
     }
 
 
-def backends(table: Table) -> dict[str, Backend]:
-    return {name: Backend(name, str(v["svc"]), str(v["addr"]), str(v["az"]), float(v["slots"]),
-                          v["state"] == "ready", int(v.get("warm") or 0))
-            for name, v in table.items("backend/")}
+def backends(table: Table, keys: Iterable[str], was: Mapping[str, Backend]) -> dict[str, Backend]:
+    """With only the changed keys read anew: a service whose backends are exchanged brings as many news as it has, and
+    each would read all of them."""
+    found = dict(was)
+    for key in keys:
+        if key.startswith("backend/"):
+            name, v = key.removeprefix("backend/"), table.get(key)
+            found.pop(name, None)
+            if v is not None:
+                found[name] = Backend(name, str(v["svc"]), str(v["addr"]), str(v["az"]), float(v["slots"]),
+                                      v["state"] == "ready", int(v.get("warm") or 0))
+    return found
 
 
-def members(table: Table, known: Members, keys: list[str]) -> Members:
+def members(table: Table, keys: Iterable[str], known: Members) -> Members:
     """The list that follows, by the news of some keys."""
     changes: dict[str, Member | None] = {}
     for key in keys:
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -167,6 +167,7 @@
         """Gives an idle connection its next request; two lanes of a service share them."""
         self.host = host
         self.attempt, attempt.connection = attempt, self
+        attempt.idled = max(1, self.host.loop.now - self.used)
         self.host.loop.wake(self._task)
 
     def whole(self) -> bool:
@@ -206,6 +207,8 @@
             if not attempt.written and not (gone.begun and self.host.dialect.part_may_run):
                 self._finish(Ending.NO_CONNECTION)
             else:
+                attempt.dropped = bool(attempt.idled) and not gone.timed_out and not self._http.trailing_data[0] and (
+                    self._http.their_state is h11.SEND_RESPONSE)
                 self._finish(Ending.TIMEOUT if gone.timed_out else Ending.RESET)
             return False
         except (h11.RemoteProtocolError, Spoilt) as error:
@@ -222,6 +225,7 @@
             told = self.host.dialect.idle(answer.headers)
             # well before the other side closes: what is written to a closed connection may have run
             self.lasts = self.host.limits.backend_idle if told is None else max(told // 2, told - SHY)
+            attempt.kept = self.lasts
             self.host.idle.put(self)
             self.host.attempt_ended(attempt, self.host.dialect.ending(answer), answer, report)
         else:
