--- a/bench/failover.py
+++ b/bench/failover.py
@@ -59,7 +59,7 @@
     import matplotlib
 
     matplotlib.use("svg")
-    matplotlib.rcParams["svg.hashsalt"] = "oakvale"
+    matplotlib.rcParams |= {"svg.hashsalt": "oakvale", "svg.fonttype": "none"}
     from matplotlib import pyplot
 
     found = flows(log)
--- a/oakvale/gauge/board.py
+++ b/oakvale/gauge/board.py
@@ -98,7 +98,7 @@
         """Their place failed: those that start anew there go before these, which may be listed and dead."""
         for name in names:
             if name in self._spots:
-                self._spots[name].bad = 1.0
+                self._spots[name].bad = 0.5
 
     def held(self, offers: Iterable[Offer]) -> dict[str, tuple[int, float]]:
         """Zone -> open attempts and slots."""
--- a/oakvale/gauge/dispatch.py
+++ b/oakvale/gauge/dispatch.py
@@ -69,6 +69,7 @@
         self._crests: dict[str, Crest] = {}  # of the boards kept here
         self._alone: dict[str, Crest] = {}
         self._closed: dict[str, tuple[frozenset[str], int]] = {}  # service -> places out, and when a keeper said so
+        self._fell: set[tuple[str, str]] = set()  # service and place: out, and not whole again
         self._ticket = 0  # of attempts that were named here without a keeper: below 0
         mains.handlers["pick"] = self._picked
         mains.handlers["done"] = self._ended
@@ -165,7 +166,10 @@
         ask = Ask(asker, zone, facts.rank, facts.tenant, facts.safe, board.work(facts.route), facts.aim)
         way = crest.ask(ask, {offer.zone for offer in offers}, board.usual(), lambda: board.held(offers), now)
         for place, flow, share in crest.news():
-            if flow == "out":
+            if flow == "open":
+                self._fell.discard((service, place))
+            elif flow == "out" and (service, place) not in self._fell:  # later, those that started anew are there
+                self._fell.add((service, place))
                 board.distrust(offer.id for offer in offers if offer.zone == place)
             note("place", service=service, place=place, flow=flow, share=share, refused=crest.turned)
         if crest.flow_due(now):
--- a/oakvale/intake/chains.py
+++ b/oakvale/intake/chains.py
@@ -1,6 +1,6 @@
 """The operators' file on chains (TOML): what stands above the regions, and how much of a place may be used.
 
-    headroom = 0.95        # of what a place holds, while another is out; this is the default
+    headroom = 1.0         # of what a place holds, while another is out; this is the default
 
     [above]                # a region, or a name from here -> the name above it
     kingston = "jamaica"
@@ -20,7 +20,7 @@
 
 from oakvale.intake.settings import BadSettings, Settings
 
-HEADROOM = 0.95
+HEADROOM = 1.0
 
 
 class File(BaseModel):
--- a/oakvale/spillway/chains.py
+++ b/oakvale/spillway/chains.py
@@ -21,7 +21,7 @@
 
 from oakvale.spillway.places import Hierarchy
 
-HEADROOM = 0.95  # of what a place holds: with a dozen slots, waiting is then still shorter than the work
+HEADROOM = 1.0  # of what a place holds: the queue that is borne and the spare already keep answers within their aims
 SPARE = 0.03  # of a limit: what a gateway may send while it is not known yet whether the keeper is out of its reach
 
 
--- a/oakvale/spillway/crest.py
+++ b/oakvale/spillway/crest.py
@@ -167,8 +167,9 @@
                     passing.add(zone)
                 elif weir.rate() > 0:
                     wait = min(wait, weir.wait(may, low))
-            if passing:
-                return Way(frozenset(passing))
+            fills = {zone for zone in passing if here[zone].flow is Flow.FILLING}
+            if passing:  # what fills gets its step, or a cold place, next to others, would never stand one
+                return Way(frozenset(fills or passing))
         self.turned += 1
         return Wait(max(LEAST_WAIT, wait) + int(max(SPREAD * SECOND, ask.aim) * self._draw()))
 
