--- a/oakvale/gauge/board.py
+++ b/oakvale/gauge/board.py
@@ -132,7 +132,7 @@
         """Their place failed: those that start anew there go before these, which may be listed and dead."""
         for name in names:
             if name in self._spots:
-                self._spots[name].bad, self._spots[name].bad_at = 1.0, now
+                self._spots[name].bad, self._spots[name].bad_at = 0.5, now
 
     def held(self, offers: Iterable[Offer]) -> dict[str, tuple[int, float]]:
         """Zone -> open attempts and slots."""
