--- a/oakvale/gauge/board.py
+++ b/oakvale/gauge/board.py
@@ -80,7 +80,8 @@
         self._losses: dict[str, float] = {}  # asker -> share of its attempts that were lost, lately
         self._lost = 0.0  # their sum
 
-    def pick(self, offers: Sequence[Offer], asker: str, zone: str, until: int, now: int) -> tuple[str, int] | None:
+    def pick(self, offers: Sequence[Offer], asker: str, zone: str, until: int, now: int,
+             without: frozenset[str] = frozenset()) -> tuple[str, int] | None:
         """The backend that will likely answer first, and a ticket that is to be handed back. Few are looked at as a
         rule: those that lie best for the asker first, until not even the fastest, free, would do any more."""
         if offers is not self._offers:
@@ -92,13 +93,14 @@
         kept = self._kept.get(asker, {})
         for lies, offer, spot in self._warm(kept, near, asker, zone, now) if kept else ():
             cost = lies * self._cost(offer, spot, now)
-            if len(spot.open) < offer.slots and (found is None or cost < best):  # none is worth a wait
+            free = len(spot.open) < offer.slots  # none is worth a wait
+            if free and offer.id not in without and (found is None or cost < best):
                 best, found = cost, (offer, spot)
         for lies, offer, spot in chain(near, self._far(asker, zone)):
             if found is not None and lies * fastest >= best:
                 break
             cost = lies * self._cost(offer, spot, now)
-            if found is None or cost < best:
+            if offer.id not in without and (found is None or cost < best):
                 best, found = cost, (offer, spot)
         if found is None:
             return None
--- a/oakvale/gauge/dispatch.py
+++ b/oakvale/gauge/dispatch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -37,12 +36,13 @@
         mains.handlers["pick"] = self._picked
         mains.handlers["done"] = self._ended
 
-    def ask(self, service: str, wait: int, then: Callable[[Pick | None], None]) -> None:
-        """`wait`: microseconds after which the attempt is over in any case."""
+    def ask(self, service: str, wait: int, then: Callable[[Pick | None], None],
+            without: frozenset[str] = frozenset()) -> None:
+        """`wait`: microseconds after which the attempt is over in any case; `without`: backends not to be named."""
         duty, now = duty_of(f"service {service}"), self._loop.now
         if self._gauge.counts(duty):
             board = self._board(service)
-            found = board.pick(self._offers(service), self._node, self._zone, now + wait, now)
+            found = board.pick(self._offers(service), self._node, self._zone, now + wait, now, without)
             return then(Pick(service, *found, duty, board.idling.within(now)) if found else None)
         holder = self._gauge.holder(duty)
         if holder is None or now - self._doubt.get(duty, -DOUBT) < DOUBT:
@@ -54,7 +54,8 @@
                 return then(None)
             then(Pick(service, str(answer[0]), int(answer[1]), duty, answer[2]))
 
-        self._mains.ask(holder, "pick", [service, self._node, self._zone, wait], PICK, answered)
+        body = [service, self._node, self._zone, wait, *([sorted(without)] if without else [])]
+        self._mains.ask(holder, "pick", body, PICK, answered)
 
     def done(self, pick: Pick, route: str, latency: int, outcome: str, dropped: int = 0, kept: int = 0) -> None:
         self._tell(pick.keeper, pick.service, pick.backend, pick.ticket, route, latency, outcome, dropped, kept)
@@ -77,7 +78,7 @@
     def _board(self, service: str) -> Board:
         board = self._boards.get(service)
         if board is None:
-            board = self._boards[service] = Board(random.random)
+            board = self._boards[service] = Board(self._loop.net.rng.random)
         return board
 
     def _picked(self, conn: Conn, body: Any, answer: Answer) -> None:
@@ -86,7 +87,8 @@
             self._boards.pop(service, None)
             return answer(None)
         now, board = self._loop.now, self._board(service)
-        found = board.pick(self._offers(service), asker, zone, now + wait, now)
+        without = frozenset(map(str, body[4])) if len(body) > 4 else frozenset()
+        found = board.pick(self._offers(service), asker, zone, now + wait, now, without)
         answer([*found, board.idling.within(now)] if found else None)
 
     def _ended(self, conn: Conn, body: Any, _: Answer) -> None:
--- a/oakvale/intake/check.py
+++ b/oakvale/intake/check.py
@@ -6,6 +6,7 @@
 
 from oakvale.base.address import spelled
 from oakvale.intake import deploy, settings
+from oakvale.intake.table import BadFile
 
 
 class Wrong(Exception):
@@ -14,8 +15,9 @@
 
 def check(kind: str, path: str) -> list[str]:
     try:
-        return {"settings": of_settings, "deploy": of_deploy, "config": of_config}[kind](path)
-    except (settings.BadSettings, deploy.BadDeploy) as error:
+        return {"settings": of_settings, "deploy": of_deploy, "config": of_config,
+                "contracts": of_contracts}[kind](path)
+    except BadFile as error:
         raise Wrong(str(error)) from error
 
 
@@ -66,3 +68,14 @@
         "tenants: no key is asked for" if config.tenants is None
         else f"tenants: {len(config.tenants)} with {keys} keys, {limited} of them with a quota",
     ]
+
+
+def of_contracts(path: str) -> list[str]:
+    from oakvale.intake import contracts  # as above
+    from oakvale.towpath.hours import DAY
+
+    found = contracts.load(path)
+    spans = [f"{name}: {contract.zone}, {sum(map(len, contract.week))} spans a week, {len(contract.dates)} exceptions, "
+             f"notice {contract.notice / DAY:g} days" for name, contract in sorted(found.by_tenant.items())]
+    orders = [f"order {order.name}: {order.kind} {order.target}, by {order.by}: {order.why}" for order in found.orders]
+    return spans + orders or ["no contracts"]
--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -15,6 +15,7 @@
 
 from oakvale.base.address import Address
 from oakvale.base.loop import READ, TIMED_OUT, WRITE, Coroutine, Loop, Rank, Timer, call_off
+from oakvale.base.net import Sock
 from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.frames import BadFrame, Frame, decode, encode
 
@@ -37,7 +38,7 @@
 class Conn:
     """One connection, either way. `on_close` hears once that it is gone."""
 
-    def __init__(self, mains: Mains, sock: socket.socket, address: Address, out: bool) -> None:
+    def __init__(self, mains: Mains, sock: Sock, address: Address, out: bool) -> None:
         self.mains, self.sock, self.address, self._out = mains, sock, address, out
         self.alive, self.up = True, not out
         self.refused = False  # nobody listens there: whoever did has ended
@@ -169,13 +170,10 @@
 
     def listen(self) -> None:
         """Raises OSError where the address can't be had."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(self.own)
-        sock.listen(256)
+        sock = self.loop.net.listen(self.own, 256)
         self.loop.start(self._accept(sock), sock.fileno(), Rank.COUNTER)
 
-    def _accept(self, listener: socket.socket) -> Coroutine:
+    def _accept(self, listener: Sock) -> Coroutine:
         try:
             while True:
                 yield READ, 0
@@ -190,7 +188,7 @@
             listener.close()
 
     @staticmethod
-    def _tune(sock: socket.socket) -> None:
+    def _tune(sock: Sock) -> None:
         sock.setblocking(False)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -222,7 +220,7 @@
             return None
         self._failed.pop(address, None)
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock = self.loop.net.stream()
         except OSError:
             return None
         self._tune(sock)
@@ -232,6 +230,15 @@
             return conn
         return None
 
+    def afresh(self, address: Address) -> None:
+        """Who listens there is known to be up: a connection whose first packet may have met a dark machine is not
+        waited for any longer."""
+        conn = self._out.get(address)
+        if conn is not None and not conn.up:
+            del self._out[address]
+            conn.end()
+        self._failed.pop(address, None)
+
     def tell(self, address: Address, kind: str, body: Any) -> None:
         conn = self.link(address)
         if conn is not None:
@@ -242,7 +249,11 @@
         conn = self.link(address)
         if conn is None:
             self.loop.at(self.loop.now, lambda _: then(None))
-            return
+        else:
+            self.ask_on(conn, kind, body, timeout, then)
+
+    def ask_on(self, conn: Conn, kind: str, body: Any, timeout: int, then: Then) -> None:
+        """As `ask`, of the very process at the other end of a connection, whoever made it."""
         self._number += 1
         number = self._number
 
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -2,24 +2,25 @@
 
 from __future__ import annotations
 
-import random
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from functools import partial
 from typing import Any
 
 from oakvale import interface as i
 from oakvale.base.address import Address, parse_address
+from oakvale.budget import Retries, SharedBudget
 from oakvale.gauge.board import Offer
 from oakvale.gauge.dispatch import Boards, Pick
-from oakvale.budget import Retries, SharedBudget
 from oakvale.gauge.service import Gauge
-from oakvale.lane import Lane, Shared
-from oakvale.memory.requests import Answer, AttemptOut, InHand
+from oakvale.lane import Lane
 from oakvale.mains.links import Mains
-from oakvale.memory.tally import Tally
+from oakvale.memory.requests import Answer, AttemptOut, InHand
+from oakvale.shared import Owner, Shared
 from oakvale.sluice.dialect import SystemDialect
 from oakvale.sluice.routes import Backend, Picture, Route
+from oakvale.towpath.moves import kept
 from oakvale.wire.clients import BadRequest, Incoming, plain
 
 ATTEMPT_ID = re.compile(rb"[!-~]{1,128}")
@@ -61,15 +62,16 @@
     """One service: its backends, and the decisions on them."""
 
     def __init__(self, shared: Shared, boards: Boards, service: str, zones: dict[str, int], zone: str,
-                 seed: int, budget: SharedBudget) -> None:
-        self.boards = boards
+                 seed: int, budget: SharedBudget, without: frozenset[str] = frozenset()) -> None:
+        """`without`: backends that the tenants of this lane were moved off."""
+        self.boards, self.without = boards, without
         self._classes: dict[str, tuple[int, i.RequestClass]] = {}
         self._zones, self.service = zones, service
         settings = i.Settings(classes=(), plans=(i.Plan(),), zone=zones.get(zone, 0), retry_after=True,
                               max_attempts=MOST_TRIES, max_retry_after=SECOND, may_cancel=True,
                               cross_zone_price=1.0, cold_from=1.0, late_earns=True)
         super().__init__(shared, settings, seed, budget)
-        self._budget = budget
+        self.budget = budget
         self.dialect = SystemDialect()
         self._ids: dict[int, str] = {}
         self._numbers: dict[str, int] = {}
@@ -93,10 +95,13 @@
         return known[0]
 
     def request_came(self, request: InHand, event: i.Request) -> None:
-        self._budget.came(self.loop.now)
+        self.budget.came(self.loop.now)
         super().request_came(request, event)
 
     def learn(self, backends: list[Backend], numbers: dict[str, int]) -> None:
+        if self.without:
+            off = kept({b.id: b.ready for b in backends}, self.without)
+            backends = [b for b in backends if b.id not in off]
         known = {b.id: b for b in backends}
         if known == self._known and self.listed:
             return
@@ -119,7 +124,7 @@
         self.give(i.Backends(i.ListForm.FULL, tuple(entries)))
         for name, backend in was.items():
             now = known.get(name)
-            if now is None or not now.ready or now.address != backend.address:
+            if name not in self.without and (now is None or not now.ready or now.address != backend.address):
                 self.idle.free(self._numbers[name])
 
     def number(self, backend: str) -> int:
@@ -140,6 +145,14 @@
                 self.boards.teach(self.service, name, order.route.name, latency, outcome, attempt.kept)
         super().attempt_ended(attempt, ending, answer, report)
 
+    def retire(self) -> None:
+        """Nobody is given to this lane any more; its timers end with what it has in hand."""
+        self._carry[i.Wake] = self._last_wakes
+
+    def _last_wakes(self, action: i.Wake) -> None:
+        if any(request.event.lane is self for request in self.requests.all()):
+            self._wake(action)
+
     def offers(self) -> list[Offer]:
         return self._offers
 
@@ -167,52 +180,35 @@
         return later(503, action.retry_after, b"try again later\n")
 
 
-class Plant:
+class Plant(Owner):
     """The owner of clients' connections."""
 
     def __init__(self, shared: Shared, gauge: Gauge, mains: Mains, node: str, zones: list[str], zone: str,
                  retries: Retries) -> None:
-        self.shared, self.gauge = shared, gauge
+        super().__init__(shared)
+        self.gauge = gauge
         self.boards = Boards(shared.loop, mains, gauge, node, zone,
                              lambda service: self._lane(service).offers())
-        self.loop, self.limits, self.log = shared.loop, shared.limits, shared.log
-        self.buffers, self.bodies, self.clients = shared.buffers, shared.bodies, shared.clients
-        self.response = shared.response
         self.picture = Picture()
         self._zones, self._zone = {name: n for n, name in enumerate(zones)}, zone
         self._lanes: dict[str, ServiceLane] = {}
+        self._aside: dict[tuple[str, frozenset[str]], ServiceLane] = {}  # of tenants that were moved off backends
+        self.leaving = False  # this gateway is drained: its clients are to come back elsewhere
         self._numbers: dict[str, int] = {}
-        self._rng, self._retries = random.Random(), retries
+        self._rng, self._retries = self.loop.net.rng, retries
         self.taking_ended = False
         self._longest: dict[str, int] = {}  # route -> the longest that a client would wait
-
-    @property
-    def tally(self) -> Tally:
-        return self.shared.tally
+        self.sure: Callable[[], bool] = lambda: True  # whether a key's removal would have been heard of
 
     @property
     def stopping(self) -> bool:
-        return self.shared.stopping
+        """Answers say that their connection ends, and `readyz` sends nobody here."""
+        return self.shared.stopping or self.leaving
 
     @stopping.setter
     def stopping(self, stops: bool) -> None:
         self.shared.stopping = stops
 
-    @property
-    def ended(self) -> bool:
-        return self.shared.ended
-
-    @ended.setter
-    def ended(self, ends: bool) -> None:
-        self.shared.ended = ends
-
-    @property
-    def requests(self) -> Any:
-        return self.shared.requests
-
-    def waited(self, arrived: int) -> int:
-        return 0  # stamps are of the time of day, which jumps here
-
     # ---- the news
 
     def show(self, picture: Picture) -> None:
@@ -220,12 +216,19 @@
         was, self.picture = self.picture, picture
         if picture.gen != was.gen:
             self._longest.clear()
+            self.limits = picture.clients.within(self.shared.limits)
         if picture.backends is not was.backends:
             by_service: dict[str, list[Backend]] = {}
             for backend in picture.backends.values():
                 by_service.setdefault(backend.service, []).append(backend)
-            for service in {*self._lanes, *by_service}:
+            for service in dict.fromkeys([*self._lanes, *by_service]):  # in an order that a replay has too
                 self._lane(service).learn(by_service.get(service, []), self._numbers)
+            for (service, _), lane in self._aside.items():
+                lane.learn(by_service.get(service, []), self._numbers)
+        if picture.avoid is not was.avoid:
+            held = {off for off in picture.avoid.values()}
+            for key in [key for key in self._aside if not any(key[1] <= off for off in held)]:
+                self._aside.pop(key).retire()
 
     def _lane(self, service: str) -> ServiceLane:
         lane = self._lanes.get(service)
@@ -235,12 +238,29 @@
                                                       self._rng.getrandbits(32), budget)
         return lane
 
+    def _lane_of(self, service: str, tenant: str | None) -> ServiceLane:
+        """The lane of a tenant that was moved off some backends, if the service has any of them."""
+        lane = self._lane(service)
+        without = frozenset(name for name in self.picture.avoid.get(tenant or "", ())
+                            if (found := self.picture.backends.get(name)) is not None and found.service == service)
+        if not without:
+            return lane
+        aside = self._aside.get((service, without))
+        if aside is None:
+            aside = self._aside[service, without] = ServiceLane(
+                self.shared, self.boards, service, self._zones, self._zone, self._rng.getrandbits(32), lane.budget,
+                without)
+            aside.learn([b for b in self.picture.backends.values() if b.service == service], self._numbers)
+        return aside
+
     # ---- requests
 
     def open(self, client: Any, incoming: Incoming, came: int) -> Answer | InHand:
         picture, fields = self.picture, incoming.fields
         if picture.gen < 0:
             return later(503, SECOND // 2, b"no configuration yet\n")
+        if picture.clients.head and incoming.head_size() > self.limits.header:
+            raise BadRequest(431, "head too large")
         rid = fields.get(b"attempt-id", b"")
         if not ATTEMPT_ID.fullmatch(rid):
             raise BadRequest(400, "Attempt-Id is missing or not understood")
@@ -257,6 +277,8 @@
             holder = picture.keys.get(key.strip()) if scheme.lower() == "bearer" else None
             if holder is None:
                 return plain(401, "no such key")
+            if not self.sure():
+                return later(503, SECOND // 2, b"keys may be out of date\n")
             tenant = holder.name
         name = rid.decode("latin-1")
         if self.requests.get(name) is not None:
@@ -265,7 +287,8 @@
             return later(503, SECOND // 2, b"no room\n")
         left = fields.get(b"time-left", b"")
         wait = min(route.deadline, int(left) * MS if DIGITS.fullmatch(left) else route.deadline)
-        lane = self._lane(route.service(self._rng.random()))
+        service = route.service(self._rng.random())
+        lane = self._lane_of(service, tenant) if picture.avoid else self._lane(service)
         event = i.Request(name, "", lane.class_of(route), 0, 1.0, 1, 0, came + wait)
         order = Order(lane, route, tenant, event, again=self._comes_again(route, wait))
         return InHand(name, client, incoming.method, incoming.target, incoming.headers, incoming.body,
@@ -291,13 +314,14 @@
             return self._go(request)
         self.tally.refusals["quota" if counted else "uncounted"] += 1
         if counted:
-            self._final(request, later(429, wait, b"over the quota\n"))
+            self.final(request, later(429, wait, b"over the quota\n"))
         else:
-            self._final(request, later(503, wait, b"not counted\n"))
+            self.final(request, later(503, wait, b"not counted\n"))
 
     def _go(self, request: InHand) -> None:
         order: Order = request.event
-        self.boards.ask(order.lane.service, request.deadline - self.loop.now, partial(self._advised, request))
+        self.boards.ask(order.lane.service, request.deadline - self.loop.now, partial(self._advised, request),
+                        order.lane.without)
 
     def _advised(self, request: InHand, pick: Pick | None) -> None:
         order: Order = request.event
@@ -314,11 +338,6 @@
             order.pick = None
             self.boards.done(pick, order.route.name, 0, "none")
 
-    def _final(self, request: InHand, answer: Answer) -> None:
-        request.over = True
-        request.client.give(answer)
-        self.requests.drop_if_done(request)
-
     def client_gone(self, request: InHand) -> None:
         order: Order = request.event
         if order.given:
--- a/oakvale/sluice/routes.py
+++ b/oakvale/sluice/routes.py
@@ -6,18 +6,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
-from typing import Any, TypeVar
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any
 
 import orjson
 
+from oakvale.base.limits import Limits
 from oakvale.gauge.floors import Quota
 from oakvale.intake.times import micros
 from oakvale.penstock.table import Table
-from oakvale.penstock.tree import Member
-
-T = TypeVar("T")
+from oakvale.penstock.tree import Member, Members
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,14 +60,34 @@
     warm: int
 
 
+@dataclass(slots=True, frozen=True)
+class ClientBounds:
+    """What the operator lets a client send, and how long it may take or stay idle; None or 0: as the process has it."""
+
+    head: int | None = None  # bytes
+    body: int | None = None
+    head_time: int | None = None  # microseconds
+    idle: int | None = None
+
+    def within(self, own: Limits) -> Limits:
+        """A process's limits with these in force. They bind more tightly than its own, or not at all: those guard its
+        memory. Only the times may be longer."""
+        return replace(
+            own, header=min(own.header, self.head or own.header),
+            body=min(own.body, self.body or own.body),
+            client_head=self.head_time or own.client_head, client_idle=self.idle or own.client_idle)
+
+
 @dataclass(slots=True, frozen=True)
 class Picture:
     gen: int = -1
+    clients: ClientBounds = ClientBounds()
     routes: Mapping[str, tuple[Route, ...]] = field(default_factory=dict)  # host -> longest prefix first
     keys: Mapping[str, Tenant] | None = None  # None: no key is asked for
     tenants: Mapping[str, Tenant] = field(default_factory=dict)
     backends: Mapping[str, Backend] = field(default_factory=dict)
-    members: Mapping[str, Member] = field(default_factory=dict)
+    members: Members = field(default_factory=Members)
+    avoid: Mapping[str, frozenset[str]] = field(default_factory=dict)  # tenant -> backends that it was moved off
 
     def match(self, host: str, path: str) -> Route | None:
         for route in self.routes.get(host, ()):
@@ -104,33 +123,35 @@
                         row.get("prio"))
         tenants[tenant.name] = tenant
         keys |= {str(key): tenant for key in row.get("apikeys") or []}
+    given = data.get("limits") or {}
     return {
         "gen": int(data["gen"]),
+        "clients": ClientBounds(given.get("hdr-bytes"), given.get("body-bytes"),
+                                *(micros(given[name]) if given.get(name) else None for name in ("hdr", "idle"))),
         "routes": {host: tuple(sorted(found, key=lambda r: -len(r.prefix))) for host, found in by_host.items()},
         "tenants": tenants, "keys": keys if data.get("tenants") is not None else None,
     }
 
 
-def changed(table: Table, prefix: str, keys: Iterable[str], was: Mapping[str, T],
-            made: Callable[[str, Any], T]) -> dict[str, T]:
-    """What stands under a prefix, with only the changed keys read anew: a fleet that starts, or a service whose
-    backends are exchanged, brings as many news as it has members, and each would read all of them."""
+def backends(table: Table, keys: Iterable[str], was: Mapping[str, Backend]) -> dict[str, Backend]:
+    """With only the changed ones read anew: a service whose backends are exchanged brings as many news as it has
+    backends, and each would read all of them."""
     found = dict(was)
     for key in keys:
-        if key.startswith(prefix):
-            name, value = key[len(prefix):], table.get(key)
+        if key.startswith("backend/"):
+            name, v = key.removeprefix("backend/"), table.get(key)
             found.pop(name, None)
-            if value is not None:
-                found[name] = made(name, value)
+            if v is not None:
+                found[name] = Backend(name, str(v["svc"]), str(v["addr"]), str(v["az"]), float(v["slots"]),
+                                      v["state"] == "ready", int(v.get("warm") or 0))
     return found
 
 
-def backends(table: Table, keys: Iterable[str], was: Mapping[str, Backend]) -> dict[str, Backend]:
-    return changed(table, "backend/", keys, was, lambda name, v: Backend(
-        name, str(v["svc"]), str(v["addr"]), str(v["az"]), float(v["slots"]), v["state"] == "ready",
-        int(v.get("warm") or 0)))
-
-
-def members(table: Table, keys: Iterable[str], was: Mapping[str, Member]) -> dict[str, Member]:
-    return changed(table, "gate/", keys, was,
-                   lambda node, v: Member(node, str(v["addr"]), str(v["az"]), str(v["life"])))
+def members(table: Table, known: Members, keys: list[str]) -> Members:
+    """The list that follows, by the news of some keys."""
+    changes: dict[str, Member | None] = {}
+    for key in keys:
+        if key.startswith("gate/"):
+            node, value = key.removeprefix("gate/"), table.get(key)
+            changes[node] = value and Member(node, str(value["addr"]), str(value["az"]), str(value["life"]))
+    return known.changed(changes)
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -157,14 +157,15 @@
         self.attempt: AttemptOut | None = attempt
         self.lasts = host.limits.backend_idle  # while idle
         self._share = Share(host.bodies)
-        self._sock = new_socket()
+        self._sock = new_socket(host.loop.net)
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=host.limits.header)
         attempt.connection = self
         host.backend_connections += 1
         self._task = host.loop.start(self._run(attempt, address), self._sock.fileno(), Rank.BACKEND)
 
-    def use(self, attempt: AttemptOut) -> None:
-        """Gives an idle connection its next request."""
+    def use(self, attempt: AttemptOut, host: Owner) -> None:
+        """Gives an idle connection its next request; two lanes of a service share them."""
+        self.host = host
         self.attempt, attempt.connection = attempt, self
         attempt.idled = max(1, self.host.loop.now - self.used)
         self.host.loop.wake(self._task)
