--- a/oakvale/gauge/board.py
+++ b/oakvale/gauge/board.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from functools import lru_cache
 from itertools import chain
@@ -25,6 +25,7 @@
 WARM = 0.7  # where the asker has an idle connection: a new one costs the backend, and a round trip
 KEPT = 4  # such connections of one asker to one backend that are remembered
 OWN = 0.4  # each gateway leans to backends of its own: fewer connections serve it, and they stay warm
+UNKNOWN = 300_000  # microseconds that an answer is reckoned with before one came
 WRONG = 0.5  # a gateway that loses more than this of what it sends, and twice what others do, is itself at fault
 ASKERS = 4_096  # gateways whose losses are remembered
 NEAR = 32  # backends that are kept in the order of each asker
@@ -81,9 +82,10 @@
         self._lost = 0.0  # their sum
 
     def pick(self, offers: Sequence[Offer], asker: str, zone: str, until: int, now: int,
-             without: frozenset[str] = frozenset()) -> tuple[str, int] | None:
+             within: frozenset[str] | None = None, without: frozenset[str] = frozenset()) -> tuple[str, int] | None:
         """The backend that will likely answer first, and a ticket that is to be handed back. Few are looked at as a
-        rule: those that lie best for the asker first, until not even the fastest, free, would do any more."""
+        rule: those that lie best for the asker first, until not even the fastest, free, would do any more.
+        `within`: zones that it may stand in, None for all; `without`: backends not to be named."""
         if offers is not self._offers:
             self._take(offers, now)
         near = self._orders.get((asker, zone))
@@ -92,15 +94,18 @@
         fastest, best, found = sqrt(self._least), 0.0, None
         kept = self._kept.get(asker, {})
         for lies, offer, spot in self._warm(kept, near, asker, zone, now) if kept else ():
+            if offer.id in without or within is not None and offer.zone not in within:
+                continue
             cost = lies * self._cost(offer, spot, now)
-            free = len(spot.open) < offer.slots  # none is worth a wait
-            if free and offer.id not in without and (found is None or cost < best):
+            if len(spot.open) < offer.slots and (found is None or cost < best):  # none is worth a wait
                 best, found = cost, (offer, spot)
         for lies, offer, spot in chain(near, self._far(asker, zone)):
             if found is not None and lies * fastest >= best:
                 break
+            if offer.id in without or within is not None and offer.zone not in within:
+                continue
             cost = lies * self._cost(offer, spot, now)
-            if offer.id not in without and (found is None or cost < best):
+            if found is None or cost < best:
                 best, found = cost, (offer, spot)
         if found is None:
             return None
@@ -113,6 +118,38 @@
         spot.open[self._ticket] = until
         return offer.id, self._ticket
 
+    # ---- what a crest asks (oakvale/spillway)
+
+    def usual(self) -> int:
+        """Microseconds that an answer takes, of the slowest route."""
+        return int(max(self._means.values(), default=UNKNOWN))
+
+    def work(self, route: str) -> float:
+        """Slot-seconds that a request of a route takes at mean speed."""
+        return self._means.get(route, float(self.usual())) / 1_000_000
+
+    def distrust(self, names: Iterable[str], now: int) -> None:
+        """Their place failed: those that start anew there go before these, which may be listed and dead."""
+        for name in names:
+            if name in self._spots:
+                self._spots[name].bad, self._spots[name].bad_at = 1.0, now
+
+    def held(self, offers: Iterable[Offer]) -> dict[str, tuple[int, float]]:
+        """Zone -> open attempts and slots."""
+        found: dict[str, tuple[int, float]] = {}
+        for offer in offers:
+            spot, (out, slots) = self._spots.get(offer.id), found.get(offer.zone, (0, 0.0))
+            found[offer.zone] = (out + (len(spot.open) if spot else 0), slots + offer.slots)
+        return found
+
+    def capacity(self, offers: Iterable[Offer]) -> dict[str, float]:
+        """Zone -> slots of mean speed, as answers were measured."""
+        found: dict[str, float] = {}
+        for offer in offers:
+            spot = self._spots.get(offer.id)
+            found[offer.zone] = found.get(offer.zone, 0.0) + offer.slots / max(spot.speed if spot else 1.0, 0.1)
+        return found
+
     def _take(self, offers: Sequence[Offer], now: int) -> None:
         """Others are on offer."""
         self._offers = offers
--- a/oakvale/headworks/ctl.py
+++ b/oakvale/headworks/ctl.py
@@ -25,19 +25,19 @@
         super().__init__(shared)
         self.core = core
         self._port = settings.bind["ctl"][1]
-        config, self._backends = Config(core), Backends(core, shared.loop, settings)
+        config, self.backends = Config(core), Backends(core, shared.loop, settings)
         self._calls = {
             (b"POST", "Config.Replace"): config.replace,
             (b"GET", "Config.Read"): config.read,
-            (b"POST", "Backends.Heartbeat"): self._backends.heartbeat,
-            (b"POST", "Backends.Leave"): self._backends.leave,
+            (b"POST", "Backends.Heartbeat"): self.backends.heartbeat,
+            (b"POST", "Backends.Leave"): self.backends.leave,
         }
 
     def offer(self, drains: Drains) -> None:
         """Drains can be ordered: there are contracts."""
         from oakvale.headworks import resources
 
-        self._backends.leaves = drains.leaves
+        self.backends.leaves = drains.leaves
         handler = resources.Drains(self.core, drains)
         self._calls |= {
             (b"POST", "Drains.Order"): handler.order,
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -18,6 +18,7 @@
 from oakvale.headworks.ctl import Ctl
 from oakvale.headworks.gates import Gates
 from oakvale.headworks.jury import Jury
+from oakvale.headworks.planning import Planning
 from oakvale.headworks.pruning import Pruning
 from oakvale.headworks.standing import standing
 from oakvale.intake.bounds import bounds
@@ -33,6 +34,7 @@
 
 if TYPE_CHECKING:
     from oakvale.headworks.drains import Drains
+    from oakvale.intake.chains import Given
 
 note = Writer(__name__)
 SWEEP = 1_000_000
@@ -86,6 +88,10 @@
         self.mains.sweep()
         self.loop.at(self.loop.now + SWEEP, self._sweep)
 
+    def plan(self, settings: Settings, given: Given | None) -> None:
+        """Works out failover chains, where they are wanted."""
+        Planning(self.core, self._ctl.backends, self.loop, self.mains, settings, given)
+
     def contracts(self, settings: Settings) -> None:
         """At the start and on SIGHUP; a file that is there is looked at anew by itself."""
         if self._drains is not None:
@@ -103,13 +109,19 @@
         self.loop.at(self.loop.now + 300_000, lambda _: self.loop.stop())
 
 
-def serve(settings: Settings, signals: Signals, listeners: Mapping[str, Sock]) -> int:
-    """Raises BadFile, OSError."""
+def serve(settings: Settings, signals: Signals, listeners: Mapping[str, Sock], chains: str | None = None) -> int:
+    """`chains`: the operators' file on chains, where these are wanted. Raises BadFile, OSError."""
+    given = None
+    if chains is not None:
+        from oakvale.intake.chains import load  # its imports cost, and most systems have no chains
+
+        given = load(chains, settings)
     datadir = settings.datadir
     if datadir is None or "ctl" not in settings.bind:
         raise BadFile("headworks needs [self] datadir and [network.bind] ctl")
     loop = Loop(Clock(), bounds(settings))
     process = Process(settings, listeners, loop, lambda: _opened(loop, datadir))
+    process.plan(settings, given)
     watch = SettingsWatch(loop, os.environ, settings, lambda fresh: process.know(fresh.seeds))
     process.core.on_change.append(lambda serves: _ready_for_operators(loop) if serves else None)
 
--- a/oakvale/sluice/routes.py
+++ b/oakvale/sluice/routes.py
@@ -134,8 +134,8 @@
 
 
 def backends(table: Table, keys: Iterable[str], was: Mapping[str, Backend]) -> dict[str, Backend]:
-    """With only the changed ones read anew: a service whose backends are exchanged brings as many news as it has
-    backends, and each would read all of them."""
+    """With only the changed keys read anew: a service whose backends are exchanged brings as many news as it has, and
+    each would read all of them."""
     found = dict(was)
     for key in keys:
         if key.startswith("backend/"):
@@ -147,7 +147,7 @@
     return found
 
 
-def members(table: Table, known: Members, keys: list[str]) -> Members:
+def members(table: Table, keys: Iterable[str], known: Members) -> Members:
     """The list that follows, by the news of some keys."""
     changes: dict[str, Member | None] = {}
     for key in keys:
--- a/tests/test_penstock.py
+++ b/tests/test_penstock.py
@@ -13,8 +13,8 @@
 from oakvale.base.address import parse_address
 from oakvale.penstock.feed import FORGIVEN, PULSE, STALE, TRY, UNHEARD, Feed, Outlet
 from oakvale.penstock.table import FLOOR, GRAVES, NOTHING, Entry, Table, Version
-from oakvale.penstock.tree import FAN_OUT, Member, next_on_ring, ring, sources, watched, watchers
-from oakvale.sluice.routes import Backend, backends
+from oakvale.penstock.tree import FAN_OUT, Member, Members, next_on_ring, ring, sources, watched, watchers
+from oakvale.sluice.routes import members as shown_members
 
 MS, SECOND = 1_000, 1_000_000
 
@@ -443,12 +443,11 @@
 @pytest.mark.parametrize("seed", range(4))
 def test_a_picture_that_reads_changes_alone_shows_all_that_the_table_holds(seed: int) -> None:
     """What the table was given whole, forgot or was mended must show too, or a gone backend would be served on."""
-    draw, table, shown = random.Random(seed), Table(), dict[str, Backend]()
+    draw, table, shown = random.Random(seed), Table(), Members()
     other = Table()
     for place in range(1, 400):
-        key = f"backend/b{draw.randrange(12)}"
-        value = None if draw.random() < 0.3 else {
-            "svc": "s", "addr": f"a{place}", "az": "z", "slots": 2, "state": "ready"}
+        key = f"gate/g{draw.randrange(12)}"
+        value = None if draw.random() < 0.3 else {"addr": f"a{place}", "az": "z", "life": str(place)}
         other.put([(key, (1, place), value)])
         keys: list[str] = []
         if draw.random() < 0.1:
@@ -460,8 +459,8 @@
             keys = table.put(other.differing(table.digests()))
         elif draw.random() < 0.8:
             keys = table.put(other.since(table.high))
-        shown = backends(table, keys, shown)
-        assert shown == backends(table, [f"backend/{name}" for name, _ in table.items("backend/")], {})
+        shown = shown_members(table, keys, shown)
+        assert dict(shown) == {node: Member(node, v["addr"], v["az"], v["life"]) for node, v in table.items("gate/")}
 
 
 @pytest.mark.parametrize("seed", [1, 2])
