--- a/tests/test_lab_breaks.py
+++ b/tests/test_lab_breaks.py
@@ -63,7 +63,7 @@
     then(True, 0, True)
 
 
-def all_ready(table: Table) -> dict[str, routes.Backend]:
+def all_ready(table: Table, *_: Any) -> dict[str, routes.Backend]:
     return {name: routes.Backend(name, v["svc"], v["addr"], v["az"], float(v["slots"]), True, 0)
             for name, v in table.items("backend/")}
 
