The laboratory's troubles strike the leader, the seeds and the power that they name

Change: flume's troubles look for the one that serves and for the seeds; a herd is struck as single machines are. A test strikes both, and fails without.

--- a/oakvale/lab/flume/troubles.py
+++ b/oakvale/lab/flume/troubles.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from random import Random
 
+from oakvale.headworks import process as headworks
 from oakvale.lab.days import Day, Trouble
 from oakvale.lab.flume.wires import Machine
 from oakvale.lab.flume.works import SEEDS, Station, Works
@@ -61,7 +62,18 @@
         on = trouble.on or on
         found = {"core": self._works.cores, "edge": self._works.edges}.get(on, [*self._works.stations.values()])
         found = [station for station in found if trouble.zone in ("", station.machine.zone)]
-        return self._rng.sample(found, trouble.many(len(found)))
+        first = [station for station in found if self._named(trouble.how, station)]
+        found = [station for station in found if station not in first]
+        count = trouble.many(len(first) + len(found))
+        return [*first[:count], *self._rng.sample(found, max(0, count - len(first)))]
+
+    def _named(self, how: str, station: Station) -> bool:
+        """`how`: `leader` strikes the one that serves the control state, `seed` those that the settings name; the rest
+        are drawn."""
+        if "leader" in how:
+            works = station.process.works if station.process is not None else None
+            return isinstance(works, headworks.Process) and works.core.serving()
+        return "seed" in how and any(station.machine.ip == seed[0] for seed in self._works.seeds)
 
     def _span(self, trouble: Trouble, kind: Event, stations: list[Station]) -> int:
         """Tells of it; gives its end."""
@@ -81,8 +93,7 @@
                 station.kill(round(trouble.for_s * SECOND))
 
     def _herd_kill(self, trouble: Trouble) -> None:
-        for station in self._some(trouble, "all"):
-            station.kill(round(trouble.for_s * SECOND))
+        self._node_kill(trouble.model_copy(update={"on": trouble.on or "all"}))
 
     def _node_slow(self, trouble: Trouble) -> None:
         """`how`: `freeze` stops it altogether."""
--- a/tests/test_flume.py
+++ b/tests/test_flume.py
@@ -16,11 +16,12 @@
 import pytest
 
 from oakvale.base.loop import READ, TIMED_OUT, WRITE, Coroutine, Rank
-from oakvale.lab.days import Day, decode
+from oakvale.lab.days import Day, Trouble, decode
 from oakvale.lab.flume.disks import Disk
 from oakvale.lab.flume.events import Events
 from oakvale.lab.flume.machines import Process
 from oakvale.lab.flume.sockets import TCP_USER_TIMEOUT, WINDOW
+from oakvale.lab.flume.troubles import Troubles
 from oakvale.lab.flume.works import Layout, Station, Works
 from oakvale.lab.judge.verdict import judge
 from oakvale.lab.play import Variant, play
@@ -257,6 +258,24 @@
     assert whole(works.edges) and works.faults == []
 
 
+@pytest.mark.parametrize("how, on", [("leader", "core"), ("power", "")])
+def test_a_trouble_strikes_whom_it_names_and_as_it_says(how: str, on: str) -> None:
+    """Days with `leader` struck any core machine, and a herd never lost its power: both were milder than they said."""
+    cores = tuple((f"core-{n}", ZONES[n % 2]) for n in range(5))
+    works = Works(Layout((("edge", ZONES[0]),), cores), 7)
+    works.begin()
+    works.run_for(3 * SECOND)
+    serves = [s for s in works.cores if s.process is not None and s.process.works.core.serving()]
+    kind = "node_kill" if on else "herd_kill"
+    trouble = Trouble.model_validate({"kind": kind, "at": 0.0, "on": on, "how": how, "for_s": 2.0,
+                                      **({"count": 1} if on else {"share": 1.0})})
+    getattr(Troubles(works, Random(3)), f"_{kind}")(trouble)
+    if on:
+        assert [s for s in works.cores if s.process is None] == serves
+    else:
+        assert all(s.machine.off for s in works.stations.values())
+
+
 def test_a_process_that_ends_by_itself_is_told_of_and_started_again() -> None:
     told: list[tuple[str, tuple[str, ...]]] = []
     works = Works(Layout((("edge", "z"),), (("core", "z"),)), 1,
