--- a/oakvale/intake/chains.py
+++ b/oakvale/intake/chains.py
@@ -10,16 +10,14 @@
 
 from __future__ import annotations
 
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from oakvale.intake.settings import Settings
-from oakvale.intake.table import BadFile
+from oakvale.intake.table import BadFile, read
 
 HEADROOM = 1.0
 
@@ -39,30 +37,28 @@
 
 def load(path: str, settings: Settings | None = None) -> Given:
     """With the settings, also whether what stands below is there."""
-    try:
-        data = tomllib.loads(Path(path).read_text())
-    except OSError as error:
-        raise BadFile(f"{path}: cannot be read: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise BadFile(f"{path}: not TOML: {error}") from error
+    return read(path, lambda data: decode(data, settings))
+
+
+def decode(data: dict[str, Any], settings: Settings | None) -> Given:
     try:
         found = File.model_validate(data)
     except ValidationError as error:
         first = error.errors()[0]
-        raise BadFile(f"{path}: {'.'.join(map(str, first['loc']))}: {first['msg']}") from error
+        raise BadFile(f"{'.'.join(map(str, first['loc']))}: {first['msg']}") from error
     for name in found.above:
         at, seen = name, {name}
         while at in found.above:
             at = found.above[at]
             if at in seen:
-                raise BadFile(f"{path}: above.{name}: {at} stands above itself")
+                raise BadFile(f"above.{name}: {at} stands above itself")
             seen.add(at)
     if settings is not None:
         there = {*settings.zones.values(), *found.above.values()}
         for name in found.above:
             if name not in there:
-                raise BadFile(f"{path}: above.{name}: no region of the settings, and nothing stands below it")
+                raise BadFile(f"above.{name}: no region of the settings, and nothing stands below it")
         for name in found.above.values():
             if name in settings.zones:
-                raise BadFile(f"{path}: above: {name} is a zone")
+                raise BadFile(f"above: {name} is a zone")
     return Given(found.headroom, found.above)
--- a/oakvale/lab/commands.py
+++ b/oakvale/lab/commands.py
@@ -57,12 +57,13 @@
 
 def experiment(args: argparse.Namespace) -> int:
     """Play variants x days x seeds over the cores; say of each variant: better, worse or noise."""
-    from oakvale.lab import days, files
+    from oakvale.intake.table import BadFile
+    from oakvale.lab import days
     from oakvale.lab.trials import findings, page, player, report, runs, spec
 
     try:
         told, played = spec.load(args.file)
-    except (files.BadFile, days.BadDay) as error:
+    except (BadFile, days.BadDay) as error:
         raise Wrong(error) from error
     folder = Path(args.out or Path(args.file).with_suffix("").name + "-report")
     jobs = told.jobs(played)
@@ -182,6 +183,7 @@
 
 
 def _variant(path: str | None) -> Spec:
+    from oakvale.intake.table import BadFile
     from oakvale.lab import files
     from oakvale.lab.trials import player, variants
 
@@ -190,7 +192,7 @@
     try:
         spec = files.load(path, variants.Spec)
         variants.patches(spec)
-    except files.BadFile as error:
+    except BadFile as error:
         raise Wrong(error) from error
     except variants.BadVariant as error:
         raise Wrong(f"{path}: {error}") from error
--- a/oakvale/lab/files.py
+++ b/oakvale/lab/files.py
@@ -2,30 +2,23 @@
 
 from __future__ import annotations
 
-import tomllib
 from pathlib import Path
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from pydantic import BaseModel, ValidationError
 
+from oakvale.intake.table import BadFile, read
 from oakvale.lab import days
 
-
-class BadFile(Exception):
-    """One line: the file, the place, the field, what is wrong with it."""
-
-
 M = TypeVar("M", bound=BaseModel)
 
 
 def load(path: str | Path, model: type[M]) -> M:
-    try:
-        data = tomllib.loads(Path(path).read_text())
-    except OSError as error:
-        raise BadFile(f"{path}: cannot be read: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise BadFile(f"{path}: not TOML: {error}") from error
-    try:
-        return model.model_validate(data)
-    except ValidationError as error:
-        raise BadFile(f"{path}: {days.first(error, data)}") from error
+    """Raises BadFile: one line with the file, the place, the field, what is wrong with it."""
+    def decode(data: dict[str, Any]) -> M:
+        try:
+            return model.model_validate(data)
+        except ValidationError as error:
+            raise BadFile(days.first(error, data)) from error
+
+    return read(str(path), decode)
--- a/oakvale/lab/trials/spec.py
+++ b/oakvale/lab/trials/spec.py
@@ -7,6 +7,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
+from oakvale.intake.table import BadFile
 from oakvale.lab import days, files
 from oakvale.lab.days import Day
 from oakvale.lab.trials import variants
@@ -60,9 +61,9 @@
             variants.patches(one)
         except variants.BadVariant as error:
             where = str(error) if str(error).startswith("variants.") else f"variants.{one.name}: {error}"
-            raise files.BadFile(f"{path}: {where}") from error
+            raise BadFile(f"{path}: {where}") from error
     played = [days.load(Path(path).parent / name) for name in found.days]
     names = [day.name for day in played]
     if twice := sorted({name for name in names if names.count(name) > 1}):
-        raise files.BadFile(f"{path}: days: two are named {twice[0]!r}")
+        raise BadFile(f"{path}: days: two are named {twice[0]!r}")
     return found, played
