What a keeper is told of an attempt's end is a plain tuple

Need: read again, each ending of an attempt was copied by dataclasses.replace and taken apart by astuple, which copies every field deeply, on the way of every request.

Change: End is a NamedTuple; it is replaced only where its ticket is this gateway's own. The words on the link are the same.

--- a/oakvale/gauge/dispatch.py
+++ b/oakvale/gauge/dispatch.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import astuple, dataclass, replace
-from typing import Any
+from dataclasses import dataclass
+from typing import Any, NamedTuple
 
 from oakvale.base.loop import Loop
 from oakvale.gauge.board import Board, Offer
@@ -53,8 +53,7 @@
     aim: int  # microseconds
 
 
-@dataclass(slots=True, frozen=True)
-class End:
+class End(NamedTuple):
     """How an attempt ended, as a keeper is told."""
 
     service: str
@@ -141,13 +140,12 @@
         alone = self._alone.get(end.service)
         if self.chains is not None and alone is not None:
             self._learn(alone, end, min(end.ticket, 0))
-        end = replace(end, ticket=max(end.ticket, 0))
+        end = end._replace(ticket=0) if end.ticket < 0 else end
         if self._gauge.counts(duty):
             return self._end(end)
         holder = self._gauge.holder(duty)
         if holder is not None:
-            body = list(astuple(end))
-            self._mains.tell(holder, "done", body if self.chains is not None else body[:-1])
+            self._mains.tell(holder, "done", list(end if self.chains is not None else end[:-1]))
 
     def _board(self, service: str) -> Board:
         board = self._boards.get(service)
