--- a/oakvale/lab/flume/disks.py
+++ b/oakvale/lab/flume/disks.py
@@ -19,17 +19,12 @@
 MS = 1_000
 
 
-class Disk:
-    def __init__(self, events: Events, rng: Random, sync: int = 2 * MS) -> None:
-        """`sync`: microseconds in the mean."""
-        self.events, self.rng, self.sync = events, rng, sync
-        self.slow = 1.0  # times every sync
-        self.hangs = self.refuses = 0  # until then
-        self.tears = False
-        self.syncs = 0
+class Held:
+    """What stands on a disk, and what each kind of write does to it."""
+
+    def __init__(self) -> None:
         self.facts: dict[str, bytes] = {}
         self.rows: dict[str, bytes] = {}
-        self.under_way: list[Write] = []  # written, not synced
 
     def apply(self, writes: list[Write]) -> None:
         for kind, data in writes:
@@ -43,6 +38,18 @@
                     self.rows.clear()
                 self.rows.update(data)
 
+
+class Disk(Held):
+    def __init__(self, events: Events, rng: Random, sync: int = 2 * MS) -> None:
+        """`sync`: microseconds in the mean."""
+        super().__init__()
+        self.events, self.rng, self.sync = events, rng, sync
+        self.slow = 1.0  # times every sync
+        self.hangs = self.refuses = 0  # until then
+        self.tears = False
+        self.syncs = 0
+        self.under_way: list[Write] = []  # written, not synced
+
     def lose(self) -> None:
         """The writer is gone, with or without its machine's power."""
         left, self.under_way = self.under_way, []
--- a/tests/world.py
+++ b/tests/world.py
@@ -17,6 +17,7 @@
 from oakvale.headworks.pruning import Pruning
 from oakvale.headworks.succession import View, unpack_durable
 from oakvale.intake.settings import Bounds, Settings
+from oakvale.lab.flume.disks import Held
 from oakvale.penstock.table import NOTHING, Table, Version, unpack
 from tests import simulated
 from tests.simulated import MS, SECOND, Loop, Time
@@ -79,25 +80,6 @@
         self._world.at(self._world.now + timeout, lambda: self._life.machine.run(self._life, late))
 
 
-class Disk:
-    def __init__(self) -> None:
-        self.facts: dict[str, bytes] = {}
-        self.rows: dict[str, bytes] = {}
-
-    def apply(self, kind: str, data: Any) -> None:
-        if kind == "fact":
-            self.facts[data[0]] = data[1]
-        elif kind == "facts":
-            self.facts.update(data)
-        elif kind == "gone":
-            for key in data:
-                self.rows.pop(key, None)
-        else:
-            if kind == "whole":
-                self.rows.clear()
-            self.rows.update(data)
-
-
 class Cistern:
     def __init__(self, world: World, life: Life) -> None:
         self._world, self._life, self._disk = world, life, life.machine.disk
@@ -134,7 +116,7 @@
             return self._start()
         done = [self._waiting.popleft() for _ in range(batch)]
         for _, kind, data, _ in done:
-            self._disk.apply(kind, data)
+            self._disk.apply([(kind, data)])
             if "state" in (data[0] if kind == "fact" else ""):
                 self._world.see(unpack_durable(cbor2.loads(data[1])).view)
 
@@ -151,7 +133,7 @@
         super().__init__()
         self.world, self.address = world, (name, PORT)
         self.zone = zone
-        self.disk, self.disk_hangs, self.sync_ms = Disk(), 0, 8
+        self.disk, self.disk_hangs, self.sync_ms = Held(), 0, 8
         self.life: Life | None = None
         self.core: Core | None = None
         self.troubled = 0  # counts as lost until then
@@ -347,7 +329,7 @@
     def down(self, machine: Machine, span: int, wiped: bool = False) -> None:
         machine.kill()
         if wiped:
-            machine.disk = Disk()
+            machine.disk = Held()
         self.trouble(machine, self.now + span)
         self.at(self.now + span, machine.start)
 
