A primary serves by a lease that its backups renew

Cause: serving() believed heartbeats by their time of arrival and by this process's clock of the turn. A primary that was frozen took buffered heartbeats for fresh; one that heard its backups but was not heard by them went on with pulses, joins and orders while its successor served; orders that could not be kept hung until the view changed. Digests were answered by any copy, also one that was replaced or held what was not in force.

Change: headworks/leases.py. The primary's heartbeat to a backup is a question; the answer says in which view the backup backs it, and renews the lease from when the question was sent. Whoever granted one serves in a later view only after the silence. Each request looks at the lease with the clock of that moment. Without it, authors who wait hear 503 at once, and after a second in any case; their entries stay pending. Words of an earlier life (heartbeats, 'resigned') are known by the count of starts.

Measured: tests/world.py now looks at each message whether two seats serve.

--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -13,6 +13,7 @@
 from oakvale.cistern.store import Cistern
 from oakvale.headworks import copying
 from oakvale.headworks.copying import Copying
+from oakvale.headworks.leases import Leases, Waiting
 from oakvale.headworks.ledger import Ledger, Then
 from oakvale.headworks.succession import Out, Seat, Succession, View, founding, seat, unpack
 from oakvale.intake.settings import Settings
@@ -25,6 +26,9 @@
 SILENCE = 900_000  # a core machine that was not heard for this counts as down
 SICK = 700_000  # a write that waits longer: this disk is not to be relied on
 AGAIN = 150_000  # before a backup that failed is sent the state once more
+WAIT = 1_000_000  # an author hears nothing for so long at most; callers go elsewhere then
+MOST_LIVES = 64
+BRIEF = 1_000_000  # a shorter time without a lease is no new beginning
 
 note = Writer(__name__)
 
@@ -49,17 +53,23 @@
         patience = settings.bounds.sync_time + settings.bounds.contact
         self.copying = Copying(start, cistern.rows(), copies, SILENCE, patience)
         self.own: Seat = start.own
+        served = cistern.fact("served")
+        self._leases = Leases(start.own, SILENCE, loop.clock(), start.durable.view, int(served) if served else 0)
+        self._waiting = Waiting(WAIT)
+        self._served: int | None = None  # when it was last seen to serve in this view
+        self._looks = False  # a look at those who wait is due
+        self._lives: dict[Seat, int] = {}  # the latest start of each peer that was heard
         self.outlet = Outlet(self.ledger.table)
         self._known = {*seeds}
         for kind in ("prepare", "promise", "accept", "accepted", "decided", "refused", "void", "voided"):
             mains.handlers[kind] = self._council(kind)
         mains.handlers["core"] = self._heard
-        mains.handlers["resigned"] = lambda conn, body, answer: self.succession.gone(seat(body))
+        mains.handlers["resigned"] = self._resigned
         mains.handlers["append"] = lambda conn, body, answer: self._do(self.copying.append(body, answer))
         mains.handlers["sync"] = lambda conn, body, answer: self._do(self.copying.sync(body, answer))
         mains.handlers["subscribe"] = self._subscribe
         mains.handlers["leave"] = lambda conn, body, answer: self.outlet.leave(conn)
-        mains.handlers["digests"] = lambda conn, body, answer: self.outlet.mend(conn, body, answer)
+        mains.handlers["digests"] = self._digests
         self._do(self.copying.flush())
         loop.at(loop.now, self._beat)
         loop.at(loop.now + PULSE, self._pulse)
@@ -89,10 +99,10 @@
         return view.primary
 
     def serving(self) -> bool:
-        """Primary, and its backups were all heard of lately: what it says counts."""
+        """Primary, and at this very moment it holds the lease of all backups: what it says counts."""
         view = self.view()
         return (self.active and view is not None and view.primary == self.own
-                and all(self.succession.alive(peer, self.loop.now) for peer in view.backups))
+                and self._leases.holds(view, self.loop.clock()))
 
     def confirm(self, then: Then) -> None:
         """Calls with True once all backups of the view have said that they are still in it."""
@@ -108,11 +118,19 @@
         self._leaving = True
         if view is not None and view.primary == self.own:
             for backup in view.backups:
-                self.mains.tell(address_of(backup), "resigned", list(self.own))
+                self.mains.tell(address_of(backup), "resigned", [*self.own, self.copying.life])
+            self._leases.give_up()
 
     def change(self, changes: dict[str, Any], then: Then) -> None:
-        """Makes a change; `then` hears True once it is in force and the news of it are on their way."""
-        self._do(self.copying.change(changes or {"confirmed": None}, then))
+        """Makes a change; `then` hears True once it is in force and the news of it are on their way, or False as soon
+        as the lease is lost, or after `WAIT`: it may still come into force, but nobody hears a yes of it."""
+        self._do(self.copying.change(changes or {"confirmed": None}, self._waiting.add(then, self.loop.clock())))
+        self._look_later()
+
+    def when_settled(self, then: Then) -> None:
+        """Calls with True once everything that waits now is in force, else as `change`."""
+        self.ledger.when_settled(self._waiting.add(then, self.loop.clock()))
+        self._look_later()
 
     # ---- what is decided, done
 
@@ -138,6 +156,8 @@
                     self.outlet.publish(self._next_pulse(), entries)
                 case copying.Entered(view):
                     self._known |= {peer[0] for peer in view.witnesses}
+                    self._served = None
+                    self._ask_for_lease(view)
                     note("view", view=view.number, primary=view.primary[0], backups=_names(view.backups),
                          witnesses=_names(view.witnesses), own=self.own[0])
                 case copying.Turned(serves):
@@ -146,13 +166,59 @@
                     self.outlet.drop()
                 case copying.Replaced():
                     self.outlet = Outlet(self.ledger.table)
+                    current = self.view()
+                    if current is not None:  # its primary may have granted a lease just before
+                        self._leases.grant(current, current.primary, self.loop.clock())
 
     def _turned(self, serves: bool) -> None:
-        view = self.view()
-        if serves and view is not None:
-            note("serving the control state", view=view.number, backups=_names(view.backups))
+        if serves:
+            return self._watch()
         for call in self.on_change:
-            call(serves)
+            call(False)
+
+    # ---- the lease
+
+    def _ask_for_lease(self, view: View) -> None:
+        if view.primary == self.own and not self._leaving:
+            for backup in view.backups:
+                self._ask_one(backup, view, self._heartbeat(view))
+
+    def _ask_one(self, backup: Seat, view: View, body: list[Any]) -> None:
+        sent = self.loop.clock()
+
+        def answered(answer: Any) -> None:
+            if answer:
+                self._leases.answered(backup, int(answer), sent)
+                self._watch()
+
+        self.mains.ask(address_of(backup), "core", body, SILENCE, answered)
+
+    def _watch(self) -> None:
+        """Looks whether this seat serves now: who waits is not kept waiting without a lease."""
+        now, view = self.loop.clock(), self.view()
+        serves = self.serving()
+        for then in self._waiting.over(now, not serves):
+            then(False)
+        if not serves or view is None:
+            return
+        begins, self._served = self._served is None or now - self._served >= BRIEF, now
+        if begins:
+            self.cistern.write(("fact", ("served", str(view.number).encode())), lambda: None)
+            note("serving the control state", view=view.number, backups=_names(view.backups))
+            for call in self.on_change:
+                call(True)
+
+    def _look_later(self) -> None:
+        """When the lease runs out as it stands, or the first has waited long enough."""
+        view = self.view()
+        if not self._looks and self._waiting and view is not None:
+            self._looks = True
+            self.loop.at(max(self.loop.now, min(self._leases.until(view), self._waiting.due())), self._look)
+
+    def _look(self, _: Any) -> None:
+        self._looks = False
+        self._watch()
+        self._look_later()
 
     # ---- views
 
@@ -167,26 +233,47 @@
     # ---- heartbeats, pulses, those who want news
 
     def _beat(self, _: Any) -> None:
+        self._watch()
         now = self.loop.now
         since = self.cistern.waiting_since()
         healthy = since is None or now - since < SICK
         view = self.view()
         if healthy and not self._leaving:  # one whose disk does not answer keeps nothing, so it does not count
-            body = [list(self.own), self.settings.zone, view.pack() if view else None, sorted(self._known)]
+            body = self._heartbeat(view)
+            backups = {peer[0]: peer for peer in view.backups} if view and view.primary == self.own else {}
             for address in sorted(self._known - {self.own[0]}):
                 parsed = parse_address(address)
-                if parsed is not None:
+                if address in backups and view is not None:
+                    self._ask_one(backups[address], view, body)
+                elif parsed is not None:
                     self.mains.tell(parsed, "core", body)
         self._carry(self.succession.tick(now, healthy))
         self.loop.at(now + BEAT, self._beat)
 
-    def _heard(self, conn: Conn, body: Any, _: Answer) -> None:
-        peer, zone = seat(body[0]), str(body[1])
+    def _heartbeat(self, view: View | None) -> list[Any]:
+        return [list(self.own), self.settings.zone, view.pack() if view else None, sorted(self._known),
+                self.copying.life]
+
+    def _heard(self, conn: Conn, body: Any, answer: Answer) -> None:
+        peer, zone, now = seat(body[0]), str(body[1]), self.loop.clock()
+        if int(body[4]) < self._lives.get(peer, 0):
+            return  # of an earlier life, that was long on its way
+        if peer not in self._lives and len(self._lives) >= MOST_LIVES:
+            self._lives.clear()  # of seats that are gone, mostly
+        self._lives[peer] = int(body[4])
+        self._leases.speaks(peer)
         self._known.add(peer[0])
         if len(self._known) < 32:
             self._known |= {str(address) for address in body[3]}
         view = unpack(body[2]) if body[2] is not None else None
-        self._carry(self.succession.heard(self.loop.now, peer, zone, view))
+        self._carry(self.succession.heard(now, peer, zone, view))
+        answer(self._leases.grant(self.view(), peer, now))
+
+    def _resigned(self, conn: Conn, body: Any, _: Answer) -> None:
+        peer = seat(body[:2])
+        if int(body[2]) >= self._lives.get(peer, 0):
+            self.succession.gone(peer)
+            self._leases.ended(peer)
 
     def _next_pulse(self) -> Version:
         """Above those of earlier lives: a primary that starts again in its view would give stale ones for hours."""
@@ -195,10 +282,18 @@
         return (view.number if view else 0, (self.copying.life << 32) + self._tick_number)
 
     def _pulse(self, _: Any) -> None:
+        self._watch()
         if self.serving():
             self.outlet.publish(self._next_pulse(), [])
         self.loop.at(self.loop.now + PULSE, self._pulse)
 
+    def _digests(self, conn: Conn, body: Any, answer: Answer) -> None:
+        """A copy that does not serve may hold what is not in force, or was replaced."""
+        if self.serving():
+            self.outlet.mend(conn, body, answer)
+        else:
+            answer(None)
+
     def _subscribe(self, conn: Conn, body: Any, answer: Answer) -> None:
         """Only the primary gives news; others name it."""
         if self.serving():
--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -119,7 +119,7 @@
             return give(yes)
         self._calls[name] = calls
         if held is not None and all(held[field] == value for field, value in said.items()):
-            return give(yes) if not self._core.ledger.waits() else self._core.ledger.when_settled(
+            return give(yes) if not self._core.ledger.waits() else self._core.when_settled(
                 lambda done: give(yes if done else UNSURE))
         changes: dict[str, Any] = {key: said | {"calls": calls, "warm": warm}}
         for other, value in self._core.ledger.table.items("backend/"):
--- a/tests/simulated.py
+++ b/tests/simulated.py
@@ -79,6 +79,9 @@
     def now(self) -> int:
         return self._time.now
 
+    def clock(self) -> int:
+        return self._time.now
+
     def at(self, due: int, call: Callable[[Any], Any], argument: Any = None) -> list[Any]:
         self._time.at(due, lambda: self._life.machine.run(self._life, lambda: call(argument)))
         return []
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,83 @@
+"""Leases: of two primaries only one serves at a time, and who can't know answers at once."""
+
+from __future__ import annotations
+
+from oakvale.headworks.core import SILENCE
+from oakvale.headworks.leases import MARGIN, Leases, Waiting
+from oakvale.headworks.succession import FOUNDER, Seat, View, founding
+
+A, B, C = (("a:1", FOUNDER), ("b:1", FOUNDER), ("c:1", FOUNDER))
+ONE = founding([A[0], B[0], C[0]], 2)
+TWO = View(2, B, (C,), ONE.witnesses)
+T = 10**9
+SECOND, LASTS = 1_000_000, SILENCE - MARGIN
+
+
+def leases(own: Seat, view: View = ONE, served: int = 0, now: int = T) -> Leases:
+    return Leases(own, SILENCE, now, view, served)
+
+
+def test_a_lease_counts_from_when_the_question_was_sent() -> None:
+    """However late the answer is read: after a pause, or behind a cut."""
+    held = leases(A)
+    assert not held.holds(ONE, T)
+    held.answered(B, 1, T)
+    assert held.holds(ONE, T + LASTS - 1) and not held.holds(ONE, T + LASTS)
+    held.answered(B, 1, T - SECOND)
+    assert held.until(ONE) == T + LASTS
+    held.answered(B, 1, T + 5)
+    assert held.until(ONE) == T + LASTS + 5
+
+
+def test_a_lease_is_of_one_view_and_of_all_its_backups() -> None:
+    held, both = leases(A), View(1, A, (B, C), ONE.witnesses)
+    held.answered(B, 1, T)
+    assert not held.holds(both, T) and not held.holds(View(2, A, (B,), ONE.witnesses), T)
+    held.answered(C, 1, T - 10)
+    assert held.until(both) == T - 10 + LASTS
+    held.answered(B, 2, T)
+    assert not held.holds(both, T)
+    assert leases(A).until(View(1, A, (), (A,))) > T + 10**12  # nobody else could
+
+
+def test_who_granted_a_lease_waits_until_it_has_run_out() -> None:
+    held = leases(B)
+    assert held.grant(ONE, A, T) == 1 and held.grant(ONE, C, T) == 0 and held.grant(TWO, A, T) == 0
+    held.answered(C, 2, T + SILENCE - 1)
+    assert not held.holds(TWO, T + SILENCE - 1) and held.holds(TWO, T + SILENCE)
+
+
+def test_what_was_granted_before_a_start_is_not_known() -> None:
+    """But for who had served in its view before, and for the first view."""
+    for view, served, free in ((TWO, 0, False), (TWO, 1, False), (TWO, 2, True), (ONE, 0, True)):
+        held = leases(B, view, served)
+        assert held.free(T) is free and held.free(T + SILENCE), (view, served)
+
+
+def test_who_has_ended_holds_nothing_any_more() -> None:
+    held = leases(B)
+    held.grant(ONE, A, T)
+    held.speaks(A)
+    held.ended(C)
+    assert not held.free(T)
+    held.speaks((A[0], "0011"))
+    assert held.free(T)
+    held.grant(ONE, A, T)
+    held.ended(A)
+    assert held.free(T)
+    own = leases(A)
+    own.answered(B, 1, T)
+    own.give_up()
+    assert not own.holds(ONE, T)
+
+
+def test_an_author_hears_once_and_soon() -> None:
+    waiting, told = Waiting(SECOND), list[tuple[str, bool]]()
+    first = waiting.add(lambda done: told.append(("first", done)), T)
+    second = waiting.add(lambda done: told.append(("second", done)), T + 5)
+    first(True), first(True)
+    assert told == [("first", True)] and waiting.due() == T + 5 + SECOND and not waiting.over(T + SECOND, False)
+    for then in waiting.over(T + 6, True):
+        then(False)
+    second(True)
+    assert told == [("first", True), ("second", False)] and not waiting
--- a/tests/world.py
+++ b/tests/world.py
@@ -193,6 +193,7 @@
 
     def carry(self, life: Life, to: tuple[str, int], kind: str, body: Any,
               asked: tuple[int, Callable[[Any], None]] | None) -> Link | None:
+        self.one_serves()
         there = next((m for m in self.machines if m.address == to), None)
         link = life.out.get(to)
         if link is None or not link.alive or link.other is None or not link.other.alive:
@@ -248,6 +249,11 @@
 
     # ---- the judge
 
+    def one_serves(self) -> None:
+        """Also of those that stand still, which may go on at any moment."""
+        serve = [m.address[0] for m in self.machines if m.core is not None and m.core.serving()]
+        assert len(serve) < 2, f"{' and '.join(serve)} serve at once"
+
     def see(self, view: View | None) -> None:
         if view is not None:
             assert self.views.setdefault(view.number, view) == view, f"two views are number {view.number}"
