One content under one number: what was taken is remembered as state

Change: the change that takes a configuration writes its number and the digest of its content as well, and so does the acknowledgement of an older number that was never taken. What comes under a known number is compared: the same is confirmed, another gets 409, both once the copies have all that was changed before. The latest 1,000 numbers are remembered, in places that are used again, so nothing is pruned; gateways neither get nor hold them. Contents are compared, not spellings (intake/model.py says what counts). A number that is known no longer gets a 503.

--- a/oakvale/headworks/ledger.py
+++ b/oakvale/headworks/ledger.py
@@ -58,6 +58,13 @@
                     return value
         return self.table.get(key)
 
+    def latest_items(self, prefix: str) -> dict[str, Any]:
+        """Key behind the prefix and value, as they will be once all that waits is in force."""
+        found = dict(self.table.items(prefix))
+        for pending in self._pending:
+            found |= {key[len(prefix):]: value for key, _, value in pending.entries if key.startswith(prefix)}
+        return {name: value for name, value in found.items() if value is not None}
+
     def waiting(self) -> list[str]:
         """Keys that are not in force yet."""
         return [key for pending in self._pending for key, _, _ in pending.entries]
--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -9,6 +9,7 @@
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
+from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
 import orjson
@@ -21,6 +22,7 @@
 from oakvale.intake.settings import Settings
 from oakvale.intake.times import micros
 from oakvale.lifecycle.daybook import Writer
+from oakvale.penstock.table import PRIVATE
 
 if TYPE_CHECKING:  # it is there only with contracts
     from oakvale.headworks.drains import Drains as Hand
@@ -28,6 +30,10 @@
 JSON = (b"content-type", b"application/json")
 ID = re.compile(r"[!-~]{1,128}")
 NAME = re.compile(r"[0-9A-Za-z._-]{1,64}")  # of an order
+TAKEN, FORGOTTEN = PRIVATE, "up-to"  # of entries on numbers; of that on the highest number that is known no longer
+MOST = 1_000  # numbers whose content is remembered, the highest
+CHECKED = 64  # texts that need not be checked again
+QUEUE = 32  # texts that wait to be checked; beyond, the caller is sent on
 LOST_BEATS = 4  # without so many a backend counts as crashed
 MASS = 0.34  # where more than this share falls silent at once, it is rather the way to here that broke
 
@@ -44,6 +50,21 @@
 Give = Callable[[Reply], None]
 
 
+def _remember(known: dict[int, tuple[str, bytes]], gen: int, digest: bytes) -> dict[str, Any]:
+    """The entries for one more number, which also goes into `known`. Places are used again, that of the lowest number
+    first, so that nothing has to be pruned and no graves are left. Where the new number is the lowest, it is forgotten
+    at once: nothing more is said of it."""
+    place, changes = str(len(known)), dict[str, Any]()
+    if len(known) >= MOST:
+        lowest = min(*known, gen)
+        changes[TAKEN + FORGOTTEN] = lowest
+        if lowest == gen:
+            return changes
+        place = known.pop(lowest)[0]
+    known[gen] = (place, digest)
+    return changes | {TAKEN + place: [gen, digest]}
+
+
 def problem(status: int, why: str) -> Reply:
     return Reply(status, orjson.dumps({"error": why}))
 
@@ -51,27 +72,112 @@
 UNSURE = Reply(503, orjson.dumps({"error": "not known to be kept"}), ((b"retry-after", b"0.2"),))
 
 
+@dataclass(slots=True, frozen=True)
+class Checked:
+    """What is known of a text that was read as a configuration."""
+
+    gen: int
+    digest: bytes  # of its content (`intake/model.py`)
+    routes: int
+
+
 class Config:
-    """The operator's configuration: `Replace` and `Read`."""
+    """The operator's configuration: `Replace` and `Read`.
+
+    At most one content is confirmed under a number. The change that takes a configuration also writes its number and
+    the digest of its content; so does the acknowledgement of an older number that was never taken. Whatever comes later
+    under that number is compared: the same content is confirmed, another gets 409. Both answers wait for the copies,
+    and with them for all that was changed before: what is refused, is refused for something that lasts.
+    """
 
     def __init__(self, core: Core) -> None:
         self._core = core
+        self._checked: dict[bytes, Checked] = {}  # by the digest of the text; the latest that were valid
+        self._queue: dict[bytes, tuple[bytes, list[Give]]] = {}  # texts to be checked, and who waits for each
 
     def replace(self, rest: str, body: bytes, give: Give) -> None:
+        text = blake2b(body, digest_size=16).digest()
+        checked = self._checked.get(text)
+        if checked is not None:
+            return self._judge(checked, body, give)
+        if text in self._queue:
+            return self._queue[text][1].append(give)
+        if len(self._queue) >= QUEUE:
+            return give(UNSURE)
+        if not self._queue:
+            self._soon()
+        self._queue[text] = (body, [give])
+
+    def _soon(self) -> None:
+        """One check in each turn of the loop: a large one takes longer than a heartbeat, and several in a row would
+        have this machine taken for dead."""
+        self._core.loop.at(self._core.loop.now + 1, self._check)
+
+    def _check(self, _: Any) -> None:
         from oakvale.intake import model  # slow to import; only a primary needs it
 
+        text, (body, gives) = next(iter(self._queue.items()))
+        del self._queue[text]
+        if self._queue:
+            self._soon()
         try:
-            config = model.parse(body)
+            checked = self._read(text, body)
         except model.Invalid as error:
             note("configuration refused", why=str(error)[:200])
-            return give(problem(400, str(error)))
+            for give in gives:
+                give(problem(400, str(error)))
+            return
+        for give in gives:
+            self._judge(checked, body, give)
+
+    def _read(self, text: bytes, body: bytes) -> Checked:
+        """Raises Invalid."""
+        from oakvale.intake import model
+
+        config, digest = model.read(body)
+        while len(self._checked) >= CHECKED:
+            del self._checked[next(iter(self._checked))]
+        checked = self._checked[text] = Checked(config.gen, digest, len(config.routes))
+        return checked
+
+    def _judge(self, order: Checked, body: bytes, give: Give) -> None:
         held = self._core.ledger.latest("config")
-        if held is not None and config.gen <= held["gen"]:
-            # a yes also says that the one held lasts
-            return self._core.confirm(lambda done: give(Reply(200) if done else UNSURE))
-        note("configuration", gen=config.gen, routes=len(config.routes), bytes=len(body))
-        self._core.change({"config": {"gen": config.gen, "text": body}},
-                          lambda done: give(Reply(200) if done else UNSURE))
+        known, forgotten = self._taken()
+        changes: dict[str, Any] = {}
+        if held is not None and held["gen"] not in known:  # from before such digests were kept
+            changes |= _remember(known, held["gen"], self._digest(bytes(held["text"])))
+
+        def told(reply: Reply) -> Callable[[bool], None]:
+            return lambda done: give(reply if done else UNSURE)
+
+        if order.gen in known:
+            if known[order.gen][1] == order.digest:
+                return self._core.confirm(told(Reply(200)))
+            note("configuration refused", why=f"another content of gen {order.gen}")
+            return self._core.confirm(told(problem(409, f"gen {order.gen}: taken with another content, which stays")))
+        if forgotten is not None and order.gen <= forgotten:
+            why = f"gen {order.gen}: what was taken up to {forgotten} is no longer known"
+            return give(Reply(503, orjson.dumps({"error": why}), UNSURE.headers))
+        if held is None or order.gen > held["gen"]:
+            note("configuration", gen=order.gen, routes=order.routes, bytes=len(body))
+            changes["config"] = {"gen": order.gen, "text": body}
+        changes |= _remember(known, order.gen, order.digest)
+        self._core.change(changes, told(Reply(200)))
+
+    def _taken(self) -> tuple[dict[int, tuple[str, bytes]], int | None]:
+        """Number -> its place and digest, with what waits to come into force; and up to which numbers are forgotten."""
+        taken = self._core.ledger.latest_items(TAKEN)
+        forgotten = taken.pop(FORGOTTEN, None)
+        return {int(gen): (place, digest) for place, (gen, digest) in taken.items()}, forgotten
+
+    def _digest(self, body: bytes) -> bytes:
+        from oakvale.intake import model
+
+        text = blake2b(body, digest_size=16).digest()
+        try:
+            return (self._checked.get(text) or self._read(text, body)).digest
+        except model.Invalid:  # taken when the rules were others: nothing that is valid now is the same
+            return b""
 
     def read(self, rest: str, body: bytes, give: Give) -> None:
         def confirmed(done: bool) -> None:
--- a/oakvale/intake/model.py
+++ b/oakvale/intake/model.py
@@ -2,10 +2,18 @@
 
 What PROTOCOL calls invalid raises `Invalid` with the place and the field; everything else is taken. Unknown
 fields are skipped. The text as it was sent is what is kept and read back.
+
+`read` also gives a digest of the content. Two texts have one digest where they say the same: spaces, escapes, the order
+of an object's fields and of a table's columns don't count, nor does a null in a row (PROTOCOL: a field left out);
+numbers are one where they read as one 64-bit integer or one double (1.50 and 1.5), and of a field that an object has
+twice the last holds, as for all here who read a configuration. All else counts: 1 and 1.0 differ, so do "7" and 7, a
+null outside of rows and a field left out, code points that look alike, the order of rows and lists, and unknown
+fields. Where in doubt two texts differ: then the second is refused, and not confirmed as what it may not be.
 """
 
 from __future__ import annotations
 
+from hashlib import blake2b
 from typing import Annotated, Any
 
 import orjson
@@ -14,6 +22,7 @@
 from oakvale.intake.times import micros
 
 MINUTE = 60_000_000
+DIGEST = 16  # bytes of BLAKE2b
 Micros = Annotated[int, BeforeValidator(micros)]
 
 
@@ -78,29 +87,49 @@
     if not isinstance(table, dict) or not all(isinstance(table.get(part), list) for part in ("cols", "rows")):
         raise Invalid(f"{place}: no cols or rows")
     names = table["cols"]
-    if len(set(map(str, names))) != len(names):
+    if not all(isinstance(name, str) for name in names):
+        raise Invalid(f"{place}.cols: a name is no text")
+    if len(set(names)) != len(names):
         raise Invalid(f"{place}.cols: a name is there twice")
     found = []
     for at, row in enumerate(table["rows"]):
         if not isinstance(row, list) or len(row) != len(names):
             raise Invalid(f"{place}.rows[{at}]: not {len(names)} values")
-        found.append({str(name): value for name, value in zip(names, row, strict=True) if value is not None})
+        found.append({name: value for name, value in zip(names, row, strict=True) if value is not None})
     return found
 
 
 def parse(text: bytes) -> Configuration:
     """A configuration from what the operator sent; raises Invalid."""
+    return _checked(_plain(text)[0])
+
+
+def read(text: bytes) -> tuple[Configuration, bytes]:
+    """The same, and the digest of its content."""
+    plain, rest = _plain(text)
+    said = orjson.dumps([plain, rest], option=orjson.OPT_SORT_KEYS)
+    return _checked(plain), blake2b(said, digest_size=DIGEST).digest()
+
+
+def _plain(text: bytes) -> tuple[dict[str, Any], dict[str, Any]]:
+    """What it says, its tables as objects; and what its tables hold beside rows and names of columns."""
     try:
         data = orjson.loads(text)
     except orjson.JSONDecodeError as error:
         raise Invalid(f"not JSON: {error}") from error
     if not isinstance(data, dict):
         raise Invalid("no object")
-    plain = dict(data)
+    rest = {}
     for name in ("routes", "svcs", "tenants"):
-        if plain.get(name) is not None:
-            plain[name] = records(plain[name], name)
-    plain = {name: value for name, value in plain.items() if value is not None}
+        if data.get(name) is not None:
+            table = data[name]
+            data[name] = records(table, name)
+            rest[name] = {part: value for part, value in table.items() if part not in ("cols", "rows")}
+    return data, rest
+
+
+def _checked(data: dict[str, Any]) -> Configuration:
+    plain = {name: value for name, value in data.items() if value is not None}
     try:
         found = Configuration.model_validate(plain)
     except ValidationError as error:
--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -14,7 +14,7 @@
 from oakvale.base.loop import Loop
 from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.links import Answer, Conn, Mains
-from oakvale.penstock.table import FLOOR, NOTHING, Entry, Table, Version, pack, unpack
+from oakvale.penstock.table import FLOOR, NOTHING, Entry, Table, Version, pack, public, unpack
 
 PULSE = 250_000  # microseconds between two of the primary's pulses
 STALE = 800_000  # without a new one, another source is tried
@@ -42,9 +42,9 @@
             self._below[conn] = None
             conn.on_close.append(self._gone)
         if high < self._table.floor or high == NOTHING:
-            body: list[Any] = [list(pulse), pack(self._table.since(NOTHING)), list(self._table.floor)]
+            body: list[Any] = [list(pulse), pack(public(self._table.since(NOTHING))), list(self._table.floor)]
         else:
-            body = [list(pulse), pack(self._table.since(high)), None]
+            body = [list(pulse), pack(public(self._table.since(high))), None]
         conn.send("news", 0, body)
 
     def _gone(self, conn: Conn) -> None:
@@ -55,7 +55,7 @@
             conn.on_close.remove(self._gone)
 
     def publish(self, pulse: Version, entries: list[Entry]) -> None:
-        body = [list(pulse), pack(entries), None]
+        body = [list(pulse), pack(public(entries)), None]
         for conn in list(self._below):
             conn.send("news", 0, body)
 
--- a/oakvale/penstock/table.py
+++ b/oakvale/penstock/table.py
@@ -20,9 +20,14 @@
 RANGES = 16
 NOTHING: Version = (0, 0)
 GRAVES = 500  # entries taken away that are kept to be passed on
+PRIVATE = "taken/"  # of the core machines alone: gateways are neither sent such entries nor asked for them
 FLOOR = "floor"  # the key of the entry that raises it; its value is a version
 
 
+def public(entries: Iterable[Entry]) -> list[Entry]:
+    return [entry for entry in entries if not entry[0].startswith(PRIVATE)]
+
+
 def range_of(key: str) -> int:
     return blake2b(key.encode(), digest_size=1).digest()[0] % RANGES
 
@@ -92,9 +97,9 @@
     # ---- repair
 
     def digests(self) -> list[bytes]:
-        """One for each range of keys: equal where two tables hold the same versions."""
+        """One for each range of keys: equal where two tables hold the same versions of what gateways are sent."""
         hashes = [blake2b(digest_size=8) for _ in range(RANGES)]
-        for key in sorted(self._entries):
+        for key in sorted(key for key in self._entries if not key.startswith(PRIVATE)):
             version = self._entries[key][0]
             hashes[range_of(key)].update(cbor2.dumps([key, version[0], version[1]]))
         return [h.digest() for h in hashes]
@@ -103,7 +108,7 @@
         """All entries of the ranges in which the other's digest is another."""
         own = self.digests()
         odd = {n for n in range(RANGES) if n >= len(digests) or digests[n] != own[n]}
-        return [(key, version, value) for key, (version, value) in self._entries.items() if range_of(key) in odd]
+        return public((key, version, value) for key, (version, value) in self._entries.items() if range_of(key) in odd)
 
 
 def pack(entries: Iterable[Entry]) -> list[Any]:
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -187,6 +187,31 @@
     assert named in str(error.value)
 
 
+CONTENT = model.read(orjson.dumps(VALID))[1]
+ROWS = [dict(zip(VALID["svcs"]["cols"], row, strict=True)) for row in VALID["svcs"]["rows"]]
+
+
+@pytest.mark.parametrize(("text", "same"), [
+    (orjson.dumps(VALID, option=orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS), True),
+    (changed("svcs", to={"rows": [list(row.values())[::-1] for row in ROWS], "cols": list(ROWS[0])[::-1]}), True),
+    (changed("svcs", to={"cols": [*ROWS[0], "later"], "rows": [[*row.values(), None] for row in ROWS]}), True),
+    (orjson.dumps(VALID).replace(b'"gen":7', b'"gen":6,"gen":7'), True),
+    (orjson.dumps(VALID).replace(b'"s1"', b'"\\u0073\\u0031"'), True),
+    (changed("gen", to="7"), False), (changed("gen", to=7.0), False), (changed("later", to=None), False),
+    (changed("svcs", "rows", to=VALID["svcs"]["rows"][::-1]), False), (changed("svcs", "later", to=1), False),
+    (changed("tenants", "rows", 0, 3, to=63.0), False), (changed("tenants", "rows", 0, 0, to="\u00e9"), False),
+])
+def test_one_content_has_one_digest(text: bytes, same: bool) -> None:
+    found, digest = model.read(text)
+    assert found.gen == 7 and (digest == CONTENT) is same
+
+
+def test_texts_that_look_alike_are_two_contents() -> None:
+    values: list[Any] = [1, 1.0, True, "1", [1], {"1": 1}, "\u00e9", "e\u0301", 0.0, -0.0, 2**53, 2.0**53, [], {}, "",
+                         [[], []], [[[]]]]
+    assert len({model.read(changed("later", to=value))[1] for value in values}) == len(values)
+
+
 class Clock:
     """The part of a loop that a watch needs."""
 
