--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -7,8 +7,11 @@
 import sys
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from oakvale.demo.caller import Caller
+from oakvale.demo.show import CONFIGURATION
 from tests.helpers import invoke
 
 ROOT = Path(__file__).parent.parent
@@ -27,6 +30,28 @@
     return sorted(duty for one in told for duty in one.get("duties", "").split(",") if duty.startswith("gauge/"))
 
 
+def one_content_each(ctl: list[str]) -> list[int]:
+    """Two contents under each of 20 numbers, at once at two machines or one after the other; then both again to each
+    machine. Under each number one must get 200 and the other 409, each time; gives the numbers for which that holds."""
+    ends, good = threading.Event(), list[int]()
+    callers = [Caller(ctl[n:] + ctl[:n], ends) for n in range(len(ctl))]
+
+    def send(caller: Caller, gen: int, idle: int) -> int:
+        limits = CONFIGURATION["limits"] | {"idle": f"{idle}s"}
+        return caller.call("POST", "/oakvale/Config.Replace", CONFIGURATION | {"gen": gen, "limits": limits}).status
+
+    with ThreadPoolExecutor(2) as pool:
+        for gen in range(2, 22):
+            if gen % 2:
+                first = list(pool.map(lambda n: send(callers[n], gen, n), (0, 1)))  # noqa: B023
+            else:
+                first = [send(callers[n], gen, n) for n in (0, 1)]
+            again = [[send(caller, gen, n) for n in (0, 1)] for caller in callers]
+            if sorted(first) == [200, 409] and again == [first] * len(callers):
+                good.append(gen)
+    return good
+
+
 def test_a_small_system_serves_tells_how_it_stands_and_ends() -> None:
     process = subprocess.Popen([sys.executable, "-m", "oakvale", "demo", "--stay"], cwd=ROOT, text=True,
                                stdout=subprocess.PIPE, stderr=subprocess.PIPE)
@@ -46,12 +71,14 @@
         told = [status(address) for address in addresses]
         while duties(told) != DUTIES and time.monotonic() < due:  # some may still be put to the vote
             told = [status(address) for address in addresses]
+        good = one_content_each(next(line for line in said if line.startswith("operator and backends: ")).split()[3:])
     finally:
         process.send_signal(signal.SIGTERM)
         rest, errors = process.communicate()
         watchdog.cancel()
     assert (process.returncode, rest) == (130, "stopped\n"), errors
 
+    assert good == list(range(2, 22))
     core, edge = told[:3], told[3:]
     assert sorted(t["place"] for t in core) == ["backup", "primary", "witness"]
     serving = [t for t in core if t["serving"] == "True"]
