--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -33,7 +33,7 @@
 TAKEN, FORGOTTEN = PRIVATE, "up-to"  # of entries on numbers; of that on the highest number that is known no longer
 MOST = 1_000  # numbers whose content is remembered, the highest
 CHECKED = 64  # texts that need not be checked again
-QUEUE = 32  # texts that wait to be checked; beyond, the caller is sent on
+QUEUE = 16  # texts that wait to be checked; beyond, the caller is sent on
 LOST_BEATS = 4  # without so many a backend counts as crashed
 MASS = 0.34  # where more than this share falls silent at once, it is rather the way to here that broke
 
