A core machine that is told to end hands over first; spares take seats in time; who is gone is forgotten

Cause: a machine on SIGTERM waited 0.3 s and went, also with the only complete copy; only a primary said that it left, to its backups. A silent witness kept its seat for sync_time + contact (7 s), beside a successor that stood ready. Addresses of core machines were learned up to 32 and never forgotten, nor were spares.

Change: one that is told to end says 'leaving' in place of each heartbeat. Others have its copies elsewhere at once, and its seat where a spare stands ready. It serves on until the primary of a view without it among the copies, all of them whole, says 'released' (Copying.may_go, a pure function of the view and the copying), or until 1 s before grace ends. Witnesses are exchanged one at a time, by a primary whose copies are all whole: until then the copies of the view before can have the lead back. A spare that came when a witness fell silent takes its seat after 1.8 s of silence, one that was there all along after sync_time + contact as before.

Tests changed: the call core.resign() is core.leave(then). The laboratory's 'silent' variant takes out Succession.leaving instead of .gone, which no longer carries the word; its bound is the same.

--- a/oakvale/headworks/copying.py
+++ b/oakvale/headworks/copying.py
@@ -157,6 +157,7 @@
         self.succession = Succession(began.own, began.durable, copies, silence, patience)
         self.ledger = Ledger()  # another one once a primary has sent its state
         self.active = False
+        self._released = 0  # the view whose primary said that this seat, which leaves, may go
         self._said = 0  # to backups in this life
         self._newest = (0, 0, 0)  # as a backup: view, life and number of the latest that the primary said
         self._held: set[Seat] = set()  # backups that have synced the state in this view
@@ -200,6 +201,50 @@
         self._carry(out)
         return self.flush()
 
+    def tick(self, now: int, healthy: bool = True) -> list[Do]:
+        """Several times a second; see `Succession.tick`."""
+        self._carry(self.succession.tick(now, healthy, self.active))
+        return self.flush()
+
+    def leaving(self, now: int, peer: Seat) -> list[Do]:
+        """A peer that was just heard says that it is told to end, again and again until it goes."""
+        self.succession.leaving(peer)
+        self._carry(self.succession.tick(now, whole=self.active))
+        view = self.view()
+        if view is not None and self._releases(now, peer, view):
+            self._out.append(Tell(peer, "released", [view.number]))
+        return self.flush()
+
+    def _releases(self, now: int, peer: Seat, view: View) -> bool:
+        """As primary: nothing gets worse by a peer's end, or nobody can take its place."""
+        succession = self.succession
+        if not self.active or view.primary != self.own:
+            return False
+        if succession.too_few_stay(now, peer, view):
+            return True
+        return (peer not in view.copies and all(succession.stays(b, now) for b in view.backups)
+                and succession.wanted(now, view, True) is None)
+
+    def released(self, view: int) -> None:
+        self._released = max(self._released, view)
+
+    def leave(self) -> None:
+        """This seat is told to end."""
+        self.succession.leaves = True
+
+    def may_go(self, now: int) -> bool:
+        """Whether this seat, which is told to end, leaves as many complete copies and as large a majority as can be
+        without it: not while it is the only complete copy, nor before a view without it among the copies is whole."""
+        view, succession = self.view(), self.succession
+        if view is None or self.own not in view.witnesses and succession.state.complete < view.number - 1:
+            return True  # it has no part in the view, nor in the one before it
+        if not succession.too_few_stay(now, self.own, view):
+            return self._released == view.number and self.own not in view.copies
+        if self.own == view.primary:
+            return self.active
+        whole = self.own not in view.copies or succession.state.complete == view.number
+        return whole and (succession.alive(view.primary, now) or succession.said_to_leave(view.primary))
+
     def written(self, number: int) -> list[Do]:
         kind, *about = self._writes.pop(number)
         if kind == "begin":
--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -14,6 +14,7 @@
 from oakvale.headworks import copying
 from oakvale.headworks.copying import Copying
 from oakvale.headworks.ledger import Ledger, Then
+from oakvale.headworks.peers import Peers
 from oakvale.headworks.succession import Out, Seat, Succession, View, founding, seat, unpack
 from oakvale.intake.settings import Settings
 from oakvale.lifecycle.daybook import Writer
@@ -25,6 +26,8 @@
 SILENCE = 900_000  # a core machine that was not heard for this counts as down
 SICK = 700_000  # a write that waits longer: this disk is not to be relied on
 AGAIN = 150_000  # before a backup that failed is sent the state once more
+LEAST, LOOK = 300_000, 50_000  # after it is told to end: for answers that are under way; between two looks
+LAST = 1_000_000  # before the end of `grace`: then it goes, whatever it holds
 
 note = Writer(__name__)
 
@@ -38,7 +41,6 @@
 class Core:
     def __init__(self, loop: Loop, mains: Mains, settings: Settings, cistern: Cistern) -> None:
         self.loop, self.mains, self.settings, self.cistern = loop, mains, settings, cistern
-        self._leaving = False
         self.on_change: list[Callable[[bool], None]] = []  # hears when this seat begins or ends to serve
         self._tick_number = 0
         seeds = [f"{ip}:{settings.ports[0]}" for ip, _ in settings.seeds]
@@ -50,11 +52,13 @@
         self.copying = Copying(start, cistern.rows(), copies, SILENCE, patience)
         self.own: Seat = start.own
         self.outlet = Outlet(self.ledger.table)
-        self._known = {*seeds}
+        self.peers = Peers(seeds)
         for kind in ("prepare", "promise", "accept", "accepted", "decided", "refused", "void", "voided"):
             mains.handlers[kind] = self._council(kind)
         mains.handlers["core"] = self._heard
-        mains.handlers["resigned"] = lambda conn, body, answer: self.succession.gone(seat(body))
+        mains.handlers["leaving"] = self._leaving
+        mains.handlers["released"] = lambda conn, body, answer: self.copying.released(int(body[1][0]))
+        mains.handlers["gone"] = self._gone
         mains.handlers["append"] = lambda conn, body, answer: self._do(self.copying.append(body, answer))
         mains.handlers["sync"] = lambda conn, body, answer: self._do(self.copying.sync(body, answer))
         mains.handlers["subscribe"] = self._subscribe
@@ -100,15 +104,28 @@
 
     def know(self, seeds: tuple[Address, ...]) -> None:
         """Other core machines, from a settings file that changed."""
-        self._known |= {f"{ip}:{self.settings.ports[0]}" for ip, _ in seeds}
+        self.peers.seeds = {f"{ip}:{self.settings.ports[0]}" for ip, _ in seeds}
 
-    def resign(self) -> None:
-        """This machine ends: its backup need not wait until it is missed."""
-        view = self.view()
-        self._leaving = True
-        if view is not None and view.primary == self.own:
-            for backup in view.backups:
-                self.mains.tell(address_of(backup), "resigned", list(self.own))
+    def leave(self, then: Callable[[], None]) -> None:
+        """This machine is told to end: it says so, serves on while it is missed, and calls `then` as soon as it is not,
+        or when `grace` is nearly over."""
+        if self.succession.leaves:
+            return
+        self.copying.leave()
+        self._say()
+        earliest = self.loop.now + LEAST
+        self.loop.at(earliest, self._look, (max(earliest, self.loop.now + self.settings.bounds.grace - LAST), then))
+
+    def _look(self, leaving: tuple[int, Callable[[], None]]) -> None:
+        now, may = self.loop.now, self.copying.may_go(self.loop.now)
+        if not may and now < leaving[0]:
+            self.loop.at(now + LOOK, self._look, leaving)
+            return
+        number = view.number if (view := self.view()) else 0
+        note("goes" if may else "goes while it is missed", "info" if may else "warning", view=number)
+        for address in self._others():
+            self.mains.tell(address, "gone", list(self.own))
+        leaving[1]()
 
     def change(self, changes: dict[str, Any], then: Then) -> None:
         """Makes a change; `then` hears True once it is in force and the news of it are on their way."""
@@ -137,7 +154,6 @@
                 case copying.News(entries):
                     self.outlet.publish(self._next_pulse(), entries)
                 case copying.Entered(view):
-                    self._known |= {peer[0] for peer in view.witnesses}
                     note("view", view=view.number, primary=view.primary[0], backups=_names(view.backups),
                          witnesses=_names(view.witnesses), own=self.own[0])
                 case copying.Turned(serves):
@@ -170,24 +186,41 @@
         now = self.loop.now
         since = self.cistern.waiting_since()
         healthy = since is None or now - since < SICK
-        view = self.view()
-        if healthy and not self._leaving:  # one whose disk does not answer keeps nothing, so it does not count
-            body = [list(self.own), self.settings.zone, view.pack() if view else None, sorted(self._known)]
-            for address in sorted(self._known - {self.own[0]}):
-                parsed = parse_address(address)
-                if parsed is not None:
-                    self.mains.tell(parsed, "core", body)
-        self._carry(self.succession.tick(now, healthy))
+        if healthy:  # one whose disk does not answer keeps nothing, so it does not count
+            self._say()
+        self._do(self.copying.tick(now, healthy))
         self.loop.at(now + BEAT, self._beat)
 
+    def _say(self) -> None:
+        """A heartbeat; one that leaves says so with each."""
+        view = self.view()
+        body = [list(self.own), self.settings.zone, view.pack() if view else None, self.peers.lively(self.loop.now)]
+        kind = "leaving" if self.succession.leaves else "core"
+        for address in self._others():
+            self.mains.tell(address, kind, body)
+
+    def _others(self) -> list[Address]:
+        """Whom it speaks to."""
+        now, view = self.loop.now, self.view()
+        members = {peer[0] for peer in view.witnesses} if view else set()
+        known = self.peers.called(now, members, self.succession.in_touch(now)) - {self.own[0]}
+        return [address for address in map(parse_address, sorted(known)) if address is not None]
+
     def _heard(self, conn: Conn, body: Any, _: Answer) -> None:
         peer, zone = seat(body[0]), str(body[1])
-        self._known.add(peer[0])
-        if len(self._known) < 32:
-            self._known |= {str(address) for address in body[3]}
+        self.peers.heard(self.loop.now, peer[0], map(str, body[3]))
         view = unpack(body[2]) if body[2] is not None else None
         self._carry(self.succession.heard(self.loop.now, peer, zone, view))
 
+    def _leaving(self, conn: Conn, body: Any, answer: Answer) -> None:
+        self._heard(conn, body, answer)
+        self._do(self.copying.leaving(self.loop.now, seat(body[0])))
+
+    def _gone(self, conn: Conn, body: Any, _: Answer) -> None:
+        peer = seat(body)
+        self.peers.gone(peer[0])
+        self.succession.gone(peer)
+
     def _next_pulse(self) -> Version:
         """Above those of earlier lives: a primary that starts again in its view would give stale ones for hours."""
         view = self.view()
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -104,9 +104,8 @@
 
     def stop(self) -> None:
         self.shared.stopping = True
-        self.core.resign()
         self.shared.clients.end_idle()
-        self.loop.at(self.loop.now + 300_000, lambda _: self.loop.stop())
+        self.core.leave(self.loop.stop)
 
 
 def serve(settings: Settings, signals: Signals, listeners: Mapping[str, Sock], chains: str | None = None) -> int:
--- a/oakvale/headworks/succession.py
+++ b/oakvale/headworks/succession.py
@@ -15,6 +15,10 @@
 A view may be decided long after its primary proposed it and died: then no copy of it is complete, nor ever will
 be. One backup's word that it is not complete and won't be voids the view: nothing was or will be acknowledged in
 it, so who was complete in the view before is complete in this one.
+
+Members change one step at a time. While a view's new copy is not whole, the copies of the view before still hold all
+(a void gives them the lead back), so no other change follows until it is, but to replace a copy that is lost. Then
+one witness may give its seat to a spare; a newcomer votes at once, as it is told the view with the first ballot.
 """
 
 from __future__ import annotations
@@ -29,6 +33,7 @@
 FOUNDER = "founder"  # the incarnation of the seats that a new system starts with
 NONE: Ballot = (0, ("", ""))
 LASTS = 4  # times the silence, for one attempt at a successor
+BRIEF = 2  # times the silence, until a witness gives its seat to a spare that came when it fell silent
 
 
 @dataclass(slots=True, frozen=True)
@@ -152,6 +157,8 @@
         self._heard: dict[Seat, int] = {}
         self._zones: dict[Seat, str] = {}
         self._spares: dict[Seat, int] = {}  # seats that ask to be let in, and since when they are heard
+        self._leaving: set[Seat] = set()  # those that said that they end, until they are heard of as before
+        self.leaves = False  # this seat is told to end
         self._campaign: Campaign | None = None
         self._round = 0
         self._next_try = 0
@@ -165,18 +172,30 @@
 
     # ---- what it is told
 
-    def tick(self, now: int, healthy: bool = True) -> list[Out]:
-        """Several times a second. `healthy` is false while this seat's own disk does not answer."""
+    def tick(self, now: int, healthy: bool = True, whole: bool = True) -> list[Out]:
+        """Several times a second. `healthy` is false while this seat's own disk does not answer, `whole` while it leads
+        and not all of its backups hold the state."""
         self._born = now if self._born is None else self._born
         view = self.state.view
+        self._forget(now, view)
         if view is not None and healthy and (now - self._born > self._silence or self._copy_lost(now, view)):
-            self._consider(now, view)
+            self._consider(now, view, whole)
         return self._flush()
 
+    def _forget(self, now: int, view: View | None) -> None:
+        """Seats that are gone, but for those of the view."""
+        seats = (*view.copies, *view.witnesses) if view is not None else ()
+        for peer in [p for p, at in self._heard.items() if p not in seats and now - at > self._patience]:
+            del self._heard[peer]
+            self._zones.pop(peer, None)
+        self._spares = {peer: since for peer, since in self._spares.items() if peer in self._heard}
+        self._leaving &= {*self._heard, *seats}
+
     def heard(self, now: int, peer: Seat, zone: str, view: View | None) -> list[Out]:
         """A peer's heartbeat, which names its seat and the view that it knows."""
         self._heard[peer] = now
         self._zones[peer] = zone
+        self._leaving.discard(peer)
         if view is not None:
             self._learn(view)
         known = self.state.view
@@ -223,9 +242,33 @@
     def alive(self, peer: Seat, now: int) -> bool:
         return peer == self.own or now - self._heard.get(peer, -self._silence) < self._silence
 
+    def stays(self, peer: Seat, now: int) -> bool:
+        """Up, and not told to end."""
+        return self.alive(peer, now) and peer not in self._leaving
+
+    def leaving(self, peer: Seat) -> None:
+        """It is heard, and said that it is told to end. It serves on until others have taken over."""
+        self._leaving.add(peer)
+
+    def said_to_leave(self, peer: Seat) -> bool:
+        return peer in self._leaving
+
     def gone(self, peer: Seat) -> None:
-        """It said that it ends; until it is heard again it counts as silent."""
+        """It ends now; until it is heard again it counts as silent."""
         self._heard.pop(peer, None)
+        self._spares.pop(peer, None)
+        self._leaving.add(peer)
+
+    def in_touch(self, now: int) -> bool:
+        """Most witnesses of the view that is known here are heard."""
+        view = self.state.view
+        return view is not None and sum(self.alive(peer, now) for peer in view.witnesses) >= view.majority
+
+    def too_few_stay(self, now: int, leaver: Seat, view: View) -> bool:
+        """Without this one there are fewer machines than copies, up or down: nobody can take its place."""
+        left = {leaver, *self._leaving} | ({self.own} if self.leaves else set())
+        spares = {peer for peer in self._spares if self.stays(peer, now)}
+        return len({*view.witnesses, *spares} - left) < self._copies
 
     def _copy_lost(self, now: int, view: View) -> bool:
         """A copy's address speaks as another seat, so its disk is gone; and enough are up to decide on that."""
@@ -235,7 +278,7 @@
 
     # ---- proposing
 
-    def _consider(self, now: int, view: View) -> None:
+    def _consider(self, now: int, view: View, whole: bool) -> None:
         campaign = self._campaign
         if campaign is not None and now - campaign.began < LASTS * self._silence:
             return self._say_again(now, view, campaign)
@@ -247,13 +290,13 @@
             self._out += [Say(backup, "void", [view.pack()]) for backup in view.backups]
         if self.state.complete != view.number:
             return
-        wanted = self._wanted(now, view)
+        wanted = self.wanted(now, view, whole)
         if wanted is None:
             self._wanted_since = 0
             return
         # copies of a rank wait for those before them that are up: two proposers at once only delay each other
         before = view.copies[:view.copies.index(self.own)] if self.own in view.copies else view.copies
-        rank = sum(self.alive(peer, now) for peer in before)
+        rank = sum(self.stays(peer, now) for peer in before)
         self._wanted_since = self._wanted_since or now
         if now - self._wanted_since < rank * self._silence // 4:
             return
@@ -280,48 +323,69 @@
             elif campaign.chosen is None and witness not in campaign.promises:
                 self._out.append(Say(witness, "prepare", [view.pack(), packed]))
 
-    def _wanted(self, now: int, view: View) -> View | None:
-        """The successor that this seat would have; None where the view in force serves."""
-        def up(peer: Seat) -> bool:
-            return self.alive(peer, now)
-
+    def wanted(self, now: int, view: View, whole: bool) -> View | None:
+        """The successor that this seat would have; None where the view in force serves, or has to be whole first."""
         void = self._refused_in == view.number or self.own not in view.copies  # complete, no copy: it was voided
-        if self.own != view.primary and up(view.primary) and not void:
+        leads = self.own == view.primary
+        if not void and not leads and (self.alive if self.leaves else self.stays)(view.primary, now):
             return None
-        witnesses = list(view.witnesses)
-        for spare in sorted(self._spares, key=lambda s: (s[0] not in {w[0] for w in witnesses}, s)):
-            if not up(spare) or spare in witnesses:
-                continue
-            # an address whose seat is another now lost its disk: it will never speak as the old one again
-            gone = [w for w in witnesses if w[0] == spare[0]]
-            if not gone:
-                gone = [w for w in witnesses if w != self.own and not up(w)
-                        and now - max(self._heard.get(w, 0), self._born or 0) > self._patience]
-            if gone:
-                witnesses[witnesses.index(gone[0])] = spare
-                break
-            if len(witnesses) < 2 * self._copies - 1:  # seeds may be fewer than it takes to lose all copies but one
-                witnesses.append(spare)
-                break
-        taken = [b for b in view.backups if b in witnesses and up(b)]
-        if self.own != view.primary:
-            taken = [b for b in taken if b != self.own]
-        zones = {self._zones.get(b) for b in taken} | {self._zones.get(self.own)}
-        others = sorted((w for w in witnesses if w != self.own and w not in taken and up(w)),
-                        key=lambda w: (self._zones.get(w) in zones, w))
-        need = min(self._copies, len(witnesses)) - 1
-        backups = (taken + others)[:need]
-        if len(backups) < need:
-            if self.own == view.primary and len(taken) == len(view.backups):
-                return None
+        if not void and leads and not (whole and not self.leaves) and all(self.stays(b, now) for b in view.backups):
+            return None  # a copy is on its way, or takes over from this seat
+        witnesses = self._come_back(now, view)
+        backups = self._backups(now, view, witnesses)
+        if backups is None or self.own not in witnesses:
             return None  # too few for two copies: nothing may be acknowledged, so nothing changes
-        if self.own not in witnesses:
-            return None
-        found = View(view.number + 1, self.own, tuple(backups), tuple(witnesses))
-        same = (found.primary, set(found.backups), set(found.witnesses)) == (
-            view.primary, set(view.backups), set(view.witnesses))
+        if not leads and view.primary in backups:
+            return None  # it leaves, but there is nobody else
+        if leads and whole and not void and witnesses == view.witnesses and set(backups) == set(view.backups):
+            witnesses = self._exchanged(now, view)
+        found = View(view.number + 1, self.own, backups, witnesses)
+        same = leads and (set(backups), set(witnesses)) == (set(view.backups), set(view.witnesses))
         return None if same and not void else found
 
+    def _come_back(self, now: int, view: View) -> tuple[Seat, ...]:
+        """The witnesses, with one whose disk was lost as the seat that its address has now: it will never speak as the
+        old one again."""
+        for spare in sorted(self._spares):
+            for peer in view.witnesses:
+                if peer[0] == spare[0] and peer != spare and self.stays(spare, now):
+                    return tuple(spare if w == peer else w for w in view.witnesses)
+        return view.witnesses
+
+    def _backups(self, now: int, view: View, witnesses: tuple[Seat, ...]) -> tuple[Seat, ...] | None:
+        """Who would hold copies beside this seat: those that do, then others, best in other zones. One that leaves
+        only if there is nobody else."""
+        up = [w for w in witnesses if w != self.own and self.alive(w, now)]
+        taken = [b for b in view.backups if b in up and self.stays(b, now)]
+        zones = {self._zones.get(b) for b in taken} | {self._zones.get(self.own)}
+        others = sorted((w for w in up if w not in taken),
+                        key=lambda w: (not self.stays(w, now), self._zones.get(w) in zones, w))
+        need = min(self._copies, len(witnesses)) - 1
+        return tuple((taken + others)[:need]) if len(up) >= need else None
+
+    def _exchanged(self, now: int, view: View) -> tuple[Seat, ...]:
+        """The witnesses, with one more where seeds were fewer than it takes to lose all copies but one, or with a spare
+        in the place of one that is gone."""
+        zones = {self._zones.get(w) for w in view.witnesses if self.stays(w, now)}
+        spares = [spare for spare in self._spares if self.stays(spare, now) and spare not in view.witnesses]
+        for spare in sorted(spares, key=lambda s: (self._zones.get(s) in zones, s)):
+            gone = next((w for w in view.witnesses if self._gives_way(now, w, spare)), None)
+            if gone is not None:
+                return tuple(spare if w == gone else w for w in view.witnesses)
+            if len(view.witnesses) < 2 * self._copies - 1:
+                return (*view.witnesses, spare)
+        return view.witnesses
+
+    def _gives_way(self, now: int, witness: Seat, spare: Seat) -> bool:
+        """It said that it ends, or is silent: for long, or for a short while if the spare came at about that time,
+        which was brought as its successor then. One that was there all along waits for it to come back."""
+        if witness == self.own or self.stays(witness, now):
+            return False
+        born = self._born or 0
+        last, came = max(self._heard.get(witness, 0), born), self._spares[spare]
+        successor = came > born + BRIEF * self._silence and came > last - self._patience
+        return witness in self._leaving or now - last > (BRIEF * self._silence if successor else self._patience)
+
     def _promise(self, now: int, sender: Seat, body: list[Any]) -> None:
         number, ballot, accepted = int(body[0]), (int(body[1][0]), seat(body[1][1])), body[2]
         campaign, view = self._campaign, self.state.view
--- a/oakvale/lab/sounding/machine.py
+++ b/oakvale/lab/sounding/machine.py
@@ -134,7 +134,7 @@
         succession._born, succession._wanted_since = 0, 1
         for peer in up:
             self._do(self.part.carry(succession.heard(NOW, peer, "", None)))
-        self._do(self.part.carry(succession.tick(NOW)))
+        self._do(self.part.tick(NOW))
 
     # ---- what comes out
 
--- a/oakvale/lab/undone.py
+++ b/oakvale/lab/undone.py
@@ -16,7 +16,7 @@
     return False
 
 
-def consider(self: Succession, now: int, view: View) -> None:
+def consider(self: Succession, now: int, view: View, whole: bool) -> None:
     """As `Succession._consider`, but copies waited for those before them, dead ones too: inc-5ca6 and four more."""
     campaign = self._campaign
     if campaign is not None and now - campaign.began < LASTS * self._silence:
@@ -29,7 +29,7 @@
         self._out += [Say(backup, "void", [view.pack()]) for backup in view.backups]
     if self.state.complete != view.number:
         return
-    wanted = self._wanted(now, view)
+    wanted = self.wanted(now, view, whole)
     if wanted is None:
         self._wanted_since = 0
         return
@@ -60,5 +60,5 @@
         self._ask(address)
 
 
-def gone(self: Succession, peer: Seat) -> None:
-    """A primary that ended as planned did not say so, or nobody listened: its backup found out by its silence."""
+def leaving(self: Succession, peer: Seat) -> None:
+    """A primary that was told to end did not say so, or nobody listened: its backup found out by its end."""
--- a/tests/test_lab_failures.py
+++ b/tests/test_lab_failures.py
@@ -38,7 +38,7 @@
     ("dark", 2, Spec(name="notes", swap={"oakvale.penstock.feed.Feed._next": f"{UNDONE}.next_source"}),
      lambda record: sum(one.event == "news are stale" for one in record.noted), 3),
     # a planned end of the primary cost 0.9 s of silence
-    ("roll", 1, Spec(name="silent", swap={f"{SUCCESSION}.gone": f"{UNDONE}.gone"}),
+    ("roll", 1, Spec(name="silent", swap={f"{SUCCESSION}.leaving": f"{UNDONE}.leaving"}),
      lambda record: away(record, Event.TERM, 5), 400_000),
     # trouble-3 of mahoe-gate: tries refused as not counted, right after everything was started again
     ("anew", 1, Spec(name="no-moment", set={"oakvale.sluice.plant.MOMENT": 0, "oakvale.gauge.service.MOMENT": 0}),
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -337,7 +337,7 @@
     """A planned end cost as long a stop of all changes as a crash: nine tenths of a second of silence first."""
     world = settled()
     machine, core, _ = roles(world)
-    core.resign()
+    core.leave(lambda: None)
     world.run(SILENCE * 3 // 4)
     serving = world.serving()
     assert serving is not None and serving is not machine
--- a/tests/world.py
+++ b/tests/world.py
@@ -151,6 +151,13 @@
         if self.world.prunes:
             Pruning(self.core, cast(Any, Loop(self.world, self.life)), *self.world.prunes)
 
+    def stop(self) -> None:
+        """SIGTERM, and SIGKILL after `grace`."""
+        if self.core is not None:
+            life = self.life
+            self.core.leave(self.kill)
+            self.world.at(self.world.now + Bounds().grace, lambda: self.kill() if self.life is life else None)
+
     def kill(self) -> None:
         if self.life is not None:
             self.life.alive = False
@@ -169,6 +176,7 @@
         self.net.token = lambda size: names.randbytes(size).hex()
         self.tolerate = tolerate
         self.machines = [Machine(self, f"10.0.0.{n + 1}", f"z{n % 3}") for n in range(machines)]
+        self._made = machines
         self._seeds = tuple((m.address[0], 8783) for m in self.machines[:seeds or machines])
         self.cuts: set[tuple[str, str]] = set()
         self.views: dict[int, View] = {}
@@ -315,6 +323,37 @@
     def serving(self) -> Machine | None:
         return next((m for m in self.machines if m.core is not None and not m.paused and m.core.serving()), None)
 
+    # ---- machines that come and go
+
+    def add(self) -> Machine:
+        """An empty machine at an address that was never used. Seeds are of those that run, as operators list them."""
+        self._made += 1
+        machine = Machine(self, f"10.0.0.{self._made}", f"z{self._made % 3}")
+        self.machines.append(machine)
+        self.listed()
+        machine.start()
+        return machine
+
+    def remove(self, machine: Machine) -> None:
+        """For good, as it stands."""
+        machine.kill()
+        self.machines.remove(machine)
+        self.listed()
+
+    def listed(self) -> None:
+        running = [m.address[0] for m in self.machines if m.life is not None]
+        self._seeds = tuple((name, 8783) for name in running[:3])
+
+    def well(self) -> bool:
+        """Whatever one machine is lost now: all that were to hold copies do, all that vote are up, as they all know."""
+        found = self.serving()
+        view = found.core.view() if found is not None and found.core is not None else None
+        cores = {m.core.own: m.core for m in self.machines if m.core is not None and not m.paused}
+        return view is not None and len(view.witnesses) > 2 * self.tolerate and all(
+            peer in cores and cores[peer].view() == view
+            and (peer not in view.copies or cores[peer].succession.state.complete == view.number)
+            for peer in view.witnesses)
+
     # ---- faults
 
     def lost(self) -> set[Machine]:
