A request in hand is not given up for what stands behind it

Cause: while a request was in hand, bytes behind it on its connection set a time: 6 s after the connection, 10 s later on. At its end the request in hand got a 400 of the gateway's own and its backend was cut off while at work: an unsafe request ended so can have run, an operator's order can be in force that was answered as refused. In the turn that gave its answer the same time-out failed at a request that was gone, and a 500 went out in place of the answer. A stopping process said `Connection: close` with requests behind that it had read whole, and dropped them.

In the system (`patient`) what stands behind waits for its turn; the gateway in service keeps its word in time. An answer that is there is given, whatever else comes in its turn. A stopping process answers what it has read before it says `close`. What came behind a request has begun another: such a connection is not idle, and has the time of a request.

--- a/oakvale/base/limits.py
+++ b/oakvale/base/limits.py
@@ -48,6 +48,7 @@
     client_send: int = 2_500 * MS  # from a later request's first byte to its last
     client_head: int = 0  # from a request's first byte to the end of its head; 0: as the whole request
     client_idle: int = 2 * SECOND  # between requests
+    patient: bool = False  # what stands behind a request in hand waits for as long as that takes
     client_wait: int = 3600 * SECOND  # for an answer, whatever it says
     client_take: int = 10 * SECOND  # for a client to take its answer
     linger: int = 3 * SECOND  # for a client to close after the last answer
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -222,7 +222,8 @@
             answer = plain(500, "internal error")
         self.host.tally.answers[str(answer.status)] += 1
         headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
-        if last or http.their_state is not h11.DONE or self.host.stopping:
+        # what was read of requests behind this one is answered, too, before a stopping process ends the connection
+        if last or http.their_state is not h11.DONE or self.host.stopping and not http.trailing_data[0]:
             headers.append((b"connection", b"close"))
         # kept are only short ones: a backend may send heads as long as it likes
         short = sum(len(name) + len(value) for name, value in headers) <= self.host.limits.cached_size
@@ -239,15 +240,17 @@
 
     def _read(self) -> Step[Incoming]:
         host, http = self.host, self._http
-        began, idle, limits = 0, True, host.limits
+        # what came behind the last request has begun another
+        began, idle, limits = (host.loop.now, False, host.limits) if http.trailing_data[0] else (0, True, host.limits)
         incoming: Incoming | None = None
         parts: list[bytes] = []
         size = 0
         self.used = host.loop.now
-        host.clients.waits(self, silent=not self._answers)
+        if idle:
+            host.clients.waits(self, silent=not self._answers)
         try:
             # between requests there is nothing to parse but what came behind the last one
-            event = http.next_event() if http.trailing_data[0] else h11.NEED_DATA
+            event = h11.NEED_DATA if idle else http.next_event()
             while True:
                 if event is h11.NEED_DATA:
                     if http.they_are_waiting_for_100_continue:
@@ -307,10 +310,11 @@
             return opened
         self.answer, self.request = None, opened
         host.begin(opened)
-        mask, due = READ, self._due(host.loop.now) if self._http.trailing_data[0] else 0
+        patient = host.limits.patient
+        mask, due = READ, self._due(host.loop.now) if self._http.trailing_data[0] and not patient else 0
         while self.answer is None:
             signal = yield mask, due
-            if signal == WOKEN:
+            if signal == WOKEN or self.answer is not None:  # it came in this very turn, whatever else did
                 continue
             if signal == TIMED_OUT:  # whatever is behind it is owed a word too, and its time is over
                 host.client_gone(self.request)
@@ -322,7 +326,7 @@
                 mask = 0
                 self._probe()
             else:  # a request behind this one: it waits its turn
-                mask, due = select.EPOLLRDHUP, due or self._due(host.loop.now)
+                mask, due = select.EPOLLRDHUP, 0 if patient else due or self._due(host.loop.now)
         return self.answer
 
     def _due(self, began: int) -> int:
