Part of an interim answer does not run into the answer behind it

Cause: a client that ended its sending is probed by `100 Continue`.

The rest goes out in front of the answer. Shown: a test that fails without it.

--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -164,6 +164,7 @@
         self.answer: Answer | None = None
         self.request: InHand | None = None
         self._sock = sock
+        self._rest = b""  # of an interim answer, of which the kernel took a part
         self._came = 0  # when the latest bytes arrived, which may be before they were read
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=host.limits.header)
         host.clients.add(self)
@@ -234,6 +235,7 @@
             data += answer.body
         http.send(END)
         self._share.hold(len(answer.body))
+        data, self._rest = self._rest + data, b""
         yield from write_all(self._sock, data, self.host.loop.now + self.host.limits.client_take)
         self._share.hold(0)
         return http.our_state is h11.DONE and http.their_state is h11.DONE
@@ -343,9 +345,9 @@
         if self._http.their_http_version == b"1.1":
             interim = self._http.send(CONTINUE)
             try:
-                self._sock.send(interim or b"")
+                self._rest = (interim or b"")[self._sock.send(interim or b""):]
             except OSError:
-                pass
+                pass  # nothing of it has gone out
 
     def _linger(self) -> Step[None]:
         """Ends sending first: a close with unread input would reset the connection and could destroy the
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -12,6 +12,7 @@
 from oakvale.base.limits import Limits
 from oakvale.intake.bounds import bounds
 from tests.crossing import MS, SECOND, SETTINGS, Caller, Ear, World, play
+from tests.lines import PLENTY
 from tests.node import Node, request
 
 EXAMPLES = 300  # `python -m tests.test_answers N` plays N others
@@ -96,6 +97,19 @@
     world.finish()
 
 
+def test_part_of_an_interim_answer_is_no_front_of_the_answer_behind_it() -> None:
+    """A client that ended its sending is probed by a 100. The kernel took a part: `HTTP/HTTP/1.1 200 OK` followed."""
+    world = World()
+    caller = asked(world, 7)
+    caller.deaf, caller.line.room = True, 5
+    caller.line.fin()
+    world.turn()
+    caller.deaf, caller.line.room = False, PLENTY
+    served(world)
+    assert statuses(caller) == [(200, "")] and caller.line.heard.startswith(b"HTTP/1.1 100")
+    world.finish()
+
+
 def idle(world: World) -> Caller:
     """A client that has its answer, and 3 ms later a connection that rests."""
     caller = asked(world, 7)
