--- a/tests/test_lab_breaks.py
+++ b/tests/test_lab_breaks.py
@@ -12,13 +12,15 @@
 
 from oakvale.gauge.service import Gauge
 from oakvale.headworks.core import Core
+from oakvale.headworks.resources import UNSURE, Backends, Config, Give, Reply
+from oakvale.intake import model
 from oakvale.lab.days import Day, decode
 from oakvale.lab.judge.verdict import judge
 from oakvale.lab.play import Variant, play
 from oakvale.penstock.table import Table
 from oakvale.sluice import routes
 from oakvale.sluice.dialect import SystemDialect
-from oakvale.sluice.gate import Sluice
+from oakvale.sluice.gate import Readyz, Sluice
 from oakvale.sluice.plant import Plant, ServiceLane, later
 from oakvale.wire.clients import plain
 
@@ -103,7 +105,55 @@
         core.loop.at(core.loop.now + 20 * MS, lambda _: real(core, changes, lambda done: None))
 
 
+def another_content_is_confirmed(config: Config, rest: str, body: bytes, give: Give,
+                                 real: Any = Config.replace) -> None:
+    """Any number that is not above the one held gets a yes, whatever content it comes with."""
+    held = config._core.ledger.latest("config")
+    if held is not None and model.parse(body).gen <= held["gen"]:
+        return config._core.confirm(lambda done: give(Reply(200) if done else UNSURE))
+    real(config, rest, body, give)
+
+
+def sent_again_is_refused(config: Config, rest: str, body: bytes, give: Give, real: Any = Config.replace) -> None:
+    held = config._core.ledger.latest("config")
+    if held is not None and model.parse(body).gen <= held["gen"]:
+        return give(Reply(409))
+    real(config, rest, body, give)
+
+
+def read_unconfirmed(config: Config, rest: str, body: bytes, give: Give) -> None:
+    held = config._core.ledger.table.get("config")
+    give(Reply(200, bytes(held["text"])) if held is not None else UNSURE)
+
+
+def leaving_is_not_heard(backends: Backends, name: str, body: bytes, give: Give,
+                         real: Any = Backends.heartbeat) -> None:
+    if b'"drain"' in body:
+        give(UNSURE)
+    else:
+        real(backends, name, body, give)
+
+
+def unsafe_ones_are_turned_away(plant: Plant, client: Any, incoming: Any, came: int, real: Any = Plant.open) -> Any:
+    return plain(503, "no") if incoming.method == b"POST" else real(plant, client, incoming, came)
+
+
+def never_ready(owner: Readyz, client: Any, incoming: Any, came: int) -> Any:
+    return plain(503, "not ready")
+
+
 BREAKS: dict[str, Break] = {
+    "an order sent again is refused": Break("CONFIG", day(
+        ("ack_lost", 1.0, {"for_s": 5, "x": 0.7}), ("config_change", 2.0, {"count": 3, "how": "timeout"})), {
+        "oakvale.headworks.resources.Config.replace": sent_again_is_refused}),
+    "what is cut off is read": Break("CONFIG", day(
+        ("core_cut", 2.0, {"for_s": 5, "how": "leader meet"}), ("config_change", 4.0, {"how": "timeout"})), {
+        "oakvale.headworks.resources.Config.read": read_unconfirmed,
+        "oakvale.headworks.core.Core.serving": lambda core: core.active}),
+    "leaving is not heard": Break("ACKS", day(("scale_in", 1.0, {"share": 0.5, "on": "one"}), seconds=9), {
+        "oakvale.headworks.resources.Backends.heartbeat": leaving_is_not_heard}),
+    "a kind is starved": Break("STARVED", day(), {"oakvale.sluice.plant.Plant.open": unsafe_ones_are_turned_away}),
+    "gateways are never ready": Break("DUTY", day(), {"oakvale.sluice.gate.Readyz.open": never_ready}),
     "what may have run is sent again": Break("TWICE", day(LOST_BY_RESET), {
         "oakvale.policy.attempts.Attempts.repeatable": lambda attempts, held: True}),
     "what may have run is refused": Break("REFUSED", day(LOST_BY_RESET), {
--- a/tests/told.py
+++ b/tests/told.py
@@ -21,11 +21,13 @@
     Ran,
     ReadBack,
     Record,
+    Replied,
     Said,
     Sent,
     State,
     Wrote,
 )
+from oakvale.lab.record import Told as ToldReader
 
 MS, SECOND = 1_000, 1_000_000
 ROUTES = (("read", "/read/", "safe", ("alpha",)), ("book", "/book/", "unsafe", ("beta",)))
@@ -65,6 +67,16 @@
         self.record.add(Ordered(at, gen, valid, self.record.order(content), at + 50 * MS if acked else None, status,
                                 "c1" if acked else None))
 
+    def reply(self, at: int, gen: int, content: bytes, status: int = 200, by: str = "c1", lost: bool = False) -> None:
+        """A machine's answer to an order that was sent 5 ms before."""
+        name = self.record.order(content)
+        self.record.add(Replied(at, at - 5 * MS, gen, True, name, status, by, lost))
+        if not lost:
+            self.order(gen, content, at - 5 * MS, acked=status == 200, status=status)
+
+    def read(self, at: int, gen: int, content: bytes, by: str = "c1") -> None:
+        self.record.add(ToldReader(at, at - 5 * MS, gen, self.record.order(content), by))
+
     def send(self, at: int, route: str = "read", gateway: str = "e1", key: str | None = "key", name: str = "",
              first: str = "") -> str:
         self.count += 1
