The file of a core machine is whole, or it is begun anew

Cause: a file that was not a database ended the process at each start; one whose log was cut back or torn was taken in an older state, by a seat that called itself complete in it. A founder whose file was lost could found again.

Each transaction is numbered and seals all that the file holds with a checksum; its number is noted in oakvale.mark behind the sync, without one of its own, so it is never ahead of an honest disk. At the start the structure, the checksum and the number are compared. What fails is put aside, and the machine begins as a new seat; the file goes before its log, with a sync of the folder between, as without its log it might pass for an older state.

Tests: damage drawn to each of the three files against a plain model; without the number, the log's damages go unseen, without the seal an altered row does.

--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -43,7 +43,7 @@
         self._tick_number = 0
         seeds = [f"{ip}:{settings.ports[0]}" for ip, _ in settings.seeds]
         copies = 1 + max(1, settings.tolerate)
-        founds = settings.bootstrap and spelled(mains.own) in seeds
+        founds = settings.bootstrap and cistern.first and spelled(mains.own) in seeds
         start = copying.start(spelled(mains.own), cistern.fact("self"), cistern.fact("state"),
                               founding(seeds, copies) if founds else None, lambda: loop.net.token(4))
         patience = settings.bounds.sync_time + settings.bounds.contact
--- a/oakvale/lab/flume/disks.py
+++ b/oakvale/lab/flume/disks.py
@@ -12,7 +12,7 @@
 from random import Random
 from typing import Any
 
-from oakvale.cistern.store import MOST, RETRY, Row, Write
+from oakvale.cistern.store import MOST, RETRY, Piece, Row, Write
 from oakvale.lab.flume.events import Events
 from oakvale.lab.flume.machines import Process
 
@@ -25,6 +25,7 @@
     def __init__(self) -> None:
         self.facts: dict[str, bytes] = {}
         self.rows: dict[str, bytes] = {}
+        self.pieces: dict[bytes, bytes] = {}
 
     def apply(self, writes: list[Write]) -> None:
         for kind, data in writes:
@@ -33,9 +34,15 @@
             elif kind == "gone":
                 for key in data:
                     self.rows.pop(key, None)
+            elif kind == "stage":
+                self.pieces.update(data)
+            elif kind == "unstage":
+                for name in data:
+                    self.pieces.pop(name, None)
             else:
                 if kind == "whole":
                     self.rows.clear()
+                    self.pieces.clear()
                 self.rows.update(data)
 
 
@@ -61,6 +68,7 @@
     def wipe(self) -> None:
         self.facts.clear()
         self.rows.clear()
+        self.pieces.clear()
         self.under_way = []
 
     def span(self) -> int:
@@ -71,6 +79,8 @@
 class FlumeCistern:
     """As `cistern.store.Cistern`, its thread played by the world."""
 
+    first = True  # nothing here is damaged
+
     def __init__(self, process: Process, disk: Disk) -> None:
         self._process, self._disk, self._events = process, disk, disk.events
         self._queue: deque[tuple[int, Write, Callable[[], None]]] = deque()
@@ -83,6 +93,9 @@
     def rows(self) -> list[Row]:
         return list(self._disk.rows.items())
 
+    def pieces(self) -> list[Piece]:
+        return list(self._disk.pieces.items())
+
     def write(self, what: Write, then: Callable[[], None]) -> None:
         if not self._process.alive:
             return
--- a/tests/test_cistern.py
+++ b/tests/test_cistern.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import os
+import random
+import shutil
 import sqlite3
 import time
 from pathlib import Path
 from typing import Any, cast
 
+import pytest
+
+from oakvale.cistern import store
 from oakvale.cistern.store import Cistern
+from oakvale.lab.flume.disks import Held
 
 
 class Still:
@@ -19,6 +26,159 @@
         pass
 
 
+def opened(folder: Path) -> Cistern:
+    return Cistern(cast(Any, Still()), str(folder))
+
+
+def ended(cistern: Cistern) -> None:
+    cistern.close()
+    until = time.monotonic() + 5
+    while cistern._thread.is_alive() and time.monotonic() < until:
+        time.sleep(0.01)
+    cistern._db.close()
+
+
+def holds(cistern: Cistern) -> tuple[dict[str, bytes], dict[bytes, bytes], bytes | None]:
+    return dict(cistern.rows()), dict(cistern.pieces()), cistern.fact("state")
+
+
+def written(folder: Path, seed: int, writes: int = 60) -> Held:
+    """A file after writes of all kinds, ended as by a kill ("left"), and the plain model of what it holds."""
+    rng, held, cistern = random.Random(seed), Held(), opened(folder)
+
+    def row() -> tuple[str, bytes]:
+        return f"k{rng.randrange(9)}", rng.randbytes(rng.choice((3, 90, 9_000)))
+
+    for n in range(writes):
+        what: Any = rng.choice((("rows", [row(), row()]), ("gone", ["k1", row()[0]]), ("fact", ("state", b"%d" % n)),
+                                ("stage", [(rng.randbytes(1), rng.randbytes(2_000))]), ("unstage", [rng.randbytes(1)]),
+                                ("whole", [row(), row()]) if n % 9 == 0 else ("rows", [row()])))
+        held.apply([what])
+        cistern._commit([(n, what)])
+    last = ("fact", ("state", b"last"))
+    held.apply([last])
+    cistern._commit([(writes, last)])
+    cistern._queue.put(None)
+    cistern._thread.join()
+    shutil.copytree(folder, folder / "left")  # as a kill leaves it: whoever ends properly works the log in
+    cistern._db.close()
+    return held
+
+
+def harm(path: Path, how: str, rng: random.Random) -> None:
+    data = bytearray(path.read_bytes())
+    at = rng.randrange(len(data))
+    if how == "torn":
+        data = data[:at]
+    elif how == "zeroed":
+        data[at - at % 4096:at - at % 4096 + 4096] = bytes(min(4096, len(data) - (at - at % 4096)))
+    elif how == "flipped":
+        data[at] ^= 1 << rng.randrange(8)
+    elif how == "noise":
+        data = bytearray(rng.randbytes(len(data)))
+    path.write_bytes(data)
+    if how == "gone":
+        path.unlink()
+
+
+@pytest.fixture(scope="module")
+def files(tmp_path_factory: pytest.TempPathFactory) -> list[tuple[Path, Held]]:
+    folders = [tmp_path_factory.mktemp("files") for _ in range(6)]
+    return [(folder / "left", written(folder, seed)) for seed, folder in enumerate(folders)]
+
+
+@pytest.mark.parametrize("which", ["oakvale.db", "oakvale.db-wal", "oakvale.mark"])
+@pytest.mark.parametrize("how", ["torn", "zeroed", "flipped", "noise", "gone"])
+def test_a_file_is_whole_or_it_is_begun_anew(tmp_path: Path, files: list[tuple[Path, Held]], which: str,
+                                             how: str) -> None:
+    """Never an older state, a mixed one, or an error that comes back at each start; and it can be worked with."""
+    for seed, (file, held) in enumerate(files):
+        folder = tmp_path / str(seed)
+        shutil.copytree(file, folder)
+        harm(folder / which, how, random.Random(f"{seed} {which} {how}"))
+        cistern = opened(folder)
+        whole = (held.rows, held.pieces, held.facts["state"])
+        assert holds(cistern) in (whole, ({}, {}, None)), (which, how, seed)
+        if which == "oakvale.mark":
+            assert holds(cistern) == whole
+        elif holds(cistern) != whole:
+            assert not cistern.first and cistern.fact("self") is None  # who it was is gone, and it founds nothing
+        cistern.write(("rows", [("new", b"1")]), lambda: None)
+        ended(cistern)
+        again = opened(folder)
+        assert dict(again.rows())["new"] == b"1" and again._commits > 0
+        ended(again)
+
+
+def test_an_empty_folder_may_found_and_a_log_that_was_not_synced_harms_nothing(tmp_path: Path) -> None:
+    """The number is noted behind each sync, never before: where it is behind, the file is the newer."""
+    cistern = opened(tmp_path)
+    assert cistern.first and not (tmp_path / "oakvale.mark").exists()
+    ended(cistern)
+    cistern = opened(tmp_path)
+    assert cistern.first
+    cistern._commit([(1, ("fact", ("self", b"1")))])
+    mark = (tmp_path / "oakvale.mark").read_bytes()
+    cistern._commit([(2, ("fact", ("self", b"2")))])
+    ended(cistern)
+    (tmp_path / "oakvale.mark").write_bytes(mark)
+    cistern = opened(tmp_path)
+    assert (cistern.fact("self"), cistern.first) == (b"2", False)
+    ended(cistern)
+
+
+def test_a_file_of_before_there_were_seals_is_taken_and_sealed(tmp_path: Path) -> None:
+    with sqlite3.connect(tmp_path / "oakvale.db") as db:
+        db.execute("create table fact (name text primary key, value blob) without rowid")
+        db.execute("create table row (key text primary key, value blob) without rowid")
+        db.execute("insert into fact values ('self', x'01')")
+        db.execute("insert into row values ('a', x'02')")
+    db.close()
+    cistern = opened(tmp_path)
+    assert (cistern.fact("self"), cistern.rows()) == (b"\1", [("a", b"\2")])
+    ended(cistern)
+    with sqlite3.connect(tmp_path / "oakvale.db") as db:
+        db.execute("update row set value = x'03'")
+    db.close()
+    cistern = opened(tmp_path)
+    assert cistern.rows() == [] and not cistern.first
+    ended(cistern)
+
+
+def test_a_write_that_failed_is_taken_back_and_made_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(store, "RETRY", 0.0)
+    cistern, fails = opened(tmp_path), [3]
+    real = Cistern._seal
+
+    def seal(self: Cistern, number: int) -> None:
+        if fails[0]:
+            fails[0] -= 1
+            raise sqlite3.OperationalError("database or disk is full")
+        real(self, number)
+
+    monkeypatch.setattr(Cistern, "_seal", seal)
+    cistern._commit([(1, ("rows", [("a", b"1"), ("a", b"2")]))])
+    cistern._commit([(2, ("whole", [("b", b"1")]))])
+    ended(cistern)
+    cistern = opened(tmp_path)
+    assert cistern.rows() == [("b", b"1")]
+    ended(cistern)
+
+
+def test_the_file_stays_bounded_over_10_000_changes(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(os, "fsync", lambda fd: None)
+    cistern, rng = opened(tmp_path), random.Random(1)
+    cistern._db.execute("pragma synchronous=off")  # a bound of the file, not of the disk's time
+    text, most = rng.randbytes(200_000), 0
+    for n in range(10_000):
+        cistern._commit([(n, ("rows", [("config" if n % 50 == 0 else f"b{n % 300}",
+                                        text + b"%d" % n if n % 50 == 0 else b"x" * 200)]))])
+        if n % 500 == 499:
+            most = max(most, sum(file.stat().st_size for file in tmp_path.iterdir()))
+    assert most < 300 * 400 + 3 * 200_000 + store.LOG
+    ended(cistern)
+
+
 def test_rows_that_are_forgotten_go_from_the_disk(tmp_path: Path) -> None:
     cistern = Cistern(cast(Any, Still()), str(tmp_path))
     cistern.write(("rows", [("a", b"1"), ("b", b"2"), ("c", b"3")]), lambda: None)
--- a/tests/world.py
+++ b/tests/world.py
@@ -81,6 +81,8 @@
 
 
 class Cistern:
+    first = True
+
     def __init__(self, world: World, life: Life) -> None:
         self._world, self._life, self._disk = world, life, life.machine.disk
         self._waiting: deque[tuple[int, str, Any, Callable[[], None]]] = deque()
@@ -92,6 +94,9 @@
     def rows(self) -> list[tuple[str, bytes]]:
         return list(self._disk.rows.items())
 
+    def pieces(self) -> list[tuple[bytes, bytes]]:
+        return list(self._disk.pieces.items())
+
     def waiting_since(self) -> int | None:
         return self._waiting[0][0] if self._waiting else None
 
