A state goes to a backup in pieces, and what arrived is not sent again

Cause: the whole state was one frame with a limit of 2 s, sent anew when that was missed. 2.3 MB take 9 s on 2 Mbit/s, so a member never caught up, and heartbeats behind the frame came after the silence that counts as an end. An append of such a configuration had 1 s.

A state is now a list of pieces of 16 KB, each named by what it holds; large values are cut by themselves, small rows by ranges of their keys. The backup says which it lacks; these are sent two at a time, kept on its disk beside its rows, and the whole is taken in one write once none is lacking. What of it came before a connection broke, either process ended or another became primary stays. A round sends the state as it was when it began; little that changed since goes with its end, much in another round. Up to 48 KB a state goes with one question as before: one way there and back, one sync. A change of more is announced first, its pieces go the same way, and the change refers to them; others pass it meanwhile. Time limits grow with what is sent.

One call of tests/test_succession.py speaks the new form of a state.

--- a/oakvale/headworks/copying.py
+++ b/oakvale/headworks/copying.py
@@ -3,17 +3,26 @@
 No I/O and no clock: it is told what came and what is on disk, and says what to write, ask, answer and tell, in this
 order. It joins `succession` (who is primary) and `ledger` (what is in force). What follows a write or an answer is
 kept here as data, so that a seat can be copied and compared whole (`oakvale/lab/sounding` does).
+
+A state goes to a backup as a list of the pieces that it is made of. The backup says which of them it lacks; these are
+sent, few at a time, and kept on its disk beside its rows. When none is lacking it takes the whole, in one write. Until
+then nothing of them counts. A piece is named by what it holds: what came before a connection broke, or a process ended,
+or another became primary, is not sent again.
 """
 
 from __future__ import annotations
 
+import zlib
+from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import cbor2
 
+from oakvale.headworks import pieces
 from oakvale.headworks.ledger import Ledger, Then
+from oakvale.headworks.pieces import Cut
 from oakvale.headworks.succession import (
     FOUNDER,
     Durable,
@@ -32,6 +41,8 @@
 from oakvale.penstock.table import unpack as unpack_entries
 
 CALL = 1_000_000  # microseconds for a backup to sync
+PER_BYTE = 16  # microseconds more for each byte of a question: half a megabit in a second
+WINDOW = 2  # pieces on their way to a backup: what is said meanwhile waits behind them on a thin link
 
 # ---- what comes out, to be done in order
 
@@ -148,11 +159,32 @@
     return Start(own, life + 1, durable, cbor2.dumps([incarnation, life + 1, begins]))
 
 
+@dataclass(slots=True)
+class Transfer:
+    """What a backup is being sent: a state, or (`whole` is false) the pieces of a change that is to come."""
+
+    cut: Cut
+    up_to: Version
+    whole: bool = True
+    known: set[bytes] = field(default_factory=set)  # pieces that it has said it holds
+    left: list[bytes] = field(default_factory=list)
+    out: set[bytes] = field(default_factory=set)  # asked, and not answered yet
+
+
+@dataclass(slots=True)
+class Planned:
+    """A change too large for one message: it becomes one once the backups hold its pieces."""
+
+    changes: dict[str, Any]
+    then: Then
+    waits: set[Seat] = field(default_factory=set)
+
+
 class Copying:
     """One seat, from one start to its end."""
 
     def __init__(self, began: Start, rows: Iterable[tuple[str, bytes]], copies: int, silence: int,
-                 patience: int) -> None:
+                 patience: int, staged: Iterable[tuple[bytes, bytes]] = ()) -> None:
         self.own, self.life = began.own, began.life
         self.succession = Succession(began.own, began.durable, copies, silence, patience)
         self.ledger = Ledger()  # another one once a primary has sent its state
@@ -161,7 +193,10 @@
         self._newest = (0, 0, 0)  # as a backup: view, life and number of the latest that the primary said
         self._held: set[Seat] = set()  # backups that have synced the state in this view
         self._clean: set[Seat] = set()  # backups that hold the state and take changes
-        self._sending: set[Seat] = set()
+        self._sending: dict[Seat, Transfer] = {}
+        self._planned: deque[Planned] = deque()
+        self._staged = dict(staged)  # pieces that a primary has sent, of what is not whole yet
+        self._wanted: set[bytes] = set()
         self._numbers = 0
         self._writes: dict[int, tuple[Any, ...]] = {}  # what follows each write
         self._asks: dict[int, tuple[Any, ...]] = {}  # what each question that is out was about
@@ -186,13 +221,14 @@
         if not self.active or view is None or view.primary != self.own:
             self._out.append(Told(then, False))
             return self.flush()
-        before = self.ledger.last
-        entries = self.ledger.propose(changes, {self.own, *view.backups}, then)
-        up_to = entries[-1][1]
-        self._write(("rows", _rows(entries)), ("synced", up_to))
-        for backup in view.backups:
-            if backup in self._clean:
-                self._ask(backup, "append", [list(before), pack(entries)], ("append", backup, view, up_to), CALL)
+        taken = {key for planned in self._planned for key in planned.changes}
+        if self._clean and (taken & set(changes) or pieces.size_of(changes) > pieces.INLINE):
+            self._planned.append(Planned(changes, then))
+            self.ledger.planned.append(changes)
+            if len(self._planned) == 1:
+                self._stage()
+        else:
+            self._propose(view, changes, then)
         return self.flush()
 
     def carry(self, out: list[Out]) -> list[Do]:
@@ -212,6 +248,8 @@
         elif kind == "append":
             view, sender, ticket = about
             self._out.append(Reply(ticket, self._follows(view, sender)))
+        elif kind == "piece":
+            self._out.append(Reply(about[0], True))
         elif kind == "sync":
             self._carry(self.succession.synced(about[0].number))
             self._write(("fact", ("last-sync", str(about[0].number).encode())), ("complete", *about))
@@ -227,8 +265,12 @@
         kind, backup, view, up_to = self._asks.pop(number)
         if kind == "append":
             self._append_answered(backup, view, up_to, answer)
-        else:
+        elif kind == "sync":
             self._sync_answered(backup, view, up_to, answer)
+        elif kind == "offer":
+            self._offer_answered(backup, view, answer)
+        else:
+            self._piece_answered(backup, view, up_to, answer)
         return self.flush()
 
     def again(self, backup: Seat, view: View) -> list[Do]:
@@ -246,21 +288,61 @@
             self._clean.discard(backup)
             self._send_all(backup, view)
 
+    def _propose(self, view: View, changes: dict[str, Any], then: Then, cut: Cut | None = None) -> None:
+        """`cut`: the pieces of its large values, which the backups hold."""
+        before = self.ledger.last
+        entries = self.ledger.propose(changes, {self.own, *view.backups}, then)
+        up_to = entries[-1][1]
+        self._write(("rows", _rows(entries)), ("synced", up_to))
+        large = [row[:1] + list(version) + row[3:] for row in (cut.large if cut else [])
+                 for key, version, _ in entries if key == row[0]]
+        small = [entry for entry in entries if entry[0] not in {row[0] for row in large}]
+        for backup in view.backups:
+            if backup in self._clean:
+                self._ask(backup, "append", [list(before), pack(small), large], ("append", backup, view, up_to), CALL)
+
+    def _failed(self, backup: Seat, view: View) -> None:
+        """It did not take something: it is sent the state, after a while."""
+        self._sending.pop(backup, None)
+        self._clean.discard(backup)
+        self._out.append(Again(backup, view))
+        self._staged_by(backup)
+
     def _send_all(self, backup: Seat, view: View) -> None:
-        """The whole state, small as it is, until it has arrived: to a new backup, or one that missed something."""
-        if backup in self._sending or self.view() != view:
+        """The whole state, but for what it says that it has, until it has arrived: to a new backup, or one that missed
+        something."""
+        if self.view() != view or backup in self._sending and self._sending[backup].whole:
             return
-        self._sending.add(backup)
+        transfer = self._sending[backup] = Transfer(Cut(0), NOTHING)
+        self._staged_by(backup)
+        self._offer(backup, view, transfer, now=True)
+
+    def _offer(self, backup: Seat, view: View, transfer: Transfer, now: bool = False) -> None:
+        """The state as it is now, where little of it is lacking; else as it was when its pieces were counted, and what
+        came since goes in another round."""
         entries = self.ledger.everything()
-        up_to = max((version for _, version, _ in entries), default=NOTHING)
-        self._clean.add(backup)  # what is changed from here on follows on the same connection
-        self._ask(backup, "sync", [pack(entries)], ("sync", backup, view, up_to), 2 * CALL)
+        made = pieces.cut(entries)
+        size = sum(len(piece) for name, piece in made.pieces.items() if name not in transfer.known)
+        if now or size <= pieces.INLINE:
+            transfer.cut, transfer.up_to = made, max((version for _, version, _ in entries), default=NOTHING)
+            self._clean.add(backup)  # what is changed from here on follows on the same connection
+        lacking = [piece for name, piece in transfer.cut.pieces.items() if name not in transfer.known]
+        inline = lacking if sum(map(len, lacking)) <= pieces.INLINE else []
+        transfer.known.update(map(pieces.name_of, inline))
+        manifest = transfer.cut.manifest()
+        size = sum(map(len, inline)) + len(transfer.cut.pieces) * pieces.NAME
+        self._ask(backup, "sync", [manifest, inline], ("sync", backup, view, transfer.up_to),
+                  2 * CALL + PER_BYTE * size)
 
     def _sync_answered(self, backup: Seat, view: View, up_to: Version, answer: Any) -> None:
-        self._sending.discard(backup)
-        if self.view() != view:
+        transfer = self._sending.get(backup)
+        if self.view() != view or transfer is None:
             return
+        if isinstance(answer, (list, tuple)) and answer:
+            self._clean.discard(backup)
+            return self._lacked(backup, view, transfer, answer)
         if answer is True:
+            del self._sending[backup]
             self._held.add(backup)
             self._synced(backup, up_to)
             self._activate(view)
@@ -269,8 +351,81 @@
         else:
             if answer == "void":
                 self.succession.voided_by_backup(view.number)
-            self._clean.discard(backup)
-            self._out.append(Again(backup, view))
+            self._failed(backup, view)
+
+    def _lacked(self, backup: Seat, view: View, transfer: Transfer, answer: Iterable[Any]) -> None:
+        lacks = {bytes(name) for name in answer}
+        transfer.known = set(transfer.cut.pieces) - lacks
+        transfer.left = [name for name in transfer.cut.pieces if name in lacks]
+        if lacks and not transfer.left:
+            return self._failed(backup, view)
+        self._send_pieces(backup, view, transfer)
+
+    def _send_pieces(self, backup: Seat, view: View, transfer: Transfer) -> None:
+        while transfer.left and len(transfer.out) < WINDOW:
+            name = transfer.left.pop(0)
+            transfer.out.add(name)
+            packed = zlib.compress(transfer.cut.pieces[name], 1)
+            self._ask(backup, "piece", [packed], ("piece", backup, view, name), 2 * CALL + PER_BYTE * len(packed))
+        if transfer.out:
+            return
+        if transfer.whole:
+            self._offer(backup, view, transfer)
+        else:
+            del self._sending[backup]
+            self._staged_by(backup)
+
+    def _piece_answered(self, backup: Seat, view: View, name: bytes, answer: Any) -> None:
+        transfer = self._sending.get(backup)
+        if self.view() != view or transfer is None or name not in transfer.out:
+            return
+        transfer.out.discard(name)
+        if answer is not True:
+            return self._failed(backup, view)
+        transfer.known.add(name)
+        self._send_pieces(backup, view, transfer)
+
+    # ---- as primary, changes that are too large for one message
+
+    def _stage(self) -> None:
+        """Their pieces go to the backups, the first change's first; other changes go on meanwhile."""
+        view = self.view()
+        assert view is not None
+        while self._planned:
+            planned = self._planned[0]
+            cut = pieces.cut_change([(key, NOTHING, value) for key, value in planned.changes.items()])
+            planned.waits = {backup for backup in view.backups if backup in self._clean and backup not in self._sending}
+            if planned.waits:
+                for backup in sorted(planned.waits):
+                    self._sending[backup] = Transfer(cut, NOTHING, whole=False)
+                    self._ask(backup, "offer", [cut.manifest()], ("offer", backup, view, NOTHING),
+                              2 * CALL + PER_BYTE * len(cut.pieces) * pieces.NAME)
+                return
+            self._planned.popleft()
+            self.ledger.planned.pop(0)
+            self._propose(view, planned.changes, planned.then, cut)
+
+    def _offer_answered(self, backup: Seat, view: View, answer: Any) -> None:
+        transfer = self._sending.get(backup)
+        if self.view() != view or transfer is None or transfer.whole:
+            return
+        if isinstance(answer, (list, tuple)):
+            self._lacked(backup, view, transfer, answer)
+        else:
+            self._failed(backup, view)
+
+    def _staged_by(self, backup: Seat) -> None:
+        """It holds the pieces of the change that is next, or will get it with the state."""
+        if not self._planned or backup not in self._planned[0].waits:
+            return
+        self._planned[0].waits.discard(backup)
+        if not self._planned[0].waits:
+            planned, view = self._planned.popleft(), self.view()
+            assert view is not None
+            self.ledger.planned.pop(0)
+            cut = pieces.cut_change([(key, NOTHING, value) for key, value in planned.changes.items()])
+            self._propose(view, planned.changes, planned.then, cut)
+            self._stage()
 
     def _activate(self, view: View) -> None:
         if self.active or self.view() != view or not set(view.backups) <= self._held:
@@ -302,13 +457,16 @@
         return self.flush()
 
     def _append(self, body: Any, ticket: Any) -> None:
-        view, sender, entries = unpack(body[0]), seat(body[1]), unpack_entries(body[4])
+        view, sender, large = unpack(body[0]), seat(body[1]), [1, body[5], []]
         if not self._in_order(view, sender, body[2]) or self.succession.state.complete != view.number:
             return self._out.append(Reply(ticket, False))
-        if not self._follows_on((int(body[3][0]), int(body[3][1]))):
+        if not self._follows_on((int(body[3][0]), int(body[3][1]))) or self._lacks(large, self._staged):
             return self._out.append(Reply(ticket, False))
+        entries = sorted(unpack_entries(body[4]) + pieces.join(large, self._staged), key=lambda entry: entry[1])
         self.ledger.take(entries)
         self._write(("rows", _rows(entries)), ("append", view, sender, ticket))
+        if body[5]:
+            self._unstage(set())
         self._clear()
 
     def _follows_on(self, before: Version) -> bool:
@@ -316,16 +474,63 @@
         return self.ledger.table.high == before
 
     def _sync(self, body: Any, ticket: Any) -> None:
-        view, sender, entries = unpack(body[0]), seat(body[1]), unpack_entries(body[3])
+        view, sender, manifest = unpack(body[0]), seat(body[1]), body[3]
         self._carry(self.succession.learn(view))
         if not self._in_order(view, sender, body[2]):
             return self._out.append(Reply(ticket, False))
+        held = self._staged | {pieces.name_of(piece): bytes(piece) for piece in body[4]}
+        lacks = self._lacks(manifest, held)
+        if lacks and manifest[0]:
+            held |= pieces.cut(self.ledger.everything(), int(manifest[0])).pieces
+            lacks = self._lacks(manifest, held)
+        if lacks:
+            return self._want(manifest, lacks, ticket)
+        entries = pieces.join(manifest, held)
         self._resign()
         self.ledger = Ledger()
         self.ledger.table.put(entries)
+        self._staged, self._wanted = {}, set()
         self._out.append(Replaced())
         self._write(("whole", _rows(entries)), ("sync", view, sender, ticket))
 
+    @staticmethod
+    def _lacks(manifest: Any, held: Iterable[bytes]) -> list[bytes]:
+        return [name for name in pieces.names(manifest) if name not in held]
+
+    def _want(self, manifest: Any, lacks: list[bytes], ticket: Any) -> None:
+        """Says what it lacks; of what came before, only what is of use now stays."""
+        self._wanted = set(lacks)
+        self._unstage(set(pieces.names(manifest)))
+        self._out.append(Reply(ticket, lacks))
+
+    def _unstage(self, but: set[bytes]) -> None:
+        gone = [name for name in self._staged if name not in but]
+        if gone:
+            for name in gone:
+                del self._staged[name]
+            self._write(("unstage", gone), ("gone",))
+
+    def offer(self, body: Any, ticket: Any) -> list[Do]:
+        """Pieces of a change that will come."""
+        view, sender, manifest = unpack(body[0]), seat(body[1]), body[3]
+        if not self._in_order(view, sender, body[2]):
+            self._out.append(Reply(ticket, False))
+        else:
+            self._want(manifest, self._lacks(manifest, self._staged), ticket)
+        return self.flush()
+
+    def piece(self, body: Any, ticket: Any) -> list[Do]:
+        """In whatever order, and of whatever life of its primary: it is what it is named."""
+        view, sender = unpack(body[0]), seat(body[1])
+        data = zlib.decompressobj().decompress(body[3], pieces.PIECE)
+        name = pieces.name_of(data)
+        if not self._follows(view, sender) or name not in self._wanted:
+            self._out.append(Reply(ticket, False))
+        else:
+            self._staged[name] = data
+            self._write(("stage", [(name, data)]), ("piece", ticket))
+        return self.flush()
+
     def _follows(self, view: View, sender: Seat) -> bool:
         own = self.view()
         return own is not None and own.number == view.number and sender == view.primary and self.own in view.backups
@@ -355,8 +560,12 @@
             return  # already past it
         was = self.active
         self.active = False
-        self._clean, self._sending, self._held = set(), set(), set()
+        self._clean, self._sending, self._held = set(), {}, set()
         self._out.append(Entered(view))
+        self._forgo()
+        if self.own not in view.backups:
+            self._wanted = set()
+            self._unstage(set())
         if self.succession.is_primary():
             self.ledger.start(view.number)
             self.ledger.owed_by(set(view.backups), self.own)
@@ -369,9 +578,16 @@
             self._out.append(Turned(False))
 
     def _resign(self) -> None:
+        self._forgo()
         self._out += [Told(then, False) for then in self.ledger.abandon()]
         self._out.append(Resigned())
 
+    def _forgo(self) -> None:
+        """Changes that were not made yet."""
+        gone, self._planned = self._planned, deque()
+        self.ledger.planned = []
+        self._out += [Told(planned.then, False) for planned in gone]
+
     # ---- numbers
 
     def _write(self, what: tuple[str, Any], follows: tuple[Any, ...]) -> None:
--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -47,7 +47,7 @@
         start = copying.start(spelled(mains.own), cistern.fact("self"), cistern.fact("state"),
                               founding(seeds, copies) if founds else None, lambda: loop.net.token(4))
         patience = settings.bounds.sync_time + settings.bounds.contact
-        self.copying = Copying(start, cistern.rows(), copies, SILENCE, patience)
+        self.copying = Copying(start, cistern.rows(), copies, SILENCE, patience, cistern.pieces())
         self.own: Seat = start.own
         self.outlet = Outlet(self.ledger.table)
         self._known = {*seeds}
@@ -57,6 +57,8 @@
         mains.handlers["resigned"] = lambda conn, body, answer: self.succession.gone(seat(body))
         mains.handlers["append"] = lambda conn, body, answer: self._do(self.copying.append(body, answer))
         mains.handlers["sync"] = lambda conn, body, answer: self._do(self.copying.sync(body, answer))
+        mains.handlers["offer"] = lambda conn, body, answer: self._do(self.copying.offer(body, answer))
+        mains.handlers["piece"] = lambda conn, body, answer: self._do(self.copying.piece(body, answer))
         mains.handlers["subscribe"] = self._subscribe
         mains.handlers["leave"] = lambda conn, body, answer: self.outlet.leave(conn)
         mains.handlers["digests"] = lambda conn, body, answer: self.outlet.mend(conn, body, answer)
--- a/oakvale/headworks/ledger.py
+++ b/oakvale/headworks/ledger.py
@@ -32,6 +32,7 @@
         self._done: list[Then] = []
         self._place = self._view = 0
         self.forgotten: list[str] = []  # keys whose rows may go from the disk
+        self.planned: list[dict[str, Any]] = []  # changes that are made once their pieces are with the backups
         self.last = NOTHING  # the version of the newest entry, in force or not
 
     def start(self, view: int) -> None:
@@ -51,7 +52,10 @@
         return entries
 
     def latest(self, key: str) -> Any:
-        """As it will be once all that waits is in force."""
+        """As it will be once all that waits is in force, and all that is planned."""
+        for changes in reversed(self.planned):
+            if key in changes:
+                return changes[key]
         for pending in reversed(self._pending):
             for known, _, value in pending.entries:
                 if known == key:
--- a/oakvale/lab/sounding/machine.py
+++ b/oakvale/lab/sounding/machine.py
@@ -43,6 +43,7 @@
         self.drawn = 1  # incarnations
         self.facts: dict[str, bytes] = {}
         self.rows: dict[str, bytes] = {}
+        self.pieces: dict[bytes, bytes] = {}
         self.queue: list[tuple[int, tuple[str, Any]]] = []  # writes that are not on disk yet
         self.part: Copying | None = None
         self.agains: list[Again] = []
@@ -64,7 +65,8 @@
             self.drawn += 1
         began = copying.start(self.address, self.facts.get("self"), self.facts.get("state"), first,
                               lambda: str(self.drawn))
-        self.part = Copying(began, sorted(self.rows.items()), self.copies, SILENCE, 0)
+        self.part = Copying(began, sorted(self.rows.items()), self.copies, SILENCE, 0,
+                            sorted(self.pieces.items()))
         self._do(self.part.flush())
 
     def _kill(self, kept: int) -> None:
@@ -75,7 +77,7 @@
 
     def _wipe(self) -> None:
         self._kill(0)
-        self.facts, self.rows, self.founds = {}, {}, False
+        self.facts, self.rows, self.pieces, self.founds = {}, {}, {}, False
 
     def _sync(self) -> None:
         assert self.part is not None
@@ -90,16 +92,21 @@
         elif kind == "gone":
             for key in data:
                 self.rows.pop(key, None)
+        elif kind == "stage":
+            self.pieces.update(data)
+        elif kind == "unstage":
+            for name in data:
+                self.pieces.pop(name, None)
         else:
             if kind == "whole":
-                self.rows = {}
+                self.rows, self.pieces = {}, {}
             self.rows.update(data)
 
     # ---- peers, time and authors
 
     def _message(self, kind: str, body: Any, ticket: Any) -> None:
         assert self.part is not None
-        if kind in ("append", "sync"):
+        if kind in ("append", "sync", "offer", "piece"):
             self._do(getattr(self.part, kind)(body, ticket))
         else:
             sender, inner = body
@@ -151,7 +158,7 @@
                     assert self.part is not None
                     self.out.append(("say", to[0], kind, frozen([self.part.own, body])))
                 case Reply(ticket, answer):
-                    self.out.append(("reply", ticket, answer))
+                    self.out.append(("reply", ticket, frozen(answer)))
                 case Again():
                     self.agains.append(item)
                 case Told(then, done):
@@ -184,8 +191,8 @@
 
     def key(self) -> Any:
         """Equal where machines will do the same for ever."""
-        return (self.founds, self.drawn, frozen(self.facts), frozen(self.rows), frozen(self.queue), frozen(self.agains),
-                frozen(self.part))
+        return (self.founds, self.drawn, frozen(self.facts), frozen(self.rows), frozen(self.pieces), frozen(self.queue),
+                frozen(self.agains), frozen(self.part))
 
 
 def frozen(item: Any) -> Any:
--- a/oakvale/lab/sounding/trace.py
+++ b/oakvale/lab/sounding/trace.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Iterable
 from typing import Any
 
 import cbor2
 
+from oakvale.headworks import pieces
 from oakvale.lab.sounding.machine import Event, Sent
 from oakvale.lab.sounding.model import Broken, Model, State, Step, seat_text, view_text
 
@@ -94,17 +96,34 @@
 
 
 def _yes(answer: Any) -> str:
+    if isinstance(answer, tuple):
+        return f"lacks {_names(answer)}"
     return {True: "yes", False: "no", None: "nothing"}.get(answer, str(answer))
 
 
+def _names(names: Any) -> str:
+    """Pieces, each by the first letters of its name."""
+    return " ".join(name.hex()[:4] for name in names) or "nothing"
+
+
 def _words(kind: str, body: Any) -> str:
     if kind == "answer":
         return f"the answer to its question {body[2]}: {_yes(body[3])}"
-    if kind in ("append", "sync"):
-        entries = " ".join(f"{key} {view}/{place}" for key, view, place, _ in body[-1]) or "nothing"
+    if kind in ("append", "sync", "offer", "piece"):
+        what = behind = ""
+        if kind == "append":
+            what = " ".join(f"{key} {view}/{place}" for key, view, place, _ in (*body[4], *body[5])) or "nothing"
+            behind = f" behind {'/'.join(map(str, body[3]))}"
+        elif kind == "piece":
+            what = _names([pieces.name_of(zlib.decompress(body[3]))])
+        else:
+            whole = {pieces.name_of(piece): piece for piece in body[4]} if kind == "sync" else {}
+            needs = pieces.names(body[3])
+            what = f"pieces {_names(needs)}, with {_names(whole)}"
+            if whole.keys() >= set(needs):
+                what = " ".join(f"{key} {view}/{place}" for key, (view, place), _ in pieces.join(body[3], whole))
         order = ".".join(map(str, body[2]))
-        behind = f" behind {'/'.join(map(str, body[3]))}" if kind == "append" else ""
-        return f"{kind} {order} of {seat_text(body[1])} in view {body[0][0]}: {entries}{behind}"
+        return f"{kind} {order} of {seat_text(body[1])} in view {body[0][0]}: {what or 'nothing'}{behind}"
     sender, inner = body
     words = [f"{kind} from {seat_text(sender)}"]
     if kind in ("prepare", "accept"):
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -197,7 +197,8 @@
     core.change({"a": 1}, told.append)
     view = View(2, backup.own, (core.own,), ABC.witnesses)
     assert machine.life is not None
-    core.mains.handlers["sync"](cast(Any, Link(machine.life, None)), [view.pack(), list(backup.own), [1, 1], []], print)
+    body = [view.pack(), list(backup.own), [1, 1], [0, [], []], []]
+    core.mains.handlers["sync"](cast(Any, Link(machine.life, None)), body, print)
     assert told == [False]
     core.change({"a": 2}, told.append)
     assert told == [False, False]
