The model checker sends states in pieces

A start 'laden': the founding view serves, has taken two writes, each row is a piece of its own and nothing fits into one message.

--- a/oakvale/headworks/copying.py
+++ b/oakvale/headworks/copying.py
@@ -460,7 +460,7 @@
         view, sender, large = unpack(body[0]), seat(body[1]), [1, body[5], []]
         if not self._in_order(view, sender, body[2]) or self.succession.state.complete != view.number:
             return self._out.append(Reply(ticket, False))
-        if not self._follows_on((int(body[3][0]), int(body[3][1]))) or self._lacks(large, self._staged):
+        if not self._follows_on((int(body[3][0]), int(body[3][1]))) or pieces.lacking(large, self._staged):
             return self._out.append(Reply(ticket, False))
         entries = sorted(unpack_entries(body[4]) + pieces.join(large, self._staged), key=lambda entry: entry[1])
         self.ledger.take(entries)
@@ -479,10 +479,10 @@
         if not self._in_order(view, sender, body[2]):
             return self._out.append(Reply(ticket, False))
         held = self._staged | {pieces.name_of(piece): bytes(piece) for piece in body[4]}
-        lacks = self._lacks(manifest, held)
+        lacks = pieces.lacking(manifest, held)
         if lacks and manifest[0]:
             held |= pieces.cut(self.ledger.everything(), int(manifest[0])).pieces
-            lacks = self._lacks(manifest, held)
+            lacks = pieces.lacking(manifest, held)
         if lacks:
             return self._want(manifest, lacks, ticket)
         entries = pieces.join(manifest, held)
@@ -493,10 +493,6 @@
         self._out.append(Replaced())
         self._write(("whole", _rows(entries)), ("sync", view, sender, ticket))
 
-    @staticmethod
-    def _lacks(manifest: Any, held: Iterable[bytes]) -> list[bytes]:
-        return [name for name in pieces.names(manifest) if name not in held]
-
     def _want(self, manifest: Any, lacks: list[bytes], ticket: Any) -> None:
         """Says what it lacks; of what came before, only what is of use now stays."""
         self._wanted = set(lacks)
@@ -516,7 +512,7 @@
         if not self._in_order(view, sender, body[2]):
             self._out.append(Reply(ticket, False))
         else:
-            self._want(manifest, self._lacks(manifest, self._staged), ticket)
+            self._want(manifest, pieces.lacking(manifest, self._staged), ticket)
         return self.flush()
 
     def piece(self, body: Any, ticket: Any) -> list[Do]:
--- a/oakvale/headworks/pieces.py
+++ b/oakvale/headworks/pieces.py
@@ -100,6 +100,10 @@
     return list(dict.fromkeys(name for joined in [*(row[3] for row in large), *small] for name in named(joined)))
 
 
+def lacking(manifest: Any, held: Mapping[bytes, bytes]) -> list[bytes]:
+    return [name for name in names(manifest) if name not in held]
+
+
 def join(manifest: Any, held: Mapping[bytes, bytes]) -> list[Entry]:
     """The entries; raises KeyError where a piece is not there."""
     _, large, small = manifest
--- a/oakvale/lab/sounding/breakages.py
+++ b/oakvale/lab/sounding/breakages.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from oakvale.headworks import copying
+from oakvale.headworks import copying, pieces
 from oakvale.headworks.copying import Copying, Start
 from oakvale.headworks.ledger import Ledger, Then
 from oakvale.headworks.succession import (
@@ -126,6 +126,39 @@
         self._out.append(Say(sender, "voided", [view.number]))
 
 
+def _some_will_do(manifest: Any, held: Any, real: Callable[..., list[bytes]] = pieces.lacking) -> list[bytes]:
+    lacks = real(manifest, held)
+    return lacks if len(lacks) == len(pieces.names(manifest)) else []
+
+
+def _joined(manifest: Any, held: Any, real: Callable[..., list[Entry]] = pieces.join) -> list[Entry]:
+    """Of what is there."""
+    ranges, large, small = manifest
+    there = [[row for row in large if row[3] in held], [joined for joined in small if joined in held]]
+    return real([ranges, *there], held)
+
+
+def _lacks_counts(self: Copying, backup: Seat, view: View, up_to: Any, answer: Any,
+                  real: Callable[..., None] = Copying._sync_answered) -> None:
+    real(self, backup, view, up_to, True if isinstance(answer, tuple) else answer)
+
+
+def _staged_counts(self: Copying, number: int, real: Callable[..., list[copying.Do]] = Copying.written
+                   ) -> list[copying.Do]:
+    """A piece on its disk, and it calls itself complete."""
+    staged, view = self._writes[number][0] == "piece", self.view()
+    out = real(self, number)
+    return [*out, *self.carry(self.succession.synced(view.number))] if staged and view else out
+
+
+
+def _old_state_leads(self: Copying, view: View) -> None:
+    """A primary serves with what its disk holds, before its backups have answered in this life."""
+    if not self.active and self.view() == view:
+        self.active = True
+        self._out.append(copying.Turned(True))
+
+
 QUIET = Bounds(writes=0, kills=0, wipes=0, wakes=0, retries=0)
 
 BREAKAGES = (
@@ -153,6 +186,15 @@
              ((Succession, "_keep", _promise_before_disk),), replace(QUIET, wakes=2, kills=1), heals=2),
     Breakage("complete-at-once", "a new copy counts as complete before it has the state",
              ((Succession, "_learn", _complete_at_once),), replace(QUIET, writes=1, wakes=1), heals=4),
+    Breakage("half-snapshot", "a backup takes a state of which only some pieces are there",
+             ((pieces, "lacking", _some_will_do), (pieces, "join", _joined)), replace(QUIET, wakes=1, retries=2),
+             "laden"),
+    Breakage("lacks-counts", "a primary takes what its backup lacks for a yes",
+             ((Copying, "_sync_answered", _lacks_counts),), replace(QUIET, writes=1, wakes=1), "laden"),
+    Breakage("staged-as-held", "a backup calls itself complete once it has a piece",
+             ((Copying, "written", _staged_counts),), replace(QUIET, wakes=1), "laden"),
+    Breakage("old-state-leads", "a primary serves with what its disk holds before its backups have answered",
+             ((Copying, "_activate", _old_state_leads),), replace(QUIET, writes=1, kills=1)),
     Breakage("void-unkept", "a backup voids a view, and then becomes complete in it",
              ((Succession, "_void", _voids_nothing),), replace(QUIET, wakes=2), heals=128),
 )
--- a/oakvale/lab/sounding/check.py
+++ b/oakvale/lab/sounding/check.py
@@ -14,13 +14,15 @@
 NONE = Bounds(writes=0, kills=0, wipes=0, wakes=0, retries=0)
 FAULTS = tuple(field.name for field in fields(Bounds) if field.name not in ("machines", "writes"))
 
-# each is searched whole; together about 8 s of a core
+# each is searched whole; together about 9 s of a core
 SHORT = (
     ("settled", replace(NONE, wakes=1)),
     ("cold", replace(NONE, writes=1, kills=2, retries=1)),
     ("cold", replace(NONE, writes=1, kills=1, wipes=1, retries=1)),
     ("settled", replace(NONE, writes=2, kills=1, retries=2)),
     ("settled", replace(NONE, writes=1, kills=1, wipes=1, retries=1)),
+    ("laden", replace(NONE, wakes=1, retries=1)),
+    ("laden", replace(NONE, writes=1, kills=1, wipes=1, retries=1)),
 )
 LONG = (
     ("settled", replace(NONE, writes=1, wakes=1)),
@@ -29,6 +31,9 @@
     ("settled", replace(NONE, writes=1, kills=1, wipes=1, wakes=1, retries=1)),
     ("settled", replace(NONE, writes=1, kills=1, wakes=2, retries=1)),
     ("cold", replace(NONE, writes=1, kills=1, wipes=1, wakes=1, retries=1)),
+    ("laden", replace(NONE, kills=1, wakes=1)),
+    ("laden", replace(NONE, wipes=1, wakes=1)),
+    ("laden", replace(NONE, writes=1, wakes=1)),
 )
 
 
@@ -53,8 +58,9 @@
     parser.add_argument("--long", action="store_true", help="search far: several minutes")
     parser.add_argument("--writes", type=int, metavar="N", help="one search with so many writes")
     parser.add_argument("--faults", metavar="NAME=N,...", help=f"one search with so many {', '.join(FAULTS)}")
-    parser.add_argument("--start", choices=("settled", "cold"), default="settled",
-                        help="of that search: the founding view serves, or nothing was ever started")
+    parser.add_argument("--start", choices=("settled", "cold", "laden"), default="settled",
+                        help="of that search: the founding view serves, or nothing was ever started, or it serves, has "
+                             "taken two writes, and sends all in pieces of a row each")
     parser.add_argument("--depth", type=int, default=1_000, metavar="N", help="steps from the start, at most")
     parser.add_argument("--states", type=int, default=20_000_000, metavar="N",
                         help="of each search, at most; a million take about 0.5 GB")
--- a/oakvale/lab/sounding/model.py
+++ b/oakvale/lab/sounding/model.py
@@ -14,10 +14,12 @@
 
 import pickle
 from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, replace
 from itertools import product
 from typing import Any, NamedTuple
 
+from oakvale.headworks import pieces
 from oakvale.headworks.succession import Seat
 from oakvale.lab.sounding.machine import NAMES, Event, Facts, Machine, Sent
 from oakvale.penstock.table import Version
@@ -67,6 +69,8 @@
 
 
 UNSPENT = (0,) * 5
+LADEN = (91, 92)  # writes that a laden system has taken
+SMALL = 4, 0  # bytes of a piece, and those that go with a question
 
 
 class Broken(Exception):
@@ -77,9 +81,21 @@
         self.rule, self.why = rule, why
 
 
+@contextmanager
+def _sized(small: bool) -> Iterator[None]:
+    real = pieces.PIECE, pieces.INLINE
+    if small:
+        pieces.PIECE, pieces.INLINE = SMALL
+    try:
+        yield
+    finally:
+        pieces.PIECE, pieces.INLINE = real
+
+
 class Model:
-    def __init__(self, bounds: Bounds) -> None:
-        self.bounds = bounds
+    def __init__(self, bounds: Bounds, small: bool = False) -> None:
+        """`small`: nothing fits in one message, each row is a piece of its own."""
+        self.bounds, self.small = bounds, small
         self.addresses = tuple(f"{name}:1" for name in NAMES[:bounds.machines])
         self._place = {address: n for n, address in enumerate(self.addresses)}
         self._numbers: dict[Any, int] = {}  # a machine's key -> its number
@@ -114,15 +130,25 @@
         """What the real code makes of an event: the machine's next state, and what goes out."""
         known = self._steps.get((number, event))
         if known is None:
-            machine = self.machine(number)
+            machine, what = self.machine(number), event
             if event[0] == "mail":
                 _, kind, body, ticket = self.mails[event[1]]
-                machine.told(("answer", body[2], body[3]) if kind == "answer" else ("message", kind, body, ticket))
-            else:
-                machine.told(event)
+                what = ("answer", body[2], body[3]) if kind == "answer" else ("message", kind, body, ticket)
+            with _sized(self.small):
+                machine.told(what)
             known = self._steps[number, event] = self._number(place, machine), tuple(machine.out)
         return known
 
+    def first(self, start: str) -> State:
+        return {"cold": self.cold, "settled": self.settled, "laden": self.laden}[start]()
+
+    def laden(self) -> State:
+        """It serves, and has taken two writes."""
+        state = self.settled()
+        for write in LADEN:
+            state = self.heal(state, write)
+        return state._replace(spent=UNSPENT, mail=())
+
     def cold(self) -> State:
         """Nothing was ever started."""
         seats = tuple(self._number(place, Machine(address, self.addresses, COPIES))
--- a/oakvale/lab/sounding/search.py
+++ b/oakvale/lab/sounding/search.py
@@ -47,7 +47,7 @@
 
     def __init__(self, bounds: Bounds, start: str = "settled", depth: int = 1_000, most: int = 50_000_000,
                  seconds: float = 86_400.0, every: int = EVERY, show: Callable[[str], None] | None = None) -> None:
-        self.model = Model(bounds)
+        self.model = Model(bounds, small=start == "laden")
         self.found = Found(bounds, start)
         self._depth, self._most, self._seconds, self._every, self._show = depth, most, seconds, every, show
         self._index: dict[int, int] = {}  # hash of a state -> its place
@@ -60,7 +60,7 @@
         began = time.monotonic()
         found, first = self.found, State((), (), 0, UNSPENT)
         try:
-            first = self.model.cold() if self.found.start == "cold" else self.model.settled()
+            first = self.model.first(self.found.start)
             self._explore(first, began)
         except _Way as way:
             found.broken, found.way = way.broken, way.steps
@@ -77,7 +77,7 @@
         found, model = self.found, self.model
         if found.broken is None:
             return
-        first = model.cold() if found.start == "cold" else model.settled()
+        first = model.first(found.start)
         found.way = model.shortened(first, found.way, found.broken.rule)
         found.trace = trace.lines(model, first, found.way)
 
--- a/oakvale/lab/sounding/trace.py
+++ b/oakvale/lab/sounding/trace.py
@@ -81,6 +81,8 @@
         if void:
             words.append(f"void {void}")
         return ", ".join(words)
+    if kind in ("stage", "unstage"):
+        return f"{kind}d {_names([name for name, _ in data] if kind == 'stage' else data)}"
     rows = [] if kind == "gone" else [f"{key} {'/'.join(map(str, cbor2.loads(value)[0]))}" for key, value in data]
     return f"{'the whole state:' if kind == 'whole' else 'entries'} {' '.join(rows) or 'nothing'}"
 
--- a/oakvale/lab/sounding/walks.py
+++ b/oakvale/lab/sounding/walks.py
@@ -28,7 +28,7 @@
         self.bounds, self.seed, self.walks = bounds, seed, 0
         self.found = Found(bounds, start)
         self._show = show
-        self._model = Model(bounds)
+        self._model = Model(bounds, small=start == "laden")
 
     def run(self, walks: int, seconds: float = 86_400.0) -> Found:
         """Each walk's draws are its own: the n-th is the same in every run of a seed."""
@@ -37,7 +37,7 @@
         while self.walks < walks and found.broken is None and time.monotonic() - began < seconds:
             if self.walks % ANEW == 0:
                 found.machines += len(self._model.facts)
-                self._model = Model(self.bounds)
+                self._model = Model(self.bounds, self._model.small)
                 if self._show is not None and self.walks:
                     self._show(f"{self.walks} walks, {found.steps} steps, {time.monotonic() - began:.0f} s")
             self.walks += 1
@@ -54,7 +54,7 @@
 
     def _walk(self, rng: random.Random) -> None:
         model, way = self._model, list[Step]()
-        first = state = model.cold() if self.found.start == "cold" else model.settled()
+        first = state = model.first(self.found.start)
         likely = {kind: weight * rng.choice(TIMES) for kind, weight in LIKELY.items()}
         slow = rng.randrange(model.bounds.machines) if rng.random() < SLOW else -1
         try:
--- a/tests/test_cistern.py
+++ b/tests/test_cistern.py
@@ -26,6 +26,14 @@
         pass
 
 
+@pytest.fixture(autouse=True)
+def notes(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """What is noted; no log is open here."""
+    noted: list[str] = []
+    monkeypatch.setattr(store, "note", lambda event, level="info", **fields: noted.append(f"{level} {event}"))
+    return noted
+
+
 def opened(folder: Path) -> Cistern:
     return Cistern(cast(Any, Still()), str(folder))
 
@@ -90,7 +98,7 @@
 @pytest.mark.parametrize("which", ["oakvale.db", "oakvale.db-wal", "oakvale.mark"])
 @pytest.mark.parametrize("how", ["torn", "zeroed", "flipped", "noise", "gone"])
 def test_a_file_is_whole_or_it_is_begun_anew(tmp_path: Path, files: list[tuple[Path, Held]], which: str,
-                                             how: str) -> None:
+                                             how: str, notes: list[str]) -> None:
     """Never an older state, a mixed one, or an error that comes back at each start; and it can be worked with."""
     for seed, (file, held) in enumerate(files):
         folder = tmp_path / str(seed)
@@ -101,8 +109,12 @@
         assert holds(cistern) in (whole, ({}, {}, None)), (which, how, seed)
         if which == "oakvale.mark":
             assert holds(cistern) == whole
-        elif holds(cistern) != whole:
-            assert not cistern.first and cistern.fact("self") is None  # who it was is gone, and it founds nothing
+        if holds(cistern) != whole:  # who it was is gone, it founds nothing, and that is said once
+            assert not cistern.first and cistern.fact("self") is None
+            assert notes in (["error file is damaged"], ["error no state where there was one"])
+        else:
+            assert not notes
+        notes.clear()
         cistern.write(("rows", [("new", b"1")]), lambda: None)
         ended(cistern)
         again = opened(folder)
--- a/tests/test_sounding.py
+++ b/tests/test_sounding.py
@@ -31,6 +31,10 @@
     "words-before-disk": "one view for each number",
     "complete-at-once": "complete means all acknowledged",
     "void-unkept": "complete means all acknowledged",
+    "half-snapshot": "complete means all acknowledged",
+    "lacks-counts": "both copies synced it",
+    "staged-as-held": "complete means all acknowledged",
+    "old-state-leads": "complete means all acknowledged",
 }
 
 
@@ -44,12 +48,14 @@
 @pytest.mark.parametrize("start, bounds", [
     ("settled", replace(QUIET, writes=1, kills=1, wipes=1, retries=1)),
     ("cold", replace(QUIET, writes=1, kills=1, retries=1)),
+    ("laden", replace(QUIET, wakes=1, retries=1)),
 ])
 def test_nothing_is_broken_as_it_stands(start: str, bounds: Bounds) -> None:
     """And all within the bounds was seen, the same in each run."""
     found = Search(bounds, start).run()
     assert found.whole and found.broken is None and found.healed > 20
-    assert (found.states, found.depth) == {"settled": (10303, 20), "cold": (1811, 24)}[start]
+    assert (found.states, found.depth) == {
+        "settled": (10303, 20), "cold": (1811, 24), "laden": (18598, 28)}[start]
 
 
 def test_a_successor_that_nobody_can_become_is_found() -> None:
