Idle connections of clients last as long as their bound says

Clients take up connections that have rested for up to four fifths of `idle`; what crosses their end is lost to them.

Causes: a wait kept the bound that it began with, so a longer one came late; a shorter one bound at once those who had not heard of it. The time-out came before what had arrived in its turn, and the request was reset. Half of the places for clients were kept free of idle ones. SIGTERM closed all idle connections 2.6 s before the gateway takes no more.

Now the bound in force when the time is over counts, and the one before for its own length after a shorter one came. At a time-out the socket is looked at once more. A gateway that stops answers what comes on idle connections with `Connection: close`, and ends the rest at 2.6 s.

The gateway in service closes at SIGTERM as before.

--- a/oakvale/lifecycle/shutdown.py
+++ b/oakvale/lifecycle/shutdown.py
@@ -37,8 +37,9 @@
         self.host.stopping = True  # answers say from now on that the connection ends
         self._began = now
         log.info("stopping", extra={"requests": len(self.host.requests)})
-        # now, while new ones are taken: a request that crosses the close of its connection is sent once more
-        self.host.clients.end_idle()
+        if not limits.patient:
+            # now, while new ones are taken: a request that crosses the close of its connection is sent once more
+            self.host.clients.end_idle()
         self.loop.at(now + limits.stop_accepting, self._stop_accepting)
         self.loop.at(now + limits.stop_taking, self._stop_taking)
 
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -223,6 +223,7 @@
         self._numbers: dict[str, int] = {}
         self._rng, self._retries = self.loop.net.rng, retries
         self.taking_ended = False
+        self._idle_held = (0, 0)  # microseconds that clients may think a connection may be idle, and until when
         self._longest: dict[str, int] = {}  # route -> the longest that a client would wait
         self.sure: Callable[[], bool] = lambda: True  # whether a key's removal would have been heard of
 
@@ -242,7 +243,11 @@
         was, self.picture = self.picture, picture
         if picture.gen != was.gen:
             self._longest.clear()
-            self.limits = picture.clients.within(self.shared.limits)
+            before = was.clients.within(self.shared.limits).client_idle
+            if was.gen >= 0 and picture.clients.within(self.shared.limits).client_idle < before:
+                self._idle_held = max(before, self.limits.client_idle), self.loop.now + before
+                self.loop.at(self._idle_held[1], self._bound)
+            self._bound()
         if picture.backends is not was.backends:
             by_service: dict[str, list[Backend]] = {}
             for backend in picture.backends.values():
@@ -256,6 +261,14 @@
             for key in [key for key in self._aside if not any(key[1] <= off for off in held)]:
                 self._aside.pop(key).retire()
 
+    def _bound(self, _: Any = None) -> None:
+        """Clients go by a longer bound on idle connections until they have heard that it is a shorter one."""
+        limits = self.picture.clients.within(self.shared.limits)
+        held, until = self._idle_held
+        if self.loop.now < until:
+            limits = replace(limits, client_idle=max(limits.client_idle, held))
+        self.limits = limits
+
     def _lane(self, service: str) -> ServiceLane:
         lane = self._lanes.get(service)
         if lane is None:
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -260,10 +260,15 @@
                         due = host.loop.now + host.limits.client_send
                         yield from write_all(self._sock, interim or b"", due)
                     wanted = began or not self._answers
-                    due = self._due(began) if wanted else self.used + limits.client_idle
+                    due = self._due(began) if wanted else self.used + host.limits.client_idle
                     if began and incoming is None and limits.client_head:
                         due = min(due, began + limits.client_head)
-                    arrived = yield from more(self._sock, http, host.buffers, due, stamped=True)
+                    try:
+                        arrived = yield from more(self._sock, http, host.buffers, due, stamped=True)
+                    except Gone as gone:
+                        if gone.timed_out and not wanted and host.loop.now < self.used + host.limits.client_idle:
+                            continue  # the bound has grown meanwhile, and its client goes by that
+                        raise
                     self._came = host.loop.now - host.waited(arrived)
                     if idle:
                         began, idle = host.loop.now, False
--- a/oakvale/wire/http.py
+++ b/oakvale/wire/http.py
@@ -44,12 +44,14 @@
 
 def more(sock: Sock, http: h11.Connection, pool: BufferPool, due: int,
          stamped: bool = False) -> Step[int]:
-    """Waits until the parser has been given something new; gives the stamp of its arrival. Raises Gone."""
+    """Waits until the parser has been given something new; gives the stamp of its arrival. Raises Gone. What has
+    come when the time is over counts: whoever sent it was in time."""
     while True:
-        if (yield READ, due) == TIMED_OUT:
-            raise Gone(timed_out=True)
+        late = (yield READ, due) == TIMED_OUT
         try:  # also when woken: what came with a new connection is read at once
             if (arrived := receive(sock, http, pool, stamped)) is not None:
                 return arrived
         except OSError as error:
             raise Gone() from error
+        if late:
+            raise Gone(timed_out=True)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -116,3 +116,60 @@
     served(world)
     assert statuses(caller)[-1] == (200, "")
     return caller
+
+
+def test_a_connection_rests_for_as_long_as_the_operator_lets_it_also_when_that_changes() -> None:
+    """Its client goes by the newest bound, and by the one before until it has heard of that."""
+    world = World()
+    world.idle = "4s"
+    world.show()
+    world.pass_time(16 * SECOND)
+    longer = idle(world)
+    world.pass_time(2 * SECOND)
+    world.idle = "30s"
+    world.show()
+    world.pass_time(24 * SECOND)
+    assert not longer.line.closed
+    shorter = idle(world)
+    world.idle = "4s"
+    world.show()
+    world.pass_time(5 * SECOND)
+    after = idle(world)
+    world.pass_time(24 * SECOND)
+    assert longer.line.closed and not shorter.line.closed and not after.line.closed
+    world.pass_time(8 * SECOND)
+    assert shorter.line.closed and after.line.closed
+    late = idle(world)
+    world.pass_time(5 * SECOND)
+    assert late.line.closed
+    world.finish()
+
+
+def test_a_request_that_comes_as_the_time_of_its_connection_is_over_is_read() -> None:
+    """It was reset: the time-out came first in a turn, and nobody looked."""
+    world = World()
+    caller = idle(world)
+    raw = world.request(7, 0)
+    world.loop.at(world.now + 15 * SECOND, lambda _: caller.ask(raw, 0))
+    world.loop.at(world.now, lambda _: None)
+    world.pass_time(15 * SECOND)
+    served(world)
+    assert statuses(caller) == [(200, ""), (200, "")]
+    world.finish()
+
+
+def test_idle_connections_are_closed_for_room_alone_and_not_at_the_start_of_a_stop() -> None:
+    """What crosses their end is lost to its client: half of the places were kept free, and SIGTERM closed all."""
+    world = World({"clients": 4, "clients_idle": bounds_of().clients_idle - bounds_of().clients + 4})
+    rests = [idle(world) for _ in range(4)]
+    assert not any(caller.line.closed for caller in rests)
+    fifth = idle(world)
+    assert [caller.line.closed for caller in (*rests, fifth)] == [True, False, False, False, False]
+    world.shutdown.begin()
+    world.turn()
+    caller = asked(world, 7, rests[1])
+    served(world)
+    assert statuses(caller) == [(200, ""), (200, "close")]
+    world.pass_time(3 * SECOND)
+    assert all(caller.line.closed for caller in rests)
+    world.finish()
