A backend's answer is read while the request is still being written

Cause: nothing was read before the last byte was written. A backend that answers early and reads no further, as one that turns a large body away does, was waited for to the deadline; its `Not-Run` was lost and an unsafe request got a 502 for it. Whether anything had been written was known of some ends only: a fault in the coroutine with part of a request written counted as a connection that never came up, and the request could be sent again.

Now input ends the writing; behind an interim or surplus answer it goes on. A connection whose request was not written whole is not used again. `_may_have_run` holds for every end: what no kernel was handed surely never ran, all else may have.

Shown: five cases.

--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -157,6 +157,7 @@
         self.attempt: AttemptOut | None = attempt
         self.lasts = host.limits.backend_idle  # while idle
         self._share = Share(host.bodies)
+        self._unsent, self._begun = b"", False  # of the request; whether the kernel has taken any of it
         self._sock = new_socket(host.loop.net)
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=host.limits.header)
         attempt.connection = self
@@ -193,18 +194,36 @@
             self.host.backend_connections -= 1
             self.host.idle.remove(self)
             if self.attempt is not None:  # a fault of this coroutine: its attempt still ends
-                self._finish(Ending.RESET if self.attempt.written else Ending.NO_CONNECTION)
+                self._finish(Ending.RESET if self._may_have_run(self.attempt) else Ending.NO_CONNECTION)
+
+    def _may_have_run(self, attempt: AttemptOut) -> bool:
+        """What surely never ran is what no kernel was handed; for some backends, what it was not handed whole."""
+        return attempt.written or self._begun and self.host.dialect.part_may_run
+
+    def _send(self, attempt: AttemptOut) -> Step[None]:
+        """All of the request, or until something comes back: an answer may come before the backend has read all."""
+        if self._unsent:
+            begun, self._begun = self._begun, True  # however this ends, unless it is known that nothing went out
+            try:
+                sent = yield from write_all(self._sock, self._unsent, attempt.due, heed=True)
+            except Gone as gone:
+                self._begun = begun or gone.begun
+                raise
+            self._begun = begun or sent > 0
+            self._unsent = self._unsent[sent:]
+            attempt.written = not self._unsent
 
     def _exchange(self) -> Step[bool]:
         """Sends the attempt's request and takes its answer; False when the connection can't be used again."""
         attempt = self.attempt
         assert attempt is not None
+        self._begun = False
         try:
-            yield from write_all(self._sock, self._message(attempt), attempt.due)
-            attempt.written = True
+            self._unsent = self._message(attempt)
+            yield from self._send(attempt)
             answer, report = yield from self._answer(attempt)
         except Gone as gone:
-            if not attempt.written and not (gone.begun and self.host.dialect.part_may_run):
+            if not self._may_have_run(attempt):
                 self._finish(Ending.NO_CONNECTION)
             else:
                 attempt.dropped = bool(attempt.idled) and not gone.timed_out and not self._http.trailing_data[0] and (
@@ -217,7 +236,7 @@
             return False
         http = self._http
         reusable = (http.our_state is h11.DONE and http.their_state is h11.DONE and not http.trailing_data[0]
-                    and self.host.serves(self.backend))
+                    and attempt.written and self.host.serves(self.backend))
         if reusable:  # before the module hears of the end: its next attempt may want this connection
             http.start_next_cycle()
             self._share.hold(0)
@@ -269,6 +288,7 @@
                 # one that says more than it sends stays open and silent: it is not waited for to the deadline
                 rest_due = due if quiet else min(due, self.host.loop.now + limits.answer_rest)
                 try:
+                    yield from self._send(attempt)  # what was not written when this answer's like came
                     yield from more(self._sock, http, pool, rest_due)
                 except Gone as gone:
                     if gone.timed_out and rest_due < due:
--- a/oakvale/wire/tcp.py
+++ b/oakvale/wire/tcp.py
@@ -7,7 +7,7 @@
 import struct
 
 from oakvale.base.address import Address
-from oakvale.base.loop import TIMED_OUT, WOKEN, WRITE, Step
+from oakvale.base.loop import READ, TIMED_OUT, WOKEN, WRITE, Step
 from oakvale.base.net import Net, Sock
 
 SO_TIMESTAMPNS = 35  # Linux; the socket module has no name for it
@@ -40,9 +40,10 @@
     return signal != TIMED_OUT and not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
 
 
-def write_all(sock: Sock, data: bytes, due: int) -> Step[None]:
-    """Writes what the socket takes and waits for the rest; raises Gone if it never all goes."""
-    sent = 0
+def write_all(sock: Sock, data: bytes, due: int, heed: bool = False) -> Step[int]:
+    """Writes what the socket takes and waits for the rest; raises Gone if it never all goes. Gives the bytes
+    written: fewer than all where `heed` is set and something came in before."""
+    sent = signal = 0
     while True:
         try:
             sent += sock.send(data[sent:] if sent else data)
@@ -50,9 +51,10 @@
             pass
         except OSError as error:
             raise Gone(begun=sent > 0) from error
-        if sent == len(data):
-            return
-        if (yield WRITE, due) == TIMED_OUT:
+        if sent == len(data) or heed and signal > 0 and signal & READ:
+            return sent
+        signal = yield WRITE | (READ if heed else 0), due
+        if signal == TIMED_OUT:
             raise Gone(timed_out=True, begun=sent > 0)
 
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -5,12 +5,14 @@
 
 from typing import Any, cast
 
+import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from oakvale import interface as i
 from oakvale.base.limits import Limits
 from oakvale.intake.bounds import bounds
+from oakvale.wire import backends
 from tests.crossing import MS, SECOND, SETTINGS, Caller, Ear, World, play
 from tests.lines import PLENTY
 from tests.node import Node, request
@@ -173,3 +175,45 @@
     world.pass_time(3 * SECOND)
     assert all(caller.line.closed for caller in rests)
     world.finish()
+
+
+@pytest.mark.parametrize("how, status", [(0, 200), (8, 200), (20, 502)])
+def test_an_answer_before_the_whole_request_is_heeded(how: int, status: int) -> None:
+    """Its backend reads no further: to the deadline, a 502 was all that came of what it had said."""
+    world = World()
+    world.room = 40
+    caller = asked(world, 3)
+    world.ears[0].answer(how)
+    world.room = PLENTY
+    world.turn()
+    if how == 8:
+        served(world)
+    assert statuses(caller) == [(status, "")] and world.ears[0].line.closed
+    world.finish()
+
+
+def test_the_rest_of_a_request_follows_behind_an_interim_answer() -> None:
+    world = World()
+    world.room = 40
+    caller = asked(world, 3)
+    ear = world.ears[0]
+    ear.answer(14)
+    world.turn()
+    ear.line.room = PLENTY
+    world.turn()
+    assert ear.arrivals[0].left == 0
+    served(world)
+    assert statuses(caller) == [(200, "")] and not ear.line.closed
+    world.finish()
+
+
+def test_a_fault_with_part_of_a_request_written_is_no_proof_that_it_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
+    def part(sock: Any, data: bytes, due: int, heed: bool = False) -> Any:
+        sock.send(data[:40])
+        raise RuntimeError("a fault")
+        yield
+
+    monkeypatch.setattr(backends, "write_all", part)
+    world = World()
+    caller = asked(world, 3)
+    assert statuses(caller) == [(502, "")] and len(world.ears) == 1
