An answer that stops midway is waited for where another attempt is no gain

Cause: 2 s after the last byte of an answer that had begun, the attempt ended as lost. An unsafe request got a 502 of the gateway's own then, well before its deadline, and its backend, frozen or slow, was cut off.

Safe ones are tried elsewhere after 2 s as before. Shown: a test that fails without it.

--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -80,6 +80,9 @@
     def belongs(self, attempt: AttemptOut, status: int, headers: Headers) -> bool:
         """Whether an answer's head is of this attempt, not a surplus one of an attempt before."""
 
+    def waits(self, attempt: AttemptOut) -> bool:
+        """Whether an answer that stops midway is waited for to the attempt's end."""
+
     def check(self, headers: Headers) -> None:
         """Raises Spoilt where a head tells that the answer is not the backend's."""
 
@@ -112,6 +115,9 @@
     def belongs(self, attempt: AttemptOut, status: int, headers: Headers) -> bool:
         return True
 
+    def waits(self, attempt: AttemptOut) -> bool:
+        return False
+
     def check(self, headers: Headers) -> None:
         pass
 
@@ -286,7 +292,8 @@
             # h11's events are abstract classes: isinstance is slow on them
             if event is h11.NEED_DATA:
                 # one that says more than it sends stays open and silent: it is not waited for to the deadline
-                rest_due = due if quiet else min(due, self.host.loop.now + limits.answer_rest)
+                patient = quiet or self.host.dialect.waits(attempt)
+                rest_due = due if patient else min(due, self.host.loop.now + limits.answer_rest)
                 try:
                     yield from self._send(attempt)  # what was not written when this answer's like came
                     yield from more(self._sock, http, pool, rest_due)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -177,6 +177,20 @@
     world.finish()
 
 
+def test_an_answer_that_stops_midway_is_waited_for_where_nothing_is_gained_by_another() -> None:
+    """After 2 s of silence an unsafe request got a 502, well before its deadline, and its backend was cut off."""
+    world = World()
+    caller, safe = asked(world, 7), asked(world, 0)
+    for ear in world.ears:
+        ear.answer(21)
+    world.pass_time(3 * SECOND)
+    assert world.ears[1].line.closed and not world.ears[0].line.closed  # what may be repeated is, elsewhere
+    world.ears[0].answer(1)
+    world.turn()
+    assert statuses(caller) == [(200, "")] and not statuses(safe)
+    world.finish()
+
+
 @pytest.mark.parametrize("how, status", [(0, 200), (8, 200), (20, 502)])
 def test_an_answer_before_the_whole_request_is_heeded(how: int, status: int) -> None:
     """Its backend reads no further: to the deadline, a 502 was all that came of what it had said."""
