A connection whose answer names no attempt is not used again

Cause: `Not-Run` and 421 come without `Attempt-Id`. A second copy of one, late, in the place of the next request's answer on that connection, says of a request that runs that it never ran: it would be sent again (TWICE) or refused with a promise (REFUSED). A surplus copy of an answer that names its attempt is found out by that name; only of one that does not, there must be no next.

--- a/oakvale/sluice/dialect.py
+++ b/oakvale/sluice/dialect.py
@@ -32,6 +32,9 @@
         ids = [value for name, value in headers if name == b"attempt-id"]
         return all(value == attempt.request.id.encode("latin-1") for value in ids) and bool(ids or status >= 300)
 
+    def named(self, headers: Headers) -> bool:
+        return any(name == b"attempt-id" for name, _ in headers)
+
     def waits(self, attempt: AttemptOut) -> bool:
         """A backend's silence is no reason to end an answer sooner, but that another may serve. What can't be
         repeated gains nothing by it; and a gateway that goes puts no answer of its own in the place of one that is
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -80,6 +80,10 @@
     def belongs(self, attempt: AttemptOut, status: int, headers: Headers) -> bool:
         """Whether an answer's head is of this attempt, not a surplus one of an attempt before."""
 
+    def named(self, headers: Headers) -> bool:
+        """Whether a head says itself which attempt it is of. Another copy of one that does not would be taken for
+        the next answer on its connection."""
+
     def waits(self, attempt: AttemptOut) -> bool:
         """Whether an answer that stops midway is waited for to the attempt's end."""
 
@@ -115,6 +119,9 @@
     def belongs(self, attempt: AttemptOut, status: int, headers: Headers) -> bool:
         return True
 
+    def named(self, headers: Headers) -> bool:
+        return True  # nothing on its wire names one
+
     def waits(self, attempt: AttemptOut) -> bool:
         return False
 
@@ -242,7 +249,7 @@
             return False
         http = self._http
         reusable = (http.our_state is h11.DONE and http.their_state is h11.DONE and not http.trailing_data[0]
-                    and attempt.written and self.host.serves(self.backend))
+                    and attempt.written and self.host.dialect.named(answer.headers) and self.host.serves(self.backend))
         if reusable:  # before the module hears of the end: its next attempt may want this connection
             http.start_next_cycle()
             self._share.hold(0)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -191,6 +191,18 @@
     world.finish()
 
 
+def test_a_connection_whose_answer_names_no_attempt_is_not_used_again() -> None:
+    """A second copy of `Not-Run` in the place of the next request's answer: it would be sent again, and run twice."""
+    world = World()
+    caller = asked(world, 7)
+    world.ears[0].answer(8)
+    world.turn()
+    assert world.ears[0].line.closed and at_work(world).arrivals[0].asked is caller.asked[0]
+    served(world)
+    assert statuses(caller) == [(200, "")] and not world.ears[1].line.closed
+    world.finish()
+
+
 @pytest.mark.parametrize("how, status", [(0, 200), (8, 200), (20, 502)])
 def test_an_answer_before_the_whole_request_is_heeded(how: int, status: int) -> None:
     """Its backend reads no further: to the deadline, a 502 was all that came of what it had said."""
