An asker that fails at its answer takes nothing from the others on its connection

Cause: what an answer is given to was called unguarded. Where one failed as its connection ended, the others that had asked on it never heard, and what waits for them waited for ever; where one failed at an answer, the connection ended with all that was asked.

Each question hears once, its own answer or none. Three breakages are each found. No answer of an earlier life or of another connection reached a question: what is waited for belongs to its connection.

--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -139,7 +139,7 @@
             waited = self.waiting.pop(number, None)
             if waited is not None:
                 call_off(waited[1])
-                waited[0](body)
+                _hear(waited[0], body)
             return
         handler = self.mains.handlers.get(kind)
         if handler is None:
@@ -155,6 +155,14 @@
     pass
 
 
+def _hear(then: Then, answer: Any) -> None:
+    """One answer that its asker can't use ends neither the connection nor what others asked on it."""
+    try:
+        then(answer)
+    except Exception:
+        note.fault("answer failed")
+
+
 class Mains:
     """All links of a process."""
 
@@ -207,7 +215,7 @@
         waiting, conn.waiting = conn.waiting, {}
         for then, timer in waiting.values():
             call_off(timer)
-            then(None)
+            _hear(then, None)
         for call in conn.on_close:
             call(conn)
 
@@ -248,7 +256,7 @@
         """`then` hears the answer, or None after `timeout` microseconds or once the connection is gone."""
         conn = self.link(address)
         if conn is None:
-            self.loop.at(self.loop.now, lambda _: then(None))
+            self.loop.at(self.loop.now, lambda _: _hear(then, None))
         else:
             self.ask_on(conn, kind, body, timeout, then)
 
@@ -259,7 +267,7 @@
 
         def late(_: Any) -> None:
             if conn.waiting.pop(number, None) is not None:
-                then(None)
+                _hear(then, None)
 
         conn.waiting[number] = (then, self.loop.at(self.loop.now + timeout, late))
         conn.send(kind, number, body)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 from typing import Any
 
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Clock, Loop
-from oakvale.mains.links import Mains
+from oakvale.lifecycle.daybook import BOOK
+from oakvale.mains.links import Conn, Mains
+from tests.questions import World
 
 
 def test_a_connection_that_is_being_made_is_not_waited_for_once_its_peer_is_known_to_be_up() -> None:
@@ -33,3 +40,61 @@
     loop.close()
     for sock in (*held, listener):
         sock.close()
+
+
+def search(examples: int, shrinks: bool = True) -> None:
+    @settings(max_examples=examples, derandomize=True, database=None, deadline=None, print_blob=False,
+              phases=(Phase.generate, Phase.shrink) if shrinks else (Phase.generate,), report_multiple_bugs=False,
+              suppress_health_check=list(HealthCheck))
+    @given(st.binary(min_size=20, max_size=120))
+    def plays(schedule: bytes) -> None:
+        World().play(schedule)
+
+    plays()
+
+
+@pytest.fixture
+def quiet(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Odd answers are drawn, and would be noted."""
+    monkeypatch.setattr(BOOK, "write", lambda *_: None)
+    monkeypatch.setattr(logging.getLogger("oakvale"), "disabled", True)
+
+
+@pytest.mark.usefixtures("quiet")
+def test_each_question_hears_once_and_its_own_answer_or_none() -> None:
+    """Over connections that break, refuse, stay silent or don't read, peers that start again, answers late, twice and
+    in pieces, peers that ask under the same numbers, and askers that fail at what they hear. Where one failed as its
+    connection ended, the others that had asked on it heard nothing, ever."""
+    search(1_000)
+
+
+def kept(conn: Conn, frame: Any) -> None:
+    """An answer leaves its question waiting."""
+    waited = conn.waiting.get(frame[1])
+    TAKE(conn, frame)
+    if waited is not None and not frame[0]:
+        conn.waiting[frame[1]] = waited
+
+
+def alike(mains: Mains, conn: Conn, *rest: Any) -> None:
+    """All questions bear one number."""
+    mains._number = 0
+    ASK_ON(mains, conn, *rest)
+
+
+def unheard(mains: Mains, conn: Conn) -> None:
+    """What is asked on a connection that ends hears nothing."""
+    conn.waiting = {}
+    GONE(mains, conn)
+
+
+TAKE, ASK_ON, GONE = Conn._take, Mains.ask_on, Mains.gone
+BREAKAGES = {"kept": (Conn, "_take", kept), "alike": (Mains, "ask_on", alike), "unheard": (Mains, "gone", unheard)}
+
+
+@pytest.mark.usefixtures("quiet")
+@pytest.mark.parametrize("what", BREAKAGES)
+def test_each_mechanism_of_questions_taken_out_is_found(monkeypatch: pytest.MonkeyPatch, what: str) -> None:
+    monkeypatch.setattr(*BREAKAGES[what])
+    with pytest.raises(AssertionError):
+        search(300, shrinks=False)
