A refused connection proves the end of no life that came after it

Cause: 'nobody listens there' held for 0.12 s, whoever was asked about. A gateway that started again within that time, joined, and was asked for its life while the link still paused from the refusal, counted as ended for all of its new life: the counter then keeps no share back for what it passes alone when it is cut off (QUOTA). A juror could free the votes of a holder likewise.

A refusal now counts only from the question on. Shown: a test that fails without it; tests/fleet.py has the same rule.

--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -280,10 +280,11 @@
         for node, member in self._lately.items():
             address = parse_address(member.address)
             if address and node != self._node and not self._here(node) and self._ended.get(node) != member.life:
-                self.mains.ask(address, "life", None, WAIT, partial(self._proven, member, address))
+                self.mains.ask(address, "life", None, WAIT, partial(self._proven, member, address, self.loop.now))
 
-    def _proven(self, member: Member, address: Address, answer: Any) -> None:
-        if isinstance(answer, str) and answer != member.life or answer is None and self.mains.ended(address):
+    def _proven(self, member: Member, address: Address, asked: int, answer: Any) -> None:
+        refused = answer is None and self.mains.ended(address, asked)
+        if isinstance(answer, str) and answer != member.life or refused:
             self._ended[member.node] = member.life
 
     def _count(self, conn: Conn, body: Any, answer: Answer) -> None:
--- a/oakvale/headworks/jury.py
+++ b/oakvale/headworks/jury.py
@@ -59,10 +59,11 @@
         if address is None or life in self._probing:
             return
         self._probing.add(life)
+        asked = self._loop.now
 
         def answered(answer: Any) -> None:
             self._probing.discard(life)
-            if isinstance(answer, str) and answer != life or answer is None and self._mains.ended(address):
+            if isinstance(answer, str) and answer != life or answer is None and self._mains.ended(address, asked):
                 self._juror.ended(life, self._loop.now)
             elif answer is None and self._juror.votes_for(life, self._loop.now):
                 self._loop.at(self._loop.now + AGAIN, lambda _: self._probe(life, where))
--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -276,9 +276,11 @@
         """How many there are, outgoing and incoming."""
         return len(self._out), len(self._in)
 
-    def ended(self, address: Address) -> bool:
-        """Whether a connection was refused there just now: the process that listened has ended."""
-        return self.loop.now - self._refused.get(address, -2 * PAUSE) < 2 * PAUSE
+    def ended(self, address: Address, since: int = 0) -> bool:
+        """Whether a connection was refused there just now: the process that listened has ended. `since`: of one that
+        was known then; what was refused before was refused for want of a life before it."""
+        at = self._refused.get(address, -2 * PAUSE)
+        return self.loop.now - at < 2 * PAUSE and at >= since
 
     def sweep(self) -> None:
         """Ends links that nothing went out on for long."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -95,8 +95,9 @@
         life.waiting[number] = (target, then)
         fleet.ship(life, target, arrive)
 
-    def ended(self, address: Address) -> bool:
-        return self._life.machine.fleet.now - self._life.refused.get(address, -SECOND) < 120 * MS
+    def ended(self, address: Address, since: int = 0) -> bool:
+        at = self._life.refused.get(address, -SECOND)
+        return self._life.machine.fleet.now - at < 120 * MS and at >= since
 
 
 class Cistern:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -12,9 +12,12 @@
 
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Clock, Loop
+from oakvale.gauge.floors import Quota, Terms
+from oakvale.gauge.service import Gauge
 from oakvale.lifecycle.daybook import BOOK
 from oakvale.mains.links import Conn, Mains
-from tests.questions import World
+from oakvale.penstock.tree import Member, Members
+from tests.questions import PEERS, World
 
 
 def test_a_connection_that_is_being_made_is_not_waited_for_once_its_peer_is_known_to_be_up() -> None:
@@ -98,3 +101,27 @@
     monkeypatch.setattr(*BREAKAGES[what])
     with pytest.raises(AssertionError):
         search(300, shrinks=False)
+
+
+def test_what_was_refused_before_a_question_proves_nothing_of_who_is_asked() -> None:
+    """A gateway that had just started again, and was silent next, counted as ended for all its new life: its share of
+    the quota, which it passes when it is cut off, was left with the counter (QUOTA)."""
+    world, heard = World(), list[Any]()
+    world.mode = 1
+    world.mains.ask(PEERS[0], "life", None, 150_000, heard.append)
+    world.turn()
+    assert heard == [None] and world.mains.ended(PEERS[0])
+    world.now += 30_000
+    world.turn()
+    members = Members([Member("g2", "10.0.0.2:7", "z", "new")])
+    gauge = Gauge(world.loop, world.mains, Terms(5_000_000, 0.1, 20), "g1", "l1", "10.0.0.1:7", lambda: members,
+                  lambda: [], lambda tenant: Quota(10, 10))
+    gauge.members_changed()
+    gauge._prove()
+    world.turn()
+    assert world.mains.ended(PEERS[0]) and not gauge._ended
+    world.now += 100_000
+    world.turn()
+    gauge._prove()
+    world.turn()
+    assert gauge._ended == {"g2": "new"}  # refused since: nobody listens there now
