Drawn schedules of orders on the connections of ctl

Each order is taken once, in its connection's order, and its answer comes there, in its place. Two breakages are each found.

--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,187 @@
+"""Orders on the connections of `ctl`: each is taken once and in order, its answer goes where it came from, in place."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from oakvale.base.limits import Limits
+from oakvale.base.loop import Loop
+from oakvale.headworks.ctl import Ctl
+from oakvale.headworks.resources import Reply
+from oakvale.intake.bounds import bounds
+from oakvale.lifecycle.acceptor import Acceptor
+from oakvale.memory.requests import Answer
+from oakvale.shared import Owner, Shared
+from tests.crossing import MS, SECOND, SETTINGS, START
+from tests.lines import PLENTY, Line, Lines
+
+ADDRESS = ("10.0.0.1", 8783)
+MOST = 8  # orders at once
+bounds_of = bounds
+
+
+@dataclass(eq=False)
+class Caller:
+    line: Line
+    sent: list[str] = field(default_factory=list)  # whole
+    unsent: bytes = b""
+    left: bool = False
+    slow: bool = False  # it did not read for a time
+
+    def push(self, cut: int) -> None:
+        if not self.left and not self.line.fin_in:
+            count = max(1, len(self.unsent) - cut) if self.unsent else 0
+            self.line.say(self.unsent[:count])
+            self.unsent = self.unsent[count:]
+
+    def answers(self) -> list[tuple[int, bytes]]:
+        data, found = self.line.read(), list[tuple[int, bytes]]()
+        while data:
+            head, end, rest = data.partition(b"\r\n\r\n")
+            if not end:
+                break
+            assert head.startswith(b"HTTP/1.1 "), f"no answer: {data!r}"
+            status = int(head.split()[1])
+            if status >= 200:
+                length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+                if len(rest) < length:
+                    break
+                found.append((status, rest[:length]))
+                rest = rest[length:]
+            data = rest
+        return found
+
+
+class World:
+    def __init__(self) -> None:
+        self.now, self.net = START, Lines()
+        given = replace(bounds_of(cast(Any, SETTINGS)), timer_slack=0, wake_slack=0)
+        self.loop = Loop(lambda: self.now, given, cast(Any, self.net))
+        ledger = SimpleNamespace(table=SimpleNamespace(items=lambda prefix: []))
+        core = SimpleNamespace(on_change=[], serving=lambda: True, ledger=ledger)
+        bound = SimpleNamespace(bind={"ctl": ADDRESS}, beat=SECOND)
+        self.ctl = Ctl(Shared(self.loop, given), cast(Any, core), cast(Any, bound))
+        self.taken: list[str] = []
+        self.gives: list[tuple[str, Callable[[Reply], None]]] = []
+        self.ctl._calls[(b"POST", "Test.Order")] = self._order
+        self.listener = self.net.listen(ADDRESS, 9)
+        Acceptor(cast(Any, self.ctl), cast(Any, self.listener), self.loop)
+        self.callers: list[Caller] = []
+        self.orders = 0
+
+    def _order(self, name: str, body: bytes, give: Callable[[Reply], None]) -> None:
+        assert body == name.encode() * 9
+        self.taken.append(name)
+        if body[-1] % 3:
+            self.gives.append((name, give))
+        else:
+            give(Reply(200, name.encode()))
+
+    def step(self, what: int, which: int) -> None:
+        here = [c for c in self.callers if not c.left and not c.line.closed and not c.line.fin_in]
+        caller = here[which % len(here)] if here else None
+        under_way = sum(len(c.sent) for c in here) - sum(len(c.answers()) for c in here)
+        if what < 6 and under_way < MOST:
+            if caller is None or which & 32:
+                line = self.net.line()
+                line.up = True
+                self.listener.queue.append(line)
+                caller = Caller(line)
+                self.callers.append(caller)
+            self.orders += 1
+            name = f"o{self.orders}"
+            caller.unsent += (f"POST /oakvale/Test.Order/{name} HTTP/1.1\r\nHost: c\r\nContent-Length: {9 * len(name)}"
+                              f"\r\n\r\n{name * 9}").encode()
+            caller.sent.append(name)
+            caller.push((0, 0, 7, 40)[which & 3])
+        elif what < 11 and self.gives:
+            name, give = self.gives.pop(which % len(self.gives))
+            give(Reply(200 if which & 16 else 503, name.encode()))
+            if which & 64:
+                self.gives.append((name, give))  # it is told once more, later
+        elif what == 11:
+            self.now += (MS, 300 * MS, 3 * SECOND, 7 * SECOND)[which & 3]
+        elif what == 12 and caller is not None and which & 1:
+            caller.left = True
+            (caller.line.reset if which & 2 else caller.line.leave)()
+        elif what == 13 and caller is not None and not caller.unsent:
+            caller.line.fin()
+        elif what == 14 and caller is not None:
+            caller.line.room = PLENTY if which & 1 else len(caller.line.wire) + 10
+            caller.slow |= not which & 1
+        elif caller is not None:
+            caller.push(0)
+
+    def play(self, schedule: bytes) -> None:
+        for at in range(0, len(schedule) - 1, 2):
+            self.step(schedule[at] % 16, schedule[at + 1])
+            self.turn()
+        for caller in self.callers:
+            caller.line.room = PLENTY
+            caller.push(0)
+        for _ in range(2 * len(self.taken) + self.orders + 9):
+            gives, self.gives = self.gives, []
+            for name, give in gives:
+                give(Reply(200, name.encode()))
+            self.turn()
+        for caller in self.callers:
+            names = [body.decode() for status, body in caller.answers() if status != 408]
+            late = len(names) < len(caller.answers())  # the last of an order came too late
+            assert names == caller.sent[:len(names)], f"{caller.sent} heard {names}"
+            excused = caller.left or late or caller.slow and caller.line.closed
+            assert excused or len(names) == len(caller.sent), f"{caller.sent} heard {names}"
+            taken = [name for name in self.taken if name in caller.sent]
+            assert taken == caller.sent[:len(taken)], f"{caller.sent} were taken as {taken}"
+        self.loop.close()
+
+    def turn(self) -> None:
+        for _ in range(2):
+            self.loop.turn(0)
+
+
+def search(examples: int, shrinks: bool = True) -> None:
+    @settings(max_examples=examples, derandomize=True, database=None, deadline=None, print_blob=False,
+              phases=(Phase.generate, Phase.shrink) if shrinks else (Phase.generate,), report_multiple_bugs=False,
+              suppress_health_check=list(HealthCheck))
+    @given(st.binary(min_size=20, max_size=120))
+    def plays(schedule: bytes) -> None:
+        World().play(schedule)
+
+    plays()
+
+
+def test_each_order_is_answered_on_its_own_connection_and_in_its_place() -> None:
+    """Pipelined, on connections used again, cut, half-closed, from callers that go before the answer; answers that come
+    in another order than their orders, and twice."""
+    search(600)
+
+
+def again(owner: Owner, request: Any, answer: Answer) -> None:
+    """An answer that is told twice, or late, is given all the same."""
+    request.client.give(answer)
+    request.over = False
+
+
+def impatient(given: Any) -> Limits:
+    return replace(bounds(given), patient=False)
+
+
+BREAKAGES: dict[str, tuple[Any, str, Any]] = {
+    "told twice": (Owner, "final", again),
+    "out of time": (sys.modules[__name__], "bounds_of", impatient),
+}
+
+
+@pytest.mark.parametrize("what", BREAKAGES)
+def test_each_mechanism_of_orders_taken_out_is_found(monkeypatch: pytest.MonkeyPatch, what: str) -> None:
+    monkeypatch.setattr(*BREAKAGES[what])
+    with pytest.raises(AssertionError):
+        search(400, shrinks=False)
