--- a/oakvale/sluice/gate.py
+++ b/oakvale/sluice/gate.py
@@ -125,9 +125,10 @@
         return picture.gen >= 0 and bool(picture.backends) and self.plant.sure() and not self.plant.stopping
 
     def know(self, seeds: tuple[Address, ...]) -> None:
-        """Other core machines than those that are known, perhaps; tried behind them."""
+        """Other core machines than those that are known, perhaps; tried behind the primary. Behind all that are
+        remembered, which may all be gone, they would be forgotten at once."""
         named = [f"{ip}:{self.settings.ports[0]}" for ip, _ in seeds]
-        self._core = list(dict.fromkeys([*self._core, *named]))[:CORE]
+        self._core = list(dict.fromkeys([*self._core[:1], *named, *self._core]))[:CORE]
 
     # ---- the list of gateways
 
--- a/tests/test_flume.py
+++ b/tests/test_flume.py
@@ -25,6 +25,7 @@
 from oakvale.lab.flume.works import Layout, Station, Works
 from oakvale.lab.judge.verdict import judge
 from oakvale.lab.play import Variant, play
+from oakvale.lab.record import Event
 
 MS, SECOND = 1_000, 1_000_000
 ZONES = ("east", "west")
@@ -276,6 +277,45 @@
         assert all(s.machine.off for s in works.stations.values())
 
 
+@pytest.mark.parametrize("planned", [True, False])
+def test_a_core_machine_is_replaced_by_an_empty_one_at_another_address(planned: bool) -> None:
+    told: list[tuple[str, tuple[str, ...], tuple[str, ...]]] = []
+    works = Works(Layout((("edge", "z"),), tuple((f"core-{n}", "z") for n in range(3))), 5, happened=(
+        lambda kind, at, until, machines, planned=False, others=(): told.append((kind.value, machines, others))))
+    works.begin()
+    works.run_for(4 * SECOND)
+    old = works.cores[0]
+    new = works.replace(old, SECOND, planned)
+    works.run_for(SECOND // 2)
+    assert new.up is planned is old.up
+    works.run_for(8 * SECOND)
+    assert new.up and not old.up and old.machine.off and new.machine.ip not in (s.machine.ip for s in works.cores[:2])
+    assert ("gone", (old.name,), (new.name,)) in told and old not in works.cores
+    assert sum(s.process.works.core.serving() for s in works.cores if s.process) == 1
+    sluice = works.edges[0].process.works.sluice  # type: ignore[union-attr]
+    sluice._core = [f"10.99.0.{n}:7340" for n in range(24)]  # as many as are remembered, all gone
+    sluice.know(((new.machine.ip, 8783),))
+    assert sluice._core[1] == f"{new.machine.ip}:7340"
+
+
+def test_changes_meet_who_returns_and_are_sent_again_where_their_answers_are_lost() -> None:
+    record = play(day([
+        {"kind": "ack_lost", "at": 1.0, "for_s": 6.0, "x": 0.5}, {"kind": "reset_conns", "at": 2.0, "share": 1.0},
+        {"kind": "node_kill", "at": 3.0, "on": "core", "how": "leader meet race", "for_s": 1.0},
+        {"kind": "order_again", "at": 7.0, "count": 4, "gap_s": 0.1}],
+        [{"kind": "config_flood", "at": 1.0, "count": 40, "gap_s": 0.05, "how": "timeout"}]), 4)
+    lost = [reply for reply in record.replied if reply.lost and reply.status == 200]
+    assert len(lost) > 10 and all(any(
+        again.gen == reply.gen and again.sent > reply.at for again in record.replied) for reply in lost)
+    assert len({order.gen for order in record.ordered if order.acked_at}) > 40 and len(record.told) > 4
+    acked = [order.content_digest for order in record.ordered if order.acked_at]
+    assert len(acked) - len(set(acked)) >= 4  # sent again, and confirmed again
+    ends = sorted([(order.at, 1) for order in record.ordered] + [(order.acked_at, -1) for order in record.ordered
+                                                                 if order.acked_at])
+    assert max(sum(step for _, step in ends[:n]) for n in range(len(ends))) <= 10  # eight, and the two that race
+    assert [one.machines for one in record.happened if one.kind is Event.RESET]
+
+
 def test_a_process_that_ends_by_itself_is_told_of_and_started_again() -> None:
     told: list[tuple[str, tuple[str, ...]]] = []
     works = Works(Layout((("edge", "z"),), (("core", "z"),)), 1,
