--- a/oakvale/lab/models/operator.py
+++ b/oakvale/lab/models/operator.py
@@ -56,7 +56,7 @@
         self.losses = Losses(Random(f"losses {record.name} {record.seed}"))
         self._reads = Random(f"reads {record.name} {record.seed}")
         self._stops = 1 << 62
-        self.done = False
+        self.done = self._reading = False
         self._senders = Senders(loop, record, rng, self._none, "operator")
 
     def _none(self, asked: Ask) -> Edge:
@@ -71,7 +71,9 @@
     def order(self, order: Order, then: Callable[[str], None] | None = None, first: Address | None = None,
               hard: bool = False) -> None:
         """Sends it until its outcome is clear; `then` hears which machine acknowledged it, at once. `hard`: to `first`
-        again and again until that answers."""
+        again and again until that answers. Once it reads back, nothing new is sent: it would read what it overtakes."""
+        if self._reading:
+            return
         self._number += 1
         number, at = self._number, self.loop.now
         self._open[number] = (order, at)
@@ -160,6 +162,7 @@
 
     def read_back(self, _: object = None) -> None:
         """Repeatedly for at least `contact`; the last answer is what counts."""
+        self._reading = True
         began = self.loop.now
         last: ReadBack | None = None
 
