--- a/oakvale/lab/models/backend.py
+++ b/oakvale/lab/models/backend.py
@@ -82,6 +82,7 @@
         self._accepting = self.loop.start(self._accept(), self._listener.fileno(), Rank.CLIENT)
         self._beat_url: Address | None = None
         self._drained = False
+        self._ready: Walk | None = None  # the latest beat, under way or over
         self._beat()
 
     def end(self, _: Any = None) -> None:
@@ -121,6 +122,9 @@
         steps = Walk(self.ways.ctl, self.rng, at + (self.ways.beat if state is State.READY else UNANSWERED), beat=True,
                      first=self._beat_url)
         self._beat_url = None
+        if state is State.DRAIN and self._ready is not None:
+            self._ready.give_up()  # it would go on saying that this one is ready
+        self._ready = steps if state is State.READY else None
 
         def said(reply: Reply | None, by: Address) -> None:
             if reply is not None and 200 <= reply.status < 300:
--- a/oakvale/lab/models/walk.py
+++ b/oakvale/lab/models/walk.py
@@ -57,6 +57,10 @@
         """The answer that came from where it is was lost on its way."""
         self._met.add(self.address)
 
+    def give_up(self) -> None:
+        """At the next step, where no answer that counts has come: what it says is no longer so."""
+        self._until = 0
+
     def heard(self, now: int, reply: Reply | None) -> Step | Over:
         status = 0 if reply is None else reply.status
         if reply is not None and 200 <= status < 300 and not (self._beat and len(reply.body) > BEAT_ANSWER):
