--- a/oakvale/lab/models/walk.py
+++ b/oakvale/lab/models/walk.py
@@ -58,9 +58,13 @@
         self._met.add(self.address)
 
     def give_up(self) -> None:
-        """At the next step, where no answer that counts has come: what it says is no longer so."""
+        """No call is made any more: what it says is no longer so."""
         self._until = 0
 
+    @property
+    def given_up(self) -> bool:
+        return self._until == 0
+
     def heard(self, now: int, reply: Reply | None) -> Step | Over:
         status = 0 if reply is None else reply.status
         if reply is not None and 200 <= status < 300 and not (self._beat and len(reply.body) > BEAT_ANSWER):
@@ -111,6 +115,8 @@
 
     def call(address: Address) -> None:
         nonlocal sent
+        if steps.given_up:
+            return then(None, address)
         sent = loop.now
         data = None if body is None else body()
         ask(loop, address, method, target, data, SILENCE + (len(data or b"") // BYTES) * SECOND, heard)
