--- a/oakvale/lab/trials/draw.py
+++ b/oakvale/lab/trials/draw.py
@@ -1,7 +1,7 @@
 """Days drawn from a seed: a small site of any size and a mix of troubles, such that all rules can be kept.
 
-`fair` says whether a day asks for no more than `tolerance` lets be lost at once: while a disk is wiped, and for
-`sync_time` around it, nothing else befalls the core.
+`fair` says whether a day asks for no more than `tolerance` lets be lost at once: while a disk is wiped, or a machine is
+replaced, and for `sync_time` around it, nothing else befalls the core.
 """
 
 from __future__ import annotations
@@ -90,6 +90,9 @@
 CONTROL = CORE | {"reset_conns", "ack_lost", "order_again", "config_flood", "config_race", "bad_config",
                   "config_change", "release", "scale_in"}
 
+NEXT: tuple[tuple[Any, str], ...] = (("replace_core", ""), ("replace_core", "acked"), ("node_kill", "leader power"),
+                                     ("node_kill", "acked wipe"), ("core_cut", "leader off"), ("node_freeze", "leader"))
+
 
 def wipes(trouble: Trouble) -> bool:
     """A disk is lost, or a machine with its disk."""
@@ -97,14 +100,19 @@
             or trouble.kind in ("closing", "node_kill") and "wipe" in trouble.how)
 
 
+def _end(day: Day, one: Trouble) -> float:
+    """When all that it struck is back, in seconds of the day."""
+    waits = day.time("ack") / 1e6 if one.kind in ("after_ack_kill", "after_ack_wipe", "closing") else 0.0
+    return one.at + waits + (one.x if one.kind == "replace_core" else one.for_s)
+
+
 def fair(day: Day) -> bool:
     """Whether no more is lost at once than may be. A change that a trouble waits for comes within `ack` of its time."""
-    rest, ack = day.time("sync_time") / 1e6, day.time("ack") / 1e6
+    rest = day.time("sync_time") / 1e6
     struck = [one for one in day.troubles + day.plan if one.kind in CORE and one.on in ("", "core")]
 
     def span(one: Trouble) -> tuple[float, float]:
-        waits = ack if one.kind in ("after_ack_kill", "after_ack_wipe", "closing") else 0.0
-        return one.at, one.at + waits + (one.x if one.kind == "replace_core" else one.for_s)
+        return one.at, _end(day, one)
     for at, one in enumerate(struck):
         if not wipes(one):
             continue
@@ -140,7 +148,20 @@
                 "plan": tuple(row for planned, row in part if planned)})
             if fair(day):
                 kept, found = part, day
-    return found
+    return _then_another(draw, found)
+
+
+def _then_another(draw: random.Random, day: Day) -> Day:
+    """Where a disk is lost, half of the time the next loss comes as soon as it may."""
+    rest = day.time("sync_time") / 1e6
+    lost = [one for one in day.troubles + day.plan if wipes(one) and one.kind != "closing"]
+    if not lost or draw.random() < 0.5:
+        return day
+    kind, how = draw.choice(NEXT)
+    at = _end(day, draw.choice(lost)) + rest + draw.uniform(0.01, 0.6)
+    row = Trouble(kind=kind, at=round(at, 2), for_s=round(draw.uniform(1, 4), 2), count=1, how=how, on="core")
+    found = day.model_copy(update={"troubles": (*day.troubles, row)})
+    return found if at < day.seconds and fair(found) else day
 
 
 def _trouble(draw: random.Random, kind: str, seconds: float, services: list[str]) -> tuple[bool, dict[str, Any]]:
