--- a/oakvale/lab/trials/draw.py
+++ b/oakvale/lab/trials/draw.py
@@ -32,6 +32,7 @@
     planned: bool = False
 
 
+QUIET = 0.5  # of the days have a fifth of the load: more of them are played, and the control side is as busy
 SERVICE = ("service",)
 WAYS: dict[str, tuple[Way, ...]] = {
     "hot_tenant": (Way((3, 8), x=(2, 9)),),
@@ -202,6 +203,8 @@
                 "per_s": round(max(0.5, min(25.0, load * backends * slots * 1000 / work / many)), 2),
                 "aim_ms": round(aim), "deadline_ms": round(aim * draw.uniform(4, 7)), "tries": draw.randint(1, 3),
                 "prio": draw.randint(0, 2), "worth": draw.choice((1.0, 2.0)), "public": draw.random() < 0.1})
+    if draw.random() < QUIET:
+        routes = [route | {"per_s": max(0.5, round(route["per_s"] / 5, 2))} for route in routes]
     whole = sum(route["per_s"] for route in routes)
     tenants, weights = [], [draw.uniform(0.3, 3) for _ in range(draw.randint(1, 6))]
     for number, weight in enumerate(weights):
