--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -15,6 +15,7 @@
 from oakvale.headworks.copying import Copying
 from oakvale.headworks.leases import Leases, Waiting
 from oakvale.headworks.ledger import Ledger, Then
+from oakvale.headworks.peers import Peers
 from oakvale.headworks.succession import Out, Seat, Succession, View, founding, seat, unpack
 from oakvale.intake.settings import Settings
 from oakvale.lifecycle.daybook import Writer
@@ -29,6 +30,8 @@
 WAIT = 1_000_000  # an author hears nothing for so long at most; callers go elsewhere then
 MOST_LIVES = 64
 BRIEF = 1_000_000  # a shorter time without a lease is no new beginning
+LEAST, LOOK = 300_000, 50_000  # after it is told to end: for answers that are under way; between two looks
+LAST = 1_000_000  # before the end of `grace`: then it goes, whatever it holds
 
 note = Writer(__name__)
 
@@ -42,16 +45,15 @@
 class Core:
     def __init__(self, loop: Loop, mains: Mains, settings: Settings, cistern: Cistern) -> None:
         self.loop, self.mains, self.settings, self.cistern = loop, mains, settings, cistern
-        self._leaving = False
         self.on_change: list[Callable[[bool], None]] = []  # hears when this seat begins or ends to serve
         self._tick_number = 0
         seeds = [f"{ip}:{settings.ports[0]}" for ip, _ in settings.seeds]
         copies = 1 + max(1, settings.tolerate)
-        founds = settings.bootstrap and spelled(mains.own) in seeds
+        founds = settings.bootstrap and cistern.first and spelled(mains.own) in seeds
         start = copying.start(spelled(mains.own), cistern.fact("self"), cistern.fact("state"),
                               founding(seeds, copies) if founds else None, lambda: loop.net.token(4))
         patience = settings.bounds.sync_time + settings.bounds.contact
-        self.copying = Copying(start, cistern.rows(), copies, SILENCE, patience)
+        self.copying = Copying(start, cistern.rows(), copies, SILENCE, patience, cistern.pieces())
         self.own: Seat = start.own
         served = cistern.fact("served")
         self._leases = Leases(start.own, SILENCE, loop.clock(), start.durable.view, int(served) if served else 0)
@@ -60,13 +62,17 @@
         self._looks = False  # a look at those who wait is due
         self._lives: dict[Seat, int] = {}  # the latest start of each peer that was heard
         self.outlet = Outlet(self.ledger.table)
-        self._known = {*seeds}
+        self.peers = Peers(seeds)
         for kind in ("prepare", "promise", "accept", "accepted", "decided", "refused", "void", "voided"):
             mains.handlers[kind] = self._council(kind)
         mains.handlers["core"] = self._heard
-        mains.handlers["resigned"] = self._resigned
+        mains.handlers["leaving"] = self._leaving
+        mains.handlers["released"] = lambda conn, body, answer: self.copying.released(int(body[1][0]))
+        mains.handlers["gone"] = self._gone
         mains.handlers["append"] = lambda conn, body, answer: self._do(self.copying.append(body, answer))
         mains.handlers["sync"] = lambda conn, body, answer: self._do(self.copying.sync(body, answer))
+        mains.handlers["offer"] = lambda conn, body, answer: self._do(self.copying.offer(body, answer))
+        mains.handlers["piece"] = lambda conn, body, answer: self._do(self.copying.piece(body, answer))
         mains.handlers["subscribe"] = self._subscribe
         mains.handlers["leave"] = lambda conn, body, answer: self.outlet.leave(conn)
         mains.handlers["digests"] = self._digests
@@ -110,16 +116,30 @@
 
     def know(self, seeds: tuple[Address, ...]) -> None:
         """Other core machines, from a settings file that changed."""
-        self._known |= {f"{ip}:{self.settings.ports[0]}" for ip, _ in seeds}
+        self.peers.seeds = {f"{ip}:{self.settings.ports[0]}" for ip, _ in seeds}
 
-    def resign(self) -> None:
-        """This machine ends: its backup need not wait until it is missed."""
-        view = self.view()
-        self._leaving = True
-        if view is not None and view.primary == self.own:
-            for backup in view.backups:
-                self.mains.tell(address_of(backup), "resigned", [*self.own, self.copying.life])
-            self._leases.give_up()
+    def leave(self, then: Callable[[], None]) -> None:
+        """This machine is told to end: it says so, serves on while it is missed, and calls `then` as soon as it is not,
+        or when `grace` is nearly over."""
+        if self.succession.leaves:
+            return
+        self.copying.leave()
+        self._say()
+        earliest = self.loop.now + LEAST
+        latest = max(earliest, self.loop.now + self.settings.bounds.grace - LAST)
+        self.loop.at(earliest, self._look_whether_missed, (latest, then))
+
+    def _look_whether_missed(self, leaving: tuple[int, Callable[[], None]]) -> None:
+        now, may = self.loop.now, self.copying.may_go(self.loop.now)
+        if not may and now < leaving[0]:
+            self.loop.at(now + LOOK, self._look_whether_missed, leaving)
+            return
+        number = view.number if (view := self.view()) else 0
+        note("goes" if may else "goes while it is missed", "info" if may else "warning", view=number)
+        self._leases.give_up()
+        for address in self._others():
+            self.mains.tell(address, "gone", [*self.own, self.copying.life])
+        leaving[1]()
 
     def change(self, changes: dict[str, Any], then: Then) -> None:
         """Makes a change; `then` hears True once it is in force and the news of it are on their way, or False as soon
@@ -155,9 +175,8 @@
                 case copying.News(entries):
                     self.outlet.publish(self._next_pulse(), entries)
                 case copying.Entered(view):
-                    self._known |= {peer[0] for peer in view.witnesses}
                     self._served = None
-                    self._ask_for_lease(view)
+                    self._say()  # a primary asks for its lease, one that was replaced tells the other so
                     note("view", view=view.number, primary=view.primary[0], backups=_names(view.backups),
                          witnesses=_names(view.witnesses), own=self.own[0])
                 case copying.Turned(serves):
@@ -178,12 +197,7 @@
 
     # ---- the lease
 
-    def _ask_for_lease(self, view: View) -> None:
-        if view.primary == self.own and not self._leaving:
-            for backup in view.backups:
-                self._ask_one(backup, view, self._heartbeat(view))
-
-    def _ask_one(self, backup: Seat, view: View, body: list[Any]) -> None:
+    def _ask_for_lease(self, backup: Seat, kind: str, body: list[Any]) -> None:
         sent = self.loop.clock()
 
         def answered(answer: Any) -> None:
@@ -191,7 +205,7 @@
                 self._leases.answered(backup, int(answer), sent)
                 self._watch()
 
-        self.mains.ask(address_of(backup), "core", body, SILENCE, answered)
+        self.mains.ask(address_of(backup), kind, body, SILENCE, answered)
 
     def _watch(self) -> None:
         """Looks whether this seat serves now: who waits is not kept waiting without a lease."""
@@ -213,9 +227,9 @@
         view = self.view()
         if not self._looks and self._waiting and view is not None:
             self._looks = True
-            self.loop.at(max(self.loop.now, min(self._leases.until(view), self._waiting.due())), self._look)
+            self.loop.at(max(self.loop.now, min(self._leases.until(view), self._waiting.due())), self._look_at_waiting)
 
-    def _look(self, _: Any) -> None:
+    def _look_at_waiting(self, _: Any) -> None:
         self._looks = False
         self._watch()
         self._look_later()
@@ -237,22 +251,30 @@
         now = self.loop.now
         since = self.cistern.waiting_since()
         healthy = since is None or now - since < SICK
-        view = self.view()
-        if healthy and not self._leaving:  # one whose disk does not answer keeps nothing, so it does not count
-            body = self._heartbeat(view)
-            backups = {peer[0]: peer for peer in view.backups} if view and view.primary == self.own else {}
-            for address in sorted(self._known - {self.own[0]}):
-                parsed = parse_address(address)
-                if address in backups and view is not None:
-                    self._ask_one(backups[address], view, body)
-                elif parsed is not None:
-                    self.mains.tell(parsed, "core", body)
-        self._carry(self.succession.tick(now, healthy))
+        if healthy:  # one whose disk does not answer keeps nothing, so it does not count
+            self._say()
+        self._do(self.copying.tick(now, healthy))
         self.loop.at(now + BEAT, self._beat)
 
-    def _heartbeat(self, view: View | None) -> list[Any]:
-        return [list(self.own), self.settings.zone, view.pack() if view else None, sorted(self._known),
+    def _say(self) -> None:
+        """A heartbeat; one that leaves says so with each."""
+        view = self.view()
+        body = [list(self.own), self.settings.zone, view.pack() if view else None, self.peers.lively(self.loop.now),
                 self.copying.life]
+        kind = "leaving" if self.succession.leaves else "core"
+        backups = {address_of(peer): peer for peer in view.backups} if view and view.primary == self.own else {}
+        for address in self._others():
+            if address in backups:
+                self._ask_for_lease(backups[address], kind, body)
+            else:
+                self.mains.tell(address, kind, body)
+
+    def _others(self) -> list[Address]:
+        """Whom it speaks to."""
+        now, view = self.loop.now, self.view()
+        members = {peer[0] for peer in view.witnesses} if view else set()
+        known = self.peers.called(now, members, self.succession.in_touch(now)) - {self.own[0]}
+        return [address for address in map(parse_address, sorted(known)) if address is not None]
 
     def _heard(self, conn: Conn, body: Any, answer: Answer) -> None:
         peer, zone, now = seat(body[0]), str(body[1]), self.loop.clock()
@@ -261,17 +283,20 @@
         if peer not in self._lives and len(self._lives) >= MOST_LIVES:
             self._lives.clear()  # of seats that are gone, mostly
         self._lives[peer] = int(body[4])
-        self._leases.speaks(peer)
-        self._known.add(peer[0])
-        if len(self._known) < 32:
-            self._known |= {str(address) for address in body[3]}
+        self.peers.heard(now, peer[0], map(str, body[3]))
         view = unpack(body[2]) if body[2] is not None else None
+        self._leases.speaks(peer, view.number if view is not None else 0)
         self._carry(self.succession.heard(now, peer, zone, view))
         answer(self._leases.grant(self.view(), peer, now))
 
-    def _resigned(self, conn: Conn, body: Any, _: Answer) -> None:
+    def _leaving(self, conn: Conn, body: Any, answer: Answer) -> None:
+        self._heard(conn, body, answer)
+        self._do(self.copying.leaving(self.loop.now, seat(body[0])))
+
+    def _gone(self, conn: Conn, body: Any, _: Answer) -> None:
         peer = seat(body[:2])
-        if int(body[2]) >= self._lives.get(peer, 0):
+        if int(body[2]) >= self._lives.get(peer, 0):  # else it was long on its way, and has begun anew since
+            self.peers.gone(peer[0])
             self.succession.gone(peer)
             self._leases.ended(peer)
 
--- a/oakvale/headworks/leases.py
+++ b/oakvale/headworks/leases.py
@@ -31,7 +31,7 @@
         self._given_up = False
         knows = view is None or view.number == 1 or served == view.number
         # to whom, and when last; under its own name what it may have granted to whoever was primary before it
-        self._granted = {} if knows or view is None else {view.primary: now}
+        self._granted = {} if knows or view is None else {view.primary: (view.number, now)}
 
     # ---- as primary
 
@@ -52,7 +52,7 @@
 
     def free(self, now: int) -> bool:
         """Whether all that it granted has run out."""
-        return all(now - granted >= self._silence for granted in self._granted.values())
+        return all(now - granted >= self._silence for _, granted in self._granted.values())
 
     def give_up(self) -> None:
         """This machine ends."""
@@ -64,7 +64,8 @@
         """What to answer a primary that asks: the number of the view that this seat backs it in, or 0."""
         if view is None or view.primary != to or self._own not in view.backups:
             return 0
-        self._granted = {peer: at for peer, at in self._granted.items() if now - at < self._silence} | {to: now}
+        self._granted = {peer: (number, at) for peer, (number, at) in self._granted.items() if now - at < self._silence}
+        self._granted[to] = view.number, now
         return view.number
 
     def ended(self, peer: Seat) -> None:
@@ -72,10 +73,11 @@
         if peer != self._own:
             self._granted.pop(peer, None)
 
-    def speaks(self, peer: Seat) -> None:
-        """From an address whose former seat has ended, then."""
-        for other in [other for other in self._granted if other[0] == peer[0] and other != peer]:
-            self.ended(other)
+    def speaks(self, peer: Seat, view: int) -> None:
+        """It knows this view, so it serves in none before; a former seat of its address has ended."""
+        for other, (number, _) in [*self._granted.items()]:
+            if other == peer and view > number or other != peer and other[0] == peer[0]:
+                self.ended(other)
 
 
 class Waiting:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -57,10 +57,13 @@
 def test_who_has_ended_holds_nothing_any_more() -> None:
     held = leases(B)
     held.grant(ONE, A, T)
-    held.speaks(A)
+    held.speaks(A, 1)
     held.ended(C)
     assert not held.free(T)
-    held.speaks((A[0], "0011"))
+    held.speaks((A[0], "0011"), 0)
+    assert held.free(T)
+    held.grant(ONE, A, T)
+    held.speaks(A, 2)  # it knows that it was replaced
     assert held.free(T)
     held.grant(ONE, A, T)
     held.ended(A)
