The model checker knows leases and the passing of time

Cause: time was no part of the model, so a lease that is believed too long or a heartbeat that comes late could not be looked at.

Change: two bounds, beats (a primary asks for its lease) and passes (the silence passes, whatever is on its way); the real Leases in each machine; one more rule, one serves at a time; five breakages, each found. It found a fault of the lease's first form at once: a backup that began anew in the first view did not reckon with what it had granted before.

Also: a look at those who wait comes again after 10 ms at the earliest. With a serving() that is patched to ignore leases, it came again at the same instant for ever (test_lab_breaks).

Tests: read_faults names the two bounds, so its expectation has them, too.

--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -28,6 +28,7 @@
 SICK = 700_000  # a write that waits longer: this disk is not to be relied on
 AGAIN = 150_000  # before a backup that failed is sent the state once more
 WAIT = 1_000_000  # an author hears nothing for so long at most; callers go elsewhere then
+SOON = 10_000  # between two looks at those who wait, at least
 MOST_LIVES = 64
 BRIEF = 1_000_000  # a shorter time without a lease is no new beginning
 LEAST, LOOK = 300_000, 50_000  # after it is told to end: for answers that are under way; between two looks
@@ -227,7 +228,8 @@
         view = self.view()
         if not self._looks and self._waiting and view is not None:
             self._looks = True
-            self.loop.at(max(self.loop.now, min(self._leases.until(view), self._waiting.due())), self._look_at_waiting)
+            due = min(self._leases.until(view), self._waiting.due())
+            self.loop.at(max(self.loop.now + SOON, due), self._look_at_waiting)
 
     def _look_at_waiting(self, _: Any) -> None:
         self._looks = False
--- a/oakvale/headworks/leases.py
+++ b/oakvale/headworks/leases.py
@@ -25,11 +25,12 @@
 
     def __init__(self, own: Seat, silence: int, now: int, view: View | None, served: int) -> None:
         """`view` is the one on disk, `served` the newest in which this seat is known there to have served. What it
-        granted before its start it no longer knows: it may have been just now, unless no view came before."""
+        granted before its start it no longer knows: it may have been just now, unless it leads the first view, or has
+        served in this one."""
         self._own, self._silence, self._lasts = own, silence, silence - MARGIN
         self._heard: dict[Seat, tuple[int, int]] = {}  # backup -> the view that it was in, when it was asked that
         self._given_up = False
-        knows = view is None or view.number == 1 or served == view.number
+        knows = view is None or view.primary == own and view.number in (1, served)
         # to whom, and when last; under its own name what it may have granted to whoever was primary before it
         self._granted = {} if knows or view is None else {view.primary: (view.number, now)}
 
--- a/oakvale/lab/sounding/breakages.py
+++ b/oakvale/lab/sounding/breakages.py
@@ -9,6 +9,7 @@
 
 from oakvale.headworks import copying, pieces
 from oakvale.headworks.copying import Copying, Start
+from oakvale.headworks.leases import Leases
 from oakvale.headworks.ledger import Ledger, Then
 from oakvale.headworks.succession import (
     Ballot,
@@ -22,6 +23,7 @@
     seat,
     unpack,
 )
+from oakvale.lab.sounding.machine import Machine
 from oakvale.lab.sounding.model import Bounds
 from oakvale.penstock.table import Entry
 from oakvale.penstock.table import unpack as unpack_entries
@@ -159,6 +161,24 @@
         self._out.append(copying.Turned(True))
 
 
+def _by_arrival(self: Machine, sender: Seat, number: int, sent: int, life: int, incarnation: str,
+                real: Callable[..., None] = Machine._lease) -> None:
+    real(self, sender, number, self.now, life, incarnation)
+
+
+def _grants_anybody(self: Leases, view: View | None, to: Seat, now: int) -> int:
+    return 1 if view is not None else 0  # the founding view, which is asked for
+
+
+def _looks_at_an_old_clock(self: Leases, view: View, now: int, real: Callable[..., bool] = Leases.holds) -> bool:
+    return real(self, view, now - self._silence)
+
+
+def _forgets_grants(self: Leases, own: Seat, silence: int, now: int, view: View | None, served: int,
+                    real: Callable[..., None] = Leases.__init__) -> None:
+    real(self, own, silence, now, None, served)
+
+
 QUIET = Bounds(writes=0, kills=0, wipes=0, wakes=0, retries=0)
 
 BREAKAGES = (
@@ -197,4 +217,14 @@
              ((Copying, "_activate", _old_state_leads),), replace(QUIET, writes=1, kills=1)),
     Breakage("void-unkept", "a backup voids a view, and then becomes complete in it",
              ((Succession, "_void", _voids_nothing),), replace(QUIET, wakes=2), heals=128),
+    Breakage("lease-by-arrival", "a lease counts from when the answer comes, however late that is",
+             ((Machine, "_lease", _by_arrival),), replace(QUIET, wakes=1, beats=1, passes=1)),
+    Breakage("lease-of-any-view", "whoever is asked for a lease grants it, also one that has moved on",
+             ((Leases, "grant", _grants_anybody),), replace(QUIET, wakes=1, beats=1, passes=1)),
+    Breakage("lease-by-old-clock", "a primary that stood still looks at the clock of before",
+             ((Leases, "holds", _looks_at_an_old_clock),), replace(QUIET, wakes=1, beats=1, passes=1)),
+    Breakage("grant-not-waited-for", "who granted a lease serves in the next view before it has run out",
+             ((Leases, "free", lambda self, now: True),), replace(QUIET, wakes=1, beats=1)),
+    Breakage("grant-forgotten", "who begins anew does not reckon with what it granted before",
+             ((Leases, "__init__", _forgets_grants),), replace(QUIET, wakes=1, kills=1, beats=1), heals=8),
 )
--- a/oakvale/lab/sounding/check.py
+++ b/oakvale/lab/sounding/check.py
@@ -23,6 +23,7 @@
     ("settled", replace(NONE, writes=1, kills=1, wipes=1, retries=1)),
     ("laden", replace(NONE, wakes=1, retries=1)),
     ("laden", replace(NONE, writes=1, kills=1, wipes=1, retries=1)),
+    ("settled", replace(NONE, wakes=1, beats=1, passes=1)),
 )
 LONG = (
     ("settled", replace(NONE, writes=1, wakes=1)),
@@ -34,6 +35,9 @@
     ("laden", replace(NONE, kills=1, wakes=1)),
     ("laden", replace(NONE, wipes=1, wakes=1)),
     ("laden", replace(NONE, writes=1, wakes=1)),
+    ("settled", replace(NONE, wakes=1, beats=2, passes=2)),
+    ("settled", replace(NONE, kills=1, wakes=1, beats=1, passes=1)),
+    ("settled", replace(NONE, writes=1, wakes=1, beats=1, passes=1)),
 )
 
 
--- a/oakvale/lab/sounding/machine.py
+++ b/oakvale/lab/sounding/machine.py
@@ -14,7 +14,8 @@
 import cbor2
 
 from oakvale.headworks import copying
-from oakvale.headworks.copying import Again, Ask, Copying, Reply, Tell, Told, Turned, Write
+from oakvale.headworks.copying import Again, Ask, Copying, Replaced, Reply, Tell, Told, Turned, Write
+from oakvale.headworks.leases import Leases
 from oakvale.headworks.succession import Seat, founding, seat, unpack
 from oakvale.penstock.table import Version
 
@@ -37,8 +38,8 @@
 
 
 class Machine:
-    def __init__(self, address: str, addresses: tuple[str, ...], copies: int) -> None:
-        self.address, self.addresses, self.copies = address, addresses, copies
+    def __init__(self, address: str, addresses: tuple[str, ...], copies: int, leases: bool = False) -> None:
+        self.address, self.addresses, self.copies, self.with_leases = address, addresses, copies, leases
         self.founds = True  # started as one of a new system's, until that is on its disk
         self.drawn = 1  # incarnations
         self.facts: dict[str, bytes] = {}
@@ -46,6 +47,8 @@
         self.pieces: dict[bytes, bytes] = {}
         self.queue: list[tuple[int, tuple[str, Any]]] = []  # writes that are not on disk yet
         self.part: Copying | None = None
+        self.leases: Leases | None = None
+        self.now = 0  # microseconds, of the event that it is told; kept by none
         self.agains: list[Again] = []
         self.out: list[Sent] = []
 
@@ -53,7 +56,10 @@
         """One event; `out` then holds what it sent: ("say", to, kind, body), ("ask", to, kind, body, ticket),
         ("reply", ticket, answer), ("told", write, done) and ("turned", serves)."""
         self.out = []
+        if event[0] == "at":  # a time, and what happens then
+            self.now, event = event[1] * SILENCE, event[2]
         getattr(self, f"_{event[0]}")(*event[1:])
+        self.now = 0
         self._put_time_aside()
 
     # ---- the process and the disk
@@ -67,13 +73,15 @@
                               lambda: str(self.drawn))
         self.part = Copying(began, sorted(self.rows.items()), self.copies, SILENCE, 0,
                             sorted(self.pieces.items()))
+        if self.with_leases:
+            self.leases = Leases(began.own, SILENCE, self.now, began.durable.view, 0)
         self._do(self.part.flush())
 
     def _kill(self, kept: int) -> None:
         """`kept` of the writes that wait had come to the disk, though nobody was told."""
         for _, what in self.queue[:kept]:
             self._apply(*what)
-        self.part, self.queue, self.agains = None, [], []
+        self.part, self.leases, self.queue, self.agains = None, None, [], []
 
     def _wipe(self) -> None:
         self._kill(0)
@@ -110,8 +118,38 @@
             self._do(getattr(self.part, kind)(body, ticket))
         else:
             sender, inner = body
+            if kind == "beat":
+                return self._heartbeat(sender, *inner)
+            if kind == "lease":
+                return self._lease(sender, *inner)
             self._do(self.part.carry(self.part.succession.message(NOW, seat(sender), kind, inner)))
 
+    def _beat(self) -> None:
+        """As primary: it asks its backups for a lease."""
+        assert self.part is not None
+        view = self.part.view()
+        assert view is not None
+        said = self.part.own, (frozen(view.pack()), self.now, self.part.life)
+        self.out += [("say", backup[0], "beat", said) for backup in view.backups]
+
+    def _heartbeat(self, sender: Seat, view: Any, sent: int, life: int) -> None:
+        """As `core` does: it is heard first, and learned from, then answered."""
+        assert self.part is not None and self.leases is not None
+        self.leases.speaks(seat(sender), view[0])
+        self._do(self.part.carry(self.part.succession.heard(NOW, seat(sender), "", unpack(view))))
+        number = self.leases.grant(self.part.view(), seat(sender), self.now)
+        if number:
+            self.out.append(("say", sender[0], "lease", (self.part.own, (number, sent, life, sender[1]))))
+
+    def _lease(self, sender: Seat, number: int, sent: int, life: int, incarnation: str) -> None:
+        """It comes on the connection that the question went out on, so it is not of an earlier life."""
+        assert self.part is not None and self.leases is not None
+        if (life, incarnation) == (self.part.life, self.part.own[1]):
+            self.leases.answered(seat(sender), number, sent)
+
+    def _pass(self) -> None:
+        """Time passes: nothing of it changes a machine."""
+
     def _answer(self, number: int, answer: Any) -> None:
         """None: it is waited for no longer, or its connection is gone."""
         assert self.part is not None
@@ -159,6 +197,10 @@
                     self.out.append(("say", to[0], kind, frozen([self.part.own, body])))
                 case Reply(ticket, answer):
                     self.out.append(("reply", ticket, frozen(answer)))
+                case Replaced():
+                    view = self.part.view() if self.part is not None else None
+                    if view is not None and self.leases is not None:
+                        self.leases.grant(view, view.primary, self.now)
                 case Again():
                     self.agains.append(item)
                 case Told(then, done):
@@ -192,7 +234,7 @@
     def key(self) -> Any:
         """Equal where machines will do the same for ever."""
         return (self.founds, self.drawn, frozen(self.facts), frozen(self.rows), frozen(self.pieces), frozen(self.queue),
-                frozen(self.agains), frozen(self.part))
+                frozen(self.agains), frozen(self.part), frozen(self.leases))
 
 
 def frozen(item: Any) -> Any:
@@ -224,8 +266,8 @@
 class Facts:
     """What the model asks of a machine in one state."""
 
-    __slots__ = ("active", "agains", "asks", "campaigns", "complete", "durable", "kept", "life", "own", "queue", "seat",
-                 "shown", "up", "view", "waiting")
+    __slots__ = ("active", "agains", "asks", "campaigns", "complete", "durable", "kept", "leads", "leases", "life",
+                 "own", "queue", "seat", "shown", "up", "view", "waiting")
 
     def __init__(self, machine: Machine) -> None:
         part = machine.part
@@ -247,6 +289,8 @@
         view = part.view() if part else None
         self.active = part is not None and part.active and view is not None and view.primary == part.own
         self.view = frozen(view.pack()) if view else None
+        self.leases = machine.leases
+        self.leads = view if view is not None and part is not None and view.primary == part.own else None
         self.asks = tuple(part._asks) if part else ()
         self.campaigns = part is not None and part.succession._campaign is not None
         self.waiting = frozenset(p.then.number for p in part.ledger._pending if isinstance(p.then, Author)
--- a/oakvale/lab/sounding/model.py
+++ b/oakvale/lab/sounding/model.py
@@ -21,7 +21,7 @@
 
 from oakvale.headworks import pieces
 from oakvale.headworks.succession import Seat
-from oakvale.lab.sounding.machine import NAMES, Event, Facts, Machine, Sent
+from oakvale.lab.sounding.machine import NAMES, SILENCE, Event, Facts, Machine, Sent
 from oakvale.penstock.table import Version
 
 COPIES = 2  # tolerance 1
@@ -38,10 +38,14 @@
     wipes: int = 1
     wakes: int = 1  # attempts to replace a view, or words said again
     retries: int = 1  # questions given up, or state sent once more
+    beats: int = 0  # times that a primary asks for its lease
+    passes: int = 0  # times that the silence passes, everywhere, whatever is on its way
 
 
-KILLS, WIPES, WAKES, RETRIES, WRITES = range(5)
-COST = {"kill": KILLS, "wipe": WIPES, "wake": WAKES, "again": RETRIES, "answer": RETRIES, "change": WRITES}
+KILLS, WIPES, WAKES, RETRIES, WRITES, BEATS, PASSES = range(7)
+COST = {"kill": KILLS, "wipe": WIPES, "wake": WAKES, "again": RETRIES, "answer": RETRIES, "change": WRITES,
+        "beat": BEATS, "pass": PASSES}
+TIMED = frozenset(("start", "mail", "beat", "answer", "again", "sync"))  # where a machine may look at its clock
 OUTWARD = frozenset(("kill", "wipe", "change"))
 ROUNDS = 12  # of everything that waits for a time, until somebody serves
 LONG = 400  # steps that one round may take
@@ -68,11 +72,16 @@
     spent: tuple[int, ...]
 
 
-UNSPENT = (0,) * 5
+UNSPENT = (0,) * 7
 LADEN = (91, 92)  # writes that a laden system has taken
 SMALL = 4, 0  # bytes of a piece, and those that go with a question
 
 
+def _unspent(state: State) -> tuple[int, ...]:
+    """But for the time, which is no bound of a later state's."""
+    return (*UNSPENT[:PASSES], state.spent[PASSES])
+
+
 class Broken(Exception):
     """What must hold does not."""
 
@@ -131,7 +140,12 @@
         known = self._steps.get((number, event))
         if known is None:
             machine, what = self.machine(number), event
-            if event[0] == "mail":
+            if event[0] == "at" and event[2][0] == "mail":
+                _, kind, body, ticket = self.mails[event[2][1]]
+                what = "at", event[1], ("message", kind, body, ticket)
+                if kind == "answer":
+                    what = "at", event[1], ("answer", body[2], body[3])
+            elif event[0] == "mail":
                 _, kind, body, ticket = self.mails[event[1]]
                 what = ("answer", body[2], body[3]) if kind == "answer" else ("message", kind, body, ticket)
             with _sized(self.small):
@@ -151,7 +165,7 @@
 
     def cold(self) -> State:
         """Nothing was ever started."""
-        seats = tuple(self._number(place, Machine(address, self.addresses, COPIES))
+        seats = tuple(self._number(place, Machine(address, self.addresses, COPIES, self.bounds.beats > 0))
                       for place, address in enumerate(self.addresses))
         return State(seats, (), self._known(Told()), UNSPENT)
 
@@ -194,6 +208,8 @@
                     yield place, ("answer", number, None)
                 for n in range(own.agains):
                     yield place, ("again", n)
+            if own.leads and spent[BEATS] < bounds.beats:
+                yield place, ("beat",)
             if own.active and spent[WRITES] < bounds.writes:
                 yield place, ("change", spent[WRITES] + 1)
             for view in told.decided:
@@ -202,6 +218,8 @@
             if spent[KILLS] < bounds.kills:
                 for kept in range(own.queue + 1):
                     yield place, ("kill", kept)
+        if spent[PASSES] < bounds.passes:
+            yield 0, ("pass",)
         if wakes and spent[WAKES] < bounds.wakes:
             found = self._wakings.get(seats)
             if found is None:
@@ -234,7 +252,8 @@
         place, event = step
         kind = event[0]
         before = seats[place]
-        now, sent = self.local(place, before, event)
+        time = spent[PASSES]
+        now, sent = self.local(place, before, ("at", time, event) if time and kind in TIMED else event)
         left = list(mail)
         if kind == "mail":
             left.remove(event[1])
@@ -262,6 +281,7 @@
             if (seat, known) not in self._holding:
                 self._holds(self.tolds[known], seat)
                 self._holding.add((seat, known))
+        self._one_serves(seats, spent[PASSES])
         told = self.tolds[known]
         if told.troubled >= 0 and self._well(told, seats):
             known = self._known(replace(told, troubled=-1))
@@ -308,7 +328,8 @@
         if kind == "wipe":
             return own.seat is not None and self.tolds[state.told].troubled < 0
         return bool({"start": not own.up, "sync": own.queue, "answer": own.up and event[1:] and event[1] in own.asks,
-                     "again": own.agains, "change": own.active, "wake": own.up and own.view}[kind])
+                     "again": own.agains, "change": own.active, "beat": own.leads, "pass": True,
+                     "wake": own.up and own.view}[kind])
 
     def _outward(self, told: Told, place: int, before: int, event: Event) -> Told:
         kind = event[0]
@@ -464,6 +485,19 @@
                     raise Broken("complete means all acknowledged",
                                  f"{seat_text(disk.seat)} is complete in view {disk.durable} without w{n}")
 
+    def _one_serves(self, seats: tuple[int, ...], time: int) -> None:
+        """Nobody may serve in a later view while a lease of an earlier one holds. Of the later, only what it granted
+        itself is looked at: whether it holds a lease of its own is left open."""
+        for seat in seats:
+            own = self.facts[seat]
+            if own.active and own.leads and own.leases and own.leases.holds(own.leads, time * SILENCE):
+                for other in seats:
+                    then = self.facts[other]
+                    if (then.active and then.leads and then.leads.number > own.leads.number
+                            and then.leases and then.leases.free(time * SILENCE)):
+                        raise Broken("one serves at a time", f"{seat_text(own.own)} in view {own.leads.number}, and "
+                                     f"{seat_text(then.own)} in view {then.leads.number}")
+
     def _well(self, told: Told, seats: tuple[int, ...]) -> bool:
         """All are up and agree, and the one that was wiped is a witness again."""
         parts = [self.facts[seat] for seat in seats]
@@ -479,7 +513,7 @@
         """All run, hear each other and are fast from here on: somebody serves, and takes a write. Raises Broken.
 
         `passed` are states from which that was so before; `trace` is given the steps."""
-        fair = _Fair(self, state._replace(spent=UNSPENT), set() if passed is None else passed, trace)
+        fair = _Fair(self, state._replace(spent=_unspent(state)), set() if passed is None else passed, trace)
         if fair.serves() and write is not None:
             fair.takes(write)
         if passed is not None:
@@ -498,7 +532,8 @@
     def _do(self, place: int, event: Event) -> None:
         if self._trace is not None:
             self._trace.append((place, event))
-        self.state = self.model.after(self.state, (place, event))._replace(spent=UNSPENT)
+        self.state = self.model.after(self.state, (place, event))
+        self.state = self.state._replace(spent=_unspent(self.state))
         self.new.add(self.state)
         self.known = self.known or self.state in self._passed
 
--- a/oakvale/lab/sounding/trace.py
+++ b/oakvale/lab/sounding/trace.py
@@ -9,8 +9,8 @@
 import cbor2
 
 from oakvale.headworks import pieces
-from oakvale.lab.sounding.machine import Event, Sent
-from oakvale.lab.sounding.model import Broken, Model, State, Step, seat_text, view_text
+from oakvale.lab.sounding.machine import SILENCE, Event, Sent
+from oakvale.lab.sounding.model import PASSES, TIMED, Broken, Model, State, Step, seat_text, view_text
 
 
 MOST = 60  # steps of healing that are shown
@@ -26,7 +26,8 @@
         if number - 1 == healing:
             found.append("     from here on everything heals")
         place, event = step
-        _, sent = model.local(place, state.seats[place], event)
+        time = state.spent[PASSES]
+        _, sent = model.local(place, state.seats[place], ("at", time, event) if time and event[0] in TIMED else event)
         what = _event(model, state, place, event)
         found.append(f"{number:3}  {_name(model, place)} {what}" + "".join(f"; {_sent(model, item)}" for item in sent))
         try:
@@ -60,6 +61,10 @@
         return f"waits no longer for an answer to its question {event[1]}"
     if kind == "again":
         return "sends the state once more"
+    if kind == "beat":
+        return "asks for its lease"
+    if kind == "pass":
+        return "and all others: the silence passes"
     if kind == "change":
         return f"is given w{event[1]}"
     if kind == "learn":
@@ -128,6 +133,9 @@
         return f"{kind} {order} of {seat_text(body[1])} in view {body[0][0]}: {what or 'nothing'}{behind}"
     sender, inner = body
     words = [f"{kind} from {seat_text(sender)}"]
+    if kind in ("beat", "lease"):
+        number, sent = inner[0][0] if kind == "beat" else inner[0], inner[1]
+        words.append(f"of view {number}, {'sent' if kind == 'beat' else 'to what was sent'} at {sent // SILENCE}")
     if kind in ("prepare", "accept"):
         words.append(f"{inner[1][0]}.{seat_text(inner[1][1])} behind view {inner[0][0]}")
         if kind == "accept":
--- a/tests/test_sounding.py
+++ b/tests/test_sounding.py
@@ -35,6 +35,11 @@
     "lacks-counts": "both copies synced it",
     "staged-as-held": "complete means all acknowledged",
     "old-state-leads": "complete means all acknowledged",
+    "lease-by-arrival": "one serves at a time",
+    "lease-of-any-view": "one serves at a time",
+    "lease-by-old-clock": "one serves at a time",
+    "grant-not-waited-for": "one serves at a time",
+    "grant-forgotten": "one serves at a time",
 }
 
 
@@ -49,13 +54,14 @@
     ("settled", replace(QUIET, writes=1, kills=1, wipes=1, retries=1)),
     ("cold", replace(QUIET, writes=1, kills=1, retries=1)),
     ("laden", replace(QUIET, wakes=1, retries=1)),
+    ("settled", replace(QUIET, wakes=1, beats=1, passes=1)),
 ])
 def test_nothing_is_broken_as_it_stands(start: str, bounds: Bounds) -> None:
     """And all within the bounds was seen, the same in each run."""
     found = Search(bounds, start).run()
     assert found.whole and found.broken is None and found.healed > 20
     assert (found.states, found.depth) == {
-        "settled": (10303, 20), "cold": (1811, 24), "laden": (18598, 28)}[start]
+        "settled": (151263, 24) if bounds.beats else (10303, 20), "cold": (1811, 24), "laden": (18598, 28)}[start]
 
 
 def test_a_successor_that_nobody_can_become_is_found() -> None:
@@ -108,7 +114,8 @@
 
 
 def test_faults_are_read_and_errors_name_them() -> None:
-    assert read_faults("kills=2,wakes=1") == {"kills": 2, "wipes": 0, "wakes": 1, "retries": 0}
+    assert read_faults("kills=2,wakes=1") == {
+        "kills": 2, "wipes": 0, "wakes": 1, "retries": 0, "beats": 0, "passes": 0}
     for text in ("fires=1", "kills", "kills=x", "kills=-1"):
         with pytest.raises(BadFaults, match=r"--faults: .*(fires|kills)"):
             read_faults(text)
