--- a/oakvale/lab/undone.py
+++ b/oakvale/lab/undone.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from oakvale.base.address import parse_address
+from oakvale.headworks.resources import UNSURE, Checked, Config, Give, Reply
 from oakvale.headworks.succession import LASTS, Campaign, Say, Seat, Succession, View, _packed
 from oakvale.penstock.feed import Feed, note
 
@@ -62,3 +63,25 @@
 
 def leaving(self: Succession, peer: Seat) -> None:
     """A primary that was told to end did not say so, or nobody listened: its backup found out by its end."""
+
+
+def any_below(self: Config, order: Checked, body: bytes, give: Give) -> None:
+    """As `Config._judge`, but whatever is not above the number held was confirmed: two contents under one number."""
+    held = self._core.ledger.latest("config")
+
+    def told(done: bool) -> None:
+        give(Reply(200) if done else UNSURE)
+
+    if held is not None and order.gen <= held["gen"]:
+        return self._core.confirm(told)
+    self._core.change({"config": {"gen": order.gen, "text": body}}, told)
+
+
+def taken_in_memory(self: Config) -> Any:
+    """As `Config._taken`, with the next: what was taken is known to the process that took it, until it ends."""
+    return self.__dict__.setdefault("_memory", {}), None
+
+
+def remember_in_memory(known: dict[int, tuple[str, bytes]], gen: int, digest: bytes) -> dict[str, Any]:
+    known[gen] = ("", digest)
+    return {}
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -13,9 +13,10 @@
 import pytest
 
 from oakvale.headworks import resources
-from oakvale.headworks.ledger import Ledger, Then
+from oakvale.headworks.ledger import Ledger
 from oakvale.headworks.resources import TAKEN, Config, Reply
 from oakvale.intake import model
+from oakvale.lab import undone
 from oakvale.penstock.table import NOTHING
 from tests.simulated import MS, SECOND, Loop
 from tests.world import Machine, World
@@ -200,24 +201,6 @@
 # ---- the same, broken on purpose
 
 
-def any_below(self: Config, checked: resources.Checked, body: bytes, give: resources.Give) -> None:
-    """As it was: whatever is not above the number held is confirmed."""
-    held = self._core.ledger.latest("config")
-    yes: Then = lambda done: give(Reply(200) if done else resources.UNSURE)  # noqa: E731
-    if held is not None and checked.gen <= held["gen"]:
-        return self._core.confirm(yes)
-    self._core.change({"config": {"gen": checked.gen, "text": body}}, yes)
-
-
-def in_memory(self: Config) -> Any:
-    return self.__dict__.setdefault("memory", {}), None
-
-
-def remember_nothing(known: Any, gen: int, digest: bytes, real: Any = resources._remember) -> dict[str, Any]:
-    real(known, gen, digest)
-    return {}
-
-
 def in_force_alone(self: Ledger, prefix: str) -> dict[str, Any]:
     return dict(self.table.items(prefix))
 
@@ -231,8 +214,9 @@
 
 
 BREAKAGES: dict[str, tuple[tuple[Any, str, Any], ...]] = {
-    "any-below": ((Config, "_judge", any_below),),
-    "digest-forgotten": ((Config, "_taken", in_memory), (resources, "_remember", remember_nothing)),
+    "any-below": ((Config, "_judge", undone.any_below),),
+    "digest-forgotten": ((Config, "_taken", undone.taken_in_memory),
+                         (resources, "_remember", undone.remember_in_memory)),
     "what-waits-unseen": ((Ledger, "latest_items", in_force_alone),),
     "refused-at-once": ((Config, "_judge", refused_at_once),),
 }
