What gateways are sent comes last in a change that remembers an order

Else they stood one entry behind the core when all was still, and a floor could pass them by: docs/operations.md says that news is the same everywhere then. tests/test_orders.py looks at it.

--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -158,10 +158,13 @@
         if forgotten is not None and order.gen <= forgotten:
             why = f"gen {order.gen}: what was taken up to {forgotten} is no longer known"
             return give(Reply(503, orjson.dumps({"error": why}), UNSURE.headers))
+        changes |= _remember(known, order.gen, order.digest)
+        # what gateways are sent as well comes last, so that when all is still they are as far as the core
         if held is None or order.gen > held["gen"]:
             note("configuration", gen=order.gen, routes=order.routes, bytes=len(body))
             changes["config"] = {"gen": order.gen, "text": body}
-        changes |= _remember(known, order.gen, order.digest)
+        else:
+            changes["confirmed"] = None
         self._core.change(changes, told(Reply(200)))
 
     def _taken(self) -> tuple[dict[int, tuple[str, bytes]], int | None]:
