--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -45,11 +45,11 @@
         self._tick_number = 0
         seeds = [f"{ip}:{settings.ports[0]}" for ip, _ in settings.seeds]
         copies = 1 + max(1, settings.tolerate)
-        founds = settings.bootstrap and spelled(mains.own) in seeds
+        founds = settings.bootstrap and cistern.first and spelled(mains.own) in seeds
         start = copying.start(spelled(mains.own), cistern.fact("self"), cistern.fact("state"),
                               founding(seeds, copies) if founds else None, lambda: loop.net.token(4))
         patience = settings.bounds.sync_time + settings.bounds.contact
-        self.copying = Copying(start, cistern.rows(), copies, SILENCE, patience)
+        self.copying = Copying(start, cistern.rows(), copies, SILENCE, patience, cistern.pieces())
         self.own: Seat = start.own
         self.outlet = Outlet(self.ledger.table)
         self.peers = Peers(seeds)
@@ -61,6 +61,8 @@
         mains.handlers["gone"] = self._gone
         mains.handlers["append"] = lambda conn, body, answer: self._do(self.copying.append(body, answer))
         mains.handlers["sync"] = lambda conn, body, answer: self._do(self.copying.sync(body, answer))
+        mains.handlers["offer"] = lambda conn, body, answer: self._do(self.copying.offer(body, answer))
+        mains.handlers["piece"] = lambda conn, body, answer: self._do(self.copying.piece(body, answer))
         mains.handlers["subscribe"] = self._subscribe
         mains.handlers["leave"] = lambda conn, body, answer: self.outlet.leave(conn)
         mains.handlers["digests"] = lambda conn, body, answer: self.outlet.mend(conn, body, answer)
