--- a/oakvale/lab/models/launch.py
+++ b/oakvale/lab/models/launch.py
@@ -215,6 +215,12 @@
         seats = [s for s in self.seats[on] if not s.freed and trouble.zone in ("", s.zone)]
         return self._services[on], self._rng.sample(seats, trouble.many(len(seats)))
 
+    def _go(self, trouble: Trouble) -> tuple[Service, list[Seat]]:
+        """Those of a service that go for good: one stays, or nothing could be served and no gateway be ready."""
+        service, seats = self._some(trouble)
+        left = sum(not seat.freed for seat in self.seats[service.name])
+        return service, seats[:max(0, left - 1)]
+
     def _ail(self, trouble: Trouble, at: int, lasts: int, **ills: Any) -> None:
         _, seats = self._some(trouble)
         for seat in seats:
@@ -267,7 +273,7 @@
         self._ail(trouble, at, lasts, idle=round(trouble.x * SECOND))
 
     def _srv_crash(self, trouble: Trouble, at: int, lasts: int, gap: int) -> None:
-        service, seats = self._some(trouble)
+        service, seats = self._go(trouble) if "gone" in trouble.how else self._some(trouble)
         for seat in seats:
             seat.host.loop.at(at, self._crashes, (seat, "dark" in trouble.how, at + lasts))
             if "gone" in trouble.how:
@@ -296,7 +302,7 @@
             self._leaves(old, begin + SECOND)
 
     def _scale_in(self, trouble: Trouble, at: int, lasts: int, gap: int) -> None:
-        _, seats = self._some(trouble)
+        _, seats = self._go(trouble)
         for seat in seats:
             self._leaves(seat, at)
 
