What is said of an order whose pieces are still on their way waits for it

Cause: small changes overtake a large one that is planned. Change: what is planned counts as waiting, and whatever Config says or writes comes behind it.

--- a/oakvale/headworks/copying.py
+++ b/oakvale/headworks/copying.py
@@ -216,14 +216,17 @@
 
     # ---- what it is told
 
-    def change(self, changes: dict[str, Any], then: Then) -> list[Do]:
-        """Makes a change; `then` hears True once it is in force and the news of it are on their way."""
+    def change(self, changes: dict[str, Any], then: Then, behind: bool = False) -> list[Do]:
+        """Makes a change; `then` hears True once it is in force and the news of it are on their way. Changes overtake
+        one whose pieces are still on their way to the backups, unless they touch what it does, or are to come `behind`
+        all that was asked for before."""
         view = self.view()
         if not self.active or view is None or view.primary != self.own:
             self._out.append(Told(then, False))
             return self.flush()
         taken = {key for planned in self._planned for key in planned.changes}
-        if self._clean and (taken & set(changes) or pieces.size_of(changes) > pieces.INLINE):
+        if self._clean and (behind and self._planned or taken & set(changes)
+                            or pieces.size_of(changes) > pieces.INLINE):
             self._planned.append(Planned(changes, then))
             self.ledger.planned.append(changes)
             if len(self._planned) == 1:
--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -100,9 +100,10 @@
         return (self.active and view is not None and view.primary == self.own
                 and all(self.succession.alive(peer, self.loop.now) for peer in view.backups))
 
-    def confirm(self, then: Then) -> None:
-        """Calls with True once all backups of the view have said that they are still in it."""
-        self.change({}, then)
+    def confirm(self, then: Then, behind: bool = False) -> None:
+        """Calls with True once all backups of the view have said that they are still in it; `behind`: and all that was
+        asked for before is in force."""
+        self.change({}, then, behind)
 
     def know(self, seeds: tuple[Address, ...]) -> None:
         """Other core machines, from a settings file that changed."""
@@ -129,9 +130,9 @@
             self.mains.tell(address, "gone", list(self.own))
         leaving[1]()
 
-    def change(self, changes: dict[str, Any], then: Then) -> None:
+    def change(self, changes: dict[str, Any], then: Then, behind: bool = False) -> None:
         """Makes a change; `then` hears True once it is in force and the news of it are on their way."""
-        self._do(self.copying.change(changes or {"confirmed": None}, then))
+        self._do(self.copying.change(changes or {"confirmed": None}, then, behind))
 
     # ---- what is decided, done
 
--- a/oakvale/headworks/ledger.py
+++ b/oakvale/headworks/ledger.py
@@ -63,10 +63,11 @@
         return self.table.get(key)
 
     def latest_items(self, prefix: str) -> dict[str, Any]:
-        """Key behind the prefix and value, as they will be once all that waits is in force."""
+        """Key behind the prefix and value, as they will be once all that waits is in force, and all that is planned."""
         found = dict(self.table.items(prefix))
-        for pending in self._pending:
-            found |= {key[len(prefix):]: value for key, _, value in pending.entries if key.startswith(prefix)}
+        waiting = [(key, value) for pending in self._pending for key, _, value in pending.entries]
+        waiting += [item for changes in self.planned for item in changes.items()]
+        found |= {key[len(prefix):]: value for key, value in waiting if key.startswith(prefix)}
         return {name: value for name, value in found.items() if value is not None}
 
     def waiting(self) -> list[str]:
--- a/oakvale/headworks/resources.py
+++ b/oakvale/headworks/resources.py
@@ -160,9 +160,10 @@
 
         if order.gen in known:
             if known[order.gen][1] == order.digest:
-                return self._core.confirm(told(Reply(200)))
+                return self._core.confirm(told(Reply(200)), behind=True)
             note("configuration refused", why=f"another content of gen {order.gen}")
-            return self._core.confirm(told(problem(409, f"gen {order.gen}: taken with another content, which stays")))
+            no = problem(409, f"gen {order.gen}: taken with another content, which stays")
+            return self._core.confirm(told(no), behind=True)
         if forgotten is not None and order.gen <= forgotten:
             why = f"gen {order.gen}: what was taken up to {forgotten} is no longer known"
             return give(Reply(503, orjson.dumps({"error": why}), UNSURE.headers))
@@ -173,7 +174,7 @@
             changes["config"] = {"gen": order.gen, "text": body}
         else:
             changes["confirmed"] = None
-        self._core.change(changes, told(Reply(200)))
+        self._core.change(changes, told(Reply(200)), behind=True)
 
     def _taken(self) -> tuple[dict[int, tuple[str, bytes]], int | None]:
         """Number -> its place and digest, with what waits to come into force; and up to which numbers are forgotten."""
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -13,7 +13,7 @@
 import orjson
 import pytest
 
-from oakvale.headworks import resources
+from oakvale.headworks import pieces, resources
 from oakvale.headworks.ledger import Ledger
 from oakvale.headworks.resources import TAKEN, Config, Reply
 from oakvale.intake import model
@@ -145,6 +145,14 @@
         Operators(seed).day(50)
 
 
+@pytest.mark.parametrize("seed", [0, 4, 5, 10])
+def test_one_number_one_content_where_orders_go_in_pieces(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Ahead of a large order its pieces are sent; what is said of it meanwhile waits for it."""
+    monkeypatch.setattr(pieces, "INLINE", 120)
+    monkeypatch.setattr(pieces, "PIECE", 100)
+    Operators(seed).day(50)
+
+
 def test_what_is_remembered_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     """In the table and on the disks, without graves, and gateways hold none of it. A number that is known no longer is
     neither confirmed nor refused."""
