--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Any, cast
+
 from oakvale.headworks.core import SILENCE
 from oakvale.headworks.leases import MARGIN, Leases, Waiting
 from oakvale.headworks.succession import FOUNDER, Seat, View, founding
+from tests.simulated import MS
+from tests.test_succession import roles, settled
 
 A, B, C = (("a:1", FOUNDER), ("b:1", FOUNDER), ("c:1", FOUNDER))
 ONE = founding([A[0], B[0], C[0]], 2)
@@ -85,3 +89,47 @@
         then(False)
     second(True)
     assert told == [("first", True), ("second", False)] and not waiting
+
+
+# ---- a core that serves by them
+
+
+def test_a_long_time_without_a_lease_is_a_new_beginning() -> None:
+    """Or a primary that was frozen with its backup counts the backends' and gateways' silence from before."""
+    world = settled()
+    machine, core, backup = roles(world)
+    told: list[bool] = []
+    core.on_change.append(told.append)
+    other = next(m for m in world.machines if m.core is backup)
+    for span, began in ((600 * MS, []), (20 * SECOND, [True])):
+        world.pause(machine, span)
+        world.pause(other, span)
+        world.run(span + SECOND)
+        assert world.serving() is machine and told == began
+
+
+def test_a_copy_that_does_not_serve_mends_nobody() -> None:
+    """It may hold what is not in force, or was replaced."""
+    world = settled()
+    answers: list[Any] = []
+    for core in roles(world)[1:]:
+        core.mains.handlers["digests"](cast(Any, None), [b""] * 16, answers.append)
+    assert answers[0] is not None and answers[1] is None
+
+
+def test_words_of_an_earlier_life_end_nothing_and_renew_nothing() -> None:
+    world = settled()
+    machine, core, backup = roles(world)
+    before = core.copying.life
+    world.down(machine, 100 * MS)
+    world.run(2 * SECOND)
+    core = roles(world)[1]
+    assert core.copying.life > before
+    backup._gone(cast(Any, None), [*core.own, before], print)
+    assert backup.succession.alive(core.own, world.now) and not backup._leases.free(world.now)
+    answers: list[int] = []
+    body = [list(core.own), "z0", core.view().pack(), [], before]  # type: ignore[union-attr]
+    backup._heard(cast(Any, None), body, answers.append)
+    assert answers == []
+    backup._gone(cast(Any, None), [*core.own, core.copying.life], print)
+    assert not backup.succession.alive(core.own, world.now) and backup._leases.free(world.now)
