--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
+import logging
 import socket
-from collections.abc import Callable
 from typing import Any
 
 import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
 
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Clock, Loop
-from oakvale.mains import links
-from oakvale.mains.links import BACKLOG, LONG, Mains
+from oakvale.gauge.floors import Quota, Terms
+from oakvale.gauge.service import Gauge
+from oakvale.lifecycle.daybook import BOOK
+from oakvale.mains.links import Conn, Mains
+from oakvale.penstock.tree import Member, Members
+from tests.questions import PEERS, World
 
 
 def test_a_connection_that_is_being_made_is_not_waited_for_once_its_peer_is_known_to_be_up() -> None:
@@ -39,77 +45,83 @@
         sock.close()
 
 
-class Two:
-    """A process that speaks, and others that listen, on loopback; what comes to each, in its order."""
-
-    def __init__(self, others: int = 1) -> None:
-        self.loop = Loop(Clock(), Limits.fill(256, 192 << 20, 250_000, 30_000_000, 80_000, 100))
-        self.mains = Mains(self.loop, ("127.0.0.1", 0))
-        self.others: list[tuple[tuple[str, int], list[Any]]] = []
-        for _ in range(others):
-            sock = socket.create_server(("127.0.0.1", 0))
-            address: tuple[str, int] = sock.getsockname()
-            sock.close()
-            other, came = Mains(self.loop, address), list[Any]()
-            other.listen()
-            for kind in ("a", "b", "long"):
-                other.handlers[kind] = lambda conn, body, answer, kind=kind, came=came: came.append(  # type: ignore[misc]
-                    (kind, body)) or answer(body)
-            self.others.append((address, came))
-
-    def until(self, so: Callable[[], bool]) -> None:
-        for _ in range(20_000):
-            if so():
-                return
-            self.loop.turn(0.01)
-        raise AssertionError("it does not come")
-
-
-def test_a_long_frame_comes_whole_and_holds_up_no_other_kind() -> None:
-    """Longer than all that may wait for a peer, or that a frame was allowed; what is of its kind stays behind it."""
-    two = Two()
-    [(address, came)], answers = two.others, list[Any]()
-    text = bytes(range(256)) * (2 * BACKLOG // 256) + b"end"
-    two.mains.tell(address, "a", text)
-    for n in range(3):
-        two.mains.tell(address, "a", n)
-        two.mains.tell(address, "b", n)
-    two.mains.ask(address, "long", text[:2 * LONG], 60_000_000, answers.append)
-    two.until(lambda: len(came) == 8 and bool(answers))
-    assert [kind for kind, _ in came] == ["b", "b", "b", "a", "a", "a", "a", "long"]
-    assert [body for kind, body in came if kind == "a"] == [text, 0, 1, 2] and answers == [text[:2 * LONG]]
-    assert not two.mains.flying and not two.mains.hungry and two.mains.long_at > 0
-    two.loop.close()
-
-
-def test_peers_that_do_not_say_that_a_part_came_hold_up_nobody_else(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(links, "PARTS", 2)
-    monkeypatch.setattr(links, "LATE", 20_000)
-    two = Two()
-    [(address, came)] = two.others
-    silent = [socket.create_server(("127.0.0.1", 0)) for _ in range(4)]
-    for sock in silent:
-        two.mains.tell(sock.getsockname(), "a", bytes(10 * LONG))
-    two.until(lambda: two.mains.flying == 2)
-    two.mains.tell(address, "a", bytes(3 * LONG))
-    two.until(lambda: len(came) == 1)
-    ends = [conn for sock in silent if (conn := two.mains.link(sock.getsockname())) is not None]
-    for conn in ends:
-        conn.end()
-    two.until(lambda: not two.mains.flying and not any(conn.busy() for conn in ends))
-    two.loop.close()
-    for sock in silent:
-        sock.close()
-
-
-def test_a_peer_that_takes_nothing_is_cut_off_when_much_waits_behind_what_is_long() -> None:
-    two = Two(0)
-    silent = socket.create_server(("127.0.0.1", 0))
-    for _ in range(2):
-        two.mains.tell(silent.getsockname(), "a", bytes(BACKLOG // 2 + 10))
-    conn = two.mains.link(silent.getsockname())
-    assert conn is not None and conn.alive and conn.busy()
-    two.mains.tell(silent.getsockname(), "a", bytes(BACKLOG // 2))
-    assert not conn.alive
-    two.loop.close()
-    silent.close()
+def search(examples: int, shrinks: bool = True) -> None:
+    @settings(max_examples=examples, derandomize=True, database=None, deadline=None, print_blob=False,
+              phases=(Phase.generate, Phase.shrink) if shrinks else (Phase.generate,), report_multiple_bugs=False,
+              suppress_health_check=list(HealthCheck))
+    @given(st.binary(min_size=20, max_size=120))
+    def plays(schedule: bytes) -> None:
+        World().play(schedule)
+
+    plays()
+
+
+@pytest.fixture
+def quiet(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Odd answers are drawn, and would be noted."""
+    monkeypatch.setattr(BOOK, "write", lambda *_: None)
+    monkeypatch.setattr(logging.getLogger("oakvale"), "disabled", True)
+
+
+@pytest.mark.usefixtures("quiet")
+def test_each_question_hears_once_and_its_own_answer_or_none() -> None:
+    """Over connections that break, refuse, stay silent or don't read, peers that start again, answers late, twice and
+    in pieces, peers that ask under the same numbers, and askers that fail at what they hear. Where one failed as its
+    connection ended, the others that had asked on it heard nothing, ever."""
+    search(1_000)
+
+
+def kept(conn: Conn, frame: Any) -> None:
+    """An answer leaves its question waiting."""
+    waited = conn.waiting.get(frame[1])
+    TAKE(conn, frame)
+    if waited is not None and not frame[0]:
+        conn.waiting[frame[1]] = waited
+
+
+def alike(mains: Mains, conn: Conn, *rest: Any) -> None:
+    """All questions bear one number."""
+    mains._number = 0
+    ASK_ON(mains, conn, *rest)
+
+
+def unheard(mains: Mains, conn: Conn) -> None:
+    """What is asked on a connection that ends hears nothing."""
+    conn.waiting = {}
+    GONE(mains, conn)
+
+
+TAKE, ASK_ON, GONE = Conn._take, Mains.ask_on, Mains.gone
+BREAKAGES = {"kept": (Conn, "_take", kept), "alike": (Mains, "ask_on", alike), "unheard": (Mains, "gone", unheard)}
+
+
+@pytest.mark.usefixtures("quiet")
+@pytest.mark.parametrize("what", BREAKAGES)
+def test_each_mechanism_of_questions_taken_out_is_found(monkeypatch: pytest.MonkeyPatch, what: str) -> None:
+    monkeypatch.setattr(*BREAKAGES[what])
+    with pytest.raises(AssertionError):
+        search(300, shrinks=False)
+
+
+def test_what_was_refused_before_a_question_proves_nothing_of_who_is_asked() -> None:
+    """A gateway that had just started again, and was silent next, counted as ended for all its new life: its share of
+    the quota, which it passes when it is cut off, was left with the counter (QUOTA)."""
+    world, heard = World(), list[Any]()
+    world.mode = 1
+    world.mains.ask(PEERS[0], "life", None, 150_000, heard.append)
+    world.turn()
+    assert heard == [None] and world.mains.ended(PEERS[0])
+    world.now += 30_000
+    world.turn()
+    members = Members([Member("g2", "10.0.0.2:7", "z", "new")])
+    gauge = Gauge(world.loop, world.mains, Terms(5_000_000, 0.1, 20), "g1", "l1", "10.0.0.1:7", lambda: members,
+                  lambda: [], lambda tenant: Quota(10, 10))
+    gauge.members_changed()
+    gauge._prove()
+    world.turn()
+    assert world.mains.ended(PEERS[0]) and not gauge._ended
+    world.now += 100_000
+    world.turn()
+    gauge._prove()
+    world.turn()
+    assert gauge._ended == {"g2": "new"}  # refused since: nobody listens there now
