A tunnel that is asked for does not stop the gateway

Cause: `CONNECT` to a known path went to a backend as any method does. A success to it switches the protocol, where the parser pauses; the coroutine asked it again and again, and the whole process stood still in one turn, for ever.

A CONNECT is answered with 405, and a pause of the parser spoils an answer. Shown: a test that fails without either.

--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -300,6 +300,8 @@
             return later(503, SECOND // 2, b"no configuration yet\n")
         if picture.clients.head and incoming.head_size() > self.limits.header:
             raise BadRequest(431, "head too large")
+        if incoming.method == b"CONNECT":  # a success would turn the connection into a tunnel
+            raise BadRequest(405, "no tunnels")
         rid = fields.get(b"attempt-id", b"")
         if not ATTEMPT_ID.fullmatch(rid):
             raise BadRequest(400, "Attempt-Id is missing or not understood")
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -338,6 +338,8 @@
                 http = self._again(attempt)
             elif type(event) is h11.ConnectionClosed:
                 raise Gone()
+            else:  # h11 pauses where a protocol is switched: it would say so for ever
+                raise Spoilt("another protocol")
 
     def _set_aside(self, size: int) -> None:
         if size > self.host.limits.body and not self._share.grow(size):
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -330,6 +330,25 @@
     assert statuses(caller) == [(502, "")] and len(world.ears) == 1
 
 
+def test_a_tunnel_that_is_asked_for_stops_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One CONNECT to a known path, answered with 200, kept the gateway in one turn for ever."""
+    world = World()
+    asks = world.request(0, 0)
+    asks.line, asks.raw = asks.line.replace(b"GET", b"CONNECT"), asks.raw.replace(b"GET", b"CONNECT")
+    caller = world.client()
+    caller.ask(asks, 0)
+    world.turn(4)
+    assert statuses(caller)[0][0] == 405 and not world.ears
+    world.finish()
+    world = World()
+    asked(world, 7)
+    connection = next(iter(world.plant.requests.all()[0].out.values())).connection
+    monkeypatch.setattr(cast(Any, connection)._http, "next_event", lambda: h11.PAUSED)
+    world.ears[0].line.say(b"x")
+    world.turn()
+    assert world.ears[0].line.closed
+
+
 if __name__ == "__main__":
     search(int(sys.argv[1]), again=False)
     print(f"{sys.argv[1]} schedules, no rule broken")
