--- a/oakvale/lab/flume/troubles.py
+++ b/oakvale/lab/flume/troubles.py
@@ -141,10 +141,15 @@
         self._node_slow(trouble.model_copy(update={"how": f"{trouble.how} freeze"}))
 
     def _replace_core(self, trouble: Trouble) -> None:
-        """One is gone for good, an empty one comes `x` s later at another address; `how`: `planned`."""
-        for station in self._some(trouble, "core")[:1]:
+        """One is gone for good, an empty one comes `x` s later at another address; `how`: `planned`. `count`: so many,
+        one after the other, each `gap_s`."""
+        for station in self._some(trouble.model_copy(update={"count": 1, "share": None}), "core"):
             new = self._works.replace(station, round(trouble.x * SECOND), "planned" in trouble.how)
             self._meet(trouble, [new], round(trouble.x * SECOND))
+        if (left := (trouble.count or 1) - 1) > 0:
+            events = self._works.events
+            events.at(events.now + round(trouble.gap_s * SECOND), self._replace_core,
+                      trouble.model_copy(update={"count": left}))
 
     def _reset_conns(self, trouble: Trouble) -> None:
         """`x` of their connections, half where nothing is said."""
--- a/oakvale/lab/trials/draw.py
+++ b/oakvale/lab/trials/draw.py
@@ -69,7 +69,9 @@
     "node_freeze": (Way((0.5, 5), count=(1, 1), hows=("leader", "acked meet", "leader meet race", ""), on=("core",)),
                     Way((0.5, 4), share=(0.1, 0.4))),
     "replace_core": (Way(count=(1, 1), x=(0.5, 2), hows=(
-        "", "planned", "leader", "planned leader", "planned meet", "leader meet", "acked"), on=("core",)),),
+        "", "planned", "leader", "planned leader", "planned meet", "leader meet", "acked"), on=("core",)),
+                     Way(count=(2, 4), x=(0.3, 1), gap_s=(5.1, 6.5), hows=("", "planned", "leader", "acked meet"),
+                         on=("core",))),
     "reset_conns": (Way(share=(0.1, 0.6), x=(0.2, 0.95), hows=("", "leader")),
                     Way(count=(1, 1), x=(0.5, 0.99), hows=("leader", "acked"), on=("core",))),
     "ack_lost": (Way((2, 8), x=(0.3, 0.9), hows=("", "backends")),),
@@ -104,7 +106,8 @@
 def _end(day: Day, one: Trouble) -> float:
     """When all that it struck is back, in seconds of the day."""
     waits = day.time("ack") / 1e6 if one.kind in ("after_ack_kill", "after_ack_wipe", "closing") else 0.0
-    return one.at + waits + (one.x if one.kind == "replace_core" else one.for_s)
+    row = ((one.count or 1) - 1) * one.gap_s if one.kind == "replace_core" else 0.0
+    return one.at + row + waits + (one.x if one.kind == "replace_core" else one.for_s)
 
 
 def fair(day: Day) -> bool:
