--- a/oakvale/lab/days.py
+++ b/oakvale/lab/days.py
@@ -123,6 +123,7 @@
     services: Annotated[tuple[Service, ...], Field(min_length=1)]
     tenants: tuple[Tenant, ...] = ()
     routes: Annotated[tuple[Route, ...], Field(min_length=1)]
+    bulk: Annotated[int, Field(ge=0, le=30_000)] = 0  # tenants that never ask, and a third as many such routes
     troubles: tuple[Trouble, ...] = ()
     plan: tuple[Trouble, ...] = ()
 
--- a/oakvale/lab/models/orders.py
+++ b/oakvale/lab/models/orders.py
@@ -72,6 +72,14 @@
         tenants: list[Row] = [{"name": self.tenants[tenant.name], "apikeys": [self._key() for _ in range(tenant.keys)],
                     "prio": tenant.prio, "rate-per-s": tenant.rate_per_s or None, "burst": tenant.burst or None}
                    for tenant in day.tenants]
+        for n in range(day.bulk):
+            if tenants:
+                tenants.append({"name": name(rng), "apikeys": [self._key()], "prio": 0, "rate-per-s": None,
+                                "burst": None})
+            if n % 3 == 0:
+                routes.append(routes[n % len(day.routes)] | {
+                    "name": name(rng, "r-"), "vhost": rng.choice(hosts), "prefix": f"{self._prefix()}{n}/",
+                    "type": "safe", "public": True})
         self._state = State(routes, tenants)
         self._guarded = bool(day.tenants)
         self.gen = rng.randrange(*FIRST_GEN)
--- a/oakvale/lab/trials/draw.py
+++ b/oakvale/lab/trials/draw.py
@@ -220,4 +220,5 @@
         "edges_per_zone": draw.randint(1, 4), "delay_ms": round(draw.uniform(0.2, 5), 2),
         "client_delay_ms": round(draw.uniform(0.5, 10), 1), "sync_ms": round(draw.uniform(0.5, 8), 1), "cores": cores,
         "tolerance": (cores - 1) // 2, "services": services, "routes": routes, "tenants": tenants,
-        "bounds": {"retry-slack": 40.0}}
+        "bounds": {"retry-slack": 40.0}, "bulk": draw.choice((0, 0, 0, 0, 600)),
+        "link_mbps": draw.choice((1_000.0, 1_000.0, 100.0))}
