--- a/oakvale/lab/undone.py
+++ b/oakvale/lab/undone.py
@@ -8,6 +8,7 @@
 
 from oakvale.base.address import parse_address
 from oakvale.headworks.resources import UNSURE, Checked, Config, Give, Reply
+from oakvale.headworks.ledger import Ledger
 from oakvale.headworks.succession import LASTS, Campaign, Say, Seat, Succession, View, _packed
 from oakvale.penstock.feed import Feed, note
 
@@ -85,3 +86,12 @@
 def remember_in_memory(known: dict[int, tuple[str, bytes]], gen: int, digest: bytes) -> dict[str, Any]:
     known[gen] = ("", digest)
     return {}
+
+
+def latest_items(self: Ledger, prefix: str) -> dict[str, Any]:
+    """As `Ledger.latest_items`, but what is made once its pieces are with the backups was left out: of two orders under
+    one number that came in one another's wake, both were confirmed (drawn day 14003)."""
+    found = dict(self.table.items(prefix))
+    for pending in self._pending:
+        found |= {key[len(prefix):]: value for key, _, value in pending.entries if key.startswith(prefix)}
+    return {name: value for name, value in found.items() if value is not None}
--- a/tests/test_lab_failures.py
+++ b/tests/test_lab_failures.py
@@ -59,9 +59,14 @@
     assert not verdict.judge(play.play(given, given.seed)).broken
 
 
-def test_a_found_day_still_finds_what_it_was_cut_down_for() -> None:
-    """The counter lets far too much over the burst: the quota breaks in a day of one edge, one tenant, one trouble."""
-    given = days.load(FOLDER.parent / "found" / "quota-9-small.toml")
-    lavish = variants.patches(Spec(name="lavish", set={"oakvale.gauge.floors.OVER": 40.0}))
-    found = verdict.judge(play.play(given, given.seed, play.Variant("lavish", lavish)))
-    assert {one.rule for one in found.broken} == {"QUOTA"}
+@pytest.mark.parametrize("name, spec, rule", [
+    # the counter lets far too much over the burst: one edge, one tenant, one trouble
+    ("quota-9-small", Spec(name="lavish", set={"oakvale.gauge.floors.OVER": 40.0}), "QUOTA"),
+    # orders whose pieces were still on their way to the backup were not compared with: two contents under one number
+    ("config-14003-small", Spec(name="unplanned", swap={
+        "oakvale.headworks.ledger.Ledger.latest_items": "oakvale.lab.undone.latest_items"}), "CONFIG"),
+])
+def test_a_found_day_still_finds_what_it_was_cut_down_for(name: str, spec: Spec, rule: str) -> None:
+    given = days.load(FOLDER.parent / "found" / f"{name}.toml")
+    found = verdict.judge(play.play(given, given.seed, play.Variant(spec.name, variants.patches(spec))))
+    assert {one.rule for one in found.broken} == {rule}
