--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -45,11 +45,11 @@
         self._tick_number = 0
         seeds = [f"{ip}:{settings.ports[0]}" for ip, _ in settings.seeds]
         copies = 1 + max(1, settings.tolerate)
-        founds = settings.bootstrap and spelled(mains.own) in seeds
+        founds = settings.bootstrap and cistern.first and spelled(mains.own) in seeds
         start = copying.start(spelled(mains.own), cistern.fact("self"), cistern.fact("state"),
                               founding(seeds, copies) if founds else None, lambda: loop.net.token(4))
         patience = settings.bounds.sync_time + settings.bounds.contact
-        self.copying = Copying(start, cistern.rows(), copies, SILENCE, patience)
+        self.copying = Copying(start, cistern.rows(), copies, SILENCE, patience, cistern.pieces())
         self.own: Seat = start.own
         self.outlet = Outlet(self.ledger.table)
         self.peers = Peers(seeds)
@@ -61,6 +61,8 @@
         mains.handlers["gone"] = self._gone
         mains.handlers["append"] = lambda conn, body, answer: self._do(self.copying.append(body, answer))
         mains.handlers["sync"] = lambda conn, body, answer: self._do(self.copying.sync(body, answer))
+        mains.handlers["offer"] = lambda conn, body, answer: self._do(self.copying.offer(body, answer))
+        mains.handlers["piece"] = lambda conn, body, answer: self._do(self.copying.piece(body, answer))
         mains.handlers["subscribe"] = self._subscribe
         mains.handlers["leave"] = lambda conn, body, answer: self.outlet.leave(conn)
         mains.handlers["digests"] = lambda conn, body, answer: self.outlet.mend(conn, body, answer)
@@ -98,9 +100,10 @@
         return (self.active and view is not None and view.primary == self.own
                 and all(self.succession.alive(peer, self.loop.now) for peer in view.backups))
 
-    def confirm(self, then: Then) -> None:
-        """Calls with True once all backups of the view have said that they are still in it."""
-        self.change({}, then)
+    def confirm(self, then: Then, behind: bool = False) -> None:
+        """Calls with True once all backups of the view have said that they are still in it; `behind`: and all that was
+        asked for before is in force."""
+        self.change({}, then, behind)
 
     def know(self, seeds: tuple[Address, ...]) -> None:
         """Other core machines, from a settings file that changed."""
@@ -127,9 +130,9 @@
             self.mains.tell(address, "gone", list(self.own))
         leaving[1]()
 
-    def change(self, changes: dict[str, Any], then: Then) -> None:
+    def change(self, changes: dict[str, Any], then: Then, behind: bool = False) -> None:
         """Makes a change; `then` hears True once it is in force and the news of it are on their way."""
-        self._do(self.copying.change(changes or {"confirmed": None}, then))
+        self._do(self.copying.change(changes or {"confirmed": None}, then, behind))
 
     # ---- what is decided, done
 
--- a/oakvale/headworks/ledger.py
+++ b/oakvale/headworks/ledger.py
@@ -32,6 +32,7 @@
         self._done: list[Then] = []
         self._place = self._view = 0
         self.forgotten: list[str] = []  # keys whose rows may go from the disk
+        self.planned: list[dict[str, Any]] = []  # changes that are made once their pieces are with the backups
         self.last = NOTHING  # the version of the newest entry, in force or not
 
     def start(self, view: int) -> None:
@@ -51,13 +52,24 @@
         return entries
 
     def latest(self, key: str) -> Any:
-        """As it will be once all that waits is in force."""
+        """As it will be once all that waits is in force, and all that is planned."""
+        for changes in reversed(self.planned):
+            if key in changes:
+                return changes[key]
         for pending in reversed(self._pending):
             for known, _, value in pending.entries:
                 if known == key:
                     return value
         return self.table.get(key)
 
+    def latest_items(self, prefix: str) -> dict[str, Any]:
+        """Key behind the prefix and value, as they will be once all that waits is in force, and all that is planned."""
+        found = dict(self.table.items(prefix))
+        waiting = [(key, value) for pending in self._pending for key, _, value in pending.entries]
+        waiting += [item for changes in self.planned for item in changes.items()]
+        found |= {key[len(prefix):]: value for key, value in waiting if key.startswith(prefix)}
+        return {name: value for name, value in found.items() if value is not None}
+
     def waiting(self) -> list[str]:
         """Keys that are not in force yet."""
         return [key for pending in self._pending for key, _, _ in pending.entries]
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -80,6 +80,13 @@
     def belongs(self, attempt: AttemptOut, status: int, headers: Headers) -> bool:
         """Whether an answer's head is of this attempt, not a surplus one of an attempt before."""
 
+    def named(self, headers: Headers) -> bool:
+        """Whether a head says itself which attempt it is of. Another copy of one that does not would be taken for
+        the next answer on its connection."""
+
+    def waits(self, attempt: AttemptOut) -> bool:
+        """Whether an answer that stops midway is waited for to the attempt's end."""
+
     def check(self, headers: Headers) -> None:
         """Raises Spoilt where a head tells that the answer is not the backend's."""
 
@@ -112,6 +119,12 @@
     def belongs(self, attempt: AttemptOut, status: int, headers: Headers) -> bool:
         return True
 
+    def named(self, headers: Headers) -> bool:
+        return True  # nothing on its wire names one
+
+    def waits(self, attempt: AttemptOut) -> bool:
+        return False
+
     def check(self, headers: Headers) -> None:
         pass
 
@@ -157,6 +170,7 @@
         self.attempt: AttemptOut | None = attempt
         self.lasts = host.limits.backend_idle  # while idle
         self._share = Share(host.bodies)
+        self._unsent, self._begun = b"", False  # of the request; whether the kernel has taken any of it
         self._sock = new_socket(host.loop.net)
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=host.limits.header)
         attempt.connection = self
@@ -193,18 +207,36 @@
             self.host.backend_connections -= 1
             self.host.idle.remove(self)
             if self.attempt is not None:  # a fault of this coroutine: its attempt still ends
-                self._finish(Ending.RESET if self.attempt.written else Ending.NO_CONNECTION)
+                self._finish(Ending.RESET if self._may_have_run(self.attempt) else Ending.NO_CONNECTION)
+
+    def _may_have_run(self, attempt: AttemptOut) -> bool:
+        """What surely never ran is what no kernel was handed; for some backends, what it was not handed whole."""
+        return attempt.written or self._begun and self.host.dialect.part_may_run
+
+    def _send(self, attempt: AttemptOut) -> Step[None]:
+        """All of the request, or until something comes back: an answer may come before the backend has read all."""
+        if self._unsent:
+            begun, self._begun = self._begun, True  # however this ends, unless it is known that nothing went out
+            try:
+                sent = yield from write_all(self._sock, self._unsent, attempt.due, heed=True)
+            except Gone as gone:
+                self._begun = begun or gone.begun
+                raise
+            self._begun = begun or sent > 0
+            self._unsent = self._unsent[sent:]
+            attempt.written = not self._unsent
 
     def _exchange(self) -> Step[bool]:
         """Sends the attempt's request and takes its answer; False when the connection can't be used again."""
         attempt = self.attempt
         assert attempt is not None
+        self._begun = False
         try:
-            yield from write_all(self._sock, self._message(attempt), attempt.due)
-            attempt.written = True
+            self._unsent = self._message(attempt)
+            yield from self._send(attempt)
             answer, report = yield from self._answer(attempt)
         except Gone as gone:
-            if not attempt.written and not (gone.begun and self.host.dialect.part_may_run):
+            if not self._may_have_run(attempt):
                 self._finish(Ending.NO_CONNECTION)
             else:
                 attempt.dropped = bool(attempt.idled) and not gone.timed_out and not self._http.trailing_data[0] and (
@@ -217,7 +249,7 @@
             return False
         http = self._http
         reusable = (http.our_state is h11.DONE and http.their_state is h11.DONE and not http.trailing_data[0]
-                    and self.host.serves(self.backend))
+                    and attempt.written and self.host.dialect.named(answer.headers) and self.host.serves(self.backend))
         if reusable:  # before the module hears of the end: its next attempt may want this connection
             http.start_next_cycle()
             self._share.hold(0)
@@ -267,8 +299,10 @@
             # h11's events are abstract classes: isinstance is slow on them
             if event is h11.NEED_DATA:
                 # one that says more than it sends stays open and silent: it is not waited for to the deadline
-                rest_due = due if quiet else min(due, self.host.loop.now + limits.answer_rest)
+                patient = quiet or self.host.dialect.waits(attempt)
+                rest_due = due if patient else min(due, self.host.loop.now + limits.answer_rest)
                 try:
+                    yield from self._send(attempt)  # what was not written when this answer's like came
                     yield from more(self._sock, http, pool, rest_due)
                 except Gone as gone:
                     if gone.timed_out and rest_due < due:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 from typing import Any
 
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Clock, Loop
-from oakvale.mains.links import Mains
+from oakvale.gauge.floors import Quota, Terms
+from oakvale.gauge.service import Gauge
+from oakvale.lifecycle.daybook import BOOK
+from oakvale.mains.links import Conn, Mains
+from oakvale.penstock.tree import Member, Members
+from tests.questions import PEERS, World
 
 
 def test_a_connection_that_is_being_made_is_not_waited_for_once_its_peer_is_known_to_be_up() -> None:
@@ -33,3 +43,85 @@
     loop.close()
     for sock in (*held, listener):
         sock.close()
+
+
+def search(examples: int, shrinks: bool = True) -> None:
+    @settings(max_examples=examples, derandomize=True, database=None, deadline=None, print_blob=False,
+              phases=(Phase.generate, Phase.shrink) if shrinks else (Phase.generate,), report_multiple_bugs=False,
+              suppress_health_check=list(HealthCheck))
+    @given(st.binary(min_size=20, max_size=120))
+    def plays(schedule: bytes) -> None:
+        World().play(schedule)
+
+    plays()
+
+
+@pytest.fixture
+def quiet(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Odd answers are drawn, and would be noted."""
+    monkeypatch.setattr(BOOK, "write", lambda *_: None)
+    monkeypatch.setattr(logging.getLogger("oakvale"), "disabled", True)
+
+
+@pytest.mark.usefixtures("quiet")
+def test_each_question_hears_once_and_its_own_answer_or_none() -> None:
+    """Over connections that break, refuse, stay silent or don't read, peers that start again, answers late, twice and
+    in pieces, peers that ask under the same numbers, and askers that fail at what they hear. Where one failed as its
+    connection ended, the others that had asked on it heard nothing, ever."""
+    search(1_000)
+
+
+def kept(conn: Conn, frame: Any) -> None:
+    """An answer leaves its question waiting."""
+    waited = conn.waiting.get(frame[1])
+    TAKE(conn, frame)
+    if waited is not None and not frame[0]:
+        conn.waiting[frame[1]] = waited
+
+
+def alike(mains: Mains, conn: Conn, *rest: Any) -> None:
+    """All questions bear one number."""
+    mains._number = 0
+    ASK_ON(mains, conn, *rest)
+
+
+def unheard(mains: Mains, conn: Conn) -> None:
+    """What is asked on a connection that ends hears nothing."""
+    conn.waiting = {}
+    GONE(mains, conn)
+
+
+TAKE, ASK_ON, GONE = Conn._take, Mains.ask_on, Mains.gone
+BREAKAGES = {"kept": (Conn, "_take", kept), "alike": (Mains, "ask_on", alike), "unheard": (Mains, "gone", unheard)}
+
+
+@pytest.mark.usefixtures("quiet")
+@pytest.mark.parametrize("what", BREAKAGES)
+def test_each_mechanism_of_questions_taken_out_is_found(monkeypatch: pytest.MonkeyPatch, what: str) -> None:
+    monkeypatch.setattr(*BREAKAGES[what])
+    with pytest.raises(AssertionError):
+        search(300, shrinks=False)
+
+
+def test_what_was_refused_before_a_question_proves_nothing_of_who_is_asked() -> None:
+    """A gateway that had just started again, and was silent next, counted as ended for all its new life: its share of
+    the quota, which it passes when it is cut off, was left with the counter (QUOTA)."""
+    world, heard = World(), list[Any]()
+    world.mode = 1
+    world.mains.ask(PEERS[0], "life", None, 150_000, heard.append)
+    world.turn()
+    assert heard == [None] and world.mains.ended(PEERS[0])
+    world.now += 30_000
+    world.turn()
+    members = Members([Member("g2", "10.0.0.2:7", "z", "new")])
+    gauge = Gauge(world.loop, world.mains, Terms(5_000_000, 0.1, 20), "g1", "l1", "10.0.0.1:7", lambda: members,
+                  lambda: [], lambda tenant: Quota(10, 10))
+    gauge.members_changed()
+    gauge._prove()
+    world.turn()
+    assert world.mains.ended(PEERS[0]) and not gauge._ended
+    world.now += 100_000
+    world.turn()
+    gauge._prove()
+    world.turn()
+    assert gauge._ended == {"g2": "new"}  # refused since: nobody listens there now
