The model checker lets a machine leave; a primary releases only in the view that it serves in

Cause: the checker, with 'leaves' among its faults, found that a primary between learning its next view and having it on disk let its former backup go because the view before was whole: the new copy had nothing. And a primary could take one that it had let go for a copy again.

Change: Copying._serves asks for the view on disk; who was let go holds no copy any more, until it is heard as before. The model: a machine is told to end, hears 'released', and goes for good when Copying.may_go says so. Rule: who leaves leaves the copies whole.

Tests changed: read_faults names 'leaves' too, as there is one fault more.

--- a/oakvale/headworks/copying.py
+++ b/oakvale/headworks/copying.py
@@ -247,23 +247,27 @@
 
     def leaving(self, now: int, peer: Seat) -> list[Do]:
         """A peer that was just heard says that it is told to end, again and again until it goes."""
-        self.succession.leaving(peer)
         self._carry(self.succession.tick(now, whole=self.active))
         view = self.view()
         if view is not None and self._releases(now, peer, view):
+            self.succession.let_go(peer)
             self._out.append(Tell(peer, "released", [view.number]))
         return self.flush()
 
     def _releases(self, now: int, peer: Seat, view: View) -> bool:
         """As primary: nothing gets worse by a peer's end, or nobody can take its place."""
         succession = self.succession
-        if not self.active or view.primary != self.own:
+        if not self._serves(view):
             return False
         if succession.too_few_stay(now, peer, view):
             return True
         return (peer not in view.copies and all(succession.stays(b, now) for b in view.backups)
                 and succession.wanted(now, view, True) is None)
 
+    def _serves(self, view: View) -> bool:
+        """In this very view: what is active just before another came to disk was active in the one before."""
+        return self.active and view.primary == self.own and self.succession.on_disk(view)
+
     def released(self, view: int) -> None:
         self._released = max(self._released, view)
 
@@ -280,7 +284,7 @@
         if not succession.too_few_stay(now, self.own, view):
             return self._released == view.number and self.own not in view.copies
         if self.own == view.primary:
-            return self.active
+            return self._serves(view)
         whole = self.own not in view.copies or succession.state.complete == view.number
         return whole and (succession.alive(view.primary, now) or succession.said_to_leave(view.primary))
 
--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -209,14 +209,14 @@
         known = self.peers.called(now, members, self.succession.in_touch(now)) - {self.own[0]}
         return [address for address in map(parse_address, sorted(known)) if address is not None]
 
-    def _heard(self, conn: Conn, body: Any, _: Answer) -> None:
+    def _heard(self, conn: Conn, body: Any, _: Answer, leaves: bool = False) -> None:
         peer, zone = seat(body[0]), str(body[1])
         self.peers.heard(self.loop.now, peer[0], map(str, body[3]))
         view = unpack(body[2]) if body[2] is not None else None
-        self._carry(self.succession.heard(self.loop.now, peer, zone, view))
+        self._carry(self.succession.heard(self.loop.now, peer, zone, view, leaves))
 
     def _leaving(self, conn: Conn, body: Any, answer: Answer) -> None:
-        self._heard(conn, body, answer)
+        self._heard(conn, body, answer, leaves=True)
         self._do(self.copying.leaving(self.loop.now, seat(body[0])))
 
     def _gone(self, conn: Conn, body: Any, _: Answer) -> None:
--- a/oakvale/headworks/succession.py
+++ b/oakvale/headworks/succession.py
@@ -158,6 +158,7 @@
         self._zones: dict[Seat, str] = {}
         self._spares: dict[Seat, int] = {}  # seats that ask to be let in, and since when they are heard
         self._leaving: set[Seat] = set()  # those that said that they end, until they are heard of as before
+        self._let_go: set[Seat] = set()  # of those, whom this primary has let go: they hold no copy any more
         self.leaves = False  # this seat is told to end
         self._campaign: Campaign | None = None
         self._round = 0
@@ -190,12 +191,17 @@
             self._zones.pop(peer, None)
         self._spares = {peer: since for peer, since in self._spares.items() if peer in self._heard}
         self._leaving &= {*self._heard, *seats}
+        self._let_go &= {*self._heard, *seats}
 
-    def heard(self, now: int, peer: Seat, zone: str, view: View | None) -> list[Out]:
-        """A peer's heartbeat, which names its seat and the view that it knows."""
+    def heard(self, now: int, peer: Seat, zone: str, view: View | None, leaves: bool = False) -> list[Out]:
+        """A peer's heartbeat, which names its seat and the view that it knows, and whether it is told to end."""
         self._heard[peer] = now
         self._zones[peer] = zone
-        self._leaving.discard(peer)
+        if leaves:
+            self.leaving(peer)
+        else:
+            self._leaving.discard(peer)
+            self._let_go.discard(peer)
         if view is not None:
             self._learn(view)
         known = self.state.view
@@ -247,9 +253,12 @@
         return self.alive(peer, now) and peer not in self._leaving
 
     def leaving(self, peer: Seat) -> None:
-        """It is heard, and said that it is told to end. It serves on until others have taken over."""
+        """It is told to end. It serves on until others have taken over."""
         self._leaving.add(peer)
 
+    def let_go(self, peer: Seat) -> None:
+        self._let_go.add(peer)
+
     def said_to_leave(self, peer: Seat) -> bool:
         return peer in self._leaving
 
@@ -259,6 +268,9 @@
         self._spares.pop(peer, None)
         self._leaving.add(peer)
 
+    def on_disk(self, view: View) -> bool:
+        return self._stored == view.number
+
     def in_touch(self, now: int) -> bool:
         """Most witnesses of the view that is known here are heard."""
         view = self.state.view
@@ -355,7 +367,7 @@
     def _backups(self, now: int, view: View, witnesses: tuple[Seat, ...]) -> tuple[Seat, ...] | None:
         """Who would hold copies beside this seat: those that do, then others, best in other zones. One that leaves
         only if there is nobody else."""
-        up = [w for w in witnesses if w != self.own and self.alive(w, now)]
+        up = [w for w in witnesses if w != self.own and self.alive(w, now) and w not in self._let_go]
         taken = [b for b in view.backups if b in up and self.stays(b, now)]
         zones = {self._zones.get(b) for b in taken} | {self._zones.get(self.own)}
         others = sorted((w for w in up if w not in taken),
--- a/oakvale/lab/sounding/breakages.py
+++ b/oakvale/lab/sounding/breakages.py
@@ -159,6 +159,10 @@
         self._out.append(copying.Turned(True))
 
 
+def _releases_early(self: Copying, now: int, peer: Seat, view: View) -> bool:
+    return view.primary == self.own and peer not in view.copies
+
+
 QUIET = Bounds(writes=0, kills=0, wipes=0, wakes=0, retries=0)
 
 BREAKAGES = (
@@ -195,6 +199,13 @@
              ((Copying, "written", _staged_counts),), replace(QUIET, wakes=1), "laden"),
     Breakage("old-state-leads", "a primary serves with what its disk holds before its backups have answered",
              ((Copying, "_activate", _old_state_leads),), replace(QUIET, writes=1, kills=1)),
+    Breakage("leaves-alone", "a machine that is told to end goes, also with the only complete copy",
+             ((Copying, "may_go", lambda self, now: True),), replace(QUIET, wakes=1, leaves=1)),
+    Breakage("released-early", "a primary lets one go whose copy is not whole elsewhere yet",
+             ((Copying, "_releases", _releases_early),), replace(QUIET, wakes=1, leaves=1)),
+    Breakage("released-by-the-view-before", "a primary lets one go because its view before was whole",
+             ((Copying, "_serves", lambda self, view: self.active and view.primary == self.own),),
+             replace(QUIET, wakes=1, leaves=1)),
     Breakage("void-unkept", "a backup voids a view, and then becomes complete in it",
              ((Succession, "_void", _voids_nothing),), replace(QUIET, wakes=2), heals=128),
 )
--- a/oakvale/lab/sounding/check.py
+++ b/oakvale/lab/sounding/check.py
@@ -14,13 +14,16 @@
 NONE = Bounds(writes=0, kills=0, wipes=0, wakes=0, retries=0)
 FAULTS = tuple(field.name for field in fields(Bounds) if field.name not in ("machines", "writes"))
 
-# each is searched whole; together about 9 s of a core
+# each is searched whole; together about 11 s of a core
 SHORT = (
     ("settled", replace(NONE, wakes=1)),
     ("cold", replace(NONE, writes=1, kills=2, retries=1)),
     ("cold", replace(NONE, writes=1, kills=1, wipes=1, retries=1)),
     ("settled", replace(NONE, writes=2, kills=1, retries=2)),
     ("settled", replace(NONE, writes=1, kills=1, wipes=1, retries=1)),
+    ("settled", replace(NONE, wakes=1, leaves=1)),
+    ("settled", replace(NONE, writes=1, kills=1, retries=1, leaves=1)),
+    ("settled", replace(NONE, writes=1, wipes=1, retries=1, leaves=1)),
     ("laden", replace(NONE, wakes=1, retries=1)),
     ("laden", replace(NONE, writes=1, kills=1, wipes=1, retries=1)),
 )
@@ -31,6 +34,7 @@
     ("settled", replace(NONE, writes=1, kills=1, wipes=1, wakes=1, retries=1)),
     ("settled", replace(NONE, writes=1, kills=1, wakes=2, retries=1)),
     ("cold", replace(NONE, writes=1, kills=1, wipes=1, wakes=1, retries=1)),
+    ("settled", replace(NONE, writes=1, wakes=1, leaves=1)),
     ("laden", replace(NONE, kills=1, wakes=1)),
     ("laden", replace(NONE, wipes=1, wakes=1)),
     ("laden", replace(NONE, writes=1, wakes=1)),
--- a/oakvale/lab/sounding/machine.py
+++ b/oakvale/lab/sounding/machine.py
@@ -39,6 +39,7 @@
 class Machine:
     def __init__(self, address: str, addresses: tuple[str, ...], copies: int) -> None:
         self.address, self.addresses, self.copies = address, addresses, copies
+        self.gone = False  # it was told to end, and went
         self.founds = True  # started as one of a new system's, until that is on its disk
         self.drawn = 1  # incarnations
         self.facts: dict[str, bytes] = {}
@@ -79,6 +80,15 @@
         self._kill(0)
         self.facts, self.rows, self.pieces, self.founds = {}, {}, {}, False
 
+    def _leave(self) -> None:
+        assert self.part is not None
+        self.part.leave()
+
+    def _go(self) -> None:
+        """For good."""
+        self._wipe()
+        self.gone = True
+
     def _sync(self) -> None:
         assert self.part is not None
         number, what = self.queue.pop(0)
@@ -108,6 +118,8 @@
         assert self.part is not None
         if kind in ("append", "sync", "offer", "piece"):
             self._do(getattr(self.part, kind)(body, ticket))
+        elif kind == "released":
+            self.part.released(body[1][0])
         else:
             sender, inner = body
             self._do(self.part.carry(self.part.succession.message(NOW, seat(sender), kind, inner)))
@@ -131,7 +143,18 @@
         assert self.part is not None
         self._do(self.part.carry(self.part.succession.learn(unpack(view))))
 
-    def _wake(self, up: tuple[Seat, ...], again: bool) -> None:
+    def _releases(self, leaver: Seat, up: tuple[Seat, ...]) -> None:
+        """It hears the word of one that leaves, with these others heard, and does nothing else about it yet."""
+        assert self.part is not None
+        succession = self.part.succession
+        for peer in up:
+            self._do(self.part.carry(succession.heard(NOW, peer, "", None, peer == leaver)))
+        succession._next_try = NOW + 1
+        if succession._campaign is not None:
+            succession._campaign.began = succession._campaign.said = NOW
+        self._do(self.part.leaving(NOW, leaver))
+
+    def _wake(self, up: tuple[Seat, ...], again: bool, leaving: tuple[Seat, ...] = ()) -> None:
         """A tick, after such a time that it tries anew, or once more, with these peers heard and no others."""
         assert self.part is not None
         succession = self.part.succession
@@ -140,7 +163,7 @@
             campaign.began = campaign.said = NOW - SILENCE
         succession._born, succession._wanted_since = 0, 1
         for peer in up:
-            self._do(self.part.carry(succession.heard(NOW, peer, "", None)))
+            self._do(self.part.carry(succession.heard(NOW, peer, "", None, peer in leaving)))
         self._do(self.part.tick(NOW))
 
     # ---- what comes out
@@ -173,6 +196,7 @@
             return
         succession = part.succession
         succession._heard, succession._spares, succession._zones = {}, {}, {}
+        succession._leaving = set()
         succession._born, succession._next_try, succession._wanted_since = None, 0, 0
         if succession._campaign is not None:
             succession._campaign.began = succession._campaign.said = 0
@@ -191,8 +215,8 @@
 
     def key(self) -> Any:
         """Equal where machines will do the same for ever."""
-        return (self.founds, self.drawn, frozen(self.facts), frozen(self.rows), frozen(self.pieces), frozen(self.queue),
-                frozen(self.agains), frozen(self.part))
+        return (self.founds, self.drawn, self.gone, frozen(self.facts), frozen(self.rows), frozen(self.pieces),
+                frozen(self.queue), frozen(self.agains), frozen(self.part))
 
 
 def frozen(item: Any) -> Any:
@@ -225,7 +249,7 @@
     """What the model asks of a machine in one state."""
 
     __slots__ = ("active", "agains", "asks", "campaigns", "complete", "durable", "kept", "life", "own", "queue", "seat",
-                 "shown", "up", "view", "waiting")
+                 "shown", "up", "view", "waiting", "gone", "leaving", "may_go", "released")
 
     def __init__(self, machine: Machine) -> None:
         part = machine.part
@@ -247,6 +271,10 @@
         view = part.view() if part else None
         self.active = part is not None and part.active and view is not None and view.primary == part.own
         self.view = frozen(view.pack()) if view else None
+        self.gone = machine.gone
+        self.released = part._released if part else 0
+        self.leaving = part is not None and part.succession.leaves
+        self.may_go = part is not None and self.leaving and part.may_go(NOW)
         self.asks = tuple(part._asks) if part else ()
         self.campaigns = part is not None and part.succession._campaign is not None
         self.waiting = frozenset(p.then.number for p in part.ledger._pending if isinstance(p.then, Author)
--- a/oakvale/lab/sounding/model.py
+++ b/oakvale/lab/sounding/model.py
@@ -38,11 +38,13 @@
     wipes: int = 1
     wakes: int = 1  # attempts to replace a view, or words said again
     retries: int = 1  # questions given up, or state sent once more
+    leaves: int = 0  # machines told to end, that go for good when they may
 
 
-KILLS, WIPES, WAKES, RETRIES, WRITES = range(5)
-COST = {"kill": KILLS, "wipe": WIPES, "wake": WAKES, "again": RETRIES, "answer": RETRIES, "change": WRITES}
-OUTWARD = frozenset(("kill", "wipe", "change"))
+KILLS, WIPES, WAKES, RETRIES, WRITES, LEAVES = range(6)
+COST = {"kill": KILLS, "wipe": WIPES, "wake": WAKES, "again": RETRIES, "answer": RETRIES, "change": WRITES,
+        "leave": LEAVES}
+OUTWARD = frozenset(("kill", "wipe", "change", "go"))
 ROUNDS = 12  # of everything that waits for a time, until somebody serves
 LONG = 400  # steps that one round may take
 Acked = tuple[int, Version, int]  # write, its version, the number of the view that said yes
@@ -68,7 +70,7 @@
     spent: tuple[int, ...]
 
 
-UNSPENT = (0,) * 5
+UNSPENT = (0,) * 6
 LADEN = (91, 92)  # writes that a laden system has taken
 SMALL = 4, 0  # bytes of a piece, and those that go with a question
 
@@ -172,7 +174,7 @@
         seats, mail, known, spent = state
         bounds, facts, to = self.bounds, self.facts, self._to
         for place, seat in enumerate(seats):
-            if not facts[seat].up:
+            if not facts[seat].up and not facts[seat].gone:
                 # at once: until then nothing happens to it that could not happen after, nor does anybody notice
                 yield place, ("start",)
                 return
@@ -182,9 +184,26 @@
             if number != last:
                 last = number
                 yield to[number], ("mail", number)
-        wipes = spent[WIPES] < bounds.wipes and told.troubled < 0
+        # nor between the word that one may go and its end: that one is as good as gone
+        wipes = spent[WIPES] < bounds.wipes and told.troubled < 0 and not (
+            bounds.leaves and (any(facts[seat].may_go for seat in seats)
+                               or any(self.mails[n][1] == "released" for n in mail)))
         for place, seat in enumerate(seats):
             own = facts[seat]
+            if own.gone:
+                continue
+            if spent[LEAVES] < bounds.leaves and not own.leaving:
+                yield place, ("leave",)
+            if own.may_go:
+                yield place, ("go",)
+            saying = any(self.mails[n][1] == "released" for n in mail)
+            for other in self._leavers(seats, place) if own.active and not saying else ():
+                assert own.view is not None
+                if facts[seats[self._place[other[0]]]].released >= own.view[0]:
+                    continue
+                release = "releases", other, self._running(seats, place)
+                if self.local(place, seat, release)[1]:
+                    yield place, release
             if wipes and own.seat is not None:
                 yield place, ("wipe",)
             if own.queue:
@@ -210,6 +229,14 @@
                     if self.local(place, seat, wake) != (seat, ()))
             yield from found
 
+    def _running(self, seats: tuple[int, ...], place: int) -> tuple[Seat, ...]:
+        owns = [self.facts[seat].own for other, seat in enumerate(seats) if other != place]
+        return tuple(own for own in owns if own is not None)
+
+    def _leavers(self, seats: tuple[int, ...], place: int) -> tuple[Seat, ...]:
+        return tuple(own for own in self._running(seats, place)
+                     if any(self.facts[seat].own == own and self.facts[seat].leaving for seat in seats))
+
     def wakes(self, seats: tuple[int, ...], place: int) -> Iterator[Event]:
         """What a machine might believe when it looks whether it should do something."""
         own = self.facts[seats[place]]
@@ -222,11 +249,14 @@
                 now = self.facts[seat].seat
                 old = sorted(s for s in known if s[0] == self.addresses[other] and s != now)
                 ways.append([None, *([now] if now else []), *old])
+        leavers = self._leavers(seats, place)
         for chosen in product(*ways):
             up = tuple(s for s in chosen if s is not None)
-            yield "wake", up, False
+            left = tuple(s for s in up if s in leavers)
+            more = (left,) if left else ()
+            yield "wake", up, False, *more
             if own.campaigns:
-                yield "wake", up, True
+                yield "wake", up, True, *more
 
     def after(self, state: State, step: Step) -> State:
         """Raises Broken."""
@@ -238,12 +268,14 @@
         left = list(mail)
         if kind == "mail":
             left.remove(event[1])
-        elif kind in ("kill", "wipe"):
+        elif kind in ("kill", "wipe", "go"):
             left = [n for n in left if self._to[n] != place]
         cost = COST.get(kind)
         if cost is not None:
             spent = (*spent[:cost], spent[cost] + 1, *spent[cost + 1:])
         view = self.facts[now].view
+        if kind == "go":
+            self._may_be_missed(self.tolds[known], seats, place)
         if now != before:
             seats = (*seats[:place], now, *seats[place + 1:])
             if kind in OUTWARD or view != self.facts[before].view:
@@ -305,19 +337,22 @@
                 own.view is None or event[1][0] > own.view[0])
         if kind == "kill":
             return own.up and event[1] <= own.queue
+        if kind == "releases":
+            return own.active and event[1] in self._leavers(state.seats, place)
         if kind == "wipe":
             return own.seat is not None and self.tolds[state.told].troubled < 0
         return bool({"start": not own.up, "sync": own.queue, "answer": own.up and event[1:] and event[1] in own.asks,
-                     "again": own.agains, "change": own.active, "wake": own.up and own.view}[kind])
+                     "again": own.agains, "change": own.active, "wake": own.up and own.view,
+                     "leave": own.up and not own.leaving, "go": own.may_go}[kind])
 
     def _outward(self, told: Told, place: int, before: int, event: Event) -> Told:
         kind = event[0]
         if kind == "change":
             return replace(told, asked=(*told.asked, (event[1], tuple(n for n, _, _ in told.acked))))
-        if kind in ("kill", "wipe"):  # its authors will never hear
+        if kind in ("kill", "wipe", "go"):  # its authors will never hear
             waiting = self.facts[before].waiting
             told = replace(told, asked=tuple(item for item in told.asked if item[0] not in waiting))
-        return replace(told, troubled=place) if kind == "wipe" else told
+        return replace(told, troubled=place) if kind in ("wipe", "go") else told
 
     # ---- what is on its way
 
@@ -332,6 +367,8 @@
                 return None
         else:
             place, kind, body = self._place[item[1]], item[2], item[3]
+            if self.facts[seats[place]].gone:
+                return None
             own = self.facts[seats[place]].view
             if kind == "decided" or kind == "refused" and own is not None and own[0] != body[1][0][0]:
                 return None  # any view that was decided may be learned at any time
@@ -381,6 +418,17 @@
             raise Broken("one view for each number", f"{view_text(same[0])} and {view_text(view)}")
         return replace(told, decided=tuple(sorted((*told.decided, view))))
 
+    def _may_be_missed(self, told: Told, seats: tuple[int, ...], place: int) -> None:
+        """Who leaves leaves as many complete copies as there have to be; one less where a disk was just lost, or where
+        another view was decided after the word that it may go, of which it has not heard."""
+        own = self.facts[seats[place]].view
+        others = [self.facts[seat] for other, seat in enumerate(seats) if other != place]
+        whole = [f for f in others if own is None or f.complete == f.durable >= own[0]]
+        late = own is not None and any(view[0] > own[0] for view in told.decided)
+        if len(whole) < COPIES - (told.troubled >= 0 or late):
+            raise Broken("who leaves leaves the copies whole", f"{len(whole)} of {COPIES} others in view "
+                                                               f"{own[0] if own else 0} or later")
+
     def _may_say(self, told: Told, seat: int, item: Sent) -> None:
         """Only a witness of the view votes on its successor."""
         if item[0] == "say" and item[2] in ("promise", "accepted"):
@@ -508,14 +556,15 @@
     def serves(self) -> bool:
         """False where an earlier way has shown the rest."""
         for place, own in enumerate(self._facts()):
-            if not own.up:
+            if not own.up and not own.gone:
                 self._do(place, ("start",))
         for _ in range(ROUNDS):
             self._run_dry()
             if self.known:
                 return False
             newest = max((own.view for own in self._facts() if own.view is not None), default=None)
-            late = [place for place, own in enumerate(self._facts()) if newest is not None and own.view != newest]
+            late = [place for place, own in enumerate(self._facts()) if newest is not None and own.view != newest
+                    and not own.gone]
             if late:
                 for place in late:
                     self._do(place, ("learn", newest))
@@ -542,8 +591,11 @@
 
     def _wake_all(self) -> None:
         for place in range(len(self.state.seats)):
+            if self._facts()[place].gone:
+                continue
             up = tuple(own.own for other, own in enumerate(self._facts()) if other != place and own.own is not None)
-            wake = ("wake", up, False)
+            left = self.model._leavers(self.state.seats, place)
+            wake = ("wake", up, False, left) if left else ("wake", up, False)
             seat = self.state.seats[place]
             if self.model.local(place, seat, wake) != (seat, ()):
                 self._do(place, wake)
--- a/oakvale/lab/sounding/trace.py
+++ b/oakvale/lab/sounding/trace.py
@@ -64,7 +64,13 @@
         return f"is given w{event[1]}"
     if kind == "learn":
         return f"learns {view_text(event[1])}"
+    if kind in ("leave", "go"):
+        return "is told to end" if kind == "leave" else "goes for good"
+    if kind == "releases":
+        return f"hears that {seat_text(event[1])} leaves"
     up = ", ".join(map(seat_text, event[1])) or "nobody"
+    if event[3:]:
+        up += f" (told to end: {', '.join(map(seat_text, event[3]))})"
     return f"hears {up} and {'says it again' if event[2] else 'looks for a successor'}"
 
 
--- a/tests/test_sounding.py
+++ b/tests/test_sounding.py
@@ -30,6 +30,9 @@
     "own-value": "one view for each number",
     "words-before-disk": "one view for each number",
     "complete-at-once": "complete means all acknowledged",
+    "released-by-the-view-before": "who leaves leaves the copies whole",
+    "leaves-alone": "who leaves leaves the copies whole",
+    "released-early": "who leaves leaves the copies whole",
     "void-unkept": "complete means all acknowledged",
     "half-snapshot": "complete means all acknowledged",
     "lacks-counts": "both copies synced it",
@@ -58,6 +61,11 @@
         "settled": (10303, 20), "cold": (1811, 24), "laden": (18598, 28)}[start]
 
 
+def test_one_that_leaves_while_a_disk_is_lost() -> None:
+    found = Search(replace(QUIET, writes=1, wipes=1, retries=1, leaves=1)).run()
+    assert found.whole and found.broken is None and found.healed > 20 and (found.states, found.depth) == (4026, 16)
+
+
 def test_a_successor_that_nobody_can_become_is_found() -> None:
     """Where a view whose primary died can't be voided nobody serves, though nothing is lost."""
     @contextmanager
@@ -108,7 +116,7 @@
 
 
 def test_faults_are_read_and_errors_name_them() -> None:
-    assert read_faults("kills=2,wakes=1") == {"kills": 2, "wipes": 0, "wakes": 1, "retries": 0}
+    assert read_faults("kills=2,wakes=1") == {"kills": 2, "wipes": 0, "wakes": 1, "retries": 0, "leaves": 0}
     for text in ("fires=1", "kills", "kills=x", "kills=-1"):
         with pytest.raises(BadFaults, match=r"--faults: .*(fires|kills)"):
             read_faults(text)
