--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -193,6 +193,7 @@
     assert world.now - began < (SECOND if slow == 1 else 3_500 * MS)
     view = core(others[0]).view()
     assert view is not None and sorted(view.witnesses) == sorted(core(m).own for m in others)
+    world.run(SECOND)
     world.remove(of(world, "backup"))
     world.run(2 * SECOND)
     assert world.serving() is not None
