A vote binds from when it is given, by the clock of that moment

Cause: a juror took the clock of its turn. Stopped within a turn and thawed, it bound itself to a time that was over, and voted for another at once. Test: a turn's clock 20 s behind; with the turn's clock the second gateway has the vote 1 us before the first's span ends. The loop of test_fleet that does nothing has a clock now.

--- a/oakvale/headworks/jury.py
+++ b/oakvale/headworks/jury.py
@@ -36,7 +36,8 @@
 
     def _ballot(self, conn: Conn, body: Any, answer: Answer) -> None:
         duty, kind, number, where = str(body[0]), str(body[1]), (int(body[2][0]), str(body[2][1])), str(body[3])
-        word = self._juror.hear(Ask(duty, kind, number), where, self._loop.now)
+        # the clock of this moment: a process that stood still in its turn would bind itself to a time that is over
+        word = self._juror.hear(Ask(duty, kind, number), where, self._loop.clock())
         packed = [word.kind, list(word.number), word.yes, word.round, word.holder, word.where, word.left]
         kept = self._juror.kept()
         if kept != self._kept or self._unsaved:  # only another holder costs a sync, renewals don't
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -114,6 +114,7 @@
 
     def __init__(self) -> None:
         self.now, self.handlers = 0, dict[str, Any]()
+        self.clock = lambda: self.now
 
     def ask(self, *_: Any) -> None:
         pass
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
 from typing import Any, cast
 
+from oakvale.gauge.ballots import SPAN
 from oakvale.headworks.core import SILENCE
+from oakvale.headworks.jury import Jury
 from oakvale.headworks.leases import MARGIN, Leases, Waiting
 from oakvale.headworks.succession import FOUNDER, Seat, View, founding
 from tests.simulated import MS
@@ -133,3 +136,18 @@
     assert answers == []
     backup._gone(cast(Any, None), [*core.own, core.copying.life], print)
     assert not backup.succession.alive(core.own, world.now) and backup._leases.free(world.now)
+
+
+def test_a_vote_binds_from_when_it_is_given() -> None:
+    """A juror that is stopped within a turn goes on with the clock of before, and would vote for another at once."""
+    time = [T]
+    loop = SimpleNamespace(now=T - 20 * SECOND, clock=lambda: time[0], at=lambda *_: [])
+    disk = SimpleNamespace(fact=lambda name: None, write=lambda what, then: then())
+    mains = SimpleNamespace(handlers={}, ask=lambda *_: None)
+    Jury(cast(Any, loop), cast(Any, mains), cast(Any, disk))
+    said: list[list[Any]] = []
+    for at, life in ((T, "one"), (T + SPAN - 1, "other"), (T + SPAN, "other")):
+        time[0] = at
+        loop.now = at if life == "other" else loop.now
+        mains.handlers["ballot"](None, ["counter", "elect", [1, life], "h:1"], said.append)
+    assert [word[2] for word in said] == [True, False, True]
