--- a/oakvale/lab/sounding/check.py
+++ b/oakvale/lab/sounding/check.py
@@ -14,7 +14,7 @@
 NONE = Bounds(writes=0, kills=0, wipes=0, wakes=0, retries=0)
 FAULTS = tuple(field.name for field in fields(Bounds) if field.name not in ("machines", "writes"))
 
-# each is searched whole; together about 9 s of a core
+# each is searched whole; together about 12 s of a core
 SHORT = (
     ("settled", replace(NONE, wakes=1)),
     ("cold", replace(NONE, writes=1, kills=2, retries=1)),
