--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -6,6 +6,7 @@
 from typing import Any, cast
 
 from oakvale.gauge.ballots import SPAN
+from oakvale.headworks.copying import Replaced
 from oakvale.headworks.core import SILENCE
 from oakvale.headworks.jury import Jury
 from oakvale.headworks.leases import MARGIN, Leases, Waiting
@@ -151,3 +152,23 @@
         loop.now = at if life == "other" else loop.now
         mains.handlers["ballot"](None, ["counter", "elect", [1, life], "h:1"], said.append)
     assert [word[2] for word in said] == [True, False, True]
+
+
+def test_who_is_given_the_state_waits_as_if_it_had_granted_a_lease() -> None:
+    """Its primary may have granted one to the primary before, and end at once."""
+    world = settled()
+    backup = roles(world)[2]
+    backup._leases._granted.clear()
+    backup._do([Replaced()])
+    assert not backup._leases.free(world.now)
+
+
+def test_who_served_in_its_view_does_not_wait_after_a_start() -> None:
+    world = settled()
+    world.down(roles(world)[0], 5 * SECOND)
+    world.run(4 * SECOND)
+    machine, core, _ = roles(world)
+    assert core.view().number > 1 and machine.disk.facts["served"] == str(core.view().number).encode()  # type: ignore[union-attr]
+    world.down(machine, 50 * MS)
+    world.run(300 * MS)
+    assert world.serving() is machine
