--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -172,3 +172,11 @@
     world.down(machine, 50 * MS)
     world.run(300 * MS)
     assert world.serving() is machine
+
+
+def test_who_goes_while_it_is_missed_serves_no_longer() -> None:
+    """Its backup takes over at once, without the silence; the process may have a moment left."""
+    core = roles(settled())[1]
+    assert core.serving()
+    core._look_whether_missed((0, lambda: None))
+    assert not core.serving()
