--- a/tests/test_lab_breaks.py
+++ b/tests/test_lab_breaks.py
@@ -96,13 +96,13 @@
     return lanes[min(lanes)] if lanes and plant.loop.net.rng.random() < 0.05 else real(plant, service)
 
 
-def acknowledged_before_it_is_kept(core: Core, changes: Any, then: Callable[[bool], None],
+def acknowledged_before_it_is_kept(core: Core, changes: Any, then: Callable[[bool], None], behind: bool = False,
                                    real: Any = Core.change) -> None:
     if "config" not in changes or core.ledger.table.get("config") is None:
-        real(core, changes, then)
+        real(core, changes, then, behind)
     else:
         then(True)
-        core.loop.at(core.loop.now + 20 * MS, lambda _: real(core, changes, lambda done: None))
+        core.loop.at(core.loop.now + 20 * MS, lambda _: real(core, changes, lambda done: None, behind))
 
 
 def another_content_is_confirmed(config: Config, order: Any, body: bytes, give: Give,
