--- a/oakvale/lab/commands.py
+++ b/oakvale/lab/commands.py
@@ -251,6 +251,13 @@
             raise Wrong(f"{args.file}: cannot be written: {error.strerror}") from error
         print(sums.brief(row), flush=True)
 
+    if args.pieces:
+        from oakvale.lab.scale import pieces
+
+        for size in asked:
+            for row in pieces.measured(size):
+                tell(row)
+        return 0
     with Progress(len(asked), "sizes", args.quiet) as bar:
         for at, size in enumerate(asked):
             def show(step: str, at: int = at, size: sizes.Size = size) -> None:
@@ -376,6 +383,7 @@
     grown.add_argument("--limit", type=_over(0), default=240.0, help="seconds of each size (default: %(default)g)")
     grown.add_argument("--beat", type=_over(0), default=1.5, help="seconds between two beats of a backend; four times "
                                                                   "that where the run stops at them (%(default)g)")
+    grown.add_argument("--pieces", action="store_true", help="single parts of the code instead, in this process alone")
     grown.add_argument("--sums", action="store_true", help="the tables of docs/CAPACITY.md, from the rows of the file")
     grown.add_argument("--plots", metavar="FOLDER", help="its plots, from the rows of the file")
     pump = add("load", load, "open-loop load on a loopback URL, with latencies from when each request was due")
--- a/oakvale/lab/scale/machines.py
+++ b/oakvale/lab/scale/machines.py
@@ -66,7 +66,7 @@
                 self.real.append(node)
                 self._process(node, "sluice", told, (ip, self._port + 4))
                 continue
-            group = "tenth" if n % 10 == 5 else f"zone {zone}"
+            group = "tenth" if n % 10 == 5 else f"zone {zone}" if zone == LOST else "others"
             shared.setdefault(group, []).append(told)
         for group, gateways in shared.items():
             parts = -(-len(gateways) // PER_WORKER)
--- a/oakvale/lab/scale/run.py
+++ b/oakvale/lab/scale/run.py
@@ -253,7 +253,7 @@
         return {"processes_ms": up, "whole_ms": round((time.monotonic() - began) * 1e3, 1)} | self._cost(mark)
 
     def steady(self) -> Row:
-        time.sleep(2 * self.beat)
+        time.sleep(min(2 * self.beat, self._span))  # what the start left comes to rest
         mark = self._mark()
         time.sleep(self._span)
         return self._cost(mark)
@@ -263,7 +263,8 @@
         workers = self.machines.up(self.machines.workers)
         for name in workers:
             self.machines.ask(name, "rate", CALLS * self.machines.ask(name, "look")["gateways"])
-        time.sleep(1)  # holders are found
+        self._wait(lambda: "" if sum(self.machines.ask(name, "span")["counted"] for name in workers) > 10 else
+                   "few calls were counted", "counters are found")
         mark = self._mark()
         time.sleep(self._span / 2)
         found = self._cost(mark)
