--- a/oakvale/lab/scale/sums.py
+++ b/oakvale/lab/scale/sums.py
@@ -16,6 +16,12 @@
 CORE, BYTES, MEMORY = 2.4, 16_000, 128  # of a gateway for control: % of a core, bytes a second, megabytes
 WITHIN = 4_000  # milliseconds until a change is in force everywhere
 CHANGES, REQUESTS = 300, 51_000  # a day; a second
+FAILURES, RESTARTS = 18, 320  # of machines, a day
+CORES = 4
+RACK, RACKS = 40, 52  # machines that go together (assumed), times a year
+ZONE_LOSSES, CUTS, CUT = 4, 4, 300  # a year each (assumed from "a few" and "several"); seconds of a cut (assumed)
+UNSEEN = 2.5  # seconds until nobody sends to a gateway that ended: the platform looks twice, a second apart
+YEAR = 365 * 86_400
 FAN_OUT, ZONES = 4, 8
 TIMES = ("serving_ms", "ack_ms", "ack_p50_ms", "ack_last_ms", "known_ms", "processes_ms", "left_ms", "p50_ms",
          "p99_ms", "last_ms", "heard_ms", "whole_ms")
@@ -122,6 +128,11 @@
 
     # ---- tables
 
+    def _size(self, size: int) -> str:
+        """With the beat that its latest run was played with, where that is not the planned one."""
+        beat = [row["beat_s"] for row in self.rows if row["gateways"] == size and "beat_s" in row][-1:]
+        return f"{size}" + "".join(f", a beat each {each:g} s" for each in beat if each != BEAT)
+
     def _cells(self, points: list[Point]) -> list[str]:
         known = dict(points)
         cells = [number(known[size]) if size in known else "-" for size in self.sizes]
@@ -136,7 +147,7 @@
         return "not measured" if planned is None else number(planned[0]) + ("" if planned[1] == "measured" else " *")
 
     def _head(self, *names: str) -> list[str]:
-        cells = [*names, *map(str, self.sizes), "for 100 more", "off the line", str(PLANNED.gateways)]
+        cells = [*names, *map(self._size, self.sizes), "for 100 more", "off the line", str(PLANNED.gateways)]
         return [f"| {' | '.join(cells)} |", "|" + "---|" * len(cells)]
 
     def times(self) -> list[str]:
@@ -162,7 +173,8 @@
         return lines if len(lines) > 2 else ["not measured"]
 
     def pieces(self) -> list[str]:
-        lines = self._head("piece, milliseconds of a core")
+        lines = [line.replace(self._size(size), str(size)) for size in self.sizes[-1:]
+                 for line in self._head("piece, milliseconds of a core")]
         for step in dict.fromkeys(row["step"] for row in self.rows if row["step"].startswith("piece")):
             points = self.points(step, lambda row: row["ms"])
             lines.append(f"| {step.removeprefix('piece: ')} | {' | '.join(self._cells(points))} |")
@@ -261,11 +273,40 @@
         return lines
 
 
+    # ---- availability
+
+    def availability(self) -> list[str]:
+        """A year's sum from the stated rates; a wait is from the primary's kill to the next acknowledgement."""
+        waits = self.planned(self.points("primary", lambda row: row["ack_ms"]))
+        if waits is None:
+            return ["not measured: no acknowledgement after a takeover at three sizes"]
+        wait, machines = waits[0] / 1e3, PLANNED.gateways + PLANNED.backends + CORES
+        share = CORES / machines / 2  # a machine is primary or backup
+        events = {"a machine fails": FAILURES * 365 * share, "a machine is restarted": RESTARTS * 365 * share,
+                  "a rack or switch goes": RACKS * RACK * share, "a zone goes": ZONE_LOSSES * CORES / ZONES / 2,
+                  "regions part, on the larger side": float(CUTS)}
+        lines = ["| event | a year, at the primary or its backup | changes wait, minutes a year |", "|---|---|---|"]
+        lines += [f"| {what} | {number(many)} | {number(many * wait / 60)} |" for what, many in events.items()]
+        total = sum(events.values()) * wait / 60
+        lines.append(f"| **all, where most witnesses are** | {number(sum(events.values()))} | {number(total)} |")
+        cut = CUTS * CUT / 60
+        lines.append(f"| regions part, on the smaller side | {CUTS} | {number(cut)} |")
+        gateways = FAILURES * PLANNED.gateways / machines * UNSEEN / 86_400 / PLANNED.gateways
+        zones = ZONE_LOSSES / ZONES * UNSEEN / YEAR
+        quotas = CUTS * (CUT - 8) / 2 / YEAR
+        return [*lines, "", f"Each wait is {number(wait)} s ({waits[1]}). Of {CHANGES} changes a day "
+                f"{number(total * CHANGES / 1440)} a year meet one on the larger side and "
+                f"{number(cut * CHANGES / 1440)} on the smaller. Requests go on without changes; of them a part of "
+                f"{gateways:.1e} meets a gateway that just ended, {zones:.1e} a zone that did, and {quotas:.1e} have "
+                "quotas on the smaller side of a cut after its first 8 s, where none pass."]
+
+
 def page(rows: list[Row]) -> str:
     """All tables, as they stand in the page."""
     found = Found(rows)
     lines = ["### What came to no end", "", *(found.failed() or ["Nothing."]), "", "### Times", "", *found.times(), ""]
     for step, title in EVENTS.items():
         lines += [f"### {title}", "", *found.event(step), ""]
-    lines += ["### Pieces", "", *found.pieces(), "", "### Against the limits", "", *found.limits()]
+    lines += ["### Pieces", "", *found.pieces(), "", "### Against the limits", "", *found.limits(), "",
+              "### Availability", "", *found.availability()]
     return "\n".join(lines)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -64,3 +64,12 @@
 def test_the_page_holds_the_sums_of_the_committed_measurements() -> None:
     text = (ROOT / "docs" / "CAPACITY.md").read_text()
     assert sums.page(sums.load(str(ROOT / "lab" / "capacity" / "measured.jsonl"))) in text
+
+
+def test_the_year_is_summed_from_the_wait_for_a_change_after_a_takeover() -> None:
+    found = sums.Found([row(n, "primary", 1, ack_ms=2_000) for n in (30, 100, 235, 470)])
+    told = found.availability()
+    # 18 x 365 failures over 4,874 machines, two of which are primary and backup, 2 s each
+    assert any(line.startswith("| a machine fails | 2.7 | 0.0899 |") for line in told)
+    assert "Each wait is 2 s (measured)" in told[-1]
+    assert sums.Found([row(30, "primary", 1, ack_ms=2_000)]).availability()[0].startswith("| event") is False
