--- a/oakvale/lab/scale/sums.py
+++ b/oakvale/lab/scale/sums.py
@@ -225,11 +225,14 @@
         add("taker of beats: 2,933 beats a second at one primary", per_beat.at(beats) if per_beat else None,
             "% of a core", 100, "primary's processor against beats, `steady`")
         each = REQUESTS / 4
-        add("counter: one of four duties, 51,000 calls a second", each * per_call / 20 if per_call else None,
-            "% of a core", CORE, "half of a call's cost, `calls` less `steady`")
+        add("counter: one of four duties, 51,000 calls a second, one a turn",
+            each * per_call / 20 if per_call else None, "% of a core", CORE, "half of a call's cost, `calls` less `steady`")
         call = self.piece("a counter's call, both sides")
         add("the same where its calls come packed", each * call / 20 if call else None, "% of a core", CORE,
             "piece `a counter's call`")
+        for cost, name in ((per_call, "one a turn of the loop"), (call, "packed")):
+            add(f"duties for 51,000 calls a second at {CORE} % of a core each, calls {name}",
+                REQUESTS * cost / 20 / CORE if cost else None, "duties", 4, "the same; today there are four")
         pick = self.piece("a board's pick and end")
         add("keeper of a quarter of the boards: decisions alone", each * pick / 10 if pick else None, "% of a core",
             CORE, "piece `a board's pick`, no messages")
