--- a/oakvale/lab/scale/sums.py
+++ b/oakvale/lab/scale/sums.py
@@ -226,7 +226,8 @@
             "% of a core", 100, "primary's processor against beats, `steady`")
         each = REQUESTS / 4
         add("counter: one of four duties, 51,000 calls a second, one a turn",
-            each * per_call / 20 if per_call else None, "% of a core", CORE, "half of a call's cost, `calls` less `steady`")
+            each * per_call / 20 if per_call else None, "% of a core", CORE,
+            "half of a call's cost, `calls` less `steady`")
         call = self.piece("a counter's call, both sides")
         add("the same where its calls come packed", each * call / 20 if call else None, "% of a core", CORE,
             "piece `a counter's call`")
