--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -13,6 +13,7 @@
 from oakvale.cistern.store import Cistern
 from oakvale.headworks import copying
 from oakvale.headworks.copying import Copying
+from oakvale.headworks.leases import Leases, Waiting
 from oakvale.headworks.ledger import Ledger, Then
 from oakvale.headworks.peers import Peers
 from oakvale.headworks.succession import Out, Seat, Succession, View, founding, seat, unpack
@@ -26,6 +27,10 @@
 SILENCE = 900_000  # a core machine that was not heard for this counts as down
 SICK = 700_000  # a write that waits longer: this disk is not to be relied on
 AGAIN = 150_000  # before a backup that failed is sent the state once more
+WAIT = 10_000_000  # an author waits so long at most: a large order on a thin link takes as much
+SOON = 10_000  # between two looks at those who wait, at least
+MOST_LIVES = 64
+BRIEF = 1_000_000  # a shorter time without a lease is no new beginning
 LEAST, LOOK = 300_000, 50_000  # after it is told to end: for answers that are under way; between two looks
 LAST = 1_000_000  # before the end of `grace`: then it goes, whatever it holds
 
@@ -51,6 +56,12 @@
         patience = settings.bounds.sync_time + settings.bounds.contact
         self.copying = Copying(start, cistern.rows(), copies, SILENCE, patience, cistern.pieces())
         self.own: Seat = start.own
+        served = cistern.fact("served")
+        self._leases = Leases(start.own, SILENCE, loop.clock(), start.durable.view, int(served) if served else 0)
+        self._waiting = Waiting(WAIT)
+        self._served: int | None = None  # when it was last seen to serve in this view
+        self._looks = False  # a look at those who wait is due
+        self._lives: dict[Seat, int] = {}  # the latest start of each peer that was heard
         self.outlet = Outlet(self.ledger.table)
         self.peers = Peers(seeds)
         for kind in ("prepare", "promise", "accept", "accepted", "decided", "refused", "void", "voided"):
@@ -65,7 +76,7 @@
         mains.handlers["piece"] = lambda conn, body, answer: self._do(self.copying.piece(body, answer))
         mains.handlers["subscribe"] = self._subscribe
         mains.handlers["leave"] = lambda conn, body, answer: self.outlet.leave(conn)
-        mains.handlers["digests"] = lambda conn, body, answer: self.outlet.mend(conn, body, answer)
+        mains.handlers["digests"] = self._digests
         self._do(self.copying.flush())
         loop.at(loop.now, self._beat)
         loop.at(loop.now + PULSE, self._pulse)
@@ -95,10 +106,10 @@
         return view.primary
 
     def serving(self) -> bool:
-        """Primary, and its backups were all heard of lately: what it says counts."""
+        """Primary, and at this very moment it holds the lease of all backups: what it says counts."""
         view = self.view()
         return (self.active and view is not None and view.primary == self.own
-                and all(self.succession.alive(peer, self.loop.now) for peer in view.backups))
+                and self._leases.holds(view, self.loop.clock()))
 
     def confirm(self, then: Then, behind: bool = False) -> None:
         """Calls with True once all backups of the view have said that they are still in it; `behind`: and all that was
@@ -117,22 +128,32 @@
         self.copying.leave()
         self._say()
         earliest = self.loop.now + LEAST
-        self.loop.at(earliest, self._look, (max(earliest, self.loop.now + self.settings.bounds.grace - LAST), then))
+        latest = max(earliest, self.loop.now + self.settings.bounds.grace - LAST)
+        self.loop.at(earliest, self._look_whether_missed, (latest, then))
 
-    def _look(self, leaving: tuple[int, Callable[[], None]]) -> None:
+    def _look_whether_missed(self, leaving: tuple[int, Callable[[], None]]) -> None:
         now, may = self.loop.now, self.copying.may_go(self.loop.now)
         if not may and now < leaving[0]:
-            self.loop.at(now + LOOK, self._look, leaving)
+            self.loop.at(now + LOOK, self._look_whether_missed, leaving)
             return
         number = view.number if (view := self.view()) else 0
         note("goes" if may else "goes while it is missed", "info" if may else "warning", view=number)
+        self._leases.give_up()
         for address in self._others():
-            self.mains.tell(address, "gone", list(self.own))
+            self.mains.tell(address, "gone", [*self.own, self.copying.life])
         leaving[1]()
 
     def change(self, changes: dict[str, Any], then: Then, behind: bool = False) -> None:
-        """Makes a change; `then` hears True once it is in force and the news of it are on their way."""
-        self._do(self.copying.change(changes or {"confirmed": None}, then, behind))
+        """Makes a change; `then` hears True once it is in force and the news of it are on their way, or False as soon
+        as the lease is lost, or after `WAIT`: it may still come into force, but nobody hears a yes of it."""
+        told = self._waiting.add(then, self.loop.clock())
+        self._do(self.copying.change(changes or {"confirmed": None}, told, behind))
+        self._look_later()
+
+    def when_settled(self, then: Then) -> None:
+        """Calls with True once everything that waits now is in force, else as `change`."""
+        self.ledger.when_settled(self._waiting.add(then, self.loop.clock()))
+        self._look_later()
 
     # ---- what is decided, done
 
@@ -157,6 +178,8 @@
                 case copying.News(entries):
                     self.outlet.publish(self._next_pulse(), entries)
                 case copying.Entered(view):
+                    self._served = None
+                    self._say()  # a primary asks for its lease, one that was replaced tells the other so
                     note("view", view=view.number, primary=view.primary[0], backups=_names(view.backups),
                          witnesses=_names(view.witnesses), own=self.own[0])
                 case copying.Turned(serves):
@@ -165,13 +188,55 @@
                     self.outlet.drop()
                 case copying.Replaced():
                     self.outlet = Outlet(self.ledger.table)
+                    current = self.view()
+                    if current is not None:  # its primary may have granted a lease just before
+                        self._leases.grant(current, current.primary, self.loop.clock())
 
     def _turned(self, serves: bool) -> None:
-        view = self.view()
-        if serves and view is not None:
-            note("serving the control state", view=view.number, backups=_names(view.backups))
+        if serves:
+            return self._watch()
         for call in self.on_change:
-            call(serves)
+            call(False)
+
+    # ---- the lease
+
+    def _ask_for_lease(self, backup: Seat, kind: str, body: list[Any]) -> None:
+        sent = self.loop.clock()
+
+        def answered(answer: Any) -> None:
+            if answer:
+                self._leases.answered(backup, int(answer), sent)
+                self._watch()
+
+        self.mains.ask(address_of(backup), kind, body, SILENCE, answered)
+
+    def _watch(self) -> None:
+        """Looks whether this seat serves now: who waits is not kept waiting without a lease."""
+        now, view = self.loop.clock(), self.view()
+        serves = self.serving()
+        for then in self._waiting.over(now, not serves):
+            then(False)
+        if not serves or view is None:
+            return
+        begins, self._served = self._served is None or now - self._served >= BRIEF, now
+        if begins:
+            self.cistern.write(("fact", ("served", str(view.number).encode())), lambda: None)
+            note("serving the control state", view=view.number, backups=_names(view.backups))
+            for call in self.on_change:
+                call(True)
+
+    def _look_later(self) -> None:
+        """When the lease runs out as it stands, or the first has waited long enough."""
+        view = self.view()
+        if not self._looks and self._waiting and view is not None:
+            self._looks = True
+            due = min(self._leases.until(view), self._waiting.due())
+            self.loop.at(max(self.loop.now + SOON, due), self._look_at_waiting)
+
+    def _look_at_waiting(self, _: Any) -> None:
+        self._looks = False
+        self._watch()
+        self._look_later()
 
     # ---- views
 
@@ -186,6 +251,7 @@
     # ---- heartbeats, pulses, those who want news
 
     def _beat(self, _: Any) -> None:
+        self._watch()
         now = self.loop.now
         since = self.cistern.waiting_since()
         healthy = since is None or now - since < SICK
@@ -197,10 +263,15 @@
     def _say(self) -> None:
         """A heartbeat; one that leaves says so with each."""
         view = self.view()
-        body = [list(self.own), self.settings.zone, view.pack() if view else None, self.peers.lively(self.loop.now)]
+        body = [list(self.own), self.settings.zone, view.pack() if view else None, self.peers.lively(self.loop.now),
+                self.copying.life]
         kind = "leaving" if self.succession.leaves else "core"
+        backups = {address_of(peer): peer for peer in view.backups} if view and view.primary == self.own else {}
         for address in self._others():
-            self.mains.tell(address, kind, body)
+            if address in backups:
+                self._ask_for_lease(backups[address], kind, body)
+            else:
+                self.mains.tell(address, kind, body)
 
     def _others(self) -> list[Address]:
         """Whom it speaks to."""
@@ -209,20 +280,29 @@
         known = self.peers.called(now, members, self.succession.in_touch(now)) - {self.own[0]}
         return [address for address in map(parse_address, sorted(known)) if address is not None]
 
-    def _heard(self, conn: Conn, body: Any, _: Answer) -> None:
-        peer, zone = seat(body[0]), str(body[1])
-        self.peers.heard(self.loop.now, peer[0], map(str, body[3]))
+    def _heard(self, conn: Conn, body: Any, answer: Answer) -> None:
+        peer, zone, now = seat(body[0]), str(body[1]), self.loop.clock()
+        if int(body[4]) < self._lives.get(peer, 0):
+            return  # of an earlier life, that was long on its way
+        if peer not in self._lives and len(self._lives) >= MOST_LIVES:
+            self._lives.clear()  # of seats that are gone, mostly
+        self._lives[peer] = int(body[4])
+        self.peers.heard(now, peer[0], map(str, body[3]))
         view = unpack(body[2]) if body[2] is not None else None
-        self._carry(self.succession.heard(self.loop.now, peer, zone, view))
+        self._leases.speaks(peer, view.number if view is not None else 0)
+        self._carry(self.succession.heard(now, peer, zone, view))
+        answer(self._leases.grant(self.view(), peer, now))
 
     def _leaving(self, conn: Conn, body: Any, answer: Answer) -> None:
         self._heard(conn, body, answer)
         self._do(self.copying.leaving(self.loop.now, seat(body[0])))
 
     def _gone(self, conn: Conn, body: Any, _: Answer) -> None:
-        peer = seat(body)
-        self.peers.gone(peer[0])
-        self.succession.gone(peer)
+        peer = seat(body[:2])
+        if int(body[2]) >= self._lives.get(peer, 0):  # else it was long on its way, and has begun anew since
+            self.peers.gone(peer[0])
+            self.succession.gone(peer)
+            self._leases.ended(peer)
 
     def _next_pulse(self) -> Version:
         """Above those of earlier lives: a primary that starts again in its view would give stale ones for hours."""
@@ -231,10 +311,18 @@
         return (view.number if view else 0, (self.copying.life << 32) + self._tick_number)
 
     def _pulse(self, _: Any) -> None:
+        self._watch()
         if self.serving():
             self.outlet.publish(self._next_pulse(), [])
         self.loop.at(self.loop.now + PULSE, self._pulse)
 
+    def _digests(self, conn: Conn, body: Any, answer: Answer) -> None:
+        """A copy that does not serve may hold what is not in force, or was replaced."""
+        if self.serving():
+            self.outlet.mend(conn, body, answer)
+        else:
+            answer(None)
+
     def _subscribe(self, conn: Conn, body: Any, answer: Answer) -> None:
         """Only the primary gives news; others name it."""
         if self.serving():
