--- a/oakvale/lab/scale/sums.py
+++ b/oakvale/lab/scale/sums.py
@@ -34,6 +34,10 @@
           "primary": "The primary killed: takeover, and all beats turn to another",
           "zone": "A zone killed with its core machine", "gateways": "All gateways begin at once",
           "slowly": "Gateways begin one process after the other"}
+KINDS = {"watched and watcher: heartbeats on the ring": ("plain", "alive"), "juror: ballots": ("witness", "ballot"),
+         "source of news: the primary": ("primary", "news"), "source of news: a relay": ("relay", "news"),
+         "counter: greetings": ("counter", "greet"), "who asks it: greetings": ("plain", "greet"),
+         "mending: digests of a gateway": ("plain", "digests"), "core machines: heartbeats": ("backup", "core")}
 
 
 class BadRows(Exception):
@@ -173,6 +177,15 @@
                     lines.append(f"| {role} | {unit} | {' | '.join(self._cells(points))} |")
         return lines if len(lines) > 2 else ["not measured"]
 
+    def kinds(self) -> list[str]:
+        """Of roles that share a process with others."""
+        lines = self._head("role, bytes/s out by kind, an ordinary minute")
+        for name, (role, kind) in KINDS.items():
+            points = self.points("steady", lambda row, role=role, kind=kind: row.get("roles", {}).get(  # type: ignore[misc]
+                role, {}).get("sent_by_kind", {}).get(kind))
+            lines.append(f"| {name} | {' | '.join(self._cells(points))} |")
+        return lines
+
     def pieces(self) -> list[str]:
         lines = [line.replace(self._size(size), str(size)) for size in self.sizes[-1:]
                  for line in self._head("piece, milliseconds of a core")]
@@ -313,6 +326,7 @@
     lines = ["### What came to no end", "", *(found.failed() or ["Nothing."]), "", "### Times", "", *found.times(), ""]
     for step, title in EVENTS.items():
         lines += [f"### {title}", "", *found.event(step), ""]
+    lines += ["### Roles that share a process", "", *found.kinds(), ""]
     lines += ["### Pieces", "", *found.pieces(), "", "### Against the limits", "", *found.limits(), "",
               "### Availability", "", *found.availability()]
     return "\n".join(lines)
