A gateway whose connection is full is told the newest when there is room

Cause: each change sends the whole configuration, 11 KB there, to four below each relay. Change: while more than 16 KB wait for one below, it is sent nothing; when there is room it gets what the table holds by then, the newest of each key alone.

--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -26,6 +26,7 @@
 SILENT_MS = 1_500  # behind a cut nothing is ever refused: such a connection is given up after this
 CONNECT = 300_000  # microseconds; a machine that is just starting drops the first packet, the next comes late
 PAUSE = 60_000  # after a connection failed, before the next is tried
+ROOM = 16 * 1024  # bytes; while more wait for a peer, what can be said later better is
 BACKLOG = 8 * 1024 * 1024  # bytes that may wait for one peer, beside the long frame that is on its way
 LONG = 64 * 1024  # bytes of a frame that go at once; more go in parts
 PART = 16 * 1024  # 65 ms on 2 Mbit/s
@@ -51,6 +52,7 @@
         self.alive, self.up = True, not out
         self.refused = False  # nobody listens there: whoever did has ended
         self.on_close: list[Callable[[Conn], None]] = []
+        self.on_room: Callable[[Conn], None] | None = None  # hears once, when nothing waits for the peer any more
         self.waiting: dict[int, tuple[Then, Timer]] = {}
         self._came, self._going = bytearray(), bytearray()
         self._long: deque[tuple[str, bytes]] = deque()  # kind and frame, what goes in parts and what waits behind it
@@ -96,6 +98,15 @@
         """Something long is on its way."""
         return bool(self._long)
 
+    def full(self) -> bool:
+        """What is sent now would wait long behind what waits already."""
+        return self.busy() or len(self._going) > ROOM
+
+    def _has_room(self) -> None:
+        if self.on_room is not None and self.alive and not self._long and not self._going:
+            call, self.on_room = self.on_room, None
+            call(self)
+
     def _send_long(self, kind: str, data: bytes) -> None:
         if self._behind + len(data) > BACKLOG and self._long:
             note("peer does not read", "warning", peer=self.address[0])
@@ -145,6 +156,7 @@
                 self.mains.hungry.append(self)
             self._counts_no_more(None)
             self.mains.feed()
+            self._has_room()
 
     def forget_long(self) -> None:
         self._long.clear()
@@ -212,6 +224,7 @@
             except BlockingIOError:
                 return
             del self._going[:sent]
+        self._has_room()
 
     def _read(self) -> bool:
         try:
--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -29,11 +29,13 @@
 
 
 class Outlet:
-    """Those below, each with its connection, and what each has been sent."""
+    """Those below, each with its connection. One whose connection is full is sent nothing until there is room, and then
+    what the table holds by then: of a key that changed several times meanwhile, the newest alone."""
 
     def __init__(self, table: Table) -> None:
         self._table = table
-        self._below: dict[Conn, None] = {}
+        self._below: dict[Conn, Version | None] = {}  # None: all was sent; else what is newer was not
+        self._pulse = NOTHING
 
     def __len__(self) -> int:
         return len(self._below)
@@ -44,6 +46,10 @@
             conn.on_close.append(self._gone)
         elif conn.busy():
             return  # all of it is on its way there
+        self._send_since(conn, high, pulse)
+
+    def _send_since(self, conn: Conn, high: Version, pulse: Version) -> None:
+        self._below[conn] = None
         if high < self._table.floor or high == NOTHING:
             body: list[Any] = [list(pulse), pack(public(self._table.since(NOTHING))), list(self._table.floor)]
         else:
@@ -54,13 +60,33 @@
         self._below.pop(conn, None)
 
     def leave(self, conn: Conn) -> None:
-        if self._below.pop(conn, 0) is None:
+        if conn in self._below:
+            del self._below[conn]
             conn.on_close.remove(self._gone)
 
     def publish(self, pulse: Version, entries: list[Entry]) -> None:
+        """The table holds these entries already."""
+        self._pulse = pulse
         body = [list(pulse), pack(public(entries)), None]
         for conn in list(self._below):
-            conn.send("news", 0, body)
+            if conn.full():
+                self._keep_back(conn, entries)
+            elif self._below[conn] is None:
+                conn.send("news", 0, body)
+            else:
+                self._room(conn)
+
+    def _keep_back(self, conn: Conn, entries: list[Entry]) -> None:
+        """A pulse alone is not missed: there will be another."""
+        behind = [(view, place - 1) for _, (view, place), _ in entries]
+        before = self._below[conn]
+        self._below[conn] = min([*behind, before] if before is not None else behind, default=None)
+        conn.on_room = self._room
+
+    def _room(self, conn: Conn) -> None:
+        since = self._below.get(conn)
+        if since is not None:
+            self._send_since(conn, since, self._pulse)
 
     def mend(self, conn: Conn, digests: list[bytes], answer: Answer) -> None:
         found = self._table.differing(digests)
--- a/tests/test_penstock.py
+++ b/tests/test_penstock.py
@@ -12,7 +12,7 @@
 
 from oakvale.base.address import parse_address
 from oakvale.penstock.feed import FORGIVEN, PULSE, STALE, TRY, UNHEARD, Feed, Outlet
-from oakvale.penstock.table import FLOOR, GRAVES, NOTHING, Entry, Table, Version
+from oakvale.penstock.table import FLOOR, GRAVES, NOTHING, Entry, Table, Version, unpack
 from oakvale.penstock.tree import FAN_OUT, Member, Members, next_on_ring, ring, sources, watched, watchers
 from oakvale.sluice.routes import members as shown_members
 
@@ -143,6 +143,7 @@
         self.rng, self.now, self._heap, self._order = random.Random(seed), 1_000 * SECOND, list[Any](), 0
         self.ports: dict[Any, Port] = {}
         self.cut: set[Any] = set()
+        self.fills = 0.0  # share of the news that fill their connection for a while
 
     def at(self, due: int, call: Callable[[], None]) -> None:
         self._order += 1
@@ -164,9 +165,14 @@
         self.other: End = self
         self.last = 0
         self.waiting: dict[int, Any] = {}
+        self.on_room: Callable[[Any], None] | None = None
+        self._room_at = 0
 
     def send(self, kind: str, number: int, body: Any) -> None:
         net, data = self.port.net, cbor2.dumps(body)
+        if kind == "news" and net.fills and net.rng.random() < net.fills:
+            self._room_at = net.now + net.rng.randrange(10, 400) * MS
+            net.at(self._room_at, self._room)
         self.last = due = max(self.last + 1, net.now + net.rng.randrange(300, 4_000))
 
         def arrive() -> None:
@@ -185,6 +191,14 @@
     def busy(self) -> bool:
         return False
 
+    def full(self) -> bool:
+        return self.port.net.now < self._room_at
+
+    def _room(self) -> None:
+        if self.on_room is not None and self.alive and not self.full():
+            call, self.on_room = self.on_room, None
+            call(self)
+
     def end(self) -> None:
         for side in (self, self.other):
             if side.alive:
@@ -328,6 +342,7 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_all_tables_follow_the_primary_whatever_becomes_of_relays(seed: int) -> None:
     fleet = Fleet(seed, 12 + 6 * (seed % 3))
+    fleet.net.fills = 0.05 * (seed % 2)
     net, rng = fleet.net, fleet.net.rng
     net.run(2 * SECOND)
     assert not fleet.behind()
@@ -478,3 +493,46 @@
     fleet.cores[0].change("a", 1)
     fleet.net.run(SECOND)
     assert [node for node, feed in fleet.feeds.items() if node not in down and feed.table.get("a") != 1] == []
+
+
+def test_one_whose_connection_is_full_is_told_the_newest_alone() -> None:
+    """On 2 Mbit/s five changes a second of 11 KB to four relays' children were more than the link: what waited grew."""
+    table, sent = Table(), list[Any]()
+    full = True
+
+    class Slow:
+        on_close: list[Any] = []
+        on_room: Callable[[Any], None] | None = None
+
+        def send(self, kind: str, number: int, body: Any) -> None:
+            sent.append(([key for key, _, _ in unpack(body[1])], body[2]))
+
+        def busy(self) -> bool:
+            return False
+
+        def full(self) -> bool:
+            return full
+
+    slow, outlet = Slow(), Outlet(table)
+    conn = cast(Any, slow)
+
+    def put(place: int, key: str) -> None:
+        entries = [(key, (1, place), place)]
+        table.put(entries)
+        outlet.publish((1, place), entries)
+
+    table.put([("config", (1, 1), 1)])
+    outlet.subscribe(conn, NOTHING, (1, 1))
+    for place in range(2, 50):
+        put(place, "config" if place % 2 else f"backend/{place}")
+    assert sent == [(["config"], [0, 0])] and slow.on_room is not None
+    full = False
+    slow.on_room(conn)
+    assert [sorted(keys) for keys, _ in sent[1:]] == [sorted(["config", *(f"backend/{n}" for n in range(2, 50, 2))])]
+    put(50, "config")
+    assert sent[2:] == [(["config"], None)]
+    full = True
+    put(51, "config")
+    full = False
+    outlet.publish((1, 52), [])  # no room was told of; the next pulse brings it
+    assert sent[3:] == [(["config"], None)]
--- a/tests/world.py
+++ b/tests/world.py
@@ -487,5 +487,8 @@
     def busy(self) -> bool:
         return False
 
+    def full(self) -> bool:
+        return False
+
     def end(self) -> None:
         self._up = False
