--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -14,6 +14,14 @@
 from oakvale.mains.links import BACKLOG, LONG, Mains
 
 
+@pytest.fixture(autouse=True)
+def notes(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """What is noted; no log is open here."""
+    noted: list[str] = []
+    monkeypatch.setattr(links, "note", lambda event, level="info", **fields: noted.append(event))
+    return noted
+
+
 class Two:
     """A process that speaks, and others that listen, on loopback; what comes to each, in its order."""
 
@@ -77,7 +85,7 @@
         sock.close()
 
 
-def test_a_peer_that_takes_nothing_is_cut_off_when_much_waits_behind_what_is_long() -> None:
+def test_a_peer_that_takes_nothing_is_cut_off_when_much_waits_behind_what_is_long(notes: list[str]) -> None:
     two = Two(0)
     silent = socket.create_server(("127.0.0.1", 0))
     for _ in range(2):
@@ -85,6 +93,6 @@
     conn = two.mains.link(silent.getsockname())
     assert conn is not None and conn.alive and conn.busy()
     two.mains.tell(silent.getsockname(), "a", bytes(BACKLOG // 2))
-    assert not conn.alive
+    assert not conn.alive and notes == ["peer does not read"]
     two.loop.close()
     silent.close()
