--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -280,7 +280,7 @@
         known = self.peers.called(now, members, self.succession.in_touch(now)) - {self.own[0]}
         return [address for address in map(parse_address, sorted(known)) if address is not None]
 
-    def _heard(self, conn: Conn, body: Any, answer: Answer) -> None:
+    def _heard(self, conn: Conn, body: Any, answer: Answer, leaves: bool = False) -> None:
         peer, zone, now = seat(body[0]), str(body[1]), self.loop.clock()
         if int(body[4]) < self._lives.get(peer, 0):
             return  # of an earlier life, that was long on its way
@@ -290,12 +290,13 @@
         self.peers.heard(now, peer[0], map(str, body[3]))
         view = unpack(body[2]) if body[2] is not None else None
         self._leases.speaks(peer, view.number if view is not None else 0)
-        self._carry(self.succession.heard(now, peer, zone, view))
+        self._carry(self.succession.heard(now, peer, zone, view, leaves))
         answer(self._leases.grant(self.view(), peer, now))
+        if leaves:
+            self._do(self.copying.leaving(now, peer))
 
     def _leaving(self, conn: Conn, body: Any, answer: Answer) -> None:
-        self._heard(conn, body, answer)
-        self._do(self.copying.leaving(self.loop.now, seat(body[0])))
+        self._heard(conn, body, answer, leaves=True)
 
     def _gone(self, conn: Conn, body: Any, _: Answer) -> None:
         peer = seat(body[:2])
