A gateway is sent the next configuration when it has said that the last one came

Cause: the word that a connection is full comes too late: its buffers in the kernel hold what is old already. Change: news over 4 KB are asked, and the answer is the word that they came; what changes meanwhile waits as one.

--- a/oakvale/mains/links.py
+++ b/oakvale/mains/links.py
@@ -77,6 +77,10 @@
         self.mains.sent[kind or of] += len(data)
         self._send(data)
 
+    def ask(self, kind: str, body: Any, timeout: int, then: Then) -> None:
+        """As `Mains.ask_on`."""
+        self.mains.ask_on(self, kind, body, timeout, then)
+
     def _send(self, data: bytes) -> None:
         self.used = self.mains.loop.now
         if self.up and not self._going:
--- a/oakvale/penstock/feed.py
+++ b/oakvale/penstock/feed.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import cbor2
+
 from oakvale.base.address import Address, parse_address
 from oakvale.base.loop import Loop
 from oakvale.lifecycle.daybook import Writer
@@ -23,18 +25,22 @@
 HOPS = 6  # as far is told that something long is on its way: two that told each other would never end
 AGAIN = 60_000  # before another is asked, after one that could not help
 REPAIR = 5_000_000  # between two comparisons of digests
+LARGE = 4 * 1024  # bytes of a message that is waited for
+TAKES = 2_000_000  # without a word that it came
 FORGIVEN = 20 * STALE  # a source that failed is asked like the others again
 
 note = Writer(__name__)
 
 
 class Outlet:
-    """Those below, each with its connection. One whose connection is full is sent nothing until there is room, and then
-    what the table holds by then: of a key that changed several times meanwhile, the newest alone."""
+    """Those below, each with its connection. One that has not said that a large message came, or whose connection is
+    full, is sent no more until then, and then what the table holds: of a key that changed several times meanwhile, the
+    newest alone. Without the word, what is old would wait in the buffers of the connection."""
 
     def __init__(self, table: Table) -> None:
         self._table = table
         self._below: dict[Conn, Version | None] = {}  # None: all was sent; else what is newer was not
+        self._takes: set[Conn] = set()  # a large message is on its way there
         self._pulse = NOTHING
 
     def __len__(self) -> int:
@@ -54,7 +60,17 @@
             body: list[Any] = [list(pulse), pack(public(self._table.since(NOTHING))), list(self._table.floor)]
         else:
             body = [list(pulse), pack(public(self._table.since(high))), None]
-        conn.send("news", 0, body)
+        self._send(conn, body, len(cbor2.dumps(body)))
+
+    def _send(self, conn: Conn, body: list[Any], size: int) -> None:
+        if size <= LARGE:
+            return conn.send("news", 0, body)
+        self._takes.add(conn)
+        conn.ask("news", body, TAKES, lambda _: self._came(conn))
+
+    def _came(self, conn: Conn) -> None:
+        self._takes.discard(conn)
+        self._room(conn)
 
     def _gone(self, conn: Conn) -> None:
         self._below.pop(conn, None)
@@ -68,11 +84,13 @@
         """The table holds these entries already."""
         self._pulse = pulse
         body = [list(pulse), pack(public(entries)), None]
+        size = len(cbor2.dumps(body)) if entries else 0
         for conn in list(self._below):
-            if conn.full():
+            all_sent = self._below[conn] is None
+            if conn.full() or conn in self._takes and (entries or not all_sent):
                 self._keep_back(conn, entries)
-            elif self._below[conn] is None:
-                conn.send("news", 0, body)
+            elif all_sent:
+                self._send(conn, body, size)
             else:
                 self._room(conn)
 
@@ -85,7 +103,7 @@
 
     def _room(self, conn: Conn) -> None:
         since = self._below.get(conn)
-        if since is not None:
+        if since is not None and conn not in self._takes:
             self._send_since(conn, since, self._pulse)
 
     def mend(self, conn: Conn, digests: list[bytes], answer: Answer) -> None:
@@ -220,7 +238,8 @@
         if answer != {} and not self.fresh():
             self.loop.at(self.loop.now + AGAIN, lambda _: self._next(self.loop.now) if not self.fresh() else None)
 
-    def _news(self, conn: Conn, body: Any, _: Answer) -> None:
+    def _news(self, conn: Conn, body: Any, answer: Answer) -> None:
+        answer(None)
         pulse, entries, floor = (int(body[0][0]), int(body[0][1])), unpack(body[1]), body[2]
         if pulse < self.pulse and pulse[0] < self.pulse[0]:
             return  # of a primary that was replaced
--- a/tests/test_penstock.py
+++ b/tests/test_penstock.py
@@ -49,7 +49,7 @@
     assert len(forgotten) == 2 * GRAVES + 1 and table.floor == floor == (2, 2 * GRAVES)
     assert table.next_floor() == floor
     sent: list[Any] = []
-    conn: Any = type("Below", (), {"on_close": [], "send": lambda self, kind, number, body: sent.append(body)})()
+    conn: Any = type("Below", (), {"on_close": [], "ask": lambda self, kind, body, timeout, then: sent.append(body)})()
     Outlet(table).subscribe(conn, behind.high, (2, 1))
     [(_, entries, floor)] = sent
     behind.whole([(key, (view, place), value) for key, view, place, value in entries], tuple(floor))
@@ -188,6 +188,9 @@
 
         net.at(due, arrive)
 
+    def ask(self, kind: str, body: Any, timeout: int, then: Callable[[Any], None]) -> None:
+        self.port.ask_on(self, kind, body, timeout, then)
+
     def busy(self) -> bool:
         return False
 
@@ -250,6 +253,9 @@
         end = self.link(address)
         if end is None:
             return self.at(self.now, then)
+        self.ask_on(end, kind, body, timeout, then)
+
+    def ask_on(self, end: End, kind: str, body: Any, timeout: int, then: Callable[[Any], None]) -> None:
         self._number += 1
         number = self._number
         end.waiting[number] = then
@@ -497,7 +503,7 @@
 
 def test_one_whose_connection_is_full_is_told_the_newest_alone() -> None:
     """On 2 Mbit/s five changes a second of 11 KB to four relays' children were more than the link: what waited grew."""
-    table, sent = Table(), list[Any]()
+    table, sent, came = Table(), list[Any](), list[Any]()
     full = True
 
     class Slow:
@@ -507,6 +513,12 @@
         def send(self, kind: str, number: int, body: Any) -> None:
             sent.append(([key for key, _, _ in unpack(body[1])], body[2]))
 
+        def ask(self, kind: str, body: Any, timeout: int, then: Callable[[Any], None]) -> None:
+            self.send(kind, 1, body)
+            came.append(then)
+
+        alive = True
+
         def busy(self) -> bool:
             return False
 
@@ -536,3 +548,15 @@
     full = False
     outlet.publish((1, 52), [])  # no room was told of; the next pulse brings it
     assert sent[3:] == [(["config"], None)]
+    sent.clear()
+    for place in range(53, 60):  # nothing waits here, but what was sent did not come yet
+        entries = [("config", (1, place), "x" * 8_000)]
+        table.put(entries)
+        outlet.publish((1, place), entries)
+    assert len(sent) == len(came) == 1
+    outlet.publish((1, 60), [])
+    came[0](None)
+    assert sent == [(["config"], None)] * 2 and len(came) == 2
+    came[1](None)
+    put(61, "backend/1")
+    assert sent[2:] == [(["backend/1"], None)]
--- a/tests/world.py
+++ b/tests/world.py
@@ -484,6 +484,11 @@
         if self._up and self._life is not None and self._life.alive:
             self._world.news(body)
 
+    def ask(self, kind: str, body: Any, timeout: int, then: Callable[[Any], None]) -> None:
+        self.send(kind, 1, body)
+        if self._life is not None:
+            self._life.machine.run(self._life, lambda: then(None))
+
     def busy(self) -> bool:
         return False
 
