Tests: one place draws the schedules that three tests play

The same twelve lines stood in the tests of links, of orders at ctl and of answers. The numbers of examples, the sizes and the assertions are as before; as the draw goes by the function that holds it, the schedules are others.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -9,8 +9,6 @@
 
 import h11
 import pytest
-from hypothesis import HealthCheck, Phase, given, settings
-from hypothesis import strategies as st
 
 from oakvale import interface as i
 from oakvale.base.limits import Limits
@@ -23,26 +21,18 @@
 from oakvale.wire.backends import BackendConnection
 from oakvale.wire.clients import ClientConnection
 from oakvale.wire.tcp import Gone
+from tests import schedules
 from tests.crossing import MS, SECOND, SETTINGS, Caller, Ear, World, play
 from tests.lines import PLENTY
 from tests.node import Node, request
 
 EXAMPLES = 2_000  # `python -m tests.test_answers N` plays N others
 FEW = 600
-SCHEDULES = st.binary(min_size=24, max_size=140)  # three bytes a step
+SIZES = 24, 140  # bytes of a schedule, three a step
 
 
 def search(examples: int, again: bool = True, shrinks: bool = True) -> None:
-    """Plays drawn schedules, the same each time if `again`; raises AssertionError with one that breaks a rule."""
-    phases = (Phase.generate, Phase.shrink) if shrinks else (Phase.generate,)
-
-    @settings(max_examples=examples, derandomize=again, database=None, deadline=None, print_blob=False, phases=phases,
-              report_multiple_bugs=False, suppress_health_check=list(HealthCheck))
-    @given(SCHEDULES)
-    def plays(schedule: bytes) -> None:
-        play(schedule)
-
-    plays()
+    schedules.search(play, examples, SIZES, again, shrinks)
 
 
 def bounds_of() -> Limits:
--- a/tests/test_ctl_orders.py
+++ b/tests/test_ctl_orders.py
@@ -9,8 +9,6 @@
 from typing import Any, cast
 
 import pytest
-from hypothesis import HealthCheck, Phase, given, settings
-from hypothesis import strategies as st
 
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Loop
@@ -20,6 +18,7 @@
 from oakvale.lifecycle.acceptor import Acceptor
 from oakvale.memory.requests import Answer
 from oakvale.shared import Owner, Shared
+from tests import schedules
 from tests.crossing import MS, SECOND, SETTINGS, START
 from tests.lines import PLENTY, Line, Lines
 
@@ -148,14 +147,7 @@
 
 
 def search(examples: int, shrinks: bool = True) -> None:
-    @settings(max_examples=examples, derandomize=True, database=None, deadline=None, print_blob=False,
-              phases=(Phase.generate, Phase.shrink) if shrinks else (Phase.generate,), report_multiple_bugs=False,
-              suppress_health_check=list(HealthCheck))
-    @given(st.binary(min_size=20, max_size=120))
-    def plays(schedule: bytes) -> None:
-        World().play(schedule)
-
-    plays()
+    schedules.search(lambda schedule: World().play(schedule), examples, (20, 120), shrinks=shrinks)
 
 
 def test_each_order_is_answered_on_its_own_connection_and_in_its_place() -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -7,8 +7,6 @@
 from typing import Any
 
 import pytest
-from hypothesis import HealthCheck, Phase, given, settings
-from hypothesis import strategies as st
 
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Clock, Loop
@@ -17,6 +15,7 @@
 from oakvale.lifecycle.daybook import BOOK
 from oakvale.mains.links import Conn, Mains
 from oakvale.penstock.tree import Member, Members
+from tests import schedules
 from tests.questions import PEERS, World
 
 
@@ -46,14 +45,7 @@
 
 
 def search(examples: int, shrinks: bool = True) -> None:
-    @settings(max_examples=examples, derandomize=True, database=None, deadline=None, print_blob=False,
-              phases=(Phase.generate, Phase.shrink) if shrinks else (Phase.generate,), report_multiple_bugs=False,
-              suppress_health_check=list(HealthCheck))
-    @given(st.binary(min_size=20, max_size=120))
-    def plays(schedule: bytes) -> None:
-        World().play(schedule)
-
-    plays()
+    schedules.search(lambda schedule: World().play(schedule), examples, (20, 120), shrinks=shrinks)
 
 
 @pytest.fixture
