--- a/tests/questions.py
+++ b/tests/questions.py
@@ -126,7 +126,7 @@
             self.pass_time(span)
             return f"{span // MS} ms"
         if kind == 12 and peer is not None:
-            (peer.line.reset, peer.line.leave, lambda: peer.line.say(b"\0\0\0\1\xff"))[which % 3]()
+            (peer.line.reset, peer.line.leave, lambda: peer.say(b"\0\0\0\1\xff", False))[which % 3]()
             return "a connection ends"
         if kind == 13:
             self.mode, self.room = which % 3, PLENTY if which & 4 else 60
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -27,7 +27,6 @@
 from tests.node import Node, request
 
 EXAMPLES = 2_000  # `python -m tests.test_answers N` plays N others
-FEW = 600
 SIZES = 24, 140  # bytes of a schedule, three a step
 
 
@@ -43,7 +42,6 @@
     search(EXAMPLES)
 
 
-
 # ---- each mechanism taken out: the draw must find it
 
 
@@ -106,7 +104,7 @@
     owner, name, made = BREAKAGES[what]
     monkeypatch.setattr(owner, name, made)
     with pytest.raises(AssertionError):
-        search(FEW, shrinks=False)
+        search(EXAMPLES, shrinks=False)
 
 
 # ---- what the draw found, and what it can't see, by hand
