A zone or a region that may be lost: copies and witnesses come to stand apart

Change: headworks/domains.py measures how crowded seats are; a primary whose copies are whole proposes views that are less so, one seat at a time, only where zones or regions may be lost. Times may bear any number of decimals.

--- a/oakvale/headworks/copying.py
+++ b/oakvale/headworks/copying.py
@@ -21,6 +21,7 @@
 import cbor2
 
 from oakvale.headworks import pieces
+from oakvale.headworks.domains import Domains
 from oakvale.headworks.ledger import Ledger, Then
 from oakvale.headworks.pieces import Cut
 from oakvale.headworks.succession import (
@@ -184,9 +185,10 @@
     """One seat, from one start to its end."""
 
     def __init__(self, began: Start, rows: Iterable[tuple[str, bytes]], copies: int, silence: int,
-                 patience: int, staged: Iterable[tuple[bytes, bytes]] = ()) -> None:
+                 patience: int, staged: Iterable[tuple[bytes, bytes]] = (), zone: str = "",
+                 domains: Domains | None = None) -> None:
         self.own, self.life = began.own, began.life
-        self.succession = Succession(began.own, began.durable, copies, silence, patience)
+        self.succession = Succession(began.own, began.durable, copies, silence, patience, zone, domains)
         self.ledger = Ledger()  # another one once a primary has sent its state
         self.active = False
         self._released = 0  # the view whose primary said that this seat, which leaves, may go
--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -13,6 +13,7 @@
 from oakvale.cistern.store import Cistern
 from oakvale.headworks import copying
 from oakvale.headworks.copying import Copying
+from oakvale.headworks.domains import Domains
 from oakvale.headworks.leases import Leases, Waiting
 from oakvale.headworks.ledger import Ledger, Then
 from oakvale.headworks.peers import Peers
@@ -49,12 +50,14 @@
         self.on_change: list[Callable[[bool], None]] = []  # hears when this seat begins or ends to serve
         self._tick_number = 0
         seeds = [f"{ip}:{settings.ports[0]}" for ip, _ in settings.seeds]
-        copies = 1 + max(1, settings.tolerate)
+        copies = 1 + max(1, settings.tolerate, settings.tolerate_zones, settings.tolerate_regions)
+        domains = Domains(settings.zones, settings.tolerate_zones > 0, settings.tolerate_regions > 0)
         founds = settings.bootstrap and cistern.first and spelled(mains.own) in seeds
         start = copying.start(spelled(mains.own), cistern.fact("self"), cistern.fact("state"),
                               founding(seeds, copies) if founds else None, lambda: loop.net.token(4))
         patience = settings.bounds.sync_time + settings.bounds.contact
-        self.copying = Copying(start, cistern.rows(), copies, SILENCE, patience, cistern.pieces())
+        self.copying = Copying(start, cistern.rows(), copies, SILENCE, patience, cistern.pieces(),
+                               settings.zone, domains)
         self.own: Seat = start.own
         served = cistern.fact("served")
         self._leases = Leases(start.own, SILENCE, loop.clock(), start.durable.view, int(served) if served else 0)
--- a/oakvale/headworks/succession.py
+++ b/oakvale/headworks/succession.py
@@ -19,6 +19,8 @@
 Members change one step at a time. While a view's new copy is not whole, the copies of the view before still hold all
 (a void gives them the lead back), so no other change follows until it is, but to replace a copy that is lost. Then
 one witness may give its seat to a spare; a newcomer votes at once, as it is told the view with the first ballot.
+Where a zone or a region may be lost at once, a view that is whole is followed by one whose copies, then whose
+witnesses, stand in more of them, one seat at a time, until that can't be had.
 """
 
 from __future__ import annotations
@@ -27,6 +29,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from oakvale.headworks.domains import Domains
+
 Seat = tuple[str, str]  # where it is spoken to ("10.1.0.33:7340"), and its incarnation
 Ballot = tuple[int, Seat]
 
@@ -151,11 +155,13 @@
 class Succession:
     """One seat's part. Times are microseconds of a steady clock that only the caller reads."""
 
-    def __init__(self, own: Seat, state: Durable, copies: int, silence: int, patience: int) -> None:
+    def __init__(self, own: Seat, state: Durable, copies: int, silence: int, patience: int, zone: str = "",
+                 domains: Domains | None = None) -> None:
         self.own, self.state = own, state
+        self._domains = domains or Domains()
         self._copies, self._silence, self._patience = copies, silence, patience
         self._heard: dict[Seat, int] = {}
-        self._zones: dict[Seat, str] = {}
+        self._zones: dict[Seat, str] = {own: zone} if zone else {}
         self._spares: dict[Seat, int] = {}  # seats that ask to be let in, and since when they are heard
         self._leaving: set[Seat] = set()  # those that said that they end, until they are heard of as before
         self._let_go: set[Seat] = set()  # of those, whom this primary has let go: they hold no copy any more
@@ -350,7 +356,8 @@
         if not leads and view.primary in backups:
             return None  # it leaves, but there is nobody else
         if leads and whole and not void and witnesses == view.witnesses and set(backups) == set(view.backups):
-            witnesses = self._exchanged(now, view)
+            backups = self._spread(now, view, backups)
+            witnesses = self._exchanged(now, view) if set(backups) == set(view.backups) else witnesses
         found = View(view.number + 1, self.own, backups, witnesses)
         same = leads and (set(backups), set(witnesses)) == (set(view.backups), set(view.witnesses))
         return None if same and not void else found
@@ -369,24 +376,49 @@
         only if there is nobody else."""
         up = [w for w in witnesses if w != self.own and self.alive(w, now) and w not in self._let_go]
         taken = [b for b in view.backups if b in up and self.stays(b, now)]
-        zones = {self._zones.get(b) for b in taken} | {self._zones.get(self.own)}
-        others = sorted((w for w in up if w not in taken),
-                        key=lambda w: (not self.stays(w, now), self._zones.get(w) in zones, w))
         need = min(self._copies, len(witnesses)) - 1
-        return tuple((taken + others)[:need]) if len(up) >= need else None
+        if len(up) < need:
+            return None
+        while len(taken) < need:
+            zones = {self._zones.get(b) for b in (self.own, *taken)}
+            taken.append(min((w for w in up if w not in taken), key=lambda w: (
+                not self.stays(w, now), self._crowding((self.own, *taken, w)), self._zones.get(w) in zones, w)))
+        return tuple(taken[:need])
+
+    def _crowding(self, seats: Iterable[Seat]) -> tuple[int, int]:
+        return self._domains.crowding(self._zones.get(one) for one in seats)
+
+    def _spread(self, now: int, view: View, backups: tuple[Seat, ...]) -> tuple[Seat, ...]:
+        """The backups, with a witness in the place of one that shares its zone, or region, with another copy, where
+        such a place may be lost at once."""
+        free = [w for w in view.witnesses if w not in view.copies and self.stays(w, now)]
+        others = [tuple(w if b == backup else b for b in backups) for w in sorted(free) for backup in backups]
+        return self._more_even(backups, others, (self.own,))
+
+    def _more_even(self, seats: tuple[Seat, ...], others: Iterable[tuple[Seat, ...]],
+                   beside: tuple[Seat, ...] = ()) -> tuple[Seat, ...]:
+        """The most even of the others if it is more even than `seats`. Who was never heard may stand anywhere."""
+        known = [one for one in others if all(peer in self._zones for peer in (*one, *beside))]
+        best = min(known, key=lambda one: self._crowding((*one, *beside)), default=seats)
+        even = all(peer in self._zones for peer in seats) and (
+            self._crowding((*best, *beside)) < self._crowding((*seats, *beside)))
+        return best if even else seats
 
     def _exchanged(self, now: int, view: View) -> tuple[Seat, ...]:
         """The witnesses, with one more where seeds were fewer than it takes to lose all copies but one, or with a spare
-        in the place of one that is gone."""
-        zones = {self._zones.get(w) for w in view.witnesses if self.stays(w, now)}
+        in the place of one that is gone, or of one that holds no copy and stands where others do."""
+        staying = [w for w in view.witnesses if self.stays(w, now)]
+        zones = {self._zones.get(w) for w in staying}
         spares = [spare for spare in self._spares if self.stays(spare, now) and spare not in view.witnesses]
-        for spare in sorted(spares, key=lambda s: (self._zones.get(s) in zones, s)):
+        for spare in sorted(spares, key=lambda s: (self._crowding((*staying, s)), self._zones.get(s) in zones, s)):
             gone = next((w for w in view.witnesses if self._gives_way(now, w, spare)), None)
             if gone is not None:
                 return tuple(spare if w == gone else w for w in view.witnesses)
             if len(view.witnesses) < 2 * self._copies - 1:
                 return (*view.witnesses, spare)
-        return view.witnesses
+        return self._more_even(view.witnesses, [
+            tuple(spare if w == moved else w for w in view.witnesses)
+            for spare in sorted(spares) for moved in view.witnesses if moved not in view.copies])
 
     def _gives_way(self, now: int, witness: Seat, spare: Seat) -> bool:
         """It said that it ends, or is silent: for long, or for a short while if the spare came at about that time,
--- a/oakvale/intake/check.py
+++ b/oakvale/intake/check.py
@@ -34,7 +34,8 @@
         f"seeds: {', '.join(map(spelled, told.seeds)) or 'none'}; first start of the system: {told.bootstrap}",
         f"limits: {told.cpu:g} cores, {told.memory_mb} MB, {told.nofile} descriptors, "
         f"disk {told.disk_mb} MB at {told.datadir or '-'}",
-        f"to be borne at once: {told.tolerate} machines, {told.tolerate_zones} zones",
+        f"to be borne at once: {told.tolerate} machines, or {told.tolerate_zones} zones, or "
+        f"{told.tolerate_regions} regions",
         f"clauses: {', '.join(sorted(told.clauses)) or 'none'}",
     ]
     if "ctl" in told.bind and told.datadir is None:
--- a/oakvale/intake/settings.py
+++ b/oakvale/intake/settings.py
@@ -65,6 +65,7 @@
     disk_mb: int
     tolerate: int  # counted machines that may be lost at once
     tolerate_zones: int
+    tolerate_regions: int
     clauses: frozenset[str]
     bounds: Bounds = field(default_factory=Bounds)
     contracts: str = CONTRACTS  # the operators' file of contracts; where there is none, no drain is taken
@@ -106,5 +107,6 @@
         cpu=float(limits.get("cpu", (int, float), 1.0)), memory_mb=limits.get("mem-mb", int, 192),
         nofile=limits.get("nofile", int, 1024), disk_mb=limits.get("disk-mb", int, 0),
         tolerate=tolerance.get("nodes", int, 0), tolerate_zones=tolerance.get("azs", int, 0),
+        tolerate_regions=tolerance.get("rgns", int, 0),
         clauses=frozenset(terms.texts("clauses")), bounds=Bounds(**figures),
         contracts=whole.table("contracts").get("file", str, CONTRACTS))
--- a/oakvale/intake/times.py
+++ b/oakvale/intake/times.py
@@ -4,7 +4,7 @@
 
 import re
 
-TIME = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,9})?)(ms|s)")
+TIME = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,30})?)(ms|s)")
 MICROS = {"ms": 1_000, "s": 1_000_000}
 
 
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -95,7 +95,8 @@
         settings.load({"OAKVALE_SETTINGS": str(tmp_path / "none")})
 
 
-@pytest.mark.parametrize(("text", "time"), [("1500ms", 1_500_000), ("2.5s", 2_500_000), ("0ms", 0), ("0.25ms", 250)])
+@pytest.mark.parametrize(("text", "time"), [("1500ms", 1_500_000), ("2.5s", 2_500_000), ("0ms", 0), ("0.25ms", 250),
+                                           ("7.915077855057237s", 7_915_078)])
 def test_times(text: str, time: int) -> None:
     assert micros(text) == time
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -173,14 +173,17 @@
 class World(Time):
     def __init__(self, seed: int, machines: int = 3, tolerate: int = 1, seeds: int | None = None,
                  prunes: tuple[int, int] | None = None,
-                 equips: Callable[[Machine, Loop], None] | None = None) -> None:
+                 equips: Callable[[Machine, Loop], None] | None = None, places: tuple[str, ...] = ("z0", "z1", "z2"),
+                 tolerate_zones: int = 0, tolerate_regions: int = 0) -> None:
+        """`places` are the zones of the machines, in turn; a zone's region is its name up to a dash."""
         super().__init__(seed)
+        self.places, self.tolerate_zones, self.tolerate_regions = places, tolerate_zones, tolerate_regions
         self.equips = equips  # gives a machine that starts what it has beside its core
         self.prunes = prunes  # how often, and how long what is taken away is kept
         names = random.Random(f"names {seed}")
         self.net.token = lambda size: names.randbytes(size).hex()
         self.tolerate = tolerate
-        self.machines = [Machine(self, f"10.0.0.{n + 1}", f"z{n % 3}") for n in range(machines)]
+        self.machines = [Machine(self, f"10.0.0.{n + 1}", places[n % len(places)]) for n in range(machines)]
         self._made = machines
         self._seeds = tuple((m.address[0], 8783) for m in self.machines[:seeds or machines])
         self.cuts: set[tuple[str, str]] = set()
@@ -196,8 +199,10 @@
 
     def settings(self, machine: Machine, bootstrap: bool) -> Settings:
         ip = machine.address[0]
-        return Settings(ip, ip, machine.zone, "", ("ctl",), True, bootstrap, "/", self._seeds, {}, (PORT, PORT + 9),
-                        {}, SECOND, 1.0, 200, 1024, 200, self.tolerate, 0, frozenset(), Bounds())
+        regions = {zone: zone.partition("-")[0] for zone in self.places}
+        return Settings(ip, ip, machine.zone, regions[machine.zone], ("ctl",), True, bootstrap, "/", self._seeds, {},
+                        (PORT, PORT + 9), regions, SECOND, 1.0, 200, 1024, 200, self.tolerate, self.tolerate_zones,
+                        self.tolerate_regions, frozenset(), Bounds())
 
     # ---- the network
 
@@ -339,7 +344,7 @@
     def add(self) -> Machine:
         """An empty machine at an address that was never used. Seeds are of those that run, as operators list them."""
         self._made += 1
-        machine = Machine(self, f"10.0.0.{self._made}", f"z{self._made % 3}")
+        machine = Machine(self, f"10.0.0.{self._made}", self.places[self._made % len(self.places)])
         self.machines.append(machine)
         self.listed()
         machine.start()
