Of two lives of a gateway the one that answers is listed

A join of a life that had ended, read after the next life's, replaced it in the list and freed the votes that the living one held, so a second counter could come up beside it before they ran out. Change: where another life is listed, the joiner is asked back on its own connection which life it is; one that has ended does not answer. Costs a question at a gateway's restart, nothing at its first join.

--- a/oakvale/headworks/gates.py
+++ b/oakvale/headworks/gates.py
@@ -7,7 +7,7 @@
 from oakvale.base.address import parse_address
 from oakvale.base.loop import Loop
 from oakvale.headworks.core import Core
-from oakvale.headworks.jury import Jury
+from oakvale.headworks.jury import PROBE, Jury
 from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.links import Answer, Conn, Mains
 
@@ -49,10 +49,24 @@
         key = f"gate/{body['node']}"
         if core.ledger.latest(key) == entry:
             return answer({"joined": True})
+        if core.ledger.latest(key) is None:
+            return self._enter(key, entry, answer)
+
+        def lives(life: Any) -> None:
+            if life == entry["life"] and core.serving():
+                self._enter(key, entry, answer)
+            else:
+                answer({"joined": False})
+
+        # the word of a life that has ended may have lain here, behind a pause, and be read after the next life's
+        self._mains.ask_on(conn, "life", None, PROBE, lives)
+
+    def _enter(self, key: str, entry: dict[str, str], answer: Answer) -> None:
+        core = self._core
         before = core.ledger.latest(key)
-        if before is not None:
+        if before is not None and before["life"] != entry["life"]:
             self._jury.ended(before["life"])
-        note("gateway joins", gateway=body["node"], addr=entry["addr"])
+        note("gateway joins", gateway=key.partition("/")[2], addr=entry["addr"])
         core.change({key: entry}, lambda done: answer({"joined": done}))
 
     def _missing(self, conn: Conn, body: Any, _: Answer) -> None:
