Empty lines in front of a client's request are passed over

Change: whole or in halves, empty lines begin nothing (RFC 9112, 2.2); a connection that brings nothing else is idle. The drawn clients send one before half of their requests.

--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -166,7 +166,7 @@
         self._sock = sock
         self._rest = b""  # of an interim answer, of which the kernel took a part
         self._came = 0  # when the latest bytes arrived, which may be before they were read
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=host.limits.header)
+        self._http = self._fresh()
         host.clients.add(self)
         self._task = host.loop.start(self._run(), sock.fileno(), Rank.CLIENT)
         host.loop.wake(self._task)  # its request may have come with it
@@ -203,7 +203,7 @@
 
     def _serve_one(self) -> Step[bool]:
         """One request and its answer; False when the connection is to be closed."""
-        http, method, last = self._http, b"", False
+        method, last = b"", False
         try:
             incoming = yield from self._read()
             method = incoming.method
@@ -221,6 +221,7 @@
                 self.host.client_gone(self.request)
                 self.request = None
             answer = plain(500, "internal error")
+        http = self._http
         self.host.tally.answers[str(answer.status)] += 1
         headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
         # what was read of requests behind this one is answered, too, before a stopping process ends the connection
@@ -241,9 +242,10 @@
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
     def _read(self) -> Step[Incoming]:
-        host, http = self.host, self._http
+        host, limits = self.host, self.host.limits
         # what came behind the last request has begun another
-        began, idle, limits = (host.loop.now, False, host.limits) if http.trailing_data[0] else (0, True, host.limits)
+        idle = not self._begins()
+        began, http = 0 if idle else host.loop.now, self._http
         incoming: Incoming | None = None
         parts: list[bytes] = []
         size = 0
@@ -270,6 +272,10 @@
                             continue  # the bound has grown meanwhile, and its client goes by that
                         raise
                     self._came = host.loop.now - host.waited(arrived)
+                    begins = not idle or self._begins()
+                    http = self._http
+                    if not begins and not http.trailing_data[1]:
+                        continue
                     if idle:
                         began, idle = host.loop.now, False
                         host.clients.works(self)
@@ -310,6 +316,23 @@
         finally:
             host.clients.works(self)
 
+    def _fresh(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self.host.limits.header)
+
+    def _begins(self) -> bool:
+        """Whether anything of a request has come. Empty lines before one are passed over (RFC 9112, 2.2): some clients
+        send one behind a body, and its answer would be taken for the next request's."""
+        came, ended = self._http.trailing_data
+        if came.startswith(b"\r\n"):
+            while came.startswith(b"\r\n"):
+                came = came[2:]
+            self._http = self._fresh()
+            if came:
+                self._http.receive_data(came)
+            if ended:
+                self._http.receive_data(b"")
+        return came not in (b"", b"\r")
+
     def _answered(self, incoming: Incoming) -> Step[Answer]:
         host = self.host
         opened = host.open(self, incoming, self._came)
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -391,6 +391,7 @@
             framing = b"Content-Length: %d\r\n" % len(body)
         raw = b"%s\r\nHost: a\r\nAttempt-Id: %s\r\nTime-Left: 9000\r\nAuthorization: Bearer k%d\r\n%s\r\n%s" % (
             line, rid.encode(), 1 + tenant, framing, sent)
+        raw = b"\r\n" * (kind >> 6 & 1) + raw  # as some clients send behind a body
         self.asked[rid] = Asked(rid, unsafe, raw, line, body)
         return self.asked[rid]
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -233,6 +233,25 @@
     world.finish()
 
 
+def test_empty_lines_in_front_of_a_request_begin_nothing() -> None:
+    """The first got a 400 of its own, and the request behind it no answer; in halves, too. What sends nothing else is
+    idle, and closed as such."""
+    world = World()
+    caller = idle(world)
+    for part in (b"\r", b"\n", b"\r\n\r", b"\n"):
+        caller.line.say(part)
+        world.turn()
+    asked(world, 7, caller)
+    served(world)
+    assert statuses(caller) == [(200, ""), (200, "")]
+    caller.line.say(b"\r\n")
+    world.pass_time(14 * SECOND)
+    assert not caller.line.closed
+    world.pass_time(3 * SECOND)
+    assert caller.line.closed and statuses(caller) == [(200, ""), (200, "")]
+    world.finish()
+
+
 def test_idle_connections_are_closed_for_room_alone_and_not_at_the_start_of_a_stop() -> None:
     """What crosses their end is lost to its client: half of the places were kept free, and SIGTERM closed all."""
     world = World({"clients": 4, "clients_idle": bounds_of().clients_idle - bounds_of().clients + 4})
