The model checker lets spares come in, and seats move where a zone may be lost

Now a machine that no founder knows runs beside them, with zones or without, and a rule says that a view takes one step at a time. A test holds that nothing else moves while a new copy is not whole; it fails where that is taken out.

--- a/oakvale/lab/sounding/breakages.py
+++ b/oakvale/lab/sounding/breakages.py
@@ -183,6 +183,16 @@
     real(self, own, silence, now, None, served)
 
 
+def _two_at_once(self: Succession, now: int, view: View, whole: bool,
+                 real: Callable[..., View | None] = Succession.wanted) -> View | None:
+    found = real(self, now, view, whole)
+    spare = min((s for s in self._spares if s not in view.witnesses), default=None)
+    if found is None or spare is None or set(found.copies) == set(view.copies):
+        return found
+    gone = next(w for w in found.witnesses if w not in found.copies)
+    return replace(found, witnesses=tuple(spare if w == gone else w for w in found.witnesses))
+
+
 QUIET = Bounds(writes=0, kills=0, wipes=0, wakes=0, retries=0)
 
 BREAKAGES = (
@@ -226,6 +236,8 @@
     Breakage("released-by-the-view-before", "a primary lets one go because its view before was whole",
              ((Copying, "_serves", lambda self, view: self.active and view.primary == self.own),),
              replace(QUIET, wakes=1, leaves=1)),
+    Breakage("two-at-once", "a view changes its copies and gives a seat to a spare as well",
+             ((Succession, "wanted", _two_at_once),), replace(QUIET, wakes=1, spares=1)),
     Breakage("void-unkept", "a backup voids a view, and then becomes complete in it",
              ((Succession, "_void", _voids_nothing),), replace(QUIET, wakes=2), heals=128),
     Breakage("lease-by-arrival", "a lease counts from when the answer comes, however late that is",
--- a/oakvale/lab/sounding/search.py
+++ b/oakvale/lab/sounding/search.py
@@ -34,7 +34,9 @@
     def line(self) -> str:
         b = self.bounds
         what = (f"{self.start}, {b.writes} writes, {b.kills} kills, {b.wipes} wipes, {b.wakes} wakes, "
-                f"{b.retries} retries" + (f", {b.beats} beats, {b.passes} passes" if b.beats else ""))
+                f"{b.retries} retries" + (f", {b.beats} beats, {b.passes} passes" if b.beats else "")
+                + (f", {b.leaves} leaves" if b.leaves else "") + (f", {b.spares} spares" if b.spares else "")
+                + (f", zones {b.zones}" if b.zones else ""))
         ends = "all" if self.whole else "cut short"
         said = f"BROKEN {self.broken}" if self.broken else "nothing broken"
         return (f"{what}: {self.states} states ({ends}), {self.steps} steps, depth {self.depth}, "
--- a/tests/test_domains.py
+++ b/tests/test_domains.py
@@ -9,7 +9,7 @@
 from oakvale.headworks.succession import Seat
 from oakvale.intake.settings import Bounds
 from tests.simulated import MS, SECOND
-from tests.test_losses import busy
+from tests.test_losses import busy, core
 from tests.world import World
 
 SYNC_TIME = Bounds().sync_time
@@ -78,6 +78,18 @@
         assert bears_any(world), turn
 
 
+def test_nothing_else_moves_while_a_new_copy_is_not_whole() -> None:
+    """With the seat of the one other holder of all went its vote, and the lead could not go back to it."""
+    world = World(5, 5, 1, 3, places=("a", "a", "b", "c", "c"), tolerate_zones=1)
+    handlers = core(world.machines[2]).mains.handlers  # the only witness elsewhere: it is to hold the copy
+    takes, handlers["sync"] = handlers["sync"], lambda conn, body, answer: None
+    busy(world, 5 * SECOND)
+    assert set(world.views) == {1, 2}
+    handlers["sync"] = takes
+    busy(world, 6 * SECOND)
+    assert bears_any(world) and len(world.views) > 2
+
+
 def test_without_a_zone_to_bear_nothing_moves() -> None:
     """A view more is a moment without changes: who stands where matters only where a place may be lost."""
     world = World(4, 5, 1, 3, places=("a", "a", "a", "b", "c"))
