A headworks whose file breaks in use ends, and its next start is a seat without state

The machine stayed up, silent, with its vote, so the next loss left no majority; nothing but an operator's restart brought it back. Change: such a file is written to no more, the process ends with 3, and whatever starts it starts it again; the start puts the file aside, as for one found damaged then. Nothing is said of a write that did not last. Measured: a file overwritten under an open store is found at the next write; without the change the thread never ends.

--- a/oakvale/cistern/store.py
+++ b/oakvale/cistern/store.py
@@ -2,7 +2,8 @@
 
 All writes go through one thread, in order; those that wait together share a transaction and its sync. A call's
 `then` runs in the loop once its write, and so every earlier one, is on disk. A disk that hangs or refuses
-holds the thread up, never the loop: `waiting_since` tells how long, and the write is tried again until it lasts.
+holds the thread up, never the loop: `waiting_since` tells how long, and the write is tried again until it lasts. A file
+that is found broken while it is in use is not written to any more: `on_broken` runs in the loop.
 
 A file is taken as it is only if it is whole. Each transaction is numbered and seals all that the file holds with a
 checksum; the number is also noted in a file of its own, behind the sync and without one, so that it is never ahead of
@@ -36,7 +37,8 @@
 SEALED = 1  # `user_version` of a file whose every transaction is sealed; 0 of one of before, or an empty one
 SEAL = "seal"  # the fact: 8 bytes that name the file, 8 of the transaction's number, 16 of the checksum
 TABLES = {"fact": "name", "row": "key", "piece": "name"}
-DAMAGED = (sqlite3.SQLITE_CORRUPT, sqlite3.SQLITE_NOTADB, sqlite3.SQLITE_ERROR)  # the last: a table is missing
+BROKEN = (sqlite3.SQLITE_CORRUPT, sqlite3.SQLITE_NOTADB)
+DAMAGED = (*BROKEN, sqlite3.SQLITE_ERROR)  # the last: a table is missing
 
 note = Writer(__name__)
 
@@ -76,6 +78,8 @@
         self._then: dict[int, Callable[[], None]] = {}
         self._since: dict[int, int] = {}  # number -> when it was asked for
         self._number = self._done = 0
+        self.broken = False
+        self.on_broken: Callable[[], None] = lambda: None
         self._read, self._wake = socket.socketpair()
         self._read.setblocking(False)
         self._wake.setblocking(False)
@@ -183,6 +187,8 @@
                     self._read.recv(4096)
                 except BlockingIOError:
                     continue
+                if self.broken:
+                    self.on_broken()
                 done = self._done
                 for number in [n for n in self._then if n <= done]:
                     then = self._then.pop(number)
@@ -214,14 +220,23 @@
                     return
                 batch.append(more)
                 size += _size(more[1])
-            self._commit(batch)
-            self._done = batch[-1][0]
             try:
-                self._wake.send(b"\0")
-            except (BlockingIOError, OSError):
-                pass  # a byte is there already, or the loop has ended
+                self._commit(batch)
+            except Damaged as error:
+                note("file breaks", "error", why=str(error))
+                self.broken = True
+                return self._tell()
+            self._done = batch[-1][0]
+            self._tell()
+
+    def _tell(self) -> None:
+        try:
+            self._wake.send(b"\0")
+        except (BlockingIOError, OSError):
+            pass  # a byte is there already, or the loop has ended
 
     def _commit(self, batch: list[tuple[int, Write]]) -> None:
+        """Raises Damaged where trying again is of no use."""
         while True:
             try:
                 self._db.execute("begin immediate")
@@ -231,6 +246,8 @@
                 self._db.execute("commit")
                 break
             except sqlite3.Error as error:
+                if getattr(error, "sqlite_errorcode", 0) & 0xFF in BROKEN:
+                    raise Damaged(str(error)) from error
                 note("disk refuses", "warning", why=str(error))
                 try:
                     self._db.execute("rollback")
--- a/oakvale/headworks/process.py
+++ b/oakvale/headworks/process.py
@@ -38,6 +38,7 @@
 
 note = Writer(__name__)
 SWEEP = 1_000_000
+BROKEN = 3  # the status to end with: the next start puts the file aside, and is let in as a seat without state
 READY = 3_000_000  # after it began to serve; by then, who waited for it has been served
 OPENS, PAUSE = 50, 0.2  # tries at the disk at the start, and seconds between them
 
@@ -129,6 +130,7 @@
         process.contracts(settings)
 
     process.contracts(settings)
+    process.cistern.on_broken = loop.stop
     loop.start(signals.run(process.stop, again), signals.fileno(), Rank.DISCOVERY)
     gc.collect()
     gc.freeze()
@@ -139,5 +141,8 @@
         process.cistern.close()
         loop.close()
         signals.close()
+    if process.cistern.broken:
+        note("ends, its file is broken", "error", node=settings.node)
+        return BROKEN
     note("stopped", node=settings.node)
     return 0
--- a/tests/test_cistern.py
+++ b/tests/test_cistern.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from oakvale.base.loop import READ
 from oakvale.cistern import store
 from oakvale.cistern.store import Cistern
 from oakvale.lab.flume.disks import Held
@@ -177,6 +178,30 @@
     ended(cistern)
 
 
+def test_a_file_that_breaks_in_use_is_written_to_no_more_and_put_aside_at_the_start(tmp_path: Path) -> None:
+    """It was tried again for ever, and the machine stayed up with its vote, but silent."""
+    cistern, told, on_disk = opened(tmp_path), list[str](), list[int]()
+    cistern.on_broken = lambda: told.append("broken")
+    rows = [(f"k{n}", bytes(2_000)) for n in range(2_000)]
+    cistern._commit([(0, ("rows", rows))])
+    cistern._db.execute("pragma wal_checkpoint(truncate)")
+    cistern._db.execute("pragma cache_size=1")
+    with open(tmp_path / "oakvale.db", "r+b") as file:
+        file.seek(8 * 4096)
+        file.write(b"\xff" * 800 * 4096)
+    for n in range(1, 4):
+        cistern.write(("rows", [(f"k{n * 500}", b"new")]), lambda n=n: on_disk.append(n))  # type: ignore[misc]
+    cistern._thread.join(5)
+    notice = cistern._notice()
+    next(notice), notice.send(READ)
+    notice.close()
+    assert cistern.broken and told == ["broken"] and not on_disk
+    cistern._db.close()
+    again = opened(tmp_path)
+    assert not again.first and again.rows() == []
+    ended(again)
+
+
 def test_the_file_stays_bounded_over_10_000_changes(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(os, "fsync", lambda fd: None)
     cistern, rng = opened(tmp_path), random.Random(1)
