--- /dev/null
+++ b/bench/draw.py
@@ -0,0 +1,148 @@
+"""Draws days in which troubles of every kind come together and more than once.
+
+    draw.py SEED... --out DIR [--grown]
+
+writes DIR/drawn-SEED.toml, a day for `fleetbench run` and for `hardening.py play`. The same seed gives the same day.
+The standard days take their troubles from a site's own list, and keep some apart; these take all kinds that `fleetbench
+kinds` lists, at any moment, on any site (`--grown` adds the kinds that only the grown sites know). Times are seconds
+from the start of traffic. The bench holds back or cuts down what would lose more core machines than a site tolerates.
+"""
+
+import argparse
+import random
+import sys
+from pathlib import Path
+
+CHANGES = ("route", "weights", "timeout", "tenant", "quota", "idle")
+BAD = ("old_version", "same_version", "cut_short", "unknown_service", "same_place", "")
+AIMS = ("", "leader", "reader", "seed")
+THEN = ("", "meet", "race", "hard", "drain", "meet race")
+CUTS = ("", "one_way", "seeds", "both")
+ENDS = ("", "reset", "refuse")
+CLOSINGS = (("power_off_all", ""), ("wipe_after_ack", "aimed"), ("wipe_after_ack", "timed"), ("kill_all", ""), ("", ""))
+
+Entry = dict[str, str | float | int]
+
+
+def planned(draw: random.Random) -> Entry:
+    """One entry of planned work, without its time."""
+    kind = draw.choice(
+        ["config_change"] * 4 + ["config_race", "bad_config", "revoke", "release", "scale_in", "scale_out"]
+    )
+    if kind == "config_change":
+        return {"kind": kind, "how": draw.choice(CHANGES)}
+    if kind in ("config_race", "bad_config", "revoke"):
+        entry: Entry = {"kind": kind, "count": draw.randint(2, 6), "gap_s": round(draw.uniform(0.2, 1.5), 2)}
+        return entry | ({"how": draw.choice(BAD)} if kind == "bad_config" else {})
+    if kind == "release":
+        return {"kind": kind, "share": round(draw.uniform(0.1, 0.4), 2), "x": 1.0, "gap_s": 1.0}
+    if kind == "scale_in":
+        return {"kind": kind, "share": 0.12, "how": draw.choice(("", "spot"))}
+    return {"kind": kind, "share": 0.2, "gap_s": 3.0}
+
+
+def how(draw: random.Random, *words: tuple[str, ...]) -> str:
+    return " ".join(filter(None, (draw.choice(each) for each in words)))
+
+
+def trouble(draw: random.Random, grown: bool) -> Entry:
+    """One trouble, without its time."""
+    span = round(draw.uniform(1.0, 7.0), 1)
+    share = round(draw.uniform(0.1, 0.5), 2)
+    core: list[Entry] = [
+        {"kind": "core_cut", "count": 1, "for_s": draw.choice((span, 12.0)), "how": how(draw, CUTS, AIMS, ENDS, THEN)},
+        {"kind": "node_kill", "on": "core", "count": 1, "for_s": span, "how": how(draw, ("", "power"), AIMS, THEN)},
+        {"kind": "node_freeze", "on": "core", "count": 1, "for_s": span, "how": how(draw, AIMS, THEN)},
+        {"kind": "node_slow", "on": "core", "count": 1, "x": 5.0, "for_s": span, "how": how(draw, AIMS)},
+        {
+            "kind": "replace_core",
+            "x": round(draw.uniform(0.3, 3.0), 1),
+            "how": how(draw, ("", "planned"), ("", "leader")),
+        },
+        {"kind": "after_ack_wipe", "for_s": span, "how": draw.choice(("", "timed", "kill"))},
+        {"kind": "after_ack_kill", "for_s": span, "how": draw.choice(("", "timed", "kill", "taken"))},
+        {"kind": "herd_kill", "on": "core", "for_s": 1.0, "how": draw.choice(("", "power", "taken"))},
+        {"kind": "roll_term", "on": "core", "gap_s": 1.0, "how": draw.choice(("", "busy", "remove"))},
+        {"kind": "reset_conns", "on": "core", "share": share, "x": 0.6},
+        {"kind": "ack_lost", "x": 0.7, "for_s": span},
+        {"kind": "seed_turnover"},
+        {"kind": "clock_step", "share": 0.3, "x": 2400.0, "for_s": span, "how": draw.choice(("back", "ahead"))},
+    ]
+    core += [
+        {"kind": kind, "count": 1, "for_s": span, "how": draw.choice(("", "leader"))}
+        for kind in ("disk_slow", "disk_stall", "disk_full")
+    ]
+    rest: list[Entry] = [
+        {"kind": "reset_conns", "share": share, "x": 0.5},
+        {"kind": "node_freeze", "share": share / 2, "for_s": span},
+        {"kind": "node_slow", "share": share / 2, "x": 5.0, "for_s": span},
+        {"kind": "node_kill", "share": share / 2, "for_s": span, "how": draw.choice(("", "power"))},
+        {"kind": "node_cut", "share": share / 2, "for_s": span, "how": draw.choice(("", "servers"))},
+        {"kind": "herd_kill", "share": 0.5, "for_s": 2.0, "how": draw.choice(("", "power"))},
+        {"kind": "roll_term", "share": 0.5, "gap_s": 1.0, "how": draw.choice(("", "busy", "remove"))},
+        {"kind": "hup", "share": 0.5, "gap_s": 2.0},
+        {"kind": "answer_lost", "share": share, "x": 0.04, "for_s": span, "how": draw.choice(("", "reset"))},
+        {"kind": "garble", "share": share, "x": 0.03, "for_s": span, "how": draw.choice(("", "extra", "extra late"))},
+        {"kind": "srv_crash", "share": 0.15, "for_s": span, "how": draw.choice(("", "dark", "gone"))},
+        {"kind": "replace_with_reuse", "share": 0.1, "how": draw.choice(("", "drain", "dark"))},
+        {"kind": "srv_slow", "share": 0.15, "x": 4.0, "for_s": span},
+        {"kind": "hot_tenant", "x": 6.0, "for_s": span},
+        {"kind": "burst", "x": 1.4, "for_s": 2.0},
+        {"kind": "retry_abuse", "share": 0.2, "x": 2.0, "for_s": span},
+    ]
+    only_grown: list[Entry] = [
+        {"kind": "idle_race", "share": 0.5, "x": 320.0, "for_s": span},
+        {"kind": "srv_flap", "share": 0.1, "gap_s": 1.4, "for_s": span},
+        {"kind": "srv_grey", "share": 0.14, "x": 0.45, "for_s": span, "how": draw.choice(("errors", "mute", "reset"))},
+        {"kind": "lossy", "x": 0.025, "for_s": span},
+    ]
+    return draw.choice(core if draw.random() < 0.6 else rest + (only_grown if grown else []))
+
+
+def written(entry: Entry) -> str:
+    told = ", ".join(
+        f'{name} = "{value}"' if isinstance(value, str) else f"{name} = {value}" for name, value in entry.items()
+    )
+    return f"  {{ {told} }},\n"
+
+
+def times(draw: random.Random, length: int, count: int) -> list[float]:
+    return sorted(round(draw.uniform(1.0, length - 3.0), 1) for _ in range(count))
+
+
+def timed(at: float, entry: Entry) -> Entry:
+    return {"at": at, **entry}
+
+
+def day(seed: int, grown: bool) -> str:
+    draw = random.Random(seed)
+    length = draw.choice((32, 32, 45, 60))
+    plan: list[Entry] = [timed(at, planned(draw)) for at in times(draw, length, draw.randint(5, 20))]
+    faults: list[Entry] = [
+        timed(at, trouble(draw, grown)) for at in times(draw, length, draw.randint(5, 12) * length // 32)
+    ]
+    kind, variant = draw.choice(CLOSINGS)
+    closing = f'closing = {{ kind = "{kind}", down_s = 1.0' + (f', how = "{variant}"' if variant else "") + " }\n"
+    return (
+        f"# Drawn by draw.py, seed {seed}.\n[[day]]\n"
+        f'name = "drawn-{seed}"\nslot = "trouble"\nseed = {seed}\nlength_s = {length}\n'
+        "one = 0.8\nzero = 0.4\ngoal = { floor = 0.1 }\nfloor_classes = []\nfloor_zones = []\nlabels = []\n"
+        f"wall = 4.0\nlight = false\n{closing if kind else ''}"
+        f"plan = [\n{''.join(map(written, plan))}]\nfaults = [\n{''.join(map(written, faults))}]\n"
+    )
+
+
+def main(arguments: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("seeds", type=int, nargs="+")
+    parser.add_argument("--out", type=Path, required=True)
+    parser.add_argument("--grown", action="store_true")
+    told = parser.parse_args(arguments)
+    told.out.mkdir(parents=True, exist_ok=True)
+    for seed in told.seeds:
+        (told.out / f"drawn-{seed}.toml").write_text(day(seed, told.grown))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
