--- a/tests/test_daybook.py
+++ b/tests/test_daybook.py
@@ -7,7 +7,9 @@
 import subprocess
 import sys
 from collections.abc import Callable, Iterator
+from typing import Any
 
+import eliot
 import pytest
 
 from oakvale.lifecycle import daybook
@@ -15,6 +17,10 @@
 Lines = Callable[[], list[str]]
 
 
+def _nowhere(_: dict[str, Any]) -> None:
+    pass
+
+
 @pytest.fixture
 def lines() -> Iterator[Lines]:
     """A daybook open on a pipe; each call gives what was written since, without its time."""
@@ -22,6 +28,8 @@
     level, handlers = root.level, root.handlers[:]
     read, write = os.pipe()
     os.set_blocking(read, False)
+    eliot.add_destinations(_nowhere)  # eliot keeps what was noted before the first destination, for that one
+    eliot.remove_destination(_nowhere)
     daybook.configure("info", 3, write)
 
     def since() -> list[str]:
