The deploy file lists the system packages that a clean build needs, and the check holds it to them

Cause: the operators' machines have nothing that is not listed; the file listed nothing, so what a build needs was known by trying.

--- a/oakvale/intake/deploy.py
+++ b/oakvale/intake/deploy.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from oakvale.intake import packages
 from oakvale.intake.table import BadFile, Table, read
 
 FIELDS = ("run", "on", "share", "count", "serves", "apart")
@@ -35,6 +36,7 @@
 @dataclass(slots=True, frozen=True)
 class Deploy:
     build: str
+    packages: tuple[str, ...]
     roles: tuple[Role, ...]
 
 
@@ -61,7 +63,33 @@
     for what in SERVED:
         if not any(what in role.serves for role in roles):
             raise BadFile(f"[roles] no role serves {what!r}")
-    return Deploy(build, roles)
+    return Deploy(build, _packages(whole, build, roles), roles)
+
+
+def _packages(whole: Table, build: str, roles: tuple[Role, ...]) -> tuple[str, ...]:
+    """Raises BadFile where the list is not one, or lacks what `build` or a role calls."""
+    whole.get("packages", list)
+    listed = whole.texts("packages")
+    if odd := [name for name in listed if not packages.is_name(name)]:
+        raise whole.wrong("packages", f"holds what is no package's name: {odd[0]!r}")
+    if len(set(listed)) < len(listed):
+        raise whole.wrong("packages", "names a package twice")
+    try:
+        packages.check_commands(packages.commands_of(build), listed)
+    except ValueError as error:
+        raise whole.wrong("build:", f"is no command of a shell: {error}") from error
+    except packages.Unlisted as error:
+        raise whole.wrong("build:", str(error)) from error
+    for role in roles:
+        try:
+            packages.check_commands([role.run], listed)
+        except packages.Unlisted as error:
+            raise BadFile(f"[roles.{role.name}] run: {error}") from error
+    try:
+        packages.check_python(listed)
+    except packages.UnsupportedPython as error:
+        raise whole.wrong("packages:", str(error)) from error
+    return listed
 
 
 def _role(name: str, table: Table) -> Role:
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -27,8 +27,8 @@
 new-field = 3
 """
 ROLES = (
-    'build = "true"\n[roles.sluice]\nrun = "python3 -m oakvale sluice"\non = "edge"\nshare = 1.0\n'
-    'serves = ["edge"]\n[roles.headworks]\nrun = "python3 -m oakvale headworks"\non = "core"\ncount = 1\n'
+    'build = "true"\npackages = ["python3"]\n[roles.sluice]\nrun = "python3 -m oakvale sluice"\non = "edge"\n'
+    'share = 1.0\nserves = ["edge"]\n[roles.headworks]\nrun = "python3 -m oakvale headworks"\non = "core"\ncount = 1\n'
     'serves = ["ctl"]\n'
 )
 
@@ -54,7 +54,16 @@
             SETTINGS,
             ["core-a-1 at 10.1.0.33", "fits: headworks", "ctl: 10.1.0.33:8783", "ports 7340 to 7355"],
         ),
-        ("deploy", ROLES, ["sluice on edge: a share of 1 of a zone", "headworks on core: 1 of a zone", "serves ctl"]),
+        (
+            "deploy",
+            ROLES,
+            [
+                "packages: python3; ",
+                "sluice on edge: a share of 1 of a zone",
+                "headworks on core: 1 of a zone",
+                "serves ctl",
+            ],
+        ),
         ("config", config(), ["gen 7", "routes: 1, 1 of them safe", "services: s", "tenants: 1 with 2 keys"]),
     ],
 )
--- /dev/null
+++ b/tests/test_packages.py
@@ -0,0 +1,114 @@
+"""System packages in the deploy file: their names, what `build` and the roles call, and the interpreter they bring."""
+
+from __future__ import annotations
+
+import ast
+import re
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from oakvale.intake import deploy, packages
+from oakvale.intake.table import BadFile
+
+ROOT = Path(__file__).parent.parent
+SYSTEM = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+SPLIT_OFF = set(packages.MODULES) | {"idlelib", "turtle", "_gdbm", "dbm"}
+"""Modules of the standard library that Debian does not ship in python3 and its dependencies."""
+LABORATORY = ("lab", "demo")  # not run on the operators' machines
+
+
+def changed(**fields: object) -> dict[str, object]:
+    return {**SYSTEM, **fields}
+
+
+@pytest.mark.parametrize(
+    "build, program",
+    [
+        ("gcc -c x.c", "gcc"),
+        ("mkdir -p target && python3 -m pip -V", "mkdir"),
+        ("if true; then make; fi", "make"),
+        ("X=1 curl -o f", "curl"),
+        ("true | (git log)", "git"),
+        ("python3.9 -V", "python3.9"),
+        ("/opt/bin/tool", "/opt/bin/tool"),
+        ("python3 -m venv target/env", "python3-venv"),
+        ("python3 -m pip -V >target/log; unheard-of", "unheard-of"),
+    ],
+)
+def test_a_program_that_no_listed_package_brings_is_refused(build: str, program: str) -> None:
+    with pytest.raises(BadFile, match=rf"build: .*{re.escape(program)}"):
+        deploy.decode(changed(build=build))
+
+
+def test_the_build_line_needs_each_package_of_the_list() -> None:
+    listed = SYSTEM["packages"]
+    assert deploy.decode(SYSTEM).packages == tuple(listed)
+    for left_out in ("python3", "python3-pip"):
+        with pytest.raises(BadFile, match="build: "):
+            deploy.decode(changed(packages=[name for name in listed if name != left_out]))
+
+
+def test_a_role_calls_only_what_is_listed() -> None:
+    roles = {**SYSTEM["roles"], "sluice": {**SYSTEM["roles"]["sluice"], "run": "node gateway.js"}}
+    with pytest.raises(BadFile, match=r"\[roles.sluice\] run: 'node' is brought by no listed package"):
+        deploy.decode(changed(roles=roles))
+
+
+@pytest.mark.parametrize(
+    "listed, why",
+    [
+        (None, "packages is not understood"),
+        ("python3", "packages is not understood"),
+        ([3], "packages holds what is not a text"),
+        (["Python3"], "packages holds what is no package's name: 'Python3'"),
+        (["python3", "python3-pip=23.0"], "packages holds what is no package's name: 'python3-pip=23.0'"),
+        (["python3", "python3-pip", "python3"], "packages names a package twice"),
+        (["python3.9", "python3-pip"], "build: 'python3' is brought by no listed package"),
+    ],
+)
+def test_a_list_that_is_none(listed: object, why: str) -> None:
+    with pytest.raises(BadFile, match=re.escape(why)):
+        deploy.decode(changed(packages=listed))
+
+
+def test_the_list_must_be_there() -> None:
+    with pytest.raises(BadFile, match="packages is missing"):
+        deploy.decode({name: value for name, value in SYSTEM.items() if name != "packages"})
+
+
+@pytest.mark.parametrize("version", [(3, 9), (3, 10), (3, 15), (4, 0)])
+def test_an_interpreter_that_is_not_supported(version: tuple[int, int], monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(packages, "installed_python", lambda _: version)
+    with pytest.raises(BadFile, match=r"packages: python3 is Python \d\.\d+: 3\.11 to 3\.14 is supported"):
+        deploy.decode(SYSTEM)
+
+
+@pytest.mark.parametrize("package", ["python3.10", "python3.15-minimal"])
+def test_a_named_interpreter_that_is_not_supported(package: str) -> None:
+    with pytest.raises(packages.UnsupportedPython, match=package):
+        packages.check_python([package])
+
+
+def test_the_supported_versions_are_the_project_s() -> None:
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    assert project["requires-python"] == f">={'.'.join(map(str, packages.OLDEST_PYTHON))}"
+
+
+def test_the_roles_import_nothing_that_debian_splits_off() -> None:
+    for path in (ROOT / "oakvale").rglob("*.py"):
+        if path.relative_to(ROOT / "oakvale").parts[0] in LABORATORY:
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            names = [alias.name for alias in node.names] if isinstance(node, ast.Import) else []
+            names += [node.module] if isinstance(node, ast.ImportFrom) and node.module else []
+            for name in (name.partition(".")[0] for name in names):
+                assert not (name in sys.stdlib_module_names and name in SPLIT_OFF), f"{path}: {name}"
+
+
+def test_commands_of_a_script() -> None:
+    script = "[ a -nt b ] || X=1 python3 -m pip -q >log 2>&1; if true; then\n ls | wc; fi"
+    programs = [words[0] for words in packages.commands_of(script)]
+    assert programs == ["[", "python3", "true", "ls", "wc", "fi"]
