--- a/test.sh
+++ b/test.sh
@@ -5,4 +5,4 @@
 ruff format --check .
 ruff check .
 mypy
-python -m pytest -q
+python -m pytest -q -n auto
