The scale run is taken out: hollow gateways, its simulated twin, tables, plots, tests

Change: oakvale lab scale, oakvale/lab/scale, lab/flume/scale, lab/capacity, their tests and plots are gone; the one function that another test used stands in that test.

--- a/oakvale/lab/commands.py
+++ b/oakvale/lab/commands.py
@@ -251,56 +251,6 @@
     return INTERRUPTED if tally.partial else 0
 
 
-def scale(args: argparse.Namespace) -> int:
-    """The scale run at each size, or the sums of one that was measured."""
-    from oakvale.lab.scale import run, sizes, sums
-
-    if args.sums or args.plots:
-        try:
-            rows = sums.load(args.file)
-        except sums.BadRows as error:
-            raise Wrong(error) from error
-        if args.plots:
-            from oakvale.lab.scale import plots
-
-            plots.draw(rows, args.plots)
-        print(sums.page(rows) if args.sums else f"{args.plots}/capacity-*.svg")
-        return 0
-    whole = True
-    try:
-        asked = [sizes.size_of(count) for count in args.gateways] or list(sizes.SIZES)
-    except ValueError as error:
-        raise Wrong(f"--gateways: {error}") from error
-
-    def tell(row: dict[str, Any]) -> None:
-        try:
-            with open(args.file, "a") as file:
-                file.write(json.dumps(row) + "\n")
-        except OSError as error:
-            raise Wrong(f"{args.file}: cannot be written: {error.strerror}") from error
-        print(sums.brief(row), flush=True)
-
-    if args.pieces:
-        from oakvale.lab.scale import pieces
-
-        for size in asked:
-            for row in pieces.measured(size):
-                tell(row)
-        return 0
-    with Progress(len(asked), "sizes", args.quiet) as bar:
-        for at, size in enumerate(asked):
-
-            def show(step: str, at: int = at, size: sizes.Size = size) -> None:
-                bar.show(at, f"{size.gateways} gateways: {step}")
-
-            for beat in (args.beat, 4 * args.beat):  # where the beats alone are too many, the rest with fewer
-                one = run.Run(size, tell, args.seconds, args.patience, args.limit, beat, not args.one_by_one, show)
-                whole = one.play() and whole
-                if "backends" in one.reached:
-                    break
-    return 0 if whole else BROKEN
-
-
 def _short(tally: Tally) -> str:
     return f"{tally.due} due, {tally.done()} done"
 
@@ -411,26 +361,6 @@
     checked = add("check", check, "search all interleavings of the control state's small core; 1 if one is bad")
     if words[:1] == ["check"]:  # its arguments are told by what it imports
         _checker().arguments(checked)
-    grown = add("scale", scale, "play the control side at growing sizes on loopback, with hollow gateways and backends")
-    grown.add_argument("file", help="of rows, JSON lines: they are added as they come, or summed up")
-    grown.add_argument("--gateways", type=_whole, nargs="+", default=[], metavar="N", help="(30 100 235 470)")
-    grown.add_argument("--seconds", type=_over(0), default=15.0, help="of a steady part (default: %(default)g)")
-    grown.add_argument("--patience", type=_over(0), default=60.0, help="seconds with each wait (default: %(default)g)")
-    grown.add_argument("--limit", type=_over(0), default=240.0, help="seconds of each size (default: %(default)g)")
-    grown.add_argument(
-        "--beat",
-        type=_over(0),
-        default=1.5,
-        help="seconds between two beats of a backend; four times that where the run stops at them (%(default)g)",
-    )
-    grown.add_argument(
-        "--one-by-one",
-        action="store_true",
-        help="gateways begin one process after the other; else so where they can't all at once",
-    )
-    grown.add_argument("--pieces", action="store_true", help="single parts of the code instead, in this process alone")
-    grown.add_argument("--sums", action="store_true", help="the tables of docs/CAPACITY.md, from the rows of the file")
-    grown.add_argument("--plots", metavar="FOLDER", help="its plots, from the rows of the file")
     pump = add("load", load, "open-loop load on a loopback URL, with latencies from when each request was due")
     pump.add_argument("url", help="http://127.0.0.1:PORT/PATH; anything but loopback is refused")
     pump.add_argument("--rate", type=_over(0), default=100.0, help="requests a second (default: %(default)g)")
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -15,7 +15,6 @@
 from oakvale.headworks import pieces
 from oakvale.headworks.core import SILENCE, Core
 from oakvale.headworks.pieces import PIECE, cut, join, names
-from oakvale.lab.flume.scale import configuration
 from oakvale.lab.flume.works import Layout, Station, Works
 from oakvale.penstock.table import NOTHING, Entry
 from tests.simulated import MS, SECOND
@@ -23,6 +22,25 @@
 from tests.world import Machine, World
 
 
+def configuration(gen: int, tenants: int = 16) -> bytes:
+    """A valid configuration of one route."""
+    return json.dumps(
+        {
+            "gen": gen,
+            "limits": {"hdr-bytes": 16384, "body-bytes": 65536, "hdr": "3000ms", "idle": "15000ms"},
+            "routes": {
+                "cols": ["name", "vhost", "prefix", "type", "deadline", "target_time", "tries", "svc"],
+                "rows": [["read", "a.example", f"/read{gen}/", "safe", "1200ms", "300ms", 2, "alpha"]],
+            },
+            "svcs": {"cols": ["name", "hcheck"], "rows": [["alpha", "/healthz"]]},
+            "tenants": {
+                "cols": ["name", "apikeys", "rate-per-s", "burst"],
+                "rows": [[f"tenant-{n}", [f"key-{n}"], 100_000, 100_000] for n in range(tenants)],
+            },
+        }
+    ).encode()
+
+
 def drawn(rng: random.Random, rows: int) -> list[Entry]:
     sizes = (0, 10, 300, 5_000, PIECE - 20, PIECE, 3 * PIECE + 5)
     return [
