A voter on duties that may have lost its votes says nothing for one span

Cause: a core machine that came back with an empty disk, or that a view had just let in, voted on duties at once. If its earlier vote was one of a bare majority, the lost vote and the new one made two holders for up to 1.9 s, and a tenant was counted twice over (QUOTA). Found by asking of each acknowledgement on which disk it lies. Change: it answers neither ballots nor questions for a holder until a span has passed since it began without votes, or since it became a witness; who is no witness is silent. Silence rather than a no, as a no ends a candidate's round.

--- a/oakvale/headworks/core.py
+++ b/oakvale/headworks/core.py
@@ -107,6 +107,11 @@
     def view(self) -> View | None:
         return self.copying.view()
 
+    def is_witness(self) -> bool:
+        """Whether the view that is known here names this seat as a witness."""
+        view = self.view()
+        return view is not None and self.own in view.witnesses
+
     def primary(self) -> Seat | None:
         """Who serves, as far as known here and lately heard of."""
         view = self.view()
--- a/oakvale/headworks/jury.py
+++ b/oakvale/headworks/jury.py
@@ -1,7 +1,13 @@
-"""A core machine as juror: it votes on who does the duties of gateways, and keeps on disk whom it voted for."""
+"""A core machine as voter: it votes on who does the duties of gateways, and keeps on disk whom it voted for.
+
+A voter that can't know whether an earlier vote of its place still binds says nothing for one span: one that begins with
+an empty disk may have lost its votes, and one that a view has just let in takes the place of another voter. Without an
+answer it counts neither for nor against a candidate, so the other voters elect without waiting for it.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import cbor2
@@ -9,7 +15,7 @@
 from oakvale.base.address import parse_address
 from oakvale.base.loop import Loop
 from oakvale.cistern.store import Cistern
-from oakvale.gauge.ballots import Ask, Juror
+from oakvale.gauge.ballots import SPAN, Ask, Juror
 from oakvale.mains.links import Answer, Conn, Mains
 
 AGAIN = 100_000  # before a holder that did not answer is asked once more
@@ -17,9 +23,24 @@
 
 
 class Jury:
-    def __init__(self, loop: Loop, mains: Mains, cistern: Cistern) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        mains: Mains,
+        cistern: Cistern,
+        first_start: bool = True,
+        is_voter: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """`first_start`: the whole system starts for the first time, so an empty disk has lost no vote;
+        `is_voter`: whether the view that is known here names this machine as a witness.
+        """
         self._loop, self._mains, self._cistern = loop, mains, cistern
+        self._is_voter = is_voter
         stored = cistern.fact("votes")
+        self._known = stored is not None or first_start  # which votes of this machine may bind
+        if not self._known:
+            loop.at(loop.now + SPAN, self._span_over)
+        self._voter_since: int | None = loop.now - SPAN if is_voter() else None
         found = cbor2.loads(stored) if stored else {}
         kept = {str(duty): (str(life), str(where)) for duty, (life, where) in found.items()}
         self._juror, self._kept = Juror(kept, loop.now), kept
@@ -34,7 +55,25 @@
     def ended(self, life: str) -> None:
         self._juror.ended(life, self._loop.now)
 
+    def _span_over(self, _: Any) -> None:
+        """Whatever this machine voted for before it lost its disk binds no longer; a start from here on knows that."""
+        self._cistern.write(("fact", ("votes", cbor2.dumps(self._kept))), self._now_known)
+
+    def _now_known(self) -> None:
+        self._known = True
+
+    def _may_speak(self) -> bool:
+        """Whether no vote that this machine doesn't know of may still bind its place among the voters."""
+        if not self._is_voter():
+            self._voter_since = None
+            return False
+        if self._voter_since is None:
+            self._voter_since = self._loop.now
+        return self._known and self._loop.now - self._voter_since >= SPAN
+
     def _ballot(self, conn: Conn, body: Any, answer: Answer) -> None:
+        if not self._may_speak():
+            return
         duty, kind, number, where = str(body[0]), str(body[1]), (int(body[2][0]), str(body[2][1])), str(body[3])
         # the clock of this moment: a process that stood still in its turn would bind itself to a time that is over
         word = self._juror.hear(Ask(duty, kind, number), where, self._loop.clock())
@@ -74,6 +113,8 @@
     def _who(self, conn: Conn, body: Any, answer: Answer) -> None:
         """Who asks may live where the holder did, which then has ended; but the question may be one that was long on
         its way, so it is asked back."""
+        if not self._may_speak():
+            return
         duty, where, life = str(body[0]), str(body[1]), str(body[2])
         held = self._juror.holder(duty, self._loop.now)
         if held is None or held[1] != where or held[0] == life:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -134,6 +134,8 @@
         self.life: Life | None = None
         self.gauge: Gauge | None = None
         self.disk: dict[str, bytes] = {}
+        self.first_start = True  # of the whole system: an empty disk has lost nothing
+        self.is_witness = True
         self.sync_ms = 8
         self.off = False  # without power: nothing is refused either
         self.slow = 0  # microseconds more, each way
@@ -149,7 +151,8 @@
         life = self.life = Life(self, self.fleet.lives)
         loop, mains = cast(Any, Loop(self.fleet, life)), cast(Any, Mains(life))
         if self.juror:
-            Jury(loop, mains, cast(Any, Cistern(life)))
+            Jury(loop, mains, cast(Any, Cistern(life)), self.first_start, lambda: self.is_witness)
+            self.first_start = False
             return
         self.members = Members()
         self.gauge = Gauge(
@@ -183,6 +186,11 @@
                             m.run(other, lambda: other.waiting.pop(n, (None, lambda answer: None))[1](None)),
                         )
 
+    def wipe(self) -> None:
+        """It loses its disk, and is killed for that."""
+        self.kill()
+        self.disk = {}
+
     def swift(self) -> None:
         self.slow, self.lossy = 0, 0.0
 
