--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -1,5 +1,5 @@
-"""The worst ends of a day for what was just acknowledged: as many disks lost as may be, and power lost everywhere else at
-the same moment; the core in two halves, whatever the tolerance.
+"""The worst ends of a day for what was just acknowledged: as many disks lost as may be while all others lose power; the
+core in two halves, whatever the tolerance.
 """
 
 from __future__ import annotations
