A successor stands above the rounds of the holder before; who ends keeps a duty that nobody takes

And with most gateways leaving a duty went to nobody, though its holder lived on for 3 s. Change: the message names the highest round; all are asked until one takes the duty, and it is counted meanwhile.

--- a/oakvale/gauge/ballots.py
+++ b/oakvale/gauge/ballots.py
@@ -135,8 +135,15 @@
             return None
         return self.stand(duty, now)
 
-    def stand(self, duty: str, now: int) -> Ask | None:
-        """Stands for a duty at once; None where it is held, or a round for it is under way."""
+    def highest_round(self) -> int:
+        """That this gateway took part in or heard of."""
+        return self._round
+
+    def stand(self, duty: str, now: int, above: int = 0) -> Ask | None:
+        """Stands for a duty at once, in a round above the given one; None where it is held, or a round for it is under
+        way.
+        """
+        self._round = max(self._round, above)
         if self.holds(duty, now) or duty in self._bids:
             return None
         self._round += 1
--- a/oakvale/gauge/handover.py
+++ b/oakvale/gauge/handover.py
@@ -22,6 +22,7 @@
 from oakvale.penstock.tree import Member
 
 CONSENT_TIMEOUT_US = 150_000  # for one gateway to say whether it takes a duty
+ASK_AGAIN_US = 200_000  # where nobody takes a duty, since all are told to end
 STANDS_FOR_US = 2_000_000  # a successor stands as if the duty were vacant for so long
 HELD_BACK_US = 400_000  # for so long nobody else stands for a duty that was handed on
 STATE_KEPT_US = 5_000_000  # a former holder answers for the state of its counter
@@ -39,16 +40,18 @@
         own: str,
         successors: Callable[[str], list[Member]],
         others: Callable[[], list[Address]],
-        stand: Callable[[str], None],
+        stand: Callable[[str, int], None],
+        highest_round: Callable[[], int],
         state: Callable[[str], CounterState | None],
         lost: Callable[[str, Address], None],
     ) -> None:
-        """`successors`: who stands next for a duty, the first first; `stand`: stand for it at once; `state`: of the
-        counter of a duty that is or was held here; `lost`: the holder of a duty gave it up.
+        """`successors`: who stands next for a duty, the first first; `stand`: stand for it at once, in a round above
+        one that voters may have promised the former holder; `highest_round`: that any voter is known to have heard
+        of; `state`: of the counter of a duty that was held here; `lost`: the holder of a duty gave it up.
         """
         self._loop, self._mains, self._own = loop, mains, own
         self._successors, self._others = successors, others
-        self._stand, self._state, self._lost = stand, state, lost
+        self._stand, self._highest_round, self._state, self._lost = stand, highest_round, state, lost
         self.ending = False
         self._taken_from: dict[str, tuple[Address, int]] = {}  # duty -> its former holder, and when it was handed here
         self._held_back: dict[str, int] = {}  # duty -> until when others leave it to its successor
@@ -89,29 +92,34 @@
 
     # ---- as holder
 
-    def seek_successors(self, duties: Iterable[str], found: Callable[[dict[str, Address | None]], None]) -> None:
-        """`found` hears who agreed to take each duty, None where nobody did, once that is known of all."""
+    def seek_successors(self, duties: Iterable[str], found: Callable[[dict[str, Address]], None]) -> None:
+        """`found` hears who takes each duty, once that is known of all: who agreed to take it, or else who agreed to
+        take another. While nobody agrees to any, all are asked again and again.
+        """
         wanted, agreed = list(duties), dict[str, Address | None]()
 
         def told(duty: str, successor: Address | None) -> None:
             agreed[duty] = successor
-            if len(agreed) == len(wanted):
-                found(agreed)
+            if len(agreed) < len(wanted):
+                return
+            anyone = next((address for address in agreed.values() if address is not None), None)
+            if anyone is not None:
+                found({each: address or anyone for each, address in agreed.items()})
+            else:
+                self._loop.at(self._loop.now + ASK_AGAIN_US, lambda _: self.seek_successors(wanted, found))
 
         if not wanted:
-            found(agreed)
+            found({})
         for duty in wanted:
             self._ask_next(duty, self._addresses(duty), told)
 
     def hand_on(self, duty: str, successor: Address | None) -> None:
-        """The duty is not held here any more: all are told who comes next."""
-        named = None if successor is None else list(successor)
+        """The duty is not held here any more: all are told who comes next, the successor first."""
         note("handed on", duty=duty, to=successor[0] if successor else "nobody")
-        if successor is not None:
-            self._mains.tell(successor, "handed", [duty, self._own, named])
-        for address in self._others():
-            if address != successor:
-                self._mains.tell(address, "handed", [duty, self._own, named])
+        body = [duty, self._own, None if successor is None else list(successor), self._highest_round()]
+        first = [] if successor is None else [successor]
+        for address in first + [other for other in self._others() if other != successor]:
+            self._mains.tell(address, "handed", body)
 
     def next_for(self, duty: str) -> Address | None:
         """Who would be told to take it without being asked."""
@@ -153,6 +161,6 @@
         if successor == parse_address(self._own):
             if not self.ending:
                 self._taken_from[duty] = (holder, self._loop.now)
-                self._stand(duty)
+                self._stand(duty, int(body[3]))
         else:
             self._held_back[duty] = self._loop.now + HELD_BACK_US
--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -21,6 +21,7 @@
 
 DUTIES = 4  # parts that the tenants are counted in
 STAND = 4  # gateways that stand for a duty
+ASKED_TO_TAKE = 12  # gateways that are asked, one by one, to take a duty from one that ends
 WAIT = 150_000  # microseconds for the counter's answer
 TICK = 60_000
 GREET = 250_000  # without a call to a counter for so long, it is greeted
@@ -94,7 +95,15 @@
         self.alone = Alone(terms, loop.net.rng.random, loop.now)
         self._tenants: dict[str, None] = {}
         self._handover = Handover(
-            loop, mains, own, self._successors, self._others, self._stand_now, self._state, self._gave_up
+            loop,
+            mains,
+            own,
+            self._successors,
+            self._others,
+            self._stand_now,
+            self._candidate.highest_round,
+            self._state,
+            self._gave_up,
         )
         mains.handlers["count"] = self._count
         mains.handlers["greet"] = self._greeted
@@ -540,7 +549,7 @@
         self._ranks.clear()
         self._handover.seek_successors(self.held(), self._hand_on)
 
-    def _hand_on(self, successors: dict[str, Address | None]) -> None:
+    def _hand_on(self, successors: dict[str, Address]) -> None:
         """All duties at once: the voters free all votes for a life together."""
         for duty in list(self._counters):
             self._stop_counting(duty)
@@ -549,19 +558,20 @@
         for juror in self._jury():
             self.mains.tell(juror, "ended", self._life)
         for duty, successor in successors.items():
-            self._handover.hand_on(duty, successor)
+            if duty in self._former:  # else its votes ran out meanwhile, and it was handed on for that
+                self._handover.hand_on(duty, successor)
 
     def _stop_counting(self, duty: str) -> None:
         self._former[duty] = (self._counters.pop(duty), self.loop.now + STATE_KEPT_US)
         self._candidate.drop(duty)
 
     def _successors(self, duty: str) -> list[Member]:
-        """Who stands next for a duty, those in reach first."""
-        found = [member for member in next_on_ring(self._members(), duty, STAND + 1) if member.node != self._node]
+        """Who stands next for a duty, those in reach first; of a large fleet no more than may be asked one by one."""
+        found = [member for member in next_on_ring(self._members(), duty, ASKED_TO_TAKE) if member.node != self._node]
         return sorted(found, key=lambda member: not self._here(member.node))
 
-    def _stand_now(self, duty: str) -> None:
-        self._put(self._candidate.stand(duty, self.loop.now))
+    def _stand_now(self, duty: str, above: int) -> None:
+        self._put(self._candidate.stand(duty, self.loop.now, above))
 
     def _gave_up(self, duty: str, holder: Address) -> None:
         if self._holders.get(duty) == holder:
