A request that is read long after it came is begun only if its client is still there

Cause: a gateway that stood still read requests whose clients had closed meanwhile, and passed them on before it looked; unsafe ones ran to their end. Change: the loop tells for how long what is read may have lain; where that is 100 ms or more and the client has ended its sending, it is probed and waited for, 50 ms at most, once a connection. HTTP/1.0 clients can't be told apart and are served. The drawn test's end took a request that waits for the probe for one that got no verdict: it lets that time pass first.

--- a/oakvale/base/loop.py
+++ b/oakvale/base/loop.py
@@ -124,6 +124,7 @@
         self.now = clock()
         self._late = limits.late
         self.turns = 0
+        self.unread_for = 0  # microseconds that what is read in this turn may have lain, where the process stood still
         self._poller = self.net.poller()
         self._tasks: dict[int, Task] = {}
         self._woken: deque[Task] = deque()
@@ -233,10 +234,13 @@
         """Waits for events or the next timer, then handles all that is there at one clock time."""
         wait = self.wait(longest)
         latest = self.now + int(wait * 1e6) + self._late
+        before = self.now
         events = self._poller.poll(wait)
         self.now = self.clock()
+        self.unread_for = 0
         if self.now > latest:  # it stood still: what came meanwhile is handled before the timers that passed
             events = self._poller.poll(0)
+            self.unread_for = self.now - before
         self.turns += 1
         if len(events) == 1:
             fd, flags = events[0]
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -33,6 +33,8 @@
 EXPIRES = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
 ONCE = (b"x-trace-id", b"x-tier", b"x-expires-in", b"x-call-terms")  # named twice, they say two things
 TERMS_LONGEST = 128
+READ_LATE_US = 100_000  # a request that has lain in the socket for so long may be nobody's any more
+PROBE_ANSWER_US = 50_000  # a socket that was closed answers a probe in a round trip
 UNITS = {"m": 1000, "u": 1}
 SECOND_TRY = 2  # the simulator's mark of a client's repeat
 
@@ -165,6 +167,7 @@
         self.request: InHand | None = None
         self._sock = sock
         self._rest = b""  # of an interim answer, of which the kernel took a part
+        self._waits = False  # its client ended its sending, and is known to wait for answers
         self._came = 0  # when the latest bytes arrived, which may be before they were read
         self._http = self._fresh()
         host.clients.add(self)
@@ -337,6 +340,8 @@
 
     def _answered(self, incoming: Incoming) -> Step[Answer]:
         host = self.host
+        if host.loop.unread_for >= READ_LATE_US and not self._waits and peek(self._sock) == b"":
+            yield from self._look_for_client()
         opened = host.open(self, incoming, self._came)
         if isinstance(opened, Answer):
             return opened
@@ -361,6 +366,17 @@
                 mask, due = select.EPOLLRDHUP, 0 if patient else due or self._due(host.loop.now)
         return self.answer
 
+    def _look_for_client(self) -> Step[None]:
+        """Raises Gone where a client that has ended its sending turns out to have closed: what it asked for is not
+        begun. One that speaks HTTP/1.0 can't be told from one that waits, and is served.
+        """
+        self._probe()
+        due = self.host.loop.now + PROBE_ANSWER_US
+        while (signal := (yield 0, due)) != TIMED_OUT:
+            if signal != WOKEN and signal & BROKEN:
+                raise Gone()
+        self._waits = True
+
     def _due(self, began: int) -> int:
         """When what began to come then must be there, or be answered if it stands behind a request in hand:
         for the first request the time runs from the connection on, however little comes at a time."""
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -530,6 +530,8 @@
         for _ in range(3):
             self.pass_time(3_200 * MS)
         for _ in range(len(self.asked) + 2):
+            if not len(self.plant.requests):
+                self.pass_time(60 * MS)  # one that was read late may wait for whether its client is there
             if not len(self.plant.requests):
                 break
             self.pass_time(9_500 * MS)
--- a/tests/test_abandoned.py
+++ b/tests/test_abandoned.py
@@ -8,7 +8,7 @@
 
 from oakvale.base.net import Sock
 from tests.crossing import World
-from tests.data_plane import Gate, sealed
+from tests.data_plane import KEY, Gate, sealed
 from tests.node import MS, StandIn
 
 LARGE = b"x" * 60_000  # more than small kernel buffers take for a backend that does not read
@@ -173,3 +173,52 @@
     world.turn()
     assert world.plant.shared.backend_connections == 0 and not len(world.plant.requests)
     world.finish()
+
+
+def while_it_stands_still(gate: Gate, client: StandIn, ends: str) -> None:
+    """The client asks and ends while the gateway is not scheduled."""
+    if ends == "half":
+        client.sock.shutdown(socket.SHUT_WR)
+    else:
+        client.close(reset=ends == "reset")
+    gate.clock.now += 2_000 * MS
+    gate.turns(20)
+    gate.pass_time(60 * MS)
+    gate.turns(20)
+
+
+@pytest.mark.parametrize("path", ["/r/x", "/b/x"])
+@pytest.mark.parametrize("ends", ["close", "reset"])
+def test_a_request_that_is_read_long_after_its_client_left_is_not_begun(gate: Gate, path: str, ends: str) -> None:
+    """Seconds after its client had given it up it was passed on, an unsafe one to its end."""
+    client = gate.client()
+    gate.turns()  # its connection is taken before the gateway stands still
+    method = "POST" if path == "/b/x" else "GET"
+    client.send(
+        f"{method} {path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a1\r\nTime-Left: 5000\r\n"
+        f"Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n".encode()
+    )
+    while_it_stands_still(gate, client, ends)
+    assert gate.first.take() is None and gate.second.take() is None
+    assert not gate.gauge.asked, "nor counted"
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_a_client_that_only_ended_its_sending_is_served_however_late_it_is_read(gate: Gate, version: str) -> None:
+    client = gate.client()
+    gate.turns()
+    client.send(
+        f"GET /r/x HTTP/{version}\r\nHost: a.example\r\nAttempt-Id: a1\r\nTime-Left: 5000\r\n"
+        f"Authorization: Bearer {KEY}\r\n\r\n".encode()
+    )
+    while_it_stands_still(gate, client, "half")
+    _, backend, _ = gate.at_backend()
+    backend.send(sealed())
+    gate.until(lambda: b"200 OK" in client.read() and client.came.endswith(b"ok"))
+
+
+def test_a_request_that_is_read_in_time_is_not_held_for_a_probe(gate: Gate) -> None:
+    client = gate.say()
+    client.sock.shutdown(socket.SHUT_WR)
+    gate.turns(3)
+    assert gate.gauge.asked
