The count of a request that surely never ran is given back, once

Cause: a request that was counted and then refused for want of a backend, or whose client left before it was sent, stayed in its tenant's count; at the edge of a quota the next one was refused for it. Change: the answer of the counter bears when it counted; a request without any attempt is given back to that very life of the counter, by a numbered message that is taken once. It gives back no more than the level would be lower by had it never been counted: one, while the level has not been below one since, else what can't have leaked away.

--- a/oakvale/gauge/floors.py
+++ b/oakvale/gauge/floors.py
@@ -51,6 +51,7 @@
     passes: bool
     level: float  # read back
     wait: int  # microseconds until one more would pass
+    counted_at: int = 0  # by the counter's own clock
 
 
 class Floors:
@@ -68,6 +69,7 @@
         self._past: list[tuple[float, float]] = []  # shares that were out of reach, and the clock when it ended
         self._levels: dict[str, tuple[float, float]] = {}  # tenant -> level, and the clock then
         self._uncounted: dict[str, float] = {}
+        self._last_low: dict[str, int] = {}  # tenant -> when a request last found a level below one, rounded up
         self._invited: dict[str, int] = {}  # tenant -> when the latest of those turned away is to come back
         self.floors = 0.0  # DESIGN: of the tenants counted lately; nothing is lent, so they are only told
         self.served = 0
@@ -143,12 +145,28 @@
         level, most = self.level(tenant, quota, now), self._most(quota)
         kept = min(FOR_FIRST, most / 4)
         if level + 1 <= most - (kept if again else 0.0):
+            if level < 1:
+                self._last_low[tenant] = int(self._clock) + 1
             self._levels[tenant] = (level + 1, self._clock)
             self.served += 1
-            return Verdict(True, level + 1, 0)
+            return Verdict(True, level + 1, 0, int(self._clock) + 1)
         self._levels[tenant] = (level, self._clock)
         return Verdict(False, level, self._invite(tenant, quota, level + 1 + kept - most, now))
 
+    def give_back(self, tenant: str, quota: Quota, counted_at: int, now: int) -> float:
+        """Takes back a request that surely never ran; gives by how much the level falls. That is no more than what the
+        level would be lower by if it had never been counted: all of it while the level has been at least one since
+        (it is least when a request comes, and now), else what can't have leaked away yet.
+        """
+        level = self.level(tenant, quota, now)
+        if self._last_low.get(tenant, 0) <= counted_at and level >= 1:
+            amount = 1.0
+        else:
+            amount = min(level, max(0.0, 1 - quota.rate * (self._clock - counted_at + 1) / SECOND))
+        self._levels[tenant] = (level - amount, self._clock)
+        self._last_low[tenant] = int(self._clock) + 2  # what the level was before would have been lower, too
+        return amount
+
     def _invite(self, tenant: str, quota: Quota, over: float, now: int) -> int:
         """The wait of one that is turned away. Each is told a time of its own: all who were told when there is room
         for one would come back together, and one would find it."""
--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -14,7 +14,8 @@
 from oakvale.gauge.floors import SECOND, Alone, Floors, Quota, Read, Terms
 from oakvale.gauge.gathering import Gathering
 from oakvale.gauge.handover import STATE_KEPT_US, Handover
-from oakvale.gauge.state import CounterState
+from oakvale.gauge.returns import Returns
+from oakvale.gauge.state import CounterState, Receipt
 from oakvale.lifecycle.daybook import Writer
 from oakvale.mains.links import Answer, Conn, Mains
 from oakvale.penstock.tree import Member, Members, next_on_ring, place
@@ -94,6 +95,7 @@
         self._read = Read()
         self.alone = Alone(terms, loop.net.rng.random, loop.now)
         self._tenants: dict[str, None] = {}
+        self._returns = Returns(node, life)
         self._handover = Handover(
             loop,
             mains,
@@ -107,6 +109,7 @@
         )
         mains.handlers["count"] = self._count
         mains.handlers["greet"] = self._greeted
+        mains.handlers["give back"] = self._given_back
         mains.handlers["gauge"] = self._announced
         mains.handlers["counts"] = lambda conn, body, answer: answer([self._known(str(body))])
         mains.handlers["levels"] = self._levels
@@ -126,8 +129,10 @@
 
     # ---- asking
 
-    def ask(self, tenant: str, again: bool, then: Told, patience: int = MOMENT) -> None:
-        """Whether one more request of this tenant passes; `again`: it came back after a refusal."""
+    def ask(self, tenant: str, again: bool, then: Told, patience: int = MOMENT, receipt: Receipt | None = None) -> None:
+        """Whether one more request of this tenant passes; `again`: it came back after a refusal. `receipt` is filled in
+        where it was counted, before `then` is called.
+        """
         quota = self._quota(tenant)
         if quota.rate <= 0:
             return then(True, 0, True)
@@ -137,10 +142,12 @@
             self._counters[duty].reach(self._present(), now)
             verdict = self._counters[duty].add(tenant, quota, again, now)
             self._read.note(tenant, verdict.level, now)
+            if receipt is not None and verdict.passes:
+                receipt.tenant, receipt.counter, receipt.counted_at = tenant, self._life, verdict.counted_at
             return then(verdict.passes, verdict.wait, True)
         holder = self._holders.get(duty)
         if holder is None and patience:
-            return self._wait_for(duty, partial(self.ask, tenant, again, then, 0), patience)
+            return self._wait_for(duty, partial(self.ask, tenant, again, then, 0, receipt), patience)
         if holder is None or now - self._doubt.get(duty, -DOUBT) < DOUBT:
             return self._pass_alone(tenant, quota, then)
 
@@ -148,13 +155,15 @@
             if not isinstance(answer, list):
                 self._unanswered(duty, holder)
                 if patience and self._holders.get(duty) != holder:  # it has just handed the duty on, or has ended
-                    once_more = partial(self.ask, tenant, again, then, 0)
+                    once_more = partial(self.ask, tenant, again, then, 0, receipt)
                     return once_more() if duty in self._holders else self._wait_for(duty, once_more, patience)
                 return self._pass_alone(tenant, quota, then)
             self._doubt.pop(duty, None)
             self._contact[duty], self._stamps[holder] = self.loop.now, answer[3]
             passes, level, wait = bool(answer[0]), float(answer[1]), int(answer[2])
             self._read.note(tenant, level, self.loop.now)
+            if receipt is not None and passes and len(answer) > 4:  # the version before tells no time
+                receipt.tenant, receipt.counter, receipt.counted_at = tenant, str(answer[3][0]), int(answer[4])
             then(passes, wait, True)
 
         self._called[duty] = now
@@ -166,6 +175,27 @@
             answered,
         )
 
+    def give_back(self, receipt: Receipt) -> None:
+        """The request surely never ran. A second call does nothing, nor does one for a counter that counts no more."""
+        counter, receipt.counter = receipt.counter, ""
+        if not counter:
+            return
+        duty = duty_of(receipt.tenant)
+        if counter == self._life:
+            self._take_back(receipt.tenant, receipt.counted_at)
+        elif (holder := self._holders.get(duty)) is not None:
+            self.mains.tell(holder, "give back", self._returns.packed(receipt.tenant, counter, receipt.counted_at))
+
+    def _given_back(self, conn: Conn, body: Any, _: Answer) -> None:
+        given = self._returns.taken(body, self._life, self.loop.now)
+        if given is not None:
+            self._take_back(*given)
+
+    def _take_back(self, tenant: str, counted_at: int) -> None:
+        duty = duty_of(tenant)
+        if self._counts(duty):
+            self._counters[duty].give_back(tenant, self._quota(tenant), counted_at, self.loop.now)
+
     def _wait_for(self, duty: str, call: Callable[[], None], patience: int) -> None:
         """Nobody is known to count yet: a moment is given to the ballots."""
         waiting = self._waiting.setdefault(duty, {})
@@ -343,7 +373,7 @@
             quota = Quota(float(body[1]), float(body[2]))  # news of it have not come here yet
         self._counters[duty].reach(self._present(), self.loop.now)
         verdict = self._counters[duty].add(tenant, quota, bool(body[4]), self.loop.now)
-        answer([verdict.passes, verdict.level, verdict.wait, self._stamp()])
+        answer([verdict.passes, verdict.level, verdict.wait, self._stamp(), verdict.counted_at])
 
     def _greet(self, address: Address) -> None:
         """Who calls seldom is reckoned with all the same."""
--- a/oakvale/gauge/state.py
+++ b/oakvale/gauge/state.py
@@ -1,4 +1,4 @@
-"""The state of a counter, as one holder of a duty gives it to the next."""
+"""What is told of a counter: its state, as one holder gives it to the next; where and when it counted one request."""
 
 from __future__ import annotations
 
@@ -28,3 +28,12 @@
             tuple((float(share), int(age)) for share, age in absences),
             {str(node): int(age) for node, age in heard.items()},
         )
+
+
+@dataclass(slots=True)
+class Receipt:
+    """Of one request that was counted. It is given back once at most, and to the very counter that counted it."""
+
+    tenant: str = ""
+    counter: str = ""  # its life; empty while the request was not counted, and once it was given back
+    counted_at: int = 0  # by the clock of that counter
--- a/oakvale/sluice/plant.py
+++ b/oakvale/sluice/plant.py
@@ -4,7 +4,7 @@
 
 import re
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
 
@@ -14,6 +14,7 @@
 from oakvale.gauge.board import Offer
 from oakvale.gauge.dispatch import Boards, Facts, Pick, Turned
 from oakvale.gauge.service import Gauge
+from oakvale.gauge.state import Receipt
 from oakvale.lane import Lane
 from oakvale.mains.links import Mains
 from oakvale.memory.requests import Answer, AttemptOut, InHand
@@ -63,6 +64,7 @@
     pick: Pick | None = None  # the board's advice, until its ticket is handed back
     youth: int | None = None  # microseconds that a connection for it may have been idle, by the board
     last: Answer | None = None  # a backend's own failure, if nothing better comes
+    receipt: Receipt = field(default_factory=Receipt)  # of its count, until it is given back
 
 
 class ServiceLane(Lane):
@@ -77,10 +79,13 @@
         zone: str,
         seed: int,
         budget: SharedBudget,
+        give_back: Callable[[Receipt], None],
         without: frozenset[str] = frozenset(),
     ) -> None:
-        """`without`: backends that the tenants of this lane were moved off."""
-        self.boards, self.without = boards, without
+        """`give_back`: takes the count of a request that never ran; `without`: backends that the tenants of this lane
+        were moved off.
+        """
+        self.boards, self.without, self._give_back = boards, without, give_back
         self._classes: dict[str, tuple[int, i.RequestClass]] = {}
         self._zones, self.service = zones, service
         settings = i.Settings(
@@ -128,6 +133,20 @@
         self.budget.came(self.loop.now)
         super().request_came(request, event)
 
+    def final(self, request: InHand, answer: Answer) -> None:
+        super().final(request, answer)
+        self._count_back(request)
+
+    def client_gone(self, request: InHand) -> None:
+        super().client_gone(request)
+        self._count_back(request)
+
+    def _count_back(self, request: InHand) -> None:
+        """Where no attempt was made, it surely never ran."""
+        if not request.hops:
+            order: Order = request.event
+            self._give_back(order.receipt)
+
     def learn(self, backends: list[Backend], numbers: dict[str, int]) -> None:
         if self.without:
             off = kept({b.id: b.ready for b in backends}, self.without)
@@ -308,7 +327,14 @@
         if lane is None:
             budget = SharedBudget(self._retries, lambda: len(self.picture.members), self._rng.random, self.loop.now)
             lane = self._lanes[service] = ServiceLane(
-                self.shared, self.boards, service, self._zones, self._zone, self._rng.getrandbits(32), budget
+                self.shared,
+                self.boards,
+                service,
+                self._zones,
+                self._zone,
+                self._rng.getrandbits(32),
+                budget,
+                self.gauge.give_back,
             )
         return lane
 
@@ -332,6 +358,7 @@
                 self._zone,
                 self._rng.getrandbits(32),
                 lane.budget,
+                self.gauge.give_back,
                 without,
             )
             aside.learn([b for b in self.picture.backends.values() if b.service == service], self._numbers)
@@ -392,11 +419,12 @@
         self.requests.add(request)
         if order.tenant is None:
             return self._go(request)
-        self.gauge.ask(order.tenant, order.again, partial(self._counted, request), min(MOMENT, order.route.aim // 5))
+        patience = min(MOMENT, order.route.aim // 5)
+        self.gauge.ask(order.tenant, order.again, partial(self._counted, request), patience, order.receipt)
 
     def _counted(self, request: InHand, passes: bool, wait: int, counted: bool) -> None:
         if request.over:
-            return
+            return self.gauge.give_back(request.event.receipt)  # its client left while it was counted
         if passes:
             return self._go(request)
         self.tally.refusals["quota" if counted else "uncounted"] += 1
@@ -441,8 +469,14 @@
             order.pick = None
             self.boards.done(pick, order.route.name, 0, "none")
 
+    def final(self, request: InHand, answer: Answer) -> None:
+        """The answer to a request that was given to no lane."""
+        super().final(request, answer)
+        self.gauge.give_back(request.event.receipt)
+
     def client_gone(self, request: InHand) -> None:
         order: Order = request.event
         if order.given:
             return order.lane.client_gone(request)
         self.abandon(request)
+        self.gauge.give_back(order.receipt)
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -320,7 +320,12 @@
         self.loop = Loop(lambda: self.now, given, cast(Any, self.net))
         self.word: tuple[bool, int, bool] | None = (True, 0, True)  # of the counter; None: later
         self.owed: list[Callable[[bool, int, bool], None]] = []
-        gauge = SimpleNamespace(ask=self._count, counts=lambda duty: False, holder=lambda duty: None)
+        gauge = SimpleNamespace(
+            ask=self._count,
+            counts=lambda duty: False,
+            holder=lambda duty: None,
+            give_back=lambda receipt: None,
+        )
         mains = SimpleNamespace(handlers={})
         self.plant = Plant(
             Shared(self.loop, given),
@@ -357,7 +362,9 @@
         line.up, line.refused, line.room = self.mode == 0, self.mode == 1, self.room
         self.ears.append(Ear(self, line))
 
-    def _count(self, tenant: str, again: bool, then: Callable[[bool, int, bool], None], patience: int) -> None:
+    def _count(
+        self, tenant: str, again: bool, then: Callable[[bool, int, bool], None], patience: int, receipt: Any
+    ) -> None:
         if self.word is None:
             self.owed.append(then)
         else:
--- a/tests/data_plane.py
+++ b/tests/data_plane.py
@@ -10,6 +10,7 @@
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Loop
 from oakvale.budget import Retries
+from oakvale.gauge.state import Receipt
 from oakvale.lifecycle.acceptor import Acceptor, listening
 from oakvale.shared import Shared
 from oakvale.sluice.plant import Plant
@@ -38,11 +39,21 @@
     def __init__(self) -> None:
         self.word = (True, 0, True)
         self.asked: list[tuple[str, bool]] = []
+        self.given_back: list[str] = []
 
-    def ask(self, tenant: str, again: bool, then: Callable[[bool, int, bool], None], patience: int) -> None:
+    def ask(
+        self, tenant: str, again: bool, then: Callable[[bool, int, bool], None], patience: int, receipt: Receipt
+    ) -> None:
         self.asked.append((tenant, again))
+        if self.word[0]:
+            receipt.tenant, receipt.counter = tenant, "life"
         then(*self.word)
 
+    def give_back(self, receipt: Receipt) -> None:
+        if receipt.counter:
+            self.given_back.append(receipt.tenant)
+            receipt.counter = ""
+
     def counts(self, duty: str) -> bool:
         return False
 
--- /dev/null
+++ b/tests/test_give_back.py
@@ -0,0 +1,134 @@
+"""The count of a request that surely never ran is given back, once; the quota holds all the same."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from oakvale.gauge.floors import SECOND, Floors, Quota, Terms
+from oakvale.gauge.returns import REMEMBERED_US, Returns
+from oakvale.gauge.state import Receipt
+from tests.data_plane import Gate
+from tests.fleet import Fleet, Tenant
+from tests.simulated import MS
+
+QUOTA = Quota(20, 20)
+TERMS = Terms(5 * SECOND, 0.1, 20)
+
+
+class Plain:
+    """Which requests were counted, and when: the level is worked out anew from all of them."""
+
+    def __init__(self) -> None:
+        self.counted: dict[int, int] = {}
+
+    def level(self, now: int) -> float:
+        level, last = 0.0, 0
+        for at in sorted(self.counted.values()):
+            level = max(0.0, level - QUOTA.rate * (at - last) / SECOND) + 1
+            last = at
+        return max(0.0, level - QUOTA.rate * (now - last) / SECOND)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_more_is_given_back_than_if_it_had_never_been_counted(seed: int) -> None:
+    rng, now = random.Random(seed), 100 * SECOND
+    floors, plain = Floors(TERMS, now), Plain()
+    floors.nothing_before(now - 100 * SECOND)
+    held: list[tuple[int, int]] = []
+    whole = 0
+    for number in range(400):
+        now += rng.choice([0, 3, 20, 60, 400]) * MS * rng.randrange(2)
+        verdict = floors.add("t", QUOTA, False, now)
+        if verdict.passes:
+            plain.counted[number] = now
+            held.append((number, verdict.counted_at))
+        if held and rng.random() < 0.3:
+            taken, counted_at = held.pop(rng.randrange(max(0, len(held) - 6), len(held)))
+            whole += floors.give_back("t", QUOTA, counted_at, now) == 1
+            del plain.counted[taken]
+        assert floors.level("t", QUOTA, now) >= plain.level(now) - 1e-3, "less than what is counted"
+    assert whole > 10
+
+
+def test_at_the_edge_of_its_quota_a_tenant_has_all_of_it_back() -> None:
+    floors, now = Floors(TERMS, 0), 200 * SECOND
+    while (verdict := floors.add("t", QUOTA, False, now)).passes:
+        counted_at = verdict.counted_at
+    assert floors.give_back("t", QUOTA, counted_at, now) == 1
+    assert floors.add("t", QUOTA, False, now).passes and not floors.add("t", QUOTA, False, now).passes
+
+
+def test_a_message_counts_once_and_for_the_life_that_counted() -> None:
+    sender, counter = Returns("g", "life"), Returns("h", "other")
+    body = sender.packed("t", "this", 5)
+    assert counter.taken(body, "next", 0) is None, "a counter that knows nothing of it"
+    assert counter.taken(body, "this", 0) == ("t", 5)
+    assert counter.taken(body, "this", 1) is None
+    assert counter.taken(sender.packed("t", "this", 5), "this", 2) == ("t", 5)
+    for n in range(5):
+        counter.taken(sender.packed("t", "this", 5), "this", REMEMBERED_US + 3 + n)
+    assert len(counter._taken) == 5
+
+
+def test_a_receipt_is_good_once_at_whatever_gateway_it_was_counted() -> None:
+    fleet = Fleet(1, 6)
+    fleet.run(6 * SECOND)
+    for machine in fleet.gates:
+        gauge = machine.gauge
+        assert gauge is not None
+        for tenant in ("a", "b", "c"):
+            fleet.tenants.setdefault(tenant, idle_tenant(tenant, fleet.now))
+            receipt = Receipt()
+            gauge.ask(tenant, False, lambda *_: None, 0, receipt)
+            fleet.run(20 * MS)
+            before = level(fleet, tenant)
+            assert receipt.counter and before > 0
+            gauge.give_back(receipt)
+            fleet.run(5 * MS)
+            after = level(fleet, tenant)
+            assert after < before - 0.3
+            gauge.give_back(receipt)
+            fleet.run(5 * MS)
+            assert level(fleet, tenant) >= after - 5 * MS * 21 / SECOND
+            fleet.run(500 * MS)
+
+
+def idle_tenant(name: str, now: int) -> Tenant:
+    return Tenant(name, QUOTA, 0.0001, 1, False, at=now)
+
+
+def level(fleet: Fleet, tenant: str) -> float:
+    counters = [m.gauge._counters for m in fleet.gates if m.gauge is not None]
+    found = [floors for held in counters for floors in held.values() if tenant in floors._levels]
+    assert len(found) == 1
+    return found[0].level(tenant, QUOTA, fleet.now)
+
+
+def test_a_refusal_before_any_attempt_gives_the_count_back(gate: Gate) -> None:
+    gate.show(gone=("i-1", "i-2"))
+    assert gate.status(gate.say()) == 503
+    assert gate.gauge.given_back == ["t1"]
+
+
+def test_a_client_that_leaves_before_any_attempt_gives_the_count_back_once(gate: Gate) -> None:
+    named = []
+    gate.plant.boards.ask = lambda service, wait, then, facts=None, without=frozenset(): named.append(then)  # type: ignore[method-assign]
+    client = gate.say()
+    gate.until(lambda: named)
+    client.close(reset=True)
+    gate.until(lambda: gate.gauge.given_back)
+    named[0](None)
+    gate.turns()
+    assert gate.gauge.given_back == ["t1"]
+
+
+def test_what_was_offered_to_a_backend_stays_counted(gate: Gate) -> None:
+    client = gate.say()
+    _, backend, _ = gate.at_backend()
+    client.close(reset=True)
+    gate.until(lambda: not len(gate.plant.requests))
+    backend.close(reset=True)
+    gate.turns()
+    assert not gate.gauge.given_back
--- a/tests/test_lab_breaks.py
+++ b/tests/test_lab_breaks.py
@@ -82,7 +82,7 @@
     return later(503, SECOND // 2, b"try again\n")
 
 
-def all_pass(gauge: Gauge, tenant: str, again: bool, then: Callable[..., None], patience: int = 0) -> None:
+def all_pass(gauge: Gauge, tenant: str, again: bool, then: Callable[..., None], *_: Any) -> None:
     then(True, 0, True)
 
 
