--- a/oakvale/lab/judge/leaving.py
+++ b/oakvale/lab/judge/leaving.py
@@ -8,9 +8,15 @@
 
 from oakvale.lab.judge.cases import Case, Matter
 from oakvale.lab.judge.words import MS, SECOND, Broken
-from oakvale.lab.record import Closed, Event, Fate, Got, Happened, State
+from oakvale.lab.record import Closed, Event, Fate, Got, Happened, Looked, State
 
 EARLY = 2 * MS  # `Time-Left` is in whole milliseconds
+EXCUSED_SHARE = 5, 6  # of `grace`: a backend that is at work after that excuses a cut, on
+EXCUSED_IF_SENT = 3 * SECOND  # a request that was sent no later than this after the SIGTERM
+STILL_READY = 4 * SECOND  # after its SIGTERM a machine may not be asked for more any longer
+MISSES = 2  # looks in a row without a 200 that take a machine out
+LEAST_STILL_READY = 2  # machines, and
+STILL_READY_SHARE = 0.25  # of those that were ready when SIGTERM came
 MORE = 3  # times as many around configurations as at other times
 
 
@@ -20,8 +26,7 @@
     for said in matter.record.said:
         if said.state is State.READY or said.acked_at is None or said.by is None:
             continue
-        if calm.in_touch(said.by, said.acked_at):
-            gone[said.backend] = min(gone.get(said.backend, said.acked_at), said.acked_at)
+        gone[said.backend] = min(gone.get(said.backend, said.acked_at), said.acked_at)
     for case in matter.cases.values():
         if case.sent is None:
             continue
@@ -65,7 +70,7 @@
             continue
         term = _within(terms.get(sent.gateway, []), cut.at, matter.bounds.grace + SECOND)
         if term is not None:
-            if not _still_working(case, term.at + matter.bounds.grace // 2, cut.at):
+            if not (_sent_in_time(case, term) and _still_working(case, _excused_from(matter, term), cut.at)):
                 yield Broken(
                     "LOST",
                     cut.at,
@@ -139,8 +144,42 @@
     return found
 
 
+def _excused_from(matter: Matter, term: Happened) -> int:
+    share, whole = EXCUSED_SHARE
+    return term.at + matter.bounds.grace * share // whole
+
+
+def _sent_in_time(case: Case, term: Happened) -> bool:
+    return case.sent is not None and case.sent.at <= term.at + EXCUSED_IF_SENT
+
+
+def ready_after_sigterm(matter: Matter) -> Iterator[Broken]:
+    """Machines that were told to end still run and count as ready seconds later."""
+    looks: dict[str, list[Looked]] = defaultdict(list)
+    for look in matter.record.looked:
+        looks[look.machine].append(look)
+    were_ready, still = 0, list[tuple[int, str]]()
+    for machine, terms in _spans(matter, Event.TERM).items():
+        for term in terms:
+            if not _counted_ready(looks[machine], term.at):
+                continue
+            were_ready += 1
+            at = term.at + STILL_READY
+            if at < term.until and _counted_ready(looks[machine], at):
+                still.append((at, machine))
+    if len(still) >= LEAST_STILL_READY and len(still) > STILL_READY_SHARE * were_ready:
+        names = tuple(sorted({machine for _, machine in still}))
+        yield Broken("DRAIN", min(still)[0], names, f"{len(still)} of {were_ready} count as ready 4 s after SIGTERM")
+
+
+def _counted_ready(looks: list[Looked], at: int) -> bool:
+    """By the looks up to then: one miss alone takes no machine out."""
+    known = [look.ready for look in looks if look.at <= at][-MISSES:]
+    return bool(known) and any(known)
+
+
 def _still_working(case: Case, since: int, until: int) -> bool:
-    """A backend was working on it in the second half of `grace`."""
+    """A backend was working on it since then."""
     return (
         any(
             ran.at <= until and not any(a.backend == ran.backend and a.at < since for a in case.answered)
@@ -161,7 +200,8 @@
     done = {a.backend for a in case.answered if a.at <= got.at and a.fate is not Fate.SILENT}
     done |= {d.backend for d in case.dropped if d.at <= got.at}
     busy = [ran for ran in case.ran if ran.at <= got.at and ran.backend not in done]
-    if not busy or got.at >= term.at + matter.bounds.grace // 2 or not _counts(matter, case, got.at):
+    excused = _sent_in_time(case, term) and got.at >= _excused_from(matter, term)
+    if not busy or excused or not _counts(matter, case, got.at):
         return None
     return Broken(
         "LOST",
--- a/oakvale/lab/judge/verdict.py
+++ b/oakvale/lab/judge/verdict.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterator
 
-from oakvale.lab.judge import abandoned, answers, configs, leaving, orders, whole, windows
+from oakvale.lab.judge import abandoned, answers, configs, leaving, orders, overdue, whole, windows
 from oakvale.lab.judge.cases import Matter
 from oakvale.lab.judge.words import RULES, Broken, Verdict
 from oakvale.lab.judge.worth import worth
@@ -19,8 +19,10 @@
     configs.route,
     leaving.drain,
     leaving.lost,
+    leaving.ready_after_sigterm,
     abandoned.gone,
     configs.config,
+    overdue.overdue,
     orders.orders,
     windows.budget,
     windows.quota,
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -274,7 +274,7 @@
     t.serve(4 * SECOND)
 
 
-@case()
+@case("DRAIN")
 def acknowledged_out_of_touch(t: Told) -> None:
     t.serve(0)
     t.happen(Event.FREEZE, 500 * MS, "c1", until=600 * MS)
@@ -358,6 +358,54 @@
     t.get(15 * SECOND, "r2", status=502)
 
 
+@case("LOST")
+def cut_before_the_last_sixth_of_grace(t: Told) -> None:
+    t.serve(0)
+    t.happen(Event.TERM, 10 * SECOND, "e1", until=16 * SECOND, planned=True)
+    t.run(11 * SECOND + 1, t.send(11 * SECOND))
+    t.close(14 * SECOND + 900 * MS, "r2")
+
+
+@case()
+def cut_in_the_last_sixth_of_grace(t: Told) -> None:
+    t.serve(0)
+    t.happen(Event.TERM, 10 * SECOND, "e1", until=16 * SECOND, planned=True)
+    t.run(11 * SECOND + 1, t.send(11 * SECOND))
+    t.close(15 * SECOND + 100 * MS, "r2")
+
+
+@case("LOST")
+def cut_late_but_sent_long_after_sigterm(t: Told) -> None:
+    t.serve(0)
+    t.happen(Event.TERM, 10 * SECOND, "e1", until=16 * SECOND, planned=True)
+    t.run(13 * SECOND + 200 * MS, t.send(13 * SECOND + 100 * MS))
+    t.close(15 * SECOND + 100 * MS, "r2")
+
+
+@case("DRAIN")
+def both_gateways_count_as_ready_after_sigterm(t: Told) -> None:
+    for machine in ("e1", "e2"):
+        t.happen(Event.TERM, 10 * SECOND, machine, until=16 * SECOND, planned=True)
+        for second in range(8, 16):
+            t.record.add(Looked(second * SECOND + 1, machine, second % 2 == 0 or second < 10))
+
+
+@case()
+def one_miss_in_a_row_of_two_takes_them_out(t: Told) -> None:
+    for machine in ("e1", "e2"):
+        t.happen(Event.TERM, 10 * SECOND, machine, until=16 * SECOND, planned=True)
+        for second in range(8, 16):
+            t.record.add(Looked(second * SECOND + 1, machine, second < 12))
+
+
+@case()
+def gone_before_they_are_looked_for(t: Told) -> None:
+    for machine in ("e1", "e2"):
+        t.happen(Event.TERM, 10 * SECOND, machine, until=13 * SECOND, planned=True)
+        for second in range(8, 13):
+            t.record.add(Looked(second * SECOND + 1, machine, True))
+
+
 @case("LOST")
 def cut_around_a_configuration(t: Told) -> None:
     t.serve(0)
@@ -365,6 +413,39 @@
     cut(t, 11 * SECOND)
 
 
+# ---- CONFIG, a final answer by the deadline of the route
+
+
+def wait_past_the_deadline(t: Told, late: int, in_time: int) -> None:
+    """Routes have 4 s, their clients wait for 9: so many get their answer 4.6 s after they asked, others after 4.4."""
+    t.serve(0)
+    for n in range(late + in_time):
+        at = 20 * SECOND + n * 50 * MS
+        name = t.send(at, wait=9 * SECOND)
+        t.get(at + (4_600 if n < late else 4_400) * MS, name, status=504)
+
+
+@case("CONFIG")
+def eight_are_held_half_a_second_past_their_deadline(t: Told) -> None:
+    wait_past_the_deadline(t, 8, 23)
+
+
+@case()
+def eight_of_many_are_held(t: Told) -> None:
+    wait_past_the_deadline(t, 8, 24)
+
+
+@case()
+def seven_are_held(t: Told) -> None:
+    wait_past_the_deadline(t, 7, 0)
+
+
+@case()
+def held_by_a_gateway_in_trouble(t: Told) -> None:
+    t.happen(Event.FREEZE, 22 * SECOND, "e1", until=26 * SECOND)
+    wait_past_the_deadline(t, 20, 0)
+
+
 @case("LOST")
 def cut_around_sighup(t: Told) -> None:
     t.serve(0)
--- a/tests/test_lab_breaks.py
+++ b/tests/test_lab_breaks.py
@@ -253,6 +253,18 @@
         ),
         {"oakvale.sluice.process.Process.stop": lambda process: process.sluice.loop.stop()},
     ),
+    "who ends goes on calling itself ready": Break(
+        "DRAIN",
+        day(
+            plan=(("restart", 2.0, {"on": "edge", "share": 1.0}),),
+            seconds=9,
+            routes=[
+                route | {"work_ms": 4_500, "aim_ms": 5_000, "deadline_ms": 9_000, "per_s": 1}
+                for route in SITE["routes"]
+            ],
+        ),
+        {"oakvale.sluice.gate.Sluice.ready": lambda sluice: sluice.plant.picture.gen >= 0},
+    ),
     "acknowledged before it is kept": Break(
         "CONFIG",
         day(("after_ack_wipe", 2.0, {"for_s": 1}), seconds=12),
--- a/tests/told.py
+++ b/tests/told.py
@@ -119,6 +119,7 @@
         key: str | None = "key",
         name: str = "",
         first: str = "",
+        wait: int = 4 * SECOND,
     ) -> str:
         self.count += 1
         name = name or f"r{self.count}"
@@ -134,7 +135,7 @@
                 key,
                 "ten",
                 route if route in self.record.kinds else "",
-                at + 4 * SECOND,
+                at + wait,
                 gateway,
                 self.count,
                 first or name,
