--- a/lab/transplant.py
+++ b/lab/transplant.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from oakvale.lab import files
-from oakvale.lab.trials.spec import Experiment
+from oakvale.lab.experiments.spec import Experiment
 
 
 def transplanted(source: str, name: str, value: object) -> str:
--- a/oakvale/headworks/copying.py
+++ b/oakvale/headworks/copying.py
@@ -2,7 +2,7 @@
 
 No I/O and no clock: it is told what came and what is on disk, and says what to write, ask, answer and tell, in this
 order. It joins `succession` (who is primary) and `ledger` (what is in force). What follows a write or an answer is
-kept here as data, so that a seat can be copied and compared whole (`oakvale/lab/sounding` does).
+kept here as data, so that a seat can be copied and compared whole (`oakvale/lab/modelcheck` does).
 
 A state goes to a backup as a list of the pieces that it is made of. The backup says which of them it lacks; these are
 sent, few at a time, and kept on its disk beside its rows. When none is lacking it takes the whole, in one write. Until
--- a/oakvale/lab/commands.py
+++ b/oakvale/lab/commands.py
@@ -16,9 +16,9 @@
 
 if TYPE_CHECKING:
     from oakvale.lab.days import Day
-    from oakvale.lab.pump.tally import Tally
-    from oakvale.lab.trials.outcome import Outcome
-    from oakvale.lab.trials.variants import Spec
+    from oakvale.lab.experiments.outcome import Outcome
+    from oakvale.lab.experiments.variants import Spec
+    from oakvale.lab.loadgen.tally import Tally
 
 BROKEN = 1
 INTERRUPTED = 130
@@ -34,7 +34,7 @@
 
 def day(args: argparse.Namespace) -> int:
     """Play a day and judge it: each rule, what was earned of what was owed, the worst seconds."""
-    from oakvale.lab.trials import player
+    from oakvale.lab.experiments import player
 
     played = _days([args.file])[0]
     one = player.world(played, played.seed if args.seed is None else args.seed, _variant(args.variant))
@@ -61,7 +61,7 @@
     """Play variants x days x seeds over the cores; say of each variant: better, worse or noise."""
     from oakvale.intake.table import BadFile
     from oakvale.lab import days
-    from oakvale.lab.trials import findings, page, player, report, runs, spec
+    from oakvale.lab.experiments import findings, page, player, report, runs, spec
 
     try:
         told, played = spec.load(args.file)
@@ -95,8 +95,8 @@
 
 def hunt(args: argparse.Namespace) -> int:
     """Play drawn days until a rule breaks; keep that day, and with --shrink the smallest one that still breaks it."""
-    from oakvale.lab.trials import draw, player
-    from oakvale.lab.trials import hunt as hunting
+    from oakvale.lab.experiments import draw, player
+    from oakvale.lab.experiments import hunt as hunting
 
     like = _days([args.like])[0] if args.like else None
     variant, kinds = _variant(args.variant), tuple(args.kinds.split(",")) if args.kinds else ()
@@ -132,8 +132,8 @@
 
 def shrink(args: argparse.Namespace) -> int:
     """Cut a day that breaks a rule down to the smallest one that still does."""
-    from oakvale.lab.trials import hunt as hunting
-    from oakvale.lab.trials import player
+    from oakvale.lab.experiments import hunt as hunting
+    from oakvale.lab.experiments import player
 
     played, variant = _days([args.file])[0], _variant(args.variant)
     one = player.world(played, played.seed, variant)
@@ -157,8 +157,8 @@
     played: Day, rules: set[str], most: int, variant: Spec, path: Path, quiet: bool, out: Path | None = None
 ) -> int:
     """Writes the smallest day beside `path`; an interrupt keeps the smallest so far."""
-    from oakvale.lab.trials import hunt as hunting
-    from oakvale.lab.trials import player
+    from oakvale.lab.experiments import hunt as hunting
+    from oakvale.lab.experiments import player
 
     with Progress(most, "plays", quiet) as bar:
         cut = hunting.cut(played, rules, most, player.world, variant, lambda asked, day: bar.show(asked, _size(day)))
@@ -186,7 +186,7 @@
 def _checker() -> Any:
     from importlib import import_module
 
-    return import_module("oakvale.lab.sounding.check")
+    return import_module("oakvale.lab.modelcheck.check")
 
 
 def _days(paths: Sequence[str]) -> list[Day]:
@@ -201,7 +201,7 @@
 def _variant(path: str | None) -> Spec:
     from oakvale.intake.table import BadFile
     from oakvale.lab import files
-    from oakvale.lab.trials import player, variants
+    from oakvale.lab.experiments import player, variants
 
     if path is None:
         return player.BASE
@@ -217,8 +217,8 @@
 
 def load(args: argparse.Namespace) -> int:
     """Requests to URL at a steady rate, whatever the answers do; latency runs from when each was due."""
-    from oakvale.lab.pump import drive
-    from oakvale.lab.pump.target import BadTarget, target
+    from oakvale.lab.loadgen import drive
+    from oakvale.lab.loadgen.target import BadTarget, target
 
     try:
         to = target(args.url, args.host)
@@ -361,22 +361,28 @@
     checked = add("check", check, "search all interleavings of the control state's small core; 1 if one is bad")
     if words[:1] == ["check"]:  # its arguments are told by what it imports
         _checker().arguments(checked)
-    pump = add("load", load, "open-loop load on a loopback URL, with latencies from when each request was due")
-    pump.add_argument("url", help="http://127.0.0.1:PORT/PATH; anything but loopback is refused")
-    pump.add_argument("--rate", type=_over(0), default=100.0, help="requests a second (default: %(default)g)")
-    pump.add_argument("--seconds", type=_over(0), default=10.0, help="for how long (default: %(default)g)")
-    pump.add_argument("--count", type=_whole, default=10_000_000, help="requests at most")
-    pump.add_argument("--arrivals", choices=("constant", "poisson"), default="poisson")
-    pump.add_argument("--seed", type=int, default=0, help="of the arrivals (default: %(default)s)")
-    pump.add_argument("--connections", type=_whole, default=256, help="at most, at once (default: %(default)s)")
-    pump.add_argument("--new-connections", action="store_true", help="one for each request")
-    pump.add_argument("--limit", type=_over(0), default=10.0, help="seconds for each request (default: %(default)g)")
-    pump.add_argument("--method", default="GET")
-    pump.add_argument("--host", help="the Host header, where it is not the URL's")
-    pump.add_argument("--header", type=_header, action="append", default=[], metavar="NAME: VALUE")
-    pump.add_argument("--id-header", default="", metavar="NAME", help="a header that gets an id of its own each time")
-    pump.add_argument("--body", metavar="FILE", help="what each request carries")
-    pump.add_argument("--json", metavar="FILE", help="the report as JSON as well; - for JSON alone, on standard output")
+    generator = add("load", load, "open-loop load on a loopback URL, with latencies from when each request was due")
+    generator.add_argument("url", help="http://127.0.0.1:PORT/PATH; anything but loopback is refused")
+    generator.add_argument("--rate", type=_over(0), default=100.0, help="requests a second (default: %(default)g)")
+    generator.add_argument("--seconds", type=_over(0), default=10.0, help="for how long (default: %(default)g)")
+    generator.add_argument("--count", type=_whole, default=10_000_000, help="requests at most")
+    generator.add_argument("--arrivals", choices=("constant", "poisson"), default="poisson")
+    generator.add_argument("--seed", type=int, default=0, help="of the arrivals (default: %(default)s)")
+    generator.add_argument("--connections", type=_whole, default=256, help="at most, at once (default: %(default)s)")
+    generator.add_argument("--new-connections", action="store_true", help="one for each request")
+    generator.add_argument(
+        "--limit", type=_over(0), default=10.0, help="seconds for each request (default: %(default)g)"
+    )
+    generator.add_argument("--method", default="GET")
+    generator.add_argument("--host", help="the Host header, where it is not the URL's")
+    generator.add_argument("--header", type=_header, action="append", default=[], metavar="NAME: VALUE")
+    generator.add_argument(
+        "--id-header", default="", metavar="NAME", help="a header that gets an id of its own each time"
+    )
+    generator.add_argument("--body", metavar="FILE", help="what each request carries")
+    generator.add_argument(
+        "--json", metavar="FILE", help="the report as JSON as well; - for JSON alone, on standard output"
+    )
     return whole
 
 
--- a/oakvale/lab/trials/findings.py
+++ b/oakvale/lab/experiments/findings.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 from statistics import fmean
 
-from oakvale.lab.trials.outcome import Outcome, tally
-from oakvale.lab.trials.spec import Experiment
-from oakvale.lab.trials.statistics import Compared, Median, compared, median
+from oakvale.lab.experiments.outcome import Outcome, tally
+from oakvale.lab.experiments.spec import Experiment
+from oakvale.lab.experiments.statistics import Compared, Median, compared, median
 
 ALL = "all days"
 # name -> what an outcome shows, and whether more is better
--- a/oakvale/lab/trials/hunt.py
+++ b/oakvale/lab/experiments/hunt.py
@@ -8,10 +8,10 @@
 
 from oakvale.lab import days
 from oakvale.lab.days import Day
-from oakvale.lab.trials import draw, runs, shrink
-from oakvale.lab.trials.outcome import Outcome
-from oakvale.lab.trials.player import Player
-from oakvale.lab.trials.variants import Spec
+from oakvale.lab.experiments import draw, runs, shrink
+from oakvale.lab.experiments.outcome import Outcome
+from oakvale.lab.experiments.player import Player
+from oakvale.lab.experiments.variants import Spec
 
 NO_END = "NO END"
 
--- a/oakvale/lab/trials/page.py
+++ b/oakvale/lab/experiments/page.py
@@ -13,9 +13,9 @@
 
 from matplotlib.figure import Figure  # noqa: E402
 
-from oakvale.lab.trials.findings import MEASURES, Row  # noqa: E402
-from oakvale.lab.trials.outcome import Outcome, Series  # noqa: E402
-from oakvale.lab.trials.spec import Experiment  # noqa: E402
+from oakvale.lab.experiments.findings import MEASURES, Row  # noqa: E402
+from oakvale.lab.experiments.outcome import Outcome, Series  # noqa: E402
+from oakvale.lab.experiments.spec import Experiment  # noqa: E402
 
 STYLE = """body{font:15px/1.45 system-ui,sans-serif;max-width:74rem;margin:2rem auto;padding:0 1rem;color:#222}
 table{border-collapse:collapse;margin:1rem 0}td,th{border:1px solid #ccc;padding:.25rem .55rem;text-align:left}
--- a/oakvale/lab/trials/player.py
+++ b/oakvale/lab/experiments/player.py
@@ -9,9 +9,9 @@
 from typing import Any
 
 from oakvale.lab.days import Day
-from oakvale.lab.trials import outcome, variants
-from oakvale.lab.trials.outcome import Outcome
-from oakvale.lab.trials.variants import Spec
+from oakvale.lab.experiments import outcome, variants
+from oakvale.lab.experiments.outcome import Outcome
+from oakvale.lab.experiments.variants import Spec
 
 BASE = Spec(name="base")
 Player = Callable[[Day, int, Spec], Outcome]  # a function of a module: workers find it by name
--- a/oakvale/lab/trials/report.py
+++ b/oakvale/lab/experiments/report.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from oakvale.lab.trials.findings import MEASURES, Row
-from oakvale.lab.trials.outcome import Outcome
-from oakvale.lab.trials.spec import Experiment
-from oakvale.lab.trials.statistics import FEWEST, Compared, Median
+from oakvale.lab.experiments.findings import MEASURES, Row
+from oakvale.lab.experiments.outcome import Outcome
+from oakvale.lab.experiments.spec import Experiment
+from oakvale.lab.experiments.statistics import FEWEST, Compared, Median
 
 
 def markdown(experiment: Experiment, found: list[Row], outcomes: list[Outcome], wanted: int) -> str:
--- a/oakvale/lab/trials/runs.py
+++ b/oakvale/lab/experiments/runs.py
@@ -10,9 +10,9 @@
 from concurrent.futures.process import BrokenProcessPool
 
 from oakvale.lab.days import Day
-from oakvale.lab.trials.outcome import Outcome
-from oakvale.lab.trials.player import Player
-from oakvale.lab.trials.variants import Spec
+from oakvale.lab.experiments.outcome import Outcome
+from oakvale.lab.experiments.player import Player
+from oakvale.lab.experiments.variants import Spec
 
 Job = tuple[Day, int, Spec]
 
--- a/oakvale/lab/trials/spec.py
+++ b/oakvale/lab/experiments/spec.py
@@ -10,8 +10,8 @@
 from oakvale.intake.table import BadFile
 from oakvale.lab import days, files
 from oakvale.lab.days import Day
-from oakvale.lab.trials import variants
-from oakvale.lab.trials.variants import Spec
+from oakvale.lab.experiments import variants
+from oakvale.lab.experiments.variants import Spec
 
 
 class Tried(Spec):
--- a/oakvale/lab/pump/drive.py
+++ b/oakvale/lab/loadgen/drive.py
@@ -14,10 +14,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from oakvale.lab.pump import arrivals
-from oakvale.lab.pump.lines import FAULTS, Cut, Line
-from oakvale.lab.pump.tally import Tally
-from oakvale.lab.pump.target import Target
+from oakvale.lab.loadgen import arrivals
+from oakvale.lab.loadgen.lines import FAULTS, Cut, Line
+from oakvale.lab.loadgen.tally import Tally
+from oakvale.lab.loadgen.target import Target
 
 MOST = 10_000_000  # requests of a run
 STEP = 0.05  # seconds between looks at the progress
--- a/oakvale/lab/sounding/breakages.py
+++ b/oakvale/lab/modelcheck/breakages.py
@@ -23,8 +23,8 @@
     seat,
     unpack,
 )
-from oakvale.lab.sounding.machine import Machine
-from oakvale.lab.sounding.model import Bounds
+from oakvale.lab.modelcheck.machine import Machine
+from oakvale.lab.modelcheck.model import Bounds
 from oakvale.penstock.table import Entry
 from oakvale.penstock.table import unpack as unpack_entries
 
--- a/oakvale/lab/sounding/check.py
+++ b/oakvale/lab/modelcheck/check.py
@@ -7,10 +7,10 @@
 from dataclasses import fields, replace
 from typing import Any, cast
 
-from oakvale.lab.sounding.breakages import BREAKAGES, Breakage
-from oakvale.lab.sounding.model import Bounds
-from oakvale.lab.sounding.search import Found, Search
-from oakvale.lab.sounding.walks import Walks
+from oakvale.lab.modelcheck.breakages import BREAKAGES, Breakage
+from oakvale.lab.modelcheck.model import Bounds
+from oakvale.lab.modelcheck.search import Found, Search
+from oakvale.lab.modelcheck.walks import Walks
 
 NONE = Bounds(writes=0, kills=0, wipes=0, wakes=0, retries=0)
 FAULTS = tuple(field.name for field in fields(Bounds) if field.name not in ("machines", "writes", "zones"))
--- a/oakvale/lab/sounding/model.py
+++ b/oakvale/lab/modelcheck/model.py
@@ -21,7 +21,7 @@
 
 from oakvale.headworks import pieces
 from oakvale.headworks.succession import Seat
-from oakvale.lab.sounding.machine import NAMES, SILENCE, Event, Facts, Machine, Sent
+from oakvale.lab.modelcheck.machine import NAMES, SILENCE, Event, Facts, Machine, Sent
 from oakvale.penstock.table import Version
 
 COPIES = 2  # tolerance 1
--- a/oakvale/lab/sounding/search.py
+++ b/oakvale/lab/modelcheck/search.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from oakvale.lab.sounding import trace
-from oakvale.lab.sounding.model import UNSPENT, Bounds, Broken, Model, State, Step
+from oakvale.lab.modelcheck import trace
+from oakvale.lab.modelcheck.model import UNSPENT, Bounds, Broken, Model, State, Step
 
 EVERY = 64  # from one state in so many, and from all at the depth given, everything is let heal; 0 for none
 SHOWN = 100_000  # states between two reports
--- a/oakvale/lab/sounding/trace.py
+++ b/oakvale/lab/modelcheck/trace.py
@@ -9,8 +9,8 @@
 import cbor2
 
 from oakvale.headworks import pieces
-from oakvale.lab.sounding.machine import SILENCE, Event, Sent
-from oakvale.lab.sounding.model import PASSES, TIMED, Broken, Model, State, Step, seat_text, view_text
+from oakvale.lab.modelcheck.machine import SILENCE, Event, Sent
+from oakvale.lab.modelcheck.model import PASSES, TIMED, Broken, Model, State, Step, seat_text, view_text
 
 MOST = 60  # steps of healing that are shown
 
--- a/oakvale/lab/sounding/walks.py
+++ b/oakvale/lab/modelcheck/walks.py
@@ -6,9 +6,9 @@
 import time
 from collections.abc import Callable
 
-from oakvale.lab.sounding import trace
-from oakvale.lab.sounding.model import WAKES, Bounds, Broken, Model, State, Step
-from oakvale.lab.sounding.search import Found
+from oakvale.lab.modelcheck import trace
+from oakvale.lab.modelcheck.model import WAKES, Bounds, Broken, Model, State, Step
+from oakvale.lab.modelcheck.search import Found
 
 FAR = Bounds(writes=6, kills=5, wipes=3, wakes=10, retries=10)  # on each walk
 STEPS = 250
--- a/oakvale/lab/play.py
+++ b/oakvale/lab/play.py
@@ -15,12 +15,12 @@
 from oakvale.base.loop import Loop
 from oakvale.intake.times import micros
 from oakvale.lab.days import Day, Trouble
-from oakvale.lab.flume.machines import Costs, Process
-from oakvale.lab.flume.troubles import Troubles
-from oakvale.lab.flume.works import HTTP, READYZ, Layout, Station, Works
 from oakvale.lab.models.launch import launch
 from oakvale.lab.models.platform import Edge
 from oakvale.lab.record import Event, Happened, Machine, Noted, Record
+from oakvale.lab.simulation.machines import Costs, Process
+from oakvale.lab.simulation.troubles import Troubles
+from oakvale.lab.simulation.works import HTTP, READYZ, Layout, Station, Works
 
 MS, SECOND = 1_000, 1_000_000
 ROUND = 500 * MS  # between two looks whether the day is over
--- a/oakvale/lab/flume/disks.py
+++ b/oakvale/lab/simulation/disks.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 from oakvale.cistern.store import MOST, RETRY, Piece, Row, Write
-from oakvale.lab.flume.events import Events
-from oakvale.lab.flume.machines import Process
+from oakvale.lab.simulation.events import Events
+from oakvale.lab.simulation.machines import Process
 
 MS = 1_000
 
@@ -76,7 +76,7 @@
         return int(self.sync * self.slow * (0.6 + min(8.0, self.rng.expovariate(2.5))))
 
 
-class FlumeCistern:
+class SimulatedCistern:
     """As `cistern.store.Cistern`, its thread played by the world."""
 
     first = True  # nothing here is damaged
--- a/oakvale/lab/flume/machines.py
+++ b/oakvale/lab/simulation/machines.py
@@ -14,8 +14,8 @@
 
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Loop, Timer
-from oakvale.lab.flume.sockets import ERR, HUP, FlumeNet, Listener, Stream
-from oakvale.lab.flume.wires import Machine
+from oakvale.lab.simulation.sockets import ERR, HUP, Listener, SimulatedNet, Stream
+from oakvale.lab.simulation.wires import Machine
 
 LONG = 3600.0  # seconds that a loop may wait: the world turns it when something is due
 NEVER = 1 << 62
@@ -35,7 +35,7 @@
 FREE = Costs(0.0, 0.0, 0.0, 0.0, 1)  # of who is not weighed: emulated clients and backends
 
 
-class FlumeLoop(Loop):
+class SimulatedLoop(Loop):
     """The loop itself, which tells its process of timers that others set between its turns."""
 
     def __init__(self, process: Process, limits: Limits) -> None:
@@ -61,7 +61,7 @@
         ended: Callable[[Process], None] | None = None,
     ) -> None:
         self.machine, self.events, self.costs = machine, machine.events, costs
-        self.net: FlumeNet = FlumeNet(machine.wires, self, rng, nofile)
+        self.net: SimulatedNet = SimulatedNet(machine.wires, self, rng, nofile)
         self.alive, self.paused = True, False
         self.used = 0.0  # microseconds of processor time
         self.turns = 0
@@ -99,7 +99,7 @@
         """Makes the loop and what runs on it; an OSError ends the process."""
         if not self.alive:
             return
-        self.loop = FlumeLoop(self, self._limits)
+        self.loop = SimulatedLoop(self, self._limits)
         self.events.running = self
         try:
             self.works = build(self.loop)
--- a/oakvale/lab/flume/sockets.py
+++ b/oakvale/lab/simulation/sockets.py
@@ -21,7 +21,7 @@
 
 from oakvale.base.address import Address
 from oakvale.base.net import Net, Poller, Sock
-from oakvale.lab.flume.wires import Machine, Wires
+from oakvale.lab.simulation.wires import Machine, Wires
 
 MS, SECOND = 1_000, 1_000_000
 IN, OUT, ERR, HUP, RDHUP = select.EPOLLIN, select.EPOLLOUT, select.EPOLLERR, select.EPOLLHUP, select.EPOLLRDHUP
@@ -54,10 +54,10 @@
 
     __slots__ = ("net", "fd", "poller", "mask")
 
-    def __init__(self, net: FlumeNet, accepted: bool = True) -> None:
+    def __init__(self, net: SimulatedNet, accepted: bool = True) -> None:
         self.net = net
         self.fd = net.take(self) if accepted else -1  # what waits to be accepted has no descriptor yet
-        self.poller: FlumePoller | None = None
+        self.poller: SimulatedPoller | None = None
         self.mask = 0
 
     def fileno(self) -> int:
@@ -110,7 +110,7 @@
         "abrupt",
     )
 
-    def __init__(self, net: FlumeNet, accepted: bool = True) -> None:
+    def __init__(self, net: SimulatedNet, accepted: bool = True) -> None:
         super().__init__(net, accepted)
         self.wires, self.machine = net.wires, net.process.machine
         self.there: Machine | None = None  # the other end's
@@ -428,7 +428,7 @@
 class Listener(Waits):
     __slots__ = ("machine", "address", "_backlog", "_queue", "_coming", "closed")
 
-    def __init__(self, net: FlumeNet, address: Address, backlog: int) -> None:
+    def __init__(self, net: SimulatedNet, address: Address, backlog: int) -> None:
         machine = net.process.machine
         if address[0] != machine.ip:
             raise failed(errno.EADDRNOTAVAIL)
@@ -521,10 +521,10 @@
         raise failed(errno.ENOTCONN)
 
 
-class FlumePoller:
+class SimulatedPoller:
     """As `select.epoll`: told again and again of what is so. `hot` may be; the rest is not."""
 
-    def __init__(self, net: FlumeNet) -> None:
+    def __init__(self, net: SimulatedNet) -> None:
         self._net = net
         self.watched: dict[int, Waits] = {}
         self.hot: dict[int, Waits] = {}
@@ -581,7 +581,7 @@
             self.drop(fd)
 
 
-class FlumeNet(Net):
+class SimulatedNet(Net):
     """What a simulated process is handed."""
 
     def __init__(self, wires: Wires, process: Weighed, rng: Random, nofile: int) -> None:
@@ -592,7 +592,7 @@
         self._next = 3
 
     def poller(self) -> Poller:
-        return FlumePoller(self)
+        return SimulatedPoller(self)
 
     def stream(self) -> Sock:
         if self.full() or not self.process.alive:
--- a/oakvale/lab/flume/troubles.py
+++ b/oakvale/lab/simulation/troubles.py
@@ -9,9 +9,9 @@
 from oakvale.base.address import Address
 from oakvale.headworks import process as headworks
 from oakvale.lab.days import Day, Trouble
-from oakvale.lab.flume.wires import Machine
-from oakvale.lab.flume.works import CTL, SEEDS, Station, Works
 from oakvale.lab.record import Event
+from oakvale.lab.simulation.wires import Machine
+from oakvale.lab.simulation.works import CTL, SEEDS, Station, Works
 
 MS, SECOND = 1_000, 1_000_000
 DARK = 2 * SECOND  # that a machine is without power where nothing is said
--- a/oakvale/lab/flume/wires.py
+++ b/oakvale/lab/simulation/wires.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any, Protocol
 
-from oakvale.lab.flume.events import Events
+from oakvale.lab.simulation.events import Events
 
 OWN = 30  # microseconds from process to process on one machine
 PORTS = 32_768  # from here on, of connections out
--- a/oakvale/lab/flume/works.py
+++ b/oakvale/lab/simulation/works.py
@@ -19,12 +19,12 @@
 from oakvale.intake.bounds import FILES, bounds
 from oakvale.intake.settings import Settings, decode
 from oakvale.intake.times import micros
-from oakvale.lab.flume.disks import Disk, FlumeCistern
-from oakvale.lab.flume.events import Events
-from oakvale.lab.flume.machines import FREE, Costs, Process
-from oakvale.lab.flume.sockets import Stream
-from oakvale.lab.flume.wires import Machine, Wires
 from oakvale.lab.record import Event
+from oakvale.lab.simulation.disks import Disk, SimulatedCistern
+from oakvale.lab.simulation.events import Events
+from oakvale.lab.simulation.machines import FREE, Costs, Process
+from oakvale.lab.simulation.sockets import Stream
+from oakvale.lab.simulation.wires import Machine, Wires
 from oakvale.lifecycle.daybook import BOOK
 from oakvale.sluice import process as sluice
 
@@ -153,7 +153,7 @@
     def _made(self, settings: Settings, listeners: Mapping[str, Sock], loop: Loop, process: Process) -> Any:
         if self.disk is None:
             return sluice.Process(settings, listeners, loop)
-        cistern = FlumeCistern(process, self.disk)
+        cistern = SimulatedCistern(process, self.disk)
         return headworks.Process(settings, listeners, loop, lambda: cast(Any, cistern))
 
     def _ended(self, process: Process) -> None:
--- a/tests/stand_in.py
+++ b/tests/stand_in.py
@@ -5,8 +5,8 @@
 import random
 
 from oakvale.lab.days import Day
-from oakvale.lab.trials.outcome import Outcome, Series
-from oakvale.lab.trials.variants import Spec
+from oakvale.lab.experiments.outcome import Outcome, Series
+from oakvale.lab.experiments.variants import Spec
 
 
 def played(day: Day, seed: int, given: Spec) -> Outcome:
--- a/tests/test_cistern.py
+++ b/tests/test_cistern.py
@@ -15,7 +15,7 @@
 from oakvale.base.loop import READ
 from oakvale.cistern import store
 from oakvale.cistern.store import Cistern
-from oakvale.lab.flume.disks import Held
+from oakvale.lab.simulation.disks import Held
 
 
 class Still:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from oakvale.lab.sounding.breakages import BREAKAGES
+from oakvale.lab.modelcheck.breakages import BREAKAGES
 from tests.simulated import MS, SECOND
 from tests.world import Machine, World
 
--- a/tests/test_lab_days.py
+++ b/tests/test_lab_days.py
@@ -9,7 +9,7 @@
 import pytest
 
 from oakvale.lab import days
-from oakvale.lab.trials import spec
+from oakvale.lab.experiments import spec
 
 ROOT = Path(__file__).parent.parent
 FILES = sorted((ROOT / "lab" / "days").glob("*.toml"))
--- a/tests/test_lab_draw.py
+++ b/tests/test_lab_draw.py
@@ -9,7 +9,7 @@
 
 from oakvale.lab import days
 from oakvale.lab.days import Trouble
-from oakvale.lab.trials import draw
+from oakvale.lab.experiments import draw
 
 
 def test_drawn_days_are_fair_files_of_all_sizes_and_kinds() -> None:
--- a/tests/test_lab_trials.py
+++ b/tests/test_lab_experiments.py
@@ -14,9 +14,9 @@
 
 from oakvale.lab import commands, days
 from oakvale.lab.days import Day
-from oakvale.lab.trials import findings, hunt, page, player, report, runs, spec, statistics, variants
-from oakvale.lab.trials.outcome import Outcome
-from oakvale.lab.trials.variants import Spec
+from oakvale.lab.experiments import findings, hunt, page, player, report, runs, spec, statistics, variants
+from oakvale.lab.experiments.outcome import Outcome
+from oakvale.lab.experiments.variants import Spec
 from tests.stand_in import played
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_lab_failures.py
+++ b/tests/test_lab_failures.py
@@ -10,10 +10,10 @@
 import pytest
 
 from oakvale.lab import days, play
+from oakvale.lab.experiments import variants
+from oakvale.lab.experiments.variants import Spec
 from oakvale.lab.judge import verdict
 from oakvale.lab.record import Event, Record
-from oakvale.lab.trials import variants
-from oakvale.lab.trials.variants import Spec
 
 FOLDER = Path(__file__).parent.parent / "lab" / "days"
 SUCCESSION, UNDONE = "oakvale.headworks.succession.Succession", "oakvale.lab.undone"
--- a/tests/test_lab_pump.py
+++ b/tests/test_lab_loadgen.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from oakvale.lab.pump import arrivals, drive
-from oakvale.lab.pump.tally import Tally
-from oakvale.lab.pump.target import BadTarget, target
+from oakvale.lab.loadgen import arrivals, drive
+from oakvale.lab.loadgen.tally import Tally
+from oakvale.lab.loadgen.target import BadTarget, target
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
--- a/tests/test_lab_outcome.py
+++ b/tests/test_lab_outcome.py
@@ -9,9 +9,9 @@
 import pytest
 
 from oakvale.lab import days
+from oakvale.lab.experiments import outcome
 from oakvale.lab.judge import verdict
 from oakvale.lab.record import Arrived, Got, Kind, Noted, Ordered, Ran, Record, Sent
-from oakvale.lab.trials import outcome
 
 DAY = days.load(Path(__file__).parent.parent / "lab" / "days" / "still.toml")
 BEGAN, SECOND = 7_000_000, 1_000_000
--- a/tests/test_lab_shrink.py
+++ b/tests/test_lab_shrink.py
@@ -10,7 +10,7 @@
 
 from oakvale.lab import days
 from oakvale.lab.days import Day
-from oakvale.lab.trials import shrink
+from oakvale.lab.experiments import shrink
 
 SQUALL = days.load(Path(__file__).parent.parent / "lab" / "days" / "squall.toml")
 
--- a/tests/test_sounding.py
+++ b/tests/test_modelcheck.py
@@ -11,12 +11,12 @@
 
 from oakvale.headworks.copying import Copying
 from oakvale.headworks.succession import Succession
-from oakvale.lab.sounding.breakages import BREAKAGES, QUIET, Breakage
-from oakvale.lab.sounding.check import BadFaults, arguments, check, find, read_faults, searches
-from oakvale.lab.sounding.machine import Machine
-from oakvale.lab.sounding.model import Bounds, Model
-from oakvale.lab.sounding.search import Search
-from oakvale.lab.sounding.walks import Walks
+from oakvale.lab.modelcheck.breakages import BREAKAGES, QUIET, Breakage
+from oakvale.lab.modelcheck.check import BadFaults, arguments, check, find, read_faults, searches
+from oakvale.lab.modelcheck.machine import Machine
+from oakvale.lab.modelcheck.model import Bounds, Model
+from oakvale.lab.modelcheck.search import Search
+from oakvale.lab.modelcheck.walks import Walks
 
 RULES = {
     "primary-alone": "both copies synced it",
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -15,7 +15,7 @@
 from oakvale.headworks import pieces
 from oakvale.headworks.core import SILENCE, Core
 from oakvale.headworks.pieces import PIECE, cut, join, names
-from oakvale.lab.flume.works import Layout, Station, Works
+from oakvale.lab.simulation.works import Layout, Station, Works
 from oakvale.penstock.table import NOTHING, Entry
 from tests.simulated import MS, SECOND
 from tests.test_succession import SHAPES
--- a/tests/test_flume.py
+++ b/tests/test_simulation.py
@@ -17,15 +17,15 @@
 
 from oakvale.base.loop import READ, TIMED_OUT, WRITE, Coroutine, Rank
 from oakvale.lab.days import Day, Trouble, decode
-from oakvale.lab.flume.disks import Disk
-from oakvale.lab.flume.events import Events
-from oakvale.lab.flume.machines import Process
-from oakvale.lab.flume.sockets import TCP_USER_TIMEOUT, WINDOW
-from oakvale.lab.flume.troubles import Troubles
-from oakvale.lab.flume.works import Layout, Station, Works
 from oakvale.lab.judge.verdict import judge
 from oakvale.lab.play import Variant, play
 from oakvale.lab.record import Event
+from oakvale.lab.simulation.disks import Disk
+from oakvale.lab.simulation.events import Events
+from oakvale.lab.simulation.machines import Process
+from oakvale.lab.simulation.sockets import TCP_USER_TIMEOUT, WINDOW
+from oakvale.lab.simulation.troubles import Troubles
+from oakvale.lab.simulation.works import Layout, Station, Works
 
 MS, SECOND = 1_000, 1_000_000
 ZONES = ("east", "west")
@@ -407,7 +407,7 @@
 def test_a_seed_replays_to_the_byte_whatever_hashes_texts_have() -> None:
     """Sets of texts come in another order with each PYTHONHASHSEED: nothing that is decided may follow it."""
     code = (
-        "from tests.test_flume import ROUGH, day\nfrom oakvale.lab.play import play\nprint("
+        "from tests.test_simulation import ROUGH, day\nfrom oakvale.lab.play import play\nprint("
         "play(day(ROUGH), 5).fingerprint())"
     )
     here = play(day(ROUGH), 5).fingerprint()
--- a/tests/world.py
+++ b/tests/world.py
@@ -17,7 +17,7 @@
 from oakvale.headworks.pruning import Pruning
 from oakvale.headworks.succession import View, unpack_durable
 from oakvale.intake.settings import Bounds, Settings
-from oakvale.lab.flume.disks import Held
+from oakvale.lab.simulation.disks import Held
 from oakvale.penstock.table import NOTHING, Table, Version, unpack
 from tests import simulated
 from tests.simulated import MS, SECOND, Loop, Time
