--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -14,6 +14,7 @@
 from oakvale.gauge.floors import SECOND, Alone, Floors, Quota, Read, Terms
 from oakvale.gauge.gathering import Gathering
 from oakvale.gauge.handover import STATE_KEPT_US, Handover
+from oakvale.gauge.presence import KEPT, PRESENT, Presence
 from oakvale.gauge.returns import Returns
 from oakvale.gauge.state import CounterState, Receipt
 from oakvale.lifecycle.daybook import Writer
@@ -26,7 +27,6 @@
 WAIT = 150_000  # microseconds for the counter's answer
 TICK = 60_000
 GREET = 250_000  # without a call to a counter for so long, it is greeted
-PRESENT = 900_000  # a counter reckons with who has heard from it this lately, as far as it knows
 ABSENT = PRESENT + 100_000  # after so long without hearing from it, a gateway knows that none reckons with it
 GATHER = 100_000  # for what others last read, before a new counter begins
 LATE_ANSWERS = 1_000_000  # what others last read counts for so long, also after it has begun
@@ -34,12 +34,9 @@
 MOMENT = 120_000  # a request waits so long for a counter to be found
 VACANT = 250_000  # how long a juror's word that nobody does a duty is good
 DOUBT = 80_000  # after an unanswered call, the counter is not waited for
-KEPT = 10_000_000  # one that left the list may still pass its share, unless it is proven to have ended
-ALIKE = 10_000  # the share of gateways that is present is worked out anew after this
 LONG = 2_000_000  # without a keeper for so long, a gateway is cut off: another keeper is found sooner
 LONG_GONE = 3_000_000  # and surely knows it then: its last call was under way for a fraction of a second
 FEW = 0.25  # of its even share it uses then: it sees few clients, or is without power
-REACHED = 2_000_000  # answers of other gateways this lately show that it is not this one that is cut off
 
 note = Writer(__name__)
 
@@ -68,6 +65,7 @@
         self._members, self._jurors, self._quota = members, jurors, quota
         self._duties = [f"gauge/{n}" for n in range(DUTIES)]
         self._candidate = Candidate(life)
+        self._presence = Presence(loop, mains, node, life, members)
         self._counters: dict[str, Floors] = {}  # of the duties held here
         self._gathering: dict[str, Gathering] = {}
         self._former: dict[str, tuple[Floors, int]] = {}  # counters of duties that were held here, and until when
@@ -78,16 +76,7 @@
         self._doubt: dict[str, int] = {}
         self._asked: dict[str, int] = {}
         self._vacant: dict[str, dict[Address, int]] = {}  # duty -> juror -> when it last knew of nobody
-        self._heard: dict[str, int] = {}  # gateway -> when it last called here
         self._ranks: dict[str, int] = {}  # duty -> this gateway's place among those who stand for it
-        self._lately: dict[str, Member] = {}  # gateways that are on the list, or were lately
-        self._listed = Members()  # as last looked at, and when that was
-        self._looked = loop.now
-        self._left: dict[str, int] = {}  # of those no longer on it: when they were last seen there
-        self._addresses: tuple[Members, list[Address]] = (self._listed, [])
-        self._ended: dict[str, str] = {}  # gateway -> its life that is proven to have ended
-        self._share = (1.0, -ALIKE)  # of gateways that are present, and when that was worked out
-        self._reached: dict[Address, int] = {}  # gateway -> when it last answered, or was proven to have ended
         self._stamps: dict[Address, Any] = {}  # counter -> its latest stamp, to be told back to it
         self._born = loop.now
         self._waiting: dict[str, dict[int, Callable[[], None]]] = {}
@@ -101,7 +90,7 @@
             mains,
             own,
             self._successors,
-            self._others,
+            self._presence.others,
             self._stand_now,
             self._candidate.highest_round,
             self._state,
@@ -139,7 +128,7 @@
         self._tenants[tenant] = None
         duty, now = duty_of(tenant), self.loop.now
         if self._counts(duty):
-            self._counters[duty].reach(self._present(), now)
+            self._counters[duty].reach(self._presence.share(), now)
             verdict = self._counters[duty].add(tenant, quota, again, now)
             self._read.note(tenant, verdict.level, now)
             if receipt is not None and verdict.passes:
@@ -223,9 +212,9 @@
     def _pass_alone(self, tenant: str, quota: Quota, then: Told) -> None:
         now = self.loop.now
         absent = now - max(self._contact.get(duty_of(tenant), 0), self._born) - ABSENT
-        if absent > KEPT - 2 * SECOND and not self._among_others():
+        if absent > KEPT - 2 * SECOND and not self._presence.among_others():
             absent = 0
-        passes = self.alone.passes(tenant, quota, len(self._lately), max(0, absent), now)
+        passes = self.alone.passes(tenant, quota, len(self._presence.lately), max(0, absent), now)
         if passes:
             self._read.add(tenant, now)
         then(passes, 200_000, False)
@@ -233,13 +222,13 @@
     def away(self, gateways: frozenset[str]) -> float:
         """How many of them are not known to have heard from this one lately, nor to have ended: each of those may hold
         itself to be `cut`. Those of long ago count in part."""
-        now, lives = self.loop.now, {node: member.life for node, member in self._lately.items()}
+        now, lives = self.loop.now, {node: member.life for node, member in self._presence.lately.items()}
         return sum(
-            FEW if now - self._heard.get(node, self._counts_since) >= LONG_GONE else 1.0
+            FEW if now - self._presence.heard.get(node, self._counts_since) >= LONG_GONE else 1.0
             for node in gateways
             if node != self._node
-            and not self._here(node)
-            and (node not in lives or self._ended.get(node) != lives[node])
+            and not self._presence.here(node)
+            and (node not in lives or self._presence.ended.get(node) != lives[node])
         )
 
     def cut(self, duty: str) -> float:
@@ -247,33 +236,6 @@
         silent = self.loop.now - max(self._contact.get(duty, 0), self._born)
         return 0.0 if silent < ABSENT else 1.0 if silent < LONG else FEW
 
-    def _among_others(self) -> bool:
-        """Whether half of the others answer. One that is cut off from them is taken from the list, and after a while
-        its share is theirs."""
-        now = self.loop.now
-        others = [self._reached.get(address, -REACHED) for address in self._others()]
-        return 2 * sum(1 for at in others if now - at < REACHED) >= len(others)
-
-    def _remember(self) -> None:
-        now = self.loop.now
-        listed, known = self._members(), self._listed
-        if listed is not known:
-            changes: dict[str, Member | None] = dict(listed)
-            if listed.before is known:
-                changes = listed.changes
-            else:
-                changes.update({node: None for node in known if node not in listed})
-            for node, member in changes.items():
-                if member is not None:
-                    self._lately[node] = member
-                    self._left.pop(node, None)
-                elif node in known:
-                    self._left[node] = self._looked
-            self._listed = listed
-        self._looked = now
-        for node in [node for node, at in self._left.items() if now - at > KEPT]:
-            del self._left[node], self._lately[node]
-
     def _find(self, duty: str, suspects: bool = False) -> None:
         """Asks the jurors, and a gateway or two for those who can't reach them, who counts. `suspects`: the holder did
         not answer, and the jurors are to look whether it has ended.
@@ -286,7 +248,7 @@
             self.mains.ask(
                 address, "who", [duty, self._own, self._life, suspects], WAIT, partial(self._juror_said, duty, address)
             )
-        others = self._others()
+        others = self._presence.others()
         for address in self.loop.net.rng.sample(others, min(2, len(others))):
             self.mains.ask(address, "counts", duty, WAIT, partial(self._told_by, duty, address))
 
@@ -304,7 +266,7 @@
 
     def _told_by(self, duty: str, address: Address, answer: Any) -> None:
         if isinstance(answer, list) or self.mains.ended(address):
-            self._reached[address] = self.loop.now
+            self._presence.reached(address)
         self._heard_of(duty, answer[0] if isinstance(answer, list) else None)
 
     def _heard_of(self, duty: str, answer: Any) -> None:
@@ -329,51 +291,18 @@
     def _counts(self, duty: str) -> bool:
         return duty in self._counters and self._candidate.holds(duty, self.loop.now)
 
-    def _present(self) -> float:
-        """The share of gateways that are known to have heard from this one lately. Those that are proven to have
-        ended pass nothing, and leave nothing out."""
-        now = self.loop.now
-        if now - self._share[1] >= ALIKE:
-            may = {node for node, member in self._lately.items() if self._ended.get(node) != member.life}
-            here = sum(1 for node in may | {self._node} if node == self._node or self._here(node))
-            self._share = (min(1.0, here / max(1, len(may | {self._node}))), now)
-        return self._share[0]
-
-    def _here(self, node: str) -> bool:
-        return self.loop.now - self._heard.get(node, -PRESENT) < PRESENT
-
-    def _stamp(self) -> list[Any]:
-        return [self._life, self.loop.now]
-
-    def _hears(self, node: str, stamp: Any) -> None:
-        """A gateway tells back what was the latest that it heard from here: until when it surely waits."""
-        if isinstance(stamp, list) and stamp[0] == self._life:
-            self._heard[node] = max(self._heard.get(node, 0), int(stamp[1]))
-
-    def _prove(self) -> None:
-        """Who is not here may have ended."""
-        for node, member in self._lately.items():
-            address = parse_address(member.address)
-            if address and node != self._node and not self._here(node) and self._ended.get(node) != member.life:
-                self.mains.ask(address, "life", None, WAIT, partial(self._proven, member, address, self.loop.now))
-
-    def _proven(self, member: Member, address: Address, asked: int, answer: Any) -> None:
-        refused = answer is None and self.mains.ended(address, asked)
-        if isinstance(answer, str) and answer != member.life or refused:
-            self._ended[member.node] = member.life
-
     def _count(self, conn: Conn, body: Any, answer: Answer) -> None:
         tenant = str(body[0])
         duty = duty_of(tenant)
         if not self._counts(duty):
             return answer(None)
-        self._hears(str(body[3]), body[5])
+        self._presence.hears(str(body[3]), body[5])
         quota = self._quota(tenant)
         if quota.rate <= 0:
             quota = Quota(float(body[1]), float(body[2]))  # news of it have not come here yet
-        self._counters[duty].reach(self._present(), self.loop.now)
+        self._counters[duty].reach(self._presence.share(), self.loop.now)
         verdict = self._counters[duty].add(tenant, quota, bool(body[4]), self.loop.now)
-        answer([verdict.passes, verdict.level, verdict.wait, self._stamp(), verdict.counted_at])
+        answer([verdict.passes, verdict.level, verdict.wait, self._presence.stamp(), verdict.counted_at])
 
     def _greet(self, address: Address) -> None:
         """Who calls seldom is reckoned with all the same."""
@@ -391,15 +320,15 @@
         self.mains.ask(address, "greet", [self._node, self._stamps.get(address)], WAIT, answered)
 
     def _greeted(self, conn: Conn, body: Any, answer: Answer) -> None:
-        self._hears(str(body[0]), body[1])
-        answer([self.held(), self._stamp()])
+        self._presence.hears(str(body[0]), body[1])
+        answer([self.held(), self._presence.stamp()])
 
     def _levels(self, conn: Conn, body: Any, answer: Answer) -> None:
         """What was last read here, and for how long this gateway has lived. Who asks is elected and reckons with
         this gateway from now on."""
         duty = str(body[0])
         self._contact[duty] = self.loop.now
-        levels = self._read.aged(self._of(duty), len(self._lately), self.loop.now)
+        levels = self._read.aged(self._of(duty), len(self._presence.lately), self.loop.now)
         answer(
             [{tenant: list(known) for tenant, known in levels.items()}, self.loop.now - self._born, self._node, body[1]]
         )
@@ -413,16 +342,16 @@
         """
         now = self.loop.now
         counter = Floors(self._terms, now)
-        gathering = self._gathering[duty] = Gathering(counter, len(self._others()), now - self._born)
-        for tenant, known in self._read.aged(self._of(duty), len(self._lately), now).items():
+        gathering = self._gathering[duty] = Gathering(counter, len(self._presence.others()), now - self._born)
+        for tenant, known in self._read.aged(self._of(duty), len(self._presence.lately), now).items():
             counter.learn(tenant, *known, now)
 
         def gathered(member: Member, address: Address, answer: Any) -> None:
             if not gathering.counts():
                 return
-            self._proven(member, address, now, answer)
+            self._presence.proven(member, address, now, answer)
             if isinstance(answer, list):
-                self._hears(str(answer[2]), answer[3])
+                self._presence.hears(str(answer[2]), answer[3])
                 gathering.learn(answer[0], int(answer[1]), self.loop.now)
             else:
                 gathering.no_answer()
@@ -433,9 +362,7 @@
             if not gathering.counts():
                 return
             counter.take_over(state, self.loop.now)
-            for node, age in state.heard.items():
-                self._heard[node] = max(self._heard.get(node, 0), asked - age)
-            self._share = (1.0, -ALIKE)
+            self._presence.take_over(state.heard, asked)
             self._begin_counting(duty, gathering)
 
         former = self._handover.won(duty)
@@ -445,7 +372,7 @@
             address = parse_address(member.address)
             if address is not None and member.node != self._node:
                 heard = partial(gathered, member, address)
-                self.mains.ask(address, "levels", [duty, self._stamp()], LATE_ANSWERS, heard)
+                self.mains.ask(address, "levels", [duty, self._presence.stamp()], LATE_ANSWERS, heard)
         self.loop.at(now + GATHER, lambda _: self._begin_counting(duty, gathering))
 
     def _begin_counting(self, duty: str, gathering: Gathering) -> None:
@@ -459,16 +386,9 @@
         self._holders.pop(duty, None)
         self._found(duty)
         note("counting", duty=duty)
-        for address in self._others():
+        for address in self._presence.others():
             self.mains.tell(address, "gauge", [duty, self._own])
 
-    def _others(self) -> list[Address]:
-        listed = self._members()
-        if self._addresses[0] is not listed:
-            found = [parse_address(member.address) for member in listed.values() if member.node != self._node]
-            self._addresses = listed, [address for address in found if address is not None]
-        return self._addresses[1]
-
     def _announced(self, conn: Conn, body: Any, _: Answer) -> None:
         duty, where = str(body[0]), str(body[1])
         address = parse_address(where)
@@ -481,7 +401,7 @@
     # ---- ballots
 
     def members_changed(self) -> None:
-        self._remember()
+        self._presence.remember()
         members = self._members()
         self._ranks = {}
         for duty in self._duties:
@@ -497,16 +417,16 @@
         now = self.loop.now
         self.loop.at(now + TICK, self._tick)
         greeted: set[Address] = set()
-        self._remember()
+        self._presence.remember()
         if self.held():
-            self._prove()
+            self._presence.prove()
         for duty in self._duties:
             if duty in self._counters and not self._counts(duty):
                 note("counts no longer", duty=duty)
                 self._stop_counting(duty)
                 self._handover.hand_on(duty, self._handover.next_for(duty))
             elif duty in self._counters:
-                self._counters[duty].reach(self._present(), now)
+                self._counters[duty].reach(self._presence.share(), now)
             self._stand(duty)
             holder = self._holders.get(duty)
             if duty in self._counters:
@@ -598,7 +518,7 @@
     def _successors(self, duty: str) -> list[Member]:
         """Who stands next for a duty, those in reach first; of a large fleet no more than may be asked one by one."""
         found = [member for member in next_on_ring(self._members(), duty, ASKED_TO_TAKE) if member.node != self._node]
-        return sorted(found, key=lambda member: not self._here(member.node))
+        return sorted(found, key=lambda member: not self._presence.here(member.node))
 
     def _stand_now(self, duty: str, above: int) -> None:
         self._put(self._candidate.stand(duty, self.loop.now, above))
@@ -612,6 +532,4 @@
         counter, until = self._former.get(duty, (None, 0))
         if counter is None or self.loop.now > until:
             return None
-        now = self.loop.now
-        heard = {node: now - at for node, at in self._heard.items() if now - at < PRESENT}
-        return counter.state(self._quota, heard, now)
+        return counter.state(self._quota, self._presence.ages(), self.loop.now)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -118,11 +118,11 @@
         lambda tenant: Quota(10, 10),
     )
     gauge.members_changed()
-    gauge._prove()
+    gauge._presence.prove()
     world.turn()
-    assert world.mains.ended(PEERS[0]) and not gauge._ended
+    assert world.mains.ended(PEERS[0]) and not gauge._presence.ended
     world.now += 100_000
     world.turn()
-    gauge._prove()
+    gauge._presence.prove()
     world.turn()
-    assert gauge._ended == {"g2": "new"}  # refused since: nobody listens there now
+    assert gauge._presence.ended == {"g2": "new"}  # refused since: nobody listens there now
