--- a/oakvale/gauge/presence.py
+++ b/oakvale/gauge/presence.py
@@ -16,6 +16,7 @@
 from oakvale.penstock.tree import Member, Members
 
 PRESENT = 900_000  # a counter reckons with who has heard from it this lately, as far as it knows
+ABSENT = PRESENT + 100_000  # after so long without hearing from it, a gateway knows that none reckons with it
 KEPT = 10_000_000  # one that left the list may still pass its share, unless it is proven to have ended
 ALIKE = 10_000  # the share of gateways that is present is worked out anew after this
 REACHED = 2_000_000  # answers of other gateways this lately show that it is not this one that is cut off
--- a/oakvale/gauge/service.py
+++ b/oakvale/gauge/service.py
@@ -14,7 +14,7 @@
 from oakvale.gauge.floors import SECOND, Alone, Floors, Quota, Read, Terms
 from oakvale.gauge.gathering import Gathering
 from oakvale.gauge.handover import STATE_KEPT_US, Handover
-from oakvale.gauge.presence import KEPT, PRESENT, Presence
+from oakvale.gauge.presence import ABSENT, KEPT, Presence
 from oakvale.gauge.returns import Returns
 from oakvale.gauge.state import CounterState, Receipt
 from oakvale.lifecycle.daybook import Writer
@@ -27,7 +27,6 @@
 WAIT = 150_000  # microseconds for the counter's answer
 TICK = 60_000
 GREET = 250_000  # without a call to a counter for so long, it is greeted
-ABSENT = PRESENT + 100_000  # after so long without hearing from it, a gateway knows that none reckons with it
 GATHER = 100_000  # for what others last read, before a new counter begins
 LATE_ANSWERS = 1_000_000  # what others last read counts for so long, also after it has begun
 VOTE_TIMEOUT = SPAN - MARGIN  # a vote that comes later binds no longer
--- a/tests/test_lab_experiments.py
+++ b/tests/test_lab_experiments.py
@@ -153,10 +153,8 @@
     assert found["oakvale.penstock.feed.FORGIVEN"] == 20_000_000
     assert found["oakvale.penstock.feed.Feed.fresh.__defaults__"] == (1_000_000,)
     assert found.keys() >= {"oakvale.penstock.feed.STALE"} and all(variants.found(name) for name in found)
-    assert (
-        variants.patches(Spec(name="later", set={"oakvale.gauge.service.PRESENT": 5}))["oakvale.gauge.service.ABSENT"]
-        == 100_005
-    )
+    later = variants.patches(Spec(name="later", set={"oakvale.gauge.presence.PRESENT": 5}))
+    assert later["oakvale.gauge.presence.ABSENT"] == later["oakvale.gauge.service.ABSENT"] == 100_005
 
 
 def test_a_hunt_keeps_what_it_found_as_a_day(
