One look-up of a request's routes for all judges; the interpreter of the package list is looked up once

The check of the deploy file asked the package database twice, once to decode and once to tell. No behaviour changed, no test touched.

--- a/oakvale/intake/check.py
+++ b/oakvale/intake/check.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from oakvale.base.address import spelled
-from oakvale.intake import deploy, packages, settings
+from oakvale.intake import deploy, settings
 from oakvale.intake.table import BadFile
 
 
@@ -48,7 +48,7 @@
     found = deploy.load(path)
     return [
         f"build: {found.build}",
-        f"packages: {', '.join(found.packages)}; {packages.check_python(found.packages)}",
+        f"packages: {', '.join(found.packages)}; {found.python}",
         *(
             f"{role.name} on {role.on}: {role.machines()}; serves {', '.join(role.serves) or 'nobody outside'}; "
             f"runs {' '.join(role.run)}"
--- a/oakvale/intake/deploy.py
+++ b/oakvale/intake/deploy.py
@@ -37,6 +37,7 @@
 class Deploy:
     build: str
     packages: tuple[str, ...]
+    python: str  # one line on the interpreter that the packages bring
     roles: tuple[Role, ...]
 
 
@@ -63,11 +64,14 @@
     for what in SERVED:
         if not any(what in role.serves for role in roles):
             raise BadFile(f"[roles] no role serves {what!r}")
-    return Deploy(build, _packages(whole, build, roles), roles)
+    return Deploy(build, *_packages(whole, build, roles), roles)
 
 
-def _packages(whole: Table, build: str, roles: tuple[Role, ...]) -> tuple[str, ...]:
-    """Raises BadFile where the list is not one, or lacks what `build` or a role calls."""
+def _packages(whole: Table, build: str, roles: tuple[Role, ...]) -> tuple[tuple[str, ...], str]:
+    """The list, and one line on the interpreter that it brings.
+
+    Raises BadFile where the list is not one, or lacks what `build` or a role calls.
+    """
     whole.get("packages", list)
     listed = whole.texts("packages")
     if odd := [name for name in listed if not packages.is_name(name)]:
@@ -86,10 +90,9 @@
         except packages.Unlisted as error:
             raise BadFile(f"[roles.{role.name}] run: {error}") from error
     try:
-        packages.check_python(listed)
+        return listed, packages.check_python(listed)
     except packages.UnsupportedPython as error:
         raise whole.wrong("packages:", str(error)) from error
-    return listed
 
 
 def _role(name: str, table: Table) -> Role:
--- a/oakvale/lab/judge/cases.py
+++ b/oakvale/lab/judge/cases.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from oakvale.lab.judge.calm import Calm
-from oakvale.lab.judge.force import Force
+from oakvale.lab.judge.force import Force, Route
 from oakvale.lab.judge.words import Bounds
 from oakvale.lab.record import Answered, Arrived, Closed, Declined, Dropped, Got, Ran, Record, Sent
 
@@ -105,14 +105,14 @@
             [got for got in record.got if got.id is None],
         )
 
+    def routes(self, sent: Sent) -> list[Route]:
+        """Its route by each proper configuration that was sent before the end and has one for it."""
+        tables = [version.table for version in self.force.proper if version.table is not None]
+        return [route for table in tables if (route := table.route(sent.host, sent.path)) is not None]
+
     def repeatable(self, sent: Sent) -> bool:
         """Some configuration that was sent before its end calls its route safe."""
-        for version in self.force.proper:
-            if version.table is not None:
-                route = version.table.route(sent.host, sent.path)
-                if route is not None and route.safe:
-                    return True
-        return False
+        return any(route.safe for route in self.routes(sent))
 
 
 def by_gateway(cases: dict[str, Case]) -> dict[str, list[Case]]:
--- a/oakvale/lab/judge/leaving.py
+++ b/oakvale/lab/judge/leaving.py
@@ -136,12 +136,8 @@
 def _limit(matter: Matter, case: Case) -> int:
     """The deadline, or the route's time-out where that is shorter."""
     assert case.sent is not None
-    sent, found = case.sent, case.sent.deadline
-    for version in matter.force.proper:
-        route = version.table.route(sent.host, sent.path) if version.table else None
-        if route is not None:
-            found = min(found, sent.at + route.deadline)
-    return found
+    sent = case.sent
+    return min([sent.deadline, *(sent.at + route.deadline for route in matter.routes(sent))])
 
 
 def _excused_from(matter: Matter, term: Happened) -> int:
--- a/oakvale/lab/judge/overdue.py
+++ b/oakvale/lab/judge/overdue.py
@@ -35,8 +35,7 @@
     sent = case.sent
     if sent is None or case.whole_at is None:
         return None
-    tables = [version.table for version in matter.force.proper if version.table is not None]
-    routes = [route for table in tables if (route := table.route(sent.host, sent.path)) is not None]
+    routes = matter.routes(sent)
     if not routes:
         return None
     due = case.whole_at + max(route.deadline for route in routes)
