--- a/oakvale/demo/backend.py
+++ b/oakvale/demo/backend.py
@@ -15,7 +15,7 @@
 class Backend:
     def __init__(self, address: tuple[str, int], service: str, zone: str, ctl: list[str]) -> None:
         """Raises OSError where it can't listen."""
-        self.id = f"i-{secrets.token_hex(4)}"
+        self.id, self.service = f"i-{secrets.token_hex(4)}", service
         self.ran: list[str] = []  # ids of the attempts that it ran
         self._ends = threading.Event()
         self._caller = Caller(ctl, self._ends)
--- a/oakvale/demo/machines.py
+++ b/oakvale/demo/machines.py
@@ -26,6 +26,7 @@
         """Raises OSError where no addresses can be had."""
         self._folder = tempfile.TemporaryDirectory(prefix="oakvale-demo-")
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._places: dict[str, tuple[str, str, int, str]] = {}  # node -> what it was started with
         self.net = f"127.{64 + secrets.randbelow(128)}.{secrets.randbelow(256)}"
         self._ports = _free(f"{self.net}.1", 5)  # ctl, http, readyz, headworks' mains and the next for sluices
         self.core = [f"{self.net}.{n + 1}" for n in range(core)]
@@ -36,11 +37,13 @@
         self.readyz = [f"{ip}:{self._ports[2]}" for ip in self.edge]
         self.mains = [f"{ip}:{self._ports[3]}" for ip in self.core] + [f"{ip}:{self._ports[3] + 1}" for ip in self.edge]
 
-    def start(self) -> None:
+    def start(self, tree: Path = ROOT) -> None:
+        """`tree`: of the sources that all run."""
         for n, ip in enumerate(self.core):
-            self._run("headworks", ip, n, f'bind = {{ ctl = "{self.ctl[n]}" }}')
+            self._run("headworks", ip, n, f'bind = {{ ctl = "{self.ctl[n]}" }}', tree)
         for n, ip in enumerate(self.edge):
-            self._run("sluice", ip, n, f'bind = {{ http = "{self.http[n]}", readyz = "{self.readyz[n]}" }}')
+            bind = f'bind = {{ http = "{self.http[n]}", readyz = "{self.readyz[n]}" }}'
+            self._run("sluice", ip, n, bind, tree)
 
     def log(self, node: str) -> str:
         return (Path(self._folder.name) / f"{node}.log").read_text()
@@ -53,6 +56,18 @@
         process.kill()
         process.wait()
 
+    def restart(self, node: str, tree: Path, within: float = 5.0) -> bool:
+        """Tells a node to end and starts it again from another tree of sources; True where it ended in order."""
+        process = self._processes.pop(node)
+        process.send_signal(signal.SIGTERM)
+        try:
+            code = process.wait(within)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            code = process.wait()
+        self._run(*self._places[node], tree)
+        return code == 0
+
     def ready(self) -> bool:
         """Whether every sluice says so."""
         try:
@@ -77,7 +92,8 @@
         self._folder.cleanup()
         return not any(codes)
 
-    def _run(self, role: str, ip: str, number: int, bind: str) -> None:
+    def _run(self, role: str, ip: str, number: int, bind: str, tree: Path) -> None:
+        self._places[f"{role}-{number + 1}"] = (role, ip, number, bind)
         node, folder = f"{role}-{number + 1}", Path(self._folder.name)
         path = folder / f"{node}.toml"
         disk = f'datadir = "{folder / node}"\n' if role == "headworks" else ""
@@ -103,8 +119,8 @@
 [terms.bounds]
 grace = "1s"
 """)
-        environment = {**os.environ, "OAKVALE_SETTINGS": str(path), "PYTHONPATH": str(ROOT)}
-        with open(folder / f"{node}.log", "wb") as log:
+        environment = {**os.environ, "OAKVALE_SETTINGS": str(path), "PYTHONPATH": str(tree)}
+        with open(folder / f"{node}.log", "ab") as log:
             self._processes[node] = subprocess.Popen(
                 [sys.executable, "-m", "oakvale", role],
                 cwd=folder,
