--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -30,6 +30,7 @@
     ("election",),
     ("ratelimit",),
     ("loadbalancing",),
+    ("coordination",),
     ("controlplane", "dataplane"),
     ("demo", "lab"),
     ("cli",),
