--- a/oakvale/coordination/entries.py
+++ b/oakvale/coordination/entries.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 from typing import Any
 
 PREFIX = "coordination/"
@@ -96,3 +97,28 @@
 def event_key(group: str, slot: int) -> str:
     """The key of an event slot. Names have no slash, so keys of different groups differ."""
     return f"{EVENT_PREFIX}{group}/{slot}"
+
+
+@dataclass(slots=True)
+class SortedEntries:
+    """Entries by kind, each with the name in its key; that of an event is its group and slot, with a slash between."""
+
+    locks: list[tuple[str, LockEntry]] = field(default_factory=list)
+    counters: list[tuple[str, CounterEntry]] = field(default_factory=list)
+    cells: list[tuple[str, CellEntry]] = field(default_factory=list)
+    events: list[tuple[str, EventEntry]] = field(default_factory=list)
+
+    @classmethod
+    def read(cls, items: Iterable[tuple[str, Any]]) -> SortedEntries:
+        """Reads keys and values of the replicated state; keys of other kinds are passed over."""
+        found = cls()
+        for key, value in items:
+            if key.startswith(LOCK_PREFIX):
+                found.locks.append((key[len(LOCK_PREFIX) :], LockEntry.unpack(value)))
+            elif key.startswith(COUNTER_PREFIX):
+                found.counters.append((key[len(COUNTER_PREFIX) :], CounterEntry.unpack(value)))
+            elif key.startswith(CELL_PREFIX):
+                found.cells.append((key[len(CELL_PREFIX) :], CellEntry.unpack(value)))
+            elif key.startswith(EVENT_PREFIX):
+                found.events.append((key[len(EVENT_PREFIX) :], EventEntry.unpack(value)))
+        return found
