Core: announce entries in force and a replaced state; pending entries; core-only prefixes; bounds.retain

Cause: coordination keeps state machines beside the replicated state. They must follow what comes into force, not callbacks (lost with a lease while their change may still come into force), and must notice a replaced state.

Existing test_config: one more line in the sample file and one more assertion.

--- a/oakvale/config/settings.py
+++ b/oakvale/config/settings.py
@@ -38,6 +38,7 @@
     quota_excess: float = 0.0
     quota_slack: float = 0.0
     revoke: int = 5_000 * MILLISECOND_US
+    retain: int = 20_000 * MILLISECOND_US  # how long a watch may resume from a revision that it was given
     strict_revoke: bool = False  # reject a key if a revocation may have been missed for `revoke`
 
 
@@ -53,6 +54,7 @@
     "retry_win",
     "quota_win",
     "revoke",
+    "retain",
 )
 NUMBER_FIELDS = ("retry_ratio", "retry_slack", "quota_excess", "quota_slack")
 
--- a/oakvale/controlplane/core.py
+++ b/oakvale/controlplane/core.py
@@ -28,7 +28,7 @@
     unpack_view,
 )
 from oakvale.dissemination.feed import HEARTBEAT_INTERVAL_US, Publisher
-from oakvale.dissemination.table import Version
+from oakvale.dissemination.table import Entry, Version
 from oakvale.lifecycle.eventlog import EventLogger
 from oakvale.storage.store import Storage
 from oakvale.transport.links import Answer, Connection, Transport
@@ -61,6 +61,9 @@
     def __init__(self, loop: Loop, transport: Transport, settings: Settings, storage: Storage) -> None:
         self.loop, self.transport, self.settings, self.storage = loop, transport, settings, storage
         self.on_serving_change: list[Callable[[bool], None]] = []  # called when this replica starts or stops serving
+        # called with entries that came into force, before any caller learns that its change did
+        self.on_in_force: list[Callable[[list[Entry]], None]] = []
+        self.on_state_replaced: list[Callable[[], None]] = []  # called when the primary's state replaced that held here
         self._pulse_number = 0
         seeds = [f"{ip}:{settings.ports[0]}" for ip, _ in settings.seeds]
         copies = 1 + max(1, settings.tolerate, settings.tolerate_zones, settings.tolerate_regions)
@@ -226,6 +229,8 @@
                 case replication.ChangeResult(then, done):
                     then(done)
                 case replication.StateUpdates(entries):
+                    for call in self.on_in_force:
+                        call(entries)
                     self.publisher.publish(self._next_pulse(), entries)
                 case replication.ViewInstalled(view):
                     self._last_served = None
@@ -247,6 +252,8 @@
                     current = self.view()
                     if current is not None:  # the primary that sent this state may have granted a lease just before
                         self._leases.grant(current, current.primary, self.loop.clock())
+                    for notify in self.on_state_replaced:
+                        notify()
 
     def _serving_changed(self, serves: bool) -> None:
         if serves:
--- a/oakvale/controlplane/replicated_state.py
+++ b/oakvale/controlplane/replicated_state.py
@@ -79,6 +79,10 @@
         """Keys of changes that are not in force yet."""
         return [key for pending in self._pending for key, _, _ in pending.entries]
 
+    def pending_entries(self) -> list[Entry]:
+        """Entries of proposed changes that are not in force yet, oldest first."""
+        return [entry for pending in self._pending for entry in pending.entries]
+
     def has_pending(self) -> bool:
         """Whether a change is not in force yet."""
         return bool(self._pending)
--- a/oakvale/controlplane/resources.py
+++ b/oakvale/controlplane/resources.py
@@ -21,7 +21,7 @@
 from oakvale.controlplane.compaction import RETENTION_US
 from oakvale.controlplane.core import Core
 from oakvale.controlplane.view_change import View
-from oakvale.dissemination.table import CORE_ONLY_PREFIX
+from oakvale.dissemination.table import CONFIG_DIGEST_PREFIX
 from oakvale.lifecycle.eventlog import EventLogger
 
 if TYPE_CHECKING:  # imported only with contracts, or on a primary
@@ -32,7 +32,7 @@
 BACKEND_ID = re.compile(r"[!-~]{1,128}")
 ORDER_NAME = re.compile(r"[0-9A-Za-z._-]{1,64}")
 # key prefix of the remembered digests; key behind it of the highest forgotten number
-CONFIG_DIGESTS, HIGHEST_FORGOTTEN = CORE_ONLY_PREFIX, "up-to"
+CONFIG_DIGESTS, HIGHEST_FORGOTTEN = CONFIG_DIGEST_PREFIX, "up-to"
 MAX_REMEMBERED_CONFIGS = 1_000  # the highest numbers
 MAX_CACHED_CHECKS = 64  # valid texts that need no further check
 MAX_QUEUED_CHECKS = 16  # texts that wait for their check; further ones get a 503
--- a/oakvale/dissemination/table.py
+++ b/oakvale/dissemination/table.py
@@ -20,13 +20,15 @@
 DIGEST_RANGES = 16
 NO_VERSION: Version = (0, 0)
 TOMBSTONES_KEPT = 500  # the newest tombstones, which compaction never drops
-CORE_ONLY_PREFIX = "taken/"  # keys of entries that only core machines hold; never sent to gateways
+CONFIG_DIGEST_PREFIX = "taken/"  # keys of remembered digests of configurations
+COORDINATION_PREFIX = "coordination/"  # keys of locks, counters, cells and events of applications
+CORE_ONLY_PREFIXES = (CONFIG_DIGEST_PREFIX, COORDINATION_PREFIX)  # entries that are never sent to gateways
 HORIZON_KEY = "floor"  # key of the entry that raises the compaction horizon; its value is a version
 
 
 def gateway_entries(entries: Iterable[Entry]) -> list[Entry]:
     """The entries that are sent to gateways, without those of core machines alone."""
-    return [entry for entry in entries if not entry[0].startswith(CORE_ONLY_PREFIX)]
+    return [entry for entry in entries if not entry[0].startswith(CORE_ONLY_PREFIXES)]
 
 
 def digest_range(key: str) -> int:
@@ -117,7 +119,7 @@
     def digests(self) -> list[bytes]:
         """One digest per range of keys; equal if two tables hold the same versions of the entries sent to gateways."""
         hashes = [blake2b(digest_size=8) for _ in range(DIGEST_RANGES)]
-        for key in sorted(key for key in self._entries if not key.startswith(CORE_ONLY_PREFIX)):
+        for key in sorted(key for key in self._entries if not key.startswith(CORE_ONLY_PREFIXES)):
             version = self._entries[key][0]
             hashes[digest_range(key)].update(cbor2.dumps([key, version[0], version[1]]))
         return [hasher.digest() for hasher in hashes]
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -45,6 +45,7 @@
 quota-excess = 0.1
 quota-slack = 20
 strict-revoke = false
+retain = "30s"
 """
 
 
@@ -63,6 +64,7 @@
     bounds = found.bounds
     assert (bounds.contact, bounds.sync_time, bounds.quota_win) == (3_500_000, 5_000_000, 4_000_000)
     assert (bounds.quota_excess, bounds.quota_slack, bounds.apply) == (0.1, 20.0, 2_500_000)
+    assert bounds.retain == 30_000_000
 
 
 @pytest.mark.parametrize(
