ControlServer: coordination calls, with query, abandoned calls and redirect

Cause: the server dropped the query of a call and told no handler that its caller had left; applications' calls got 404.

Change: enable_coordination(handlers) adds verbs whose handlers get a ControlCall (name, query, body) and send an Answer; a caller that leaves runs call.on_abandoned. The redirect keeps path and query; typed calls replace the bare tuple.

Run: tests/test_ctl_coordination.py (new; 404 for these calls before) and test_ctl_orders pass.

--- a/oakvale/controlplane/control_server.py
+++ b/oakvale/controlplane/control_server.py
@@ -1,12 +1,15 @@
-"""The `ctl` HTTP server of a core machine: routes requests of backends and operators to the resource handlers."""
+"""The `ctl` HTTP server of a core machine: routes requests of backends, operators and applications to handlers."""
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from oakvale.config.settings import Settings
 from oakvale.controlplane.core import Core
-from oakvale.controlplane.resources import JSON, BackendsHandler, ConfigHandler, Reply, primary_url
+from oakvale.controlplane.resources import JSON, BackendsHandler, ConfigHandler, ReplyCallback, primary_url
+from oakvale.coordination.calls import CallHandler, ControlCall
 from oakvale.memory.requests import Answer, ClientRequest
 from oakvale.shared import ConnectionOwner, SharedResources
 from oakvale.wire.clients import IncomingRequest, plain_answer
@@ -17,6 +20,25 @@
 PATH_PREFIX = "/oakvale/"
 READINESS_PATH = b"/oakvale/readyz"
 
+MethodAndVerb = tuple[bytes, str]
+ResourceHandler = Callable[[str, bytes, ReplyCallback], None]
+
+
+@dataclass(slots=True, frozen=True)
+class ResourceCall:
+    """A request of a backend or operator: its handler, and the path behind the verb."""
+
+    handler: ResourceHandler
+    name: str
+
+
+@dataclass(slots=True, frozen=True)
+class CoordinationCall:
+    """A request of an application, and its handler."""
+
+    handler: CallHandler
+    call: ControlCall
+
 
 class ControlServer(ConnectionOwner):
     """Owns the `ctl` connections and dispatches each request by method and verb."""
@@ -26,7 +48,8 @@
         self.core = core
         self._port = settings.bind["ctl"][1]
         config, self.backends = ConfigHandler(core), BackendsHandler(core, shared.loop, settings)
-        self._handlers = {
+        self._coordination: dict[MethodAndVerb, CallHandler] = {}
+        self._handlers: dict[MethodAndVerb, ResourceHandler] = {
             (b"POST", "Config.Replace"): config.replace,
             (b"GET", "Config.Read"): config.read,
             (b"POST", "Backends.Heartbeat"): self.backends.heartbeat,
@@ -46,35 +69,60 @@
             (b"GET", "Drains.Show"): handler.show,
         }
 
+    def enable_coordination(self, handlers: Mapping[MethodAndVerb, CallHandler]) -> None:
+        """Adds the verbs that applications call."""
+        self._coordination |= handlers
+
     def open(self, client: Any, incoming: IncomingRequest, received_at: int) -> Answer | ClientRequest:
-        path = incoming.target.partition(b"?")[0]
+        path, _, query = incoming.target.partition(b"?")
         if path == READINESS_PATH:
             return plain_answer(200, "ok") if self.core.view() is not None else plain_answer(503, "not ready")
         text = path.decode("latin-1")
-        verb, _, rest = text.removeprefix(PATH_PREFIX).partition("/")
-        handler = self._handlers.get((incoming.method, verb)) if text.startswith(PATH_PREFIX) else None
-        if handler is None:
-            known = any(verb == handled_verb for _, handled_verb in self._handlers)
+        verb, _, name = text.removeprefix(PATH_PREFIX).partition("/")
+        call = None
+        if text.startswith(PATH_PREFIX):
+            call = self._find_call((incoming.method, verb), name, query.decode("latin-1"), incoming.body)
+        if call is None:
+            known = any(verb == handled_verb for _, handled_verb in [*self._handlers, *self._coordination])
             return plain_answer(405 if known else 404, "no such call")
         if not self.core.serving():
-            primary = self.core.primary()
-            primary_host = primary_url(self.core.view(), self._port)
-            if primary is not None and primary != self.core.self_id and primary_host is not None:
-                return Answer(
-                    307, [(b"location", f"http://{primary_host}{incoming.target.decode('latin-1')}".encode())]
-                )
-            return Answer(503, [(b"retry-after", b"0.3"), JSON], b'{"error":"no primary is known"}')
-        request = ClientRequest("", client, incoming.method, incoming.target, [], incoming.body, 0, (handler, rest))
-        return request
+            return self._redirect(incoming.target)
+        return ClientRequest("", client, incoming.method, incoming.target, [], incoming.body, 0, call)
 
-    def begin(self, request: ClientRequest) -> None:
-        handler, rest = request.event
+    def _find_call(
+        self, method_and_verb: MethodAndVerb, name: str, query: str, body: bytes
+    ) -> ResourceCall | CoordinationCall | None:
+        if (resource_handler := self._handlers.get(method_and_verb)) is not None:
+            return ResourceCall(resource_handler, name)
+        if (call_handler := self._coordination.get(method_and_verb)) is not None:
+            return CoordinationCall(call_handler, ControlCall(name, query, body))
+        return None
 
-        def send_reply(reply: Reply) -> None:
+    def _redirect(self, target: bytes) -> Answer:
+        """A replica that is not the primary never answers from its own state."""
+        primary = self.core.primary()
+        primary_host = primary_url(self.core.view(), self._port)
+        if primary is not None and primary != self.core.self_id and primary_host is not None:
+            return Answer(307, [(b"location", f"http://{primary_host}{target.decode('latin-1')}".encode())])
+        return Answer(503, [(b"retry-after", b"0.3"), JSON], b'{"error":"no primary is known"}')
+
+    def begin(self, request: ClientRequest) -> None:
+        def send_answer(answer: Answer) -> None:
             if not request.finished:
-                self.final(request, Answer(reply.status, [JSON, *reply.headers], reply.body))
+                self.final(request, answer)
 
-        handler(rest, request.body, send_reply)
+        match request.event:
+            case CoordinationCall(handler, call):
+                handler(call, send_answer)
+            case ResourceCall(handler, name):
+                handler(
+                    name,
+                    request.body,
+                    lambda reply: send_answer(Answer(reply.status, [JSON, *reply.headers], reply.body)),
+                )
 
     def client_gone(self, request: ClientRequest) -> None:
         request.finished = True
+        if isinstance(request.event, CoordinationCall):
+            for on_abandoned in request.event.call.on_abandoned:
+                on_abandoned()
