--- a/oakvale/ratelimit/service.py
+++ b/oakvale/ratelimit/service.py
@@ -21,6 +21,7 @@
     VoteResponse,
 )
 from oakvale.lifecycle.eventlog import EventLogger
+from oakvale.ratelimit.counter_directory import COUNTER_TIMEOUT_US, CounterDirectory
 from oakvale.ratelimit.counter_state import CounterState, Receipt
 from oakvale.ratelimit.handover import STATE_RETENTION_US, Handover
 from oakvale.ratelimit.presence import ABSENT_US, MEMBER_RETENTION_US, Presence
@@ -32,15 +33,11 @@
 DUTY_COUNT = 4  # the tenants are partitioned into this many duties
 CANDIDATES_PER_DUTY = 4  # gateways
 MAX_SUCCESSORS_ASKED = 12  # gateways that are asked, one by one, to take over a duty
-COUNTER_TIMEOUT_US = 150_000  # for any answer about counting
 TICK_INTERVAL_US = 60_000
-GREETING_INTERVAL_US = 250_000  # a counter not called for this long is greeted, so that this gateway stays present
 COLLECTION_TIMEOUT_US = 100_000  # a new counter waits this long for the readings of other gateways
 LATE_ANSWER_TIMEOUT_US = 1_000_000  # readings are accepted this long, also after the counter has started
 VOTE_TIMEOUT_US = VOTE_DURATION_US - LEASE_SAFETY_MARGIN_US  # a later vote has expired
 COUNTER_DISCOVERY_TIMEOUT_US = 120_000  # a request waits this long for a counter to be found
-VACANCY_VALID_US = 250_000  # how long a voter's response that a duty is vacant is valid
-HOLDER_BACKOFF_US = 80_000  # for this long after an unanswered call, the counter is not called again
 ISOLATED_AFTER_US = 2_000_000  # without a holder for this long, a gateway is isolated: a new holder is found sooner
 LONG_ABSENT_US = 3_000_000  # after this it surely knows that it is isolated
 ISOLATED_SHARE = 0.25  # of its even share; an isolated gateway has few clients or no power
@@ -80,14 +77,18 @@
         # duty -> counter of a duty formerly held here, and until when it is kept
         self._former_counters: dict[str, tuple[QuotaCounter, int]] = {}
         self._counts_since = 0  # when a duty was last won
-        self._holders: dict[str, Address] = {}
-        self._last_answer: dict[str, int] = {}  # duty -> when its counter last answered
-        self._last_call: dict[str, int] = {}
-        self._unanswered_at: dict[str, int] = {}
-        self._last_search: dict[str, int] = {}
-        self._vacant: dict[str, dict[Address, int]] = {}  # duty -> voter -> when it last reported no holder
+        self._directory = CounterDirectory(
+            loop,
+            transport,
+            node,
+            incarnation,
+            self_address,
+            self._presence,
+            voters,
+            self._resume_waiting,
+            self._run_election,
+        )
         self._ranks: dict[str, int] = {}  # duty -> this gateway's rank among its candidates
-        self._stamps: dict[Address, Any] = {}  # counter -> its latest stamp, to be echoed
         self._started_at = loop.now
         self._waiting: dict[str, dict[int, Callable[[], None]]] = {}
         self._wait_number = 0
@@ -104,7 +105,7 @@
             self._start_election,
             self._candidate.highest_round,
             self._former_state,
-            self._on_given_up,
+            self._directory.forget,
         )
         transport.handlers["count"] = self._on_count
         transport.handlers["greet"] = self._on_greeting
@@ -124,7 +125,7 @@
 
     def holder(self, duty: str) -> Address | None:
         """The other gateway that holds the duty, as far as known."""
-        return self._holders.get(duty)
+        return self._directory.holder(duty)
 
     # ---- as client of a counter
 
@@ -151,34 +152,35 @@
             if receipt is not None and decision.passes:
                 receipt.tenant, receipt.counter_id, receipt.counted_at = tenant, self._incarnation, decision.counted_at
             return on_counted(decision.passes, decision.wait_us, True)
-        holder = self._holders.get(duty)
+        holder = self._directory.holder(duty)
         if holder is None and patience:
             return self._wait_for_counter(
                 duty, partial(self.count_request, tenant, again, on_counted, 0, receipt), patience
             )
-        if holder is None or now - self._unanswered_at.get(duty, -HOLDER_BACKOFF_US) < HOLDER_BACKOFF_US:
+        if holder is None or self._directory.backs_off(duty):
             return self._pass_locally(tenant, quota, on_counted)
 
         def answered(answer: Any) -> None:
             if not isinstance(answer, list):
-                self._on_unanswered(duty, holder)
-                if patience and self._holders.get(duty) != holder:  # it has just handed over the duty, or has ended
+                self._directory.unanswered(duty, holder)
+                if (
+                    patience and self._directory.holder(duty) != holder
+                ):  # it has just handed over the duty, or has ended
                     retry = partial(self.count_request, tenant, again, on_counted, 0, receipt)
-                    return retry() if duty in self._holders else self._wait_for_counter(duty, retry, patience)
+                    return retry() if self._directory.holder(duty) else self._wait_for_counter(duty, retry, patience)
                 return self._pass_locally(tenant, quota, on_counted)
-            self._unanswered_at.pop(duty, None)
-            self._last_answer[duty], self._stamps[holder] = self.loop.now, answer[3]
+            self._directory.answered(duty, holder, answer[3])
             passes, level, wait = bool(answer[0]), float(answer[1]), int(answer[2])
             self._readings.record(tenant, level, self.loop.now)
             if receipt is not None and passes and len(answer) > 4:  # the previous version sends no time
                 receipt.tenant, receipt.counter_id, receipt.counted_at = tenant, str(answer[3][0]), int(answer[4])
             on_counted(passes, wait, True)
 
-        self._last_call[duty] = now
+        self._directory.called(duty)
         self.transport.ask(
             holder,
             "count",
-            [tenant, quota.rate, quota.burst, self._node, again, self._stamps.get(holder)],
+            [tenant, quota.rate, quota.burst, self._node, again, self._directory.stamp_of(holder)],
             COUNTER_TIMEOUT_US,
             answered,
         )
@@ -192,7 +194,7 @@
         duty = duty_of(receipt.tenant)
         if counter == self._incarnation:
             self._apply_refund(receipt.tenant, receipt.counted_at)
-        elif (holder := self._holders.get(duty)) is not None:
+        elif (holder := self._directory.holder(duty)) is not None:
             self.transport.tell(holder, "give back", self._refunds.encode(receipt.tenant, counter, receipt.counted_at))
 
     def _on_refund(self, conn: Connection, body: Any, _: Answer) -> None:
@@ -222,16 +224,9 @@
         while waiting:
             waiting.pop(next(iter(waiting)))()
 
-    def _on_unanswered(self, duty: str, holder: Address) -> None:
-        if self._holders.get(duty) == holder:
-            self._unanswered_at[duty] = self.loop.now
-            if self.transport.recently_refused(holder):
-                del self._holders[duty]
-        self._find_holder(duty, suspects=True)
-
     def _pass_locally(self, tenant: str, quota: Quota, on_counted: CountCallback) -> None:
         now = self.loop.now
-        absent = now - max(self._last_answer.get(duty_of(tenant), 0), self._started_at) - ABSENT_US
+        absent = now - self._directory.last_answer_at(duty_of(tenant)) - ABSENT_US
         if absent > MEMBER_RETENTION_US - 2 * SECOND and not self._presence.reaches_half():
             absent = 0
         passes = self._local_allowance.allows(tenant, quota, len(self._presence.recent_members), max(0, absent), now)
@@ -256,64 +251,13 @@
 
     def isolated_share(self, duty: str) -> float:
         """What this gateway may use of its even share, as the duty's holder no longer counts it as present."""
-        silent = self.loop.now - max(self._last_answer.get(duty, 0), self._started_at)
+        silent = self.loop.now - self._directory.last_answer_at(duty)
         return 0.0 if silent < ABSENT_US else 1.0 if silent < ISOLATED_AFTER_US else ISOLATED_SHARE
 
-    def _find_holder(self, duty: str, suspects: bool = False) -> None:
-        """Asks the voters who counts, and up to two gateways in case no voter is reachable. `suspects`: the holder did
-        not answer, so the voters check whether it has ended.
-        """
-        now = self.loop.now
-        if now - self._last_search.get(duty, -HOLDER_BACKOFF_US) < HOLDER_BACKOFF_US:
-            return
-        self._last_search[duty] = now
-        for address in self._voter_addresses():
-            self.transport.ask(
-                address,
-                "who",
-                [duty, self._self_address, self._incarnation, suspects],
-                COUNTER_TIMEOUT_US,
-                partial(self._on_voter_report, duty, address),
-            )
-        others = self._presence.others()
-        for address in self.loop.net.rng.sample(others, min(2, len(others))):
-            self.transport.ask(
-                address, "counts", duty, COUNTER_TIMEOUT_US, partial(self._on_gateway_report, duty, address)
-            )
-
-    def _on_voter_report(self, duty: str, voter: Address, answer: Any) -> None:
-        if isinstance(answer, list):
-            self._learn_holder(duty, answer[0])
-            self._vacant.setdefault(duty, {})[voter] = self.loop.now if answer[0] is None else -VACANCY_VALID_US
-            if self._is_vacant(duty):
-                self._run_election(duty)
-
-    def _is_vacant(self, duty: str) -> bool:
-        """Whether a majority of voters just reported no holder, so that an election need not wait."""
-        reports = sum(1 for at in self._vacant.get(duty, {}).values() if self.loop.now - at < VACANCY_VALID_US)
-        return reports > len(self._voters()) // 2
-
-    def _on_gateway_report(self, duty: str, address: Address, answer: Any) -> None:
-        if isinstance(answer, list) or self.transport.recently_refused(address):
-            self._presence.record_contact(address)
-        self._learn_holder(duty, answer[0] if isinstance(answer, list) else None)
-
-    def _learn_holder(self, duty: str, answer: Any) -> None:
-        address = parse_address(answer) if answer else None
-        if address is None or answer == self._self_address or self.transport.recently_refused(address):
-            return
-        if self._holders.get(duty) != address:
-            self._holders[duty] = address
-            self._unanswered_at.pop(duty, None)
-            self._greet(address)
-            self._resume_waiting(duty)
-
     def _known_holder(self, duty: str) -> str | None:
         if self._is_counting(duty):
             return self._self_address
-        holder = self._holders.get(duty)
-        fresh = self.loop.now - self._last_answer.get(duty, -ABSENT_US) < ABSENT_US
-        return format_address(holder) if holder and fresh else None
+        return self._directory.known_holder(duty)
 
     # ---- as counter
 
@@ -333,21 +277,6 @@
         decision = self._counters[duty].count_request(tenant, quota, bool(body[4]), self.loop.now)
         answer([decision.passes, decision.level, decision.wait_us, self._presence.stamp(), decision.counted_at])
 
-    def _greet(self, address: Address) -> None:
-        """Calls a counter so that it counts this gateway as present although it sends few requests."""
-        asked = [duty for duty, holder in self._holders.items() if holder == address]
-        for duty in asked:
-            self._last_call[duty] = self.loop.now
-
-        def answered(answer: Any) -> None:
-            for duty in asked:
-                if isinstance(answer, list) and duty in answer[0]:
-                    self._last_answer[duty], self._stamps[address] = self.loop.now, answer[1]
-                elif self._holders.get(duty) == address:
-                    self._on_unanswered(duty, address)
-
-        self.transport.ask(address, "greet", [self._node, self._stamps.get(address)], COUNTER_TIMEOUT_US, answered)
-
     def _on_greeting(self, conn: Connection, body: Any, answer: Answer) -> None:
         self._presence.record_stamp(str(body[0]), body[1])
         answer([self.held_duties(), self._presence.stamp()])
@@ -356,7 +285,7 @@
         """Answers a new counter with the last readings and the age of this gateway, which is present there from now
         on."""
         duty = str(body[0])
-        self._last_answer[duty] = self.loop.now
+        self._directory.has_called(duty)
         levels = self._readings.aged(self._quotas_of(duty), len(self._presence.recent_members), self.loop.now)
         answer(
             [
@@ -421,7 +350,7 @@
             return collection.close()
         self._counters[duty] = collection.counter
         self._counts_since = self.loop.now
-        self._holders.pop(duty, None)
+        self._directory.forget(duty)
         self._resume_waiting(duty)
         log_event("counting", duty=duty)
         for address in self._presence.others():
@@ -431,10 +360,7 @@
         duty, where = str(body[0]), str(body[1])
         address = parse_address(where)
         if address is not None and where != self._self_address:
-            self._holders[duty] = address
-            self._unanswered_at.pop(duty, None)
-            self._greet(address)
-            self._resume_waiting(duty)
+            self._directory.announced(duty, address)
 
     # ---- elections
 
@@ -467,14 +393,13 @@
             elif duty in self._counters:
                 self._counters[duty].set_reachable_share(self._presence.present_share(), now)
             self._run_election(duty)
-            holder = self._holders.get(duty)
+            holder = self._directory.holder(duty)
             if duty in self._counters:
                 continue
             if holder is None:
-                self._find_holder(duty)
-            elif holder not in greeted and now - self._last_call.get(duty, 0) > GREETING_INTERVAL_US:
-                greeted.add(holder)
-                self._greet(holder)
+                self._directory.find(duty)
+            else:
+                self._directory.greet_if_idle(duty, holder, greeted)
 
     def _run_election(self, duty: str) -> None:
         """Renews the votes for a duty that is held here, or starts an election for a vacant one."""
@@ -487,8 +412,8 @@
         )
         if not holds and not is_candidate:
             return
-        silent = max(self._last_answer.get(duty, 0), self._started_at)
-        if is_successor or self._is_vacant(duty):
+        silent = self._directory.last_answer_at(duty)
+        if is_successor or self._directory.is_vacant(duty):
             silent = min(silent, now - HOLDER_SILENCE_US)
         self._send_to_voters(
             self._candidate.next_request(
@@ -532,7 +457,7 @@
     def _on_vote(self, response: VoteResponse, voter: str, voters: int) -> None:
         now = self.loop.now
         if not response.granted:
-            self._learn_holder(response.duty, response.holder_address)
+            self._directory.reported(response.duty, response.holder_address)
         held = self._candidate.holds(response.duty, now)
         self._send_to_voters(self._candidate.on_response(response, voter, voters, now))
         if not held and self._candidate.holds(response.duty, now) and response.duty not in self._collections:
@@ -572,10 +497,6 @@
     def _start_election(self, duty: str, above: int) -> None:
         self._send_to_voters(self._candidate.start_round(duty, self.loop.now, above))
 
-    def _on_given_up(self, duty: str, holder: Address) -> None:
-        if self._holders.get(duty) == holder:
-            del self._holders[duty]
-
     def _former_state(self, duty: str) -> CounterState | None:
         """The state of a former counter; that of an active one would miss what it counts later."""
         counter, until = self._former_counters.get(duty, (None, 0))
