Core machines answer the coordination calls

Cause: applications' calls got 404. Change: the process of a core machine makes the coordination service and adds its handlers to the ctl server.

--- a/oakvale/controlplane/process.py
+++ b/oakvale/controlplane/process.py
@@ -24,6 +24,7 @@
 from oakvale.controlplane.membership import GatewayRegistry
 from oakvale.controlplane.status import core_status
 from oakvale.controlplane.voter import VoterService
+from oakvale.coordination.service import CoordinationService
 from oakvale.lifecycle.acceptor import Acceptor
 from oakvale.lifecycle.eventlog import EventLogger
 from oakvale.lifecycle.signals import Signals
@@ -81,6 +82,7 @@
         serve_status(self.transport, "headworks", settings.node, lambda: core_status(core))
         self.shared = SharedResources(loop, limits_from_settings(settings))
         self._ctl = ControlServer(self.shared, core, settings)
+        self._ctl.enable_coordination(CoordinationService(core, loop, settings.bounds.retain).handlers())
         self.acceptor = Acceptor(self._ctl, listeners["ctl"], loop)
         self._drains: DrainManager | None = None
         self.know = core.update_seeds
