Replicated state: any number of calls can wait for one change

What callers saw: nothing yet. Each call that waits for a pending change (heartbeats of backends, refusals of locks and puts) wrapped the change's callback once more; a thousand of them on one change, while a disk or a copy stands still, would end in RecursionError, and none of them be answered. Cause: when_settled chained closures, so that the depth of the stack grew with the number of callers. Change: a pending change has a list of callbacks that wait for it. The stub in tests/coordination_core.py, which replaced the one callback, now clears the list as well; it checks what it did. Measured: test_any_number_of_calls_wait_for_one_change failed with RecursionError before.

--- a/tests/coordination_core.py
+++ b/tests/coordination_core.py
@@ -72,8 +72,10 @@
     def lose_results(self) -> None:
         """The callers learn that the outcome of their changes is unknown; the changes stay pending."""
         for pending in self.replicated_state._pending:
-            on_done, pending.on_done = pending.on_done, lambda done: None
-            on_done(False)
+            callbacks = pending.callbacks()
+            pending.on_done, pending.waiting = lambda done: None, []
+            for on_done in callbacks:
+                on_done(False)
 
     def end_term(self) -> None:
         """Another replica takes over, with the pending changes."""
--- a/tests/test_view_change.py
+++ b/tests/test_view_change.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from typing import Any, cast
 
 import cbor2
@@ -237,6 +238,22 @@
     assert results == [False] and replicated_state.table.get("a") == 1 and not replicated_state.has_pending()
 
 
+def test_any_number_of_calls_wait_for_one_change() -> None:
+    """Each waiting call used to add a frame of recursion to the callback of the change."""
+    replicated_state, results = ReplicatedState(), list[bool]()
+    replicated_state.start(1)
+    replicated_state.propose({"a": 1}, {A}, results.append)
+    for _ in range(2 * sys.getrecursionlimit()):
+        replicated_state.when_settled(results.append)
+    replicated_state.synced(A, (1, 1))
+    for then in replicated_state.take_completed():
+        then(True)
+    assert results == [True] * (2 * sys.getrecursionlimit() + 1)
+    replicated_state.propose({"a": 2}, {A}, results.append)
+    replicated_state.when_settled(results.append)
+    assert len(replicated_state.abandon()) == 2
+
+
 # ---- a single view manager
 
 
