Table: entries of core machines alone are kept apart; the horizon keeps to what gateways hold

Cause: each walk of the table (backends of a new registration, digests for a gateway's repair) went over thousands of coordination entries; and the compaction horizon could pass the newest entry of an up-to-date gateway when only core-only entries had changed since, so that this gateway was sent the whole table.

Change: two dictionaries; Table.highest_gateway_version, which bounds the horizon and is shown as news in the status; no second hashing of all keys when no digest differs.

--- a/oakvale/controlplane/compaction.py
+++ b/oakvale/controlplane/compaction.py
@@ -27,7 +27,8 @@
     ) -> None:
         self._core, self._loop, self._interval_us, self._retention_us = core, loop, interval_us, retention_us
         self._left_since: dict[str, int] = {}  # backend that left -> when this primary first saw its marker
-        self._version_history: deque[tuple[int, Version]] = deque()  # time -> highest version in the table then
+        # time -> the highest version of entries that gateways hold, at that time
+        self._version_history: deque[tuple[int, Version]] = deque()
         loop.at(loop.now + interval_us, self._compact)
 
     def _compact(self, _: Any) -> None:
@@ -43,7 +44,7 @@
             :MAX_MARKERS_PER_CHANGE
         ]
         changes: dict[str, Any] = {f"left/{name}": None for name in expired}
-        self._version_history.append((now, table.highest_version))
+        self._version_history.append((now, table.highest_gateway_version))
         retained_from = NO_VERSION  # the highest version of one retention period ago
         while self._version_history and now - self._version_history[0][0] >= self._retention_us:
             retained_from = self._version_history.popleft()[1]
--- a/oakvale/controlplane/status.py
+++ b/oakvale/controlplane/status.py
@@ -39,7 +39,7 @@
             "serving": core.serving(),
             "complete": core.view_manager.state.complete,
             "gen": config["gen"] if config else -1,
-            "news": "/".join(map(str, table.highest_version)),
+            "news": "/".join(map(str, table.highest_gateway_version)),
             "waits": core.replicated_state.has_pending(),
             "disk_waits_ms": 0 if disk_pending_since is None else (now - disk_pending_since) // US_PER_MS,
             "relays": len(core.publisher),
--- a/oakvale/dissemination/table.py
+++ b/oakvale/dissemination/table.py
@@ -8,8 +8,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from hashlib import blake2b
+from itertools import chain
 from typing import Any
 
 import cbor2
@@ -26,9 +27,14 @@
 HORIZON_KEY = "floor"  # key of the entry that raises the compaction horizon; its value is a version
 
 
+def is_core_only(key: str) -> bool:
+    """Whether gateways are never sent this key."""
+    return key.startswith(CORE_ONLY_PREFIXES)
+
+
 def gateway_entries(entries: Iterable[Entry]) -> list[Entry]:
     """The entries that are sent to gateways, without those of core machines alone."""
-    return [entry for entry in entries if not entry[0].startswith(CORE_ONLY_PREFIXES)]
+    return [entry for entry in entries if not is_core_only(entry[0])]
 
 
 def digest_range(key: str) -> int:
@@ -40,25 +46,37 @@
     """Versioned entries by key, tombstones included."""
 
     def __init__(self) -> None:
-        self._entries: dict[str, tuple[Version, Any]] = {}
+        self._entries: dict[str, tuple[Version, Any]] = {}  # those that gateways hold too
+        self._core_only: dict[str, tuple[Version, Any]] = {}
         self.highest_version = NO_VERSION  # the newest version seen
+        self.highest_gateway_version = NO_VERSION  # that of entries that gateways hold too
         self.horizon = NO_VERSION  # tombstones up to here have been dropped
 
+    def _part(self, key: str) -> dict[str, tuple[Version, Any]]:
+        """The entries among which this key belongs."""
+        return self._core_only if is_core_only(key) else self._entries
+
+    def _all(self) -> Iterator[tuple[str, tuple[Version, Any]]]:
+        return chain(self._entries.items(), self._core_only.items())
+
     def get(self, key: str) -> Any:
         """The value of a key; None if it is absent or deleted."""
-        found = self._entries.get(key)
+        found = self._part(key).get(key)
         return found[1] if found else None
 
     def version(self, key: str) -> Version:
         """The version of an entry or tombstone; NO_VERSION if the key is unknown."""
-        found = self._entries.get(key)
+        found = self._part(key).get(key)
         return found[0] if found else NO_VERSION
 
     def items(self, prefix: str) -> list[tuple[str, Any]]:
         """Existing keys that start with the prefix, without it, and their values."""
+        candidates: Iterable[tuple[str, tuple[Version, Any]]] = self._part(prefix).items()
+        if any(core_only.startswith(prefix) for core_only in CORE_ONLY_PREFIXES):
+            candidates = self._all()
         return [
             (key[len(prefix) :], value)
-            for key, (_, value) in self._entries.items()
+            for key, (_, value) in candidates
             if value is not None and key.startswith(prefix)
         ]
 
@@ -66,10 +84,13 @@
         """Applies the entries that are newer than the held ones; returns their keys and those of dropped tombstones."""
         changed = []
         for key, version, value in entries:
-            if version > self.version(key) and (value is not None or version > self.horizon or key in self._entries):
-                self._entries[key] = (version, value)
+            part = self._part(key)
+            if version > self.version(key) and (value is not None or version > self.horizon or key in part):
+                part[key] = (version, value)
                 changed.append(key)
             self.highest_version = max(self.highest_version, version)
+            if part is self._entries:
+                self.highest_gateway_version = max(self.highest_gateway_version, version)
         horizon = self.get(HORIZON_KEY) if HORIZON_KEY in changed else None
         if horizon is not None:
             self.horizon = max(self.horizon, (int(horizon[0]), int(horizon[1])))
@@ -78,22 +99,18 @@
         return changed
 
     def _compact(self) -> list[str]:
-        removed = [key for key, (version, value) in self._entries.items() if value is None and version <= self.horizon]
+        removed = [key for key, (version, value) in self._all() if value is None and version <= self.horizon]
         for key in removed:
-            del self._entries[key]
+            del self._part(key)[key]
         return removed
 
     def replace_all(self, entries: list[Entry], horizon: Version) -> list[str]:
         """Applies a sender's complete table: entries that it lacks and that are not newer than it are removed."""
         sent = {key for key, _, _ in entries}
         newest = max((version for _, version, _ in entries), default=NO_VERSION)
-        removed = [
-            key
-            for key, (version, value) in self._entries.items()
-            if key not in sent and version <= max(newest, horizon)
-        ]
+        removed = [key for key, (version, value) in self._all() if key not in sent and version <= max(newest, horizon)]
         for key in removed:
-            del self._entries[key]
+            del self._part(key)[key]
         changed = self.put(entries)
         self.horizon = max(self.horizon, horizon)
         return [*removed, *changed]
@@ -101,17 +118,13 @@
     def since(self, version: Version) -> list[Entry]:
         """Entries newer than a version, oldest first, tombstones included."""
         return sorted(
-            (
-                (key, entry_version, value)
-                for key, (entry_version, value) in self._entries.items()
-                if entry_version > version
-            ),
+            ((key, entry_version, value) for key, (entry_version, value) in self._all() if entry_version > version),
             key=lambda entry: entry[1],
         )
 
     def next_horizon(self) -> Version:
         """The horizon to compact to: once there are over twice TOMBSTONES_KEPT tombstones, the newest ones remain."""
-        tombstones = sorted(version for version, value in self._entries.values() if value is None)
+        tombstones = sorted(version for _, (version, value) in self._all() if value is None)
         return tombstones[-TOMBSTONES_KEPT - 1] if len(tombstones) > 2 * TOMBSTONES_KEPT else self.horizon
 
     # ---- repair
@@ -119,7 +132,7 @@
     def digests(self) -> list[bytes]:
         """One digest per range of keys; equal if two tables hold the same versions of the entries sent to gateways."""
         hashes = [blake2b(digest_size=8) for _ in range(DIGEST_RANGES)]
-        for key in sorted(key for key in self._entries if not key.startswith(CORE_ONLY_PREFIXES)):
+        for key in sorted(self._entries):
             version = self._entries[key][0]
             hashes[digest_range(key)].update(cbor2.dumps([key, version[0], version[1]]))
         return [hasher.digest() for hasher in hashes]
@@ -128,11 +141,13 @@
         """All gateway entries of the key ranges whose digest differs from that of the other table."""
         own_digests = self.digests()
         differing_ranges = {n for n in range(DIGEST_RANGES) if n >= len(digests) or digests[n] != own_digests[n]}
-        return gateway_entries(
+        if not differing_ranges:
+            return []
+        return [
             (key, version, value)
             for key, (version, value) in self._entries.items()
             if digest_range(key) in differing_ranges
-        )
+        ]
 
 
 def pack(entries: Iterable[Entry]) -> list[Any]:
