Control state: heartbeats, compaction and failover planning wait for no coordination change

Cause: each asked whether anything is pending. With coordination something nearly always is: a backend's unchanged heartbeat took as long as the slowest disk, compaction and planning were put off.

Change: a heartbeat waits only if its own entry is pending; compaction and planning only for changes of entries that gateways hold too.

Run: three tests in tests/test_core_only_entries.py, which fail without the change; test_failover, test_view_change, test_drains_core, test_chunks, test_dissemination pass.

--- a/oakvale/controlplane/compaction.py
+++ b/oakvale/controlplane/compaction.py
@@ -53,6 +53,6 @@
         horizon = min(table.next_horizon(), retained_from)
         if horizon > table.horizon:
             changes[HORIZON_KEY] = list(horizon)
-        if changes and not self._core.replicated_state.has_pending():
+        if changes and not self._core.replicated_state.has_pending_for_gateways():
             log_event("forgets", left=len(expired), up_to="/".join(map(str, horizon)))
             self._core.change(changes, lambda done: None)
--- a/oakvale/controlplane/failover_planning.py
+++ b/oakvale/controlplane/failover_planning.py
@@ -84,7 +84,7 @@
     def _check(self, _: Any) -> None:
         now = self._loop.now
         self._loop.at(now + CHECK_INTERVAL_US, self._check)
-        if not self._core.serving() or self._core.replicated_state.has_pending():
+        if not self._core.serving() or self._core.replicated_state.has_pending_for_gateways():
             return
         assert self._chain_settings is not None
         listed = dict(self._core.replicated_state.table.items("backend/"))
--- a/oakvale/controlplane/replicated_state.py
+++ b/oakvale/controlplane/replicated_state.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from oakvale.controlplane.view_change import Replica
-from oakvale.dissemination.table import NO_VERSION, Entry, Table, Version
+from oakvale.dissemination.table import NO_VERSION, Entry, Table, Version, is_core_only
 
 # called with True if the change is in force, with False if that is unknown: it may still come into force
 Callback = Callable[[bool], None]
@@ -87,6 +87,14 @@
         """Whether a change is not in force yet."""
         return bool(self._pending)
 
+    def has_pending_for_gateways(self) -> bool:
+        """Whether a change of entries that gateways hold too is not in force yet."""
+        return any(not is_core_only(key) for key in self.pending_keys())
+
+    def is_pending(self, key: str) -> bool:
+        """Whether a change of this key is not in force yet, or staged."""
+        return key in self.pending_keys() or any(key in changes for changes in self.staged_changes)
+
     def when_settled(self, on_done: Callback) -> None:
         """Calls `on_done` once everything that is pending now is in force, or at once if nothing is."""
         if not self._pending:
--- a/oakvale/controlplane/resources.py
+++ b/oakvale/controlplane/resources.py
@@ -256,7 +256,7 @@
         if listed is not None and all(listed[field] == value for field, value in fields.items()):
             return (
                 send_reply(accepted)
-                if not self._core.replicated_state.has_pending()
+                if not self._core.replicated_state.is_pending(key)
                 else self._core.when_settled(lambda done: send_reply(accepted if done else UNCONFIRMED))
             )
         changes: dict[str, Any] = {key: fields | {"calls": call_number, "warm": warmup_us}}
--- a/tests/test_core_only_entries.py
+++ b/tests/test_core_only_entries.py
@@ -4,13 +4,17 @@
 
 from typing import Any, cast
 
+import orjson
 import pytest
 
+from oakvale.config.chains import ChainSettings
 from oakvale.controlplane.core import Core
+from oakvale.controlplane.resources import BackendsHandler
 from oakvale.coordination.entries import PREFIX
 from oakvale.dissemination.table import CORE_ONLY_PREFIXES, NO_VERSION, Entry, Table, unpack
 from tests.control_plane_simulation import World
-from tests.simulated_processes import MS, SECOND
+from tests.simulated_processes import MS, SECOND, Loop
+from tests.test_failover import planning
 
 
 class RecordingSubscriber:
@@ -80,6 +84,50 @@
     assert NO_VERSION < horizon <= gateway.highest_version
 
 
+def test_a_heartbeat_waits_for_no_unrelated_change() -> None:
+    """With a coordination change always pending, each heartbeat would take as long as the slowest disk."""
+    world = World(4)
+    core = serving_core(world)
+    machine = world.serving()
+    assert machine is not None and machine.life is not None
+    handler = BackendsHandler(core, cast(Any, Loop(world, machine.life)), world.settings(machine, False))
+    replies = list[int]()
+
+    def heartbeat(calls: int, state: str = "ready") -> None:
+        body = {"svc": "s", "addr": "10.9.0.1:80", "az": "z0", "gen": "1", "slots": 2, "state": state, "calls": calls}
+        handler.heartbeat("b1", orjson.dumps(body), lambda reply: replies.append(reply.status))
+
+    heartbeat(1)
+    world.run(200 * MS)
+    machine.disk_hangs = world.now + 400 * MS
+    core.change({f"{PREFIX}lock/a": [1, "b", 1]}, lambda done: None)
+    heartbeat(2)
+    assert replies == [200, 200]
+    heartbeat(3, "drain")
+    heartbeat(4, "drain")
+    assert replies == [200, 200], "this entry is not in force yet"
+    world.run(600 * MS)
+    assert replies == [200] * 4
+
+
+def test_compaction_goes_on_while_a_core_only_change_is_pending(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = World(5, compaction_intervals=(200 * MS, 600 * MS))
+    core = serving_core(world)
+    core.change({"left/b": 1}, lambda done: None)
+    world.run(100 * MS)
+    monkeypatch.setattr(core.replicated_state, "pending_keys", lambda: [f"{PREFIX}lock/a"])
+    monkeypatch.setattr(core.replicated_state, "has_pending", lambda: True)
+    world.run(2 * SECOND)
+    assert core.replicated_state.table.get("left/b") is None
+
+
+def test_failover_planning_goes_on_while_a_core_only_change_is_pending() -> None:
+    core, _ = planning(ChainSettings())
+    core.replicated_state.propose({f"{PREFIX}lock/a": [1, "b", 1]}, {("away", "1")}, lambda done: None)
+    core.run(6)
+    assert any("chains" in changes for changes in core.changes)
+
+
 def test_a_table_keeps_core_only_entries_apart() -> None:
     """What gateways are sent is independent of them; all else includes them."""
     table, without = Table(), Table()
