--- a/oakvale/controlplane/process.py
+++ b/oakvale/controlplane/process.py
@@ -24,6 +24,7 @@
 from oakvale.controlplane.membership import GatewayRegistry
 from oakvale.controlplane.status import core_status
 from oakvale.controlplane.voter import VoterService
+from oakvale.coordination.service import CoordinationService
 from oakvale.lifecycle.acceptor import Acceptor
 from oakvale.lifecycle.eventlog import EventLogger
 from oakvale.lifecycle.signals import Signals
@@ -78,9 +79,11 @@
         voter_service = VoterService(loop, self.transport, self.storage, settings.bootstrap, core.is_witness)
         GatewayRegistry(core, voter_service, loop, self.transport)
         Compactor(core, loop)
-        serve_status(self.transport, "headworks", settings.node, lambda: core_status(core))
+        coordination = CoordinationService(core, loop, settings.bounds.retain)
+        serve_status(self.transport, "headworks", settings.node, lambda: core_status(core, coordination.status()))
         self.shared = SharedResources(loop, limits_from_settings(settings))
         self._ctl = ControlServer(self.shared, core, settings)
+        self._ctl.enable_coordination(coordination.handlers())
         self.acceptor = Acceptor(self._ctl, listeners["ctl"], loop)
         self._drains: DrainManager | None = None
         self.know = core.update_seeds
--- a/oakvale/controlplane/status.py
+++ b/oakvale/controlplane/status.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
 from oakvale.controlplane.core import Core
 from oakvale.transport.status_service import US_PER_MS, count_by_service
 
 
-def core_status(core: Core) -> dict[str, Any]:
-    """The fields of the status report: role, view, peers, configuration, disk and listed backends."""
+def core_status(core: Core, coordination: Mapping[str, int]) -> dict[str, Any]:
+    """The fields of the status report: role, view, peers, configuration, disk, counts of coordination, and listed
+    backends."""
     now, view, table = core.loop.now, core.view(), core.replicated_state.table
     config, disk_pending_since = table.get("config"), core.storage.oldest_pending_since()
     fields: dict[str, Any] = {
@@ -45,5 +47,6 @@
             "relays": len(core.publisher),
             "gateways": ",".join(sorted(node for node, _ in table.items("gate/"))),
         }
+        | {f"coordination.{name}": count for name, count in coordination.items()}
         | count_by_service((str(value["svc"]), str(value["state"])) for _, value in table.items("backend/"))
     )
