--- a/oakvale/coordination/service.py
+++ b/oakvale/coordination/service.py
@@ -2,8 +2,8 @@
 
 The state machines hold the newest state, pending changes included. They learn from the control state what comes into
 force, not from the results of changes: a result is lost with the lease, while its change may still come into force.
-They are rebuilt before the next call after the end of a term of serving, after the state was replaced, and after a
-change whose outcome is unknown.
+They are rebuilt when a term of serving begins, and before the next call after the state was replaced or a change had an
+unknown outcome.
 
 A call gets 503 only before it reaches the state machines, as that promises that it has no effect. Whatever is decided
 after that is answered only while this replica serves, and with 500 otherwise.
@@ -115,6 +115,8 @@
     def _serving_changed(self, serves: bool) -> None:
         if not serves:
             self._end_term()
+        elif not self._is_current and self._core.serving():
+            self._rebuild()  # holds count from now, not from the next call
 
     def _end_term(self) -> None:
         self._is_current = self._is_same_term = False
--- a/tests/coordination_core.py
+++ b/tests/coordination_core.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from oakvale.controlplane.replicated_state import ReplicatedState
+from oakvale.controlplane.replicated_state import Callback, ReplicatedState
 from oakvale.dissemination.table import Entry
 
 SELF = ("a:1", "0")
@@ -43,47 +43,67 @@
         self.on_in_force: list[Callable[[list[Entry]], None]] = []
         self.on_state_replaced: list[Callable[[], None]] = []
         self.replicated_state = ReplicatedState()
-        self.replicated_state.start(1)
-        self.serves = True
-        self.accepts_changes = True
-        self.written_keys: list[str] = []
+        self._view = 1
+        self.replicated_state.start(self._view)
+        self.serves = self.accepts_changes = True
+        self.changes: list[dict[str, Any]] = []  # all that were proposed
+        self._results: list[Callback] = []  # of pending changes
 
     def serving(self) -> bool:
         return self.serves
 
-    def change(self, changes: dict[str, Any], on_done: Callable[[bool], None]) -> None:
+    def change(self, changes: dict[str, Any], on_done: Callback) -> None:
         if not self.accepts_changes:
             return on_done(False)
-        self.written_keys += changes
-        self.replicated_state.propose(changes, {SELF}, on_done)
-
-    def when_settled(self, on_done: Callable[[bool], None]) -> None:
-        self.replicated_state.when_settled(on_done)
-
-    def settle(self, before_results: Callable[[], None] = lambda: None) -> None:
-        """Puts all pending changes in force."""
-        entries = self.replicated_state.synced(SELF, self.replicated_state.last_version)
-        for hook in self.on_in_force:
-            hook(entries)
+        self.changes.append(changes)
+        self.replicated_state.propose(changes, {SELF}, self._track(on_done))
+
+    def when_settled(self, on_done: Callback) -> None:
+        self.replicated_state.when_settled(self._track(on_done))
+
+    def _track(self, on_done: Callback) -> Callback:
+        """As `PendingCallbacks` does: a result that was reported as unknown is not reported again."""
+        self._results.append(on_done)
+
+        def report(done: bool) -> None:
+            if on_done in self._results:
+                self._results.remove(on_done)
+                on_done(done)
+
+        return report
+
+    def settle(self, before_results: Callable[[], None] = lambda: None, but: int = 0) -> None:
+        """Puts the pending changes in force, but the last ones."""
+        pending = self.replicated_state._pending
+        if len(pending) > but:
+            entries = self.replicated_state.synced(SELF, pending[len(pending) - 1 - but].entries[-1][1])
+            for hook in self.on_in_force:
+                hook(entries)
         before_results()
         for on_done in self.replicated_state.take_completed():
             on_done(True)
 
     def lose_results(self) -> None:
         """The callers learn that the outcome of their changes is unknown; the changes stay pending."""
-        for pending in self.replicated_state._pending:
-            on_done, pending.on_done = pending.on_done, lambda done: None
-            on_done(False)
+        while self._results:
+            self._results.pop(0)(False)
 
-    def end_term(self) -> None:
-        """Another replica takes over, with the pending changes."""
+    def end_term(self, lost: int = 0) -> None:
+        """Another replica takes over, with the pending changes but the last ones."""
         self.serves = False
-        for on_done in self.replicated_state.abandon():
-            on_done(False)
+        state, kept = ReplicatedState(), len(self.replicated_state._pending) - lost
+        state.apply(self.replicated_state.table.since((0, 0)))
+        for pending in [*self.replicated_state._pending][: max(0, kept)]:
+            state.apply(pending.entries)
+        self.lose_results()
         for hook in self.on_serving_change:
             hook(False)
+        self.replicated_state = state
 
     def begin_term(self) -> None:
-        self.serves = True
+        """This replica serves, in a new view."""
+        self._view += 1
+        self.replicated_state.start(self._view)
+        self.serves = self.accepts_changes = True
         for hook in self.on_serving_change:
             hook(True)
--- a/tests/test_coordination_service.py
+++ b/tests/test_coordination_service.py
@@ -72,7 +72,7 @@
     assert renewed.status == 200 and renewed.answers[0].headers == [(b"content-type", b"application/json")]
     assert bench.done("Locks.Finish", "l", {"owner": "a", "fence": 1}) == (200, {})
     assert bench.call("Locks.Heartbeat", "l", HOLD | {"fence": 1}).status == 409
-    assert bench.core.written_keys == [LOCK_PREFIX + "l"] * 2
+    assert [*map(list, bench.core.changes)] == [[LOCK_PREFIX + "l"]] * 2
 
 
 def test_calls_that_are_not_understood_do_nothing(bench: Bench) -> None:
@@ -104,7 +104,7 @@
     ):
         made = bench.call(verb, name, body)
         assert made.status == status and made.fields["error"].startswith(why + ":"), (verb, name, body)
-    assert not bench.core.written_keys and bench.service.status()["keys"] == 0
+    assert not bench.core.changes and bench.service.status()["keys"] == 0
 
 
 def test_an_unknown_outcome_is_500_and_never_a_promise(bench: Bench) -> None:
@@ -142,7 +142,7 @@
         bench.call("Cells.Read", "g.a"),
         bench.call("watch", "g.", query="after=0"),
     ]
-    assert [made.status for made in calls] == [503] * len(calls) and len(bench.core.written_keys) == 1
+    assert [made.status for made in calls] == [503] * len(calls) and len(bench.core.changes) == 1
 
 
 def test_a_primary_frozen_before_its_reply_reports_no_success(bench: Bench) -> None:
