Core: a machine that stops answers all pending callers before its connections close

Cause: a primary that could not hand over (too few others) closed the connections of waiting watches and of changes without a result. Idle connections were closed at SIGTERM, though the process goes on serving for a while: a request that crossed the close was lost.

Change: when it gives up its lease, it ends its term of serving and calls pending callbacks with False; idle connections stay, and each answer closes its connection.

--- a/oakvale/controlplane/core.py
+++ b/oakvale/controlplane/core.py
@@ -168,6 +168,7 @@
         self.loop.at(earliest, self._check_departure, (latest, on_done))
 
     def _check_departure(self, deadline_and_callback: tuple[int, Callable[[], None]]) -> None:
+        """Stops serving once it may, and answers all pending callers before its connections are closed."""
         now, dispensable = self.loop.now, self.replicator.may_leave(self.loop.now)
         if not dispensable and now < deadline_and_callback[0]:
             self.loop.at(now + SHUTDOWN_CHECK_INTERVAL_US, self._check_departure, deadline_and_callback)
@@ -177,6 +178,8 @@
             "goes" if dispensable else "goes while it is missed", "info" if dispensable else "warning", view=number
         )
         self._leases.relinquish()
+        self._serving_changed(False)
+        self._check_lease()
         for address in self._peer_addresses():
             self.transport.tell(address, "gone", [*self.self_id, self.replicator.start_number])
         deadline_and_callback[1]()
--- a/oakvale/controlplane/process.py
+++ b/oakvale/controlplane/process.py
@@ -109,9 +109,9 @@
             self._ctl.enable_drains(self._drains)
 
     def stop(self) -> None:
-        """Begins an orderly shutdown; the loop stops once the other core machines can spare this one."""
+        """Begins an orderly shutdown; the loop stops once the other core machines can spare this one. Until then calls
+        are answered, also on connections that were idle, and each answer closes its connection."""
         self.shared.stopping = True
-        self.shared.clients.close_idle()
         self.core.leave(self.loop.stop)
 
 
--- a/tests/test_coordination_takeover.py
+++ b/tests/test_coordination_takeover.py
@@ -294,3 +294,28 @@
         fault(world)
         world.works.run_for(12 * SECOND + world.rng.randrange(500 * MS))
     world.check(world.works.events.now)
+
+
+@pytest.mark.parametrize("others_away", [0, 2])
+def test_a_terminated_primary_answers_the_watches_that_wait(others_away: int) -> None:
+    """Also if no other machine can take over before it stops."""
+    world = CoordinationWorld(9)
+    for _ in range(others_away):
+        primary = world.primary()
+        next(station for station in world.works.cores if station.up and station is not primary).kill(90 * SECOND)
+        world.works.run_for(12 * SECOND)
+    primary = world.primary()
+    app, results = Application(world, 9), list[tuple[int, int]]()
+
+    def on_reply(reply: Reply | None) -> None:
+        results.append((reply.status if reply is not None else NO_ANSWER, app.loop.now))
+
+    for _ in range(3):
+        target = "/oakvale/watch/quiet.?after=1&wait-ms=30000"
+        ask(app.loop, (primary.machine.ip, CTL), "GET", target, None, 20 * SECOND, on_reply)
+    world.works.run_for(SECOND)
+    assert not results
+    primary.terminate()
+    while primary.process is not None:
+        world.works.run_for(10 * MS)
+    assert [status for status, _ in results] == [503] * 3
