Coordination: an answer to a watch has at most 1,000 events

An old revision in a busy group of large values would otherwise make one answer of tens of megabytes. The answer's rev is then that of its last event, from which the caller resumes.

--- a/oakvale/coordination/watches.py
+++ b/oakvale/coordination/watches.py
@@ -1,8 +1,8 @@
 """Watch calls (long polls): each is answered once its group has a put above the revision that the caller knows.
 
-An answer has all events above `after` up to its `rev`, the revision of the group that is in force. The watches of one
-group are answered in the turn in which the put comes into force. The state itself is elsewhere; this module holds only
-the calls that wait.
+An answer has all events above `after` up to its `rev`, the revision of the group that is in force or that of the last
+event that fits into an answer. The watches of one group are answered in the turn in which the put comes into force. The
+state itself is elsewhere; this module holds only the calls that wait.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
 from oakvale.memory.requests import Answer
 
 MAX_WAITING_WATCHES = 1_000  # each holds a connection
+MAX_EVENTS_PER_ANSWER = 1_000  # the caller resumes at the last of them
 MAX_WAIT_US = 60_000_000
 SERVING_CHECK_INTERVAL_US = 100_000  # while watches wait
 MICROSECONDS_PER_MILLISECOND = 1_000
@@ -187,8 +188,12 @@
         return self._events_answer(group, [])
 
     def _events_answer(self, group: str, events: list[EventEntry]) -> Answer:
+        rev = self._revision(group)
+        if len(events) > MAX_EVENTS_PER_ANSWER:
+            events = events[:MAX_EVENTS_PER_ANSWER]
+            rev = events[-1].rev
         packed = [{"name": event.name, "val": event.value, "rev": event.rev} for event in events]
-        return _answer(200, {"events": packed, "rev": self._revision(group)})
+        return _answer(200, {"events": packed, "rev": rev})
 
 
 def _answer(status: int, fields: dict[str, Any], *headers: tuple[bytes, bytes]) -> Answer:
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -116,6 +116,17 @@
     assert world.status("c") == 200
 
 
+def test_an_answer_is_bounded_and_the_caller_resumes_behind_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(watches_module, "MAX_EVENTS_PER_ANSWER", 2)
+    world = WatchWorld()
+    for _ in range(4):
+        world.put("g.")
+    world.watch("a", "g.", "after=1&wait-ms=2000")
+    world.watch("b", "g.", "after=3&wait-ms=2000")
+    assert (world.revs("a"), world.body("a")["rev"]) == ([2, 3], 3)
+    assert (world.revs("b"), world.body("b")["rev"]) == ([4], 4)
+
+
 def test_a_forgotten_revision_is_gone() -> None:
     world = WatchWorld()
     for _ in range(3):
