--- a/oakvale/coordination/service.py
+++ b/oakvale/coordination/service.py
@@ -2,8 +2,8 @@
 
 The state machines hold the newest state, pending changes included. They learn from the control state what comes into
 force, not from the results of changes: a result is lost with the lease, while its change may still come into force.
-They are rebuilt before the next call after the end of a term of serving, after the state was replaced, and after a
-change whose outcome is unknown.
+They are rebuilt when a term of serving begins, and before the next call after the state was replaced or a change had an
+unknown outcome.
 
 A call gets 503 only before it reaches the state machines, as that promises that it has no effect. Whatever is decided
 after that is answered only while this replica serves, and with 500 otherwise.
@@ -31,7 +31,6 @@
 from oakvale.memory.requests import Answer
 
 MIN_RETENTION_US = 60_000_000  # longer than callers repeat a put
-SERVING_CHECK_INTERVAL_US = 100_000  # while watches wait
 JSON = (b"content-type", b"application/json")
 UNAVAILABLE = Answer(503, [JSON, (b"retry-after", b"0.3")], b'{"error":"no primary"}')
 UNKNOWN_OUTCOME = Answer(500, [JSON], b'{"error":"the outcome is unknown"}')
@@ -79,7 +78,6 @@
         self._watches = Watches(loop, self._groups.events, self._groups.revision, core.serving)
         self._is_current = False  # the state machines agree with the replicated state
         self._is_same_term = False  # no other primary can have served since they were built
-        self._check_scheduled = False
         core.on_serving_change.append(self._serving_changed)
         core.on_state_replaced.append(self._end_term)
         core.on_in_force.append(self._put_in_force)
@@ -115,6 +113,8 @@
     def _serving_changed(self, serves: bool) -> None:
         if not serves:
             self._end_term()
+        elif not self._is_current and self._core.serving():
+            self._rebuild()  # holds count from now, not from the next call
 
     def _end_term(self) -> None:
         self._is_current = self._is_same_term = False
@@ -209,16 +209,3 @@
         if not self._is_current:
             self._rebuild()
         self._watches.watch(call, send)
-        self._schedule_serving_check()
-
-    def _schedule_serving_check(self) -> None:
-        if len(self._watches) and not self._check_scheduled:
-            self._check_scheduled = True
-            self._loop.at(self._loop.now + SERVING_CHECK_INTERVAL_US, self._check_serving)
-
-    def _check_serving(self, _: Any) -> None:
-        """Ends the watches once the lease is lost: another replica may be serving, and see puts first."""
-        self._check_scheduled = False
-        if not self._core.serving():
-            self._watches.end_term()
-        self._schedule_serving_check()
