Coordination: drawn histories with two replicas that serve in turn; the service's second lease check goes

Cause: one replica alone could not show a lock that another primary had renewed meanwhile; watches.py checks the lease itself.

--- a/oakvale/coordination/service.py
+++ b/oakvale/coordination/service.py
@@ -31,7 +31,6 @@
 from oakvale.memory.requests import Answer
 
 MIN_RETENTION_US = 60_000_000  # longer than callers repeat a put
-SERVING_CHECK_INTERVAL_US = 100_000  # while watches wait
 JSON = (b"content-type", b"application/json")
 UNAVAILABLE = Answer(503, [JSON, (b"retry-after", b"0.3")], b'{"error":"no primary"}')
 UNKNOWN_OUTCOME = Answer(500, [JSON], b'{"error":"the outcome is unknown"}')
@@ -79,7 +78,6 @@
         self._watches = Watches(loop, self._groups.events, self._groups.revision, core.serving)
         self._is_current = False  # the state machines agree with the replicated state
         self._is_same_term = False  # no other primary can have served since they were built
-        self._check_scheduled = False
         core.on_serving_change.append(self._serving_changed)
         core.on_state_replaced.append(self._end_term)
         core.on_in_force.append(self._put_in_force)
@@ -211,16 +209,3 @@
         if not self._is_current:
             self._rebuild()
         self._watches.watch(call, send)
-        self._schedule_serving_check()
-
-    def _schedule_serving_check(self) -> None:
-        if len(self._watches) and not self._check_scheduled:
-            self._check_scheduled = True
-            self._loop.at(self._loop.now + SERVING_CHECK_INTERVAL_US, self._check_serving)
-
-    def _check_serving(self, _: Any) -> None:
-        """Ends the watches once the lease is lost: another replica may be serving, and see puts first."""
-        self._check_scheduled = False
-        if not self._core.serving():
-            self._watches.end_term()
-        self._schedule_serving_check()
--- a/tests/coordination_core.py
+++ b/tests/coordination_core.py
@@ -43,8 +43,7 @@
         self.on_in_force: list[Callable[[list[Entry]], None]] = []
         self.on_state_replaced: list[Callable[[], None]] = []
         self.replicated_state = ReplicatedState()
-        self._view = 1
-        self.replicated_state.start(self._view)
+        self.replicated_state.start(1)
         self.serves = self.accepts_changes = True
         self.changes: list[dict[str, Any]] = []  # all that were proposed
         self._results: list[Callback] = []  # of pending changes
@@ -88,8 +87,8 @@
         while self._results:
             self._results.pop(0)(False)
 
-    def end_term(self, lost: int = 0) -> None:
-        """Another replica takes over, with the pending changes but the last ones."""
+    def end_term(self, lost: int = 0) -> ReplicatedState:
+        """Another replica takes over. Returns its state, which has the pending changes but the last ones."""
         self.serves = False
         state, kept = ReplicatedState(), len(self.replicated_state._pending) - lost
         state.apply(self.replicated_state.table.since((0, 0)))
@@ -98,12 +97,12 @@
         self.lose_results()
         for hook in self.on_serving_change:
             hook(False)
-        self.replicated_state = state
+        return state
 
-    def begin_term(self) -> None:
-        """This replica serves, in a new view."""
-        self._view += 1
-        self.replicated_state.start(self._view)
+    def begin_term(self, state: ReplicatedState) -> None:
+        """This replica serves from this state, in a new view."""
+        self.replicated_state = state
+        state.start(state.last_version[0] + 1)
         self.serves = self.accepts_changes = True
         for hook in self.on_serving_change:
             hook(True)
--- a/tests/test_coordination_history.py
+++ b/tests/test_coordination_history.py
@@ -16,6 +16,7 @@
 from oakvale.coordination.entries import EVENT_PREFIX, EventEntry
 from oakvale.coordination.locks import CLOCK_MARGIN_US
 from oakvale.coordination.service import CoordinationService
+from oakvale.dissemination.table import Entry
 from oakvale.memory.requests import Answer
 from tests import schedules
 from tests.coordination_core import SteppedCore, SteppedLoop
@@ -30,12 +31,16 @@
 
 
 class History:
-    """The service, its callers, and what they know."""
+    """Two replicas that serve in turn, the callers, and what they know."""
 
     def __init__(self) -> None:
-        self.core, self.loop = SteppedCore(), SteppedLoop()
-        self.core.on_in_force.append(lambda entries: self.record_puts((key, value) for key, _, value in entries))
-        self.handlers = CoordinationService(self.core, cast(Loop, self.loop), RETAIN_US).handlers()
+        self.core, self.other_core, self.loop = SteppedCore(), SteppedCore(), SteppedLoop()
+        self.handlers, self.other_handlers = (
+            CoordinationService(core, cast(Loop, self.loop), RETAIN_US).handlers()
+            for core in (self.core, self.other_core)
+        )
+        for core in (self.core, self.other_core):
+            core.on_in_force.insert(0, self.record_puts)
         self.puts: dict[str, dict[int, EventEntry]] = defaultdict(dict)  # in force, by group and revision
         self.answered: set[int] = set()
         self.sent = 0
@@ -53,8 +58,8 @@
         self.key_rev: dict[str, int] = defaultdict(int)
         self.seen: dict[tuple[str, int], int] = {}  # revisions given to watches: when first, as long as remembered
 
-    def record_puts(self, items: Any) -> None:
-        for key, value in items:
+    def record_puts(self, entries: list[Entry]) -> None:
+        for key, _, value in entries:
             if key.startswith(EVENT_PREFIX):
                 event = EventEntry.unpack(value)
                 group = key[len(EVENT_PREFIX) :].partition("/")[0]
@@ -189,11 +194,13 @@
     # ---- the control state
 
     def lose_term(self, lost: int) -> None:
-        """Another primary takes over, without the last pending changes, and this one after it."""
-        self.core.end_term(lost)
+        """The other replica takes over, without the last pending changes."""
+        state = self.core.end_term(lost)
         self.read("g.a")  # answered 503
-        self.core.begin_term()
-        self.record_puts((key, value) for key, _, value in self.core.replicated_state.table.since((0, 0)))
+        self.core, self.other_core = self.other_core, self.core
+        self.handlers, self.other_handlers = self.other_handlers, self.handlers
+        self.record_puts(state.table.since((0, 0)))
+        self.core.begin_term(state)
         for lock in self.possibly_held_until:
             self.touch(lock, max(HOLDS_MS))
 
@@ -226,14 +233,14 @@
                 self.repeatable.append((self.loop.now + REPEAT_US, put))
                 self.put(*put)
             case 12 | 13:
-                sent = [put for until, put in self.repeatable[-4:] if self.loop.now <= until]
+                sent = [put for until, put in self.repeatable[-20:] if self.loop.now <= until]
                 again = [put for put in sent if put[:2] in self.unclear]
                 if again:
                     self.put(*again[second % len(again)])
             case 14:
                 self.read(key)
             case 15:
-                self.watch(key[:2], max(0, self.group_rev[key[:2]] - second % 3), 100 * (first % 3))
+                self.watch(key[:2], max(0, self.group_rev[key[:2]] - second % 16), 100 * (first % 3))
             case 16 | 17:
                 self.core.settle()
             case 18:
--- a/tests/test_coordination_service.py
+++ b/tests/test_coordination_service.py
@@ -168,9 +168,9 @@
     assert bench.done("numbers", "n") == (200, {"val": 1})
     pending = bench.call("Cells.Replace", "g.a", {"val": "v"})
     bench.loop.advance(2 * SECOND)
-    bench.core.end_term()
+    state = bench.core.end_term()
     assert pending.status == 500
-    bench.core.begin_term()
+    bench.core.begin_term(state)
     assert bench.done("numbers", "n") == (200, {"val": BLOCK_SIZE + 1})
     bench.loop.advance(3 * SECOND + MARGIN_US - 1)
     assert bench.done("Locks.Begin", "l", HOLD | {"owner": "b"})[0] == 409
@@ -232,6 +232,5 @@
         bench.core.serves = False
         bench.loop.advance(SECOND // 10)
     assert watch.status == 503
-    bench.core.begin_term()
     bench.loop.advance(60 * SECOND)
     assert watch.status == 503 and bench.service.status()["waiting_watches"] == 0
