Watches: a watch that times out is answered by the state of that moment

Cause: an answer at the time-out had the present revision and no events, whatever came into force meanwhile. It was right only as long as every put wakes its watches; with a wake left out in a trial, drawn histories found a watch that skips a put.

Run: tests/test_watches.py, test_coordination_history.py, test_coordination_service.py pass.

--- a/oakvale/coordination/watches.py
+++ b/oakvale/coordination/watches.py
@@ -138,7 +138,7 @@
 
     def _time_out(self, watch: WaitingWatch) -> None:
         if watch.send is not None:
-            self._finish(watch, self._empty_answer(watch.group) if self._serving() else NOT_SERVING)
+            self._finish(watch, self._answer_now(watch.group, watch.after) or self._empty_answer(watch.group))
 
     def _check_serving(self, _: Any) -> None:
         """A primary without a lease may be replaced, so its watches would miss puts."""
