Control state: any number of callers wait for one change

Cause: each caller of when_settled wrapped the callback of the last pending change in another one; some 1,000 callers, as coordination has while a disk stalls, end in RecursionError, and no caller behind them is answered.

Change: a pending change has a list of further callbacks.

Run: tests/test_core_hooks.py fails with RecursionError before and passes now; test_leases, test_modelcheck, test_coordination_history and test_coordination_service pass.

--- a/oakvale/controlplane/replicated_state.py
+++ b/oakvale/controlplane/replicated_state.py
@@ -26,6 +26,11 @@
     entries: list[Entry]
     on_done: Callback
     owed: set[Replica] = field(default_factory=set)  # replicas that have not synced it yet, including this one
+    also_waiting: list[Callback] = field(default_factory=list)  # called after `on_done`
+
+    def callbacks(self) -> list[Callback]:
+        """All callbacks, in the order in which they are called."""
+        return [self.on_done, *self.also_waiting]
 
 
 class ReplicatedState:
@@ -91,14 +96,7 @@
         """Calls `on_done` once everything that is pending now is in force, or at once if nothing is."""
         if not self._pending:
             return on_done(True)
-        last = self._pending[-1]
-        earlier = last.on_done
-
-        def call_both(done: bool) -> None:
-            earlier(done)
-            on_done(done)
-
-        last.on_done = call_both
+        self._pending[-1].also_waiting.append(on_done)
 
     def apply(self, entries: list[Entry]) -> None:
         """Puts entries into the table."""
@@ -124,7 +122,7 @@
             pending = self._pending.popleft()
             self.apply(pending.entries)
             in_force += pending.entries
-            completed.append(pending.on_done)
+            completed += pending.callbacks()
         self._completed += completed
         return in_force
 
@@ -136,7 +134,7 @@
     def abandon(self) -> list[Callback]:
         """This replica is no longer primary. Pending changes are applied, as they are on disk and would come back at
         the next start, but success is not reported. Returns their callbacks."""
-        callbacks = [pending.on_done for pending in self._pending]
+        callbacks = [on_done for pending in self._pending for on_done in pending.callbacks()]
         for pending in self._pending:
             self.apply(pending.entries)
         self._pending.clear()
--- a/tests/test_core_hooks.py
+++ b/tests/test_core_hooks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from oakvale.controlplane.replicated_state import ReplicatedState
 from tests.control_plane_simulation import World
 from tests.simulated_processes import MS, SECOND
 
@@ -45,3 +46,16 @@
     world.down(backup, 20 * SECOND)
     world.run(15 * SECOND)
     assert replaced == [third.address[0]]
+
+
+def test_any_number_of_callers_wait_for_one_change() -> None:
+    """While a disk stalls, all calls that rest on the last pending change wait for it, in their order."""
+    state, order, replica, callers = ReplicatedState(), list[int](), ("a:1", "0"), range(1, 5_000)
+    state.start(1)
+    state.propose({"a": 1}, {replica}, lambda done: order.append(0))
+    for number in callers:
+        state.when_settled(lambda done, number=number: order.append(number))  # type: ignore[misc]
+    state.synced(replica, state.last_version)
+    for on_done in state.take_completed():
+        on_done(True)
+    assert order == [0, *callers]
