Lab: a finish that was turned away is no operation in the search for linearizability

Change: finishes that never take effect are left out; one without a clear answer is tried only where it has an effect.

--- a/oakvale/lab/history/sequential.py
+++ b/oakvale/lab/history/sequential.py
@@ -55,8 +55,10 @@
 
 def _finish(call: Call, request: FinishHold) -> Operation[LockState]:
     def successors(state: LockState) -> Iterable[LockState]:
-        held = (state.fence, state.holder) == (request.fence, call.caller)
-        yield LockState(state.fence) if held else state
+        if (state.fence, state.holder) == (request.fence, call.caller):
+            yield LockState(state.fence)
+        elif call.succeeded:
+            yield state
 
     return Operation(call.sent_at, call.answered_at if call.succeeded else NEVER, successors)
 
@@ -65,7 +67,8 @@
     """Whether all calls to one lock are. A hold ends by itself no earlier than its holder's own time."""
     operations = [_begin(call, request, result) for call, request, result in successes(calls, BeginHold)]
     operations += [_renew(call, request) for call, request, _ in successes(calls, RenewHold)]
-    operations += [_finish(call, request) for call, request in with_request(calls, FinishHold)]
+    finishes = with_request(calls, FinishHold)
+    operations += [_finish(call, request) for call, request in finishes if not call.has_no_effect]
     return is_linearizable(operations, LockState())
 
 
