--- a/oakvale/coordination/__init__.py
+++ b/oakvale/coordination/__init__.py
@@ -1,5 +1,3 @@
-"""Coordination for applications: locks with fencing tokens, rising numbers, small keys with revisions, and watches.
-
-It owns the state machines of these resources and the entries in which the replicated state keeps them, but does not
-replicate, and knows of the control plane only what `service.py` states as a protocol. Begin with `service.py`.
+"""Coordination for applications: it owns the rules of locks, counters, keys and watches, and their entries in the
+replicated state. It must never reply before what the reply rests on is in force. Begin with `service`.
 """
