--- a/oakvale/controlplane/process.py
+++ b/oakvale/controlplane/process.py
@@ -79,10 +79,11 @@
         voter_service = VoterService(loop, self.transport, self.storage, settings.bootstrap, core.is_witness)
         GatewayRegistry(core, voter_service, loop, self.transport)
         Compactor(core, loop)
-        serve_status(self.transport, "headworks", settings.node, lambda: core_status(core))
+        coordination = CoordinationService(core, loop, settings.bounds.retain)
+        serve_status(self.transport, "headworks", settings.node, lambda: core_status(core, coordination.status()))
         self.shared = SharedResources(loop, limits_from_settings(settings))
         self._ctl = ControlServer(self.shared, core, settings)
-        self._ctl.enable_coordination(CoordinationService(core, loop, settings.bounds.retain).handlers())
+        self._ctl.enable_coordination(coordination.handlers())
         self.acceptor = Acceptor(self._ctl, listeners["ctl"], loop)
         self._drains: DrainManager | None = None
         self.know = core.update_seeds
