--- a/oakvale/lab/applications/client.py
+++ b/oakvale/lab/applications/client.py
@@ -13,6 +13,7 @@
 MAX_REDIRECTS = 2
 RETRY_DELAY_US = 40 * MS
 RETRIED_STATUSES = frozenset((307, 429))  # and all from 500
+STATUSES_OF_REFUSAL = frozenset((429, 503))  # nothing was done
 
 OnCall = Callable[[Call | None], None]
 
@@ -25,12 +26,14 @@
         self._history = history
         self.closing = False  # whether calls count as those at the end of a run
 
-    def call(self, name: str, request: Request, give_up_at: int, on_done: OnCall) -> None:
+    def call(
+        self, name: str, request: Request, give_up_at: int, on_done: OnCall, accepts_refusal: bool = False
+    ) -> None:
         """Sends a call, again and again until its outcome is clear; `on_done` gets the last send, or None if it is
-        still unclear at `give_up_at`."""
+        still unclear at `give_up_at`. With `accepts_refusal` it is not sent again once nothing was done."""
         addresses = list(self.surroundings.core_addresses())
         self.rng.shuffle(addresses)
-        _Attempts(self, name, request, give_up_at, on_done, addresses).start()
+        _Attempts(self, name, request, give_up_at, on_done, addresses, accepts_refusal).start()
 
     def record(self, name: str, request: Request) -> Call:
         """Records that a call is sent now."""
@@ -45,11 +48,19 @@
     """The sends of one call, one after another."""
 
     def __init__(
-        self, client: Client, name: str, request: Request, give_up_at: int, on_done: OnCall, addresses: list[str]
+        self,
+        client: Client,
+        name: str,
+        request: Request,
+        give_up_at: int,
+        on_done: OnCall,
+        addresses: list[str],
+        accepts_refusal: bool,
     ) -> None:
         self._client, self._name, self._request = client, name, request
         self._give_up_at, self._on_done, self._addresses = give_up_at, on_done, addresses
         self._patience = SILENCE_US + (request.wait_us if isinstance(request, WatchGroup) else 0)
+        self._accepts_refusal = accepts_refusal
         self._next = 0
 
     def start(self) -> None:
@@ -81,6 +92,8 @@
             call.result, call.answered_at = decode(self._request, answer), surroundings.now
             if answer.status == 307 and redirects_left > 0 and answer.location:
                 self._send(answer.location, redirects_left - 1)
+            elif self._accepts_refusal and answer.status in STATUSES_OF_REFUSAL:
+                self._on_done(call)
             elif answer.status in RETRIED_STATUSES or answer.status >= 500:
                 self._retry()
             else:
--- a/oakvale/lab/applications/key_users.py
+++ b/oakvale/lab/applications/key_users.py
@@ -49,7 +49,8 @@
             self.start()
 
         request = PutValue(value, self._known[name])
-        self._client.call(name, request, self._client.surroundings.now + PUT_PATIENCE_US, answered)
+        give_up_at = self._client.surroundings.now + PUT_PATIENCE_US
+        self._client.call(name, request, give_up_at, answered, accepts_refusal=self._client.rng.random() < 0.5)
 
 
 class Reader:
--- a/tests/coordination_simulation.py
+++ b/tests/coordination_simulation.py
@@ -4,11 +4,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from random import Random
-from typing import Any, Protocol
+from typing import Any, cast
 
 from oakvale.controlplane.core import Core, address_of
 from oakvale.coordination.calls import CallHandler, ControlCall
+from oakvale.coordination.service import CoordinationService
 from oakvale.lab.applications.crew import Crew, CrewSize
 from oakvale.lab.applications.wire import HttpAnswer, HttpRequest
 from oakvale.lab.history.verdict import check_history
@@ -22,36 +24,39 @@
 RECOVERY_TIME_US = 15 * SECOND
 CLOSING_US = 2 * SECOND  # for answers to the last of the closing calls
 STOP_US = 7 * SECOND  # longer than any application repeats a call
+FAULT_SPANS_US = (50 * MS, 300 * MS, 700 * MS, 1 * SECOND, 2_500 * MS, 5 * SECOND)  # 0.7 s: leases end, views stay
 ZONES = ("z0", "z1", "z2", "z3")
 
 OnAnswer = Callable[[HttpAnswer | None], None]
 
 
-class Service(Protocol):
-    """What the simulation uses of `CoordinationService`."""
+@dataclass(slots=True, frozen=True)
+class Resources:
+    """What one process answers calls with, and whether it counts as primary."""
 
-    def handlers(self) -> dict[tuple[bytes, str], CallHandler]: ...
+    handlers: dict[tuple[bytes, str], CallHandler]
+    serving: Callable[[], bool]
 
 
-MakeService = Callable[["CoordinationWorld", Core, Loop], Service]
+MakeResources = Callable[["CoordinationWorld", Core, Loop], Resources]
 
 
 class Front:
     """The HTTP server of one process: as `ControlServer`, without connections."""
 
-    def __init__(self, world: CoordinationWorld, core: Core, life: Life, handlers: dict[Any, CallHandler]) -> None:
-        self._world, self._core, self._life, self._handlers = world, core, life, handlers
+    def __init__(self, world: CoordinationWorld, core: Core, life: Life, resources: Resources) -> None:
+        self._world, self._core, self._life, self._resources = world, core, life, resources
         self._open: dict[OnAnswer, None] = {}  # in order of arrival
 
     def receive(self, request: HttpRequest, on_answer: OnAnswer) -> None:
         """A request that has arrived; it is handled a moment later, as the process may stand still between."""
         self._open[on_answer] = None
-        if not self._core.serving():
+        if not self._resources.serving():
             primary = self._core.primary()
             elsewhere = primary is not None and primary != self._core.self_id
             answer = HttpAnswer(307, b"", address_of(primary)[0]) if primary and elsewhere else HttpAnswer(503)
             return self._answer(on_answer, answer)
-        handler = self._handlers[request.method, request.verb]
+        handler = self._resources.handlers[request.method, request.verb]
         call = ControlCall(request.name, request.query, request.body)
         self._later(lambda: handler(call, lambda answer: self._reply(on_answer, answer)))
 
@@ -81,10 +86,11 @@
 class CoordinationWorld(World):
     """The machines with the coordination service, and the surroundings of the applications."""
 
-    def __init__(self, seed: int, make_service: MakeService, machines: int = 4, size: CrewSize | None = None) -> None:
+    def __init__(self, seed: int, make_resources: MakeResources, machines: int = 4, retain_us: int = RETAIN_US) -> None:
+        self.retain_us = retain_us
         self.network = Random(f"applications {seed}")  # apart from `rng`, so that faults stay the same
         self._fronts: dict[Life, Front] = {}
-        self._make_service = make_service
+        self._make_resources = make_resources
         super().__init__(
             seed,
             machines,
@@ -93,12 +99,12 @@
             on_machine_end=self._end_front,
             machine_zones=ZONES,
         )
-        self.crew = Crew(self, seed, size or CrewSize())
+        self.crew = Crew(self, seed, CrewSize())
 
     def _start_front(self, machine: Machine, loop: Loop) -> None:
         assert machine.core is not None and machine.life is not None
-        service = self._make_service(self, machine.core, loop)
-        self._fronts[machine.life] = Front(self, machine.core, machine.life, service.handlers())
+        resources = self._make_resources(self, machine.core, loop)
+        self._fronts[machine.life] = Front(self, machine.core, machine.life, resources)
 
     def _end_front(self, life: Life) -> None:
         self._fronts.pop(life).end()
@@ -159,7 +165,7 @@
         rng = self.rng
         machine = self.primary() if rng.random() < 0.6 else rng.choice(self.machines)
         others = [each for each in self.machines if each is not machine]
-        span = rng.choice([50, 300, 1_000, 2_500, 5_000]) * MS + rng.randrange(200 * MS)
+        span = rng.choice(FAULT_SPANS_US) + rng.randrange(200 * MS)
         calm = not self.troubled_machines() and self.is_fully_replicated()
         match rng.choice(("down", "down", "freeze", "freeze", "freeze", "cut", "halves", "stall", "lose", "all")):
             case "down":
@@ -203,16 +209,21 @@
         self.run(STOP_US)
         self.crew.close(self.now + RECOVERY_TIME_US)
         self.run(RECOVERY_TIME_US + CLOSING_US)
-        return check_history(self.crew.history, RETAIN_US)
+        return check_history(self.crew.history, self.retain_us)
 
 
-def shared_reference() -> MakeService:
+def shared_reference() -> MakeResources:
     """The reference implementation, one for all machines."""
     made: list[ReferenceCoordination] = []
 
-    def make(world: CoordinationWorld, core: Core, loop: Loop) -> Service:
+    def make(world: CoordinationWorld, core: Core, loop: Loop) -> Resources:
         if not made:
             made.append(ReferenceCoordination(lambda: world.now, world.at))
-        return made[0]
+        return Resources(made[0].handlers(), core.serving)
 
     return make
+
+
+def real_resources(world: CoordinationWorld, core: Core, loop: Loop) -> Resources:
+    """The service under test, one for each process."""
+    return Resources(CoordinationService(core, cast(Any, loop), world.retain_us).handlers(), core.serving)
