Coordination: what a watch was shown is remembered for retain from then

What a caller sees: a watch that was shown events nearly a minute old, and goes on from the first of them within retain, gets 410 (LOST).

Cause: an event was remembered from when it came into force; a revision counts as given from when it was shown.

Change: showing an event keeps those behind it for retain. The retention moves from the service into key_groups.

--- a/oakvale/coordination/key_groups.py
+++ b/oakvale/coordination/key_groups.py
@@ -5,7 +5,8 @@
 
 The newest puts of a group are remembered as events, without a gap. Each has a slot of the replicated state. A put
 takes over the slot of the group's oldest event once that has been in force for the retention time, so the slots of a
-group are as many as its puts in that time, and no entry is ever deleted.
+group are as many as its puts in that time, and no entry is ever deleted. An event that was shown to a watch is also
+remembered for `retain` from then, as its caller may go on from there.
 """
 
 from __future__ import annotations
@@ -13,13 +14,15 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import islice
 
 from oakvale.coordination.decisions import CallReply, Decision
 from oakvale.coordination.entries import CELL_PREFIX, CellEntry, EventEntry, event_key, group_of
 
 MAX_KEYS = 4_096
 MAX_EVENTS = 10_000  # slots of all groups
-NOT_IN_FORCE = 1 << 62  # later than any time of the clock
+MIN_RETENTION_US = 60_000_000  # longer than callers repeat a put
+NEVER = 1 << 62  # later than any time of the clock
 
 
 @dataclass(slots=True)
@@ -28,7 +31,7 @@
 
     slot: int
     entry: EventEntry
-    in_force_since: int = NOT_IN_FORCE
+    forgettable_at: int = NEVER  # while it is pending
 
 
 @dataclass(slots=True)
@@ -42,15 +45,15 @@
     free_slots: list[int] = field(default_factory=list)
     slot_count: int = 0
 
-    def has_free_slot(self, now: int, retention_us: int) -> bool:
+    def has_free_slot(self, now: int) -> bool:
         """Whether the next event needs no new slot."""
-        return bool(self.free_slots) or bool(self.events) and now - self.events[0].in_force_since >= retention_us
+        return bool(self.free_slots) or bool(self.events) and now >= self.events[0].forgettable_at
 
-    def take_slot(self, now: int, retention_us: int) -> int:
+    def take_slot(self, now: int) -> int:
         """A slot for the next event: a free one, that of an event past its retention time, or a new one."""
         if self.free_slots:
             return self.free_slots.pop()
-        if self.has_free_slot(now, retention_us):
+        if self.has_free_slot(now):
             return self._forget_oldest()
         self.slot_count += 1
         return self.slot_count - 1
@@ -66,16 +69,16 @@
         self.events.append(event)
         self.revs_by_put[event.entry.name, event.entry.value] = event.entry.rev
 
-    def put_in_force(self, rev: int, now: int) -> None:
-        """All events up to this revision are in force."""
+    def put_in_force(self, rev: int, forgettable_at: int) -> None:
+        """All events up to this revision are in force, and remembered until then."""
         for event in reversed(self.events):
             if event.entry.rev <= self.rev_in_force:
                 break
             if event.entry.rev <= rev:
-                event.in_force_since = now
+                event.forgettable_at = forgettable_at
         self.rev_in_force = max(self.rev_in_force, rev)
 
-    def restore(self, slots: dict[int, EventEntry], now: int) -> None:
+    def restore(self, slots: dict[int, EventEntry], forgettable_at: int) -> None:
         """Remembers the events of a rebuilt group, whose revisions are known. The slots of events below a gap are
         free: a watch must not skip a revision."""
         self.slot_count = max(slots, default=-1) + 1
@@ -85,8 +88,8 @@
                 self.free_slots.append(slot)
                 continue
             next_rev -= 1
-            since = now if slots[slot].rev <= self.rev_in_force else NOT_IN_FORCE
-            kept.appendleft(RememberedEvent(slot, slots[slot], since))
+            is_in_force = slots[slot].rev <= self.rev_in_force
+            kept.appendleft(RememberedEvent(slot, slots[slot], forgettable_at if is_in_force else NEVER))
         for event in kept:
             self.remember(event)
 
@@ -94,8 +97,9 @@
 class KeyGroups:
     """All keys by name, and their groups."""
 
-    def __init__(self, retention_us: int) -> None:
-        self._retention_us = retention_us
+    def __init__(self, retain_us: int) -> None:
+        """`retain_us`: how long a watch may go on from a revision that it was given."""
+        self._retain_us, self._retention_us = retain_us, max(2 * retain_us, MIN_RETENTION_US)
         self._groups: dict[str, KeyGroup] = {}
         self._cells: dict[str, CellEntry] = {}  # in force
         self._newest_revs: dict[str, int] = {}  # of keys, pending or in force
@@ -127,7 +131,7 @@
             group_name, _, slot = group_and_slot.rpartition("/")
             slots[group_name][int(slot)] = event
         for group_name, group_slots in slots.items():
-            groups[group_name].restore(group_slots, now)
+            groups[group_name].restore(group_slots, now + self._retention_us)
         self._groups = dict(groups)
         self._slot_count = sum(group.slot_count for group in groups.values())
 
@@ -140,7 +144,7 @@
         changed = set[str]()
         for group_and_slot, event in events:
             group_name = group_and_slot.rpartition("/")[0]
-            self._groups[group_name].put_in_force(event.rev, now)
+            self._groups[group_name].put_in_force(event.rev, now + self._retention_us)
             changed.add(group_name)
         return changed
 
@@ -159,14 +163,14 @@
             return Decision(CallReply(412, {"rev": key_rev}), rests_on_pending=key_rev > group.rev_in_force)
         if key_rev == 0 and len(self._newest_revs) >= MAX_KEYS:
             return Decision(CallReply(429, {"error": "too many keys"}))
-        if self._slot_count >= MAX_EVENTS and not group.has_free_slot(now, self._retention_us):
+        if self._slot_count >= MAX_EVENTS and not group.has_free_slot(now):
             return Decision(CallReply(429, {"error": "too many puts"}))
         self._groups[group_name] = group
         return self._add(group_name, group, EventEntry(group.newest_rev + 1, name, value), now)
 
     def _add(self, group_name: str, group: KeyGroup, event: EventEntry, now: int) -> Decision:
         slots_before = group.slot_count
-        slot = group.take_slot(now, self._retention_us)
+        slot = group.take_slot(now)
         self._slot_count += group.slot_count - slots_before
         group.remember(RememberedEvent(slot, event))
         self._newest_revs[event.name] = event.rev
@@ -194,20 +198,23 @@
         group = self._groups.get(group_name)
         return group.rev_in_force if group is not None else 0
 
-    def events(self, group_name: str, after: int) -> list[EventEntry] | None:
-        """The puts in force above a revision, in their order; None if some are no longer remembered."""
+    def events(self, group_name: str, after: int, now: int) -> list[EventEntry] | None:
+        """The puts in force above a revision, in their order; None if some are no longer remembered. They are shown to
+        a watch now."""
         group = self._groups.get(group_name)
         if group is None or after >= group.rev_in_force:
             return []
         if not group.events or after + 1 < group.events[0].entry.rev:
             return None
-        found = deque[EventEntry]()
+        found = deque[RememberedEvent]()
         for event in reversed(group.events):
             if event.entry.rev <= after:
                 break
             if event.entry.rev <= group.rev_in_force:
-                found.appendleft(event.entry)
-        return list(found)
+                found.appendleft(event)
+        for event in islice(found, 1, 2):  # who goes on from the first needs the second, and so those behind it
+            event.forgettable_at = max(event.forgettable_at, now + self._retain_us)
+        return [event.entry for event in found]
 
     def status(self) -> dict[str, int]:
         """Counts for the status of the process."""
--- a/oakvale/coordination/service.py
+++ b/oakvale/coordination/service.py
@@ -22,7 +22,7 @@
 from oakvale.coordination.calls import CallHandler, ControlCall, InvalidCall, SendAnswer
 from oakvale.coordination.counters import Counters
 from oakvale.coordination.decisions import CallReply, Decision
-from oakvale.coordination.entries import PREFIX, SortedEntries
+from oakvale.coordination.entries import PREFIX, EventEntry, SortedEntries
 from oakvale.coordination.key_groups import KeyGroups
 from oakvale.coordination.locks import Locks
 from oakvale.coordination.watches import Watches
@@ -30,7 +30,6 @@
 from oakvale.lifecycle.eventlog import EventLogger
 from oakvale.memory.requests import Answer
 
-MIN_RETENTION_US = 60_000_000  # longer than callers repeat a put
 JSON = (b"content-type", b"application/json")
 UNAVAILABLE = Answer(503, [JSON, (b"retry-after", b"0.3")], b'{"error":"no primary"}')
 UNKNOWN_OUTCOME = Answer(500, [JSON], b'{"error":"the outcome is unknown"}')
@@ -74,8 +73,8 @@
     def __init__(self, core: ControlState, loop: Loop, retain_us: int) -> None:
         self._core, self._loop = core, loop
         self._locks, self._counters = Locks(), Counters()
-        self._groups = KeyGroups(max(2 * retain_us, MIN_RETENTION_US))
-        self._watches = Watches(loop, self._groups.events, self._groups.revision, core.serving)
+        self._groups = KeyGroups(retain_us)
+        self._watches = Watches(loop, self._events, self._groups.revision, core.serving)
         self._is_current = False  # the state machines agree with the replicated state
         self._is_same_term = False  # no other primary can have served since they were built
         core.on_serving_change.append(self._serving_changed)
@@ -203,6 +202,9 @@
     def _read(self, call: ControlCall, now: int) -> Decision:
         return self._groups.read(calls.read_name(call.name))
 
+    def _events(self, group: str, after: int) -> list[EventEntry] | None:
+        return self._groups.events(group, after, self._loop.clock())
+
     def _watch(self, call: ControlCall, send: SendAnswer) -> None:
         if not self._core.serving():
             return send(UNAVAILABLE)
--- a/tests/test_key_groups.py
+++ b/tests/test_key_groups.py
@@ -12,14 +12,14 @@
 from oakvale.coordination.key_groups import KeyGroups
 
 T = 10**12
-RETENTION = 60_000_000
+RETAIN, RETENTION = 20_000_000, 60_000_000
 
 
 class Store:
     """Key groups with the entries in force and the pending changes behind them."""
 
     def __init__(self) -> None:
-        self.groups = KeyGroups(RETENTION)
+        self.groups = KeyGroups(RETAIN)
         self.in_force: dict[str, Any] = {}
         self.pending: list[dict[str, Any]] = []
 
@@ -52,8 +52,8 @@
         reply = self.groups.read(name).reply
         return reply.fields if reply.status == 200 else None
 
-    def revs(self, after: int, group: str = "g.") -> list[int] | None:
-        events = self.groups.events(group, after)
+    def revs(self, after: int, now: int = T) -> list[int] | None:
+        events = self.groups.events("g.", after, now)
         return None if events is None else [event.rev for event in events]
 
 
@@ -116,6 +116,21 @@
     assert store.groups.status()["event_slots"] == 5
 
 
+def test_a_watch_may_go_on_from_what_it_was_shown() -> None:
+    """Within `retain`, however old the events were; but asking again from before them does not keep them."""
+    store, shown_at = Store(), T + RETENTION - 1
+    for n in range(3):
+        store.put("g.a", f"v{n}")
+    store.settle()
+    assert store.revs(0, shown_at) == [1, 2, 3]
+    for n in range(3):
+        store.put("g.a", f"w{n}", now=shown_at + RETAIN - 1)
+    store.settle()
+    assert store.revs(1) == [2, 3, 4, 5, 6] and store.revs(0) is None
+    store.put("g.a", "x", now=shown_at + RETAIN)
+    assert store.revs(1) is None
+
+
 def test_a_slot_is_not_taken_over_while_its_put_is_pending() -> None:
     store = Store()
     store.put("g.a", "v1")
