Coordination: the service keeps the retention, as before

Its tests in the laboratory set it there.

Run: test_key_groups, test_watches, test_coordination_{service,history,schedules,breakages} pass.

--- a/oakvale/coordination/key_groups.py
+++ b/oakvale/coordination/key_groups.py
@@ -21,7 +21,6 @@
 
 MAX_KEYS = 4_096
 MAX_EVENTS = 10_000  # slots of all groups
-MIN_RETENTION_US = 60_000_000  # longer than callers repeat a put
 NEVER = 1 << 62  # later than any time of the clock
 
 
@@ -97,9 +96,9 @@
 class KeyGroups:
     """All keys by name, and their groups."""
 
-    def __init__(self, retain_us: int) -> None:
-        """`retain_us`: how long a watch may go on from a revision that it was given."""
-        self._retain_us, self._retention_us = retain_us, max(2 * retain_us, MIN_RETENTION_US)
+    def __init__(self, retention_us: int, retain_us: int) -> None:
+        """How long events are remembered from when they come into force, and from when a watch was shown them."""
+        self._retention_us, self._retain_us = retention_us, retain_us
         self._groups: dict[str, KeyGroup] = {}
         self._cells: dict[str, CellEntry] = {}  # in force
         self._newest_revs: dict[str, int] = {}  # of keys, pending or in force
--- a/oakvale/coordination/service.py
+++ b/oakvale/coordination/service.py
@@ -30,6 +30,7 @@
 from oakvale.lifecycle.eventlog import EventLogger
 from oakvale.memory.requests import Answer
 
+MIN_RETENTION_US = 60_000_000  # longer than callers repeat a put
 JSON = (b"content-type", b"application/json")
 UNAVAILABLE = Answer(503, [JSON, (b"retry-after", b"0.3")], b'{"error":"no primary"}')
 UNKNOWN_OUTCOME = Answer(500, [JSON], b'{"error":"the outcome is unknown"}')
@@ -73,7 +74,7 @@
     def __init__(self, core: ControlState, loop: Loop, retain_us: int) -> None:
         self._core, self._loop = core, loop
         self._locks, self._counters = Locks(), Counters()
-        self._groups = KeyGroups(retain_us)
+        self._groups = KeyGroups(max(2 * retain_us, MIN_RETENTION_US), retain_us)
         self._watches = Watches(loop, self._events, self._groups.revision, core.serving)
         self._is_current = False  # the state machines agree with the replicated state
         self._is_same_term = False  # no other primary can have served since they were built
--- a/tests/test_key_groups.py
+++ b/tests/test_key_groups.py
@@ -19,7 +19,7 @@
     """Key groups with the entries in force and the pending changes behind them."""
 
     def __init__(self) -> None:
-        self.groups = KeyGroups(RETAIN)
+        self.groups = KeyGroups(RETENTION, RETAIN)
         self.in_force: dict[str, Any] = {}
         self.pending: list[dict[str, Any]] = []
 
