Tests: drawn schedules with a state that is sent in chunks and with staged changes

Change: long values and changes for gateways beside the calls of the applications, one in eight of them staged.

--- a/oakvale/lab/applications/crew.py
+++ b/oakvale/lab/applications/crew.py
@@ -30,6 +30,7 @@
     groups: int = 2
     keys_per_group: int = 3
     watchers: int = 3
+    value_padding: int = 0  # characters that end each value
 
 
 class Crew:
@@ -43,10 +44,11 @@
         self.keys = [f"group{group}.{key}" for group in range(size.groups) for key in range(size.keys_per_group)]
         groups = [f"group{number}." for number in range(size.groups)]
         self.watchers = [Watcher(self._client(f"w{n}"), groups[n % len(groups)]) for n in range(size.watchers)]
+        padding = "-" * size.value_padding
         self._users: list[LockUser | NumberUser | Writer | Reader | Watcher] = [
             *(LockUser(self._client(f"l{n}"), self.locks) for n in range(size.lock_users)),
             *(NumberUser(self._client(f"n{n}"), self.counters) for n in range(size.number_users)),
-            *(Writer(self._client(f"p{n}"), self.keys) for n in range(size.writers)),
+            *(Writer(self._client(f"p{n}"), self.keys, padding) for n in range(size.writers)),
             *(Reader(self._client(f"r{n}"), self.keys) for n in range(size.readers)),
             *self.watchers,
         ]
--- a/oakvale/lab/applications/key_users.py
+++ b/oakvale/lab/applications/key_users.py
@@ -14,8 +14,9 @@
 class Writer:
     """Reads a key and writes it, most often over the revision that was read."""
 
-    def __init__(self, client: Client, keys: list[str]) -> None:
-        self._client, self._keys = client, keys
+    def __init__(self, client: Client, keys: list[str], padding: str = "") -> None:
+        """`padding` ends each value."""
+        self._client, self._keys, self._padding = client, keys, padding
         self._known: dict[str, int] = {}  # revisions last seen
         self._values_written = 0
         self.stopped = False
@@ -41,7 +42,7 @@
 
     def _put(self, name: str) -> None:
         self._values_written += 1
-        value = f"{self._client.name}-{self._values_written}"
+        value = f"{self._client.name}-{self._values_written}{self._padding}"
 
         def answered(call: Call | None) -> None:
             if call is not None and call.result is not None and call.result.status in (200, 412):
--- a/tests/coordination_simulation.py
+++ b/tests/coordination_simulation.py
@@ -25,6 +25,9 @@
 CLOSING_US = 2 * SECOND  # for answers to the last of the closing calls
 STOP_US = 7 * SECOND  # longer than any application repeats a call
 FAULT_SPANS_US = (50 * MS, 300 * MS, 700 * MS, 1 * SECOND, 2_500 * MS, 5 * SECOND)  # 0.7 s: leases end, views stay
+LONG_VALUE = 500  # characters
+STAGED_CHANGE = "-" * 60_000  # too long for one request
+OTHER_CHANGE_INTERVAL_US = 150 * MS
 ZONES = ("z0", "z1", "z2", "z3")
 
 OnAnswer = Callable[[HttpAnswer | None], None]
@@ -86,8 +89,18 @@
 class CoordinationWorld(World):
     """The machines with the coordination service, and the surroundings of the applications."""
 
-    def __init__(self, seed: int, make_resources: MakeResources, machines: int = 4, retain_us: int = RETAIN_US) -> None:
-        self.retain_us = retain_us
+    def __init__(
+        self,
+        seed: int,
+        make_resources: MakeResources,
+        machines: int = 4,
+        retain_us: int = RETAIN_US,
+        large_state: bool = False,
+    ) -> None:
+        """With `large_state` the state is sent in chunks, and changes for gateways are made beside those of the
+        applications, some of which are staged."""
+        self.retain_us, self._large_state = retain_us, large_state
+        self._changes_made = 0
         self.network = Random(f"applications {seed}")  # apart from `rng`, so that faults stay the same
         self._fronts: dict[Life, Front] = {}
         self._make_resources = make_resources
@@ -99,7 +112,7 @@
             on_machine_end=self._end_front,
             machine_zones=ZONES,
         )
-        self.crew = Crew(self, seed, CrewSize())
+        self.crew = Crew(self, seed, CrewSize(value_padding=LONG_VALUE if large_state else 0))
 
     def _start_front(self, machine: Machine, loop: Loop) -> None:
         assert machine.core is not None and machine.life is not None
@@ -192,10 +205,20 @@
             case "all":
                 self.power_loss()
 
+    def _change_for_gateways(self) -> None:
+        found = self.serving()
+        if found is not None and found.core is not None:
+            self._changes_made += 1
+            text = STAGED_CHANGE if self._changes_made % 8 == 0 else ""
+            found.core.change({"other": f"{self._changes_made}{text}"}, lambda done: None)
+        self.at(self.now + OTHER_CHANGE_INTERVAL_US, self._change_for_gateways)
+
     def run_schedule(self, faults: int) -> list[Violation]:
         """Plays faults in bursts with calm between them, heals all, asks for everything again, and judges."""
         self.run(2 * SECOND)
         self.crew.start()
+        if self._large_state:
+            self._change_for_gateways()
         self.run(3 * SECOND)
         for _ in range(faults):
             self.draw_fault()
--- a/tests/test_coordination_schedules.py
+++ b/tests/test_coordination_schedules.py
@@ -25,6 +25,12 @@
     assert not violations, [str(violation) for violation in violations]
 
 
+@pytest.mark.parametrize("seed", range(300, 306))
+def test_a_drawn_schedule_with_a_state_sent_in_chunks(seed: int) -> None:
+    violations = CoordinationWorld(seed, real_resources, large_state=True).run_schedule(FAULTS)
+    assert not violations, [str(violation) for violation in violations]
+
+
 @pytest.mark.parametrize("seed", range(200, 203))
 def test_the_checks_accept_the_reference(seed: int) -> None:
     violations = CoordinationWorld(seed, shared_reference()).run_schedule(FAULTS)
