--- a/oakvale/controlplane/core.py
+++ b/oakvale/controlplane/core.py
@@ -12,21 +12,15 @@
 from oakvale.base.address import Address, format_address, parse_address
 from oakvale.base.loop import Loop
 from oakvale.config.settings import Settings
-from oakvale.controlplane import replication
+from oakvale.controlplane import actions
 from oakvale.controlplane.failure_domains import FailureDomains
 from oakvale.controlplane.leases import Leases, PendingCallbacks
 from oakvale.controlplane.peers import PeerAddresses
 from oakvale.controlplane.replicated_state import Callback, ReplicatedState
 from oakvale.controlplane.replication import Replicator
-from oakvale.controlplane.view_change import (
-    Replica,
-    View,
-    ViewManager,
-    ViewOutput,
-    bootstrap_view,
-    unpack_replica,
-    unpack_view,
-)
+from oakvale.controlplane.start_state import load_start_state
+from oakvale.controlplane.view_change import ViewManager, ViewOutput
+from oakvale.controlplane.views import Replica, View, bootstrap_view, unpack_replica, unpack_view
 from oakvale.dissemination.feed import HEARTBEAT_INTERVAL_US, Publisher
 from oakvale.dissemination.table import Entry, Version, gateway_entries
 from oakvale.lifecycle.eventlog import EventLogger
@@ -69,7 +63,7 @@
         copies = 1 + max(1, settings.tolerate, settings.tolerate_zones, settings.tolerate_regions)
         domains = FailureDomains(settings.zones, settings.tolerate_zones > 0, settings.tolerate_regions > 0)
         bootstraps = settings.bootstrap and storage.never_used and format_address(transport.self_address) in seeds
-        start = replication.load_start_state(
+        start = load_start_state(
             format_address(transport.self_address),
             storage.fact("self"),
             storage.fact("state"),
@@ -198,17 +192,17 @@
 
     # ---- executing the decisions
 
-    def _do(self, items: list[replication.Action]) -> None:
+    def _do(self, items: list[actions.Action]) -> None:
         for item in items:
             match item:
-                case replication.Write(number, what):
+                case actions.Write(number, what):
                     self.storage.write(
                         what,
                         lambda number=number: self._do(  # type: ignore[misc]
                             self.replicator.written(number)
                         ),
                     )
-                case replication.SendRequest(number, to, kind, body, timeout):
+                case actions.SendRequest(number, to, kind, body, timeout):
                     self.transport.ask(
                         address_of(to),
                         kind,
@@ -218,24 +212,24 @@
                             self.replicator.answered(number, answer)
                         ),
                     )
-                case replication.SendMessage(to, kind, body):
+                case actions.SendMessage(to, kind, body):
                     self.transport.tell(address_of(to), kind, [list(self.self_id), body])
-                case replication.Reply(answer, said):
+                case actions.Reply(answer, said):
                     answer(said)
-                case replication.RetryLater(backup, view):
+                case actions.RetryLater(backup, view):
                     self.loop.at(
                         self.loop.now + RESYNC_DELAY_US,
                         lambda _, backup=backup, view=view: self._do(  # type: ignore[misc]
                             self.replicator.retry_sync(backup, view)
                         ),
                     )
-                case replication.ChangeResult(then, done):
+                case actions.ChangeResult(then, done):
                     then(done)
-                case replication.StateUpdates(entries):
+                case actions.StateUpdates(entries):
                     for call in self.on_in_force:
                         call(entries)
                     self._publish(entries)
-                case replication.ViewInstalled(view):
+                case actions.ViewInstalled(view):
                     self._last_served = None
                     self._broadcast_heartbeat()  # asks for the lease, or shows the new view to a replaced primary
                     log_event(
@@ -246,11 +240,11 @@
                         witnesses=_addresses_of(view.witnesses),
                         own=self.self_id[0],
                     )
-                case replication.ServingChanged(serves):
+                case actions.ServingChanged(serves):
                     self._serving_changed(serves)
-                case replication.SteppedDown():
+                case actions.SteppedDown():
                     self.publisher.close_all()
-                case replication.StateReplaced():
+                case actions.StateReplaced():
                     self.publisher = Publisher(self.replicated_state.table)
                     current = self.view()
                     if current is not None:  # the primary that sent this state may have granted a lease just before
@@ -312,8 +306,8 @@
 
         return handle
 
-    def _apply_view_change(self, actions: list[ViewOutput]) -> None:
-        self._do(self.replicator.apply_view_outputs(actions))
+    def _apply_view_change(self, outputs: list[ViewOutput]) -> None:
+        self._do(self.replicator.apply_view_outputs(outputs))
 
     # ---- heartbeats, pulses, subscribers
 
--- a/oakvale/controlplane/leases.py
+++ b/oakvale/controlplane/leases.py
@@ -14,7 +14,7 @@
 from collections import deque
 
 from oakvale.controlplane.replicated_state import Callback
-from oakvale.controlplane.view_change import Replica, View
+from oakvale.controlplane.views import Replica, View
 
 CLOCK_MARGIN_US = 50_000  # covers clock drift and replies sent just after the lease was checked
 NEVER_US = 1 << 62  # later than any time of the clock
--- a/oakvale/controlplane/replicated_state.py
+++ b/oakvale/controlplane/replicated_state.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from oakvale.controlplane.view_change import Replica
+from oakvale.controlplane.views import Replica
 from oakvale.dissemination.table import NO_VERSION, Entry, Table, Version, is_core_only
 
 # called with True if the change is in force, with False if that is unknown: it may still come into force
--- a/oakvale/controlplane/replication.py
+++ b/oakvale/controlplane/replication.py
@@ -15,27 +15,35 @@
 
 import zlib
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
 import cbor2
 
 from oakvale.controlplane import chunks
+from oakvale.controlplane.actions import (
+    Action,
+    ChangeResult,
+    Reply,
+    RetryLater,
+    SendMessage,
+    SendRequest,
+    ServingChanged,
+    StateReplaced,
+    StateUpdates,
+    SteppedDown,
+    ViewInstalled,
+    Write,
+)
 from oakvale.controlplane.chunks import ChunkedState
 from oakvale.controlplane.failure_domains import FailureDomains
 from oakvale.controlplane.replicated_state import Callback, ReplicatedState
-from oakvale.controlplane.view_change import (
-    BOOTSTRAP_INCARNATION,
-    DurableState,
-    ElectionMessage,
-    PersistState,
+from oakvale.controlplane.start_state import StartState
+from oakvale.controlplane.view_change import ElectionMessage, PersistState, ViewManager, ViewOutput
+from oakvale.controlplane.views import (
     Replica,
     View,
-    ViewManager,
-    ViewOutput,
-    bootstrap_state,
-    unpack_durable_state,
     unpack_replica,
     unpack_view,
 )
@@ -46,138 +54,6 @@
 TIMEOUT_PER_BYTE_US = 16  # allows for links of 0.5 Mbit/s
 MAX_CHUNKS_IN_FLIGHT = 2  # to one backup; on a slow link, heartbeats queue behind them
 
-# ---- actions, to be carried out in order
-
-
-@dataclass(slots=True, frozen=True)
-class Write:
-    """Sync this to disk, then call `written(number)`."""
-
-    number: int
-    what: tuple[str, Any]  # kind and data, as the storage expects them
-
-
-@dataclass(slots=True, frozen=True)
-class SendRequest:
-    """Send this request, then call `answered(number, answer)`, with None if no reply came within `timeout`
-    microseconds."""
-
-    number: int
-    to: Replica
-    kind: str
-    body: list[Any]
-    timeout: int
-
-
-@dataclass(slots=True, frozen=True)
-class SendMessage:
-    """Send this message; no reply is expected."""
-
-    to: Replica
-    kind: str
-    body: list[Any]
-
-
-@dataclass(slots=True, frozen=True)
-class Reply:
-    """The reply to the request that came with this ticket."""
-
-    ticket: Any
-    answer: Any
-
-
-@dataclass(slots=True, frozen=True)
-class RetryLater:
-    """Call `retry_sync(backup, view)` after a delay."""
-
-    backup: Replica
-    view: View
-
-
-@dataclass(slots=True, frozen=True)
-class ChangeResult:
-    """Call `on_done` with the result of a change."""
-
-    on_done: Callback
-    done: bool
-
-
-@dataclass(slots=True, frozen=True)
-class StateUpdates:
-    """These entries came into force; publish them."""
-
-    entries: list[Entry]
-
-
-@dataclass(slots=True, frozen=True)
-class ViewInstalled:
-    """Another view is in force on this replica."""
-
-    view: View
-
-
-@dataclass(slots=True, frozen=True)
-class ServingChanged:
-    """This replica starts or stops serving as primary."""
-
-    serves: bool
-
-
-@dataclass(slots=True, frozen=True)
-class SteppedDown:
-    """This replica is not primary (any more) and publishes no state updates."""
-
-
-@dataclass(slots=True, frozen=True)
-class StateReplaced:
-    """The state was replaced as a whole by the one that the primary sent."""
-
-
-Action = (
-    Write
-    | SendRequest
-    | SendMessage
-    | Reply
-    | RetryLater
-    | ChangeResult
-    | StateUpdates
-    | ViewInstalled
-    | ServingChanged
-    | SteppedDown
-    | StateReplaced
-)
-
-
-@dataclass(slots=True, frozen=True)
-class StartState:
-    """The identity and durable state of a replica for one run of its process, as loaded from disk."""
-
-    self_id: Replica
-    start_number: int  # counts process starts: messages of an earlier run may still arrive
-    durable: DurableState
-    stored: bytes  # to be synced as the fact "self" before anything else
-
-
-def load_start_state(
-    address: str, stored: bytes | None, state: bytes | None, bootstrap: View | None, new_incarnation: Callable[[], str]
-) -> StartState:
-    """Restores a replica from the stored facts "self" and "state". `bootstrap` is the initial view if the replica is a
-    seed of a new system that starts for the first time; `new_incarnation` returns one that was never used."""
-    packed_bootstrap: list[Any] | None = None
-    if stored is not None:
-        incarnation, earlier_starts, packed_bootstrap = cbor2.loads(stored)
-    elif bootstrap is not None:
-        incarnation, earlier_starts, packed_bootstrap = BOOTSTRAP_INCARNATION, 0, bootstrap.pack()
-    else:
-        incarnation, earlier_starts = new_incarnation(), 0
-    self_id = (address, incarnation)
-    durable = bootstrap_state(unpack_view(packed_bootstrap), self_id) if packed_bootstrap else DurableState()
-    if state:
-        durable = unpack_durable_state(cbor2.loads(state))
-    return StartState(
-        self_id, earlier_starts + 1, durable, cbor2.dumps([incarnation, earlier_starts + 1, packed_bootstrap])
-    )
-
 
 @dataclass(slots=True)
 class Transfer:
--- a/oakvale/controlplane/resources.py
+++ b/oakvale/controlplane/resources.py
@@ -20,7 +20,7 @@
 from oakvale.config.settings import Settings
 from oakvale.controlplane.compaction import RETENTION_US
 from oakvale.controlplane.core import Core
-from oakvale.controlplane.view_change import View
+from oakvale.controlplane.views import View
 from oakvale.dissemination.table import CONFIG_DIGEST_PREFIX
 from oakvale.lifecycle.eventlog import EventLogger
 
--- a/oakvale/lab/modelcheck/breakages.py
+++ b/oakvale/lab/modelcheck/breakages.py
@@ -7,22 +7,13 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from oakvale.controlplane import chunks, replication
+from oakvale.controlplane import actions, chunks, replication, start_state
 from oakvale.controlplane.leases import Leases
 from oakvale.controlplane.replicated_state import Callback, ReplicatedState
-from oakvale.controlplane.replication import Replicator, StartState
-from oakvale.controlplane.view_change import (
-    Ballot,
-    ElectionMessage,
-    Replica,
-    View,
-    ViewAdopted,
-    ViewManager,
-    ViewOutput,
-    bootstrap_view,
-    unpack_replica,
-    unpack_view,
-)
+from oakvale.controlplane.replication import Replicator
+from oakvale.controlplane.start_state import StartState
+from oakvale.controlplane.view_change import ElectionMessage, ViewAdopted, ViewManager, ViewOutput
+from oakvale.controlplane.views import Ballot, Replica, View, bootstrap_view, unpack_replica, unpack_view
 from oakvale.dissemination.table import Entry
 from oakvale.dissemination.table import unpack as unpack_entries
 from oakvale.lab.modelcheck.machine import Machine
@@ -67,10 +58,10 @@
 def _append_before_sync(self: Replicator, body: Any, ticket: Any) -> None:
     view, sender, entries = unpack_view(body[0]), unpack_replica(body[1]), unpack_entries(body[4])
     if not self._in_order(view, sender, body[2]) or self.view_manager.state.complete != view.number:
-        return self._out.append(replication.Reply(ticket, False))
+        return self._out.append(actions.Reply(ticket, False))
     self.replicated_state.apply(entries)
     self._write(("rows", replication._encode_rows(entries)), ("gone",))
-    self._out.append(replication.Reply(ticket, True))
+    self._out.append(actions.Reply(ticket, True))
 
 
 def _founder_again(
@@ -79,7 +70,7 @@
     state: bytes | None,
     first: View | None,
     fresh: Callable[[], str],
-    real: Callable[..., StartState] = replication.load_start_state,
+    real: Callable[..., StartState] = start_state.load_start_state,
 ) -> StartState:
     addresses = [f"{name}:1" for name in "abc"]
     return real(address, stored, state, bootstrap_view(addresses, 2), fresh)
@@ -132,8 +123,11 @@
 
 
 def _refusal_counts(
-    self: Replicator, number: int, answer: Any, real: Callable[..., list[replication.Action]] = Replicator.answered
-) -> list[replication.Action]:
+    self: Replicator,
+    number: int,
+    answer: Any,
+    real: Callable[..., list[actions.Action]] = Replicator.answered,
+) -> list[actions.Action]:
     return real(self, number, True if answer is False else answer)
 
 
@@ -168,8 +162,8 @@
 
 
 def _staged_counts(
-    self: Replicator, number: int, real: Callable[..., list[replication.Action]] = Replicator.written
-) -> list[replication.Action]:
+    self: Replicator, number: int, real: Callable[..., list[actions.Action]] = Replicator.written
+) -> list[actions.Action]:
     """A piece on its disk, and it calls itself complete."""
     staged, view = self._pending_writes[number][0] == "piece", self.view()
     out = real(self, number)
@@ -180,7 +174,7 @@
     """A primary serves with what its disk holds, before its backups have answered in this life."""
     if not self.active and self.view() == view:
         self.active = True
-        self._out.append(replication.ServingChanged(True))
+        self._out.append(actions.ServingChanged(True))
 
 
 def _releases_early(self: Replicator, now: int, peer: Replica, view: View) -> bool:
@@ -252,7 +246,7 @@
     Breakage(
         "founder-again",
         "a disk that was wiped comes back as the seat that it was",
-        ((replication, "load_start_state", _founder_again),),
+        ((start_state, "load_start_state", _founder_again),),
         replace(QUIET, writes=1, wipes=1),
     ),
     Breakage(
--- a/oakvale/lab/modelcheck/machine.py
+++ b/oakvale/lab/modelcheck/machine.py
@@ -13,12 +13,9 @@
 
 import cbor2
 
-from oakvale.controlplane import replication
-from oakvale.controlplane.failure_domains import FailureDomains
-from oakvale.controlplane.leases import Leases
-from oakvale.controlplane.replication import (
+from oakvale.controlplane import actions, start_state
+from oakvale.controlplane.actions import (
     ChangeResult,
-    Replicator,
     Reply,
     RetryLater,
     SendMessage,
@@ -27,7 +24,10 @@
     StateReplaced,
     Write,
 )
-from oakvale.controlplane.view_change import Replica, bootstrap_view, unpack_replica, unpack_view
+from oakvale.controlplane.failure_domains import FailureDomains
+from oakvale.controlplane.leases import Leases
+from oakvale.controlplane.replication import Replicator
+from oakvale.controlplane.views import Replica, bootstrap_view, unpack_replica, unpack_view
 from oakvale.dissemination.table import Version
 
 NAMES = "abcdefg"
@@ -93,7 +93,7 @@
         first = bootstrap_view(self.addresses, self.copies) if self.founds else None
         if "self" not in self.facts and not first:
             self.drawn += 1
-        began = replication.load_start_state(
+        began = start_state.load_start_state(
             self.address, self.facts.get("self"), self.facts.get("state"), first, lambda: str(self.drawn)
         )
         self.part = Replicator(
@@ -254,7 +254,7 @@
 
     # ---- what comes out
 
-    def _do(self, items: list[replication.Action]) -> None:
+    def _do(self, items: list[actions.Action]) -> None:
         for item in items:
             match item:
                 case Write(number, what):
@@ -386,7 +386,7 @@
         # on disk: the number of the view, of the newest that it is complete in, and of the newest that it refuses
         self.durable = self.complete = self.void = 0
         if stored:
-            state = replication.load_start_state(machine.address, stored, machine.facts.get("state"), None, str).durable
+            state = start_state.load_start_state(machine.address, stored, machine.facts.get("state"), None, str).durable
             self.durable, self.complete = state.view.number if state.view else 0, state.complete
             self.void = state.void
         self.kept: dict[int, Version] = {}  # writes on disk
--- a/oakvale/lab/modelcheck/model.py
+++ b/oakvale/lab/modelcheck/model.py
@@ -20,7 +20,7 @@
 from typing import Any, NamedTuple
 
 from oakvale.controlplane import chunks
-from oakvale.controlplane.view_change import Replica
+from oakvale.controlplane.views import Replica
 from oakvale.dissemination.table import Version
 from oakvale.lab.modelcheck.machine import NAMES, SILENCE, Event, Facts, Machine, Sent
 
--- a/oakvale/lab/undone.py
+++ b/oakvale/lab/undone.py
@@ -9,15 +9,8 @@
 from oakvale.base.address import parse_address
 from oakvale.controlplane.replicated_state import ReplicatedState
 from oakvale.controlplane.resources import UNCONFIRMED, CheckedConfig, ConfigHandler, Reply, ReplyCallback
-from oakvale.controlplane.view_change import (
-    CAMPAIGN_TIMEOUT_SILENCES,
-    Campaign,
-    ElectionMessage,
-    Replica,
-    View,
-    ViewManager,
-    _pack_accepted,
-)
+from oakvale.controlplane.view_change import CAMPAIGN_TIMEOUT_SILENCES, Campaign, ElectionMessage, ViewManager
+from oakvale.controlplane.views import Replica, View, pack_accepted
 from oakvale.dissemination.feed import Feed, log_event
 from oakvale.policy.limits import Limits
 
@@ -62,7 +55,7 @@
                 for witness in view.witnesses
                 if witness != self.self_id
             ),
-            ElectionMessage(self.self_id, "promise", [view.number, packed, _pack_accepted(self.state.accepted)]),
+            ElectionMessage(self.self_id, "promise", [view.number, packed, pack_accepted(self.state.accepted)]),
         ],
     )
 
--- a/tests/control_plane_simulation.py
+++ b/tests/control_plane_simulation.py
@@ -18,7 +18,7 @@
 from oakvale.config.settings import Bounds, Settings
 from oakvale.controlplane.compaction import Compactor
 from oakvale.controlplane.core import Core
-from oakvale.controlplane.view_change import View, unpack_durable_state
+from oakvale.controlplane.views import View, unpack_durable_state
 from oakvale.dissemination.table import NO_VERSION, Table, Version, unpack
 from oakvale.lab.simulation.disks import Held
 from tests import simulated_processes
--- a/tests/test_failure_domains.py
+++ b/tests/test_failure_domains.py
@@ -7,7 +7,7 @@
 import pytest
 
 from oakvale.config.settings import Bounds
-from oakvale.controlplane.view_change import Replica
+from oakvale.controlplane.views import Replica
 from tests.control_plane_simulation import World
 from tests.simulated_processes import MS, SECOND
 from tests.test_losses import busy, core
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -5,10 +5,10 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+from oakvale.controlplane.actions import StateReplaced
 from oakvale.controlplane.core import PEER_TIMEOUT_US
 from oakvale.controlplane.leases import CLOCK_MARGIN_US, Leases, PendingCallbacks
-from oakvale.controlplane.replication import StateReplaced
-from oakvale.controlplane.view_change import BOOTSTRAP_INCARNATION, Replica, View, bootstrap_view
+from oakvale.controlplane.views import BOOTSTRAP_INCARNATION, Replica, View, bootstrap_view
 from oakvale.controlplane.voter import VoterService
 from oakvale.election.voting import VOTE_DURATION_US
 from tests.simulated_processes import MS
--- a/tests/test_view_change.py
+++ b/tests/test_view_change.py
@@ -10,15 +10,12 @@
 
 from oakvale.controlplane.core import PEER_TIMEOUT_US, Core
 from oakvale.controlplane.replicated_state import ReplicatedState
-from oakvale.controlplane.view_change import (
+from oakvale.controlplane.view_change import ElectionMessage, PersistState, ViewAdopted, ViewManager
+from oakvale.controlplane.views import (
     BOOTSTRAP_INCARNATION,
     DurableState,
-    ElectionMessage,
-    PersistState,
     Replica,
     View,
-    ViewAdopted,
-    ViewManager,
     bootstrap_state,
     bootstrap_view,
 )
--- a/tests/test_wire_snapshots.py
+++ b/tests/test_wire_snapshots.py
@@ -8,7 +8,7 @@
 import pytest
 from syrupy.assertion import SnapshotAssertion
 
-from oakvale.controlplane.view_change import (
+from oakvale.controlplane.views import (
     BOOTSTRAP_INCARNATION,
     DurableState,
     View,
