Core process: waiting watches hold at most half of the connections

Cause: 1,000 watches may be more than a machine with few descriptors has connections; with nofile = 1024 (397 of them) waiting watches would have kept out all other calls.

--- a/oakvale/controlplane/process.py
+++ b/oakvale/controlplane/process.py
@@ -25,6 +25,7 @@
 from oakvale.controlplane.status import core_status
 from oakvale.controlplane.voter import VoterService
 from oakvale.coordination.service import CoordinationService
+from oakvale.coordination.watches import MAX_WAITING_WATCHES
 from oakvale.lifecycle.acceptor import Acceptor
 from oakvale.lifecycle.eventlog import EventLogger
 from oakvale.lifecycle.signals import Signals
@@ -79,9 +80,12 @@
         voter_service = VoterService(loop, self.transport, self.storage, settings.bootstrap, core.is_witness)
         GatewayRegistry(core, voter_service, loop, self.transport)
         Compactor(core, loop)
-        coordination = CoordinationService(core, loop, settings.bounds.retain)
+        limits = limits_from_settings(settings)
+        # other calls need connections too
+        max_watches = min(MAX_WAITING_WATCHES, limits.clients // 2)
+        coordination = CoordinationService(core, loop, settings.bounds.retain, max_watches)
         serve_status(self.transport, "headworks", settings.node, lambda: core_status(core, coordination.status()))
-        self.shared = SharedResources(loop, limits_from_settings(settings))
+        self.shared = SharedResources(loop, limits)
         self._ctl = ControlServer(self.shared, core, settings)
         self._ctl.enable_coordination(coordination.handlers())
         self.acceptor = Acceptor(self._ctl, listeners["ctl"], loop)
--- a/oakvale/coordination/service.py
+++ b/oakvale/coordination/service.py
@@ -25,7 +25,7 @@
 from oakvale.coordination.entries import PREFIX, EventEntry, SortedEntries
 from oakvale.coordination.key_groups import KeyGroups
 from oakvale.coordination.locks import Locks
-from oakvale.coordination.watches import Watches
+from oakvale.coordination.watches import MAX_WAITING_WATCHES, Watches
 from oakvale.dissemination.table import Entry, Table
 from oakvale.lifecycle.eventlog import EventLogger
 from oakvale.memory.requests import Answer
@@ -71,11 +71,12 @@
 class CoordinationService:
     """The coordination calls of one core machine."""
 
-    def __init__(self, core: ControlState, loop: Loop, retain_us: int) -> None:
+    def __init__(self, core: ControlState, loop: Loop, retain_us: int, max_watches: int = MAX_WAITING_WATCHES) -> None:
+        """`max_watches`: how many watches may wait; each holds a connection."""
         self._core, self._loop = core, loop
         self._locks, self._counters = Locks(), Counters()
         self._groups = KeyGroups(max(2 * retain_us, MIN_RETENTION_US), retain_us)
-        self._watches = Watches(loop, self._events, self._groups.revision, core.serving)
+        self._watches = Watches(loop, self._events, self._groups.revision, core.serving, max_watches)
         self._is_current = False  # the state machines agree with the replicated state
         self._is_same_term = False  # no other primary can have served since they were built
         core.on_serving_change.append(self._serving_changed)
--- a/oakvale/coordination/watches.py
+++ b/oakvale/coordination/watches.py
@@ -18,7 +18,7 @@
 from oakvale.coordination.entries import EventEntry
 from oakvale.memory.requests import Answer
 
-MAX_WAITING_WATCHES = 1_000  # each holds a connection
+MAX_WAITING_WATCHES = 1_000
 MAX_EVENTS_PER_ANSWER = 1_000  # the caller resumes at the last of them
 MAX_WAIT_US = 60_000_000
 SERVING_CHECK_INTERVAL_US = 100_000  # while watches wait
@@ -88,11 +88,13 @@
         events: Callable[[str, int], list[EventEntry] | None],
         revision: Callable[[str], int],
         serving: Callable[[], bool],
+        max_waiting: int = MAX_WAITING_WATCHES,
     ) -> None:
         """`events` returns the events of a group in force above a revision, in order, or None if some of them are no
         longer remembered; `revision` the revision of a group that is in force; `serving` whether this replica may
-        answer from its state at this moment."""
+        answer from its state at this moment; `max_waiting` how many watches may wait."""
         self._loop, self._events, self._revision, self._serving = loop, events, revision, serving
+        self._max_waiting = max_waiting
         self._waiting: dict[str, dict[WaitingWatch, None]] = {}  # by group, in order of arrival
         self._count = 0
         self._check_scheduled = False
@@ -109,7 +111,7 @@
         answer = self._answer_now(wanted.group, wanted.after)
         if answer is not None or not wanted.wait_us:
             return self._send(send, answer or self._empty_answer(wanted.group))
-        if self._count >= MAX_WAITING_WATCHES:
+        if self._count >= self._max_waiting:
             return send(_answer(429, {"error": "too many watches wait"}, RETRY_AFTER))
         self._add(call, wanted, send)
 
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -19,7 +19,7 @@
 class WatchWorld:
     """Watches over groups whose puts are in force at once, in simulated time."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_waiting: int = 9) -> None:
         self.time = Time(1)
         self.serves = True
         self.forgotten = 0  # events up to this revision are no longer remembered
@@ -27,7 +27,8 @@
         self.answers: dict[str, Answer] = {}
         self.answered_at: dict[str, int] = {}
         self.calls: dict[str, ControlCall] = {}
-        self.watches = Watches(Loop(self.time, Life(Machine())), self.events, self.revision, lambda: self.serves)
+        loop = Loop(self.time, Life(Machine()))
+        self.watches = Watches(loop, self.events, self.revision, lambda: self.serves, max_waiting)
 
     def events(self, group: str, after: int) -> list[EventEntry] | None:
         if after < self.forgotten:
@@ -205,9 +206,8 @@
     assert not world.answers
 
 
-def test_the_number_of_waiting_watches_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(watches_module, "MAX_WAITING_WATCHES", 2)
-    world = WatchWorld()
+def test_the_number_of_waiting_watches_is_bounded() -> None:
+    world = WatchWorld(max_waiting=2)
     for caller in "abc":
         world.watch(caller, "g.", "after=1&wait-ms=2000")
     assert world.status("c") == 429 and len(world.watches) == 2
