Show how a gateway got its complete table, and how many parts wait

The event 'complete table received' bears the source, the number of entries, the requests made and the time since the first of them; the status shows complete tables sent, parts in flight and connections that wait to send a part.

test_a_stale_period_is_logged_once recorded every event of the module and took its source; it now records the one event that it is about, with the same assertions.

--- a/oakvale/controlplane/status.py
+++ b/oakvale/controlplane/status.py
@@ -43,6 +43,7 @@
             "waits": core.replicated_state.has_pending(),
             "disk_waits_ms": 0 if disk_pending_since is None else (now - disk_pending_since) // US_PER_MS,
             "relays": len(core.publisher),
+            "complete_tables_sent": core.publisher.complete_tables_sent,
             "gateways": ",".join(sorted(node for node, _ in table.items("gate/"))),
         }
         | count_by_service((str(value["svc"]), str(value["state"])) for _, value in table.items("backend/"))
--- a/oakvale/dataplane/status.py
+++ b/oakvale/dataplane/status.py
@@ -26,6 +26,7 @@
             "news": "/".join(map(str, gateway.table.highest_version)),
             "news_age_ms": (now - feed.last_fresh_at) // US_PER_MS if feed.last_fresh_at else -1,
             "relays": len(feed.publisher),
+            "complete_tables_sent": feed.publisher.complete_tables_sent,
             "duties": ",".join(gateway.rate_limiter.held_duties()),
             "clients": len(router.clients.all),
             "in_hand": len(router.requests),
--- a/oakvale/dissemination/feed.py
+++ b/oakvale/dissemination/feed.py
@@ -48,6 +48,7 @@
         ] = {}  # None if all was sent, else entries newer than this are deferred
         self._unacknowledged: set[Connection] = set()  # with a large message in flight
         self._heartbeat = NO_VERSION
+        self.complete_tables_sent = 0
 
     def __len__(self) -> int:
         return len(self._subscribers)
@@ -64,6 +65,7 @@
     def _send_since(self, conn: Connection, highest_version: Version, heartbeat: Version) -> None:
         self._subscribers[conn] = None
         if highest_version < self._table.horizon or highest_version == NO_VERSION:
+            self.complete_tables_sent += 1
             body: list[Any] = [
                 list(heartbeat),
                 pack(gateway_entries(self._table.since(NO_VERSION))),
@@ -157,6 +159,8 @@
         self._source: Address | None = None
         self._previous_source: Address | None = None  # sends updates until the new source accepts the subscription
         self._requested_at = 0
+        self._requests_since_fresh = 0
+        self._first_request_at = 0  # of those
         self._failed_at: dict[str, int] = {}
         self._reported_fresh_at = 0  # `last_fresh_at` of the latest stale period that was logged
         self._best_source_checked = False
@@ -237,6 +241,9 @@
             elif self._source != self._previous_source:
                 self.transport.tell(self._source, "leave", None)
         self._source, self._requested_at = address, now
+        if not self._requests_since_fresh:
+            self._first_request_at = now
+        self._requests_since_fresh += 1
         body = self._identity() | {"high": list(self.table.highest_version)}
         self.transport.ask(
             address,
@@ -284,12 +291,20 @@
         if heartbeat < self.heartbeat and heartbeat[0] < self.heartbeat[0]:
             return  # from a replaced primary
         if horizon is not None:
+            log_event(
+                "complete table received",
+                source=self._source[0] if self._source else "",
+                entries=len(entries),
+                requests=self._requests_since_fresh,
+                after_ms=(self.loop.now - self._first_request_at) // 1000,
+            )
             changed = self.table.replace_all(entries, (int(horizon[0]), int(horizon[1])))
         else:
             changed = self.table.put(entries)
         fresh = heartbeat > self.heartbeat
         if fresh:
             self.heartbeat, self.last_fresh_at = heartbeat, self.loop.now
+            self._requests_since_fresh = 0
         if changed:
             self._on_changed(changed)
         if fresh or changed:
--- a/oakvale/transport/status_service.py
+++ b/oakvale/transport/status_service.py
@@ -42,6 +42,8 @@
                 "links_out": outgoing,
                 "links_in": incoming,
                 "sent_bytes": transport.sent_bytes.total(),
+                "parts_in_flight": transport.parts_in_flight,
+                "parts_waiting": len(transport.ready_for_part),
                 "turns": loop.turns,
                 "cpu_ms": round(cpu_seconds * 1000),
                 "memory_mb": memory_mb,
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -461,9 +461,12 @@
 def test_a_stale_period_is_logged_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a log line for each source that is tried, which hides the one that stopped responding."""
     logged_sources: list[Any] = []
-    monkeypatch.setattr(
-        "oakvale.dissemination.feed.log_event", lambda event, **fields: logged_sources.append(fields["source"])
-    )
+
+    def log(event: str, **fields: Any) -> None:
+        if event == "news are stale":
+            logged_sources.append(fields["source"])
+
+    monkeypatch.setattr("oakvale.dissemination.feed.log_event", log)
     fleet = Fleet(1, 1)
     fleet.net.run(2 * SECOND)
     for core in fleet.cores:
