Long messages: as many parts in flight as the own link carries

Cause: a gateway without state asks the primary for all of it (577 entries, 72 KB here). Messages above 64 KB go in parts of 16 KB, with at most 4 unacknowledged over all connections. A part takes 65 ms on the gateway's link of 2 Mbit/s, so a primary on a link of 1,000 Mbit/s sent 1 MB/s in all, and the connections took turns: all gateways got their state last, 188 x 72 KB later. The limit was made for a sender whose own link is thin.

Now the limit follows the acknowledgements: it grows by one with each that comes within 0.2 s while the limit is what holds parts back, and shrinks by one with each that is late, never below 4. On a thin link parts queue, acknowledgements are late, and the limit stays where it was.

The simulated machines may have a bandwidth for what they receive; unset, nothing changes.

test_peers_that_do_not_acknowledge_parts_do_not_block_others set the limit, which is now the least limit: same figure, same assertions.

--- a/oakvale/lab/simulation/sockets.py
+++ b/oakvale/lab/simulation/sockets.py
@@ -2,8 +2,8 @@
 bandwidth and windows; a cut or a machine without power says nothing, a dead port resets.
 
 Modelled is what a process can tell apart: a segment's way and the time until it is known to have arrived, the room in
-its window, what a close or a reset leaves. Not modelled: slow start, what queues at the receiving end of a link, keep-
-alive probes, datagrams.
+its window, what a close or a reset leaves, the queue at the receiving end of a link where that has a bandwidth. Not
+modelled: slow start, keep-alive probes, datagrams.
 """
 
 from __future__ import annotations
@@ -282,6 +282,9 @@
         begins = max(sent, one.link_free)
         one.link_free = begins + size * one.link_us
         arrives = int(one.link_free) + wires.way(one, other)
+        if other.receive_us:
+            other.receive_free = max(float(arrives), other.receive_free) + size * other.receive_us
+            arrives = int(other.receive_free)
         loss = one.loss + other.loss
         if loss:
             pause = AGAIN
--- a/oakvale/lab/simulation/wires.py
+++ b/oakvale/lab/simulation/wires.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from random import Random
 from typing import Any, Protocol
@@ -22,11 +23,22 @@
 
 
 class Machine:
-    def __init__(self, wires: Wires, name: str, ip: str, zone: str, share: float = 1.0, mbps: float = 1000.0) -> None:
+    def __init__(
+        self,
+        wires: Wires,
+        name: str,
+        ip: str,
+        zone: str,
+        share: float = 1.0,
+        mbps: float = 1000.0,
+        receive_mbps: float = math.inf,
+    ) -> None:
         self.wires, self.events = wires, wires.events
         self.name, self.ip, self.zone, self.share = name, ip, zone, share
         self.link_us = 8 / mbps  # microseconds a byte
         self.link_free = 0.0
+        self.receive_us = 8 / receive_mbps  # microseconds a byte
+        self.receive_free = 0.0
         self.off = False
         self.lag = 0  # microseconds more on each way, and the share of segments that are lost
         self.loss = 0.0
--- a/oakvale/transport/links.py
+++ b/oakvale/transport/links.py
@@ -4,8 +4,10 @@
 No call blocks on a peer. A request that cannot be sent or is not answered in time yields `None`, and a peer that does
 not read is disconnected once its backlog is full. Callers handle lost messages.
 
-A long frame is split into parts, with one part in flight per connection and a small limit over all connections. Short
-frames are sent in between, so that heartbeats are not delayed on slow links. Frames of one kind keep their order.
+A long frame is split into parts, with one part in flight per connection and a limit over all connections. Short frames
+are sent in between, so that heartbeats are not delayed on slow links. The limit follows the acknowledgements: it grows
+while they are quick, as on a wide link to many receivers on thin ones, and shrinks when parts queue on the own link.
+Frames of one kind keep their order.
 """
 
 from __future__ import annotations
@@ -30,7 +32,8 @@
 MAX_BACKLOG_BYTES = 8 * 1024 * 1024  # unsent data per peer, without the long frame being sent
 MAX_UNSPLIT_BYTES = 64 * 1024  # longer frames are sent in parts
 PART_BYTES = 16 * 1024  # 65 ms at 2 Mbit/s
-MAX_PARTS_IN_FLIGHT = 4  # over all connections
+MIN_PARTS_IN_FLIGHT, MAX_PARTS_IN_FLIGHT = 4, 1_024  # over all connections
+PART_DELAY_US = 200_000  # with later acknowledgements, fewer parts are in flight: short frames would wait behind them
 PART_ACK_TIMEOUT_US = 1_000_000  # after this, an unacknowledged part no longer counts as in flight
 LONG_NOTICE_INTERVAL_US = 300_000  # between notices to a peer that a long message is being sent to it
 IDLE_TIMEOUT_US = 20_000_000  # unused links are closed
@@ -44,6 +47,24 @@
 log_event = EventLogger(__name__)
 
 
+class PartWindow:
+    """How many parts may be in flight at once; follows how long their acknowledgements take."""
+
+    def __init__(self) -> None:
+        self.size = MIN_PARTS_IN_FLIGHT
+
+    def acknowledged(self, delay_us: int, in_flight: int) -> None:
+        """Adjusts the limit to an acknowledgement that took `delay_us`, with `in_flight` parts unacknowledged."""
+        if delay_us > PART_DELAY_US:
+            self.delayed()
+        elif in_flight >= self.size:  # otherwise the limit was not what held parts back
+            self.size = min(MAX_PARTS_IN_FLIGHT, self.size + 1)
+
+    def delayed(self) -> None:
+        """Lowers the limit after a late or missing acknowledgement."""
+        self.size = max(MIN_PARTS_IN_FLIGHT, self.size - 1)
+
+
 class Connection:
     """An incoming or outgoing connection. `on_close` callbacks run once, when it has closed."""
 
@@ -61,7 +82,8 @@
         self._queued_long_bytes = 0  # without the first long frame
         self._long_offset = 0  # bytes of the first long frame already sent
         self._part_in_flight = False
-        self._part_timer: Timer | None = None  # set while the part counts towards MAX_PARTS_IN_FLIGHT
+        self._part_timer: Timer | None = None  # set while the part counts towards the limit of parts in flight
+        self._part_sent_at = 0
         self._received_parts = bytearray()  # of the long frame being received
         self.last_used = transport.loop.now
         self._task = transport.loop.start(self._run(), sock.fileno(), Priority.COUNTER)
@@ -146,12 +168,15 @@
             self._queued_long_bytes -= len(self._long_frames[0][1]) if self._long_frames else 0
         self._part_in_flight = True
         self.transport.parts_in_flight += 1
-        self._part_timer = self.transport.loop.at(
-            self.transport.loop.now + PART_ACK_TIMEOUT_US, self._release_part_slot
-        )
+        self._part_sent_at = self.transport.loop.now
+        self._part_timer = self.transport.loop.at(self._part_sent_at + PART_ACK_TIMEOUT_US, self._part_timed_out)
         self._transmit(encode("part", 1, [part, last, 0]))
 
-    def _release_part_slot(self, _: Any) -> None:
+    def _part_timed_out(self, _: Any) -> None:
+        self.transport.part_window.delayed()
+        self._release_part_slot()
+
+    def _release_part_slot(self) -> None:
         if self._part_timer is not None:
             cancel_timer(self._part_timer)
             self._part_timer = None
@@ -161,16 +186,19 @@
     def _part_acknowledged(self) -> None:
         if self._part_in_flight:
             self._part_in_flight = False
+            if self._part_timer is not None:
+                transport = self.transport
+                transport.part_window.acknowledged(transport.loop.now - self._part_sent_at, transport.parts_in_flight)
             if self._long_frames:
                 self.transport.ready_for_part.append(self)
-            self._release_part_slot(None)
+            self._release_part_slot()
             self.transport.send_parts()
             self._notify_writable()
 
     def discard_long_frames(self) -> None:
         """Drops unsent long frames of a closed connection and releases its part slot."""
         self._long_frames.clear()
-        self._release_part_slot(None)
+        self._release_part_slot()
 
     def _receive_part(self, number: int, part: bytes, last: bool, hops: int) -> None:
         now = self.transport.loop.now
@@ -300,6 +328,7 @@
         self._last_number = 0
         self.ready_for_part: deque[Connection] = deque()  # have a long frame to send and no part of it in flight
         self.parts_in_flight = 0
+        self.part_window = PartWindow()
         self.long_notice_at = -UNACKNOWLEDGED_TIMEOUT_MS * 1000  # latest notice that a long message is on its way here
         self.long_notice_hops = 0  # relays between the sender of that message and the peer that sent the notice
 
@@ -333,7 +362,7 @@
 
     def send_parts(self) -> None:
         """Sends parts of long frames, connection by connection, up to the limit of parts in flight."""
-        while self.parts_in_flight < MAX_PARTS_IN_FLIGHT and self.ready_for_part:
+        while self.parts_in_flight < self.part_window.size and self.ready_for_part:
             conn = self.ready_for_part.popleft()
             if conn.alive and conn.sending_long_frame():
                 conn.send_next_part()
--- a/tests/test_message_parts.py
+++ b/tests/test_message_parts.py
@@ -73,7 +73,7 @@
 
 
 def test_peers_that_do_not_acknowledge_parts_do_not_block_others(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(links, "MAX_PARTS_IN_FLIGHT", 2)
+    monkeypatch.setattr(links, "MIN_PARTS_IN_FLIGHT", 2)
     monkeypatch.setattr(links, "PART_ACK_TIMEOUT_US", 20_000)
     cluster = Cluster()
     [(address, received)] = cluster.others
