--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -26,7 +26,7 @@
 PORT = 7340
 RECEIVERS, LONG_BYTES = 12, 200_000
 HEARTBEAT_DELAY_BOUND_US = STALE_AFTER_US  # then a subscriber turns to another source
-FIRST_STATE_BOUND_US = 4 * SECOND  # the `apply` bound of the deployments
+APPLY_BOUND_US = 4 * SECOND  # of the large deployments
 
 
 def gateway_member(number: int) -> Member:
@@ -154,7 +154,19 @@
 def test_all_gateways_of_a_cold_start_hold_the_state_within_the_apply_bound(seed: int) -> None:
     deployment = Deployment(seed)
     deployment.run(20 * SECOND)
-    assert deployment.longest_delay(1, deployment.started_at) <= FIRST_STATE_BOUND_US / SECOND
+    assert deployment.longest_delay(1, deployment.started_at) <= APPLY_BOUND_US / SECOND
+
+
+@pytest.mark.parametrize("config_bytes", [24_000, 30_000, 60_000])
+def test_a_large_configuration_reaches_all_gateways_within_the_apply_bound(config_bytes: int) -> None:
+    """On thin links it must not hold up the heartbeats: subscribers without them ask other sources for it again."""
+    deployment = Deployment(1)
+    deployment.run(8 * SECOND)
+    changed_at = deployment.events.now
+    value = {"gen": 2, "text": Random(2).randbytes(config_bytes)}
+    deployment.primary.loop.at(0, lambda _: deployment.primary.change("config", value))
+    deployment.run(10 * SECOND)
+    assert deployment.longest_delay(2, changed_at) <= APPLY_BOUND_US / SECOND
 
 
 def test_parts_to_many_receivers_do_not_delay_heartbeats_on_a_thin_link() -> None:
