--- a/oakvale/controlplane/replicated_state.py
+++ b/oakvale/controlplane/replicated_state.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from oakvale.controlplane.view_change import Replica
-from oakvale.dissemination.table import NO_VERSION, Entry, Table, Version
+from oakvale.controlplane.views import Replica
+from oakvale.dissemination.table import NO_VERSION, Entry, Table, Version, is_core_only
 
 # called with True if the change is in force, with False if that is unknown: it may still come into force
 Callback = Callable[[bool], None]
@@ -26,11 +26,11 @@
     entries: list[Entry]
     on_done: Callback
     owed: set[Replica] = field(default_factory=set)  # replicas that have not synced it yet, including this one
-    waiting: list[Callback] = field(default_factory=list)  # others that wait for it, called after `on_done`
+    also_waiting: list[Callback] = field(default_factory=list)  # called after `on_done`
 
     def callbacks(self) -> list[Callback]:
-        """All that are told the result, in order."""
-        return [self.on_done, *self.waiting]
+        """All callbacks, in the order in which they are called."""
+        return [self.on_done, *self.also_waiting]
 
 
 class ReplicatedState:
@@ -92,11 +92,19 @@
         """Whether a change is not in force yet."""
         return bool(self._pending)
 
+    def has_pending_for_gateways(self) -> bool:
+        """Whether a change of entries that gateways hold too is not in force yet."""
+        return any(not is_core_only(key) for key in self.pending_keys())
+
+    def is_pending(self, key: str) -> bool:
+        """Whether a change of this key is not in force yet, or staged."""
+        return key in self.pending_keys() or any(key in changes for changes in self.staged_changes)
+
     def when_settled(self, on_done: Callback) -> None:
         """Calls `on_done` once everything that is pending now is in force, or at once if nothing is."""
         if not self._pending:
             return on_done(True)
-        self._pending[-1].waiting.append(on_done)
+        self._pending[-1].also_waiting.append(on_done)
 
     def apply(self, entries: list[Entry]) -> None:
         """Puts entries into the table."""
--- a/oakvale/coordination/watches.py
+++ b/oakvale/coordination/watches.py
@@ -1,8 +1,8 @@
 """Watch calls (long polls): each is answered once its group has a put above the revision that the caller knows.
 
-An answer has all events above `after` up to its `rev`, the revision of the group that is in force. The watches of one
-group are answered in the turn in which the put comes into force. The state itself is elsewhere; this module holds only
-the calls that wait.
+An answer has all events above `after` up to its `rev`, the revision of the group that is in force or that of the last
+event that fits into an answer. The watches of one group are answered in the turn in which the put comes into force. The
+state itself is elsewhere; this module holds only the calls that wait.
 """
 
 from __future__ import annotations
@@ -18,7 +18,8 @@
 from oakvale.coordination.entries import EventEntry
 from oakvale.memory.requests import Answer
 
-MAX_WAITING_WATCHES = 1_000  # each holds a connection
+MAX_WAITING_WATCHES = 1_000
+MAX_EVENTS_PER_ANSWER = 1_000  # the caller resumes at the last of them
 MAX_WAIT_US = 60_000_000
 SERVING_CHECK_INTERVAL_US = 100_000  # while watches wait
 MICROSECONDS_PER_MILLISECOND = 1_000
@@ -87,11 +88,13 @@
         events: Callable[[str, int], list[EventEntry] | None],
         revision: Callable[[str], int],
         serving: Callable[[], bool],
+        max_waiting: int = MAX_WAITING_WATCHES,
     ) -> None:
         """`events` returns the events of a group in force above a revision, in order, or None if some of them are no
         longer remembered; `revision` the revision of a group that is in force; `serving` whether this replica may
-        answer from its state at this moment."""
+        answer from its state at this moment; `max_waiting` how many watches may wait."""
         self._loop, self._events, self._revision, self._serving = loop, events, revision, serving
+        self._max_waiting = max_waiting
         self._waiting: dict[str, dict[WaitingWatch, None]] = {}  # by group, in order of arrival
         self._count = 0
         self._check_scheduled = False
@@ -108,7 +111,7 @@
         answer = self._answer_now(wanted.group, wanted.after)
         if answer is not None or not wanted.wait_us:
             return self._send(send, answer or self._empty_answer(wanted.group))
-        if self._count >= MAX_WAITING_WATCHES:
+        if self._count >= self._max_waiting:
             return send(_answer(429, {"error": "too many watches wait"}, RETRY_AFTER))
         self._add(call, wanted, send)
 
@@ -138,7 +141,7 @@
 
     def _time_out(self, watch: WaitingWatch) -> None:
         if watch.send is not None:
-            self._finish(watch, self._empty_answer(watch.group) if self._serving() else NOT_SERVING)
+            self._finish(watch, self._answer_now(watch.group, watch.after) or self._empty_answer(watch.group))
 
     def _check_serving(self, _: Any) -> None:
         """A primary without a lease may be replaced, so its watches would miss puts."""
@@ -187,8 +190,12 @@
         return self._events_answer(group, [])
 
     def _events_answer(self, group: str, events: list[EventEntry]) -> Answer:
+        rev = self._revision(group)
+        if len(events) > MAX_EVENTS_PER_ANSWER:
+            events = events[:MAX_EVENTS_PER_ANSWER]
+            rev = events[-1].rev
         packed = [{"name": event.name, "val": event.value, "rev": event.rev} for event in events]
-        return _answer(200, {"events": packed, "rev": self._revision(group)})
+        return _answer(200, {"events": packed, "rev": rev})
 
 
 def _answer(status: int, fields: dict[str, Any], *headers: tuple[bytes, bytes]) -> Answer:
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -19,7 +19,7 @@
 class WatchWorld:
     """Watches over groups whose puts are in force at once, in simulated time."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_waiting: int = 9) -> None:
         self.time = Time(1)
         self.serves = True
         self.forgotten = 0  # events up to this revision are no longer remembered
@@ -27,7 +27,8 @@
         self.answers: dict[str, Answer] = {}
         self.answered_at: dict[str, int] = {}
         self.calls: dict[str, ControlCall] = {}
-        self.watches = Watches(Loop(self.time, Life(Machine())), self.events, self.revision, lambda: self.serves)
+        loop = Loop(self.time, Life(Machine()))
+        self.watches = Watches(loop, self.events, self.revision, lambda: self.serves, max_waiting)
 
     def events(self, group: str, after: int) -> list[EventEntry] | None:
         if after < self.forgotten:
@@ -116,6 +117,17 @@
     assert world.status("c") == 200
 
 
+def test_an_answer_is_bounded_and_the_caller_resumes_behind_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(watches_module, "MAX_EVENTS_PER_ANSWER", 2)
+    world = WatchWorld()
+    for _ in range(4):
+        world.put("g.")
+    world.watch("a", "g.", "after=1&wait-ms=2000")
+    world.watch("b", "g.", "after=3&wait-ms=2000")
+    assert (world.revs("a"), world.body("a")["rev"]) == ([2, 3], 3)
+    assert (world.revs("b"), world.body("b")["rev"]) == ([4], 4)
+
+
 def test_a_forgotten_revision_is_gone() -> None:
     world = WatchWorld()
     for _ in range(3):
@@ -194,9 +206,8 @@
     assert not world.answers
 
 
-def test_the_number_of_waiting_watches_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(watches_module, "MAX_WAITING_WATCHES", 2)
-    world = WatchWorld()
+def test_the_number_of_waiting_watches_is_bounded() -> None:
+    world = WatchWorld(max_waiting=2)
     for caller in "abc":
         world.watch(caller, "g.", "after=1&wait-ms=2000")
     assert world.status("c") == 429 and len(world.watches) == 2
