--- a/tests/test_ctl_coordination.py
+++ b/tests/test_ctl_coordination.py
@@ -104,6 +104,18 @@
     world.turn()
 
 
+def test_no_limit_of_idle_connections_ends_a_watch_that_waits() -> None:
+    world = ControlWorld()
+    connection = world.send(CALLS[b"GET", "watch"])
+    [(_, _, send)] = world.calls
+    for _ in range(10):
+        world.now += 10 * SECOND
+        world.turn()
+    send(Answer(200, [], b"late"))
+    world.turn()
+    assert connection.read().endswith(b"late")
+
+
 @pytest.mark.parametrize("key", CALLS)
 def test_a_replica_that_is_not_primary_never_answers_from_its_own_state(key: tuple[bytes, str]) -> None:
     """It redirects with path and query to the primary, or answers 503 at once if it knows none."""
