News: what is on its way to a subscriber is not sent to it again

The bytes of 64 complete tables went over their links once more.

Cause: a gateway that turns from a source to another says `leave`; when it comes back on the same connection, the publisher had forgotten with the subscription that the complete table was still in flight, and queued it again behind the first. All later changes stood behind the second copy, the gateway's own entry in the list among them; without that entry it sends no heartbeats. The 64 gateways that a new primary calls after a start do just this: they have asked the primary, then others, and ask it again when called. So does one whose message takes longer than the acknowledgement was waited for, 2 s.

The publisher now keeps by connection which versions a large message in flight covers, until it is acknowledged or the connection ends. A subscriber that returns with a table that the message fits on waits for it, and gets what is newer next.

The new test fails before: the table was sent twice.

--- a/oakvale/dissemination/feed.py
+++ b/oakvale/dissemination/feed.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import cbor2
@@ -27,12 +28,25 @@
 RETRY_DELAY_US = 60_000  # between a rejected subscription and the next source
 REPAIR_INTERVAL_US = 5_000_000  # between comparisons of table digests
 LARGE_MESSAGE_BYTES = 4 * 1024  # larger messages are acknowledged before more is sent
-LARGE_MESSAGE_ACK_TIMEOUT_US = 2_000_000
+LARGE_MESSAGE_ACK_TIMEOUT_US = 60_000_000  # of a peer that reads nothing but whose machine keeps the connection
 FAILED_SOURCE_RETRY_US = 20 * STALE_AFTER_US  # then a failure no longer counts against a source
 
 log_event = EventLogger(__name__)
 
 
+def _oldest_before(entries: list[Entry]) -> Version:
+    """The newest version that is older than all of the entries."""
+    return min(((view, sequence - 1) for _, (view, sequence), _ in entries), default=NO_VERSION)
+
+
+@dataclass(slots=True, frozen=True)
+class LargeMessage:
+    """A large message in flight: a subscriber whose table reaches `since` will reach `up_to` with it."""
+
+    since: Version
+    up_to: Version
+
+
 class Publisher:
     """Sends state updates to subscribers.
 
@@ -46,7 +60,8 @@
         self._subscribers: dict[
             Connection, Version | None
         ] = {}  # None if all was sent, else entries newer than this are deferred
-        self._unacknowledged: set[Connection] = set()  # with a large message in flight
+        # Kept when its subscriber leaves: one that comes back on the same connection is not sent the same again.
+        self._in_flight: dict[Connection, LargeMessage] = {}
         self._heartbeat = NO_VERSION
         self.complete_tables_sent = 0
 
@@ -59,9 +74,11 @@
             self._subscribers[conn] = None
             conn.on_close.append(self._forget)
             conn.max_unsplit_bytes = LARGE_MESSAGE_BYTES  # whole ones would delay the heartbeats of all subscribers
-        elif conn.sending_long_frame():
-            return  # the complete table is already being sent
-        self._send_since(conn, highest_version, heartbeat)
+        in_flight = self._in_flight.get(conn)
+        if in_flight is not None and highest_version >= in_flight.since:
+            self._subscribers[conn] = max(highest_version, in_flight.up_to)
+        else:
+            self._send_since(conn, highest_version, heartbeat)
 
     def _send_since(self, conn: Connection, highest_version: Version, heartbeat: Version) -> None:
         self._subscribers[conn] = None
@@ -74,17 +91,19 @@
             ]
         else:
             body = [list(heartbeat), pack(gateway_entries(self._table.since(highest_version))), None]
-        self._send(conn, body, len(cbor2.dumps(body)))
+        self._send(conn, body, len(cbor2.dumps(body)), highest_version)
 
-    def _send(self, conn: Connection, body: list[Any], size: int) -> None:
+    def _send(self, conn: Connection, body: list[Any], size: int, since: Version) -> None:
         if size <= LARGE_MESSAGE_BYTES:
             return conn.send("news", 0, body)
-        self._unacknowledged.add(conn)
-        conn.ask("news", body, LARGE_MESSAGE_ACK_TIMEOUT_US, lambda _: self._acknowledged(conn))
+        message = LargeMessage(since, self._table.highest_version)
+        self._in_flight[conn] = message
+        conn.ask("news", body, LARGE_MESSAGE_ACK_TIMEOUT_US, lambda _: self._acknowledged(conn, message))
 
-    def _acknowledged(self, conn: Connection) -> None:
-        self._unacknowledged.discard(conn)
-        self._send_deferred(conn)
+    def _acknowledged(self, conn: Connection, message: LargeMessage) -> None:
+        if self._in_flight.get(conn) is message:
+            del self._in_flight[conn]
+            self._send_deferred(conn)
 
     def _forget(self, conn: Connection) -> None:
         self._subscribers.pop(conn, None)
@@ -100,27 +119,27 @@
         self._heartbeat = heartbeat
         body = [list(heartbeat), pack(gateway_entries(entries)), None]
         size = len(cbor2.dumps(body)) if entries else 0
+        since = _oldest_before(entries)
         for conn in list(self._subscribers):
             all_sent = self._subscribers[conn] is None
-            if conn.is_congested() or conn in self._unacknowledged and (entries or not all_sent):
+            if conn.is_congested() or conn in self._in_flight and (entries or not all_sent):
                 self._defer(conn, entries)
             elif all_sent:
-                self._send(conn, body, size)
+                self._send(conn, body, size, since)
             else:
                 self._send_deferred(conn)
 
     def _defer(self, conn: Connection, entries: list[Entry]) -> None:
         """Records which entries the subscriber still needs. A skipped heartbeat needs none: another follows."""
-        versions_before = [(view, sequence - 1) for _, (view, sequence), _ in entries]
         deferred = self._subscribers[conn]
-        self._subscribers[conn] = min(
-            [*versions_before, deferred] if deferred is not None else versions_before, default=None
-        )
+        if entries:
+            before = _oldest_before(entries)
+            self._subscribers[conn] = before if deferred is None else min(before, deferred)
         conn.on_writable = self._send_deferred
 
     def _send_deferred(self, conn: Connection) -> None:
         since = self._subscribers.get(conn)
-        if since is not None and conn not in self._unacknowledged:
+        if since is not None and conn.alive and conn not in self._in_flight:
             self._send_since(conn, since, self._heartbeat)
 
     def send_repair(self, conn: Connection, digests: list[bytes], answer: Answer) -> None:
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -606,3 +606,31 @@
     acknowledgements[1](None)
     put(61, "backend/1")
     assert sent[2:] == [(["backend/1"], None)]
+
+
+def test_a_subscriber_that_returns_is_not_sent_again_what_is_on_its_way() -> None:
+    """It left while a large message was in flight; entries that are newer than the message follow it."""
+    table, sent, acknowledgements = Table(), list[Any](), list[Any]()
+
+    class Busy:
+        alive, on_close = True, list[Any]()
+
+        def ask(self, kind: str, body: Any, timeout: int, then: Callable[[Any], None]) -> None:
+            sent.append([key for key, _, _ in unpack(body[1])])
+            acknowledgements.append(then)
+
+        def send(self, kind: str, number: int, body: Any) -> None:
+            sent.append([key for key, _, _ in unpack(body[1])])
+
+        def is_congested(self) -> bool:
+            return bool(acknowledgements)
+
+    publisher, conn = Publisher(table), cast(Any, Busy())
+    table.put([("config", (1, 1), "x" * 8_000), ("a", (1, 2), 1)])
+    publisher.subscribe(conn, NO_VERSION, (1, 1))
+    publisher.unsubscribe(conn)
+    table.put([("b", (1, 3), 1)])
+    publisher.subscribe(conn, NO_VERSION, (1, 2))
+    assert sent == [["config", "a"]]
+    acknowledgements.pop()(None)
+    assert sent == [["config", "a"], ["b"]]
