--- a/oakvale/controlplane/replicated_state.py
+++ b/oakvale/controlplane/replicated_state.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from oakvale.controlplane.view_change import Replica
-from oakvale.dissemination.table import NO_VERSION, Entry, Table, Version
+from oakvale.controlplane.views import Replica
+from oakvale.dissemination.table import NO_VERSION, Entry, Table, Version, is_core_only
 
 # called with True if the change is in force, with False if that is unknown: it may still come into force
 Callback = Callable[[bool], None]
@@ -26,6 +26,11 @@
     entries: list[Entry]
     on_done: Callback
     owed: set[Replica] = field(default_factory=set)  # replicas that have not synced it yet, including this one
+    also_waiting: list[Callback] = field(default_factory=list)  # called after `on_done`
+
+    def callbacks(self) -> list[Callback]:
+        """All callbacks, in the order in which they are called."""
+        return [self.on_done, *self.also_waiting]
 
 
 class ReplicatedState:
@@ -79,22 +84,27 @@
         """Keys of changes that are not in force yet."""
         return [key for pending in self._pending for key, _, _ in pending.entries]
 
+    def pending_entries(self) -> list[Entry]:
+        """Entries of proposed changes that are not in force yet, oldest first."""
+        return [entry for pending in self._pending for entry in pending.entries]
+
     def has_pending(self) -> bool:
         """Whether a change is not in force yet."""
         return bool(self._pending)
 
+    def has_pending_for_gateways(self) -> bool:
+        """Whether a change of entries that gateways hold too is not in force yet."""
+        return any(not is_core_only(key) for key in self.pending_keys())
+
+    def is_pending(self, key: str) -> bool:
+        """Whether a change of this key is not in force yet, or staged."""
+        return key in self.pending_keys() or any(key in changes for changes in self.staged_changes)
+
     def when_settled(self, on_done: Callback) -> None:
         """Calls `on_done` once everything that is pending now is in force, or at once if nothing is."""
         if not self._pending:
             return on_done(True)
-        last = self._pending[-1]
-        earlier = last.on_done
-
-        def call_both(done: bool) -> None:
-            earlier(done)
-            on_done(done)
-
-        last.on_done = call_both
+        self._pending[-1].also_waiting.append(on_done)
 
     def apply(self, entries: list[Entry]) -> None:
         """Puts entries into the table."""
@@ -120,7 +130,7 @@
             pending = self._pending.popleft()
             self.apply(pending.entries)
             in_force += pending.entries
-            completed.append(pending.on_done)
+            completed += pending.callbacks()
         self._completed += completed
         return in_force
 
@@ -132,7 +142,7 @@
     def abandon(self) -> list[Callback]:
         """This replica is no longer primary. Pending changes are applied, as they are on disk and would come back at
         the next start, but success is not reported. Returns their callbacks."""
-        callbacks = [pending.on_done for pending in self._pending]
+        callbacks = [on_done for pending in self._pending for on_done in pending.callbacks()]
         for pending in self._pending:
             self.apply(pending.entries)
         self._pending.clear()
--- a/oakvale/dissemination/feed.py
+++ b/oakvale/dissemination/feed.py
@@ -111,9 +111,9 @@
 
     def _complete_table(self) -> PackedEntries:
         """All entries; packed once for the subscribers that ask for them between two changes."""
-        if self._packed_revision != self._table.revision:
+        if self._packed_revision != self._table.gateway_revision:
             self._packed_table = _pack_news(self._table.since(NO_VERSION))
-            self._packed_revision = self._table.revision
+            self._packed_revision = self._table.gateway_revision
         return self._packed_table
 
     def _send(
@@ -143,7 +143,7 @@
             conn.on_close.remove(self._forget)
 
     def publish(self, heartbeat: Version, entries: list[Entry]) -> None:
-        """Sends entries that the table already holds, with a heartbeat, to all subscribers."""
+        """Sends entries that gateways hold, and that the table already holds, with a heartbeat to all subscribers."""
         self._heartbeat = heartbeat
         packed = _pack_news(entries)
         since = _oldest_before(entries)
