Feed: pass an update on before applying it

What callers would see: a confirmed change that is not in force on a part of the gateways, those below one that failed on it.

Cause: a relay applied an update first and passed it on then. An error on the way, which is logged and ends neither process nor connection, left its subscribers without the update, while heartbeats went on: until the repair by digests, each 5 s.

It also reaches subscribers earlier by the time that applying takes.

--- a/oakvale/dissemination/feed.py
+++ b/oakvale/dissemination/feed.py
@@ -352,11 +352,11 @@
         if fresh:
             self.heartbeat, self.last_fresh_at = heartbeat, self.loop.now
             self._requests_since_fresh = 0
-        if changed:
-            self._on_changed(changed)
         if fresh or changed:
             keys = set(changed)
             self.publisher.publish(self.heartbeat, [entry for entry in entries if entry[0] in keys])
+        if changed:
+            self._on_changed(changed)
 
     def _request_repair(self, _: Any) -> None:
         self.loop.at(self.loop.now + REPAIR_INTERVAL_US, self._request_repair)
@@ -372,8 +372,8 @@
             changed = self.table.put(entries)
             if changed:
                 log_event("table mended", "warning", entries=len(changed))
-                self._on_changed(changed)
                 self.publisher.publish(self.heartbeat, [entry for entry in entries if entry[0] in set(changed)])
+                self._on_changed(changed)
 
     # ---- subscribers
 
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -668,3 +668,19 @@
             publisher.subscribe(conn, NO_VERSION, (1, sequence), reads_compressed)
     assert [unpack(body)[0][1] for body in sent] == [(1, 1)] * 3 + [(1, 2)] * 3 + [(1, 3)] * 3
     assert [isinstance(body, bytes) for body in sent] == [True, False, True] * 3 and sent[0] is sent[2]
+
+
+def test_a_relay_that_cannot_apply_an_update_still_passes_it_on() -> None:
+    fleet = Fleet(1, 30)
+    fleet.net.run(3 * SECOND)
+    relay = next(node for node, feed in fleet.feeds.items() if len(feed.publisher) >= FAN_OUT)
+
+    def fail(keys: list[str]) -> None:
+        raise ValueError(keys)
+
+    fleet.feeds[relay]._on_changed = fail
+    with pytest.raises(ValueError):
+        fleet.cores[0].change("a", 1)
+        fleet.net.run(SECOND)
+    fleet.net.run(SECOND)
+    assert [node for node, feed in fleet.feeds.items() if feed.table.get("a") != 1] == []
