Configuration: refuse texts in place of true, false and sizes

What callers would see: a route whose `public` is the text "false" is acknowledged, read as false by the core machines and as true by gateways, which then ask for no key. A size in `limits` given as a text is acknowledged, and gateways fail on it.

Cause: the check of a configuration turned texts into the type that it expected; gateways index the text as it was sent. Both fields are strict now.

Two cases of test_invalid_configuration_is_rejected_and_error_names_the_field, both accepted before.

--- a/oakvale/config/model.py
+++ b/oakvale/config/model.py
@@ -18,7 +18,7 @@
 from typing import Annotated, Any, TypeVar
 
 import orjson
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, StrictBool, StrictInt, TypeAdapter, ValidationError
 
 from oakvale.config.durations import parse_duration
 
@@ -59,7 +59,7 @@
     split: list[Split] | None = None
     svc: str | None = None
     tries: Annotated[int, Field(ge=1)]
-    public: bool = False
+    public: StrictBool = False
 
 
 class Service(ConfigurationPart):
@@ -83,8 +83,8 @@
 class Limits(ConfigurationPart):
     """Limits on the size of requests and on the time that clients may take."""
 
-    hdr_bytes: Annotated[int | None, Field(alias="hdr-bytes")] = None
-    body_bytes: Annotated[int | None, Field(alias="body-bytes")] = None
+    hdr_bytes: Annotated[StrictInt | None, Field(alias="hdr-bytes")] = None
+    body_bytes: Annotated[StrictInt | None, Field(alias="body-bytes")] = None
     hdr: DurationUs | None = None
     idle: DurationUs | None = None
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -244,6 +244,8 @@
         (configuration_with("gen", to=None), "gen"),
         (configuration_with("gen", to="newest"), "gen"),
         (configuration_with("limits", "hdr", to=3), "limits.hdr"),
+        (configuration_with("limits", "body-bytes", to="1000"), "limits.body-bytes"),  # gateways read it as a text
+        (configuration_with("routes", "rows", 0, 9, to="false"), "routes.0.public"),  # gateways read it as true
         (configuration_with("tenants", "rows", 0, 1, to="k1"), "tenants.0.apikeys"),
         (configuration_with("tenants", "rows", 0, 3, to=-1), "tenants.0.rate-per-s"),
         (orjson.dumps(VALID)[:-1], "JSON"),
