--- a/oakvale/controlplane/process.py
+++ b/oakvale/controlplane/process.py
@@ -24,6 +24,8 @@
 from oakvale.controlplane.membership import GatewayRegistry
 from oakvale.controlplane.status import core_status
 from oakvale.controlplane.voter import VoterService
+from oakvale.coordination.service import CoordinationService
+from oakvale.coordination.watches import MAX_WAITING_WATCHES
 from oakvale.lifecycle.acceptor import Acceptor
 from oakvale.lifecycle.eventlog import EventLogger
 from oakvale.lifecycle.signals import Signals
@@ -78,9 +80,14 @@
         voter_service = VoterService(loop, self.transport, self.storage, settings.bootstrap, core.is_witness)
         GatewayRegistry(core, voter_service, loop, self.transport)
         Compactor(core, loop)
-        serve_status(self.transport, "headworks", settings.node, lambda: core_status(core))
-        self.shared = SharedResources(loop, limits_from_settings(settings))
+        limits = limits_from_settings(settings)
+        # other calls need connections too
+        max_watches = min(MAX_WAITING_WATCHES, limits.clients // 2)
+        coordination = CoordinationService(core, loop, settings.bounds.retain, max_watches)
+        serve_status(self.transport, "headworks", settings.node, lambda: core_status(core, coordination.status()))
+        self.shared = SharedResources(loop, limits)
         self._ctl = ControlServer(self.shared, core, settings)
+        self._ctl.enable_coordination(coordination.handlers())
         self.acceptor = Acceptor(self._ctl, listeners["ctl"], loop)
         self._drains: DrainManager | None = None
         self.know = core.update_seeds
@@ -106,9 +113,9 @@
             self._ctl.enable_drains(self._drains)
 
     def stop(self) -> None:
-        """Begins an orderly shutdown; the loop stops once the other core machines can spare this one."""
+        """Begins an orderly shutdown; the loop stops once the other core machines can spare this one. Until then calls
+        are answered, also on connections that were idle, and each answer closes its connection."""
         self.shared.stopping = True
-        self.shared.clients.close_idle()
         self.core.leave(self.loop.stop)
 
 
--- a/oakvale/dissemination/feed.py
+++ b/oakvale/dissemination/feed.py
@@ -111,9 +111,9 @@
 
     def _complete_table(self) -> PackedEntries:
         """All entries; packed once for the subscribers that ask for them between two changes."""
-        if self._packed_revision != self._table.revision:
+        if self._packed_revision != self._table.gateway_revision:
             self._packed_table = _pack_news(self._table.since(NO_VERSION))
-            self._packed_revision = self._table.revision
+            self._packed_revision = self._table.gateway_revision
         return self._packed_table
 
     def _send(
@@ -143,7 +143,7 @@
             conn.on_close.remove(self._forget)
 
     def publish(self, heartbeat: Version, entries: list[Entry]) -> None:
-        """Sends entries that the table already holds, with a heartbeat, to all subscribers."""
+        """Sends entries that gateways hold, and that the table already holds, with a heartbeat to all subscribers."""
         self._heartbeat = heartbeat
         packed = _pack_news(entries)
         since = _oldest_before(entries)
@@ -352,11 +352,11 @@
         if fresh:
             self.heartbeat, self.last_fresh_at = heartbeat, self.loop.now
             self._requests_since_fresh = 0
-        if changed:
-            self._on_changed(changed)
         if fresh or changed:
             keys = set(changed)
             self.publisher.publish(self.heartbeat, [entry for entry in entries if entry[0] in keys])
+        if changed:
+            self._on_changed(changed)
 
     def _request_repair(self, _: Any) -> None:
         self.loop.at(self.loop.now + REPAIR_INTERVAL_US, self._request_repair)
@@ -372,8 +372,8 @@
             changed = self.table.put(entries)
             if changed:
                 log_event("table mended", "warning", entries=len(changed))
-                self._on_changed(changed)
                 self.publisher.publish(self.heartbeat, [entry for entry in entries if entry[0] in set(changed)])
+                self._on_changed(changed)
 
     # ---- subscribers
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -45,6 +45,7 @@
 quota-excess = 0.1
 quota-slack = 20
 strict-revoke = false
+retain = "30s"
 """
 
 
@@ -63,6 +64,7 @@
     bounds = found.bounds
     assert (bounds.contact, bounds.sync_time, bounds.quota_win) == (3_500_000, 5_000_000, 4_000_000)
     assert (bounds.quota_excess, bounds.quota_slack, bounds.apply) == (0.1, 20.0, 2_500_000)
+    assert bounds.retain == 30_000_000
 
 
 @pytest.mark.parametrize(
@@ -242,6 +244,8 @@
         (configuration_with("gen", to=None), "gen"),
         (configuration_with("gen", to="newest"), "gen"),
         (configuration_with("limits", "hdr", to=3), "limits.hdr"),
+        (configuration_with("limits", "body-bytes", to="1000"), "limits.body-bytes"),  # gateways read it as a text
+        (configuration_with("routes", "rows", 0, 9, to="false"), "routes.0.public"),  # gateways read it as true
         (configuration_with("tenants", "rows", 0, 1, to="k1"), "tenants.0.apikeys"),
         (configuration_with("tenants", "rows", 0, 3, to=-1), "tenants.0.rate-per-s"),
         (orjson.dumps(VALID)[:-1], "JSON"),
