--- a/oakvale/dissemination/table.py
+++ b/oakvale/dissemination/table.py
@@ -55,7 +55,7 @@
         self.highest_version = NO_VERSION  # the newest version seen
         self.highest_gateway_version = NO_VERSION  # that of entries that gateways hold too
         self.horizon = NO_VERSION  # tombstones up to here have been dropped
-        self.gateway_revision = 0  # differs whenever the entries do that gateways hold too
+        self.gateway_revision = 0  # differs whenever the entries that gateways hold do
 
     def _part(self, key: str) -> dict[str, tuple[Version, Any]]:
         """The entries among which this key belongs."""
@@ -93,6 +93,7 @@
             if version > self.version(key) and (value is not None or version > self.horizon or key in part):
                 part[key] = (version, value)
                 changed.append(key)
+                self.gateway_revision += part is self._entries
             self.highest_version = max(self.highest_version, version)
             if part is self._entries:
                 self.highest_gateway_version = max(self.highest_gateway_version, version)
@@ -101,27 +102,24 @@
             self.horizon = max(self.horizon, (int(horizon[0]), int(horizon[1])))
         if horizon is not None or any(self.get(key) is None and self.version(key) <= self.horizon for key in changed):
             changed += self._compact()
-        self._count_changes(changed)
         return changed
 
-    def _count_changes(self, changed: list[str]) -> None:
-        if not all(map(is_core_only, changed)):
-            self.gateway_revision += 1
-
     def _compact(self) -> list[str]:
         removed = [key for key, (version, value) in self._all() if value is None and version <= self.horizon]
-        for key in removed:
-            del self._part(key)[key]
+        self._remove(removed)
         return removed
 
+    def _remove(self, keys: list[str]) -> None:
+        for key in keys:
+            del self._part(key)[key]
+        self.gateway_revision += bool(keys)
+
     def replace_all(self, entries: list[Entry], horizon: Version) -> list[str]:
         """Applies a sender's complete table: entries that it lacks and that are not newer than it are removed."""
         sent = {key for key, _, _ in entries}
         newest = max((version for _, version, _ in entries), default=NO_VERSION)
         removed = [key for key, (version, value) in self._all() if key not in sent and version <= max(newest, horizon)]
-        for key in removed:
-            del self._part(key)[key]
-        self._count_changes(removed)
+        self._remove(removed)
         changed = self.put(entries)
         self.horizon = max(self.horizon, horizon)
         return [*removed, *changed]
