Tests: slow disks and long holds in drawn schedules, three more mechanisms taken out

Cause: a rebuild that takes every term for the same one was not found in 30 schedules, as changes were pending for a few milliseconds and holds lasted 3 s at most. Breakages: a term taken for the same, pending puts left out of a rebuild, numbers of a pending block. Up to 60 seeds are tried for each breakage.

--- a/oakvale/lab/applications/crew.py
+++ b/oakvale/lab/applications/crew.py
@@ -21,8 +21,8 @@
 class CrewSize:
     """How many applications of each kind there are, and how much they share."""
 
-    lock_users: int = 7
-    locks: int = 3
+    lock_users: int = 10
+    locks: int = 5
     number_users: int = 3
     counters: int = 2
     writers: int = 5
@@ -80,15 +80,17 @@
             self._ask_until_clear(f"w{number}", watcher.group, request, deadline)
 
     def _ask_until_clear(self, caller: str, name: str, request: Request, deadline: int) -> None:
-        """A lock that is held is asked for again."""
+        """A lock that is held is asked for again; a watch from a forgotten revision is followed by one from 0."""
         client = self._client(caller)
         client.closing = True
 
         def answered(call: Call | None) -> None:
             if call is not None and call.has_status(409):
-                client.later(CLOSING_RETRY_US, 2 * CLOSING_RETRY_US, ask)
+                client.later(CLOSING_RETRY_US, 2 * CLOSING_RETRY_US, lambda: ask(request))
+            elif call is not None and call.has_status(410):
+                ask(WatchGroup(0, 0))
 
-        def ask() -> None:
-            client.call(name, request, deadline, answered)
+        def ask(wanted: Request) -> None:
+            client.call(name, wanted, deadline, answered)
 
-        ask()
+        ask(request)
--- a/oakvale/lab/applications/key_users.py
+++ b/oakvale/lab/applications/key_users.py
@@ -9,6 +9,7 @@
 READ_PATIENCE_US = 3 * SECOND
 WATCH_WAIT_US = 2 * SECOND
 WATCH_PATIENCE_US = 6 * SECOND
+WATCH_PAUSES_US = (1 * MS, 1 * MS, 1 * MS, 1 * MS, 4 * SECOND, 10 * SECOND)
 
 
 class Writer:
@@ -82,7 +83,7 @@
 
     def start(self) -> None:
         """Sends the next watch; sometimes only after a pause."""
-        pause = self._client.rng.choice((1 * MS, 1 * MS, 1 * MS, 4 * SECOND))
+        pause = self._client.rng.choice(WATCH_PAUSES_US)
         self._client.later(pause, 2 * pause, self._watch)
 
     def _watch(self) -> None:
--- a/oakvale/lab/applications/lock_users.py
+++ b/oakvale/lab/applications/lock_users.py
@@ -8,7 +8,7 @@
 from oakvale.lab.applications.client import MS, SECOND, Client
 from oakvale.lab.history.calls import BeginHold, Call, FinishHold, RenewHold
 
-HOLDS_US = (600 * MS, 1_500 * MS, 3 * SECOND)
+HOLDS_US = (600 * MS, 1_500 * MS, 3 * SECOND, 7 * SECOND)
 BEGIN_PATIENCE_US = 3 * SECOND
 FINISH_PATIENCE_US = 2 * SECOND
 MAX_REQUESTS = 12  # for one lock, while another holds it
--- a/tests/coordination_simulation.py
+++ b/tests/coordination_simulation.py
@@ -25,6 +25,9 @@
 CLOSING_US = 2 * SECOND  # for answers to the last of the closing calls
 STOP_US = 7 * SECOND  # longer than any application repeats a call
 FAULT_SPANS_US = (50 * MS, 300 * MS, 700 * MS, 1 * SECOND, 2_500 * MS, 5 * SECOND)  # 0.7 s: leases end, views stay
+USUAL_SYNC_MS = 8
+SLOW_SYNCS_MS = (60, 250, 500)  # up to so many for each sync
+SLOW_DISK_US = 6 * SECOND
 LONG_VALUE = 500  # characters
 STAGED_CHANGE = "-" * 60_000  # too long for one request
 OTHER_CHANGE_INTERVAL_US = 150 * MS
@@ -180,7 +183,9 @@
         others = [each for each in self.machines if each is not machine]
         span = rng.choice(FAULT_SPANS_US) + rng.randrange(200 * MS)
         calm = not self.troubled_machines() and self.is_fully_replicated()
-        match rng.choice(("down", "down", "freeze", "freeze", "freeze", "cut", "halves", "stall", "lose", "all")):
+        match rng.choice(
+            ("down", "down", "freeze", "freeze", "freeze", "cut", "halves", "stall", "slow", "slow", "lose", "all")
+        ):
             case "down":
                 self.down(machine, span)
             case "freeze":
@@ -194,6 +199,10 @@
             case "stall":
                 machine.disk_hangs = self.now + span
                 self.mark_troubled(machine, machine.disk_hangs)
+            case "slow":
+                machine.sync_ms = rng.choice(SLOW_SYNCS_MS)
+                self.mark_troubled(machine, self.now + SLOW_DISK_US)
+                self.at(self.now + SLOW_DISK_US, lambda: setattr(machine, "sync_ms", USUAL_SYNC_MS))
             case "lose" if calm:
                 match rng.randrange(3):
                     case 0:
--- a/tests/test_coordination_breakages.py
+++ b/tests/test_coordination_breakages.py
@@ -10,7 +10,7 @@
 import pytest
 
 from oakvale.controlplane.core import Core
-from oakvale.coordination import locks, service
+from oakvale.coordination import counters, locks, service
 from oakvale.coordination.counters import BLOCK_SIZE, Counters
 from oakvale.coordination.decisions import Decision
 from oakvale.coordination.entries import CounterEntry, LockEntry
@@ -23,7 +23,9 @@
 from tests.simulated_processes import Loop
 
 FAULTS = 8
-MAX_SEEDS = 12  # of which one has to show the breakage
+MAX_SEEDS = 60  # at most; one of them has to show the breakage
+
+SMALL_BLOCK = 4  # numbers
 
 
 @dataclass(frozen=True)
@@ -114,6 +116,25 @@
         counter.last_taken = max(0, counter.last_taken - BLOCK_SIZE)
 
 
+def rebuild_in_the_same_term(
+    self: CoordinationService, real: Callable[..., None] = CoordinationService._rebuild
+) -> None:
+    self._is_same_term = True
+    real(self)
+
+
+def rebuild_without_pending_puts(
+    self: KeyGroups, cells: Any, events: Any, _: Any, __: Any, now: int, real: Callable[..., None] = KeyGroups.rebuild
+) -> None:
+    real(self, cells, events, [], [], now)
+
+
+def take_before_the_block_is_in_force(
+    self: Counters, name: str, real: Callable[..., Decision] = Counters.take
+) -> Decision:
+    return replace(real(self, name), rests_on_pending=False)
+
+
 def put_without_memory(self: KeyGroups, *arguments: Any, real: Callable[..., Decision] = KeyGroups.put) -> Decision:
     for group in self._groups.values():
         group.revs_by_put.clear()
@@ -169,17 +190,34 @@
         "no-lease-check-before-replies", (Rule.ONE, Rule.STALE, Rule.ORDER), make_resources=service_without_lease_checks
     ),
     Breakage("holds-not-waited-out", (Rule.ONE,), ((Locks, "rebuild", rebuild_without_waiting),)),
-    Breakage("longer-holds-not-stored", (Rule.ONE,), ((locks, "_extend", extend_without_a_change),), first_seed=20),
+    Breakage("longer-holds-not-stored", (Rule.ONE,), ((locks, "_extend", extend_without_a_change),)),
+    Breakage(
+        "terms-taken-for-one",
+        (Rule.ONE,),
+        ((CoordinationService, "_rebuild", rebuild_in_the_same_term),),
+        first_seed=5,
+    ),
     Breakage("fences-forgotten", (Rule.ONE,), ((Locks, "rebuild", rebuild_without_fences),)),
     Breakage("finish-of-any-hold", (Rule.ONE,), ((Locks, "finish", finish_by_owner_alone),)),
     Breakage("numbers-of-a-used-block", (Rule.ORDER,), ((Counters, "rebuild", rebuild_within_the_block),)),
+    Breakage(
+        "numbers-of-a-pending-block",
+        (Rule.ORDER,),
+        ((Counters, "take", take_before_the_block_is_in_force), (counters, "BLOCK_SIZE", SMALL_BLOCK)),
+    ),
     Breakage("values-not-remembered", (Rule.REFUSED,), ((KeyGroups, "put", put_without_memory),)),
     Breakage("values-forgotten-by-a-takeover", (Rule.REFUSED,), ((KeyGroup, "restore", restore_without_memory),)),
     Breakage(
         "conflict-rests-on-pending", (Rule.LINEARIZABILITY, Rule.MIXED), ((KeyGroups, "put", put_without_waiting),)
     ),
     Breakage("topic-judged-by-what-is-in-force", (Rule.ORDER,), ((KeyGroups, "put", put_over_what_is_in_force),)),
-    Breakage("fed-by-results", (Rule.STALE, Rule.ORDER), make_resources=service_fed_by_results),
+    Breakage(
+        "pending-puts-forgotten-by-a-rebuild",
+        (Rule.ORDER, Rule.MIXED),
+        ((KeyGroups, "rebuild", rebuild_without_pending_puts),),
+        first_seed=10,
+    ),
+    Breakage("fed-by-results", (Rule.STALE, Rule.ORDER), make_resources=service_fed_by_results, first_seed=10),
     Breakage(
         "replies-before-in-force", (Rule.STALE, Rule.LOST), ((CoordinationService, "_carry_out", carry_out_at_once),)
     ),
