--- a/oakvale/lab/commands.py
+++ b/oakvale/lab/commands.py
@@ -251,6 +251,26 @@
     return INTERRUPTED if tally.partial else 0
 
 
+def soak(args: argparse.Namespace) -> int:
+    """Play soaks of real core machines under drawn series of signals; 1 if a rule is broken."""
+    from oakvale.lab.soak import run
+
+    first, count = args.seeds
+    options = run.Options(args.seconds, args.cores, args.gateways)
+    failed = 0
+    with Progress(count, "soaks", args.quiet) as bar:
+        for number, seed in enumerate(range(first, first + count)):
+            try:
+                report = run.play(seed, options)
+            except (run.NeverServed, OSError) as error:
+                raise Failed(f"seed {seed}: {error}") from error
+            failed += bool(report.violations)
+            print("\n".join(report.lines()), flush=True)
+            bar.show(number + 1, f"{failed} with findings")
+    print(f"{count} soaks from seed {first}, {failed} with findings")
+    return BROKEN if failed else 0
+
+
 def _short(tally: Tally) -> str:
     return f"{tally.due} due, {tally.done()} done"
 
@@ -383,6 +403,13 @@
     generator.add_argument(
         "--json", metavar="FILE", help="the report as JSON as well; - for JSON alone, on standard output"
     )
+    soaked = add("soak", soak, "signals to real core machines on loopback, with applications; 1 if a rule is broken")
+    soaked.add_argument("--seeds", type=int, nargs=2, default=(1, 1), metavar=("FIRST", "COUNT"))
+    soaked.add_argument(
+        "--seconds", type=_over(0), default=30.0, help="for which episodes begin (default: %(default)g)"
+    )
+    soaked.add_argument("--cores", type=_whole, default=4, help="core machines (default: %(default)s)")
+    soaked.add_argument("--gateways", type=int, default=0, help="gateways beside them (default: %(default)s)")
     return whole
 
 
