--- a/oakvale/dissemination/table.py
+++ b/oakvale/dissemination/table.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from hashlib import blake2b
 from itertools import chain
 from typing import Any
@@ -24,6 +26,8 @@
 CONFIG_DIGEST_PREFIX = "taken/"  # keys of remembered digests of configurations
 COORDINATION_PREFIX = "coordination/"  # keys of locks, counters, cells and events of applications
 CORE_ONLY_PREFIXES = (CONFIG_DIGEST_PREFIX, COORDINATION_PREFIX)  # entries that are never sent to gateways
+COMPRESSION_LEVEL = 1
+MAX_DECOMPRESSED_BYTES = 256 * 1024 * 1024
 HORIZON_KEY = "floor"  # key of the entry that raises the compaction horizon; its value is a version
 
 
@@ -51,6 +55,7 @@
         self.highest_version = NO_VERSION  # the newest version seen
         self.highest_gateway_version = NO_VERSION  # that of entries that gateways hold too
         self.horizon = NO_VERSION  # tombstones up to here have been dropped
+        self.gateway_revision = 0  # differs whenever the entries that gateways hold do
 
     def _part(self, key: str) -> dict[str, tuple[Version, Any]]:
         """The entries among which this key belongs."""
@@ -88,6 +93,7 @@
             if version > self.version(key) and (value is not None or version > self.horizon or key in part):
                 part[key] = (version, value)
                 changed.append(key)
+                self.gateway_revision += part is self._entries
             self.highest_version = max(self.highest_version, version)
             if part is self._entries:
                 self.highest_gateway_version = max(self.highest_gateway_version, version)
@@ -100,17 +106,20 @@
 
     def _compact(self) -> list[str]:
         removed = [key for key, (version, value) in self._all() if value is None and version <= self.horizon]
-        for key in removed:
-            del self._part(key)[key]
+        self._remove(removed)
         return removed
 
+    def _remove(self, keys: list[str]) -> None:
+        for key in keys:
+            del self._part(key)[key]
+        self.gateway_revision += bool(keys)
+
     def replace_all(self, entries: list[Entry], horizon: Version) -> list[str]:
         """Applies a sender's complete table: entries that it lacks and that are not newer than it are removed."""
         sent = {key for key, _, _ in entries}
         newest = max((version for _, version, _ in entries), default=NO_VERSION)
         removed = [key for key, (version, value) in self._all() if key not in sent and version <= max(newest, horizon)]
-        for key in removed:
-            del self._part(key)[key]
+        self._remove(removed)
         changed = self.put(entries)
         self.horizon = max(self.horizon, horizon)
         return [*removed, *changed]
@@ -155,6 +164,38 @@
     return [[key, version[0], version[1], value] for key, version, value in entries]
 
 
+class BadEntries(Exception):
+    """Received entries cannot be read."""
+
+
+@dataclass(slots=True, frozen=True)
+class PackedEntries:
+    """Entries in the forms in which they may be sent."""
+
+    plain: list[Any]
+    compressed: bytes | None  # None if they are few
+
+
+def pack_compressed(entries: Iterable[Entry], min_bytes: int) -> PackedEntries:
+    """Packs entries, and compresses them if they have more than `min_bytes`."""
+    plain = pack(entries)
+    data = cbor2.dumps(plain) if plain else b""
+    return PackedEntries(plain, zlib.compress(data, COMPRESSION_LEVEL) if len(data) > min_bytes else None)
+
+
+def _decompress(data: bytes) -> Any:
+    decompressor = zlib.decompressobj()
+    try:
+        decompressed = decompressor.decompress(data, MAX_DECOMPRESSED_BYTES)
+    except zlib.error as error:
+        raise BadEntries(str(error)) from error
+    if not decompressor.eof:
+        raise BadEntries(f"cut short, or more than {MAX_DECOMPRESSED_BYTES} bytes")
+    return cbor2.loads(decompressed)
+
+
 def unpack(data: Any) -> list[Entry]:
-    """Entries from the form that `pack` gives them."""
+    """Entries from either form in which they are sent. Raises BadEntries."""
+    if isinstance(data, bytes):
+        data = _decompress(data)
     return [(str(key), (int(view), int(sequence)), value) for key, view, sequence, value in data]
