News: split every large message to a subscriber

What callers would see: as for the threshold of 24 KB before this; a configuration of 20 to 24 KB still went whole.

Cause: one such message to each of four subscribers holds up heartbeats for 0.4 s on a link of 2 Mbit/s, at each level of the tree, and a gateway goes stale after 0.8 s. The general threshold can't be lower, as a chunk of the replicated state goes whole to a backup.

A connection now has a threshold of its own; the publisher sets that of its subscribers to 4 KB, from which on it waits for an acknowledgement anyway.

--- a/oakvale/dissemination/feed.py
+++ b/oakvale/dissemination/feed.py
@@ -58,6 +58,7 @@
         if conn not in self._subscribers:
             self._subscribers[conn] = None
             conn.on_close.append(self._forget)
+            conn.max_unsplit_bytes = LARGE_MESSAGE_BYTES  # whole ones would delay the heartbeats of all subscribers
         elif conn.sending_long_frame():
             return  # the complete table is already being sent
         self._send_since(conn, highest_version, heartbeat)
--- a/oakvale/transport/links.py
+++ b/oakvale/transport/links.py
@@ -31,7 +31,7 @@
 CONGESTED_BYTES = 16 * 1024  # with more unsent data, messages that can be deferred should be
 MAX_BACKLOG_BYTES = 8 * 1024 * 1024  # unsent data per peer, without the long frame being sent
 PART_BYTES = 16 * 1024  # 65 ms at 2 Mbit/s
-MAX_UNSPLIT_BYTES = 24 * 1024  # longer frames are sent in parts; a chunk of the state is not
+MAX_UNSPLIT_BYTES = 24 * 1024  # a chunk of the state is sent whole
 MIN_PARTS_IN_FLIGHT, MAX_PARTS_IN_FLIGHT = 4, 1_024  # over all connections
 PART_DELAY_US = 200_000  # with later acknowledgements, fewer parts are in flight: short frames would wait behind them
 PART_ACK_TIMEOUT_US = 1_000_000  # after this, an unacknowledged part no longer counts as in flight
@@ -72,6 +72,7 @@
         self.transport, self.sock, self.address, self._outgoing = transport, sock, address, outgoing
         self.alive, self.connected = True, not outgoing
         self.refused = False  # no process listens at the address
+        self.max_unsplit_bytes = MAX_UNSPLIT_BYTES  # longer frames are sent in parts
         self.on_close: list[Callable[[Connection], None]] = []
         # Called once, when no more data waits to be sent.
         self.on_writable: Callable[[Connection], None] | None = None
@@ -93,7 +94,11 @@
         if not self.alive:
             return
         data = encode(kind, number, body)
-        if len(data) > MAX_UNSPLIT_BYTES or kind and any(kind == queued_kind for queued_kind, _ in self._long_frames):
+        if (
+            len(data) > self.max_unsplit_bytes
+            or kind
+            and any(kind == queued_kind for queued_kind, _ in self._long_frames)
+        ):
             return self._queue_long_frame(kind or request_kind, data)
         if len(self._send_buffer) + len(data) > MAX_BACKLOG_BYTES:
             log_event("peer does not read", "warning", peer=self.address[0])
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -144,6 +144,10 @@
     def gateways(self) -> list[GatewayProcess]:
         return [process.works for process in self._processes]
 
+    def subscription_bytes(self) -> int:
+        """Bytes of all requests for updates so far."""
+        return sum(gateway.feed.transport.sent_bytes["subscribe"] for gateway in self.gateways())
+
     def longest_delay(self, generation: int, since: int) -> float:
         """Seconds until the last gateway received a generation; infinite if one lacks it."""
         received = [gateway.config_received_at.get(generation) for gateway in self.gateways()]
@@ -162,11 +166,12 @@
     """On thin links it must not hold up the heartbeats: subscribers without them ask other sources for it again."""
     deployment = Deployment(1)
     deployment.run(8 * SECOND)
-    changed_at = deployment.events.now
+    changed_at, requests_before = deployment.events.now, deployment.subscription_bytes()
     value = {"gen": 2, "text": Random(2).randbytes(config_bytes)}
     deployment.primary.loop.at(0, lambda _: deployment.primary.change("config", value))
     deployment.run(10 * SECOND)
     assert deployment.longest_delay(2, changed_at) <= APPLY_BOUND_US / SECOND
+    assert deployment.subscription_bytes() == requests_before
 
 
 def test_parts_to_many_receivers_do_not_delay_heartbeats_on_a_thin_link() -> None:
