--- a/tests/test_message_parts.py
+++ b/tests/test_message_parts.py
@@ -10,6 +10,7 @@
 
 from oakvale.base.limits import Limits
 from oakvale.base.loop import Clock, Loop
+from oakvale.controlplane.chunks import MAX_INLINE_BYTES
 from oakvale.transport import links
 from oakvale.transport.links import MAX_BACKLOG_BYTES, MAX_UNSPLIT_BYTES, Transport
 
@@ -35,7 +36,7 @@
             sock.close()
             other, received = Transport(self.loop, address), list[Any]()
             other.listen()
-            for kind in ("a", "b", "long"):
+            for kind in ("a", "b", "long", "sync", "append"):
                 other.handlers[kind] = lambda conn, body, answer, kind=kind, received=received: received.append(  # type: ignore[misc]
                     (kind, body)
                 ) or answer(body)
@@ -72,6 +73,17 @@
     cluster.loop.close()
 
 
+def test_a_change_does_not_overtake_the_state_that_it_follows() -> None:
+    """A backup turns away a state that arrives behind a newer change, and the whole state is sent to it again."""
+    cluster = Cluster()
+    [(address, received)] = cluster.others
+    cluster.transport.ask(address, "sync", bytes(MAX_INLINE_BYTES), 60_000_000, lambda answer: None)
+    cluster.transport.ask(address, "append", 1, 60_000_000, lambda answer: None)
+    cluster.until(lambda: len(received) == 2)
+    assert [kind for kind, _ in received] == ["sync", "append"]
+    cluster.loop.close()
+
+
 def test_peers_that_do_not_acknowledge_parts_do_not_block_others(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(links, "MIN_PARTS_IN_FLIGHT", 2)
     monkeypatch.setattr(links, "PART_ACK_TIMEOUT_US", 20_000)
