--- a/tests/core_machines.py
+++ b/tests/core_machines.py
@@ -1,7 +1,7 @@
 """Core machines on loopback sockets: processes with real transports and state files, all on one event loop.
 
-Their clock advances by a fixed step each turn of the loop in which no write to disk is under way, so that neither a busy
-processor nor a slow disk costs them their leases.
+Their clock advances by a fixed step each turn of the loop in which no write to disk is under way, so that neither a
+busy processor nor a slow disk costs them their leases.
 """
 
 from __future__ import annotations
