--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -18,7 +18,13 @@
     steps_by_section = {
         section.splitlines()[0]: re.findall(r"^(\d+)\. ", section, re.M) for section in PAGE.split("\n## ")[1:]
     }
-    assert list(steps_by_section) == ["A request", "A configuration", "A backend's beat", "A quota count"]
+    assert list(steps_by_section) == [
+        "A request",
+        "A configuration",
+        "A backend's beat",
+        "A call of an application",
+        "A quota count",
+    ]
     assert all(
         steps == [str(n + 1) for n in range(len(steps))] and len(steps) <= 10 for steps in steps_by_section.values()
     )
