--- a/oakvale/controlplane/control_server.py
+++ b/oakvale/controlplane/control_server.py
@@ -8,7 +8,8 @@
 
 from oakvale.config.settings import Settings
 from oakvale.controlplane.core import Core
-from oakvale.controlplane.resources import JSON, BackendsHandler, ConfigHandler, ReplyCallback, primary_url
+from oakvale.controlplane.replies import JSON, ReplyCallback
+from oakvale.controlplane.resources import BackendsHandler, ConfigHandler, primary_url
 from oakvale.coordination.calls import CallHandler, ControlCall
 from oakvale.memory.requests import Answer, ClientRequest
 from oakvale.shared import ConnectionOwner, SharedResources
@@ -58,10 +59,10 @@
 
     def enable_drains(self, drains: DrainManager) -> None:
         """Adds the drain verbs; called once a file of contracts is present."""
-        from oakvale.controlplane import resources
+        from oakvale.controlplane.drain_resource import DrainsHandler
 
         self.backends.departure_changes = drains.departure_changes
-        handler = resources.DrainsHandler(self.core, drains)
+        handler = DrainsHandler(self.core, drains)
         self._handlers |= {
             (b"POST", "Drains.Order"): handler.order,
             (b"POST", "Drains.Plan"): handler.plan,
--- a/oakvale/lab/undone.py
+++ b/oakvale/lab/undone.py
@@ -8,7 +8,8 @@
 
 from oakvale.base.address import parse_address
 from oakvale.controlplane.replicated_state import ReplicatedState
-from oakvale.controlplane.resources import UNCONFIRMED, CheckedConfig, ConfigHandler, Reply, ReplyCallback
+from oakvale.controlplane.replies import UNCONFIRMED, Reply, ReplyCallback
+from oakvale.controlplane.resources import CheckedConfig, ConfigHandler
 from oakvale.controlplane.view_change import CAMPAIGN_TIMEOUT_SILENCES, Campaign, ElectionMessage, ViewManager
 from oakvale.controlplane.views import Replica, View, pack_accepted
 from oakvale.dissemination.feed import Feed, log_event
--- a/tests/test_ctl_orders.py
+++ b/tests/test_ctl_orders.py
@@ -14,7 +14,7 @@
 from oakvale.base.loop import Loop
 from oakvale.config.bounds import limits_from_settings
 from oakvale.controlplane.control_server import ControlServer
-from oakvale.controlplane.resources import Reply
+from oakvale.controlplane.replies import Reply
 from oakvale.lifecycle.acceptor import Acceptor
 from oakvale.memory.requests import Answer
 from oakvale.shared import ConnectionOwner, SharedResources
--- a/tests/test_drains_core.py
+++ b/tests/test_drains_core.py
@@ -8,8 +8,10 @@
 import orjson
 import pytest
 
+from oakvale.controlplane.drain_resource import DrainsHandler
 from oakvale.controlplane.drains import DrainManager
-from oakvale.controlplane.resources import BackendsHandler, DrainsHandler, Reply
+from oakvale.controlplane.replies import Reply
+from oakvale.controlplane.resources import BackendsHandler
 from oakvale.drains import report
 from oakvale.drains.moves import MoveFollower
 from oakvale.drains.planning import HOURS_MARGIN_US
--- a/tests/test_lab_breaks.py
+++ b/tests/test_lab_breaks.py
@@ -12,7 +12,8 @@
 
 from oakvale.config import model
 from oakvale.controlplane.core import Core
-from oakvale.controlplane.resources import UNCONFIRMED, BackendsHandler, ConfigHandler, Reply, ReplyCallback
+from oakvale.controlplane.replies import UNCONFIRMED, Reply, ReplyCallback
+from oakvale.controlplane.resources import BackendsHandler, ConfigHandler
 from oakvale.dataplane import routes
 from oakvale.dataplane.backend_protocol import SystemDialect
 from oakvale.dataplane.gateway import EdgeGateway, ReadinessOwner
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -14,9 +14,10 @@
 import pytest
 
 from oakvale.config import model
-from oakvale.controlplane import chunks, resources
+from oakvale.controlplane import chunks, replies, resources
 from oakvale.controlplane.replicated_state import ReplicatedState
-from oakvale.controlplane.resources import CONFIG_DIGESTS, ConfigHandler, Reply
+from oakvale.controlplane.replies import Reply
+from oakvale.controlplane.resources import CONFIG_DIGESTS, ConfigHandler
 from oakvale.dissemination.table import NO_VERSION
 from oakvale.lab import undone
 from tests.control_plane_simulation import Machine, World
@@ -232,12 +233,12 @@
     self: ConfigHandler,
     checked: resources.CheckedConfig,
     body: bytes,
-    send_reply: resources.ReplyCallback,
+    send_reply: replies.ReplyCallback,
     real: Any = ConfigHandler._decide,
 ) -> None:
     known, _ = self._stored_digests()
     if known.get(checked.gen, ("", checked.digest))[1] != checked.digest:
-        return send_reply(resources.error_reply(409, "different content is pending or in force"))
+        return send_reply(replies.error_reply(409, "different content is pending or in force"))
     real(self, checked, body, send_reply)
 
 
