--- a/oakvale/coordination/watches.py
+++ b/oakvale/coordination/watches.py
@@ -20,7 +20,6 @@
 
 MAX_WAITING_WATCHES = 1_000
 MAX_EVENTS_PER_ANSWER = 1_000  # the caller resumes at the last of them
-MAX_VALUE_BYTES_PER_ANSWER = 64 * 1_024  # many watches may be answered at once
 MAX_WAIT_US = 60_000_000
 SERVING_CHECK_INTERVAL_US = 100_000  # while watches wait
 MICROSECONDS_PER_MILLISECOND = 1_000
@@ -191,22 +190,14 @@
         return self._events_answer(group, [])
 
     def _events_answer(self, group: str, events: list[EventEntry]) -> Answer:
-        shown = _events_of_one_answer(events)
-        rev = self._revision(group) if len(shown) == len(events) else shown[-1].rev
-        packed = [{"name": event.name, "val": event.value, "rev": event.rev} for event in shown]
+        rev = self._revision(group)
+        if len(events) > MAX_EVENTS_PER_ANSWER:
+            events = events[:MAX_EVENTS_PER_ANSWER]
+            rev = events[-1].rev
+        packed = [{"name": event.name, "val": event.value, "rev": event.rev} for event in events]
         return _answer(200, {"events": packed, "rev": rev})
 
 
-def _events_of_one_answer(events: list[EventEntry]) -> list[EventEntry]:
-    """The first events, at least one, up to the bounds of an answer."""
-    size = 0
-    for count, event in enumerate(events[:MAX_EVENTS_PER_ANSWER]):
-        size += len(event.value.encode())
-        if count and size > MAX_VALUE_BYTES_PER_ANSWER:
-            return events[:count]
-    return events[:MAX_EVENTS_PER_ANSWER]
-
-
 def _answer(status: int, fields: dict[str, Any], *headers: tuple[bytes, bytes]) -> Answer:
     return Answer(status, [JSON, *headers], orjson.dumps(fields))
 
