Coordination: the HTTP answers in one module, and the expected revision under that name

The JSON header, the 503 of a replica that does not serve and its Retry-After stood in both service.py and watches.py, in two wordings. They are in answers.py now; the text of the 503 is that of the watches. `topic` is the name of a field on the wire; in the code the revision that a key must have is `expected_rev`.

No test was changed.

--- a/oakvale/coordination/calls.py
+++ b/oakvale/coordination/calls.py
@@ -77,7 +77,7 @@
 
     name: str
     value: str
-    topic: int | None  # the revision that the key must have, 0 for none
+    expected_rev: int | None  # that the key must have, 0 for none; None: any
 
 
 def read_begin(call: ControlCall) -> BeginCall:
@@ -101,8 +101,8 @@
 def read_put(call: ControlCall) -> PutCall:
     """Reads a call of `Cells.Replace`."""
     fields = _read_object(call.body)
-    topic = None if fields.get("topic") is None else _read_integer(fields, "topic")
-    return PutCall(read_name(call.name), _read_text(fields, "val", MAX_VALUE_BYTES), topic)
+    expected_rev = None if fields.get("topic") is None else _read_integer(fields, "topic")
+    return PutCall(read_name(call.name), _read_text(fields, "val", MAX_VALUE_BYTES), expected_rev)
 
 
 def read_number_call(call: ControlCall) -> str:
--- a/oakvale/coordination/key_groups.py
+++ b/oakvale/coordination/key_groups.py
@@ -149,16 +149,16 @@
 
     # ---- calls
 
-    def put(self, name: str, value: str, topic: int | None, now: int) -> Decision:
-        """Puts a value, with `topic` only if the key has this revision (0: none). A put that is among the remembered
-        events was made before, and gets its revision again."""
+    def put(self, name: str, value: str, expected_rev: int | None, now: int) -> Decision:
+        """Puts a value, with `expected_rev` only if the key has this revision (0: none). A put that is among the
+        remembered events was made before, and gets its revision again."""
         group_name = group_of(name)
         group = self._groups.get(group_name) or KeyGroup()
         known_rev = group.revs_by_put.get((name, value))
         if known_rev is not None:
             return Decision(CallReply(200, {"rev": known_rev}), rests_on_pending=known_rev > group.rev_in_force)
         key_rev = self._newest_revs.get(name, 0)
-        if topic is not None and topic != key_rev:
+        if expected_rev is not None and expected_rev != key_rev:
             return Decision(CallReply(412, {"rev": key_rev}), rests_on_pending=key_rev > group.rev_in_force)
         if key_rev == 0 and len(self._newest_revs) >= MAX_KEYS:
             return Decision(CallReply(429, {"error": "too many keys"}))
--- a/oakvale/coordination/service.py
+++ b/oakvale/coordination/service.py
@@ -15,10 +15,9 @@
 from functools import partial
 from typing import Any, Protocol
 
-import orjson
-
 from oakvale.base.loop import Loop
 from oakvale.coordination import calls
+from oakvale.coordination.answers import NOT_SERVING, UNKNOWN_OUTCOME, json_answer
 from oakvale.coordination.calls import CallHandler, ControlCall, InvalidCall, SendAnswer
 from oakvale.coordination.counters import Counters
 from oakvale.coordination.decisions import CallReply, Decision
@@ -28,12 +27,8 @@
 from oakvale.coordination.watches import MAX_WAITING_WATCHES, Watches
 from oakvale.dissemination.table import Entry, Table
 from oakvale.lifecycle.eventlog import EventLogger
-from oakvale.memory.requests import Answer
 
 MIN_RETENTION_US = 60_000_000  # longer than callers repeat a put
-JSON = (b"content-type", b"application/json")
-UNAVAILABLE = Answer(503, [JSON, (b"retry-after", b"0.3")], b'{"error":"no primary"}')
-UNKNOWN_OUTCOME = Answer(500, [JSON], b'{"error":"the outcome is unknown"}')
 
 Decide = Callable[[ControlCall, int], Decision]  # a call and the time of the steady clock
 
@@ -148,13 +143,13 @@
 
     def _handle(self, decide: Decide, call: ControlCall, send: SendAnswer) -> None:
         if not self._core.serving():
-            return send(UNAVAILABLE)
+            return send(NOT_SERVING)
         if not self._is_current:
             self._rebuild()
         try:
             decision = decide(call, self._loop.clock())
         except InvalidCall as error:
-            return send(Answer(error.status, [JSON], orjson.dumps({"error": str(error)})))
+            return send(json_answer(error.status, {"error": str(error)}))
         self._carry_out(decision, send)
 
     def _carry_out(self, decision: Decision, send: SendAnswer) -> None:
@@ -176,7 +171,7 @@
         if reply.status == 429:
             log_event("coordination is full", "warning", why=reply.fields["error"])
         serves = self._core.serving()
-        send(Answer(reply.status, [JSON], orjson.dumps(reply.fields)) if serves else UNKNOWN_OUTCOME)
+        send(json_answer(reply.status, reply.fields) if serves else UNKNOWN_OUTCOME)
 
     def _begin(self, call: ControlCall, now: int) -> Decision:
         request = calls.read_begin(call)
@@ -199,7 +194,7 @@
 
     def _put(self, call: ControlCall, now: int) -> Decision:
         request = calls.read_put(call)
-        return self._groups.put(request.name, request.value, request.topic, now)
+        return self._groups.put(request.name, request.value, request.expected_rev, now)
 
     def _read(self, call: ControlCall, now: int) -> Decision:
         return self._groups.read(calls.read_name(call.name))
@@ -209,7 +204,7 @@
 
     def _watch(self, call: ControlCall, send: SendAnswer) -> None:
         if not self._core.serving():
-            return send(UNAVAILABLE)
+            return send(NOT_SERVING)
         if not self._is_current:
             self._rebuild()
         self._watches.watch(call, send)
--- a/oakvale/coordination/watches.py
+++ b/oakvale/coordination/watches.py
@@ -12,8 +12,7 @@
 from typing import Any, Protocol
 from urllib.parse import parse_qsl
 
-import orjson
-
+from oakvale.coordination.answers import NOT_SERVING, RETRY_AFTER, json_answer
 from oakvale.coordination.calls import MAX_INTEGER, ControlCall, InvalidCall, SendAnswer, read_name
 from oakvale.coordination.entries import EventEntry
 from oakvale.memory.requests import Answer
@@ -24,8 +23,6 @@
 SERVING_CHECK_INTERVAL_US = 100_000  # while watches wait
 MICROSECONDS_PER_MILLISECOND = 1_000
 DIGITS = "0123456789"
-JSON = (b"content-type", b"application/json")
-RETRY_AFTER = (b"retry-after", b"0.3")  # seconds; for answers that promise that nothing was done
 
 
 class WatchLoop(Protocol):
@@ -107,12 +104,12 @@
         try:
             wanted = read_watch(call)
         except InvalidCall as invalid:
-            return send(_answer(invalid.status, {"error": str(invalid)}))
+            return send(json_answer(invalid.status, {"error": str(invalid)}))
         answer = self._answer_now(wanted.group, wanted.after)
         if answer is not None or not wanted.wait_us:
             return self._send(send, answer or self._empty_answer(wanted.group))
         if self._count >= self._max_waiting:
-            return send(_answer(429, {"error": "too many watches wait"}, RETRY_AFTER))
+            return send(json_answer(429, {"error": "too many watches wait"}, RETRY_AFTER))
         self._add(call, wanted, send)
 
     def puts_in_force(self, groups: Iterable[str]) -> None:
@@ -183,7 +180,7 @@
             return self._empty_answer(group)
         events = self._events(group, after)
         if events is None:
-            return _answer(410, {"error": "after: older than what is remembered"})
+            return json_answer(410, {"error": "after: older than what is remembered"})
         return self._events_answer(group, events) if events else None
 
     def _empty_answer(self, group: str) -> Answer:
@@ -195,11 +192,4 @@
             events = events[:MAX_EVENTS_PER_ANSWER]
             rev = events[-1].rev
         packed = [{"name": event.name, "val": event.value, "rev": event.rev} for event in events]
-        return _answer(200, {"events": packed, "rev": rev})
-
-
-def _answer(status: int, fields: dict[str, Any], *headers: tuple[bytes, bytes]) -> Answer:
-    return Answer(status, [JSON, *headers], orjson.dumps(fields))
-
-
-NOT_SERVING = _answer(503, {"error": "this replica does not serve"}, RETRY_AFTER)
+        return json_answer(200, {"events": packed, "rev": rev})
