Watches: an answer is bounded by the bytes of its values, not by 1,000 events

Cause: the bound counted events. A group may remember up to 10,000 of them.

The bound is 1 MB of values now: all that a group can remember fits where values have up to 100 bytes, and an answer with long values is a quarter of what it was.

--- a/oakvale/coordination/watches.py
+++ b/oakvale/coordination/watches.py
@@ -18,7 +18,7 @@
 from oakvale.memory.requests import Answer
 
 MAX_WAITING_WATCHES = 1_000
-MAX_EVENTS_PER_ANSWER = 1_000  # the caller resumes at the last of them
+MAX_VALUE_BYTES_PER_ANSWER = 1 << 20  # the caller resumes at the last event
 MAX_WAIT_US = 60_000_000
 SERVING_CHECK_INTERVAL_US = 100_000  # while watches wait
 MICROSECONDS_PER_MILLISECOND = 1_000
@@ -187,9 +187,17 @@
         return self._events_answer(group, [])
 
     def _events_answer(self, group: str, events: list[EventEntry]) -> Answer:
-        rev = self._revision(group)
-        if len(events) > MAX_EVENTS_PER_ANSWER:
-            events = events[:MAX_EVENTS_PER_ANSWER]
-            rev = events[-1].rev
-        packed = [{"name": event.name, "val": event.value, "rev": event.rev} for event in events]
+        shown = _events_of_one_answer(events)
+        rev = self._revision(group) if len(shown) == len(events) else shown[-1].rev
+        packed = [{"name": event.name, "val": event.value, "rev": event.rev} for event in shown]
         return json_answer(200, {"events": packed, "rev": rev})
+
+
+def _events_of_one_answer(events: list[EventEntry]) -> list[EventEntry]:
+    """The first events, at least one, up to the bound of an answer."""
+    size = 0
+    for count, event in enumerate(events):
+        size += len(event.value.encode())
+        if count and size > MAX_VALUE_BYTES_PER_ANSWER:
+            return events[:count]
+    return events
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -9,7 +9,7 @@
 import pytest
 
 from oakvale.coordination import watches as watches_module
-from oakvale.coordination.calls import ControlCall
+from oakvale.coordination.calls import MAX_VALUE_BYTES, ControlCall
 from oakvale.coordination.entries import EventEntry
 from oakvale.coordination.watches import MAX_WAIT_US, Watches
 from oakvale.memory.requests import Answer
@@ -117,8 +117,32 @@
     assert world.status("c") == 200
 
 
+def test_a_watch_far_behind_learns_the_present_revision() -> None:
+    """An answer that ends earlier looks like a state older than what was acknowledged."""
+    world = WatchWorld()
+    for _ in range(10_000):
+        world.add_event("g.")
+    world.watch("a", "g.", "after=1&wait-ms=2000")
+    assert world.body("a")["rev"] == 10_000 and world.revs("a") == list(range(2, 10_001))
+
+
+def test_answers_with_long_values_fit_into_memory() -> None:
+    """10,000 values of 4 KiB would be an answer of 40 MB."""
+    world = WatchWorld()
+    world.put("g.")
+    world.put_events["g."] += [EventEntry(rev, "g.k", f"{rev}".zfill(MAX_VALUE_BYTES)) for rev in range(2, 1_000)]
+    seen, after = list[int](), 1
+    while after < 999:
+        caller = f"after {after}"
+        world.watch(caller, "g.", f"after={after}")
+        assert len(world.answers[caller].body) < 1_200_000
+        assert world.body(caller)["rev"] == world.revs(caller)[-1]
+        seen, after = [*seen, *world.revs(caller)], world.body(caller)["rev"]
+    assert seen == list(range(2, 1_000))
+
+
 def test_an_answer_is_bounded_and_the_caller_resumes_behind_it(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(watches_module, "MAX_EVENTS_PER_ANSWER", 2)
+    monkeypatch.setattr(watches_module, "MAX_VALUE_BYTES_PER_ANSWER", 4)  # two values
     world = WatchWorld()
     for _ in range(4):
         world.put("g.")
