--- a/oakvale/coordination/watches.py
+++ b/oakvale/coordination/watches.py
@@ -15,10 +15,13 @@
 from oakvale.coordination.answers import NOT_SERVING, RETRY_AFTER, json_answer
 from oakvale.coordination.calls import MAX_INTEGER, ControlCall, InvalidCall, SendAnswer, read_name
 from oakvale.coordination.entries import EventEntry
+from oakvale.coordination.key_groups import MAX_EVENTS
 from oakvale.memory.requests import Answer
 
 MAX_WAITING_WATCHES = 1_000
-MAX_VALUE_BYTES_PER_ANSWER = 1 << 20  # the caller resumes at the last event
+# The caller resumes at the last event of an answer. Until then it is behind, so these bounds only protect the memory.
+MAX_EVENTS_PER_ANSWER = MAX_EVENTS
+MAX_VALUE_BYTES_PER_ANSWER = 1024 * 1024
 MAX_WAIT_US = 60_000_000
 SERVING_CHECK_INTERVAL_US = 100_000  # while watches wait
 MICROSECONDS_PER_MILLISECOND = 1_000
@@ -194,10 +197,10 @@
 
 
 def _events_of_one_answer(events: list[EventEntry]) -> list[EventEntry]:
-    """The first events, at least one, up to the bound of an answer."""
+    """The first events, at least one, up to the bounds of an answer."""
     size = 0
-    for count, event in enumerate(events):
+    for count, event in enumerate(events[:MAX_EVENTS_PER_ANSWER]):
         size += len(event.value.encode())
         if count and size > MAX_VALUE_BYTES_PER_ANSWER:
             return events[:count]
-    return events
+    return events[:MAX_EVENTS_PER_ANSWER]
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -126,23 +126,24 @@
     assert world.body("a")["rev"] == 10_000 and world.revs("a") == list(range(2, 10_001))
 
 
-def test_answers_with_long_values_fit_into_memory() -> None:
-    """10,000 values of 4 KiB would be an answer of 40 MB."""
+def test_answers_to_many_watches_with_long_values_fit_into_memory() -> None:
+    """A thousand watches that resume behind a thousand values of 4 KiB would get 4 MB each."""
     world = WatchWorld()
     world.put("g.")
-    world.put_events["g."] += [EventEntry(rev, "g.k", f"{rev}".zfill(MAX_VALUE_BYTES)) for rev in range(2, 1_000)]
+    for rev in range(2, 1002):
+        world.put_events["g."].append(EventEntry(rev, "g.k", f"{rev}".zfill(MAX_VALUE_BYTES)))
     seen, after = list[int](), 1
-    while after < 999:
+    while after < 1001:
         caller = f"after {after}"
         world.watch(caller, "g.", f"after={after}")
         assert len(world.answers[caller].body) < 1_200_000
         assert world.body(caller)["rev"] == world.revs(caller)[-1]
         seen, after = [*seen, *world.revs(caller)], world.body(caller)["rev"]
-    assert seen == list(range(2, 1_000))
+    assert seen == list(range(2, 1002))
 
 
 def test_an_answer_is_bounded_and_the_caller_resumes_behind_it(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(watches_module, "MAX_VALUE_BYTES_PER_ANSWER", 4)  # two values
+    monkeypatch.setattr(watches_module, "MAX_EVENTS_PER_ANSWER", 2)
     world = WatchWorld()
     for _ in range(4):
         world.put("g.")
