--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -117,6 +117,15 @@
     assert world.status("c") == 200
 
 
+def test_a_watch_far_behind_learns_the_present_revision() -> None:
+    """An answer that ends earlier looks like a state older than what was acknowledged."""
+    world = WatchWorld()
+    for _ in range(10_000):
+        world.add_event("g.")
+    world.watch("a", "g.", "after=1&wait-ms=2000")
+    assert world.body("a")["rev"] == 10_000 and world.revs("a") == list(range(2, 10_001))
+
+
 def test_answers_to_many_watches_with_long_values_fit_into_memory() -> None:
     """A thousand watches that resume behind a thousand values of 4 KiB would get 4 MB each."""
     world = WatchWorld()
