--- a/oakvale/lab/soak/machines.py
+++ b/oakvale/lab/soak/machines.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 import secrets
+import shutil
 import signal
 import socket
 import subprocess
@@ -145,6 +146,11 @@
             if "Traceback" in text:
                 yield f"{path.stem}: {text[text.index('Traceback') :][:2000]}"
 
+    def copy_logs(self, directory: Path) -> None:
+        """Copies what the processes have logged."""
+        for path in self.log_paths:
+            shutil.copy(path, directory)
+
     def close(self) -> None:
         """Kills every process and deletes the directory."""
         for machine in [*self.core, *self._gateways]:
--- a/oakvale/lab/soak/plan.py
+++ b/oakvale/lab/soak/plan.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
@@ -46,9 +47,9 @@
     calm_s: float  # after the machine counts as recovered
 
 
-def draw_episode(rng: Random, machine_count: int) -> Episode:
-    """Draws the next episode."""
-    kind = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
+def draw_episode(rng: Random, machine_count: int, kinds: Sequence[EpisodeKind] = tuple(EpisodeKind)) -> Episode:
+    """Draws the next episode, of one of the kinds."""
+    kind = rng.choices(kinds, [WEIGHTS[kind] for kind in kinds])[0]
     machine = PRIMARY if rng.random() < PRIMARY_SHARE else rng.randrange(machine_count)
     freeze_s = rng.choice((MIN_FREEZE_S, 0.7, 1.0, 2.5, MAX_FREEZE_S)) * rng.uniform(0.9, 1.0)
     return Episode(
--- a/oakvale/lab/soak/run.py
+++ b/oakvale/lab/soak/run.py
@@ -8,7 +8,8 @@
 import signal
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from pathlib import Path
 from random import Random
 
 from oakvale.lab.applications.crew import Crew, CrewSize
@@ -44,6 +45,24 @@
     seconds: float
     core_count: int = 4
     gateway_count: int = 0
+    crews: int = 1  # how many times the usual number of applications
+    kinds: tuple[EpisodeKind, ...] = tuple(EpisodeKind)
+    output: Path | None = None  # gets a directory for each seed, with logs, calls and episodes
+
+    def crew_size(self) -> CrewSize:
+        """The applications of all crews, which share locks, counters and keys."""
+        size = CrewSize()
+        return replace(
+            size,
+            lock_users=size.lock_users * self.crews,
+            number_users=size.number_users * self.crews,
+            writers=size.writers * self.crews,
+            readers=size.readers * self.crews,
+            watchers=size.watchers * self.crews,
+            locks=size.locks * self.crews,
+            counters=size.counters * self.crews,
+            groups=size.groups * self.crews,
+        )
 
 
 @dataclass(slots=True)
@@ -110,7 +129,7 @@
         self._report = Report(seed)
         self._machines = Machines(options.core_count, options.gateway_count)
         self._connections = Connections(lambda: [machine.ctl for machine in self._machines.core])
-        self._crew = Crew(self._connections, seed, CrewSize())
+        self._crew = Crew(self._connections, seed, options.crew_size())
         self._operator = Operator(self._connections, Random(f"operator {seed}"))
         self._stops: list[Stop] = []
         self._series: dict[EpisodeKind, Callable[[Episode, Machine], Awaitable[None]]] = {
@@ -151,6 +170,8 @@
             for helper in helpers:
                 helper.cancel()
             self._connections.close()
+            if self._options.output is not None:
+                self._keep(self._options.output / f"seed-{self._report.seed}")
             self._machines.close()
 
     # ---- the run
@@ -166,7 +187,7 @@
         await asyncio.sleep(1)
         deadline = now_us() + self._options.seconds * SECOND
         while now_us() < deadline:
-            episode = draw_episode(self._rng, self._options.core_count)
+            episode = draw_episode(self._rng, self._options.core_count, self._options.kinds)
             machine = self._machine(episode.machine)
             began_at = now_us()
             await self._series[episode.kind](episode, machine)
@@ -228,6 +249,17 @@
         report.configurations = self._operator.acknowledged_count
         report.configurations_given_up = len(self._operator.given_up)
 
+    def _keep(self, directory: Path) -> None:
+        """Writes what is needed to trace a finding."""
+        directory.mkdir(parents=True, exist_ok=True)
+        self._machines.copy_logs(directory)
+        calls = self._crew.history.calls
+        (directory / "calls.txt").write_text("".join(f"{call}\n" for call in calls))
+        episodes = [f"{each.kind} {each.began_at} to {each.ended_at}\n" for each in self._report.episodes]
+        (directory / "episodes.txt").write_text("".join(episodes))
+        unanswered = [f"{call}\n" for call in self._connections.unanswered]
+        (directory / "unanswered.txt").write_text("".join(unanswered))
+
     # ---- series of signals
 
     async def _restart(self, episode: Episode, machine: Machine) -> None:
