--- a/oakvale/lab/soak/machines.py
+++ b/oakvale/lab/soak/machines.py
@@ -146,6 +146,10 @@
             if "Traceback" in text:
                 yield f"{path.stem}: {text[text.index('Traceback') :][:2000]}"
 
+    def processor_waits(self) -> dict[str, int]:
+        """Microseconds for which each running core process has waited for a processor so far."""
+        return {machine.name: _processor_wait(machine) for machine in self.core if machine.process}
+
     def copy_logs(self, directory: Path) -> None:
         """Copies what the processes have logged."""
         for path in self.log_paths:
@@ -221,6 +225,14 @@
         return 0
 
 
+def _processor_wait(machine: Machine) -> int:
+    assert machine.process is not None
+    try:
+        return int(Path(f"/proc/{machine.process.pid}/schedstat").read_text().split()[1]) // 1_000
+    except (OSError, IndexError):
+        return 0
+
+
 def _free_ports(ip: str) -> int:
     """The first of consecutive ports that are free on every loopback address."""
     while True:
--- a/oakvale/lab/soak/run.py
+++ b/oakvale/lab/soak/run.py
@@ -132,6 +132,7 @@
         self._crew = Crew(self._connections, seed, options.crew_size())
         self._operator = Operator(self._connections, Random(f"operator {seed}"))
         self._stops: list[Stop] = []
+        self._waits: list[tuple[int, dict[str, int]]] = []  # for a processor, by time
         self._series: dict[EpisodeKind, Callable[[Episode, Machine], Awaitable[None]]] = {
             EpisodeKind.KILL: self._kill,
             EpisodeKind.TERMINATE: self._terminate,
@@ -216,6 +217,7 @@
     async def _sample(self) -> None:
         while True:
             self._report.last_sizes = self._machines.sizes()
+            self._waits.append((now_us(), self._machines.processor_waits()))
             for name, size in self._report.last_sizes.items():
                 self._report.first_sizes.setdefault(name, size)
                 largest = self._report.largest_sizes.get(name, size)
@@ -258,6 +260,7 @@
         episodes = [f"{each.kind} {each.began_at} to {each.ended_at}\n" for each in self._report.episodes]
         (directory / "episodes.txt").write_text("".join(episodes))
         unanswered = [f"{call}\n" for call in self._connections.unanswered]
+        (directory / "waits.txt").write_text("".join(f"{moment} {waits}\n" for moment, waits in self._waits))
         (directory / "unanswered.txt").write_text("".join(unanswered))
 
     # ---- series of signals
