--- a/oakvale/lab/soak/run.py
+++ b/oakvale/lab/soak/run.py
@@ -158,10 +158,10 @@
             await self._wait_for_success()
             operator = asyncio.create_task(self._operator.run())
             await self._play_episodes()
+            end = now_us()
             self._operator.stopped = True
             self._crew.stop()
             await asyncio.sleep(STOP_S)
-            end = now_us()
             await self._close()
             await operator
             self._report.violations += await self._operator.check(RECOVER_S)
