--- a/oakvale/lab/soak/machines.py
+++ b/oakvale/lab/soak/machines.py
@@ -27,6 +27,7 @@
 PORT_COUNT = 5
 GRACE_S = 6.0  # from SIGTERM to SIGKILL
 POLL_INTERVAL_S = 0.01
+PROBE_BYTES = 512
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -150,6 +151,12 @@
         """Microseconds for which each running core process has waited for a processor so far."""
         return {machine.name: _processor_wait(machine) for machine in self.core if machine.process}
 
+    def sync_probe(self) -> None:
+        """Writes a little to the disk of all machines and waits for it."""
+        with open(self._path / "probe", "ab") as probe:
+            probe.write(bytes(PROBE_BYTES))
+            os.fsync(probe.fileno())
+
     def copy_logs(self, directory: Path) -> None:
         """Copies what the processes have logged."""
         for path in self.log_paths:
--- a/oakvale/lab/soak/run.py
+++ b/oakvale/lab/soak/run.py
@@ -30,6 +30,8 @@
 STOP_S = 1.0  # from the stop of the applications to the calls at the end
 SAMPLE_INTERVAL_S = 1.0
 LAG_INTERVAL_S = 0.01
+SYNC_PROBE_INTERVAL_S = 0.1
+LONG_SYNC_US = SECOND // 5
 POLL_INTERVAL_S = 0.05
 RELOAD_COUNT = 10
 SERIES_COUNT = 3
@@ -85,6 +87,7 @@
     largest_sizes: dict[str, Size] = field(default_factory=dict)
     last_sizes: dict[str, Size] = field(default_factory=dict)
     max_lag_us: int = 0  # of the callers' own loop
+    max_sync_us: int = 0  # of a small write beside those of the machines
 
     def lines(self) -> list[str]:
         """The report as text."""
@@ -93,7 +96,8 @@
         lines = [
             f"seed {self.seed}: {len(self.violations)} findings; {len(self.episodes)} episodes, "
             f"{self.call_count} calls, {self.success_count} answered 200; {self.configurations} configurations, "
-            f"{self.configurations_given_up} unclear; callers' lag {self.max_lag_us / 1000:.0f} ms",
+            f"{self.configurations_given_up} unclear; callers' lag {self.max_lag_us / 1000:.0f} ms, "
+            f"slowest sync {self.max_sync_us / 1000:.0f} ms",
             f"  longest without success: {gaps or 'no episode'}",
             f"  unanswered by a stopping process: {left or 'none'}; chains of redirects: {self.redirect_loops}; "
             f"killed after the grace: {', '.join(self.killed_after_grace) or 'none'}",
@@ -133,6 +137,7 @@
         self._operator = Operator(self._connections, Random(f"operator {seed}"))
         self._stops: list[Stop] = []
         self._waits: list[tuple[int, dict[str, int]]] = []  # for a processor, by time
+        self._long_syncs: list[tuple[int, int]] = []  # when they began, and how long they took
         self._series: dict[EpisodeKind, Callable[[Episode, Machine], Awaitable[None]]] = {
             EpisodeKind.KILL: self._kill,
             EpisodeKind.TERMINATE: self._terminate,
@@ -154,6 +159,7 @@
         try:
             self._machines.start_all()
             helpers = [asyncio.create_task(self._sample()), asyncio.create_task(self._measure_lag())]
+            helpers.append(asyncio.create_task(self._measure_syncs()))
             self._crew.start()
             await self._wait_for_success()
             operator = asyncio.create_task(self._operator.run())
@@ -231,6 +237,17 @@
             lag = now_us() - before - int(LAG_INTERVAL_S * SECOND)
             self._report.max_lag_us = max(self._report.max_lag_us, lag)
 
+    async def _measure_syncs(self) -> None:
+        """The machines share one disk, whose stalls are no faults of theirs."""
+        while True:
+            before = now_us()
+            await asyncio.to_thread(self._machines.sync_probe)
+            took = now_us() - before
+            self._report.max_sync_us = max(self._report.max_sync_us, took)
+            if took > LONG_SYNC_US:
+                self._long_syncs.append((before, took))
+            await asyncio.sleep(SYNC_PROBE_INTERVAL_S)
+
     def _judge(self, end: int) -> None:
         report, history = self._report, self._crew.history
         try:
@@ -261,6 +278,7 @@
         (directory / "episodes.txt").write_text("".join(episodes))
         unanswered = [f"{call}\n" for call in self._connections.unanswered]
         (directory / "waits.txt").write_text("".join(f"{moment} {waits}\n" for moment, waits in self._waits))
+        (directory / "syncs.txt").write_text("".join(f"{moment} {took}\n" for moment, took in self._long_syncs))
         (directory / "unanswered.txt").write_text("".join(unanswered))
 
     # ---- series of signals
