--- a/oakvale/lab/soak/run.py
+++ b/oakvale/lab/soak/run.py
@@ -8,7 +8,8 @@
 import signal
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from pathlib import Path
 from random import Random
 
 from oakvale.lab.applications.crew import Crew, CrewSize
@@ -29,6 +30,8 @@
 STOP_S = 1.0  # from the stop of the applications to the calls at the end
 SAMPLE_INTERVAL_S = 1.0
 LAG_INTERVAL_S = 0.01
+SYNC_PROBE_INTERVAL_S = 0.1
+LONG_SYNC_US = SECOND // 5
 POLL_INTERVAL_S = 0.05
 RELOAD_COUNT = 10
 SERIES_COUNT = 3
@@ -44,6 +47,24 @@
     seconds: float
     core_count: int = 4
     gateway_count: int = 0
+    crews: int = 1  # how many times the usual number of applications
+    kinds: tuple[EpisodeKind, ...] = tuple(EpisodeKind)
+    output: Path | None = None  # gets a directory for each seed, with logs, calls and episodes
+
+    def crew_size(self) -> CrewSize:
+        """The applications of all crews, which share locks, counters and keys."""
+        size = CrewSize()
+        return replace(
+            size,
+            lock_users=size.lock_users * self.crews,
+            number_users=size.number_users * self.crews,
+            writers=size.writers * self.crews,
+            readers=size.readers * self.crews,
+            watchers=size.watchers * self.crews,
+            locks=size.locks * self.crews,
+            counters=size.counters * self.crews,
+            groups=size.groups * self.crews,
+        )
 
 
 @dataclass(slots=True)
@@ -66,6 +87,7 @@
     largest_sizes: dict[str, Size] = field(default_factory=dict)
     last_sizes: dict[str, Size] = field(default_factory=dict)
     max_lag_us: int = 0  # of the callers' own loop
+    max_sync_us: int = 0  # of a small write beside those of the machines
 
     def lines(self) -> list[str]:
         """The report as text."""
@@ -74,7 +96,8 @@
         lines = [
             f"seed {self.seed}: {len(self.violations)} findings; {len(self.episodes)} episodes, "
             f"{self.call_count} calls, {self.success_count} answered 200; {self.configurations} configurations, "
-            f"{self.configurations_given_up} unclear; callers' lag {self.max_lag_us / 1000:.0f} ms",
+            f"{self.configurations_given_up} unclear; callers' lag {self.max_lag_us / 1000:.0f} ms, "
+            f"slowest sync {self.max_sync_us / 1000:.0f} ms",
             f"  longest without success: {gaps or 'no episode'}",
             f"  unanswered by a stopping process: {left or 'none'}; chains of redirects: {self.redirect_loops}; "
             f"killed after the grace: {', '.join(self.killed_after_grace) or 'none'}",
@@ -110,9 +133,11 @@
         self._report = Report(seed)
         self._machines = Machines(options.core_count, options.gateway_count)
         self._connections = Connections(lambda: [machine.ctl for machine in self._machines.core])
-        self._crew = Crew(self._connections, seed, CrewSize())
+        self._crew = Crew(self._connections, seed, options.crew_size())
         self._operator = Operator(self._connections, Random(f"operator {seed}"))
         self._stops: list[Stop] = []
+        self._waits: list[tuple[int, dict[str, int]]] = []  # for a processor, by time
+        self._long_syncs: list[tuple[int, int]] = []  # when they began, and how long they took
         self._series: dict[EpisodeKind, Callable[[Episode, Machine], Awaitable[None]]] = {
             EpisodeKind.KILL: self._kill,
             EpisodeKind.TERMINATE: self._terminate,
@@ -134,14 +159,15 @@
         try:
             self._machines.start_all()
             helpers = [asyncio.create_task(self._sample()), asyncio.create_task(self._measure_lag())]
+            helpers.append(asyncio.create_task(self._measure_syncs()))
             self._crew.start()
             await self._wait_for_success()
             operator = asyncio.create_task(self._operator.run())
             await self._play_episodes()
+            end = now_us()
             self._operator.stopped = True
             self._crew.stop()
             await asyncio.sleep(STOP_S)
-            end = now_us()
             await self._close()
             await operator
             self._report.violations += await self._operator.check(RECOVER_S)
@@ -151,6 +177,8 @@
             for helper in helpers:
                 helper.cancel()
             self._connections.close()
+            if self._options.output is not None:
+                self._keep(self._options.output / f"seed-{self._report.seed}")
             self._machines.close()
 
     # ---- the run
@@ -166,7 +194,7 @@
         await asyncio.sleep(1)
         deadline = now_us() + self._options.seconds * SECOND
         while now_us() < deadline:
-            episode = draw_episode(self._rng, self._options.core_count)
+            episode = draw_episode(self._rng, self._options.core_count, self._options.kinds)
             machine = self._machine(episode.machine)
             began_at = now_us()
             await self._series[episode.kind](episode, machine)
@@ -195,6 +223,7 @@
     async def _sample(self) -> None:
         while True:
             self._report.last_sizes = self._machines.sizes()
+            self._waits.append((now_us(), self._machines.processor_waits()))
             for name, size in self._report.last_sizes.items():
                 self._report.first_sizes.setdefault(name, size)
                 largest = self._report.largest_sizes.get(name, size)
@@ -208,6 +237,17 @@
             lag = now_us() - before - int(LAG_INTERVAL_S * SECOND)
             self._report.max_lag_us = max(self._report.max_lag_us, lag)
 
+    async def _measure_syncs(self) -> None:
+        """The machines share one disk, whose stalls are no faults of theirs."""
+        while True:
+            before = now_us()
+            await asyncio.to_thread(self._machines.sync_probe)
+            took = now_us() - before
+            self._report.max_sync_us = max(self._report.max_sync_us, took)
+            if took > LONG_SYNC_US:
+                self._long_syncs.append((before, took))
+            await asyncio.sleep(SYNC_PROBE_INTERVAL_S)
+
     def _judge(self, end: int) -> None:
         report, history = self._report, self._crew.history
         try:
@@ -228,6 +268,19 @@
         report.configurations = self._operator.acknowledged_count
         report.configurations_given_up = len(self._operator.given_up)
 
+    def _keep(self, directory: Path) -> None:
+        """Writes what is needed to trace a finding."""
+        directory.mkdir(parents=True, exist_ok=True)
+        self._machines.copy_logs(directory)
+        calls = self._crew.history.calls
+        (directory / "calls.txt").write_text("".join(f"{call}\n" for call in calls))
+        episodes = [f"{each.kind} {each.began_at} to {each.ended_at}\n" for each in self._report.episodes]
+        (directory / "episodes.txt").write_text("".join(episodes))
+        unanswered = [f"{call}\n" for call in self._connections.unanswered]
+        (directory / "waits.txt").write_text("".join(f"{moment} {waits}\n" for moment, waits in self._waits))
+        (directory / "syncs.txt").write_text("".join(f"{moment} {took}\n" for moment, took in self._long_syncs))
+        (directory / "unanswered.txt").write_text("".join(unanswered))
+
     # ---- series of signals
 
     async def _restart(self, episode: Episode, machine: Machine) -> None:
