--- a/oakvale/coordination/watches.py
+++ b/oakvale/coordination/watches.py
@@ -12,20 +12,20 @@
 from typing import Any, Protocol
 from urllib.parse import parse_qsl
 
-import orjson
-
+from oakvale.coordination.answers import NOT_SERVING, RETRY_AFTER, json_answer
 from oakvale.coordination.calls import MAX_INTEGER, ControlCall, InvalidCall, SendAnswer, read_name
 from oakvale.coordination.entries import EventEntry
+from oakvale.coordination.key_groups import MAX_EVENTS
 from oakvale.memory.requests import Answer
 
 MAX_WAITING_WATCHES = 1_000
-MAX_EVENTS_PER_ANSWER = 1_000  # the caller resumes at the last of them
+# The caller resumes at the last event of an answer. Until then it is behind, so these bounds only protect the memory.
+MAX_EVENTS_PER_ANSWER = MAX_EVENTS
+MAX_VALUE_BYTES_PER_ANSWER = 1024 * 1024
 MAX_WAIT_US = 60_000_000
 SERVING_CHECK_INTERVAL_US = 100_000  # while watches wait
 MICROSECONDS_PER_MILLISECOND = 1_000
 DIGITS = "0123456789"
-JSON = (b"content-type", b"application/json")
-RETRY_AFTER = (b"retry-after", b"0.3")  # seconds; for answers that promise that nothing was done
 
 
 class WatchLoop(Protocol):
@@ -107,12 +107,12 @@
         try:
             wanted = read_watch(call)
         except InvalidCall as invalid:
-            return send(_answer(invalid.status, {"error": str(invalid)}))
+            return send(json_answer(invalid.status, {"error": str(invalid)}))
         answer = self._answer_now(wanted.group, wanted.after)
         if answer is not None or not wanted.wait_us:
             return self._send(send, answer or self._empty_answer(wanted.group))
         if self._count >= self._max_waiting:
-            return send(_answer(429, {"error": "too many watches wait"}, RETRY_AFTER))
+            return send(json_answer(429, {"error": "too many watches wait"}, RETRY_AFTER))
         self._add(call, wanted, send)
 
     def puts_in_force(self, groups: Iterable[str]) -> None:
@@ -183,23 +183,24 @@
             return self._empty_answer(group)
         events = self._events(group, after)
         if events is None:
-            return _answer(410, {"error": "after: older than what is remembered"})
+            return json_answer(410, {"error": "after: older than what is remembered"})
         return self._events_answer(group, events) if events else None
 
     def _empty_answer(self, group: str) -> Answer:
         return self._events_answer(group, [])
 
     def _events_answer(self, group: str, events: list[EventEntry]) -> Answer:
-        rev = self._revision(group)
-        if len(events) > MAX_EVENTS_PER_ANSWER:
-            events = events[:MAX_EVENTS_PER_ANSWER]
-            rev = events[-1].rev
-        packed = [{"name": event.name, "val": event.value, "rev": event.rev} for event in events]
-        return _answer(200, {"events": packed, "rev": rev})
-
-
-def _answer(status: int, fields: dict[str, Any], *headers: tuple[bytes, bytes]) -> Answer:
-    return Answer(status, [JSON, *headers], orjson.dumps(fields))
-
-
-NOT_SERVING = _answer(503, {"error": "this replica does not serve"}, RETRY_AFTER)
+        shown = _events_of_one_answer(events)
+        rev = self._revision(group) if len(shown) == len(events) else shown[-1].rev
+        packed = [{"name": event.name, "val": event.value, "rev": event.rev} for event in shown]
+        return json_answer(200, {"events": packed, "rev": rev})
+
+
+def _events_of_one_answer(events: list[EventEntry]) -> list[EventEntry]:
+    """The first events, at least one, up to the bounds of an answer."""
+    size = 0
+    for count, event in enumerate(events[:MAX_EVENTS_PER_ANSWER]):
+        size += len(event.value.encode())
+        if count and size > MAX_VALUE_BYTES_PER_ANSWER:
+            return events[:count]
+    return events[:MAX_EVENTS_PER_ANSWER]
--- a/oakvale/lab/soak/machines.py
+++ b/oakvale/lab/soak/machines.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 import secrets
+import shutil
 import signal
 import socket
 import subprocess
@@ -26,6 +27,7 @@
 PORT_COUNT = 5
 GRACE_S = 6.0  # from SIGTERM to SIGKILL
 POLL_INTERVAL_S = 0.01
+PROBE_BYTES = 512
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -145,6 +147,21 @@
             if "Traceback" in text:
                 yield f"{path.stem}: {text[text.index('Traceback') :][:2000]}"
 
+    def processor_waits(self) -> dict[str, int]:
+        """Microseconds for which each running core process has waited for a processor so far."""
+        return {machine.name: _processor_wait(machine) for machine in self.core if machine.process}
+
+    def sync_probe(self) -> None:
+        """Writes a little to the disk of all machines and waits for it."""
+        with open(self._path / "probe", "ab") as probe:
+            probe.write(bytes(PROBE_BYTES))
+            os.fsync(probe.fileno())
+
+    def copy_logs(self, directory: Path) -> None:
+        """Copies what the processes have logged."""
+        for path in self.log_paths:
+            shutil.copy(path, directory)
+
     def close(self) -> None:
         """Kills every process and deletes the directory."""
         for machine in [*self.core, *self._gateways]:
@@ -215,6 +232,14 @@
         return 0
 
 
+def _processor_wait(machine: Machine) -> int:
+    assert machine.process is not None
+    try:
+        return int(Path(f"/proc/{machine.process.pid}/schedstat").read_text().split()[1]) // 1_000
+    except (OSError, IndexError):
+        return 0
+
+
 def _free_ports(ip: str) -> int:
     """The first of consecutive ports that are free on every loopback address."""
     while True:
