--- a/oakvale/lab/soak/run.py
+++ b/oakvale/lab/soak/run.py
@@ -136,7 +136,7 @@
         self._crew = Crew(self._connections, seed, options.crew_size())
         self._operator = Operator(self._connections, Random(f"operator {seed}"))
         self._stops: list[Stop] = []
-        self._waits: list[tuple[int, dict[str, int]]] = []  # for a processor, by time
+        self._samples: list[str] = []  # time, machine, its size, how long it has waited for a processor
         self._long_syncs: list[tuple[int, int]] = []  # when they began, and how long they took
         self._series: dict[EpisodeKind, Callable[[Episode, Machine], Awaitable[None]]] = {
             EpisodeKind.KILL: self._kill,
@@ -223,7 +223,10 @@
     async def _sample(self) -> None:
         while True:
             self._report.last_sizes = self._machines.sizes()
-            self._waits.append((now_us(), self._machines.processor_waits()))
+            waits = self._machines.processor_waits()
+            self._samples += [
+                f"{now_us()} {name} {size} {waits[name]}" for name, size in self._report.last_sizes.items()
+            ]
             for name, size in self._report.last_sizes.items():
                 self._report.first_sizes.setdefault(name, size)
                 largest = self._report.largest_sizes.get(name, size)
@@ -277,7 +280,7 @@
         episodes = [f"{each.kind} {each.began_at} to {each.ended_at}\n" for each in self._report.episodes]
         (directory / "episodes.txt").write_text("".join(episodes))
         unanswered = [f"{call}\n" for call in self._connections.unanswered]
-        (directory / "waits.txt").write_text("".join(f"{moment} {waits}\n" for moment, waits in self._waits))
+        (directory / "samples.txt").write_text("".join(f"{sample}\n" for sample in self._samples))
         (directory / "syncs.txt").write_text("".join(f"{moment} {took}\n" for moment, took in self._long_syncs))
         (directory / "unanswered.txt").write_text("".join(unanswered))
 
