--- a/oakvale/lab/soak/run.py
+++ b/oakvale/lab/soak/run.py
@@ -37,6 +37,7 @@
 SERIES_COUNT = 3
 EXIT_MARGIN_US = SECOND // 2  # in which callers notice the end of a process
 SHORT_LIFE_S = 0.3
+SHOWN_VIOLATIONS = 12
 MAX_START_DELAY_S = 1.2  # of each machine, after all were killed
 
 
@@ -106,7 +107,9 @@
             first, largest = self.first_sizes[name], self.largest_sizes[name]
             lines.append(f"  {name}: memory {_range(first.memory, largest.memory, last.memory)}, disk ")
             lines[-1] += _range(first.disk, largest.disk, last.disk)
-        return lines + [f"  {violation}" for violation in self.violations]
+        lines += [f"  {violation}" for violation in self.violations[:SHOWN_VIOLATIONS]]
+        hidden = len(self.violations) - SHOWN_VIOLATIONS
+        return lines + ([f"  and {hidden} more"] if hidden > 0 else [])
 
 
 def _range(first: int, largest: int, last: int) -> str:
@@ -280,6 +283,7 @@
         episodes = [f"{each.kind} {each.began_at} to {each.ended_at}\n" for each in self._report.episodes]
         (directory / "episodes.txt").write_text("".join(episodes))
         unanswered = [f"{call}\n" for call in self._connections.unanswered]
+        (directory / "findings.txt").write_text("".join(f"{finding}\n" for finding in self._report.violations))
         (directory / "samples.txt").write_text("".join(f"{sample}\n" for sample in self._samples))
         (directory / "syncs.txt").write_text("".join(f"{moment} {took}\n" for moment, took in self._long_syncs))
         (directory / "unanswered.txt").write_text("".join(unanswered))
