--- a/oakvale/lab/applications/crew.py
+++ b/oakvale/lab/applications/workload.py
@@ -18,7 +18,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class CrewSize:
+class WorkloadSize:
     """How many applications of each kind there are, and how much they share."""
 
     lock_users: int = 10
@@ -33,10 +33,10 @@
     value_padding: int = 0  # characters that end each value
 
 
-class Crew:
+class Workload:
     """The applications; `history` holds all their calls."""
 
-    def __init__(self, surroundings: Surroundings, seed: int, size: CrewSize) -> None:
+    def __init__(self, surroundings: Surroundings, seed: int, size: WorkloadSize) -> None:
         self.history = History()
         self._surroundings, self._seed = surroundings, seed
         self.locks = [f"lock{number}" for number in range(size.locks)]
--- a/oakvale/lab/commands.py
+++ b/oakvale/lab/commands.py
@@ -262,7 +262,7 @@
         raise Wrong(f"--kinds: {error} (there are {', '.join(EpisodeKind)})") from error
     first, count = args.seeds
     output = Path(args.out) if args.out else None
-    options = run.Options(args.seconds, args.cores, args.gateways, args.crews, kinds, output)
+    options = run.Options(args.seconds, args.cores, args.gateways, args.workloads, kinds, output)
     failed = 0
     with Progress(count, "soaks", args.quiet) as bar:
         for number, seed in enumerate(range(first, first + count)):
@@ -416,7 +416,7 @@
     )
     soaked.add_argument("--cores", type=_whole, default=4, help="core machines (default: %(default)s)")
     soaked.add_argument("--gateways", type=int, default=0, help="gateways beside them (default: %(default)s)")
-    soaked.add_argument("--crews", type=_whole, default=1, help="of about 20 applications (default: %(default)s)")
+    soaked.add_argument("--workloads", type=_whole, default=1, help="of about 20 applications (default: %(default)s)")
     soaked.add_argument("--out", metavar="FOLDER", help="keeps logs and calls of each seed")
     soaked.add_argument("--kinds", metavar="KIND,...", help="the kinds of episodes to draw from (all)")
     return whole
--- a/oakvale/lab/soak/run.py
+++ b/oakvale/lab/soak/run.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from random import Random
 
-from oakvale.lab.applications.crew import Crew, CrewSize
+from oakvale.lab.applications.workload import Workload, WorkloadSize
 from oakvale.lab.history.linearizability import SearchLimitExceeded
 from oakvale.lab.history.verdict import check_history
 from oakvale.lab.soak import measures
@@ -48,23 +48,23 @@
     seconds: float
     core_count: int = 4
     gateway_count: int = 0
-    crews: int = 1  # how many times the usual number of applications
+    workloads: int = 1  # how many times the usual number of applications
     kinds: tuple[EpisodeKind, ...] = tuple(EpisodeKind)
     output: Path | None = None  # gets a directory for each seed, with logs, calls and episodes
 
-    def crew_size(self) -> CrewSize:
-        """The applications of all crews, which share locks, counters and keys."""
-        size = CrewSize()
+    def workload_size(self) -> WorkloadSize:
+        """The applications of all workloads, which share locks, counters and keys."""
+        size = WorkloadSize()
         return replace(
             size,
-            lock_users=size.lock_users * self.crews,
-            number_users=size.number_users * self.crews,
-            writers=size.writers * self.crews,
-            readers=size.readers * self.crews,
-            watchers=size.watchers * self.crews,
-            locks=size.locks * self.crews,
-            counters=size.counters * self.crews,
-            groups=size.groups * self.crews,
+            lock_users=size.lock_users * self.workloads,
+            number_users=size.number_users * self.workloads,
+            writers=size.writers * self.workloads,
+            readers=size.readers * self.workloads,
+            watchers=size.watchers * self.workloads,
+            locks=size.locks * self.workloads,
+            counters=size.counters * self.workloads,
+            groups=size.groups * self.workloads,
         )
 
 
@@ -136,7 +136,7 @@
         self._report = Report(seed)
         self._machines = Machines(options.core_count, options.gateway_count)
         self._connections = Connections(lambda: [machine.ctl for machine in self._machines.core])
-        self._crew = Crew(self._connections, seed, options.crew_size())
+        self._workload = Workload(self._connections, seed, options.workload_size())
         self._operator = Operator(self._connections, Random(f"operator {seed}"))
         self._stops: list[Stop] = []
         self._samples: list[str] = []  # time, machine, its size, how long it has waited for a processor
@@ -163,13 +163,13 @@
             self._machines.start_all()
             helpers = [asyncio.create_task(self._sample()), asyncio.create_task(self._measure_lag())]
             helpers.append(asyncio.create_task(self._measure_syncs()))
-            self._crew.start()
+            self._workload.start()
             await self._wait_for_success()
             operator = asyncio.create_task(self._operator.run())
             await self._play_episodes()
             end = now_us()
             self._operator.stopped = True
-            self._crew.stop()
+            self._workload.stop()
             await asyncio.sleep(STOP_S)
             await self._close()
             await operator
@@ -206,15 +206,15 @@
 
     async def _close(self) -> None:
         deadline = now_us() + int(RECOVER_S * SECOND)
-        self._crew.close(deadline)
+        self._workload.close(deadline)
         while now_us() < deadline and not self._is_closing_done():
             await asyncio.sleep(POLL_INTERVAL_S)
 
     def _is_closing_done(self) -> bool:
-        closing = [call for call in self._crew.history.calls if call.closing]
+        closing = [call for call in self._workload.history.calls if call.closing]
         answered = Counter(call.name for call in closing if measures.is_answered(call))
-        expected = Counter([*self._crew.locks, *self._crew.counters, *self._crew.keys])
-        expected.update(watcher.group for watcher in self._crew.watchers)
+        expected = Counter([*self._workload.locks, *self._workload.counters, *self._workload.keys])
+        expected.update(watcher.group for watcher in self._workload.watchers)
         return answered >= expected
 
     def _machine(self, number: int) -> Machine:
@@ -255,7 +255,7 @@
             await asyncio.sleep(SYNC_PROBE_INTERVAL_S)
 
     def _judge(self, end: int) -> None:
-        report, history = self._report, self._crew.history
+        report, history = self._report, self._workload.history
         try:
             report.violations += [str(violation) for violation in check_history(history, RETAIN_US)]
         except SearchLimitExceeded as error:
@@ -278,7 +278,7 @@
         """Writes what is needed to trace a finding."""
         directory.mkdir(parents=True, exist_ok=True)
         self._machines.copy_logs(directory)
-        calls = self._crew.history.calls
+        calls = self._workload.history.calls
         (directory / "calls.txt").write_text("".join(f"{call}\n" for call in calls))
         episodes = [f"{each.kind} {each.began_at} to {each.ended_at}\n" for each in self._report.episodes]
         (directory / "episodes.txt").write_text("".join(episodes))
--- a/tests/coordination_hunt.py
+++ b/tests/coordination_hunt.py
@@ -21,7 +21,7 @@
     retain_us = SHORT_RETAIN_US if options.short_retention else RETAIN_US
     world = CoordinationWorld(seed, real_resources, options.machines, retain_us, options.large_state)
     violations = world.run_schedule(options.faults)
-    for call in world.crew.history.calls:
+    for call in world.workload.history.calls:
         statuses[f"{type(call.request).__name__} {call.result.status if call.result else 'none'}"] += 1
     return violations
 
--- a/tests/coordination_simulation.py
+++ b/tests/coordination_simulation.py
@@ -11,8 +11,8 @@
 from oakvale.controlplane.core import Core, address_of
 from oakvale.coordination.calls import CallHandler, ControlCall
 from oakvale.coordination.service import CoordinationService
-from oakvale.lab.applications.crew import Crew, CrewSize
 from oakvale.lab.applications.wire import HttpAnswer, HttpRequest
+from oakvale.lab.applications.workload import Workload, WorkloadSize
 from oakvale.lab.history.verdict import check_history
 from oakvale.lab.history.violations import Violation
 from oakvale.memory.requests import Answer
@@ -47,7 +47,7 @@
 MakeResources = Callable[["CoordinationWorld", Core, Loop], Resources]
 
 
-class Front:
+class ControlServerModel:
     """The HTTP server of one process: as `ControlServer`, without connections."""
 
     def __init__(self, world: CoordinationWorld, core: Core, life: Life, resources: Resources) -> None:
@@ -105,7 +105,7 @@
         self.retain_us, self._large_state = retain_us, large_state
         self._changes_made = 0
         self.network = Random(f"applications {seed}")  # apart from `rng`, so that faults stay the same
-        self._fronts: dict[Life, Front] = {}
+        self._servers: dict[Life, ControlServerModel] = {}
         self._make_resources = make_resources
         super().__init__(
             seed,
@@ -115,15 +115,15 @@
             on_machine_end=self._end_front,
             machine_zones=ZONES,
         )
-        self.crew = Crew(self, seed, CrewSize(value_padding=LONG_VALUE if large_state else 0))
+        self.workload = Workload(self, seed, WorkloadSize(value_padding=LONG_VALUE if large_state else 0))
 
     def _start_front(self, machine: Machine, loop: Loop) -> None:
         assert machine.core is not None and machine.life is not None
         resources = self._make_resources(self, machine.core, loop)
-        self._fronts[machine.life] = Front(self, machine.core, machine.life, resources)
+        self._servers[machine.life] = ControlServerModel(self, machine.core, machine.life, resources)
 
     def _end_front(self, life: Life) -> None:
-        self._fronts.pop(life).end()
+        self._servers.pop(life).end()
 
     # ---- surroundings of the applications
 
@@ -143,7 +143,7 @@
             if self.network.random() < 0.5:  # refused; otherwise silent
                 self.at(self.now + self.latency(), lambda: on_answer(None))
             return
-        life, front = machine.life, self._fronts[machine.life]
+        life, front = machine.life, self._servers[machine.life]
 
         def receive() -> None:
             machine.run(life, lambda: front.receive(request, on_answer))
@@ -225,7 +225,7 @@
     def run_schedule(self, faults: int) -> list[Violation]:
         """Plays faults in bursts with calm between them, heals all, asks for everything again, and judges."""
         self.run(2 * SECOND)
-        self.crew.start()
+        self.workload.start()
         if self._large_state:
             self._change_for_gateways()
         self.run(3 * SECOND)
@@ -237,11 +237,11 @@
             self.run(8 * SECOND)
             if self.is_fully_replicated():
                 self.power_loss(wiped=[self.rng.choice(self.machines)])
-        self.crew.stop()
+        self.workload.stop()
         self.run(STOP_US)
-        self.crew.close(self.now + RECOVERY_TIME_US)
+        self.workload.close(self.now + RECOVERY_TIME_US)
         self.run(RECOVERY_TIME_US + CLOSING_US)
-        return check_history(self.crew.history, self.retain_us)
+        return check_history(self.workload.history, self.retain_us)
 
 
 def shared_reference() -> MakeResources:
--- a/tests/test_coordination_schedules.py
+++ b/tests/test_coordination_schedules.py
@@ -42,5 +42,5 @@
     for _ in range(2):
         world = CoordinationWorld(7, real_resources)
         world.run_schedule(3)
-        histories.append([str(call) for call in world.crew.history.calls])
+        histories.append([str(call) for call in world.workload.history.calls])
     assert histories[0] == histories[1]
