--- a/oakvale/controlplane/core.py
+++ b/oakvale/controlplane/core.py
@@ -21,7 +21,8 @@
 from oakvale.controlplane.start_state import load_start_state
 from oakvale.controlplane.view_change import ViewManager, ViewOutput
 from oakvale.controlplane.views import Replica, View, bootstrap_view, unpack_replica, unpack_view
-from oakvale.dissemination.feed import HEARTBEAT_INTERVAL_US, READS_COMPRESSED, Publisher
+from oakvale.dissemination.feed import HEARTBEAT_INTERVAL_US, READS_COMPRESSED
+from oakvale.dissemination.publisher import Publisher
 from oakvale.dissemination.table import Entry, Version, gateway_entries
 from oakvale.lifecycle.eventlog import EventLogger
 from oakvale.storage.store import Storage
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -19,8 +19,8 @@
     STALE_AFTER_US,
     SUBSCRIBE_TIMEOUT_US,
     Feed,
-    Publisher,
 )
+from oakvale.dissemination.publisher import Publisher
 from oakvale.dissemination.table import (
     HORIZON_KEY,
     NO_VERSION,
--- a/tests/thin_links.py
+++ b/tests/thin_links.py
@@ -10,7 +10,8 @@
 from oakvale.base.address import Address, format_address
 from oakvale.base.limits import MB, MS, SECOND, Limits
 from oakvale.base.loop import Loop
-from oakvale.dissemination.feed import HEARTBEAT_INTERVAL_US, READS_COMPRESSED, Publisher
+from oakvale.dissemination.feed import HEARTBEAT_INTERVAL_US, READS_COMPRESSED
+from oakvale.dissemination.publisher import Publisher
 from oakvale.dissemination.table import Entry, Table, Version
 from oakvale.dissemination.tree import Member
 from oakvale.lab.simulation.events import Events
