A failing test: long messages in close succession take part slots for ever

This is not the path of a table that is old when it arrives: the restarted gateways held their state 0.2 s after their start, and 5 of the 15 gateways that never received version 28 had not been restarted at all.

Seen in the processes' own output: all 15 are below two relays, edge-bks-1-2 and edge-crb-2-11, which hold version 28 and show parts_in_flight=4, the lowest limit, with parts_waiting=7 and 3. Their subscribers have had no heartbeat for 2.3 s and look for no other source, as the relays announce a long message every 0.3 s.

Cause: a long message queued while the last part of the one before is unacknowledged is sent at once, and its part takes a second slot. The acknowledgements release one of the two. Four such moments, and a process sends no long message any more. Answers to digests, which are long on a subscriber's connection since its threshold is 4 KB, make them.

Test: 2 parts in flight on one connection, expected 1.

--- a/tests/test_message_parts.py
+++ b/tests/test_message_parts.py
@@ -117,3 +117,23 @@
     assert not conn.alive and logged_events == ["peer does not read"]
     cluster.loop.close()
     silent_peer.close()
+
+
+def test_long_messages_in_close_succession_leave_no_part_counted_as_in_flight() -> None:
+    """Relays whose slots were taken for ever sent no configuration, and went on to announce that one was coming."""
+    cluster, text = Cluster(), bytes(MAX_UNSPLIT_BYTES + 1)
+    [(address, received)] = cluster.others
+    transport = cluster.transport
+    conn = transport.link(address)
+    assert conn is not None
+    for sent in (2, 4):
+        transport.tell(address, "a", text)
+        cluster.until(lambda: not conn.sending_long_frame())
+        assert transport.parts_in_flight == 1  # the last part of the first message
+        transport.tell(address, "a", text)
+        assert transport.parts_in_flight == 1
+        cluster.until(lambda sent=sent: len(received) == sent)  # type: ignore[misc]
+    for _ in range(20):
+        cluster.loop.turn(0.01)
+    assert transport.parts_in_flight == 0
+    cluster.loop.close()
