Transport: a connection holds one part slot at most

Cause: a long message queued while the last part of the one before was unacknowledged was sent at once. Its part took a second slot, and the one timer of the connection was overwritten; two acknowledgements released one slot. With as many leaked as the lowest limit allows, nothing long is sent any more.

Now the connection becomes ready by the acknowledgement. Slots are kept by connection, so that none can be counted that no connection holds; the number in flight is worked out from them.

Notices of a long message are repeated by one timer for each connection.

--- a/oakvale/transport/links.py
+++ b/oakvale/transport/links.py
@@ -83,8 +83,8 @@
         self._queued_long_bytes = 0  # without the first long frame
         self._long_offset = 0  # bytes of the first long frame already sent
         self._part_in_flight = False
-        self._part_timer: Timer | None = None  # set while the part counts towards the limit of parts in flight
         self._part_sent_at = 0
+        self._announcing = False  # notices of a long frame are sent
         self._received_parts = bytearray()  # of the long frame being received
         self.last_used = transport.loop.now
         self._task = transport.loop.start(self._run(), sock.fileno(), Priority.COUNTER)
@@ -148,14 +148,18 @@
         self._queued_long_bytes += len(data) if self._long_frames else 0
         self._long_frames.append((kind, data))
         if len(self._long_frames) == 1:
-            self._repeat_long_notice(None)
-            self.transport.ready_for_part.append(self)
-            self.transport.send_parts()
+            if not self._announcing:
+                self._repeat_long_notice(None)
+            if not self._part_in_flight:  # otherwise its acknowledgement makes this connection ready
+                self.transport.ready_for_part.append(self)
+                self.transport.send_parts()
 
     def _repeat_long_notice(self, _: Any) -> None:
-        if self.alive and self._long_frames:
-            self.send_long_notice(0)
-            self.transport.loop.at(self.transport.loop.now + LONG_NOTICE_INTERVAL_US, self._repeat_long_notice)
+        self._announcing = self.alive and bool(self._long_frames)
+        if not self._announcing:
+            return
+        self.send_long_notice(0)
+        self.transport.loop.at(self.transport.loop.now + LONG_NOTICE_INTERVAL_US, self._repeat_long_notice)
 
     def send_long_notice(self, hops: int) -> None:
         """Tells the peer that a long message is on its way to it, `hops` relays after its sender."""
@@ -172,9 +176,9 @@
             self._long_offset = 0
             self._queued_long_bytes -= len(self._long_frames[0][1]) if self._long_frames else 0
         self._part_in_flight = True
-        self.transport.parts_in_flight += 1
         self._part_sent_at = self.transport.loop.now
-        self._part_timer = self.transport.loop.at(self._part_sent_at + PART_ACK_TIMEOUT_US, self._part_timed_out)
+        timer = self.transport.loop.at(self._part_sent_at + PART_ACK_TIMEOUT_US, self._part_timed_out)
+        self.transport.part_slots[self] = timer
         self._transmit(encode("part", 1, [part, last, 0]))
 
     def _part_timed_out(self, _: Any) -> None:
@@ -182,17 +186,16 @@
         self._release_part_slot()
 
     def _release_part_slot(self) -> None:
-        if self._part_timer is not None:
-            cancel_timer(self._part_timer)
-            self._part_timer = None
-            self.transport.parts_in_flight -= 1
+        timer = self.transport.part_slots.pop(self, None)
+        if timer is not None:
+            cancel_timer(timer)
             self.transport.send_parts()
 
     def _part_acknowledged(self) -> None:
         if self._part_in_flight:
             self._part_in_flight = False
-            if self._part_timer is not None:
-                transport = self.transport
+            transport = self.transport
+            if self in transport.part_slots:
                 transport.part_window.acknowledged(transport.loop.now - self._part_sent_at, transport.parts_in_flight)
             if self._long_frames:
                 self.transport.ready_for_part.append(self)
@@ -332,7 +335,7 @@
         self._incoming: set[Connection] = set()
         self._last_number = 0
         self.ready_for_part: deque[Connection] = deque()  # have a long frame to send and no part of it in flight
-        self.parts_in_flight = 0
+        self.part_slots: dict[Connection, Timer] = {}  # parts in flight: at most one on a connection
         self.part_window = PartWindow()
         self.long_notice_at = -UNACKNOWLEDGED_TIMEOUT_MS * 1000  # latest notice that a long message is on its way here
         self.long_notice_hops = 0  # relays between the sender of that message and the peer that sent the notice
@@ -365,6 +368,11 @@
         except OSError:
             pass  # already closed; the first read reports it
 
+    @property
+    def parts_in_flight(self) -> int:
+        """Parts sent a moment ago and not acknowledged yet, over all connections."""
+        return len(self.part_slots)
+
     def send_parts(self) -> None:
         """Sends parts of long frames, connection by connection, up to the limit of parts in flight."""
         while self.parts_in_flight < self.part_window.size and self.ready_for_part:
