Transport: a long message is announced only while such messages make progress

What callers saw: gateways below a relay that could send nothing long stayed with an older configuration for good. The notice that a long message is on its way keeps a gateway from asking another source, and it was repeated for as long as the message was queued, whether or not anything moved.

The class: what is said to be on its way counts as if it had been received.

test_a_long_message_that_makes_no_progress_is_not_announced: with the condition switched off, notices went on to the end of the test; now they end after STALLED_US.

--- a/oakvale/transport/links.py
+++ b/oakvale/transport/links.py
@@ -35,6 +35,7 @@
 MIN_PARTS_IN_FLIGHT, MAX_PARTS_IN_FLIGHT = 4, 1_024  # over all connections
 PART_DELAY_US = 200_000  # with later acknowledgements, fewer parts are in flight: short frames would wait behind them
 PART_ACK_TIMEOUT_US = 1_000_000  # after this, an unacknowledged part no longer counts as in flight
+STALLED_US = 1_000_000  # without any acknowledgement of a part for this long, long frames make no progress
 LONG_NOTICE_INTERVAL_US = 300_000  # between notices to a peer that a long message is being sent to it
 IDLE_TIMEOUT_US = 20_000_000  # unused links are closed
 READ_BYTES = 64 * 1024
@@ -81,6 +82,7 @@
         # Kind and encoded frame: the long frame being sent in parts, then the frames queued behind it.
         self._long_frames: deque[tuple[str, bytes]] = deque()
         self._queued_long_bytes = 0  # without the first long frame
+        self._long_queued_at = 0  # when the first long frame of those queued now was
         self._long_offset = 0  # bytes of the first long frame already sent
         self._part_in_flight = False
         self._part_sent_at = 0
@@ -148,6 +150,7 @@
         self._queued_long_bytes += len(data) if self._long_frames else 0
         self._long_frames.append((kind, data))
         if len(self._long_frames) == 1:
+            self._long_queued_at = self.transport.loop.now
             if not self._announcing:
                 self._repeat_long_notice(None)
             if not self._part_in_flight:  # otherwise its acknowledgement makes this connection ready
@@ -158,7 +161,8 @@
         self._announcing = self.alive and bool(self._long_frames)
         if not self._announcing:
             return
-        self.send_long_notice(0)
+        if self.transport.sends_parts(self._long_queued_at):
+            self.send_long_notice(0)
         self.transport.loop.at(self.transport.loop.now + LONG_NOTICE_INTERVAL_US, self._repeat_long_notice)
 
     def send_long_notice(self, hops: int) -> None:
@@ -195,6 +199,7 @@
         if self._part_in_flight:
             self._part_in_flight = False
             transport = self.transport
+            transport.last_part_acknowledged_at = transport.loop.now
             if self in transport.part_slots:
                 transport.part_window.acknowledged(transport.loop.now - self._part_sent_at, transport.parts_in_flight)
             if self._long_frames:
@@ -336,6 +341,7 @@
         self._last_number = 0
         self.ready_for_part: deque[Connection] = deque()  # have a long frame to send and no part of it in flight
         self.part_slots: dict[Connection, Timer] = {}  # parts in flight: at most one on a connection
+        self.last_part_acknowledged_at = 0
         self.part_window = PartWindow()
         self.long_notice_at = -UNACKNOWLEDGED_TIMEOUT_MS * 1000  # latest notice that a long message is on its way here
         self.long_notice_hops = 0  # relays between the sender of that message and the peer that sent the notice
@@ -373,6 +379,11 @@
         """Parts sent a moment ago and not acknowledged yet, over all connections."""
         return len(self.part_slots)
 
+    def sends_parts(self, queued_at: int) -> bool:
+        """Whether long frames make progress: one queued at `queued_at` has not waited in vain. Without any, a peer is
+        not told that a message is coming, so that it looks elsewhere."""
+        return self.loop.now - max(queued_at, self.last_part_acknowledged_at) < STALLED_US
+
     def send_parts(self) -> None:
         """Sends parts of long frames, connection by connection, up to the limit of parts in flight."""
         while self.parts_in_flight < self.part_window.size and self.ready_for_part:
--- a/tests/test_message_parts.py
+++ b/tests/test_message_parts.py
@@ -30,6 +30,7 @@
         self.loop = Loop(Clock(), Limits.fill(256, 192 << 20, 250_000, 30_000_000, 80_000, 100))
         self.transport = Transport(self.loop, ("127.0.0.1", 0))
         self.others: list[tuple[tuple[str, int], list[Any]]] = []
+        self.receivers: list[Transport] = []
         for _ in range(others):
             sock = socket.create_server(("127.0.0.1", 0))
             address: tuple[str, int] = sock.getsockname()
@@ -41,6 +42,7 @@
                     (kind, body)
                 ) or answer(body)
             self.others.append((address, received))
+            self.receivers.append(other)
 
     def until(self, condition: Callable[[], bool]) -> None:
         for _ in range(20_000):
@@ -137,3 +139,26 @@
         cluster.loop.turn(0.01)
     assert transport.parts_in_flight == 0
     cluster.loop.close()
+
+
+def test_a_long_message_that_makes_no_progress_is_not_announced(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Gateways waited without heartbeats, and asked no other source, for as long as their relay announced one."""
+    monkeypatch.setattr(links, "MIN_PARTS_IN_FLIGHT", 1)
+    monkeypatch.setattr(links, "STALLED_US", 150_000)
+    monkeypatch.setattr(links, "LONG_NOTICE_INTERVAL_US", 20_000)
+    cluster = Cluster()
+    [(address, received)], [receiver] = cluster.others, cluster.receivers
+    silent_peer = socket.create_server(("127.0.0.1", 0))
+    cluster.transport.tell(silent_peer.getsockname(), "a", bytes(10 * MAX_UNSPLIT_BYTES))
+    cluster.until(lambda: cluster.transport.parts_in_flight == 1)
+    queued_at = cluster.loop.now
+    cluster.transport.tell(address, "a", bytes(MAX_UNSPLIT_BYTES + 1))
+    cluster.until(lambda: cluster.loop.now - queued_at > 500_000)
+    assert receiver.long_notice_at >= queued_at and not received
+    assert receiver.long_notice_at - queued_at <= 200_000
+    silent_connection = cluster.transport.link(silent_peer.getsockname())
+    assert silent_connection is not None
+    silent_connection.end()
+    cluster.until(lambda: bool(received))
+    cluster.loop.close()
+    silent_peer.close()
