Dissemination: a relay tells its subscribers of entries that a complete table removed

Its subscribers were sent the entries that changed; of the removed ones no tombstone is left, so they kept them, a backend that is gone for instance.

Subscribers are now sent the complete table in that case. The test failed before: only the changed entry was sent.

--- a/oakvale/dissemination/feed.py
+++ b/oakvale/dissemination/feed.py
@@ -198,8 +198,11 @@
         stamp = Stamp.unpack(body[3]) if is_stamped else None
         if stamp is not None:
             self.freshness.received(stamp)
+        removed: set[str] = set()
         if horizon is not None:
+            held = self.table.live_keys()
             changed = self.table.replace_all(entries, (int(horizon[0]), int(horizon[1])))
+            removed = held - self.table.live_keys() - {key for key, _, _ in entries}
         else:
             changed = self.table.put(entries)
         fresh = heartbeat > self.heartbeat
@@ -214,7 +217,9 @@
             self._requests_since_fresh = 0
         if self.freshness.needs_calibration(self.loop.now):
             self._calibrate(conn)
-        if fresh or changed:
+        if removed:  # no tombstone is left to tell subscribers of it
+            self.publisher.publish_complete_table(self.heartbeat)
+        elif fresh or changed:
             keys = set(changed)
             self.publisher.publish(self.heartbeat, [entry for entry in entries if entry[0] in keys])
         if changed:
--- a/oakvale/dissemination/publisher.py
+++ b/oakvale/dissemination/publisher.py
@@ -139,6 +139,16 @@
             else:
                 self._send_deferred(conn)
 
+    def publish_complete_table(self, heartbeat: Version) -> None:
+        """Sends the complete table to all subscribers: it lacks entries that they may hold."""
+        self._heartbeat = heartbeat
+        for conn in list(self._subscribers):
+            self._subscribers[conn] = NO_VERSION
+            if conn.is_congested() or conn in self._in_flight:
+                conn.on_writable = self._send_deferred
+            else:
+                self._send_deferred(conn)
+
     def _defer(self, conn: Connection, entries: list[Entry]) -> None:
         """Records which entries the subscriber still needs. A skipped heartbeat needs none: another follows."""
         deferred = self._subscribers[conn]
--- a/oakvale/dissemination/table.py
+++ b/oakvale/dissemination/table.py
@@ -85,6 +85,10 @@
             if value is not None and key.startswith(prefix)
         ]
 
+    def live_keys(self) -> set[str]:
+        """Keys of all entries that are not deleted."""
+        return {key for key, (_, value) in self._all() if value is not None}
+
     def put(self, entries: Iterable[Entry]) -> list[str]:
         """Applies the entries that are newer than the held ones; returns their keys and those of dropped tombstones."""
         changed = []
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -684,3 +684,28 @@
         fleet.net.run(SECOND)
     fleet.net.run(SECOND)
     assert [node for node, feed in fleet.feeds.items() if feed.table.get("a") != 1] == []
+
+
+def test_subscribers_of_a_relay_behind_the_compaction_horizon_lose_what_was_deleted() -> None:
+    """The relay is sent the complete table, which lacks the entry and its dropped tombstone alike."""
+    fleet = Fleet(1, 1)
+    feed, sent = fleet.feeds["n0"], list[Any]()
+    feed._on_changed = lambda keys: None
+    feed.table.put([("deleted", (1, 1), 1), ("kept", (1, 2), 2)])
+
+    class Subscriber:
+        alive, on_close = True, list[Any]()
+
+        def send(self, kind: str, number: int, body: Any) -> None:
+            sent.append((unpack(body[1]), body[2]))
+
+        def is_congested(self) -> bool:
+            return False
+
+    subscriber = cast(Any, Subscriber())
+    feed.publisher.subscribe(subscriber, (1, 2), (1, 1))
+    sent.clear()
+    feed._receive_updates(cast(Any, None), [[1, 5], [["kept", 1, 2, 2], ["new", 3, 1, 3]], [2, 9]], lambda answer: None)
+    assert sent == [([("kept", (1, 2), 2), ("new", (3, 1), 3)], [2, 9])]
+    feed._receive_updates(cast(Any, None), [[1, 6], [["new", 3, 2, 4]], None], lambda answer: None)
+    assert sent[1:] == [([("new", (3, 2), 4)], None)]
--- a/tests/test_stale_start.py
+++ b/tests/test_stale_start.py
@@ -18,7 +18,6 @@
 from oakvale.base.loop import Loop
 from oakvale.config.settings import Settings, decode
 from oakvale.dataplane.gateway import EdgeGateway
-from oakvale.dissemination.feed import HEARTBEAT_INTERVAL_US
 from oakvale.dissemination.tree import Member
 from oakvale.lab.simulation.machines import Process
 from oakvale.memory.requests import ClientRequest
