Dissemination: a version that heartbeats tell of and that does not come is asked for

A running gateway judged its source by heartbeats alone. One that lost an update, or whose relay did not send it, found out by the comparison of digests, each 5 s, past `apply` of 4 and 2.5 s.

The stamps of heartbeats name the newest version in force. A gateway that has lacked one for 0.6 s compares digests with its source at once, also a relay with its own.

--- a/oakvale/dissemination/feed.py
+++ b/oakvale/dissemination/feed.py
@@ -29,6 +29,7 @@
 CALIBRATION_TIMEOUT_US = 500_000  # of a question how the clocks relate; the next update asks again
 RETRY_DELAY_US = 60_000  # between a rejected subscription and the next source
 REPAIR_INTERVAL_US = 5_000_000  # between comparisons of table digests
+LAG_REPAIR_US = 600_000  # entries that heartbeats tell of and that are late by this are asked for by digests
 READS_COMPRESSED = "zlib"  # field of a subscription; earlier versions lack it
 FAILED_SOURCE_RETRY_US = 20 * STALE_AFTER_US  # then a failure no longer counts against a source
 
@@ -54,6 +55,7 @@
         self.heartbeat: Version = NO_VERSION
         self.last_fresh_at = 0  # when the latest new heartbeat arrived
         self._calibrating = False
+        self._repair_requested_at = loop.now
         self._source: Address | None = None
         self._previous_source: Address | None = None  # sends updates until the new source accepts the subscription
         self._requested_at = 0
@@ -118,6 +120,8 @@
         if not self.is_fresh():
             if now - self._requested_at >= SUBSCRIBE_TIMEOUT_US and not long_message_incoming:
                 self._try_next_source(now)
+        elif self._lags(now) and not long_message_incoming:
+            self._compare_digests()
         elif not self._best_source_checked and now - self._requested_at > STALE_AFTER_US:
             self._best_source_checked = True
             best = self._candidate_sources(self._failed_at)
@@ -125,6 +129,10 @@
                 self.switch_to(best[0])
         self.loop.at(now + HEARTBEAT_INTERVAL_US // 2, self._tick)
 
+    def _lags(self, now: int) -> bool:
+        """Whether heartbeats come without the entries that they tell of, which were not asked for lately."""
+        return self.freshness.lag(now) > LAG_REPAIR_US and now - self._repair_requested_at > LAG_REPAIR_US
+
     def _try_next_source(self, now: int) -> None:
         if self._source is not None:
             self._failed_at[f"{self._source[0]}:{self._source[1]}"] = now
@@ -264,6 +272,10 @@
 
     def _request_repair(self, _: Any) -> None:
         self.loop.at(self.loop.now + REPAIR_INTERVAL_US, self._request_repair)
+        self._compare_digests()
+
+    def _compare_digests(self) -> None:
+        self._repair_requested_at = self.loop.now
         if self._source is not None and self.is_fresh():
             self.transport.ask(self._source, "digests", self.table.digests(), STALE_AFTER_US, self._apply_repair)
 
@@ -274,6 +286,7 @@
             if (int(horizon[0]), int(horizon[1])) < self.table.horizon:
                 return  # the source may still hold entries that were deleted and compacted here
             changed = self.table.put(entries)
+            self.freshness.table_reached(self.table.highest_version)
             if changed:
                 log_event("table mended", "warning", entries=len(changed))
                 self.publisher.publish(self.heartbeat, [entry for entry in entries if entry[0] in set(changed)])
--- a/oakvale/dissemination/freshness.py
+++ b/oakvale/dissemination/freshness.py
@@ -51,13 +51,21 @@
     asked_at: int
 
 
+@dataclass(slots=True)
+class PendingVersion:
+    """A version that the table has not reached: the first and the latest stamp that told of it."""
+
+    first: Stamp
+    latest: Stamp
+
+
 class Freshness:
     """Tracks the stamps received, and as of which moment of the own clock the table is current."""
 
     def __init__(self) -> None:
         self._latest: Stamp | None = None
         self._reached: Stamp | None = None  # the latest stamp whose version the table holds
-        self._pending: list[Stamp] = []  # newer ones, one for each version
+        self._pending: list[PendingVersion] = []  # in order
         self._calibration: Calibration | None = None
         self._current_as_of: int | None = None
 
@@ -71,16 +79,17 @@
         if self._latest is not None and stamp <= self._latest:
             return
         self._latest = stamp
-        if self._pending and self._pending[-1].version == stamp.version:
-            self._pending.pop()
-        self._pending.append(stamp)
+        if self._pending and self._pending[-1].latest.version == stamp.version:
+            self._pending[-1].latest = stamp
+        else:
+            self._pending.append(PendingVersion(stamp, stamp))
         if len(self._pending) > MAX_PENDING_STAMPS:
             del self._pending[1]  # the first is the next to be reached
 
     def table_reached(self, version: Version) -> None:
         """The table holds all entries that were in force up to this version."""
-        while self._pending and self._pending[0].version <= version:
-            self._reached = self._pending.pop(0)
+        while self._pending and self._pending[0].latest.version <= version:
+            self._reached = self._pending.pop(0).latest
         self._update()
 
     def arrived_unstamped(self, now: int) -> None:
@@ -120,9 +129,14 @@
         """For how long entries may have been in force that the table lacks; None if that is not known."""
         return None if self._current_as_of is None else now - self._current_as_of
 
+    def lag(self, now: int) -> int:
+        """How long ago, at most, the oldest version that the table lacks was told of first; 0 if it lacks none."""
+        age_us = self.age_of(self._pending[0].first, now) if self._pending else None
+        return age_us if age_us is not None else 0
+
     def missing_version(self) -> Version:
         """The oldest version that is known to be in force and that the table has not reached; NO_VERSION if none is."""
-        return self._pending[0].version if self._pending else NO_VERSION
+        return self._pending[0].latest.version if self._pending else NO_VERSION
 
     def _update(self) -> None:
         reached, calibration = self._reached, self._calibration
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -41,6 +41,18 @@
     assert ages == [4_000, 4_000, 2_000, 1_000]
 
 
+def test_the_lag_counts_from_the_first_stamp_of_a_version() -> None:
+    freshness = Freshness()
+    freshness.calibrate(0, stamp(0, 1), 0)
+    for made_at, sequence in ((2_000, 5), (3_000, 5), (4_000, 9)):
+        freshness.received(stamp(made_at, sequence))
+    lags = [freshness.lag(5_000)]
+    for sequence in (5, 9):
+        freshness.table_reached((3, sequence))
+        lags.append(freshness.lag(5_000))
+    assert lags == [3_000, 1_000, 0]
+
+
 def test_the_age_that_a_relay_tells_counts_in_full() -> None:
     freshness = Freshness()
     freshness.calibrate(10_000, stamp(100, 1), 3_000)
--- a/tests/test_stale_start.py
+++ b/tests/test_stale_start.py
@@ -1,4 +1,4 @@
-"""Gateways that start while a change is made: what they serve by may have been replaced while it was on its way.
+"""Gateways whose state is older than it looks: at a start while a change is made, after a freeze, after a lost update.
 
 The state of each is long on its way over a thin link. A change is in force after `apply` everywhere, also at a gateway
 that started a moment ago and at one whose start fell into the way of the change.
@@ -18,6 +18,7 @@
 from oakvale.base.loop import Loop
 from oakvale.config.settings import Settings, decode
 from oakvale.dataplane.gateway import EdgeGateway
+from oakvale.dissemination.feed import HEARTBEAT_INTERVAL_US, REPAIR_INTERVAL_US
 from oakvale.dissemination.tree import Member
 from oakvale.lab.simulation.machines import Process
 from oakvale.memory.requests import ClientRequest
@@ -25,6 +26,7 @@
 from tests.thin_links import CORE_ADDRESS, PORT, Deployment, tenants_text
 
 APPLY_US = 4 * SECOND  # of the large deployments
+SMALL_APPLY_US = 2_500 * MS  # of the small ones
 RECOVER_US = 15 * SECOND
 REVOKE_US = 5 * SECOND
 PROBE_INTERVAL_US = 50 * MS
@@ -176,3 +178,22 @@
         accepted.append(accepts_revoked_key(gateway))
     assert not any(accepted) and gateway.router.snapshot.generation == 2
     assert gateway.router.revocations_current()
+
+
+@pytest.mark.parametrize("number", range(6))
+def test_a_change_that_is_lost_on_its_way_is_asked_for_within_the_apply_bound(number: int) -> None:
+    """Heartbeats go on, so that the source looks sound; they tell of a version that never came."""
+    deployment = Deployment(1, make_gateway, config(1, 1_000, [REVOKED_KEY])["text"], gateways=6)
+    deployment.run(REPAIR_INTERVAL_US + SECOND)  # the tables are compared anyway in each such interval
+    gateway = deployment.gateways()[number]
+    receive = gateway.feed.transport.handlers["news"]
+
+    def lose_entries(conn: Any, body: Any, answer: Any) -> None:
+        receive(conn, [body[0], [], *body[2:]], answer)
+
+    gateway.feed.transport.handlers["news"] = lose_entries
+    deployment.change("config", config(2, 1_000, []))
+    deployment.run(HEARTBEAT_INTERVAL_US // 2)
+    gateway.feed.transport.handlers["news"] = receive
+    deployment.run(SMALL_APPLY_US - HEARTBEAT_INTERVAL_US // 2)
+    assert gateway.router.snapshot.generation == 2
