--- a/oakvale/config/model.py
+++ b/oakvale/config/model.py
@@ -24,8 +24,8 @@
 
 MINUTE_US = 60_000_000
 DIGEST_BYTES = 16
-SINGLE_STEP_MAX_BYTES = 100_000  # a larger text is parsed in several steps
-ROWS_PER_STEP = 4_000
+SINGLE_STEP_MAX_BYTES = 100_000  # a larger text is parsed in several steps; some 15 ms in one
+ROWS_PER_STEP = 4_000  # rows that are checked in one step, about 20 ms
 DurationUs = Annotated[int, BeforeValidator(parse_duration)]
 
 
--- a/oakvale/controlplane/compaction.py
+++ b/oakvale/controlplane/compaction.py
@@ -14,7 +14,7 @@
 
 COMPACTION_INTERVAL_US = 10_000_000
 RETENTION_US = 90_000_000  # how long delayed heartbeats of a backend that left are recognised and tombstones are kept
-MAX_MARKERS_PER_CHANGE = 200
+MAX_MARKERS_PER_CHANGE = 200  # markers that go in one change
 
 log_event = EventLogger(__name__)
 
--- a/oakvale/drains/planning.py
+++ b/oakvale/drains/planning.py
@@ -15,7 +15,7 @@
 
 from oakvale.drains.hours import ALWAYS, DAY_US, FOREVER_US, SECOND_US, Calendar, Contract, Window, first_common_window
 
-HOURS_MARGIN_US = 10 * SECOND_US  # tolerates clocks that step by seconds
+HOURS_MARGIN_US = 10 * SECOND_US  # hours open this much later and close this much earlier: clocks step by seconds
 GATEWAY_LEAD_US = 20 * SECOND_US  # two health checks of the platform, then 15 s of idle connections
 PUBLIC_TENANT = ""  # the tenant of requests without an API key
 DEFAULT_CONTRACT = "*"  # the contract of tenants without one of their own
--- a/oakvale/failover/chains.py
+++ b/oakvale/failover/chains.py
@@ -22,7 +22,7 @@
 
 from oakvale.failover.places import Hierarchy
 
-HEADROOM = 1.0  # share of the capacity of a zone that is planned with
+HEADROOM = 1.0  # share of the capacity of a zone; the bounded queue and the reserve keep answers within aims
 RESERVED_SHARE = 0.03  # of a limit; for gateways that do not know yet whether they can reach the holder
 
 
--- a/oakvale/failover/evacuation.py
+++ b/oakvale/failover/evacuation.py
@@ -11,11 +11,11 @@
 from enum import Enum
 
 MIN_EVACUATION_US = 1_500_000  # enough for requests in flight to end and for one heartbeat of its backends
-MAX_DOUBLINGS = 6  # of the evacuation time
+MAX_DOUBLINGS = 6  # of the evacuation time, up to a minute and a half
 FORGIVE_AFTER_US = 60_000_000  # time in service that clears one recent failure
 PROBE_INTERVAL_US = 1_000_000  # between two probes of a location that has not come back
 PROBE_OVERDUE_US = 3_000_000
-RAMP_SHARES = (0.125, 0.25, 0.5)  # of the limit; backends with cold caches are slower
+RAMP_SHARES = (0.125, 0.25, 0.5)  # of the limit; backends with cold caches are slower by half or so
 MIN_RAMP_STEP_US = 500_000
 MIN_RAMP_SUCCESSES = 2  # in each step
 
--- a/oakvale/failover/failure_detector.py
+++ b/oakvale/failover/failure_detector.py
@@ -11,9 +11,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-ANSWER_TIMEOUT_FACTOR = 3.0  # times the typical latency; few single requests take longer
+ANSWER_TIMEOUT_FACTOR = 3.0  # times the typical latency; about one request in twenty takes longer, hardly all do
 SINGLE_REQUEST_TIMEOUT_FACTOR = 6.0  # with only one open request, as is common at a small location
-MIN_CONSECUTIVE_FAILURES = 3  # failed attempts without a response between them
+MIN_CONSECUTIVE_FAILURES = 3  # broken off without a response between them; these come fast, so fewer are waited for
 MIN_OBSERVERS = 2
 OBSERVER_LIFETIME_US = 30_000_000  # a gateway that has sent nothing for so long is no longer an observer
 
--- a/oakvale/failover/spill.py
+++ b/oakvale/failover/spill.py
@@ -18,7 +18,7 @@
 TICK_INTERVAL_US = 50_000
 GIVEN_UP_FACTOR = 1.5  # times the typical latency after which a cancelled attempt counts as a failure
 COLD_LATENCY_FACTOR = 2.5  # times the typical latency that a returning location may take
-OVERLOAD_ATTEMPTS_PER_SLOT = 1.5  # open attempts, besides those that the limit lets wait
+OVERLOAD_ATTEMPTS_PER_SLOT = 1.5  # open attempts, besides those that the limit lets wait: half as many again
 MIN_RETRY_SPREAD_S = 0.5  # spreads the retries of refused requests, which would otherwise arrive together
 FLOW_LOG_INTERVAL_US = 500_000
 BUSIEST_TENANT_POSITION = 1.5  # beyond 1, the position of the lowest rank
--- a/oakvale/failover/spill_limit.py
+++ b/oakvale/failover/spill_limit.py
@@ -11,9 +11,9 @@
 
 SECOND_US = 1_000_000
 MAX_SAVED_S = 0.1  # unused capacity that may be used later, since arrivals are bursty
-LONG_REQUEST_FACTOR = 1.5  # times the mean cost that a request is assumed to take
+LONG_REQUEST_FACTOR = 1.5  # times the mean cost that a request is assumed to take: one of four takes longer
 LOWEST_RANK_RESERVE = 0.6  # share of the queue that the lowest rank leaves to the highest; linear between them
-OVERLOAD_FACTOR = 0.8  # applied to the limit on each sign of overload
+OVERLOAD_FACTOR = 0.8  # applied to the limit on each sign of overload: half of it is reached in four steps
 MIN_OVERLOAD_INTERVAL_US = 400_000  # the queue must have time to follow a reduction
 MIN_CAPACITY_FACTOR = 0.25
 RECOVERY_PER_SECOND = 0.04  # share of the limit; several times slower than the reductions, to avoid oscillation
--- a/oakvale/policy/admission.py
+++ b/oakvale/policy/admission.py
@@ -61,7 +61,7 @@
         key = index, wait // slot_us
         self.wait_counts[key] = self.wait_counts.get(key, 0) + (context.now > context.resumed_at)
         usual = slot_us * max((n, slot) for (c, slot), n in self.wait_counts.items() if c == index)[1]
-        if context.now == context.resumed_at and wait < usual:
+        if context.now == context.resumed_at and wait < usual:  # it came while this gateway was paused
             return min(context.paused_for, usual - wait)
         return 0 if -slot_us <= wait - usual < 2 * slot_us else max(0, request_class.deadline - wait)
 
--- a/oakvale/policy/attempts.py
+++ b/oakvale/policy/attempts.py
@@ -61,7 +61,7 @@
             return self.context.actions.append(Cancel(request_id, hop))
         if not lost:
             return self.schedule_check(pending, hop, int(0.2 * aim))
-        if backend.in_flight.pop((request_id, hop), 0):
+        if backend.in_flight.pop((request_id, hop), 0):  # lost answers would block a small limit
             self.health.add_sample(backend, (now - sent_at) / units)
 
     def on_head(self, event: Head) -> None:  # the head of an answer has arrived
--- a/oakvale/policy/health.py
+++ b/oakvale/policy/health.py
@@ -31,7 +31,7 @@
         now, sample = self.context.now, event.latency / max(units, 1.0)  # per unit
         if event.ending is Ending.SERVED:
             backend.answered_at, backend.ejected_until = now, backend.ejected_until * (backend.failures > 1)
-            backend.failures = max(0, backend.failures - 1)
+            backend.failures = max(0, backend.failures - 1)  # each answer takes one failure off
             self.add_sample(backend, sample)
             self.latency = self.latency + EWMA_WEIGHT * (sample - self.latency) if self.latency else sample
             self.answers = min(self.answers + 1, MIN_BASELINE_ANSWERS)
@@ -52,7 +52,7 @@
         backend.latency, backend.latency_at = known + 2 * EWMA_WEIGHT * (sample - known), self.context.now
 
     def eject(self, backend: Backend) -> None:
-        """Sends it nothing for a while, doubled with each failure: one that fails at once looks idle."""
+        """Sends it nothing for a while: one that fails at once looks idle and would draw all traffic."""
         if backend.ejected_until <= self.context.now:
-            backend.failures = min(backend.failures + 1, 5)
+            backend.failures = min(backend.failures + 1, 5)  # for a 16th of the aim at first, at most the aim
             backend.ejected_until = self.context.now + (self.context.min_aim << backend.failures >> 5)
--- a/oakvale/policy/lending.py
+++ b/oakvale/policy/lending.py
@@ -5,7 +5,7 @@
 from oakvale.policy.records import BATCH_INTERVAL_US, EPOCH_US, REJECTED, SECOND_US, quota_window
 from oakvale.policy_records import Context, PendingRequest
 
-CAPACITY_RATIO = 1.3  # assumed capacity over the sum of quotas in use
+CAPACITY_RATIO = 1.3  # assumed capacity over the sum of quotas in use; the design starts R there
 
 
 class Lending:  # global counts of quotas and of lent units, and the decision whether a request may borrow
@@ -28,7 +28,7 @@
                 self.counts[kind] = self.added[kind] = 0.0
 
     def send_batch(self) -> None:
-        """Sends the global counts where of use; few, as those of many gateways would overload the counter."""
+        """Sends the global counts where of use; few, as those of 300 gateways would overload the counter."""
         self.start_periods()
         for kind, amount in self.added.items():
             wanted = amount > 0 or self.context.now - self.wanted_at < 2 * BATCH_INTERVAL_US
@@ -44,7 +44,7 @@
             return  # the global count of an earlier period
         if answered:
             self.read_at = self.context.now
-            self.counter_reset |= event.level < 0.999 * self.counts[kind]  # the counter lost it: lend nothing
+            self.counter_reset |= event.level < 0.999 * self.counts[kind]  # lost there: slack looks wide
             self.counts[kind] = max(event.level, self.counts[kind])
         elif event.ending in REJECTED:
             self.counts[kind] -= amount
--- a/oakvale/policy/limits.py
+++ b/oakvale/policy/limits.py
@@ -6,7 +6,7 @@
 from oakvale.policy.records import SECOND_US
 from oakvale.policy_records import Backend, ConcurrencyLimit, Context, PendingRequest
 
-OVERLOAD_RATIO = 1.3  # latency over its baseline from which a backend counts as overloaded
+OVERLOAD_RATIO = 1.3  # latency over baseline: a backend this much slower holds more than it has cores for
 MIN_IN_FLIGHT = 2.0  # least limit of a backend over all gateways: keeps the smallest one busy
 
 
@@ -20,9 +20,9 @@
         latency, rejected = self.health.latency, self.context.now - self.rejected_at < SECOND_US
         return rejected or latency > OVERLOAD_RATIO * (self.health.baseline or latency)
 
-    def adapt(self, backend: Backend, ending: Ending) -> None:  # adapts the limits after a latency sample
+    def adapt(self, backend: Backend, ending: Ending) -> None:  # on a sample; against jams of any cause
         self.adjust(backend.limit, len(backend.in_flight), self.health.latency_of(backend), self.min_limit)
-        if ending is Ending.SERVED:
+        if ending is Ending.SERVED:  # one of many gateways seldom hears one backend: it learns by the sum
             in_flight = sum(len(x.in_flight) for x in self.context.backends.values())
             self.adjust(self.total, in_flight, self.health.latency, 1.0)
 
@@ -42,7 +42,7 @@
         return min(aimed, deadline) - self.context.now
 
     def within_ceiling(self, pending: PendingRequest) -> bool:
-        """Takes the units from this gateway's share of a ceiling, which is empty after a restart."""
+        """Takes units from this gateway's share of a ceiling; empty at first: an earlier life spent it."""
         customer, plan, now = pending.customer, pending.customer.plan, self.context.now
         elapsed = now - max(customer.ceiling_at, self.context.started_at)
         filled = customer.ceiling_left + plan.ceiling_rate / customer.gateways * elapsed / SECOND_US
--- a/oakvale/policy/quota.py
+++ b/oakvale/policy/quota.py
@@ -32,7 +32,7 @@
         stake = units * plan.price * max(plan.over_cost, 0.25)
         self.mean_stake += EWMA_WEIGHT * (stake - self.mean_stake)
         if self.share >= 1 or not stake or context.now - self.called_at > context.max_deadline:
-            return 1.0
+            return 1.0  # also one call a longest deadline after the last
         largest = max(plan.burst / customer.gateways, context.mean_units)
         left = max(0.0, customer.allowance / largest) if customer.read_at else 0.0
         return float(self.share ** ((0.5 + left) * self.mean_stake / stake))
@@ -95,7 +95,7 @@
 
     def scale(self, customer: Customer) -> float:
         """What a unit adds to the count: it grows, so that earlier units fade and the window slides."""
-        window = customer.window
+        window = customer.window  # the count never starts anew: one read tells who is near
         return exp(self.context.now % EPOCH_US / window + min(0.0, MAX_SCALE_EXPONENT - EPOCH_US / window))
 
     def on_counted(self, customer: Customer, event: Counted, amount: float) -> None:
@@ -113,17 +113,17 @@
             since = max(1, min(now - customer.read_at, now % EPOCH_US))
             others, windows = event.level - customer.level - amount, since / customer.window
             burst, lost = customer.plan.burst, -self.context.settings.largest
-            customer.level, customer.read_at = event.level, now
+            customer.level, customer.read_at = event.level, now  # if it was lost, only own use counts
             use = round(others / scale * (windows / (1 - exp(-windows)) if others > 0 else 1), 3)
             if use > lost and windows > 1:
                 customer.balance = burst * (1 - min(1, (event.level - amount) / scale / burst) ** 2)
-            elif use > lost:
+            elif use > lost:  # use first meets what overflowed a full balance
                 customer.balance = min(burst, customer.balance - use + min(customer.overflow, max(0.0, use)))
             gain = max(0.0, use) * SECOND_US - customer.others_rate * since
             customer.others_rate += gain / (since + customer.window)
             customer.overflow, customer.allowance = 0.0, customer.balance
 
-    def decide_locally(self, pending: PendingRequest) -> None:  # by lot: the allowance may be small
+    def decide_locally(self, pending: PendingRequest) -> None:  # by lot: small allowances would pass none
         units, customer = pending.request.units, pending.customer
         fits = customer.balance >= units and customer.allowance >= units * self.context.rng.random()
         self.charge(pending, fits)
--- a/oakvale/ratelimit/presence.py
+++ b/oakvale/ratelimit/presence.py
@@ -17,9 +17,9 @@
 
 PRESENT_US = 900_000  # from the stamp that a gateway echoed
 ABSENT_US = PRESENT_US + 100_000  # without an answer for this long, a gateway knows that it is not present
-MEMBER_RETENTION_US = 10_000_000  # a gateway off the list may still use its share this long
+MEMBER_RETENTION_US = 10_000_000  # off the list, a gateway may use its share so long, unless proven to have ended
 SHARE_CACHE_US = 10_000  # how long the computed share is reused
-REACHABLE_US = 2_000_000  # a gateway that answered this recently is reachable
+REACHABLE_US = 2_000_000  # answers of others this recent show that not this gateway is the one cut off
 PROBE_TIMEOUT_US = 150_000  # for a gateway to report its incarnation
 
 
--- a/oakvale/ratelimit/service.py
+++ b/oakvale/ratelimit/service.py
@@ -39,7 +39,7 @@
 VOTE_TIMEOUT_US = VOTE_DURATION_US - LEASE_SAFETY_MARGIN_US  # a later vote has expired
 COUNTER_DISCOVERY_TIMEOUT_US = 120_000  # a request waits this long for a counter to be found
 ISOLATED_AFTER_US = 2_000_000  # without a holder for this long, a gateway is isolated: a new holder is found sooner
-LONG_ABSENT_US = 3_000_000  # after this it surely knows that it is isolated
+LONG_ABSENT_US = 3_000_000  # after this it surely knows that it is isolated: its last call took a fraction of a second
 ISOLATED_SHARE = 0.25  # of its even share; an isolated gateway has few clients or no power
 
 log_event = EventLogger(__name__)
--- a/oakvale/retry_budget.py
+++ b/oakvale/retry_budget.py
@@ -14,7 +14,7 @@
 from oakvale.interface import NEVER_RAN, Ending
 
 MAX_SAVED_ATTEMPTS = 10.0  # upper bound of the retries that answers earn
-EARNED_PER_ANSWER = 0.1  # retries
+EARNED_PER_ANSWER = 0.1  # retries; a tenth is customary
 NEVER_ARRIVED = frozenset({Ending.NO_CONNECTION, Ending.MOOT})  # the backend received nothing
 
 RATIO_FRACTION = 0.75  # used of the ratio and of the slack; the rest covers requests that are counted late
