--- a/oakvale/dissemination/feed.py
+++ b/oakvale/dissemination/feed.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from oakvale.base.address import Address, parse_address
@@ -26,7 +27,8 @@
 SUBSCRIBE_TIMEOUT_US = 200_000  # an unreachable source delays updates by this, on top of STALE_AFTER_US
 FIRST_UPDATE_TIMEOUT_US = 150_000  # a stale feed whose new source has sent nothing by then asks another one too
 MAX_NOTICE_HOPS = 6  # limits the relaying of long-message notices, which could otherwise circulate for ever
-CALIBRATION_TIMEOUT_US = 500_000  # of a question how the clocks relate; the next update asks again
+CALIBRATION_TIMEOUT_US = 500_000  # of a question how the clocks relate
+CALIBRATION_RETRY_US = 100_000  # then an update that arrives leads to the next question
 RETRY_DELAY_US = 60_000  # between a rejected subscription and the next source
 REPAIR_INTERVAL_US = 5_000_000  # between comparisons of table digests
 LAG_REPAIR_US = 600_000  # entries that heartbeats tell of and that are late by this are asked for by digests
@@ -54,7 +56,7 @@
         self.publisher = Publisher(table, lambda: self.freshness.latest)
         self.heartbeat: Version = NO_VERSION
         self.last_fresh_at = 0  # when the latest new heartbeat arrived
-        self._calibrating = False
+        self._calibration_asked_at = loop.now - CALIBRATION_RETRY_US
         self._repair_requested_at = loop.now
         self._source: Address | None = None
         self._previous_source: Address | None = None  # sends updates until the new source accepts the subscription
@@ -164,6 +166,8 @@
             SUBSCRIBE_TIMEOUT_US,
             lambda answer: self._on_subscribe_response(address, answer),
         )
+        if self.freshness.latest is None:  # a start: the answer is here before the table
+            self._calibrate(partial(self.transport.ask, address))
         self.loop.at(now + FIRST_UPDATE_TIMEOUT_US, lambda _: self._check_first_update(address, now))
 
     def _check_first_update(self, address: Address, requested_at: int) -> None:
@@ -223,8 +227,11 @@
         if fresh:
             self.heartbeat, self.last_fresh_at = heartbeat, self.loop.now
             self._requests_since_fresh = 0
-        if self.freshness.needs_calibration(self.loop.now):
-            self._calibrate(conn)
+        if (
+            self.freshness.needs_calibration(self.loop.now)
+            and self.loop.now - self._calibration_asked_at >= CALIBRATION_RETRY_US
+        ):
+            self._calibrate(conn.ask)
         if removed:  # no tombstone is left to tell subscribers of it
             self.publisher.publish_complete_table(self.heartbeat)
         elif fresh or changed:
@@ -253,22 +260,18 @@
         age_us = self.freshness.age_of(stamp, self.loop.clock()) if stamp is not None else None
         return None if stamp is None or age_us is None else [stamp.pack(), age_us]
 
-    def _calibrate(self, conn: Connection) -> None:
-        """Asks the sender of updates for a stamp. Its answer relates the primary's clock to the own one."""
-        if self._calibrating:
-            return
-        self._calibrating = True
-        asked_at = self.loop.now
+    def _calibrate(self, ask: Callable[[str, Any, int, Callable[[Any], None]], None]) -> None:
+        """Asks a source for a stamp. Its answer relates the primary's clock to the own one."""
+        asked_at = self._calibration_asked_at = self.loop.now
 
         def answered(answer: Any) -> None:
-            self._calibrating = False
             stamp = Stamp.unpack(answer[0]) if answer is not None else None
             if stamp is not None:
                 self.freshness.received(stamp)
                 self.freshness.calibrate(asked_at, stamp, int(answer[1]))
                 self.freshness.table_reached(self.table.highest_version)
 
-        conn.ask("stamp", None, CALIBRATION_TIMEOUT_US, answered)
+        ask("stamp", None, CALIBRATION_TIMEOUT_US, answered)
 
     def _request_repair(self, _: Any) -> None:
         self.loop.at(self.loop.now + REPAIR_INTERVAL_US, self._request_repair)
