Rate limits: a gateway stands for a counting duty only once it serves

A counter judges tenants by its own quotas. A gateway that has just started could be elected with quotas that were replaced while its table was on its way, and count by them for as long as it lacked the change.

It now stands once its state is current, as it does for requests. The test failed before: ballots by version 1 after version 2 was in force.

--- a/oakvale/dataplane/gateway.py
+++ b/oakvale/dataplane/gateway.py
@@ -129,7 +129,7 @@
             lambda: parse_address(self._core_addresses[0]) if self._core_addresses else None,
         )
         self._service_entry = ServiceEntry(bounds_settings.apply, bounds_settings.recover)
-        self.router.serves = self.serves
+        self.router.serves = self.rate_limiter.may_stand = self.serves
         self._is_first_update = True
         self._watchers: list[Member] = []  # gateways that monitor this one
         self._watched: list[Member] = []  # gateways that this one monitors
--- a/oakvale/ratelimit/service.py
+++ b/oakvale/ratelimit/service.py
@@ -69,6 +69,7 @@
         self.loop, self.transport, self._terms = loop, transport, terms
         self._node, self._incarnation, self._self_address = node, incarnation, self_address
         self._members, self._voters, self._quota = members, voters, quota
+        self.may_stand: Callable[[], bool] = lambda: True  # for election, by quotas that are not outdated
         self._duties = [f"gauge/{n}" for n in range(DUTY_COUNT)]
         self._candidate = Candidate(incarnation)
         self._presence = Presence(loop, transport, node, incarnation, members)
@@ -407,6 +408,7 @@
         is_successor = self._handover.is_successor(duty)
         is_candidate = (
             (is_successor or duty in self._ranks)
+            and self.may_stand()
             and not self._handover.shutting_down
             and not self._handover.yields_to_successor(duty)
         )
--- a/tests/test_stale_start.py
+++ b/tests/test_stale_start.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from oakvale.base.address import format_address
 from oakvale.base.limits import MS, SECOND
 from oakvale.base.loop import Loop
 from oakvale.config.settings import Settings, decode
@@ -158,6 +159,26 @@
     check_bounds(probes_of(gateways=24, tenant_bytes=1_600_000, change_after_ms=change_after_ms))
 
 
+def test_no_gateway_stands_for_a_counting_duty_by_quotas_that_may_have_been_replaced() -> None:
+    old = config(1, 1_600_000, [REVOKED_KEY])
+    deployment = Deployment(1, make_gateway, old["text"], gateways=8)
+    primary, generations = deployment.primary, list[int]()
+    primary.table.put([("core", (1, 1 << 20), {"witnesses": [format_address(CORE_ADDRESS)], "copies": []})])
+
+    def on_ballot(conn: Any, body: Any, answer: Any) -> None:
+        generations.extend(
+            gateway.router.snapshot.generation
+            for gateway in deployment.gateways()
+            if gateway.self_address == str(body[3])
+        )
+
+    primary.transport.handlers["ballot"] = on_ballot
+    deployment.run(350 * MS)
+    deployment.change("config", config(2, 1_600_000, []))
+    deployment.run(9 * SECOND)
+    assert generations and min(generations) == 2
+
+
 def test_a_thawed_gateway_lets_no_revoked_key_in_by_what_waited_in_its_sockets() -> None:
     """The heartbeats that it reads first are as old as the freeze, though they have just arrived."""
     text = config(1, 1_000, [REVOKED_KEY])["text"]
