--- a/oakvale/ratelimit/service.py
+++ b/oakvale/ratelimit/service.py
@@ -39,7 +39,7 @@
 VOTE_TIMEOUT_US = VOTE_DURATION_US - LEASE_SAFETY_MARGIN_US  # a later vote has expired
 COUNTER_DISCOVERY_TIMEOUT_US = 120_000  # a request waits this long for a counter to be found
 ISOLATED_AFTER_US = 2_000_000  # without a holder for this long, a gateway is isolated: a new holder is found sooner
-LONG_ABSENT_US = 3_000_000  # after this it surely knows that it is isolated
+LONG_ABSENT_US = 3_000_000  # after this it surely knows that it is isolated: its last call took a fraction of a second
 ISOLATED_SHARE = 0.25  # of its even share; an isolated gateway has few clients or no power
 
 log_event = EventLogger(__name__)
@@ -69,6 +69,7 @@
         self.loop, self.transport, self._terms = loop, transport, terms
         self._node, self._incarnation, self._self_address = node, incarnation, self_address
         self._members, self._voters, self._quota = members, voters, quota
+        self.may_stand: Callable[[], bool] = lambda: True  # for election, by quotas that are not outdated
         self._duties = [f"gauge/{n}" for n in range(DUTY_COUNT)]
         self._candidate = Candidate(incarnation)
         self._presence = Presence(loop, transport, node, incarnation, members)
@@ -407,6 +408,7 @@
         is_successor = self._handover.is_successor(duty)
         is_candidate = (
             (is_successor or duty in self._ranks)
+            and self.may_stand()
             and not self._handover.shutting_down
             and not self._handover.yields_to_successor(duty)
         )
