--- a/tests/thin_links.py
+++ b/tests/thin_links.py
@@ -13,7 +13,7 @@
 from oakvale.dissemination.feed import HEARTBEAT_INTERVAL_US, READS_COMPRESSED
 from oakvale.dissemination.freshness import Stamp
 from oakvale.dissemination.publisher import Publisher
-from oakvale.dissemination.table import Entry, Table, Version
+from oakvale.dissemination.table import NO_VERSION, Entry, Table, Version
 from oakvale.dissemination.tree import Member
 from oakvale.lab.simulation.events import Events
 from oakvale.lab.simulation.machines import Costs, Process
@@ -70,8 +70,8 @@
 class PrimaryProcess:
     """What gateways see of the primary."""
 
-    def __init__(self, loop: Loop, address: Address, entries: list[Entry]) -> None:
-        self.loop, self.transport, self.table = loop, Transport(loop, address), Table()
+    def __init__(self, loop: Loop, address: Address, entries: list[Entry], view: int = 1) -> None:
+        self.loop, self.transport, self.table, self.view = loop, Transport(loop, address), Table(), view
         self.table.put(entries)
         self.publisher = Publisher(self.table, self._stamp)
         self._pulse_number = 0
@@ -85,10 +85,10 @@
 
     def _next_pulse(self) -> Version:
         self._pulse_number += 1
-        return (1, self._pulse_number)
+        return (self.view, self._pulse_number)
 
     def _stamp(self) -> Stamp:
-        return Stamp((1, 1), self.loop.clock(), self.table.highest_gateway_version)
+        return Stamp((self.view, 1), self.loop.clock(), self.table.highest_gateway_version)
 
     def _publish_pulse(self, _: Any) -> None:
         self.publisher.publish(self._next_pulse(), [])
@@ -105,7 +105,7 @@
 
     def change(self, key: str, value: Any) -> None:
         """Puts a value into force and publishes it."""
-        entries = [(key, (1, self.table.highest_version[1] + 1), value)]
+        entries = [(key, (self.view, self.table.highest_version[1] + 1), value)]
         self.table.put(entries)
         self.publisher.publish(self._next_pulse(), entries)
 
@@ -120,23 +120,48 @@
         self.events = Events()
         self.wires = Wires(self.events, Random(seed), between=500)
         self.started_at = self.events.now
-        core = Machine(self.wires, "core", CORE_ADDRESS[0], "zone-0", CORE_SHARE)
-        entries = state_entries(rng, gateways, config_text)
-        core_process = Process(core, Random(seed), LIMITS, Costs())
-        core_process.begin(lambda loop: PrimaryProcess(loop, CORE_ADDRESS, entries))
-        self.primary: PrimaryProcess = core_process.works
+        self._seed, self._make_gateway = seed, make_gateway
+        self._core = Machine(self.wires, "core", CORE_ADDRESS[0], "zone-0", CORE_SHARE)
+        self._core_process = self._start_primary(state_entries(rng, gateways, config_text), 1)
         self._processes: list[Process] = []
         for number in range(gateways):
             member = gateway_member(number)
             ip = member.address.partition(":")[0]
             machine = Machine(self.wires, member.node, ip, member.zone, GATEWAY_SHARE, GATEWAY_MBPS, GATEWAY_MBPS)
-            process = Process(machine, Random(seed + number), LIMITS, Costs())
-            self._processes.append(process)
+            self._processes.append(Process(machine, Random(seed + number), LIMITS, Costs()))
+            self._begin_after(number, rng.randrange(300 * MS))
 
-            def begin(_: Any, process: Process = process, member: Member = member) -> None:
-                process.begin(lambda loop: make_gateway(process, loop, member))
+    def _start_primary(self, entries: list[Entry], view: int) -> Process:
+        process = Process(self._core, Random(self._seed), LIMITS, Costs())
+        process.begin(lambda loop: PrimaryProcess(loop, CORE_ADDRESS, entries, view))
+        return process
 
-            self.events.at(self.events.now + rng.randrange(300 * MS), begin)
+    def _begin_after(self, number: int, delay_us: int) -> None:
+        process, member = self._processes[number], gateway_member(number)
+
+        def begin(_: Any) -> None:
+            process.begin(lambda loop: self._make_gateway(process, loop, member))
+
+        self.events.at(self.events.now + delay_us, begin)
+
+    @property
+    def primary(self) -> PrimaryProcess:
+        """What runs on the primary's machine."""
+        works: PrimaryProcess = self._core_process.works
+        return works
+
+    def restart(self, number: int, down_us: int) -> None:
+        """Kills the process of a gateway; another one runs so long after."""
+        machine = self._processes[number].machine
+        self._processes[number].end()
+        self._processes[number] = Process(machine, Random(self.events.now + number), LIMITS, Costs())
+        self._begin_after(number, down_us)
+
+    def replace_primary(self) -> None:
+        """Another process serves the same state in the next view."""
+        old = self.primary
+        self._core_process.end()
+        self._core_process = self._start_primary(old.table.since(NO_VERSION), old.view + 1)
 
     def run(self, span_us: int) -> None:
         """Lets simulated time pass."""
