Feed: an update without a stamp counts from its arrival also below a relay of this version

A relay whose own source is of an earlier version passes no stamp on; its subscribers took that for a primary that told nothing, and would have known no age at all: under `strict-revoke` every key refused until the core is upgraded.

The test failed for the relay before, and holds for a direct source as well. Acts only where versions are mixed: a primary of this version stamps whatever it sends.

--- a/oakvale/dissemination/feed.py
+++ b/oakvale/dissemination/feed.py
@@ -206,8 +206,7 @@
         heartbeat, entries, horizon = (int(body[0][0]), int(body[0][1])), unpack(body[1]), body[2]
         if heartbeat < self.heartbeat and heartbeat[0] < self.heartbeat[0]:
             return  # from a replaced primary
-        is_stamped = len(body) > 3  # not by earlier versions
-        stamp = Stamp.unpack(body[3]) if is_stamped else None
+        stamp = Stamp.unpack(body[3]) if len(body) > 3 else None  # None if the primary is of an earlier version
         if stamp is not None:
             self.freshness.received(stamp)
         removed: set[str] = set()
@@ -218,7 +217,7 @@
         else:
             changed = self.table.put(entries)
         fresh = heartbeat > self.heartbeat
-        if is_stamped:
+        if stamp is not None:
             self.freshness.table_reached(self.table.highest_version)
         elif fresh:
             self.freshness.arrived_unstamped(self.loop.now)
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -511,6 +511,19 @@
     assert not fleet.behind()
 
 
+@pytest.mark.parametrize("ending", [[], [None]], ids=["by an earlier version", "by a relay below one"])
+def test_updates_without_a_stamp_count_from_their_arrival(ending: list[Any]) -> None:
+    """Otherwise gateways that are upgraded before the core would refuse all keys under `strict-revoke`."""
+    fleet = Fleet(1, 1)
+    feed = fleet.feeds["n0"]
+    fleet.net.run(SECOND)
+    feed._receive_updates(cast(Any, None), [[9, 1], [["a", 9, 1, 1]], None, *ending], lambda answer: None)
+    assert feed.is_current(0)
+    fleet.net.partitioned.update(parse_address(core.address) for core in fleet.cores)
+    fleet.net.run(SECOND)
+    assert not feed.is_current(900 * MS) and feed.is_current(SECOND)
+
+
 def test_heartbeat_senders_and_targets_agree() -> None:
     """Each gateway derives both from the ring alone; a mismatch would leave a failed gateway unnoticed."""
     fleet = [Member(f"n{n}", f"10.0.0.{n}:1", "a", "l") for n in range(9)]
