--- a/review/standins.py
+++ b/review/standins.py
@@ -318,7 +318,9 @@
 
     def exchange(self, sock: socket.socket, request: Request) -> None:
         """Answers one request on its connection."""
-        sock.sendall(encode_answer(*self.answer(request)))
+        status, headers, body = self.answer(request)
+        sock.sendall(encode_answer(status, headers, body))
+        self.record(self.name, f"answers {request.id}: {status}")
 
     def answer(self, request: Request) -> Answer:
         if request.target == "/healthz":
