--- a/review/standins.py
+++ b/review/standins.py
@@ -256,6 +256,7 @@
         self.record, self._platform, self.service = record, platform, service
         self.id, self.slots, self._room, self.work_s = f"i-{secrets.token_hex(4)}", slots, slots + queue, work_s
         self._free_slots = threading.Semaphore(slots)
+        self._connections: set[socket.socket] = set()
         self.name = f"backend {service} {self.id}"
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -307,12 +308,16 @@
 
     def _serve_connection(self, sock: socket.socket) -> None:
         reader = sock.makefile("rb")
+        with self.lock:
+            self._connections.add(sock)
         try:
             while (request := read_request(reader)) is not None:
                 self.exchange(sock, request)
         except OSError:
             pass
         finally:
+            with self.lock:
+                self._connections.discard(sock)
             reader.close()
             sock.close()
 
@@ -320,7 +325,7 @@
         """Answers one request on its connection."""
         status, headers, body = self.answer(request)
         sock.sendall(encode_answer(status, headers, body))
-        self.record(self.name, f"answers {request.id}: {status}")
+        self.record(self.name, f"has answered {request.id}: {status}")
 
     def answer(self, request: Request) -> Answer:
         if request.target == "/healthz":
@@ -353,7 +358,14 @@
         return 200, {"Attempt-Id": request.id, "Seal": secrets.token_hex(8)}, b"done\n"
 
     def end(self) -> None:
+        """The process ends: nothing listens any more, and what is being worked on is cut."""
         self.ended = True
+        with self.lock:
+            for sock in [self._listener, *self._connections]:
+                try:
+                    sock.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass  # its other side has closed it
         self._listener.close()
 
 
