--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,25 +2,27 @@
 
 from __future__ import annotations
 
+import sys
 import threading
 import time
 from pathlib import Path
 
-from standins import Answer, Backend, Client, Operator, Platform, Record, Request, configuration, play
+from standins import Answer, Backend, Client, ClientAnswer, Operator, Platform, Record, Request, configuration, play
 
 CALENDAR, BOOK = "calendar.example", "book.example"
-MEAN_WORK_S, LONG_WORK_S = 0.06, 0.18  # one read in twenty takes three times as long (the site: tail 0.01, tail_x 3)
+WORK_S, TAIL, TAIL_X = 0.06, 0.01, 3  # calendar-read of the site file: "tail = 0.01, tail_x = 3"
 DEADLINE_S = 3.0  # of both routes
-CONTACT_S, APPLY_S = 3.0, 2.5
+CONTACT_S = 3.0
 WATCHED_S = 16.0
+READ_GIVEN_UP_S = 1.0  # a try of a repeatable request that the gateway has not read
 UNANSWERED, SHARE = 8, 0.25  # CONFIG: "Eight or more of them, and over a quarter"
 
 
 class Server(Backend):
-    """A sound backend. One request in twenty takes three times as long."""
+    """A sound backend. One request in a hundred takes three times as long."""
 
     def run(self, request: Request) -> Answer:
-        self.work_s = LONG_WORK_S if len(self.ran) % 20 == 19 else MEAN_WORK_S
+        self.work_s = WORK_S * (TAIL_X if len(self.ran) % round(1 / TAIL) == 0 and self.ran else 1)
         return super().run(request)
 
 
@@ -40,42 +42,53 @@
     platform.wait_ready()
     time.sleep(CONTACT_S + 1)  # all machines are in touch
     over = threading.Event()
-    waits: list[tuple[float, str, str, float, int | None]] = []  # when sent, where, id, how long, status
+    bookings: list[tuple[float, str, str, float, ClientAnswer]] = []  # when sent, where, id, how long, answer
 
-    def use(node: str, host: str, method: str, path: str) -> None:
-        client = Client(record, platform.http[node], host, f"client of {node}")
+    def read(node: str) -> None:
+        """Reads, and gives a try up after a second, as the gateway may not have read it. These are not counted."""
+        client = Client(record, platform.http[node], CALENDAR, f"reader of {node}")
         while not over.is_set():
-            sent_at = time.monotonic()
-            attempt_id, answer = client.send(method, path, b"x" if method == "POST" else None, 3600)
-            waits.append((sent_at, node, attempt_id, time.monotonic() - sent_at, answer.status))
+            client.send("GET", "/calendar/today", None, 3600, READ_GIVEN_UP_S)
             time.sleep(0.02)
 
-    uses = [(CALENDAR, "GET", "/calendar/today")] * 3 + [(BOOK, "POST", "/book/slot")] * 2
-    threads = [threading.Thread(target=use, args=(node, *what)) for node in platform.http for what in uses]
+    def book(node: str) -> None:
+        """Books on one kept connection, and waits for each answer until past the deadline; ends when one fails."""
+        client = Client(record, platform.http[node], BOOK, f"booker of {node}")
+        while not over.is_set():
+            sent_at = time.monotonic()
+            attempt_id, answer = client.send("POST", "/book/slot", b"chair 4", 4000, DEADLINE_S + 0.6)
+            bookings.append((sent_at, node, attempt_id, time.monotonic() - sent_at, answer))
+            if answer.status is None:
+                return
+            time.sleep(0.2)
+
+    threads = [
+        threading.Thread(target=what, args=(node,)) for node in platform.http for what in [read] * 4 + [book] * 10
+    ]
     for thread in threads:
         thread.start()
     time.sleep(4)
     if trouble:
         operator.replace(configuration(2, routes("0ms"), services))
-    from_then_on = time.monotonic() + APPLY_S
+    changed_at = time.monotonic()
     time.sleep(WATCHED_S)
     for node in platform.http:
         record("platform", f"readyz of {node} answers 200: {platform.is_ready(node)}")
     over.set()
     for thread in threads:
         thread.join()
-    asked = [wait for wait in waits if wait[0] > from_then_on]
-    overdue = [wait for wait in asked if wait[3] > DEADLINE_S or wait[4] is None]
-    silent = [wait for wait in overdue if wait[3] >= DEADLINE_S + 0.5 and wait[4] is None]
+    asked = [booking for booking in bookings if booking[0] > changed_at and booking[4].on_kept_connection]
+    overdue = [booking for booking in asked if booking[3] > DEADLINE_S]
+    silent = [booking for booking in overdue if booking[3] >= DEADLINE_S + 0.5 and booking[4].status is None]
     record(
-        "case", f"{len(asked)} requests after the change, {len(overdue)} past the deadline, {len(silent)} unanswered"
+        "case", f"{len(asked)} bookings after the change, {len(overdue)} past the deadline, {len(silent)} unanswered"
     )
     if len(silent) >= UNANSWERED and len(silent) > SHARE * len(overdue):
-        nodes = ", ".join(sorted({wait[1] for wait in silent}))
+        nodes = ", ".join(sorted({booking[1] for booking in silent}))
         return [
-            f"CONFIG: {len(silent)} of {len(overdue)} requests past their deadline have no answer 0.5 s later ({nodes})"
+            f"CONFIG: {len(silent)} of {len(overdue)} bookings past their deadline have no answer 0.5 s later ({nodes})"
         ]
     return []
 
 
-play(Path(__file__).resolve().parent, case)
+play(Path(sys.argv[1]), case)  # record.txt beside this file, as run.sh names it
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,21 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
 # tests/test_known_red.py finds the entry of KNOWN-RED.txt by this line: def CONFIG()
-cd "$(dirname "$0")/../.." && PYTHONPATH=review exec python3 -B review/1/case.py
+cd "$(dirname "$0")/../.." || exit 2
+record=review/1/record.txt
+rm -f "$record"
+PYTHONPATH=review python3 -B review/1/case.py "$record" &
+case=$!
+trap 'kill "$case" 2>/dev/null' TERM INT HUP
+wait "$case"
+code=$?
+while kill -0 "$case" 2>/dev/null; do
+    wait "$case"
+    code=$?
+done
+[ -s "$record" ] || exit 2
+case $code in
+    10) exit 1 ;;
+    0) exit 0 ;;
+    *) exit 2 ;;
+esac
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import sys
 import threading
 import time
 from pathlib import Path
@@ -94,4 +95,4 @@
     return broken
 
 
-play(Path(__file__).resolve().parent, case)
+play(Path(sys.argv[1]), case)  # record.txt beside this file, as run.sh names it
--- a/review/standins.py
+++ b/review/standins.py
@@ -53,19 +53,22 @@
 
 
 class Record:
-    """`record.txt` beside the script: what was sent, answered and run, with seconds since the start."""
+    """The case's `record.txt`: what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = open(folder / "record.txt", "w")
+    def __init__(self, path: Path) -> None:
+        self._file = open(path, "w")
         self._lock, self._started_at = threading.Lock(), time.monotonic()
 
     def __call__(self, who: str, text: str) -> None:
         with self._lock:
+            if self._file.closed:
+                return  # a stand-in's thread outlives the case
             self._file.write(f"{time.monotonic() - self._started_at:8.3f} {who}: {text}\n")
             self._file.flush()
 
     def close(self) -> None:
-        self._file.close()
+        with self._lock:
+            self._file.close()
 
 
 class Platform:
@@ -76,7 +79,8 @@
         with open(ROOT / "deploy" / "system.toml", "rb") as file:
             self._roles = tomllib.load(file)["roles"]
         self.prefix = f"127.{64 + secrets.randbelow(128)}.{secrets.randbelow(256)}"
-        self._ports = _free_ports(f"{self.prefix}.1", 5)
+        hosts = [*range(1, core + 1), *range(101, edge + 101)]
+        self._ports = _free_ports([f"{self.prefix}.{host}" for host in hosts], 5)
         self._nodes: dict[str, tuple[str, str, str, bool]] = {}  # node -> role, ip, bind, is it on the core
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._ips = [f"{self.prefix}.{n + 1}" for n in range(core)]
@@ -393,6 +397,8 @@
 
     def __init__(self, status: int | None, headers: dict[str, str], body: bytes, why: str = "") -> None:
         self.status, self.headers, self.body, self.why = status, headers, body, why
+        self.on_kept_connection = False  # which had carried an answered request before
+        self.was_closed = False  # the gateway closed or reset it without a byte of an answer
 
 
 class Client:
@@ -401,16 +407,23 @@
     def __init__(self, record: Record, address: str, host: str, name: str = "client") -> None:
         self._record, self._address, self._host, self._name = record, address, host, name
         self._connection: http.client.HTTPConnection | None = None
+        self._answers = 0  # on this connection
 
     def send(
-        self, method: str, path: str, body: bytes | None = None, time_left_ms: int = 5000, attempt_id: str = ""
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        time_left_ms: int = 5000,
+        wait_s: float | None = None,
     ) -> tuple[str, ClientAnswer]:
-        """Sends one try and waits for its answer; returns its id and the answer."""
-        attempt_id = attempt_id or secrets.token_hex(8)
+        """Sends one try and waits for its answer, at most `wait_s`; returns its id and the answer."""
+        attempt_id, kept = secrets.token_hex(8), self._answers > 0
+        wait_s = time_left_ms / 1000 if wait_s is None else wait_s
         headers = {"Host": self._host, "Attempt-Id": attempt_id, "Time-Left": str(time_left_ms)}
         headers["Authorization"] = f"Bearer {KEY}"
         if self._connection is None:
-            self._connection = http.client.HTTPConnection(self._address, timeout=time_left_ms / 1000)
+            self._connection = http.client.HTTPConnection(self._address, timeout=wait_s)
         self._record(self._name, f"sends {attempt_id}: {method} {path}, {len(body or b'')} bytes")
         try:
             self._connection.request(method, path, body, headers)
@@ -418,11 +431,14 @@
             content = response.read()
             found = {name.lower(): value for name, value in response.getheaders()}
             answer = ClientAnswer(response.status, found, content)
+            self._answers += 1
             if found.get("connection", "").lower() == "close":
                 self.close()
         except (OSError, http.client.HTTPException) as error:
             answer = ClientAnswer(None, {}, b"", repr(error))
+            answer.was_closed = isinstance(error, ConnectionError)  # http.client's RemoteDisconnected is one
             self.close()
+        answer.on_kept_connection = kept
         shown = f"{answer.status} {answer.body[:40]!r}" if answer.status else f"no answer: {answer.why}"
         self._record(self._name, f"{attempt_id} is answered: {shown}")
         return attempt_id, answer
@@ -430,7 +446,7 @@
     def close(self) -> None:
         if self._connection is not None:
             self._connection.close()
-        self._connection = None
+        self._connection, self._answers = None, 0
 
 
 def call(address: str, method: str, path: str, body: bytes | None = None, timeout: float = 1.0) -> tuple[int, str]:
@@ -468,31 +484,34 @@
         time.sleep(0.05)
 
 
-def _free_ports(ip: str, count: int) -> list[int]:
-    """Consecutive ports that are free on every address."""
+def _free_ports(ips: list[str], count: int) -> list[int]:
+    """Consecutive ports that are free on all of these addresses."""
     while True:
         with socket.socket() as probe:
-            probe.bind((ip, 0))
+            probe.bind((ips[0], 0))
             first = int(probe.getsockname()[1])
         ports = list(range(first, first + count))
-        if ports[-1] < 65536 and all(map(_is_free, ports)):
+        if ports[-1] < 65536 and all(_is_free(ip, port) for ip in ips for port in ports):
             return ports
 
 
-def _is_free(port: int) -> bool:
+def _is_free(ip: str, port: int) -> bool:
     with socket.socket() as probe:
         try:
-            probe.bind(("0.0.0.0", port))
+            probe.bind((ip, port))
         except OSError:
             return False
     return True
 
 
-def play(folder: Path, case: Callable[[Record, Platform, bool], list[str]], edge: int = 2) -> None:
-    """Runs a case and ends the process: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
-    trouble, record = os.environ.get("TROUBLE", "1") != "0", Record(folder)
-    code = 2
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the processes are ended below
+HELD, CANNOT_RUN, BROKEN = 0, 2, 10  # `run.sh` makes 1 of 10: a Python that can't even begin ends with 1
+
+
+def play(path: Path, case: Callable[[Record, Platform, bool], list[str]], edge: int = 2) -> None:
+    """Runs a case, writes its record to this path, and ends the process with HELD, BROKEN or CANNOT_RUN."""
+    trouble, record = os.environ.get("TROUBLE", "1") != "0", Record(path)
+    code = CANNOT_RUN
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))  # the processes are ended below
     platform = Platform(record, edge=edge)
     try:
         record("case", f"begins, {'with' if trouble else 'without'} the disruption")
@@ -500,13 +519,13 @@
         for line in broken:
             record("case", f"BROKEN {line}")
             print(f"BROKEN {line}")
-        code = 1 if broken else 0
+        code = BROKEN if broken else HELD
     except CannotRun as error:
         record("case", f"could not run: {error}")
         print(f"could not run: {error}")
     finally:
         platform.stop()
-        record("case", f"ends with {code}")
+        record("case", f"ends: {'broken' if code == BROKEN else 'held' if code == HELD else 'could not run'}")
         record.close()
     sys.stdout.flush()
     os._exit(code)
