A turn of the loop ends whatever its timers and tasks set

Cause: Timers.run went on while the head of the heap was due at the turn's one reading of the clock, so a timer that set another for the same moment held the turn for ever: no input, no readiness, no new configuration.

Change: a turn takes out the timers that are due when it comes to them and runs these; woken tasks go 16 rounds at most. What is left over comes in the next turn, behind newer events.

--- a/oakvale/base/loop.py
+++ b/oakvale/base/loop.py
@@ -24,6 +24,7 @@
 BROKEN = select.EPOLLHUP | select.EPOLLERR
 TIMED_OUT = 0
 WOKEN = -1
+MAX_WAKE_ROUNDS = 16  # in a row; tasks that go on waking each other must not keep events and timers waiting
 
 T = TypeVar("T")
 Step = Generator[tuple[int, int], int, T]  # a sub-coroutine that returns a T, called with `yield from`
@@ -100,15 +101,23 @@
             heapq.heappop(heap)
         return max(0.0, (heap[0][0] + self._slack_us - now) / 1e6) if heap else math.inf
 
-    def run(self, now: int) -> None:
-        """Runs all callbacks that are due; an exception in one is logged and the others still run."""
+    def take_due(self, now: int) -> list[Timer]:
+        """Removes and returns the timers that are due, earliest first."""
+        due: list[Timer] = []
         while self._heap and self._heap[0][0] <= now:
-            _, _, callback, argument = heapq.heappop(self._heap)
-            try:
-                if callback is not None:
-                    callback(argument)
-            except Exception:
-                log.exception("timer failed")
+            due.append(heapq.heappop(self._heap))
+        return due
+
+
+def run_timers(timers: list[Timer]) -> None:
+    """Runs the callbacks, but not those cancelled by an earlier one; an exception in one is logged."""
+    for timer in timers:
+        _, _, callback, argument = timer
+        try:
+            if callback is not None:
+                callback(argument)
+        except Exception:
+            log.exception("timer failed")
 
 
 def cancel_timer(timer: Timer) -> None:
@@ -125,7 +134,11 @@
 
 
 class Loop:
-    """Runs coroutines and timers in turns: each waits for events, reads the clock once and handles what is ready."""
+    """Runs coroutines and timers in turns: each waits for events, reads the clock once and handles what is ready.
+
+    A turn always ends: it runs the timers that are due when it comes to them, and not those that they set, and a
+    bounded number of rounds of woken tasks. What is left over is handled in the next turn, behind newer events.
+    """
 
     def __init__(self, clock: Callable[[], int], limits: Limits, net: Net | None = None) -> None:
         self.clock = clock
@@ -150,7 +163,7 @@
         return task
 
     def wake(self, task: Task) -> None:
-        """Resumes a waiting coroutine with WOKEN later in this turn.
+        """Resumes a waiting coroutine with WOKEN later in this turn, or early in the next.
 
         Has no effect on the running coroutine: it checks for work itself before it waits again, and waking it would
         let a busy connection read without end within one turn.
@@ -244,7 +257,9 @@
         self.stopped = True
 
     def wait(self, longest: float) -> float:
-        """Returns the seconds until the next timer has used up its slack, at most `longest`."""
+        """Returns the seconds until the next timer has used up its slack, at most `longest`; 0 with woken tasks."""
+        if self._woken:
+            return 0.0
         return min(longest, self._timers.wait(self.now), self._module_timers.wait(self.now))
 
     def turn(self, longest: float = 1.0) -> None:
@@ -270,15 +285,19 @@
             for task, flags in ready:
                 self._resume(task, flags)
         self._run_woken()
-        self._timers.run(self.now)
-        self._module_timers.run(self.now)
+        due = self._timers.take_due(self.now) + self._module_timers.take_due(self.now)
+        run_timers(due)
         self._run_woken()
 
     def _run_woken(self) -> None:
-        while self._woken:
-            task = self._woken.popleft()
-            task.woken = False
-            self._resume(task, WOKEN)
+        """Resumes the woken tasks and those that they wake in turn, for at most `MAX_WAKE_ROUNDS` rounds."""
+        for _ in range(MAX_WAKE_ROUNDS):
+            if not self._woken:
+                return
+            for _ in range(len(self._woken)):
+                task = self._woken.popleft()
+                task.woken = False
+                self._resume(task, WOKEN)
 
     def close(self) -> None:
         """Ends all coroutines and closes the poller."""
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,11 +1,13 @@
 """The event loop: clock readings, order of tasks, timers, reused descriptors and isolation of failures."""
 
 import gc
+import itertools
 import os
 import select
 import socket
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -143,6 +145,76 @@
     loop.close()
 
 
+@pytest.mark.parametrize("schedules", [("at", "at"), ("wake_at", "wake_at"), ("at", "wake_at")])
+def test_a_turn_ends_although_timers_set_others_for_the_same_moment(schedules: tuple[str, str]) -> None:
+    """Guards against a hang of the whole process: no input is read while a timer is set again with no delay."""
+    loop, order = Loop(FakeClock(), LIMITS), list[str]()
+    local, remote = socket_pair()
+
+    def waits() -> Coroutine:
+        while True:
+            yield READ, 0
+            order.append("input")
+            local.recv(1)
+
+    names = itertools.cycle(schedules)
+
+    def timer(_: Any) -> None:
+        order.append("timer")
+        assert order.count("timer") < 100, "the turn does not end"
+        getattr(loop, next(names))(loop.now, timer)
+
+    loop.start(waits(), local.fileno(), Priority.CLIENT)
+    loop.at(loop.now, timer)
+    for turn in range(1, 4):
+        remote.send(b"x")
+        loop.turn(0)
+        assert order.count("input") == turn and order.count("timer") == turn
+    loop.close()
+
+
+def test_a_turn_ends_although_tasks_go_on_waking_each_other() -> None:
+    """Guards against the same hang by woken tasks; the next turn goes on with them, and does not wait before."""
+    loop, resumed = Loop(FakeClock(), LIMITS), list[int]()
+    sockets, tasks = [socket_pair() for _ in range(2)], list[Any]()
+    local, remote = socket_pair()
+    read = list[bytes]()
+
+    def wakes_the_other(own: int) -> Coroutine:
+        while True:
+            if (yield 0, 0) == WOKEN:
+                resumed.append(own)
+                assert len(resumed) < 1_000, "the turn does not end"
+                loop.wake(tasks[1 - own])
+
+    def waits() -> Coroutine:
+        while True:
+            yield READ, 0
+            read.append(local.recv(1))
+
+    for own in range(2):
+        tasks.append(loop.start(wakes_the_other(own), sockets[own][0].fileno(), Priority.CLIENT))
+    loop.start(waits(), local.fileno(), Priority.CLIENT)
+    loop.wake(tasks[0])
+    loop.turn(0)
+    remote.send(b"x")
+    before = len(resumed)
+    assert loop.wait(1.0) == 0.0
+    loop.turn()
+    assert read == [b"x"] and len(resumed) > before
+    loop.close()
+
+
+def test_a_timer_cancelled_by_an_earlier_one_of_the_same_turn_does_not_run() -> None:
+    clock = FakeClock()
+    loop, fired = Loop(clock, LIMITS), list[int]()
+    loop.at(clock.now, lambda _: cancel_timer(second))
+    second = loop.at(clock.now, fired.append, 2)
+    loop.turn(0)
+    assert fired == []
+    loop.close()
+
+
 def test_a_descriptor_left_open_by_an_ended_task_is_unregistered() -> None:
     loop = Loop(FakeClock(), LIMITS)
     local, remote = socket_pair()
