An aim that no backend can meet works on its own requests alone

Cause: spans were fractions of the least configured aim: the check of an attempt's progress (0 below 5 us), stalls, ejections (0 for a small aim), and the limits' target (a division by 0, or a target that no limit can reach).

Change: a check comes after a quarter of the backend's usual latency at least, never under 1 ms; limits, stalls and ejections follow the least aim above the baseline latency.

--- a/oakvale/policy/admission.py
+++ b/oakvale/policy/admission.py
@@ -2,8 +2,8 @@
 
 from oakvale.interface import Counted, Ending, Refuse, Request, RequestClass
 from oakvale.policy.attempts import Attempts
-from oakvale.policy.records import BATCH_INTERVAL_US, EPOCH_US, EWMA_WEIGHT, REJECTED, SECOND_US, quota_window
-from oakvale.policy_records import Context, Customer, PendingRequest
+from oakvale.policy.records import BATCH_INTERVAL_US, EWMA_WEIGHT, quota_window
+from oakvale.policy_records import EPOCH_US, REJECTED, SECOND_US, Context, Customer, PendingRequest
 
 
 class Admission:  # whether a request is within its customer's quota, by the counter's answers
@@ -66,7 +66,7 @@
         return 0 if -slot_us <= wait - usual < 2 * slot_us else max(0, request_class.deadline - wait)
 
     def on_counted(self, event: Counted) -> None:  # handles the end of the oldest call for this count
-        calls = self.counter.calls.get(event.name)
+        context, calls = self.context, self.counter.calls.get(event.name)
         if not calls:
             return
         kind, request_id, amount = calls.popleft()
@@ -80,7 +80,7 @@
         customer = pending.customer if pending else self.context.customers.get(request_id)
         if customer is None:  # calls of kinds "read" and "told" carry the customer's name as id
             return
-        if kind in ("open", "told") and unchanged and event.name == self.quota.open_name(customer):
+        if kind in ("open", "told") and unchanged and event.name == self.context.open_name(customer):
             customer.reported_open -= int(amount)  # goes with the next call
         if kind == "read":
             self.quota.on_counted(customer, event, amount)
@@ -95,7 +95,7 @@
                 self.quota.charge(pending, customer.balance >= pending.request.units)
             else:
                 self.quota.decide_locally(pending)
-            pending.counted_units *= event.name == self.quota.quota_name(customer)  # no refund after an epoch
+            pending.counted_units *= event.name == context.quota_name(customer)  # no refund after an epoch
             if pending.charged == (kind == "look"):  # read and passed, or counted and refused
                 customer.unsent += pending.counted_units if pending.charged else -pending.counted_units
                 if answered and (pending.charged or self.counter.share >= 1):
--- a/oakvale/policy/attempts.py
+++ b/oakvale/policy/attempts.py
@@ -3,10 +3,12 @@
 from oakvale.interface import NEVER_RAN, Attempt, Cancel, Effect, Ended, Ending, Head, Wake
 from oakvale.policy.choice import BackendSelector
 from oakvale.policy.lending import Lending
-from oakvale.policy.records import EWMA_WEIGHT, SECOND_US
-from oakvale.policy_records import Context, PendingRequest
+from oakvale.policy.records import EWMA_WEIGHT
+from oakvale.policy_records import SECOND_US, Context, PendingRequest
 from oakvale.retry_budget import RetryBudget
 
+MIN_CHECK_INTERVAL_US = 1_000
+
 
 class Attempts:  # sends requests to backends, watches the attempts and retries them within the budget
     def __init__(
@@ -15,9 +17,6 @@
         self.limits, self.health, self.quota = selector.limits, selector.health, selector.limits.quota
         self.budget, self.timers, self.next_timer = budget, dict[int, tuple[str, int]](), 1
 
-    def max_attempts(self, pending: PendingRequest) -> int:  # the request class's bound, or the default
-        return pending.request_class.tries or self.context.settings.max_attempts
-
     def send(self, pending: PendingRequest) -> None:  # or refuses it where all backends are full
         backend = self.selector.select(pending)
         if backend is None:
@@ -35,7 +34,7 @@
         pending.attempts_made, pending.in_flight[hop] = hop + 1, (backend, context.now)
         pending.tried.append(backend.entry.backend)
         pending.customer.in_flight += 1
-        retries_left = pending.attempts_made < self.max_attempts(pending)
+        retries_left = pending.attempts_made < (pending.request_class.tries or context.settings.max_attempts)
         if context.settings.may_cancel and retries_left and pending.request_class.effect is not Effect.UNSAFE:
             expected = 2.5 * self.health.latency_of(backend) * request.units
             self.schedule_check(pending, hop, int(max(expected, 0.3 * pending.request_class.aim)))
@@ -43,7 +42,7 @@
     def schedule_check(self, pending: PendingRequest, hop: int, delay: int) -> None:  # delay in microseconds
         token, self.next_timer = self.next_timer, self.next_timer + 1
         self.timers[token] = (pending.request.id, hop)
-        self.context.actions.append(Wake(token, delay))
+        self.context.actions.append(Wake(token, max(delay, MIN_CHECK_INTERVAL_US)))
 
     def check_progress(self, request_id: str, hop: int) -> None:
         """Cancels an attempt at a stalled or slow backend; if too late to retry, it only frees its slot."""
@@ -60,7 +59,7 @@
         if useful and (lost or latency > 3 * fleet_latency):
             return self.context.actions.append(Cancel(request_id, hop))
         if not lost:
-            return self.schedule_check(pending, hop, int(0.2 * aim))
+            return self.schedule_check(pending, hop, int(max(0.2 * aim, 0.25 * latency * units)))
         if backend.in_flight.pop((request_id, hop), 0):  # lost answers would block a small limit
             self.health.add_sample(backend, (now - sent_at) / units)
 
@@ -94,7 +93,8 @@
     def retry_or_refuse(self, pending: PendingRequest, ending: Ending) -> None:  # retries where allowed
         needed = self.health.latency * pending.request.units / 2
         useful = ending is not Ending.MOOT and self.limits.time_left(pending) > needed
-        allowed = useful and pending.attempts_made < self.max_attempts(pending) and self.repeatable(pending)
+        most = pending.request_class.tries or self.context.settings.max_attempts
+        allowed = useful and pending.attempts_made < most and self.repeatable(pending)
         if allowed and self.budget.try_spend(pending.retry_cost, ending, self.context.now):
             return self.send(pending)
         self.limits.refuse(pending, SECOND_US // 2)
--- a/oakvale/policy/choice.py
+++ b/oakvale/policy/choice.py
@@ -2,8 +2,8 @@
 
 from oakvale.interface import Effect, State
 from oakvale.policy.limits import Limits
-from oakvale.policy.records import BATCH_INTERVAL_US, EWMA_WEIGHT, SECOND_US
-from oakvale.policy_records import Backend, Context, PendingRequest
+from oakvale.policy.records import BATCH_INTERVAL_US, EWMA_WEIGHT
+from oakvale.policy_records import SECOND_US, Backend, Context, PendingRequest
 
 
 class BackendSelector:  # selects the backend of each attempt
--- a/oakvale/policy/gateway.py
+++ b/oakvale/policy/gateway.py
@@ -5,16 +5,16 @@
 
 from oakvale import interface as i
 from oakvale.policy import admission, attempts, choice, health, lending, limits, quota, upkeep
-from oakvale.policy.records import BATCH_INTERVAL_US, SECOND_US
-from oakvale.policy_records import Context
+from oakvale.policy.records import BATCH_INTERVAL_US
+from oakvale.policy_records import SECOND_US, Context
 from oakvale.retry_budget import LocalRetryBudget, RetryBudget
 
 
 class Gateway:  # the decisions of one gateway for one service
     def __init__(self, settings: i.Settings, seed: int, budget: RetryBudget | None = None) -> None:
         self.context = context = Context(seed)
-        self.update_settings(settings)
         self.counter, self.health = quota.CounterCalls(context), health.Health(context)
+        self.update_settings(settings)
         self.quota = quota.Quota(context, self.counter)
         self.limits = limits.Limits(context, self.health, self.quota)
         self.lending = lending.Lending(context, self.limits)
@@ -29,7 +29,8 @@
 
     def update_settings(self, settings: i.Settings) -> None:  # measurements of backends are kept
         self.context.settings = settings
-        self.context.min_aim = min((c.aim for c in settings.classes), default=SECOND_US)
+        self.context.aims = sorted(c.aim for c in settings.classes)
+        self.health.update_min_aim()
         self.context.max_deadline = max((c.deadline for c in settings.classes), default=SECOND_US)
 
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
--- a/oakvale/policy/health.py
+++ b/oakvale/policy/health.py
@@ -3,9 +3,10 @@
 from math import exp
 
 from oakvale.interface import Ended, Ending
-from oakvale.policy.records import EWMA_WEIGHT, REJECTED, SECOND_US
-from oakvale.policy_records import Backend, Context
+from oakvale.policy.records import EWMA_WEIGHT
+from oakvale.policy_records import REJECTED, SECOND_US, Backend, Context
 
+MIN_AIM_US = 1_000  # a shorter aim says nothing about a backend, also before its latency is known
 MIN_BASELINE_ANSWERS = 20  # answers before a baseline is taken: the first to arrive are the quickest
 
 
@@ -20,6 +21,11 @@
         known = exp((backend.latency_at - self.context.now) / (7 * SECOND_US)) if backend.latency else 0.0
         return (self.latency or 1.0) + (backend.latency - self.latency) * known
 
+    def update_min_aim(self) -> None:
+        """The least aim that an idle backend can meet; a shorter one would take sound backends from all."""
+        needed = max(MIN_AIM_US, int(self.baseline * self.context.mean_units))
+        self.context.min_aim = next((x for x in self.context.aims if x > needed), max(SECOND_US, 4 * needed))
+
     def stalled(self, backend: Backend) -> bool:
         """Whether it has work and has answered nothing for longer than that work should take."""
         work, context = max(backend.in_flight.values(), default=0.0), self.context
--- a/oakvale/policy/lending.py
+++ b/oakvale/policy/lending.py
@@ -2,8 +2,8 @@
 
 from oakvale.interface import Counted, Plan
 from oakvale.policy.limits import Limits
-from oakvale.policy.records import BATCH_INTERVAL_US, EPOCH_US, REJECTED, SECOND_US, quota_window
-from oakvale.policy_records import Context, PendingRequest
+from oakvale.policy.records import BATCH_INTERVAL_US, quota_window
+from oakvale.policy_records import EPOCH_US, REJECTED, SECOND_US, Context, PendingRequest
 
 CAPACITY_RATIO = 1.3  # assumed capacity over the sum of quotas in use; the design starts R there
 
--- a/oakvale/policy/limits.py
+++ b/oakvale/policy/limits.py
@@ -3,8 +3,7 @@
 from oakvale.interface import Cancel, Effect, Ending, Fail, Refuse
 from oakvale.policy.health import Health
 from oakvale.policy.quota import Quota
-from oakvale.policy.records import SECOND_US
-from oakvale.policy_records import Backend, ConcurrencyLimit, Context, PendingRequest
+from oakvale.policy_records import SECOND_US, Backend, ConcurrencyLimit, Context, PendingRequest
 
 OVERLOAD_RATIO = 1.3  # latency over baseline: a backend this much slower holds more than it has cores for
 MIN_IN_FLIGHT = 2.0  # least limit of a backend over all gateways: keeps the smallest one busy
--- a/oakvale/policy/quota.py
+++ b/oakvale/policy/quota.py
@@ -4,8 +4,8 @@
 from math import exp
 
 from oakvale.interface import Charge, Counted, Ending
-from oakvale.policy.records import EPOCH_US, EWMA_WEIGHT, REJECTED, SECOND_US
-from oakvale.policy_records import Context, Customer, PendingRequest
+from oakvale.policy.records import EWMA_WEIGHT
+from oakvale.policy_records import EPOCH_US, REJECTED, SECOND_US, Context, Customer, PendingRequest
 
 MAX_SCALE_EXPONENT = 16  # e^16, the largest scale of a unit, is a hundredth of the 1e9 that a counter takes
 MIN_CALL_SHARE = 0.02  # share of requests that still call a counter that does not answer, to find its return
@@ -53,15 +53,9 @@
         self.context, self.counter = context, counter
 
     def report_use(self, customer: Customer, kind: str, request_id: str) -> None:  # sends the unsent units
-        self.counter.call(self.quota_name(customer), customer.unsent, kind, request_id)
+        self.counter.call(self.context.quota_name(customer), customer.unsent, kind, request_id)
         customer.unsent = 0.0
 
-    def quota_name(self, customer: Customer) -> str:  # its count in this epoch
-        return f"q:{customer.name}:{self.context.now // EPOCH_US}"
-
-    def open_name(self, customer: Customer) -> str:  # its count of attempts
-        return f"o:{customer.name}:{self.context.now // self.context.max_deadline}"
-
     def open_share(self, customer: Customer) -> float:  # local room for further attempts
         return max(1, customer.plan.open / customer.gateways) - customer.in_flight
 
@@ -70,13 +64,14 @@
         if not request_id and (
                 not customer.plan.open or not self.context.settings.may_count or self.counter.share < 1):
             return
-        if self.context.now // self.context.max_deadline != customer.open_period:
-            customer.open_period, customer.reported_open = self.context.now // self.context.max_deadline, 0
+        period = self.context.max_deadline
+        if self.context.now // period != customer.open_period:
+            customer.open_period, customer.reported_open = self.context.now // period, 0
         amount = customer.in_flight + customer.open_calls - customer.reported_open
         if amount or request_id:
             customer.reported_open += amount
             kind, request_id = ("open", request_id) if request_id else ("told", customer.name)
-            self.counter.call(self.open_name(customer), amount, kind, request_id, self.context.max_deadline)
+            self.counter.call(self.context.open_name(customer), amount, kind, request_id, period)
 
     def refill(self, customer: Customer) -> None:
         """Refills the balance at the plan's rate, the allowance by what others leave or the even share."""
@@ -101,7 +96,7 @@
     def on_counted(self, customer: Customer, event: Counted, amount: float) -> None:
         """Takes what others added since the last read, as if evenly over that time, out of the balance.
         After more than a window only the count tells. One that fell too far was lost by the counter."""
-        if event.name != self.quota_name(customer):
+        if event.name != self.context.quota_name(customer):
             return  # a count of the epoch before
         if event.ending in REJECTED:
             customer.unsent += amount
--- a/oakvale/policy/upkeep.py
+++ b/oakvale/policy/upkeep.py
@@ -2,8 +2,8 @@
 
 from oakvale.interface import Backends, Entry, Fetch, ListForm, State, Timer, Wake, Watch
 from oakvale.policy.attempts import Attempts
-from oakvale.policy.records import BATCH_INTERVAL_US, BATCH_TIMER, EPOCH_US, SECOND_US
-from oakvale.policy_records import Backend, Context, Customer
+from oakvale.policy.records import BATCH_INTERVAL_US
+from oakvale.policy_records import BATCH_TIMER, EPOCH_US, SECOND_US, Backend, Context, Customer
 
 
 class Upkeep:  # handles updates of the backend list and timers
@@ -39,6 +39,7 @@
         context = self.context
         context.actions.append(Wake(BATCH_TIMER, BATCH_INTERVAL_US))
         self.attempts.health.baseline *= 1.005
+        self.attempts.health.update_min_aim()
         self.attempts.selector.tick()
         if self.lending.enabled:
             self.lending.send_batch()
--- a/oakvale/policy_records.py
+++ b/oakvale/policy_records.py
@@ -7,9 +7,14 @@
 
 import random
 
-from oakvale.interface import Action, Entry, Plan, Request, RequestClass, Settings
+from oakvale.interface import Action, Ending, Entry, Plan, Request, RequestClass, Settings
 from oakvale.retry_budget import RetryCost
 
+SECOND_US = 1_000_000
+EPOCH_US = 30 * SECOND_US  # half the time that the counter keeps a count; then a new name is used
+REJECTED = (Ending.FULL, Ending.NO_CONNECTION)  # the other side added nothing and did no work
+BATCH_TIMER = 0  # timer token of the batch; progress checks of attempts use higher ones
+
 
 class Customer:
     """Quota state of one customer, as this gateway knows it."""
@@ -79,7 +84,8 @@
     """State that all policy modules share: settings, time, customers, backends, and actions of the current event."""
 
     settings: Settings
-    min_aim: int  # over all request classes
+    aims: list[int]  # of all request classes, least first
+    min_aim: int  # the least of them that backends can meet
     max_deadline: int
 
     def __init__(self, seed: int) -> None:
@@ -91,3 +97,11 @@
         self.pending = dict[str, PendingRequest]()
         self.customers = dict[str, Customer]()
         self.backends = dict[int, Backend]()
+
+    def quota_name(self, customer: Customer) -> str:
+        """The name of a customer's count in this epoch."""
+        return f"q:{customer.name}:{self.now // EPOCH_US}"
+
+    def open_name(self, customer: Customer) -> str:
+        """The name of a customer's count of attempts in flight, which changes each longest deadline."""
+        return f"o:{customer.name}:{self.now // self.max_deadline}"
