An attempt is off all counts before anything is learned from it

Cause: on_ended learned between taking the attempt out and counting it down; the driver's recovery withdrew a request only where it had yet to answer it.

Change: counts first, then learning, then the decision; after an exception the policy is always told that the request is over.

--- a/oakvale/driver.py
+++ b/oakvale/driver.py
@@ -94,13 +94,16 @@
             self._recover(event)
 
     def _recover(self, event: i.Event) -> None:
-        """After an exception: answers the request concerned. A timer is set again, or periodic work would end."""
+        """After an exception: answers the request concerned, and has the policy forget it, also where it was answered
+        before. A timer is set again, or periodic work would end."""
         if isinstance(event, i.Timer):
             self.loop.wake_at(self.loop.now + self.limits.fault_pause, self._on_timer, event.token)
-        request = self.requests.get(getattr(event, "id", ""))
+        request_id = getattr(event, "id", "")
+        request = self.requests.get(request_id)
         if request is not None and not request.finished:
             self.final(request, Answer(500, [(b"content-type", b"text/plain")], b"internal error\n"))
-            self._events.append(i.Withdrawn(request.id))
+        if request_id and not isinstance(event, i.Withdrawn):
+            self._events.append(i.Withdrawn(request_id))
 
     def request_received(self, request: ClientRequest, event: i.Request) -> None:
         """Registers a new request and passes it to the policy."""
--- a/oakvale/policy/attempts.py
+++ b/oakvale/policy/attempts.py
@@ -67,12 +67,16 @@
         if event.id in self.context.pending:
             self.context.pending[event.id].responding = True
 
-    def on_ended(self, event: Ended) -> None:  # learns from it, and retries or answers
+    def on_ended(self, event: Ended) -> None:  # first off all counts, then learns, retries or answers
         pending, context = self.context.pending.get(event.id), self.context
         if pending is None or event.hop not in pending.in_flight:
             return
         backend, sent_at = pending.in_flight.pop(event.hop)
         counted = backend.in_flight.pop((event.id, event.hop), 0)
+        pending.customer.in_flight -= 1
+        self.quota.report_open(pending.customer)
+        if pending.first_run is None and event.ending not in NEVER_RAN:
+            pending.first_run = (backend, sent_at)
         if context.settings.post_paid and event.true_units and pending.charged:  # corrects the estimate
             excess = event.true_units - pending.request.units
             pending.customer.balance -= excess
@@ -81,10 +85,6 @@
         if learned and self.health.learn(backend, event, pending.request.units):  # not after a pause of ours
             self.limits.adapt(backend, event.ending)
         self.budget.record_attempt_end(pending.retry_cost, event.ending, learned, context.now)
-        pending.customer.in_flight -= 1
-        self.quota.report_open(pending.customer)
-        if pending.first_run is None and event.ending not in NEVER_RAN:
-            pending.first_run = (backend, sent_at)
         if event.over or pending.finished:
             self.limits.finish(event.id)
         elif not pending.in_flight:
--- a/tests/test_request_accounting.py
+++ b/tests/test_request_accounting.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+import pytest
+
 from oakvale.wire.clients import ClientConnection
 from oakvale.wire.counter import CounterCall, CounterConnection
 from tests.node import MS, Node, StubConnection, answer, row
@@ -127,3 +129,39 @@
     node.until(lambda: node.host.counter is not None and not node.host.counter.connections)
     node.compare()
     node.close()
+
+
+SERVED, ERROR = answer(), answer("500 Oops")
+
+
+@pytest.mark.parametrize(
+    "module, function, reply",
+    [  # an error gives no sample, by which limits could be adjusted
+        ("limits", "adjust", SERVED),
+        ("health", "learn", SERVED),
+        ("health", "learn", ERROR),
+        ("budget", "record_attempt_end", SERVED),
+        ("budget", "record_attempt_end", ERROR),
+    ],
+)
+def test_exception_while_learning_from_an_attempt_leaves_no_count(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, module: str, function: str, reply: bytes
+) -> None:
+    """Guards against a request that stays pending, and a customer's count of attempts that stays up, for good."""
+    node = CheckedNode()
+
+    def fails(*_: object) -> None:
+        raise ZeroDivisionError("odd")
+
+    policy = node.host.gateway
+    monkeypatch.setattr(getattr(policy.attempts, module), function, fails)
+    client, backend = node.send_request("a1")
+    node.clock.now += 5 * MS
+    backend.send(reply)
+    node.until(lambda: client.read())
+    node.step()
+    assert not policy.context.pending and not node.host.requests._by_id
+    assert not any(backend.in_flight for backend in policy.context.backends.values())
+    assert [customer.in_flight for customer in policy.context.customers.values()] == [0]
+    assert client.received.split()[1] == reply.split()[1] and any(record.exc_info for record in caplog.records)
+    node.close()
