Request classes are known by their terms and dropped with their configuration

What callers saw: a target_time that the operator took back went on acting on its service until its route was used again, and for good where the route was removed; with two routes of one name, a booking was decided as a safe request and sent twice.

Cause: a driver knew classes by the route's name and never dropped one; the number was looked up when a request came in, and the terms under it could change while the request waited for the counter.

Change: classes by terms, numbered when the request is handed to the policy, dropped by a new configuration; the terms of a request received before are marked as retired and say nothing about backends. Time-Left of first tries by host and prefix, not by name. The age of a request is no longer worked out where nothing asks for it (it looked through all classes' entries for each).

--- a/oakvale/dataplane/request_router.py
+++ b/oakvale/dataplane/request_router.py
@@ -11,6 +11,7 @@
 from oakvale import interface as i
 from oakvale.base.address import Address, parse_address
 from oakvale.dataplane.backend_protocol import SystemDialect
+from oakvale.dataplane.request_classes import RequestClasses, classes_by_service
 from oakvale.dataplane.routes import Backend, Route, RoutingSnapshot
 from oakvale.drains.moves import effective_exclusions
 from oakvale.driver import Driver
@@ -87,7 +88,7 @@
         """`refund` returns the count of a request that never ran; `excluded_backends` are never used unless no other
         backend is ready."""
         self.boards, self.excluded_backends, self._refund = boards, excluded_backends, refund
-        self._classes: dict[str, tuple[int, i.RequestClass]] = {}
+        self._classes = RequestClasses()
         self._zones, self.service = zones, service
         settings = i.Settings(
             classes=(),
@@ -113,27 +114,24 @@
         self._closed_zones: frozenset[str] = frozenset()
         self.has_backend_list = False
 
-    def class_number(self, route: Route) -> int:
-        """The request class number of a route in this driver; a changed route keeps its number."""
-        request_class = i.RequestClass(
-            aim=route.target_us,
-            deadline=route.deadline_us,
-            tries=route.max_attempts,
-            effect=i.Effect.SAFE if route.safe else i.Effect.UNSAFE,
-        )
-        known = self._classes.get(route.name)
-        if known is None or known[1] != request_class:
-            number = known[0] if known else len(self._classes)
-            self._classes[route.name] = (number, request_class)
-            self.settings = i.replace_classes(self.settings, tuple(c for _, c in self._classes.values()))
-            self.gateway.update_settings(self.settings)
-            return number
-        return known[0]
+    def configure_classes(self, configured: frozenset[i.RequestClass]) -> None:
+        """Takes the request classes that the service's routes have in a new configuration."""
+        if self._classes.configure(configured):
+            self._update_classes()
+
+    def _update_classes(self) -> None:
+        self.settings = i.replace_classes(self.settings, self._classes.numbered)
+        self.gateway.update_settings(self.settings)
 
     def request_received(self, request: ClientRequest, event: i.Request) -> None:
-        """Also records the request in the retry budget, which allows retries in proportion."""
+        """Also gives the request its class, and records it in the retry budget, which allows retries in proportion.
+
+        The class gets its number here, as numbers may change while a request waits for its turn."""
         self.budget.record_request(self.loop.now)
-        super().request_received(request, event)
+        number, is_new = self._classes.number(request.event.route)
+        if is_new:
+            self._update_classes()
+        super().request_received(request, replace(event, class_index=number))
 
     def final(self, request: ClientRequest, answer: Answer) -> None:
         """Answers the client; also refunds a request that was never attempted."""
@@ -317,7 +315,8 @@
         self._rng, self._retry_limits = self.loop.net.rng, retry_limits
         self.admission_closed = False
         self._previous_client_idle = (0, 0)  # a longer idle limit that clients may still assume, and until when
-        self._longest_wait_us: dict[str, int] = {}  # by route
+        self._longest_wait_us: dict[tuple[str, str], int] = {}  # by a route's host and prefix
+        self._classes_by_service: dict[str, frozenset[i.RequestClass]] = {}  # of the configuration in force
         self.serves: Callable[[], bool] = lambda: self.snapshot.generation >= 0  # whether requests may be handled
         self.revocations_current: Callable[[], bool] = lambda: True  # whether a revoked key would be known here
 
@@ -337,6 +336,7 @@
         previous, self.snapshot = self.snapshot, snapshot
         if snapshot.generation != previous.generation:
             self._longest_wait_us.clear()
+            self._configure_classes()
             previous_idle_us = previous.clients.within(self.shared.limits).client_idle
             if previous.generation >= 0 and snapshot.clients.within(self.shared.limits).client_idle < previous_idle_us:
                 self._previous_client_idle = (
@@ -360,6 +360,14 @@
             ]:
                 self._drivers_with_exclusions.pop(key).retire()
 
+    def _configure_classes(self) -> None:
+        """Has all drivers drop the request classes of routes that were removed or changed."""
+        routes = (route for routes in self.snapshot.routes.values() for route in routes)
+        self._classes_by_service = classes_by_service(routes)
+        drivers = [*self._drivers.values(), *self._drivers_with_exclusions.values()]
+        for driver in drivers:
+            driver.configure_classes(self._classes_by_service.get(driver.service, frozenset()))
+
     def _update_limits(self, _: Any = None) -> None:
         """A shorter idle limit takes effect once clients that rely on the longer one have had time to notice."""
         limits = self.snapshot.clients.within(self.shared.limits)
@@ -384,6 +392,7 @@
                 budget,
                 self.rate_limiter.refund,
             )
+            driver.configure_classes(self._classes_by_service.get(service, frozenset()))
         return driver
 
     def _driver_for_tenant(self, service: str, tenant: str | None) -> ServiceDriver:
@@ -409,6 +418,7 @@
                 self.rate_limiter.refund,
                 excluded,
             )
+            narrowed.configure_classes(self._classes_by_service.get(service, frozenset()))
             narrowed.update_backends(
                 [backend for backend in self.snapshot.backends.values() if backend.service == service],
                 self._backend_numbers,
@@ -454,7 +464,7 @@
         wait_us = min(route.deadline_us, int(time_left) * MS if DIGITS.fullmatch(time_left) else route.deadline_us)
         service = route.choose_service(self._rng.random())
         driver = self._driver_for_tenant(service, tenant) if snapshot.avoid else self._driver(service)
-        event = i.Request(name, "", driver.class_number(route), 0, 1.0, 1, 0, arrived + wait_us)
+        event = i.Request(name, "", 0, 0, 1.0, 1, 0, arrived + wait_us)  # the driver sets its class
         routed = RoutedRequest(driver, route, tenant, event, is_retry=self._is_retry(route, wait_us))
         return ClientRequest(
             name, client, incoming.method, incoming.target, incoming.headers, incoming.body, event.deadline, routed
@@ -464,8 +474,9 @@
         """Whether a client has sent this request before, judged by its Time-Left.
 
         First tries of a route all start with the same time, and lose at most MAX_TRANSIT_US on the way here."""
-        longest = max(wait_us, self._longest_wait_us.get(route.name, 0))
-        self._longest_wait_us[route.name] = longest
+        key = route.host, route.prefix
+        longest = max(wait_us, self._longest_wait_us.get(key, 0))
+        self._longest_wait_us[key] = longest
         return wait_us < longest - MAX_TRANSIT_US
 
     def begin(self, request: ClientRequest) -> None:
--- a/oakvale/interface.py
+++ b/oakvale/interface.py
@@ -63,6 +63,7 @@
     worth: float = 1.0
     stream: bool = False
     tries: int = 0  # attempts at most; 0: `Settings.max_attempts`
+    retired: bool = False  # no longer configured: decides requests received before, and nothing about backends
 
 
 @dataclass(slots=True, frozen=True)
--- a/oakvale/policy/admission.py
+++ b/oakvale/policy/admission.py
@@ -24,8 +24,8 @@
             self.lending.weights += plan.price if self.lending.may_borrow(plan) else 0.0
         customer.last_seen, customer.gateways = now, max(1, min(request.gateway_count, settings.fleet))
         request_class = settings.classes[request.class_index]
-        pending = context.pending[request.id] = PendingRequest(
-            request, request_class, customer, now - self.age(request, request_class))
+        sent_at = now if settings.late_earns else now - self.age(request, request_class)
+        pending = context.pending[request.id] = PendingRequest(request, request_class, customer, sent_at)
         if self.limits.time_left(pending) < self.limits.health.latency * request.units:
             return self.limits.refuse(pending, SECOND_US)  # too late to be answered in time
         self.quota.refill(customer)
--- a/oakvale/policy/gateway.py
+++ b/oakvale/policy/gateway.py
@@ -29,7 +29,7 @@
 
     def update_settings(self, settings: i.Settings) -> None:  # measurements of backends are kept
         self.context.settings = settings
-        self.context.aims = sorted(c.aim for c in settings.classes)
+        self.context.aims = sorted(c.aim for c in settings.classes if not c.retired)
         self.health.update_min_aim()
         self.context.max_deadline = max((c.deadline for c in settings.classes), default=SECOND_US)
 
