An attempt never goes on a connection that carried one of its request

Cause: all attempts of a request share its Attempt-Id; the third went on the connection of the first, where the id can't tell whose answer it is.

Change: a request remembers the connections of its attempts, and idle ones among them are passed over for it. The model of the data plane declines with an id and duplicates that, and bookings have 4 tries. A test asked for the reuse by the same request; it asks for it by another request now, and a second one that the same request does not reuse it.

--- a/oakvale/driver.py
+++ b/oakvale/driver.py
@@ -159,7 +159,9 @@
         request.attempts[hop] = attempt
         if request.finished or deadline <= now or hop >= self.settings.max_attempts:
             return self.attempt_ended(attempt, i.Ending.MOOT)
-        connection = self.idle.take(action.backend, now, self.max_connection_idle(request))
+        # all attempts of a request share its id: a late duplicate of an earlier attempt's answer on the same connection
+        # would be taken for the answer of this one
+        connection = self.idle.take(action.backend, now, self.max_connection_idle(request), request.used_connections)
         if connection is not None:
             return connection.start_attempt(attempt, self)
         address = self.address(action.backend)
--- a/oakvale/memory/idle_connections.py
+++ b/oakvale/memory/idle_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Container
 from itertools import islice
 from typing import Protocol
 
@@ -23,18 +24,25 @@
         self._by_backend.setdefault(connection.backend, deque()).append(connection)
         self.count += 1
 
-    def take(self, backend: int, now: int, max_idle_us: int | None = None) -> ReusableConnection | None:
-        """Returns the most recently used connection that is still usable and idle for at most `max_idle_us`.
+    def take(
+        self,
+        backend: int,
+        now: int,
+        max_idle_us: int | None = None,
+        unsuitable: Container[ReusableConnection] = (),
+    ) -> ReusableConnection | None:
+        """Returns the most recently used connection that is still usable and idle for at most `max_idle_us`, but none
+        of those in `unsuitable`.
 
         Some backends send a duplicate answer or stray bytes right after an answer. On a connection that is reused at
         once, these would be taken for the next answer, so one that was used within `settle_us` is passed over."""
         connections = self._by_backend.get(backend)
-        unsettled: list[ReusableConnection] = []
+        passed_over: list[ReusableConnection] = []
         found = None
         while connections and found is None:
             connection = connections.pop()
-            if now - connection.last_used < self._settle_us:
-                unsettled.append(connection)
+            if now - connection.last_used < self._settle_us or connection in unsuitable:
+                passed_over.append(connection)
                 continue
             if max_idle_us is not None and now - connection.last_used > max_idle_us:
                 connections.append(connection)  # the remaining ones have been idle even longer
@@ -45,7 +53,7 @@
             else:
                 connection.end()
         if connections is not None:
-            connections.extend(reversed(unsettled))
+            connections.extend(reversed(passed_over))
         return found
 
     def remove(self, connection: ReusableConnection) -> None:
--- a/oakvale/memory/requests.py
+++ b/oakvale/memory/requests.py
@@ -35,6 +35,7 @@
     abandoned: bool = False  # finished because its client left
     hops: int = 0  # attempts so far
     attempts: dict[int, InFlightAttempt] = field(default_factory=dict)  # those in flight, by hop
+    used_connections: set[ReusableConnection] = field(default_factory=set)  # to backends, by all its attempts so far
 
 
 @dataclass(slots=True, eq=False)
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -176,24 +176,28 @@
 
     def __init__(self, host: Owner, attempt: InFlightAttempt, address: Address) -> None:
         self.host, self.backend, self.last_used = host, attempt.backend, host.loop.now
-        self.attempt: InFlightAttempt | None = attempt
+        self.attempt: InFlightAttempt | None = None
         self.max_idle_us = host.limits.backend_idle
         self._share = BodyMemoryShare(host.bodies)
         # the rest of the current request, and whether the kernel may have taken any of it
         self._unsent, self._write_started = b"", False
         self._sock = new_socket(host.loop.net)
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=host.limits.header)
-        attempt.connection = self
+        self._carry(attempt)
         host.backend_connections += 1
         self._task = host.loop.start(self._run(attempt, address), self._sock.fileno(), Priority.BACKEND)
 
     def start_attempt(self, attempt: InFlightAttempt, host: Owner) -> None:
         """Starts an attempt on an idle connection; the drivers of a service share their idle connections."""
         self.host = host
-        self.attempt, attempt.connection = attempt, self
+        self._carry(attempt)
         attempt.connection_idle_us = max(1, self.host.loop.now - self.last_used)
         self.host.loop.wake(self._task)
 
+    def _carry(self, attempt: InFlightAttempt) -> None:
+        self.attempt, attempt.connection = attempt, self
+        attempt.request.used_connections.add(self)
+
     def is_reusable(self) -> bool:
         """Whether it is open, with no unexpected bytes: a request written to a closed connection may have run."""
         return peek(self._sock) is None
--- a/tests/data_plane_model.py
+++ b/tests/data_plane_model.py
@@ -39,7 +39,7 @@
         "cols": ["name", "vhost", "prefix", "type", "deadline", "tries", "svc"],
         "rows": [
             ["read", "a", "/r/", "safe", "5s", 3, "one"],
-            ["book", "a", "/b/", "unsafe", "6s", 3, "one"],
+            ["book", "a", "/b/", "unsafe", "6s", 4, "one"],
             ["move", "a", "/m/", "unsafe", "9s", 2, "two"],
         ],
     },
@@ -113,10 +113,11 @@
 
 
 def not_run_response(delivery: Delivery, variant: int) -> bytes:
-    """Says that the request was not run: 421 if `variant` is odd, else 503 with Not-Run."""
+    """Says that the request was not run: 421 if `variant` is odd, else 503 with Not-Run; bit 1 adds the id."""
+    attempt_id = b"Attempt-Id: %s\r\n" % delivery.request.id.encode() if variant & 2 else b""
     if variant % 2:
-        return b"HTTP/1.1 421 Misdirected Request\r\nServed-By: i-9\r\nContent-Length: 0\r\n\r\n"
-    return b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 2\r\n\r\nno"
+        return b"HTTP/1.1 421 Misdirected Request\r\nServed-By: i-9\r\n%sContent-Length: 0\r\n\r\n" % attempt_id
+    return b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\n%sContent-Length: 2\r\n\r\nno" % attempt_id
 
 
 class BackendEnd:
@@ -243,10 +244,9 @@
             )
         if kind == 23:
             current.not_run = True
-            self.duplicate = not_run_response(current, how >> 3) if how & 64 else b""
-            return self._send_final(
-                not_run_response(current, how >> 3) * (1 if how & 64 else 2), "rejects without running, twice"
-            )
+            rejection = not_run_response(current, how >> 5 & 1 | how >> 6 & 2)
+            self.duplicate = rejection if how & 64 else b""
+            return self._send_final(rejection * (1 if how & 64 else 2), "rejects without running, twice")
         if kind == 24:
             head = b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nSeal: %s\r\n\r\nhal" % (
                 current.request.id.encode(),
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -18,7 +18,8 @@
 from oakvale.config.bounds import limits_from_settings
 from oakvale.dataplane import backend_protocol
 from oakvale.dataplane.backend_protocol import SystemDialect
-from oakvale.memory.requests import Answer
+from oakvale.memory.idle_connections import IdleConnections
+from oakvale.memory.requests import Answer, ReusableConnection
 from oakvale.policy.attempts import Attempts
 from oakvale.wire import backends
 from oakvale.wire.backends import BackendConnection
@@ -81,6 +82,14 @@
     raise ConnectionLost()
 
 
+def take_any_connection(
+    connections: IdleConnections, backend: int, now: int, max_idle_us: int | None, unsuitable: object
+) -> ReusableConnection | None:
+    """Takes no notice of which connections have carried an attempt of the request."""
+    return TAKE(connections, backend, now, max_idle_us)
+
+
+TAKE = IdleConnections.take
 START_NEXT_CYCLE = h11.Connection.start_next_cycle
 TRAILING_DATA: Any = h11.Connection.__dict__["trailing_data"]
 REMOVED_SAFEGUARDS: dict[str, tuple[Any, str, Any]] = {
@@ -98,6 +107,11 @@
         "identifies_attempt",
         lambda *_: True,
     ),
+    "a connection carries several attempts of a request": (
+        IdleConnections,
+        "take",
+        take_any_connection,
+    ),
     "a connection is reused with bytes behind the answer": (
         h11.Connection,
         "trailing_data",
--- a/tests/test_attempts_wire.py
+++ b/tests/test_attempts_wire.py
@@ -398,7 +398,27 @@
     assert sending.backend.take() is None and sending.host.backend_connections == 3
 
 
-def test_a_connection_is_reused_by_an_attempt_a_moment_after_its_answer(sending: Node) -> None:
+def test_a_connection_is_reused_by_another_request_a_moment_after_its_answer(sending: Node) -> None:
+    client, backend = started(sending)
+    sending.script.answers[i.Request] = lambda _: []
+    other = sending.client()
+    sending.ask(other, "b1")
+    sending.wait_event(i.Request, 2)
+    sending.script.answers[i.Ended] = lambda e: [i.Wake(7, 5 * MS)] if e.id == "a1" else []
+    sending.script.answers[i.Timer] = lambda _: [i.Attempt("b1", 1)]
+    backend.received = b""
+    backend.send(answer())
+    sending.wait_event(i.Ended)
+    sending.pass_time(sending.host.limits.wake_slack)
+    assert b"b1" in sending.reads(backend)
+    assert sending.backend.take() is None
+    backend.send(answer())
+    sending.reads(client, b"slots")
+    sending.reads(other, b"slots")
+
+
+def test_a_further_attempt_of_a_request_takes_another_connection(sending: Node) -> None:
+    """Guards against a late duplicate of an earlier attempt's answer: nothing but the connection tells them apart."""
     client, backend = started(sending)
     sending.script.answers[i.Ended] = lambda e: [i.Wake(7, 5 * MS)] if e.hop == 0 else []
     sending.script.answers[i.Timer] = lambda _: [i.Attempt("a1", 1)]
@@ -406,10 +426,11 @@
     backend.send(answer("500 Oops"))
     sending.wait_event(i.Ended)
     sending.pass_time(sending.host.limits.wake_slack)
-    assert b"a1" in sending.reads(backend)
-    assert sending.backend.take() is None
-    backend.send(answer())
+    further = sending.accept_from(sending.backend)
+    assert b"a1" in sending.reads(further) and not backend.read()
+    further.send(answer())
     sending.reads(client, b"slots")
+    assert sending.host.idle.count == 2  # the first connection is kept for other requests
 
 
 @pytest.mark.parametrize("stray", [b"", b"x"])
--- a/tests/test_request_classes.py
+++ b/tests/test_request_classes.py
@@ -10,7 +10,6 @@
 
 from oakvale import interface as i
 from oakvale.dataplane.request_classes import RequestClasses, class_of, classes_by_service
-
 from oakvale.dataplane.routes import Route, parse_configuration
 from oakvale.ratelimit.counter_state import Receipt
 from tests.data_plane import CONFIG, GatewayHarness, success_answer
