A backend's answer reaches its client whatever its status

Cause: the reason phrase came from HTTPStatus(status), which raises, behind the block that answers exceptions.

Change: an empty phrase for a status without a name; a 502 in place of a head that can't be made; an exception while an answer is prepared leaves the decision to the policy; what an answer means is worked out before its connection is given back.

--- a/oakvale/driver.py
+++ b/oakvale/driver.py
@@ -130,9 +130,7 @@
         if request.abandoned:
             self.tally.abandoned_attempts[ending.value] += 1
         if answer is not None and not request.finished:
-            forwarded = self.dialect.client_answer(attempt, ending, answer)
-            if forwarded is not None:
-                self.final(request, forwarded)
+            self._forward(attempt, ending, answer)
         self.requests.remove_if_done(request)
         self.dispatch(
             i.Ended(
@@ -146,6 +144,17 @@
             )
         )
 
+    def _forward(self, attempt: InFlightAttempt, ending: i.Ending, answer: Answer) -> None:
+        """Answers the client if no other attempt may follow. After an exception the policy decides what follows, as
+        after an attempt without a usable answer."""
+        try:
+            forwarded = self.dialect.client_answer(attempt, ending, answer)
+        except Exception:
+            self.log.exception("answer cannot be passed on", extra={"status": answer.status})
+            return
+        if forwarded is not None:
+            self.final(attempt.request, forwarded)
+
     # ---- actions
 
     def _attempt(self, action: i.Attempt) -> None:
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -280,11 +280,11 @@
             and self.host.dialect.identifies_attempt(answer.headers)
             and self.host.serves(self.backend)
         )
+        ending, keep_alive_us = self.host.dialect.ending(answer), self.host.dialect.keep_alive_us(answer.headers)
         if reusable:  # made idle before the end is reported: the next attempt may use this connection
             http.start_next_cycle()
             self._share.hold(0)
             self.attempt, self.last_used = None, self.host.loop.now
-            keep_alive_us = self.host.dialect.keep_alive_us(answer.headers)
             # ends well before the backend closes: a request written to a closed connection may have run
             self.max_idle_us = (
                 self.host.limits.backend_idle
@@ -293,9 +293,9 @@
             )
             attempt.reusable_for_us = self.max_idle_us
             self.host.idle.put(self)
-            self.host.attempt_ended(attempt, self.host.dialect.ending(answer), answer, report)
+            self.host.attempt_ended(attempt, ending, answer, report)
         else:
-            self._finish(self.host.dialect.ending(answer), answer, report)
+            self._finish(ending, answer, report)
         return reusable
 
     def _encode_request(self, attempt: InFlightAttempt) -> bytes:
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -35,6 +35,8 @@
 MAX_TERMS_CHARS = 128
 READ_LATE_US = 100_000  # after this long in the receive buffer, a request's client may have left
 PROBE_ANSWER_US = 50_000  # a closed socket answers a probe with a reset within a round trip
+REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
+UNSENDABLE_ANSWER = "the backend's answer cannot be passed on"
 MICROSECONDS_BY_UNIT = {"m": 1000, "u": 1}
 CLIENT_RETRY_FLAG = 2  # in the flags of the policy's request event
 
@@ -128,9 +130,16 @@
     return i.Request(request_id, customer, class_index, plan, units, spread, first, received_at + wait_us, flags)
 
 
+def reason_phrase(status: int) -> str:
+    """The registered phrase of a status; empty for others, which clients take by their class (RFC 9110, 15)."""
+    return REASON_PHRASES.get(status, "")
+
+
 def response_head(status: int, headers: tuple[tuple[bytes, bytes], ...]) -> h11.Response:
-    """The head of an answer. Callers cache it: h11 validates each header again, and most heads recur."""
-    return h11.Response(status_code=status, headers=list(headers), reason=HTTPStatus(status).phrase)
+    """The head of an answer. Callers cache it: h11 validates each header again, and most heads recur.
+
+    Raises h11.LocalProtocolError for a head that cannot be sent."""
+    return h11.Response(status_code=status, headers=list(headers), reason=reason_phrase(status))
 
 
 def plain_answer(status: int, text: str) -> Answer:
@@ -235,15 +244,9 @@
                 self.request = None
             answer = plain_answer(500, "internal error")
         http = self._http
+        answer, head = self._sendable_head(answer, close_after)
         self.host.tally.answers[str(answer.status)] += 1
-        headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
-        # a stopping process closes the connection only after pipelined requests that were read are answered
-        if close_after or http.their_state is not h11.DONE or self.host.stopping and not http.trailing_data[0]:
-            headers.append((b"connection", b"close"))
-        # only short heads are cached, as a backend may send very long ones
-        cacheable = sum(len(name) + len(value) for name, value in headers) <= self.host.limits.cached_size
-        make_head = self.host.response if cacheable else response_head
-        data = http.send(make_head(answer.status, tuple(headers))) or b""
+        data = http.send(head) or b""
         if answer.body and method != b"HEAD":
             http.send(h11.Data(data=answer.body))
             data += answer.body
@@ -254,6 +257,26 @@
         self._share.hold(0)
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
+    def _sendable_head(self, answer: Answer, close_after: bool) -> tuple[Answer, h11.Response]:
+        """An answer and its head; a 502 in place of one whose head cannot be sent, as the client is owed an answer."""
+        try:
+            return answer, self._head_of(answer, close_after)
+        except Exception:
+            self.host.log.exception("answer cannot be sent", extra={"status": answer.status})
+            replacement = plain_answer(502, UNSENDABLE_ANSWER)
+            return replacement, self._head_of(replacement, close_after)
+
+    def _head_of(self, answer: Answer, close_after: bool) -> h11.Response:
+        http = self._http
+        headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
+        # a stopping process closes the connection only after pipelined requests that were read are answered
+        if close_after or http.their_state is not h11.DONE or self.host.stopping and not http.trailing_data[0]:
+            headers.append((b"connection", b"close"))
+        # only short heads are cached, as a backend may send very long ones
+        cacheable = sum(len(name) + len(value) for name, value in headers) <= self.host.limits.cached_size
+        make_head = self.host.response if cacheable else response_head
+        return make_head(answer.status, tuple(headers))
+
     def _read_request(self) -> Step[IncomingRequest]:
         """Reads the next request; raises BadRequest, or ConnectionLost if none arrives."""
         host, limits = self.host, self.host.limits
