A backend that leaves before it is listed stays unlisted

Cause: Leave wrote its marker only for a listed backend, so a first beat that was on its way listed it afterwards.

Change: the marker is written for each possible id that has none.

--- a/oakvale/controlplane/resources.py
+++ b/oakvale/controlplane/resources.py
@@ -248,14 +248,18 @@
         self._core.change(changes, lambda done: send_reply(accepted if done else UNCONFIRMED))
 
     def leave(self, name: str, body: bytes, send_reply: ReplyCallback) -> None:
+        """Removes a backend and marks it as gone, also one that is not listed: its first heartbeat may still come."""
         self._last_seen.pop(name, None)
-        if self._core.replicated_state.latest(f"backend/{name}") is None:
+        state = self._core.replicated_state
+        is_listed = state.latest(f"backend/{name}") is not None
+        can_be_listed = BACKEND_ID.fullmatch(name) is not None and state.latest(f"left/{name}") is None
+        if not is_listed and not can_be_listed:
             return self._core.confirm(lambda done: send_reply(Reply(200) if done else UNCONFIRMED))
-        log_event("backend leaves", backend=name)
-        self._core.change(
-            {f"backend/{name}": None, f"left/{name}": 1} | self.departure_changes(name, "left"),
-            lambda done: send_reply(Reply(200) if done else UNCONFIRMED),
-        )
+        log_event("backend leaves", backend=name, listed=is_listed)
+        changes: dict[str, Any] = {f"left/{name}": 1}
+        if is_listed:
+            changes |= {f"backend/{name}": None} | self.departure_changes(name, "left")
+        self._core.change(changes, lambda done: send_reply(Reply(200) if done else UNCONFIRMED))
 
     def silent_for(self, span_us: int) -> list[str]:
         """The listed backends without a heartbeat for longer than `span_us`."""
