Rate limiting: typed count and vote messages, delayed calls in a module of their own

Need: the service decoded lists by position in four places, and kept the queue of calls that wait for a counter beside its other jobs.

Change: CountRequest, CountReply, VoteRequest and VoteResponse encode and decode themselves; DelayedCalls.

--- a/oakvale/controlplane/voter.py
+++ b/oakvale/controlplane/voter.py
@@ -77,18 +77,10 @@
     def _on_ballot(self, conn: Connection, body: Any, answer: Answer) -> None:
         if not self._may_vote():
             return
-        duty, kind, number, address = str(body[0]), str(body[1]), (int(body[2][0]), str(body[2][1])), str(body[3])
+        request, address = VoteRequest.decode(body)
         # reads the clock now: after a pause within this turn, `loop.now` would date the vote too early
-        vote = self._voter.vote(VoteRequest(duty, kind, number), address, self._loop.clock())
-        packed = [
-            vote.kind,
-            list(vote.ballot),
-            vote.granted,
-            vote.highest_round,
-            vote.holder,
-            vote.holder_address,
-            vote.remaining_us,
-        ]
+        vote = self._voter.vote(request, address, self._loop.clock())
+        packed = vote.encode()
         votes = self._voter.recorded_holders()
         if votes != self._stored_votes or self._pending_writes:  # renewals by the same holder need no sync
             self._stored_votes = votes
--- a/oakvale/election/voting.py
+++ b/oakvale/election/voting.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Any
 
 BallotNumber = tuple[int, str]  # a round, and the incarnation of the candidate that started it
 
@@ -41,6 +42,15 @@
     kind: str  # "prepare" or "elect"
     ballot: BallotNumber
 
+    def encode(self, address: str) -> list[Any]:
+        """The message of the candidate at this address."""
+        return [self.duty, self.kind, list(self.ballot), address]
+
+    @classmethod
+    def decode(cls, body: Any) -> tuple[VoteRequest, str]:
+        """The request, and the candidate's address. Raises TypeError, ValueError or IndexError for another message."""
+        return cls(str(body[0]), str(body[1]), (int(body[2][0]), str(body[2][1]))), str(body[3])
+
 
 @dataclass(slots=True, frozen=True)
 class VoteResponse:
@@ -55,6 +65,26 @@
     holder_address: str = ""
     remaining_us: int = 0  # until the holder's vote expires
 
+    def encode(self) -> list[Any]:
+        """The message without the duty, which the candidate knows from its request."""
+        vote = [self.kind, list(self.ballot), self.granted]
+        return [*vote, self.highest_round, self.holder, self.holder_address, self.remaining_us]
+
+    @classmethod
+    def decode(cls, duty: str, body: list[Any]) -> VoteResponse:
+        """The response to a request for this duty. Raises TypeError, ValueError or IndexError for another message."""
+        kind, ballot, granted, highest_round, holder, holder_address, remaining_us = body
+        return cls(
+            duty,
+            str(kind),
+            (int(ballot[0]), str(ballot[1])),
+            bool(granted),
+            int(highest_round),
+            str(holder),
+            str(holder_address),
+            int(remaining_us),
+        )
+
 
 class Voter:
     """The votes of one voter. `recorded`: duty -> incarnation and address of the holder, as read from disk."""
--- a/oakvale/ratelimit/service.py
+++ b/oakvale/ratelimit/service.py
@@ -23,7 +23,9 @@
 from oakvale.lifecycle.eventlog import EventLogger
 from oakvale.ratelimit.counter_directory import COUNTER_TIMEOUT_US, CounterDirectory
 from oakvale.ratelimit.counter_state import CounterState, Receipt
+from oakvale.ratelimit.delayed_calls import DelayedCalls
 from oakvale.ratelimit.handover import STATE_RETENTION_US, Handover
+from oakvale.ratelimit.messages import CountReply, CountRequest
 from oakvale.ratelimit.presence import ABSENT_US, MEMBER_RETENTION_US, Presence
 from oakvale.ratelimit.quotas import SECOND, LocalAllowance, Quota, QuotaCounter, QuotaTerms, UsageReadings
 from oakvale.ratelimit.refunds import RefundLog
@@ -78,6 +80,7 @@
         # duty -> counter of a duty formerly held here, and until when it is kept
         self._former_counters: dict[str, tuple[QuotaCounter, int]] = {}
         self._counts_since = 0  # when a duty was last won
+        self._delayed_calls = DelayedCalls(loop)
         self._directory = CounterDirectory(
             loop,
             transport,
@@ -86,13 +89,11 @@
             self_address,
             self._presence,
             voters,
-            self._resume_waiting,
+            self._delayed_calls.resume,
             self._run_election,
         )
         self._ranks: dict[str, int] = {}  # duty -> this gateway's rank among its candidates
         self._started_at = loop.now
-        self._waiting: dict[str, dict[int, Callable[[], None]]] = {}
-        self._wait_number = 0
         self._readings = UsageReadings()
         self._local_allowance = LocalAllowance(terms, loop.net.rng.random, loop.now)
         self._seen_tenants: dict[str, None] = {}
@@ -155,36 +156,29 @@
             return on_counted(decision.passes, decision.wait_us, True)
         holder = self._directory.holder(duty)
         if holder is None and patience:
-            return self._wait_for_counter(
-                duty, partial(self.count_request, tenant, again, on_counted, 0, receipt), patience
-            )
+            call = partial(self.count_request, tenant, again, on_counted, 0, receipt)
+            return self._delayed_calls.delay(duty, call, patience)
         if holder is None or self._directory.backs_off(duty):
             return self._pass_locally(tenant, quota, on_counted)
 
         def answered(answer: Any) -> None:
             if not isinstance(answer, list):
                 self._directory.unanswered(duty, holder)
-                if (
-                    patience and self._directory.holder(duty) != holder
-                ):  # it has just handed over the duty, or has ended
-                    retry = partial(self.count_request, tenant, again, on_counted, 0, receipt)
-                    return retry() if self._directory.holder(duty) else self._wait_for_counter(duty, retry, patience)
-                return self._pass_locally(tenant, quota, on_counted)
-            self._directory.answered(duty, holder, answer[3])
-            passes, level, wait = bool(answer[0]), float(answer[1]), int(answer[2])
-            self._readings.record(tenant, level, self.loop.now)
-            if receipt is not None and passes and len(answer) > 4:  # the previous version sends no time
-                receipt.tenant, receipt.counter_id, receipt.counted_at = tenant, str(answer[3][0]), int(answer[4])
-            on_counted(passes, wait, True)
+                has_changed = self._directory.holder(duty) != holder  # it handed over the duty just now, or has ended
+                if not patience or not has_changed:
+                    return self._pass_locally(tenant, quota, on_counted)
+                retry = partial(self.count_request, tenant, again, on_counted, 0, receipt)
+                return retry() if self._directory.holder(duty) else self._delayed_calls.delay(duty, retry, patience)
+            reply = CountReply.decode(answer)
+            self._directory.answered(duty, holder, reply.stamp)
+            self._readings.record(tenant, reply.level, self.loop.now)
+            if receipt is not None and reply.passes and reply.counted_at is not None:
+                receipt.tenant, receipt.counter_id, receipt.counted_at = tenant, reply.counter_id, reply.counted_at
+            on_counted(reply.passes, reply.wait_us, True)
 
         self._directory.called(duty)
-        self.transport.ask(
-            holder,
-            "count",
-            [tenant, quota.rate, quota.burst, self._node, again, self._directory.stamp_of(holder)],
-            COUNTER_TIMEOUT_US,
-            answered,
-        )
+        request = CountRequest(tenant, quota, self._node, again, self._directory.stamp_of(holder))
+        self.transport.ask(holder, "count", request.encode(), COUNTER_TIMEOUT_US, answered)
 
     def refund(self, receipt: Receipt) -> None:
         """Takes back the count of a request that surely never ran. Does nothing when called again, or if the counter
@@ -208,23 +202,6 @@
         if self._is_counting(duty):
             self._counters[duty].refund(tenant, self._quota(tenant), counted_at, self.loop.now)
 
-    def _wait_for_counter(self, duty: str, call: Callable[[], None], patience: int) -> None:
-        """Delays a call until a counter is found, at most by `patience`."""
-        waiting = self._waiting.setdefault(duty, {})
-        number = self._wait_number = self._wait_number + 1
-        waiting[number] = call
-
-        def late(_: Any) -> None:
-            if waiting.pop(number, None) is not None:
-                call()
-
-        self.loop.at(self.loop.now + patience, late)
-
-    def _resume_waiting(self, duty: str) -> None:
-        waiting = self._waiting.pop(duty, {})
-        while waiting:
-            waiting.pop(next(iter(waiting)))()
-
     def _pass_locally(self, tenant: str, quota: Quota, on_counted: CountCallback) -> None:
         now = self.loop.now
         absent = now - self._directory.last_answer_at(duty_of(tenant)) - ABSENT_US
@@ -266,17 +243,19 @@
         return duty in self._counters and self._candidate.holds(duty, self.loop.now)
 
     def _on_count(self, conn: Connection, body: Any, answer: Answer) -> None:
-        tenant = str(body[0])
-        duty = duty_of(tenant)
+        request = CountRequest.decode(body)
+        duty = duty_of(request.tenant)
         if not self._is_counting(duty):
             return answer(None)
-        self._presence.record_stamp(str(body[3]), body[5])
-        quota = self._quota(tenant)
+        self._presence.record_stamp(request.node, request.stamp)
+        quota = self._quota(request.tenant)
         if quota.rate <= 0:
-            quota = Quota(float(body[1]), float(body[2]))  # state updates of it have not arrived here yet
+            quota = request.quota  # state updates of it have not arrived here yet
         self._counters[duty].set_reachable_share(self._presence.present_share(), self.loop.now)
-        decision = self._counters[duty].count_request(tenant, quota, bool(body[4]), self.loop.now)
-        answer([decision.passes, decision.level, decision.wait_us, self._presence.stamp(), decision.counted_at])
+        decision = self._counters[duty].count_request(request.tenant, quota, request.is_retry, self.loop.now)
+        stamp = self._presence.stamp()
+        reply = CountReply(decision.passes, decision.level, decision.wait_us, stamp, decision.counted_at)
+        answer(reply.encode())
 
     def _on_greeting(self, conn: Connection, body: Any, answer: Answer) -> None:
         self._presence.record_stamp(str(body[0]), body[1])
@@ -352,7 +331,7 @@
         self._counters[duty] = collection.counter
         self._counts_since = self.loop.now
         self._directory.forget(duty)
-        self._resume_waiting(duty)
+        self._delayed_calls.resume(duty)
         log_event("counting", duty=duty)
         for address in self._presence.others():
             self.transport.tell(address, "gauge", [duty, self._self_address])
@@ -431,30 +410,12 @@
 
         def answered(answer: Any, voter: Address) -> None:
             if isinstance(answer, list):
-                kind, number, yes, known, holder, where, left = answer
-                self._on_vote(
-                    VoteResponse(
-                        request.duty,
-                        str(kind),
-                        (int(number[0]), str(number[1])),
-                        bool(yes),
-                        int(known),
-                        str(holder),
-                        str(where),
-                        int(left),
-                    ),
-                    format_address(voter),
-                    len(voters),
-                )
+                response = VoteResponse.decode(request.duty, answer)
+                self._on_vote(response, format_address(voter), len(voters))
 
+        message = request.encode(self._self_address)
         for voter in voters:
-            self.transport.ask(
-                voter,
-                "ballot",
-                [request.duty, request.kind, list(request.ballot), self._self_address],
-                VOTE_TIMEOUT_US,
-                lambda answer, voter=voter: answered(answer, voter),  # type: ignore[misc]
-            )
+            self.transport.ask(voter, "ballot", message, VOTE_TIMEOUT_US, partial(answered, voter=voter))
 
     def _on_vote(self, response: VoteResponse, voter: str, voters: int) -> None:
         now = self.loop.now
