An answer without an id is nobody's on a connection that carried other requests

Stray bytes behind an earlier answer that look like a Not-Run were taken for the next request's answer, and a booking would run twice.

Cause: an answer of 300 and above was allowed to bear no id, also where bytes of earlier exchanges may still arrive.

Change: there it is a spoilt answer: the request may have run. On a new connection it counts as before.

Measured: the new test fails before for the unsafe route (a second attempt is made) and passes; 234 tests of the wire, drawn schedules with each safeguard taken out found.

--- a/oakvale/dataplane/backend_protocol.py
+++ b/oakvale/dataplane/backend_protocol.py
@@ -36,7 +36,7 @@
         return [*end_to_end(request.headers, GATEWAY_REQUEST_HEADERS), *added]
 
     def matches_attempt(self, attempt: InFlightAttempt, status: int, headers: Headers) -> bool:
-        """A success must carry the attempt's id; an answer with another status may omit it."""
+        """A success must carry the attempt's id; an answer with another status may omit it on a new connection."""
         ids = [value for name, value in headers if name == b"attempt-id"]
         return all(value == attempt.request.id.encode("latin-1") for value in ids) and bool(ids or status >= 300)
 
@@ -50,8 +50,11 @@
         routed = attempt.request.event
         return not routed.route.safe or routed.driver.stopping
 
-    def check_headers(self, headers: Headers) -> None:
-        """Raises InvalidAnswer if the answer has a content encoding."""
+    def check_headers(self, attempt: InFlightAttempt, headers: Headers) -> None:
+        """Raises InvalidAnswer if the answer has a content encoding, or no id on a connection that has carried other
+        requests: bytes behind an earlier answer may look like one, and belong to no request."""
+        if attempt.connection_idle_us and not self.identifies_attempt(headers):
+            raise InvalidAnswer("answer without an id on a connection that has carried other requests")
         if any(name == b"content-encoding" and value.lower() != b"identity" for name, value in headers):
             raise InvalidAnswer("answer has a content encoding, which backends never use")
 
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -90,8 +90,9 @@
     def waits_for_rest(self, attempt: InFlightAttempt) -> bool:
         """Whether to wait for the rest of a partial answer until the deadline of the attempt."""
 
-    def check_headers(self, headers: Headers) -> None:
-        """Raises InvalidAnswer if the headers show that the answer was altered on its way."""
+    def check_headers(self, attempt: InFlightAttempt, headers: Headers) -> None:
+        """Raises InvalidAnswer if the headers show that the answer was altered on its way, or may be for another
+        request."""
 
     def ending(self, answer: Answer) -> Ending:
         """How an attempt with this complete answer ended."""
@@ -131,7 +132,7 @@
     def waits_for_rest(self, attempt: InFlightAttempt) -> bool:
         return False
 
-    def check_headers(self, headers: Headers) -> None:
+    def check_headers(self, attempt: InFlightAttempt, headers: Headers) -> None:
         pass
 
     def ending(self, answer: Answer) -> Ending:
@@ -354,7 +355,7 @@
                 answer.status, answer.headers = event.status_code, list(event.headers)
                 duplicate = not self.host.dialect.matches_attempt(attempt, answer.status, answer.headers)
                 if not duplicate:
-                    self.host.dialect.check_headers(answer.headers)
+                    self.host.dialect.check_headers(attempt, answer.headers)
                 report = self.host.dialect.parse_load(answer.headers)
             elif type(event) is h11.Data:
                 parts.append(bytes(event.data))
--- a/tests/test_surplus_answers.py
+++ b/tests/test_surplus_answers.py
@@ -83,3 +83,25 @@
     _, third, _ = gateway.next_backend_request()
     third.send(success_answer(body=b"booked"))
     assert gateway.reads(client, b"booked").startswith(b"HTTP/1.1 200") and not first.read()
+
+
+@pytest.mark.parametrize("path, status", [("/b/x", 502), ("/r/x", 200)])
+def test_answer_without_an_id_behind_another_request_decides_nothing(
+    gateway: GatewayHarness, path: str, status: int
+) -> None:
+    """Guards against stray bytes behind an earlier answer that look like a Not-Run: a booking would run twice."""
+    gateway.apply_state(gen=8, removed=("i-2",))
+    earlier = gateway.send_request(request_id="b1")
+    _, backend, _ = gateway.next_backend_request()
+    backend.received = b""
+    backend.send(success_answer("b1"))
+    gateway.reads(earlier, b"ok")
+    gateway.pass_time(5 * MS)
+    client = gateway.send_request(path, method="POST", body=b"chair 4")
+    gateway.until(lambda: b"chair 4" in backend.read())
+    backend.send(answer("503 Full", b"no", Not_Run="1"))  # belongs to no request, and the backend runs this one
+    if status == 200:
+        _, again, _ = gateway.next_backend_request()
+        again.send(success_answer())
+    assert gateway.status(client) == status
+    assert gateway.backend_1.take() is None
