The driver of a service in a module of its own

Change: service_driver.py has the driver, the routed request and its answers; names and statements as they were.

--- a/oakvale/dataplane/drain_agent.py
+++ b/oakvale/dataplane/drain_agent.py
@@ -12,7 +12,8 @@
 
 from oakvale.base.address import Address
 from oakvale.base.loop import Loop
-from oakvale.dataplane.request_router import RequestRouter, RoutedRequest
+from oakvale.dataplane.request_router import RequestRouter
+from oakvale.dataplane.service_driver import RoutedRequest
 from oakvale.drains.moves import AvoidedBackends, MoveFollower
 from oakvale.lifecycle.eventlog import EventLogger
 from oakvale.memory.requests import Answer, ClientRequest
--- a/tests/test_lab_breaks.py
+++ b/tests/test_lab_breaks.py
@@ -17,7 +17,8 @@
 from oakvale.dataplane import routes
 from oakvale.dataplane.backend_protocol import SystemDialect
 from oakvale.dataplane.gateway import EdgeGateway, ReadinessOwner
-from oakvale.dataplane.request_router import RequestRouter, ServiceDriver, retry_later_answer
+from oakvale.dataplane.request_router import RequestRouter
+from oakvale.dataplane.service_driver import ServiceDriver, retry_later_answer
 from oakvale.dissemination.table import Table
 from oakvale.lab import undone
 from oakvale.lab.days import Day, decode
@@ -210,7 +211,7 @@
     "what may have run is refused": Break(
         "REFUSED",
         day(LOST_BY_RESET),
-        {"oakvale.dataplane.request_router.ServiceDriver.final_answer": may_have_run_is_refused},
+        {"oakvale.dataplane.service_driver.ServiceDriver.final_answer": may_have_run_is_refused},
     ),
     "nothing is counted": Break(
         "QUOTA",
