Aims act on limits unless they are below a quarter of the baseline

Cause, inferred by reading and not shown by a play: an aim counted only above the whole baseline. A service that mixes long and short work has its shortest aim near the baseline, which rises while the service is slow; the aim dropped out, and limits grew.

Change: only an aim below a quarter of the baseline doesn't count. The test's odd aims follow (15 ms in place of 50 ms at a latency of 60 ms): an aim between a quarter of the baseline and the latency acts as it did before the mend.

Measured: 141 tests of the policy, odd aims and drawn configurations passed; digests unchanged.

--- a/oakvale/policy/health.py
+++ b/oakvale/policy/health.py
@@ -22,9 +22,9 @@
         return (self.latency or 1.0) + (backend.latency - self.latency) * known
 
     def update_min_aim(self) -> None:
-        """The least aim that an idle backend can meet; a shorter one would take sound backends from all."""
-        needed = max(MIN_AIM_US, int(self.baseline * self.context.mean_units))
-        self.context.min_aim = next((x for x in self.context.aims if x > needed), max(SECOND_US, 4 * needed))
+        """The least aim of use: one below a quarter of the baseline would take sound backends from all."""
+        needed = max(MIN_AIM_US, int(0.25 * self.baseline * self.context.mean_units))
+        self.context.min_aim = next((x for x in self.context.aims if x > needed), max(SECOND_US, 16 * needed))
 
     def stalled(self, backend: Backend) -> bool:
         """Whether it has work and has answered nothing for longer than that work should take."""
