Review: a script that is ended early says so, and ends its processes

Cause: an exception that no case expects would have ended a script with 1, which means a broken rule, and a signal would have left its processes. Change: both exit with 2.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -447,15 +447,18 @@
     record("trouble" if TROUBLE else "no trouble")
 
     async def limited() -> int:
-        asyncio.get_running_loop().set_exception_handler(
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.set_exception_handler(
             lambda _, context: record("stand-in:", context.get("message"), repr(context.get("exception")))
         )
+        for number in (signal.SIGTERM, signal.SIGINT):  # so that the processes are ended all the same
+            loop.add_signal_handler(number, lambda: task.cancel() if task is not None else None)
         async with asyncio.timeout(115):
             return await play(record)
 
     try:
         code = asyncio.run(limited())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # whatever it is, it shows no broken rule
         record("could not run:", repr(error))
         code = NOT_RUN
     words = {HELD: "the rule held", BROKEN: "THE RULE IS BROKEN", NOT_RUN: "the case could not run"}[code]
