--- a/review/4/case.py
+++ b/review/4/case.py
@@ -107,4 +107,4 @@
 
 
 if __name__ == "__main__":
-    h.main(Path(__file__).resolve().parent, play)
+    h.main(Path(__file__).resolve().parent / "record.txt", play)  # written anew by each run
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,6 +13,7 @@
 HOST = "desk.example"
 DEADLINE_MS = 12_000  # of `patient-read`, as its aim of 2,000 ms
 USUAL_S, LONG_READ_S, BOOKING_S = 0.25, 3.0, 2.0  # work; the site's longest are 4.1 s and 2.1 s
+GRACE_S = 6.0  # the rule excuses what a backend still works on in the last sixth of it
 WARM_UP_S = 12.0  # more than one `retry-win` of usual traffic
 BOOKINGS = 7  # with the long read they fill 2 backends of 2 slots and 2 places in the queue
 
@@ -54,6 +55,7 @@
             number += 1
             usual = [ask(deployment, edge, "GET", "/read/usual", f"usual-{number}-{edge}") for edge in deployment.edge]
             await asyncio.gather(*usual)
+        sent = record.now()
         long_read = asyncio.create_task(ask(deployment, "edge-0", "GET", "/read/long", "long-read"))
         await asyncio.sleep(0.05)
         bookings = []
@@ -64,13 +66,16 @@
         if h.TROUBLE:
             stopped = deployment.signal("edge-0", signal.SIGTERM)
         answer = await long_read
+        answered = record.now()
         await asyncio.gather(*bookings)
         cut = [run for b in backends for run in b.runs if run.id == "long-read" and run.how == "cut off"]
         own_answer = answer is None or "seal" not in answer.headers
         record("long-read: cut off", [f"{run.ended:.3f}" for run in cut], "own answer", own_answer)
         if not any(run.id == "long-read" for b in backends for run in b.runs):
             return h.NOT_RUN
-        broken = h.TROUBLE and own_answer and any(run.ended > stopped for run in cut)
+        in_time = answered < sent + DEADLINE_MS / 1000  # a deadline that was reached is an excuse
+        in_window = [run for run in cut if stopped < run.ended < stopped + GRACE_S * 5 / 6]
+        broken = h.TROUBLE and own_answer and in_time and bool(in_window)
         return h.BROKEN if broken else h.HELD
     finally:
         for backend in backends:
@@ -79,4 +84,4 @@
 
 
 if __name__ == "__main__":
-    h.main(Path(__file__).resolve().parent, play)
+    h.main(Path(__file__).resolve().parent / "record.txt", play)  # written anew by each run
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -38,10 +38,10 @@
 
 
 class Record:
-    """What was sent, answered and run, with seconds since the start; written to `record.txt`."""
+    """What was sent, answered and run, with seconds since the start; written to a file, line by line."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = open(folder / "record.txt", "w")
+    def __init__(self, path: Path) -> None:
+        self._file = open(path, "w")
         self._start = time.monotonic()
 
     def now(self) -> float:
@@ -441,9 +441,9 @@
     return True
 
 
-def main(folder: Path, play: Callable[[Record], Awaitable[int]]) -> None:
+def main(record_path: Path, play: Callable[[Record], Awaitable[int]]) -> None:
     """Plays a case and exits with 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
-    record = Record(folder)
+    record = Record(record_path)
     record("trouble" if TROUBLE else "no trouble")
 
     async def limited() -> int:
