The update of the backend list is kept beside its records

It decides nothing: it copies what discovery reports into the records of the policy, and drops backends that left once their last attempt has ended. It moves from policy/upkeep.py to Context.update_backends. No behaviour changes; tests of policy, backends and rules pass.

--- a/oakvale/policy/upkeep.py
+++ b/oakvale/policy/upkeep.py
@@ -1,9 +1,9 @@
 """Upkeep: the list of backends as discovery reports it, and the work done at each batch interval."""
 
-from oakvale.interface import Backends, Entry, Fetch, ListForm, State, Timer, Wake, Watch
+from oakvale.interface import Backends, Fetch, ListForm, Timer, Wake, Watch
 from oakvale.policy.attempts import Attempts
 from oakvale.policy.records import BATCH_INTERVAL_US
-from oakvale.policy_records import BATCH_TIMER, EPOCH_US, SECOND_US, Backend, Context, Customer
+from oakvale.policy_records import BATCH_TIMER, EPOCH_US, SECOND_US, Context, Customer
 
 
 class Upkeep:  # handles updates of the backend list and timers
@@ -19,19 +19,7 @@
                 context.actions.append(Watch(True))
         if event.form is ListForm.FAILED:
             return context.actions.append(Watch(True))
-        if event.form is not ListForm.DELTA:
-            listed = {entry.backend for entry in event.entries}
-            for key, backend in context.backends.items():
-                if key not in listed:
-                    old = backend.entry
-                    backend.entry = Entry(key, old.zone, old.kind, old.cell, State.GONE, old.weight)
-        for entry in event.entries:
-            known = context.backends.setdefault(entry.backend, Backend(entry, min_limit))
-            if entry.started > known.entry.started:
-                known.reset(min_limit)
-            known.entry = entry
-        context.backends = {
-            k: x for k, x in context.backends.items() if x.in_flight or x.entry.state != State.GONE}
+        context.update_backends(event, min_limit)
 
     def on_timer(self, event: Timer) -> None:  # the batch, or an attempt's check
         if event.token != BATCH_TIMER:
--- a/oakvale/policy_records.py
+++ b/oakvale/policy_records.py
@@ -6,8 +6,20 @@
 from __future__ import annotations
 
 import random
-
-from oakvale.interface import Action, Ending, Entry, Plan, Request, RequestClass, Settings
+from dataclasses import replace
+
+from oakvale.interface import (
+    Action,
+    Backends,
+    Ending,
+    Entry,
+    ListForm,
+    Plan,
+    Request,
+    RequestClass,
+    Settings,
+    State,
+)
 from oakvale.retry_budget import RetryCost
 
 SECOND_US = 1_000_000
@@ -98,6 +110,26 @@
         self.customers = dict[str, Customer]()
         self.backends = dict[int, Backend]()
 
+    def update_backends(self, update: Backends, min_limit: float) -> None:
+        """Takes an update of the backend list; `min_limit` is the concurrency limit of a backend that has just started.
+
+        A backend that left is kept until its last attempt has ended."""
+        if update.form is not ListForm.DELTA:
+            listed = {entry.backend for entry in update.entries}
+            for number, backend in self.backends.items():
+                if number not in listed:
+                    backend.entry = replace(backend.entry, state=State.GONE, started=0, slots=0.0)
+        for entry in update.entries:
+            known = self.backends.setdefault(entry.backend, Backend(entry, min_limit))
+            if entry.started > known.entry.started:
+                known.reset(min_limit)
+            known.entry = entry
+        self.backends = {
+            number: backend
+            for number, backend in self.backends.items()
+            if backend.in_flight or backend.entry.state is not State.GONE
+        }
+
     def quota_name(self, customer: Customer) -> str:
         """The name of a customer's count in this epoch."""
         return f"q:{customer.name}:{self.now // EPOCH_US}"
