Latency averages of a service are kept in a module of their own

oakvale/latency_statistics.py measures, policy/health.py decides by it. The sums are the same, in the same order: nothing that a gateway does changes. Tests of the policy, rules, isolation and odd aims pass.

--- a/oakvale/policy/admission.py
+++ b/oakvale/policy/admission.py
@@ -1,8 +1,9 @@
 """Admission: the way of a request from its arrival to its first attempt or its refusal."""
 
 from oakvale.interface import Counted, Ending, Refuse, Request, RequestClass
+from oakvale.latency_statistics import EWMA_WEIGHT
 from oakvale.policy.attempts import Attempts
-from oakvale.policy.records import BATCH_INTERVAL_US, EWMA_WEIGHT, quota_window
+from oakvale.policy.records import BATCH_INTERVAL_US, quota_window
 from oakvale.policy_records import EPOCH_US, REJECTED, SECOND_US, Context, Customer, PendingRequest
 
 
--- a/oakvale/policy/attempts.py
+++ b/oakvale/policy/attempts.py
@@ -1,9 +1,9 @@
 """Attempts: which backend a request is sent to, when an attempt is cancelled, and whether another follows."""
 
 from oakvale.interface import NEVER_RAN, Attempt, Cancel, Effect, Ended, Ending, Head, Wake
+from oakvale.latency_statistics import EWMA_WEIGHT
 from oakvale.policy.choice import BackendSelector
 from oakvale.policy.lending import Lending
-from oakvale.policy.records import EWMA_WEIGHT
 from oakvale.policy_records import SECOND_US, Context, PendingRequest
 from oakvale.retry_budget import RetryBudget
 
--- a/oakvale/policy/choice.py
+++ b/oakvale/policy/choice.py
@@ -1,8 +1,9 @@
 """Choice of backend: the one that is likely to answer first, of those that may take the request."""
 
 from oakvale.interface import Effect, State
+from oakvale.latency_statistics import EWMA_WEIGHT
 from oakvale.policy.limits import Limits
-from oakvale.policy.records import BATCH_INTERVAL_US, EWMA_WEIGHT
+from oakvale.policy.records import BATCH_INTERVAL_US
 from oakvale.policy_records import SECOND_US, Backend, Context, PendingRequest
 
 
--- a/oakvale/policy/records.py
+++ b/oakvale/policy/records.py
@@ -4,7 +4,6 @@
 from oakvale.policy_records import EPOCH_US, SECOND_US
 
 BATCH_INTERVAL_US = 250_000  # the design: global counts go four times a second
-EWMA_WEIGHT = 0.1  # of the newest sample in moving averages: about the last ten answers
 
 
 def quota_window(plan: Plan) -> int:  # bounded, as the counter rounds small amounts and rejects large ones
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -16,6 +16,7 @@
     ("interface", "numbers"),
     ("settings", "retry_budget"),
     ("policy_records",),
+    ("latency_statistics",),
     ("base", "policy"),
     ("memory",),
     ("wire",),
--- a/tests/test_odd_aims.py
+++ b/tests/test_odd_aims.py
@@ -7,7 +7,7 @@
 import pytest
 
 from oakvale.interface import Action, Attempt, Cancel, Effect, Ending, RequestClass, Settings, Timer, Wake
-from oakvale.policy.health import MIN_BASELINE_ANSWERS
+from oakvale.latency_statistics import MIN_BASELINE_ANSWERS
 from tests.helpers import CLASS, SETTINGS, GatewayHarness, of
 
 MS = 1_000  # microseconds
