--- a/oakvale/dataplane/service_driver.py
+++ b/oakvale/dataplane/service_driver.py
@@ -155,13 +155,16 @@
         """Stops using these zones and ends the attempts that wait for an answer there.
 
         The policy retries such a request if it is safe and the retry budget allows, and otherwise answers at once. An
-        attempt that is not wholly written ends with the connect timeout."""
+        attempt that is not wholly written ends with the connect timeout. A gateway that is stopping ends none: the
+        backend may be at work, and a retry may find no room."""
         newly_closed, self._closed_zones = zones - self._closed_zones, zones
         if not self._publish_backends(numbers):
             return
         closed = {self._numbers[backend.id] for backend in self._backends.values() if backend.zone in newly_closed}
         for number in closed:
             self.idle.close_backend(number)
+        if self.stopping:
+            return
         for attempt in [
             attempt
             for request in self.requests.all()
--- a/oakvale/driver.py
+++ b/oakvale/driver.py
@@ -33,6 +33,7 @@
         self.gateway = Gateway(settings, seed, budget)
         self._events: deque[i.Event] = deque()
         self._dispatching = False
+        self._told_stopping = False  # the policy knows that the process is shutting down
         self._action_handlers: dict[type[i.Action], Callable[[Any], None]] = {
             i.Attempt: self._attempt,
             i.Cancel: self._cancel,
@@ -75,6 +76,9 @@
 
     def dispatch(self, event: i.Event) -> None:
         """Passes an event to the policy and carries out its actions; events that these cause are queued."""
+        if self.stopping and not self._told_stopping:  # before anything is decided after SIGTERM
+            self._told_stopping = True
+            self._events.append(i.Stopping())
         self._events.append(event)
         if self._dispatching:
             return
--- a/oakvale/interface.py
+++ b/oakvale/interface.py
@@ -189,6 +189,11 @@
     id: str
 
 
+@dataclass(slots=True, frozen=True)
+class Stopping:
+    """The process is shutting down: its requests have until its end, and nothing that is at work is begun anew."""
+
+
 @dataclass(slots=True, frozen=True)
 class Timer:
     """A timer that `Wake` set is due."""
@@ -224,7 +229,7 @@
     data: bytes = field(default=b"")
 
 
-Event = Backends | Request | Ended | Head | Withdrawn | Timer | Counted | Probed | PeerMessage
+Event = Backends | Request | Ended | Head | Withdrawn | Stopping | Timer | Counted | Probed | PeerMessage
 
 
 # ---- actions
--- a/oakvale/policy/attempts.py
+++ b/oakvale/policy/attempts.py
@@ -4,7 +4,8 @@
 from oakvale.latency_statistics import EWMA_WEIGHT
 from oakvale.policy.choice import BackendSelector
 from oakvale.policy.lending import Lending
-from oakvale.policy_records import SECOND_US, Context, PendingRequest
+from oakvale.policy.records import BATCH_INTERVAL_US
+from oakvale.policy_records import SECOND_US, Backend, Context, PendingRequest
 from oakvale.retry_budget import RetryBudget
 
 MIN_CHECK_INTERVAL_US = 1_000
@@ -22,6 +23,9 @@
         if backend is None:
             self.limits.rejected_at = self.context.now
             return self.limits.refuse(pending, SECOND_US // 2)
+        self.attempt(pending, backend)
+
+    def attempt(self, pending: PendingRequest, backend: Backend) -> None:  # sends it to this backend
         request, hop, context = pending.request, pending.attempts_made, self.context
         context.actions.append(Attempt(request.id, backend.entry.backend))
         if not hop:
@@ -34,8 +38,8 @@
         pending.attempts_made, pending.in_flight[hop] = hop + 1, (backend, context.now)
         pending.tried.append(backend.entry.backend)
         pending.customer.in_flight += 1
-        retries_left = pending.attempts_made < (pending.request_class.tries or context.settings.max_attempts)
-        if context.settings.may_cancel and retries_left and pending.request_class.effect is not Effect.UNSAFE:
+        unsafe = pending.request_class.effect is Effect.UNSAFE
+        if context.settings.may_cancel and self.tries_left(pending) and not unsafe:
             expected = 2.5 * self.health.latency_of(backend) * request.units
             self.schedule_check(pending, hop, int(max(expected, 0.3 * pending.request_class.aim)))
 
@@ -57,12 +61,28 @@
             self.health.eject(backend)
         useful = self.limits.time_left(pending) >= fleet_latency * units and self.budget.can_retry(now)
         if useful and (lost or latency > 3 * fleet_latency):
+            if self.context.stopping:
+                return self.hedge(pending, hop)
             return self.context.actions.append(Cancel(request_id, hop))
         if not lost:
             return self.schedule_check(pending, hop, int(max(0.2 * aim, 0.25 * latency * units)))
         if backend.in_flight.pop((request_id, hop), 0):  # lost answers would block a small limit
             self.health.add_sample(backend, (now - sent_at) / units)
 
+    def hedge(self, pending: PendingRequest, hop: int) -> None:
+        """A stopping gateway ends no attempt that may be at work: it makes another one beside it, and keeps the
+        first answer. Looks again later where no other backend has room, or two attempts are out."""
+        pending.first_run = pending.first_run or pending.in_flight[hop]
+        self.schedule_check(pending, hop, BATCH_INTERVAL_US)
+        if len(pending.in_flight) > 1 or not self.tries_left(pending) or not self.repeatable(pending):
+            return
+        backend = self.selector.select(pending)
+        if backend is None or backend is pending.in_flight[hop][0]:
+            return
+        pending.retry_cost.arrived = True
+        if self.budget.try_spend(pending.retry_cost, Ending.CANCELLED, self.context.now):
+            self.attempt(pending, backend)
+
     def on_head(self, event: Head) -> None:  # the head of an answer has arrived
         if event.id in self.context.pending:
             self.context.pending[event.id].responding = True
@@ -93,12 +113,14 @@
     def retry_or_refuse(self, pending: PendingRequest, ending: Ending) -> None:  # retries where allowed
         needed = self.health.latency * pending.request.units / 2
         useful = ending is not Ending.MOOT and self.limits.time_left(pending) > needed
-        most = pending.request_class.tries or self.context.settings.max_attempts
-        allowed = useful and pending.attempts_made < most and self.repeatable(pending)
+        allowed = useful and self.tries_left(pending) and self.repeatable(pending)
         if allowed and self.budget.try_spend(pending.retry_cost, ending, self.context.now):
             return self.send(pending)
         self.limits.refuse(pending, SECOND_US // 2)
 
+    def tries_left(self, pending: PendingRequest) -> bool:  # whether its route allows another attempt
+        return pending.attempts_made < (pending.request_class.tries or self.context.settings.max_attempts)
+
     def repeatable(self, pending: PendingRequest) -> bool:  # whether another attempt repeats no effect
         effect, first_run = pending.request_class.effect, pending.first_run
         return first_run is None or effect is Effect.SAFE or (
--- a/oakvale/policy/gateway.py
+++ b/oakvale/policy/gateway.py
@@ -25,7 +25,8 @@
         self.handlers: dict[type[i.Event], Callable[[Any], None]] = {
             i.Request: self.admission.on_request, i.Counted: self.admission.on_counted,
             i.Ended: self.attempts.on_ended, i.Head: self.attempts.on_head, i.Timer: self.upkeep.on_timer,
-            i.Backends: self.upkeep.on_backends, i.Withdrawn: lambda event: self.limits.finish(event.id)}
+            i.Backends: self.upkeep.on_backends, i.Withdrawn: lambda event: self.limits.finish(event.id),
+            i.Stopping: self.upkeep.on_stopping}
 
     def update_settings(self, settings: i.Settings) -> None:  # measurements of backends are kept
         self.context.settings = settings
--- a/oakvale/policy/upkeep.py
+++ b/oakvale/policy/upkeep.py
@@ -1,6 +1,6 @@
 """Upkeep: the list of backends as discovery reports it, and the work done at each batch interval."""
 
-from oakvale.interface import Backends, Fetch, ListForm, Timer, Wake, Watch
+from oakvale.interface import Backends, Fetch, ListForm, Stopping, Timer, Wake, Watch
 from oakvale.policy.attempts import Attempts
 from oakvale.policy.records import BATCH_INTERVAL_US
 from oakvale.policy_records import BATCH_TIMER, EPOCH_US, SECOND_US, Context, Customer
@@ -21,6 +21,9 @@
             return context.actions.append(Watch(True))
         context.update_backends(event, min_limit)
 
+    def on_stopping(self, _: Stopping) -> None:  # attempts run to their end from now on
+        self.context.stopping = True
+
     def on_timer(self, event: Timer) -> None:  # the batch, or an attempt's check
         if event.token != BATCH_TIMER:
             return self.attempts.check_progress(*self.attempts.timers.pop(event.token, ("", 0)))
--- a/oakvale/policy_records.py
+++ b/oakvale/policy_records.py
@@ -105,6 +105,7 @@
         self.mean_units = 1.0  # of a request
         self.now = self.started_at = 0
         self.resumed_at = self.paused_for = 0  # when the last pause of this process ended, and how long it took
+        self.stopping = False  # the process is shutting down
         self.actions: list[Action] = []
         self.pending = dict[str, PendingRequest]()
         self.customers = dict[str, Customer]()
