--- a/oakvale/dataplane/backend_protocol.py
+++ b/oakvale/dataplane/backend_protocol.py
@@ -45,10 +45,9 @@
         return any(name == b"attempt-id" for name, _ in headers)
 
     def waits_for_rest(self, attempt: InFlightAttempt) -> bool:
-        """Ending a stalled answer early only helps if another backend may be tried, so an unsafe request waits. A
-        gateway that is stopping waits too, rather than replace an answer in transit with an error."""
+        """Ending a stalled answer early only helps if another backend may be tried, so an unsafe request waits."""
         routed = attempt.request.event
-        return not routed.route.safe or routed.driver.stopping
+        return not routed.route.safe
 
     def check_headers(self, attempt: InFlightAttempt, headers: Headers) -> None:
         """Raises InvalidAnswer if the answer has a content encoding, or no id on a connection that has carried other
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -156,6 +156,10 @@
 
     backend_connections: int
 
+    @property
+    def stopping(self) -> bool:
+        """Whether the process is shutting down."""
+
     @property
     def bodies(self) -> BodyMemory: ...
     @property
@@ -336,15 +340,8 @@
             # not isinstance, which is slow on h11's abstract event classes
             if event is h11.NEED_DATA:
                 # an answer shorter than its declared length is given up before the deadline
-                until_deadline = awaiting_final or self.host.dialect.waits_for_rest(attempt)
-                read_deadline = deadline if until_deadline else min(deadline, self.host.loop.now + limits.answer_rest)
-                try:
-                    yield from self._send(attempt)  # what was left of the request when something was received
-                    yield from read_more(self._sock, http, pool, read_deadline)
-                except ConnectionLost as lost:
-                    if lost.timed_out and read_deadline < deadline:
-                        raise InvalidAnswer("timed out waiting for the rest of the answer") from lost
-                    raise
+                yield from self._send(attempt)  # what was left of the request when something was received
+                yield from self._read_rest(attempt, patient=awaiting_final)
                 awaiting_final = False
             elif type(event) is h11.InformationalResponse:
                 skipped, awaiting_final = skipped + 1, True
@@ -378,6 +375,24 @@
             else:  # h11 stays paused once the protocol is switched
                 raise InvalidAnswer("the backend switched protocols")
 
+    def _read_rest(self, attempt: InFlightAttempt, patient: bool) -> Step[None]:
+        """Reads more of an answer that has begun. Raises ConnectionLost, or InvalidAnswer where the rest is late.
+
+        With `patient` the rest is awaited until the deadline, as it is by a process that is stopping, also where that
+        began during the wait: the answer is in transit, and another attempt may find no room and no time."""
+        host = self.host
+        read_deadline = attempt.deadline
+        if not (patient or host.stopping or host.dialect.waits_for_rest(attempt)):
+            read_deadline = min(read_deadline, host.loop.now + host.limits.answer_rest)
+        try:
+            yield from read_more(self._sock, self._http, host.buffers, read_deadline)
+        except ConnectionLost as lost:
+            if not lost.timed_out or read_deadline == attempt.deadline:
+                raise
+            if not host.stopping:
+                raise InvalidAnswer("timed out waiting for the rest of the answer") from lost
+            yield from read_more(self._sock, self._http, host.buffers, attempt.deadline)
+
     def _reserve_body(self, size: int) -> None:
         """Reserves body memory for an answer longer than a request's body may be."""
         if size > self.host.limits.body and not self._share.grow(size):
--- a/tests/test_stopping_attempts.py
+++ b/tests/test_stopping_attempts.py
@@ -18,6 +18,7 @@
     Fail,
     ListForm,
     Refuse,
+    Request,
     RequestClass,
     Stopping,
     Timer,
@@ -27,7 +28,7 @@
 from tests.data_plane import GatewayHarness as DataPlane
 from tests.data_plane import success_answer
 from tests.helpers import CLASS, GatewayHarness, of
-from tests.node import answer
+from tests.node import Node, answer
 
 MS = 1_000  # microseconds
 SECOND = 1_000_000
@@ -164,6 +165,46 @@
     assert gateway.status(client) == 200
 
 
+@pytest.mark.parametrize("stops_after", [0, 100 * MS])
+def test_rest_of_an_answer_is_awaited_where_the_stop_falls_into_the_wait(gateway: DataPlane, stops_after: int) -> None:
+    """Guards against LOST: whether to wait was decided when the wait began, so an answer in transit was given up after
+    SIGTERM and the request begun again, or answered 503."""
+    client = gateway.send_request(path="/r/x")
+    _, backend, _ = gateway.next_backend_request()
+    whole = success_answer(body=b"0123456789")
+    if not stops_after:
+        gateway.router.stopping = True
+    backend.send(whole[:-5])
+    gateway.turns(20)
+    gateway.pass_time(stops_after)
+    gateway.router.stopping = True
+    for _ in range(10):
+        gateway.pass_time(100 * MS)
+    backend.send(whole[-5:])
+    assert gateway.reads(client, b"0123456789").startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("stops_after", [0, 100 * MS])
+def test_stand_alone_gateway_waits_for_the_rest_of_an_answer_too(node: Node, stops_after: int) -> None:
+    """The same for the other dialect, which gave up the rest whether the process was stopping or not."""
+    node.script.answers[Request] = lambda r: [Attempt(r.id, 1)]
+    client = node.client()
+    node.ask(client, "a1")
+    backend = node.accept_from(node.backend)
+    node.reads(backend)
+    whole = answer(body=b"0123456789")
+    if not stops_after:
+        node.host.stopping = True
+    backend.send(whole[:-5])
+    node.turns(20)
+    node.pass_time(stops_after)
+    node.host.stopping = True
+    for _ in range(10):
+        node.pass_time(100 * MS)
+    backend.send(whole[-5:])
+    assert node.reads(client, b"0123456789").startswith(b"HTTP/1.1 200")
+
+
 # ---- drawn
 
 GRACE = 6 * SECOND
