--- a/oakvale/latency_statistics.py
+++ b/oakvale/latency_statistics.py
@@ -5,13 +5,38 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from math import exp
 
+from oakvale.interface import RequestClass
 from oakvale.policy_records import SECOND_US, Backend, Context
 
 EWMA_WEIGHT = 0.1  # of the newest sample in moving averages: about the last ten answers
 MIN_BASELINE_ANSWERS = 20  # answers before a baseline is taken: the first to arrive are the quickest
 BACKEND_FADE_US = 7 * SECOND_US  # in which what is known of one backend fades to a third
+CLASS_PATIENCE_US = SECOND_US  # an answer of a class is overdue this long after its latency
+CLASS_HALF_LIFE_US = SECOND_US  # of what is known of a class while an answer is overdue
+
+
+@dataclass(slots=True)
+class ClassLatency:
+    """The latency of one request class."""
+
+    mean: float  # moving average
+    recent: float  # the same, but what was known before counts for less the longer an answer was overdue
+    answered_at: int
+
+    def known_share(self, now: int) -> float:
+        """How much of what is known still counts: all of it, or less the longer an answer is overdue."""
+        overdue = now - self.answered_at - self.recent - CLASS_PATIENCE_US
+        return float(0.5 ** (overdue / CLASS_HALF_LIFE_US)) if overdue > 0 else 1.0
+
+    def add(self, sample: float, now: int) -> None:
+        """Takes an answer into both averages. It replaces `recent` where less than half of that still counts."""
+        weight = min(1.0, max(EWMA_WEIGHT, 2 - 2 * self.known_share(now)))
+        self.recent += weight * (sample - self.recent)
+        self.mean += EWMA_WEIGHT * (sample - self.mean)
+        self.answered_at = now
 
 
 class LatencyStatistics:
@@ -22,14 +47,46 @@
         self.latency = 0.0  # moving average over all backends; 0 before the first answer
         self.mean_latency, self.answers = 0.0, 0  # mean of the last `answers`, MIN_BASELINE_ANSWERS at most
         self.baseline = 0.0  # lowest such mean; the policy lets it rise slowly
+        self.by_class: dict[RequestClass, ClassLatency] = {}
+
+    def keep_classes(self, classes: tuple[RequestClass, ...]) -> None:
+        """Forgets the classes that are no longer configured."""
+        self.by_class = {known: self.by_class[known] for known in classes if known in self.by_class}
+
+    def class_latency(self, request_class: RequestClass) -> float:
+        """Expected latency of a class; that of all answers before the first of its own."""
+        known = self.by_class.get(request_class)
+        return known.mean if known is not None else self.latency
+
+    def recent_class_latency(self, request_class: RequestClass) -> float:
+        """What answers of late say about a class; 0 where there are none.
+
+        It fades, as those who refuse requests for it learn by none: without that, they would refuse all for good."""
+        known = self.by_class.get(request_class)
+        return known.recent * known.known_share(self.context.now) if known is not None else 0.0
 
     def latency_of(self, backend: Backend) -> float:
-        """Expected latency at a backend. Old samples fade, so that a slow backend is tried again."""
+        """Expected latency of a usual request at a backend. Old samples fade, so that a slow one is tried again."""
         known = exp((backend.latency_at - self.context.now) / BACKEND_FADE_US) if backend.latency else 0.0
         return (self.latency or 1.0) + (backend.latency - self.latency) * known
 
-    def record_answer(self, sample: float) -> None:
-        """Takes the latency of an answer into the averages over all backends."""
+    def expected_latency(self, backend: Backend, request_class: RequestClass) -> float:
+        """Expected latency of a class's requests at a backend."""
+        return self.latency_of(backend) * self._class_factor(request_class)
+
+    def comparable_sample(self, sample: float, request_class: RequestClass) -> float:
+        """A latency as it would be for a usual request: backends are not to be compared by what they were sent."""
+        return sample / self._class_factor(request_class)
+
+    def _class_factor(self, request_class: RequestClass) -> float:
+        """How much longer requests of a class take than all on average; 1 before any answer."""
+        known = self.class_latency(request_class)
+        return known / self.latency if known and self.latency else 1.0
+
+    def record_answer(self, sample: float, request_class: RequestClass) -> None:
+        """Takes the latency of an answer into the averages over all backends and into that of its class."""
+        now = self.context.now
+        self.by_class.setdefault(request_class, ClassLatency(sample, sample, now)).add(sample, now)
         self.latency = self.latency + EWMA_WEIGHT * (sample - self.latency) if self.latency else sample
         self.answers = min(self.answers + 1, MIN_BASELINE_ANSWERS)
         self.mean_latency += (sample - self.mean_latency) / self.answers
@@ -37,6 +94,7 @@
             self.baseline = min(self.baseline or self.mean_latency, self.mean_latency)
 
     def add_sample(self, backend: Backend, sample: float) -> None:
-        """Moves a backend's average, which starts at that of all: one gateway of many gets few answers of each."""
+        """Moves a backend's average by a comparable sample. It starts at that of all: one gateway of many gets few
+        answers of each."""
         known = self.latency_of(backend) if self.latency else sample
         backend.latency, backend.latency_at = known + 2 * EWMA_WEIGHT * (sample - known), self.context.now
--- a/oakvale/policy/attempts.py
+++ b/oakvale/policy/attempts.py
@@ -33,15 +33,18 @@
             self.selector.sent_units += request.units
             self.lending.added["lent"] += 0 if pending.within_quota else request.units
         backend.answered_at = backend.answered_at if backend.in_flight else context.now
-        backend.in_flight[(request.id, hop)] = request.units
+        backend.in_flight[(request.id, hop)] = max(1.0, self.usual_latency(pending))
         backend.warmup_tokens -= request.units
         pending.attempts_made, pending.in_flight[hop] = hop + 1, (backend, context.now)
         pending.tried.append(backend.entry.backend)
         pending.customer.in_flight += 1
         unsafe = pending.request_class.effect is Effect.UNSAFE
         if context.settings.may_cancel and self.tries_left(pending) and not unsafe:
-            expected = 2.5 * self.health.latency_of(backend) * request.units
-            self.schedule_check(pending, hop, int(max(expected, 0.3 * pending.request_class.aim)))
+            expected = self.health.expected_latency(backend, pending.request_class) * request.units
+            self.schedule_check(pending, hop, int(max(2.5 * expected, 0.3 * pending.request_class.aim)))
+
+    def usual_latency(self, pending: PendingRequest) -> float:  # of such a request, at whichever backend
+        return self.health.class_latency(pending.request_class) * pending.request.units
 
     def schedule_check(self, pending: PendingRequest, hop: int, delay: int) -> None:  # delay in microseconds
         token, self.next_timer = self.next_timer, self.next_timer + 1
@@ -53,21 +56,22 @@
         pending = self.context.pending.get(request_id)
         if pending is None or pending.finished or pending.responding or hop not in pending.in_flight:
             return
-        (backend, sent_at), units, now = pending.in_flight[hop], pending.request.units, self.context.now
-        aim, fleet_latency = pending.request_class.aim, self.health.latency
-        latency, stalled = self.health.latency_of(backend), self.health.stalled(backend)
-        lost = stalled or now - max(sent_at, self.context.resumed_at) > max(4 * latency * units, 0.5 * aim)
+        (backend, sent_at), health, now = pending.in_flight[hop], self.health, self.context.now
+        request_class, units, stalled = pending.request_class, pending.request.units, health.stalled(backend)
+        expected = health.expected_latency(backend, request_class) * units
+        waited = now - max(sent_at, self.context.resumed_at)
+        lost = stalled or waited > max(4 * expected, 0.5 * request_class.aim)
         if stalled:
-            self.health.eject(backend)
-        useful = self.limits.time_left(pending) >= fleet_latency * units and self.budget.can_retry(now)
-        if useful and (lost or latency > 3 * fleet_latency):
+            health.eject(backend)
+        useful = self.limits.time_left(pending) >= self.usual_latency(pending) and self.budget.can_retry(now)
+        if useful and (lost or health.latency_of(backend) > 3 * health.latency):
             if self.context.stopping:
                 return self.hedge(pending, hop)
             return self.context.actions.append(Cancel(request_id, hop))
         if not lost:
-            return self.schedule_check(pending, hop, int(max(0.2 * aim, 0.25 * latency * units)))
+            return self.schedule_check(pending, hop, int(max(0.2 * request_class.aim, 0.25 * expected)))
         if backend.in_flight.pop((request_id, hop), 0):  # lost answers would block a small limit
-            self.health.add_sample(backend, (now - sent_at) / units)
+            health.add_sample(backend, health.comparable_sample((now - sent_at) / units, request_class))
 
     def hedge(self, pending: PendingRequest, hop: int) -> None:
         """A stopping gateway ends no attempt that may be at work: it makes another one beside it, and keeps
@@ -102,7 +106,7 @@
             pending.customer.balance -= excess
             pending.customer.unsent += excess * self.quota.scale(pending.customer)
         learned = context.now > context.resumed_at and bool(counted or event.ending is Ending.SERVED)
-        if learned and self.health.learn(backend, event, pending.request.units):  # not after a pause of ours
+        if learned and self.health.learn(backend, event, pending.request.units, pending.request_class):
             self.limits.adapt(backend, event.ending)
         self.budget.record_attempt_end(pending.retry_cost, event.ending, learned, context.now)
         if event.over or pending.finished:
@@ -111,10 +115,9 @@
             self.retry_or_refuse(pending, event.ending)
 
     def retry_or_refuse(self, pending: PendingRequest, ending: Ending) -> None:  # retries where allowed
-        needed = self.health.latency * pending.request.units / 2
-        useful = ending is not Ending.MOOT and self.limits.time_left(pending) > needed
-        allowed = useful and self.tries_left(pending) and self.repeatable(pending)
-        if allowed and self.budget.try_spend(pending.retry_cost, ending, self.context.now):
+        allowed = ending is not Ending.MOOT and self.tries_left(pending) and self.repeatable(pending)
+        useful = self.limits.time_left(pending) > self.usual_latency(pending) / 2
+        if allowed and useful and self.budget.try_spend(pending.retry_cost, ending, self.context.now):
             return self.send(pending)
         self.limits.refuse(pending, SECOND_US // 2)
 
--- a/oakvale/policy/gateway.py
+++ b/oakvale/policy/gateway.py
@@ -32,6 +32,7 @@
         self.context.settings = settings
         self.context.aims = sorted(c.aim for c in settings.classes if not c.retired)
         self.health.update_min_aim()
+        self.health.keep_classes(settings.classes)
         self.context.max_deadline = max((c.deadline for c in settings.classes), default=SECOND_US)
 
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
--- a/oakvale/policy/health.py
+++ b/oakvale/policy/health.py
@@ -1,6 +1,6 @@
 """Health: backend latencies and failures, learned passively from how attempts ended. Nothing is probed."""
 
-from oakvale.interface import Ended, Ending
+from oakvale.interface import Ended, Ending, RequestClass
 from oakvale.latency_statistics import LatencyStatistics
 from oakvale.policy_records import REJECTED, SECOND_US, Backend
 
@@ -17,16 +17,17 @@
         """Whether it has work and has answered nothing for longer than that work should take."""
         work, context = max(backend.in_flight.values(), default=0.0), self.context
         return work > 0 and context.now - max(backend.answered_at, context.resumed_at) > max(
-            3 * self.latency * work, 0.25 * context.min_aim)
+            3 * work, 0.25 * context.min_aim)
 
-    def learn(self, backend: Backend, event: Ended, units: float) -> bool:
+    def learn(self, backend: Backend, event: Ended, units: float, request_class: RequestClass) -> bool:
         """Updates the statistics from the end of an attempt; returns whether it gave a latency sample."""
-        now, sample = self.context.now, event.latency / max(units, 1.0)  # per unit
+        now, latency = self.context.now, event.latency / max(units, 1.0)  # per unit
+        sample = self.comparable_sample(latency, request_class)
         if event.ending is Ending.SERVED:
             backend.answered_at, backend.ejected_until = now, backend.ejected_until * (backend.failures > 1)
             backend.failures = max(0, backend.failures - 1)  # each answer takes one failure off
             self.add_sample(backend, sample)
-            self.record_answer(sample)
+            self.record_answer(latency, request_class)
             return True
         if event.ending in (*REJECTED, Ending.RESET) or event.ending is Ending.ERROR and not event.over:
             self.eject(backend)
