--- a/oakvale/base/limits.py
+++ b/oakvale/base/limits.py
@@ -21,7 +21,9 @@
     header: int = 16 * 1024  # header section of a message
     body: int = 64 * 1024  # body of a request, the maximum in PROTOCOL
     answer: int = 1024 * 1024  # body of a response; some valid ones exceed the maximum in PROTOCOL
-    bodies: int = 32 * 1024 * 1024  # all request and response bodies together
+    bodies: int = 32 * 1024 * 1024  # all request bodies together
+    answers: int = 48 * 1024 * 1024  # all response bodies together
+    answer_part: int = 256 * 1024  # of a response body, written and released at once
     line: int = 1024 * 1024  # one line of the discovery stream
     counter_name: int = 64  # the maximum in PROTOCOL
     # counts
@@ -55,6 +57,7 @@
     client_take: int = 10 * SECOND  # for a client to read its response
     linger: int = 3 * SECOND  # for a client to close after the last response
     accept_pause: int = 20 * MS  # before accepting again after a failure
+    memory_pause: int = 20 * MS  # before looking again whether there is memory for a response
     unready: int = 400 * MS  # longest time that new connections wait for a starting process
     fault_pause: int = 250 * MS  # before a timer is delivered again after its handler failed
     connect: int = 250 * MS  # connecting to a backend
@@ -80,8 +83,8 @@
     ) -> Limits:
         """Divides the file descriptors and the memory of the process among connections and bodies.
 
-        One eighth of the descriptors plus 16 stays free for other uses. Bodies get a quarter of the memory beyond
-        the 24 MB of the program itself.
+        One eighth of the descriptors plus 16 stays free for other uses. Of the memory beyond the 24 MB of the program
+        itself, bodies of requests get a quarter, and those of responses three eighths.
         """
         available = max(16, sockets - sockets // 8 - 16 - cls.counters)
         return cls(
@@ -94,4 +97,5 @@
             counter_timeout=counter_timeout,
             requests=requests,
             bodies=max(MB, (memory - 24 * MB) // 4),
+            answers=max(MB, (memory - 24 * MB) * 3 // 8),
         )
--- a/oakvale/config/bounds.py
+++ b/oakvale/config/bounds.py
@@ -27,7 +27,7 @@
         limits,
         header=64 * 1024,
         body=min(64 * MB, limits.bodies),
-        answer=min(16 * MB, limits.bodies),
+        answer=min(16 * MB, limits.answers),
         client_first=6 * SECOND,
         client_send=10 * SECOND,
         client_idle=15 * SECOND,
--- a/oakvale/dataplane/gateway.py
+++ b/oakvale/dataplane/gateway.py
@@ -48,7 +48,8 @@
     def __init__(self, shared: SharedResources, gateway: EdgeGateway) -> None:
         self._gateway = gateway
         self.loop, self.limits, self.log = shared.loop, shared.limits, shared.log
-        self.buffers, self.bodies, self.response = shared.buffers, shared.bodies, shared.response
+        self.buffers, self.response = shared.buffers, shared.response
+        self.bodies, self.answers = shared.bodies, shared.answers
         self.clients = type(shared.clients)(self.limits.client_grace, 16)
         self.tally = type(shared.tally)()
         self.stopping = False
--- a/oakvale/shared.py
+++ b/oakvale/shared.py
@@ -27,6 +27,7 @@
         self.tally = Tally()
         self.backend_connections = 0
         self.bodies = BodyMemory(limits.bodies)
+        self.answers = BodyMemory(limits.answers)
         self.stopping = self.ended = False
         self.response = lru_cache(limits.cached)(response_head)
 
@@ -38,7 +39,8 @@
         self.shared = shared
         self.loop, self.limits, self.log = shared.loop, shared.limits, shared.log
         self.buffers, self.requests, self.idle = shared.buffers, shared.requests, shared.idle
-        self.clients, self.bodies, self.response = shared.clients, shared.bodies, shared.response
+        self.clients, self.response = shared.clients, shared.response
+        self.bodies, self.answers = shared.bodies, shared.answers
 
     @property
     def tally(self) -> Tally:
--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -7,7 +7,7 @@
 import h11
 
 from oakvale.base.address import Address
-from oakvale.base.loop import READ, WOKEN, Coroutine, Priority, Step
+from oakvale.base.loop import BROKEN, READ, TIMED_OUT, WOKEN, Coroutine, Priority, Step
 from oakvale.interface import Ending
 from oakvale.memory.buffers import BodyMemory, BodyMemoryShare
 from oakvale.memory.idle_connections import IdleConnections
@@ -161,7 +161,7 @@
         """Whether the process is shutting down."""
 
     @property
-    def bodies(self) -> BodyMemory: ...
+    def answers(self) -> BodyMemory: ...
     @property
     def idle(self) -> IdleConnections: ...
     @property
@@ -183,7 +183,7 @@
         self.host, self.backend, self.last_used = host, attempt.backend, host.loop.now
         self.attempt: InFlightAttempt | None = None
         self.max_idle_us = host.limits.backend_idle
-        self._share = BodyMemoryShare(host.bodies)
+        self._share = BodyMemoryShare(host.answers)
         # the rest of the current request, and whether the kernel may have taken any of it
         self._unsent, self._write_started = b"", False
         self._sock = new_socket(host.loop.net)
@@ -348,7 +348,7 @@
                 if skipped > limits.interims:
                     raise InvalidAnswer("too many interim answers")
             elif type(event) is h11.Response:
-                self._reserve_body(declared_length(event, limits.answer))
+                yield from self._reserve_body(declared_length(event, limits.answer), deadline)
                 answer.status, answer.headers = event.status_code, list(event.headers)
                 duplicate = not self.host.dialect.matches_attempt(attempt, answer.status, answer.headers)
                 if not duplicate:
@@ -359,7 +359,7 @@
                 size += len(parts[-1])
                 if size > limits.answer:
                     raise InvalidAnswer("body exceeds the limit")
-                self._reserve_body(size)
+                yield from self._reserve_body(size, min(deadline, self.host.loop.now + limits.answer_rest))
             elif type(event) is h11.EndOfMessage:
                 if not duplicate:
                     answer.body = parts[0] if len(parts) == 1 else b"".join(parts)
@@ -393,10 +393,20 @@
                 raise InvalidAnswer("timed out waiting for the rest of the answer") from lost
             yield from read_more(self._sock, self._http, host.buffers, attempt.deadline)
 
-    def _reserve_body(self, size: int) -> None:
-        """Reserves body memory for an answer longer than a request's body may be."""
-        if size > self.host.limits.body and not self._share.grow(size):
-            raise InvalidAnswer("body memory limit reached")
+    def _reserve_body(self, size: int, until: int) -> Step[None]:
+        """Waits until there is memory for an answer of this size; meanwhile its backend is held up by not being read.
+
+        One without a declared length holds what has come, so it waits for less long: several could wait for each other.
+        Raises ConnectionLost if the backend breaks off or the attempt's time is over, else InvalidAnswer."""
+        loop = self.host.loop
+        while not self._share.grow(size):
+            if loop.now >= until:
+                if self.attempt is not None and until == self.attempt.deadline:
+                    raise ConnectionLost(timed_out=True)
+                raise InvalidAnswer("no memory for the answer")
+            signal = yield 0, min(until, loop.now + self.host.limits.memory_pause)
+            if signal not in (TIMED_OUT, WOKEN) and signal & BROKEN:
+                raise ConnectionLost()
 
     def _finish(self, ending: Ending, answer: Answer | None = None, report: tuple[float, ...] = ()) -> None:
         """Reports the end of the attempt in flight, if there is one."""
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -5,6 +5,7 @@
 import re
 import select
 import socket
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -154,6 +155,8 @@
     @property
     def bodies(self) -> BodyMemory: ...
     @property
+    def answers(self) -> BodyMemory: ...
+    @property
     def clients(self) -> ClientConnections: ...
     @property
     def tally(self) -> Tally: ...
@@ -182,6 +185,7 @@
         self.host, self.last_used, self.opened = host, host.loop.now, host.loop.now
         self._answer_count = 0
         self._share = BodyMemoryShare(host.bodies)
+        self._answer_share = BodyMemoryShare(host.answers)
         self.answer: Answer | None = None
         self.request: ClientRequest | None = None
         self._sock = sock
@@ -194,7 +198,9 @@
         host.loop.wake(self._task)  # its first request may already have arrived
 
     def send_answer(self, answer: Answer) -> None:
-        """Receives the final answer of the pending request."""
+        """Receives the final answer of the pending request. Its memory was reserved for the backend's connection until
+        now, and is held here without a gap."""
+        self._answer_share.hold(len(answer.body))
         self.request, self.answer = None, answer
         self.host.loop.wake(self._task)
 
@@ -219,6 +225,7 @@
         finally:
             self._sock.close()
             self._share.hold(0)
+            self._answer_share.hold(0)
             self.host.clients.remove(self)
             if self.request is not None:
                 self.host.client_gone(self.request)
@@ -226,6 +233,7 @@
     def _serve_one(self) -> Step[bool]:
         """Handles one request; False if the connection must be closed."""
         method, close_after = b"", False
+        answer: Answer | None
         try:
             incoming = yield from self._read_request()
             method = incoming.method
@@ -243,19 +251,34 @@
                 self.host.client_gone(self.request)
                 self.request = None
             answer = plain_answer(500, "internal error")
-        http = self._http
+        parts = self._encode_answer(answer, close_after, with_body=method != b"HEAD")
+        self.answer = answer = None  # its body is released with its parts
+        self._share.hold(0)
+        yield from self._write_parts(parts)
+        return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+
+    def _encode_answer(self, answer: Answer, close_after: bool, with_body: bool) -> deque[bytes]:
+        """Passes an answer through the parser, and returns its bytes in parts that are released one by one."""
+        http, size = self._http, self.host.limits.answer_part
         answer, head = self._sendable_head(answer, close_after)
         self.host.tally.answers[str(answer.status)] += 1
-        data = http.send(head) or b""
-        if answer.body and method != b"HEAD":
-            http.send(h11.Data(data=answer.body))
-            data += answer.body
+        first, self._unsent_interim = self._unsent_interim + (http.send(head) or b""), b""
+        body = answer.body if with_body else b""
+        if body:
+            http.send(h11.Data(data=body))
         http.send(END_OF_MESSAGE)
-        self._share.hold(len(answer.body))
-        data, self._unsent_interim = self._unsent_interim + data, b""
-        yield from write_all(self._sock, data, self.host.loop.now + self.host.limits.client_take)
-        self._share.hold(0)
-        return http.our_state is h11.DONE and http.their_state is h11.DONE
+        parts = deque([first + body[:size]])
+        parts.extend(body[offset : offset + size] for offset in range(size, len(body), size))
+        return parts
+
+    def _write_parts(self, parts: deque[bytes]) -> Step[None]:
+        """Writes an answer; each part's memory is free once it is written. Raises ConnectionLost."""
+        deadline, left = self.host.loop.now + self.host.limits.client_take, sum(map(len, parts))
+        while parts:
+            self._answer_share.hold(left)
+            left -= len(parts[0])
+            yield from write_all(self._sock, parts.popleft(), deadline)
+        self._answer_share.hold(0)
 
     def _sendable_head(self, answer: Answer, close_after: bool) -> tuple[Answer, h11.Response]:
         """An answer and its head; a 502 in place of one whose head cannot be sent, as the client is owed an answer."""
