--- a/tests/data_plane_model.py
+++ b/tests/data_plane_model.py
@@ -610,7 +610,8 @@
         self.router.shared.idle.close_expired(self.now)
         self.run_turns()
         assert not self.violations, self.violations[0]
-        assert not len(self.router.requests) and not self.router.bodies.used_bytes and not self.router.buffers.in_use
+        assert not len(self.router.requests) and not self.router.buffers.in_use
+        assert not self.router.bodies.used_bytes and not self.router.answers.used_bytes
         assert not self.router.shared.backend_connections and not self.router.idle.count
         assert not self.router.clients.all, "client connections are never closed"
         self.loop.close()
--- a/tests/test_attempts_wire.py
+++ b/tests/test_attempts_wire.py
@@ -156,7 +156,7 @@
     send_all(sending, backend, reply)
     ended = sending.wait_event(i.Ended)
     assert (ended.ending, ended.over, ended.hop) == (ending, False, 0)
-    assert sending.host.bodies.used_bytes == 0
+    assert sending.host.bodies.used_bytes == sending.host.answers.used_bytes == 0
 
 
 def test_an_answer_longer_than_the_request_limit_is_served(sending: Node) -> None:
@@ -165,7 +165,7 @@
     body = bytes(range(256)) * 1_600
     send_all(sending, backend, answer(body=body))
     assert sending.reads(client, body[-1000:]).endswith(body)
-    assert sending.host.bodies.used_bytes == 0
+    assert sending.host.bodies.used_bytes == sending.host.answers.used_bytes == 0
 
 
 def test_a_slow_answer_that_keeps_arriving_is_waited_for(sending: Node) -> None:
