Attempts that wait in vain make the next ones more patient, until an answer comes

Callers: none reported it; drawn routes in simulated time show it.

Cause: the latency by which attempts are given up moves with answers alone; if it is too low there are none.

Change: the longest wait in vain of a class since its last answer; half of it is the least time to expect for those who give attempts up, so patience doubles. The next answer ends that and counts for half of the class's mean. Admission and retries go by answers as before. Attempts in flight at a backend are kept as requests, so that a stall is judged by what is known now.

--- a/oakvale/policy/admission.py
+++ b/oakvale/policy/admission.py
@@ -27,8 +27,7 @@
         request_class = settings.classes[request.class_index]
         sent_at = now if settings.late_earns else now - self.age(request, request_class)
         pending = context.pending[request.id] = PendingRequest(request, request_class, customer, sent_at)
-        usual = self.limits.health.recent_class_latency(request_class) * request.units
-        if self.limits.time_left(pending) < usual:
+        if self.limits.time_left(pending) < self.limits.health.recent_latency(pending):
             return self.limits.refuse(pending, SECOND_US)  # too late to be answered in time
         self.quota.refill(customer)
         probability = self.counter.call_probability(customer, request.units)
--- a/oakvale/policy/attempts.py
+++ b/oakvale/policy/attempts.py
@@ -33,19 +33,16 @@
             self.selector.sent_units += request.units
             self.lending.added["lent"] += 0 if pending.within_quota else request.units
         backend.answered_at = backend.answered_at if backend.in_flight else context.now
-        backend.in_flight[(request.id, hop)] = max(1.0, self.usual_latency(pending))
+        backend.in_flight[(request.id, hop)] = pending
         backend.warmup_tokens -= request.units
         pending.attempts_made, pending.in_flight[hop] = hop + 1, (backend, context.now)
         pending.tried.append(backend.entry.backend)
         pending.customer.in_flight += 1
         unsafe = pending.request_class.effect is Effect.UNSAFE
         if context.settings.may_cancel and self.tries_left(pending) and not unsafe:
-            expected = self.health.expected_latency(backend, pending.request_class) * request.units
+            expected = self.health.expected_latency(backend, pending)
             self.schedule_check(pending, hop, int(max(2.5 * expected, 0.3 * pending.request_class.aim)))
 
-    def usual_latency(self, pending: PendingRequest) -> float:  # of such a request, at whichever backend
-        return self.health.class_latency(pending.request_class) * pending.request.units
-
     def schedule_check(self, pending: PendingRequest, hop: int, delay: int) -> None:  # delay in microseconds
         token, self.next_timer = self.next_timer, self.next_timer + 1
         self.timers[token] = (pending.request.id, hop)
@@ -58,19 +55,20 @@
             return
         (backend, sent_at), health, now = pending.in_flight[hop], self.health, self.context.now
         request_class, units, stalled = pending.request_class, pending.request.units, health.stalled(backend)
-        expected = health.expected_latency(backend, request_class) * units
+        expected = health.expected_latency(backend, pending)
         waited = now - max(sent_at, self.context.resumed_at)
         lost = stalled or waited > max(4 * expected, 0.5 * request_class.aim)
         if stalled:
             health.eject(backend)
-        useful = self.limits.time_left(pending) >= self.usual_latency(pending) and self.budget.can_retry(now)
+        in_time = self.limits.time_left(pending) >= health.usual_latency(pending)
+        useful = in_time and self.budget.can_retry(now)
         if useful and (lost or health.latency_of(backend) > 3 * health.latency):
             if self.context.stopping:
                 return self.hedge(pending, hop)
             return self.context.actions.append(Cancel(request_id, hop))
         if not lost:
             return self.schedule_check(pending, hop, int(max(0.2 * request_class.aim, 0.25 * expected)))
-        if backend.in_flight.pop((request_id, hop), 0):  # lost answers would block a small limit
+        if backend.in_flight.pop((request_id, hop), None):  # lost answers would block a small limit
             health.add_sample(backend, health.comparable_sample((now - sent_at) / units, request_class))
 
     def hedge(self, pending: PendingRequest, hop: int) -> None:
@@ -96,7 +94,7 @@
         if pending is None or event.hop not in pending.in_flight:
             return
         backend, sent_at = pending.in_flight.pop(event.hop)
-        counted = backend.in_flight.pop((event.id, event.hop), 0)
+        counted = backend.in_flight.pop((event.id, event.hop), None)
         pending.customer.in_flight -= 1
         self.quota.report_open(pending.customer)
         if pending.first_run is None and event.ending not in NEVER_RAN:
@@ -105,7 +103,7 @@
             excess = event.true_units - pending.request.units
             pending.customer.balance -= excess
             pending.customer.unsent += excess * self.quota.scale(pending.customer)
-        learned = context.now > context.resumed_at and bool(counted or event.ending is Ending.SERVED)
+        learned = context.now > context.resumed_at and (counted is not None or event.ending is Ending.SERVED)
         if learned and self.health.learn(backend, event, pending.request.units, pending.request_class):
             self.limits.adapt(backend, event.ending)
         self.budget.record_attempt_end(pending.retry_cost, event.ending, learned, context.now)
@@ -116,7 +114,7 @@
 
     def retry_or_refuse(self, pending: PendingRequest, ending: Ending) -> None:  # retries where allowed
         allowed = ending is not Ending.MOOT and self.tries_left(pending) and self.repeatable(pending)
-        useful = self.limits.time_left(pending) > self.usual_latency(pending) / 2
+        useful = self.limits.time_left(pending) > self.health.usual_latency(pending) / 2
         if allowed and useful and self.budget.try_spend(pending.retry_cost, ending, self.context.now):
             return self.send(pending)
         self.limits.refuse(pending, SECOND_US // 2)
--- a/oakvale/policy/health.py
+++ b/oakvale/policy/health.py
@@ -15,8 +15,8 @@
 
     def stalled(self, backend: Backend) -> bool:
         """Whether it has work and has answered nothing for longer than that work should take."""
-        work, context = max(backend.in_flight.values(), default=0.0), self.context
-        return work > 0 and context.now - max(backend.answered_at, context.resumed_at) > max(
+        work, context = max(map(self.patience, backend.in_flight.values()), default=-1.0), self.context
+        return work >= 0 and context.now - max(backend.answered_at, context.resumed_at) > max(
             3 * work, 0.25 * context.min_aim)
 
     def learn(self, backend: Backend, event: Ended, units: float, request_class: RequestClass) -> bool:
@@ -31,9 +31,11 @@
             return True
         if event.ending in (*REJECTED, Ending.RESET) or event.ending is Ending.ERROR and not event.over:
             self.eject(backend)
-        elif event.ending in (Ending.TIMEOUT, Ending.CANCELLED) and sample > backend.latency:
-            self.add_sample(backend, sample)
-            return True
+        elif event.ending in (Ending.TIMEOUT, Ending.CANCELLED):
+            self.record_wait(latency, request_class)
+            if sample > backend.latency:
+                self.add_sample(backend, sample)
+                return True
         return False
 
     def eject(self, backend: Backend) -> None:
--- a/oakvale/policy_records.py
+++ b/oakvale/policy_records.py
@@ -62,7 +62,7 @@
 
     def __init__(self, entry: Entry, min_limit: float) -> None:
         self.entry = entry
-        self.in_flight: dict[tuple[str, int], float] = {}  # (request id, attempt index) -> microseconds it should take
+        self.in_flight: dict[tuple[str, int], PendingRequest] = {}  # by request id and attempt index
         self.reset(min_limit)
 
     def reset(self, min_limit: float) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -178,10 +178,11 @@
     harness.gateway.limits.total.size = 4.0
     for backend in harness.gateway.context.backends.values():
         backend.limit.size = 0.8
+    request_id, _ = harness.request("b")
+    unanswered = harness.gateway.context.pending.pop(request_id)
     for k in (1, 2):
         backend = harness.gateway.context.backends[k]
-        backend.in_flight[("stuck", k)] = 1.0
-        backend.in_flight[("stuck too", k)] = 1.0
+        backend.in_flight = {("stuck", k): unanswered, ("stuck too", k): unanswered}
         backend.answered_at = harness.now - 900_000  # much longer than a unit takes
     _, actions = harness.ask("a")
     [attempt] = of(actions, Attempt)
--- a/tests/test_class_latency.py
+++ b/tests/test_class_latency.py
@@ -136,6 +136,74 @@
     assert known.recent == pytest.approx(100 * MS, rel=1e-6) and known.mean == pytest.approx(1_000 * MS)
 
 
+@pytest.mark.parametrize("tries", [2, 3])
+@pytest.mark.parametrize("aim, deadline", [(2_000, 2_000), (2_000, 3_000), (1_500, 3_000)])
+@pytest.mark.parametrize("quick_rate", [0, 20])
+def test_route_whose_backends_became_slower_is_served(tries: int, aim: int, deadline: int, quick_rate: int) -> None:
+    """Guards against a latency that is too low: 0 of 30, as each attempt was given up before it could be answered, and
+    only answers moved the latency by which it was given up."""
+    slow = replace(CLASS, aim=aim * MS, deadline=deadline * MS, tries=tries)
+    simulation = simulation_of(slow, slots=4)
+    start, changes, end = simulation.now, simulation.now + 10 * SECOND, simulation.now + 90 * SECOND
+    simulation.ask_regularly(SLOW, SLOW_WORK // 8, 0.5, start, changes)
+    simulation.ask_regularly(QUICK, QUICK_WORK, quick_rate, start, end)
+    simulation.ask_regularly(SLOW, SLOW_WORK, 0.5, changes, end)
+    simulation.run_until(end + 4 * SECOND)
+    assert simulation.served_share(SLOW, changes + 20 * SECOND, end) == 1
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_drawn_route_whose_work_grows_is_served_once_ten_were_sent(seed: int) -> None:
+    """Drawn work, deadline, aim, rate and tries of a route that is added to a service, or whose work grows, beside a
+    quick route or alone; guards against the same as a class."""
+    rng = Random(seed)
+    work = rng.randint(300, 2_500) * MS
+    deadline = int(work * rng.uniform(1.3, 4))
+    route = replace(CLASS, deadline=deadline, aim=int(deadline * rng.uniform(0.4, 1)), tries=rng.choice((2, 3, 4)))
+    backends, slots = rng.randint(2, 4), rng.choice((2, 4, 8))
+    most = 0.3 * backends * slots * SECOND  # of what backends can do in a second, for each route
+    rate = min(rng.uniform(0.1, 1) * most / work, rng.choice((0.3, 1, 5)))
+    simulation = simulation_of(route, QUICK_CLASS, backends, slots, seed)
+    start, changes = simulation.now, simulation.now + 15 * SECOND
+    settled = changes + max(int(10 * SECOND / rate), 10 * SECOND)
+    end = settled + 60 * SECOND
+    if rng.random() < 0.6:
+        simulation.ask_regularly(SLOW, work // rng.choice((4, 8, 16, 32)), rate, start, changes)
+    simulation.ask_regularly(QUICK, QUICK_WORK, min(rng.choice((0, 1, 5, 20)), most / QUICK_WORK), start, end)
+    simulation.ask_regularly(SLOW, work, rate, changes, end)
+    simulation.run_until(end + 10 * SECOND)
+    assert simulation.served_share(SLOW, settled, end) == 1
+
+
+def test_dead_backend_is_found_as_soon_as_ever_once_others_answer() -> None:
+    """Waits in vain at one backend must not make the route patient for good: an answer ends that."""
+    simulation = simulation_of(backends=3)
+    start = simulation.now
+    simulation.ask_regularly(QUICK, QUICK_WORK, 5, start, start + 30 * SECOND)
+    simulation.at(start + 10 * SECOND, lambda: setattr(simulation.backends[1], "dead", True))
+    simulation.run_until(start + 32 * SECOND)
+    sent_to_dead = [
+        run for x in simulation.requests.values() for run in x.runs if run.backend == 1 and run.cancelled_at >= 0
+    ]
+    assert sent_to_dead and all(run.cancelled_at - run.sent_at <= QUICK_CLASS.aim // 2 for run in sent_to_dead)
+    assert simulation.served_share(QUICK, start + 10 * SECOND, start + 30 * SECOND) == 1
+
+
+def test_expected_latency_follows_waits_in_vain_until_an_answer() -> None:
+    harness = GatewayHarness(backends=2, classes=(SLOW_CLASS, QUICK_CLASS), may_count=False, late_earns=True)
+    health = harness.gateway.health
+    request_id, _ = harness.request(customer="a", plan=1, cls=SLOW)
+    pending = harness.gateway.context.pending[request_id]
+    for waited, expected in ((400, 200), (900, 450), (300, 450)):
+        health.record_wait(waited * MS, SLOW_CLASS)
+        assert health.patience(pending) == expected * MS and health.usual_latency(pending) == 0
+    health.record_answer(100 * MS, SLOW_CLASS)
+    assert health.patience(pending) == health.usual_latency(pending) == 100 * MS
+    health.record_wait(900 * MS, SLOW_CLASS)
+    health.keep_classes((QUICK_CLASS,))
+    assert health.waited_in_vain == {}
+
+
 @pytest.mark.parametrize("seed", range(30))
 def test_drawn_pairs_of_routes_are_served_again(seed: int) -> None:
     """Drawn work, deadlines, aims and rates of two routes; one falls silent, or all backends are slow for a time."""
