Load board: a route that fell silent no longer sets the pauses of a service

Callers: none reported it. A removed batch route of 30 s paused failing backends for up to 60 s where requests take 50 ms, for good, and lengthened the failure detector's waits; each route name ever configured was kept.

Change: latencies of routes are a module of their own, which forgets a route once others were answered for a minute without it.

--- a/oakvale/loadbalancing/load_board.py
+++ b/oakvale/loadbalancing/load_board.py
@@ -17,6 +17,7 @@
 
 from oakvale.dissemination.tree import ring_position
 from oakvale.loadbalancing.idle_timeout import IdleTimeoutEstimate
+from oakvale.loadbalancing.route_latencies import RouteLatencies
 
 SAMPLE_WEIGHT = 0.15  # of the newest sample in moving averages
 FAILURE_DECAY_US = 30_000_000  # the failure rate decays by 1/e in this time, so that a failing backend is tried again
@@ -26,6 +27,7 @@
 MAX_WARM_CONNECTIONS = 4  # remembered per gateway and backend
 AFFINITY_WEIGHT = 0.4  # each gateway prefers some backends: it needs fewer connections, and they stay warm
 DEFAULT_LATENCY_US = 300_000  # assumed before the first answer
+DEFAULT_PAUSE_UNIT_US = 100_000  # of a backend that fails before the first answer
 SUSPECT_LOSS_RATE = 0.5  # a gateway that loses a larger share, and twice that of the others, is itself at fault
 MAX_GATEWAYS = 4_096  # whose losses are remembered
 NEAR_CANDIDATES = 32  # backends in the cached order of each gateway
@@ -75,7 +77,7 @@
     def __init__(self, random: Callable[[], float]) -> None:
         self._random = random
         self._loads: dict[str, BackendLoad] = {}
-        self._means: dict[str, float] = {}  # route -> microseconds
+        self._latencies = RouteLatencies()
         self._ticket = 0
         self._candidates: Sequence[BackendCandidate] | None = None
         self._orders: dict[tuple[str, str], list[RankedCandidate]] = {}  # by gateway and its zone
@@ -136,11 +138,11 @@
 
     def typical_latency(self) -> int:
         """Mean latency of the slowest route, in microseconds."""
-        return int(max(self._means.values(), default=DEFAULT_LATENCY_US))
+        return int(self._latencies.slowest() or DEFAULT_LATENCY_US)
 
     def request_cost(self, route: str) -> float:
         """Slot-seconds that a request of a route takes at a backend of mean speed."""
-        return self._means.get(route, float(self.typical_latency())) / 1_000_000
+        return (self._latencies.mean(route) or self.typical_latency()) / 1_000_000
 
     def mark_suspect(self, names: Iterable[str], now: int) -> None:
         """The zone of these backends failed: they may be listed but dead, so restarted ones are preferred to them."""
@@ -262,14 +264,13 @@
         if outcome == "served":
             load.failures = max(0, load.failures - 1)
             if had_free_slot:
-                mean = self._means.get(route, float(latency))
-                self._means[route] = mean + SAMPLE_WEIGHT / 3 * (latency - mean)
+                mean = self._latencies.record(route, latency, now)
                 load.speed += SAMPLE_WEIGHT * (min(latency / max(mean, 1.0), 4.0) - load.speed)
                 self._min_speed = min(self._min_speed, load.speed)
         elif outcome in ("lost", "full"):
-            mean = max(self._means.values(), default=0.0) or 100_000.0
+            pause_unit = self._latencies.slowest() or DEFAULT_PAUSE_UNIT_US
             load.failures = min(load.failures + 1, MAX_PAUSE_STEPS)
-            load.paused_until = now + int(mean * 2 ** (load.failures - 3))
+            load.paused_until = now + int(pause_unit * 2 ** (load.failures - 3))
 
     def _trusts_report(self, gateway: str, lost: bool) -> bool:
         """Whether a gateway's losses are attributed to the backends. A gateway with a bad network link loses attempts
--- a/tests/test_load_board.py
+++ b/tests/test_load_board.py
@@ -14,6 +14,7 @@
     LoadBoard,
     affinity,
 )
+from oakvale.loadbalancing.route_latencies import RouteLatencies
 
 MS, SECOND = 1_000, 1_000_000
 HERE = [BackendCandidate(f"b{n}", "z", 2, 0) for n in range(4)]
@@ -53,6 +54,43 @@
     assert found[0] not in named
 
 
+def test_a_route_that_fell_silent_does_not_lengthen_pauses() -> None:
+    """Guards against a mean that outlives its route: a removed batch route of 30 s paused failing backends for 60 s."""
+    load_board = new_board()
+
+    def answer(route: str, latency: int, now: int) -> None:
+        found = load_board.select(HERE, "g", "z", now + 60 * SECOND, now)
+        assert found is not None
+        load_board.record_attempt(*found, route, latency, "served", now)
+
+    answer("batch", 30 * SECOND, 30 * SECOND)
+    for second in range(31, 30 + 60):
+        answer("quick", 50 * MS, second * SECOND)
+    assert load_board.typical_latency() == 30 * SECOND  # the batch may still go on
+    for second in range(30 + 60, 30 + 60 + 32):
+        answer("quick", 50 * MS, second * SECOND)
+    assert load_board.typical_latency() == 50 * MS
+    now = 122 * SECOND
+    for _ in range(4):
+        load_board.record_attempt("b0", 0, "quick", MS, "lost", now)
+    assert load_board._loads["b0"].paused_until == now + 2 * 50 * MS
+
+
+def test_latencies_of_a_silent_service_are_kept() -> None:
+    latencies = RouteLatencies()
+    assert latencies.slowest() is None and latencies.mean("r") is None
+    assert latencies.record("r", 100, 0) == 100 and latencies.record("r", 300, 1_000 * SECOND) == 100
+    assert latencies.slowest() == latencies.mean("r") == pytest.approx(110)
+
+
+def test_latencies_of_routes_are_bounded_by_what_is_answered() -> None:
+    """Guards against a mean for each route name that any configuration ever had."""
+    latencies = RouteLatencies()
+    for number in range(1_000):
+        latencies.record(f"r{number}", 100, number * SECOND)
+    assert len(latencies._routes) <= 62
+
+
 def test_a_partly_failing_backend_gets_fewer_attempts() -> None:
     load_board, draw, got = new_board(), random.Random(3), dict.fromkeys((o.id for o in HERE), 0)
     for at in range(2_000):
