Replication: requests to backups are typed, transfers stand in a module of their own

Bare lists (body[1], body[5]) become dataclasses with encode and decode in controlplane/backup_requests.py; what is being sent moves to controlplane/transfers.py.

--- a/oakvale/controlplane/replication.py
+++ b/oakvale/controlplane/replication.py
@@ -16,7 +16,6 @@
 import zlib
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from typing import Any
 
 import cbor2
@@ -36,6 +35,19 @@
     ViewInstalled,
     Write,
 )
+from oakvale.controlplane.backup_requests import (
+    AppendRequest,
+    BackupRequest,
+    ChunkRequest,
+    OfferRequest,
+    RequestHeader,
+    SyncRequest,
+    decode_append,
+    decode_chunk,
+    decode_header,
+    decode_offer,
+    decode_sync,
+)
 from oakvale.controlplane.chunks import ChunkedState
 from oakvale.controlplane.continuations import (
     AfterAnswer,
@@ -56,42 +68,14 @@
 from oakvale.controlplane.failure_domains import FailureDomains
 from oakvale.controlplane.replicated_state import Callback, ReplicatedState
 from oakvale.controlplane.start_state import StartState
+from oakvale.controlplane.transfers import BASE_TIMEOUT_US, StagedChange, Transfer, transfer_timeout_us
 from oakvale.controlplane.view_change import ElectionMessage, PersistState, ViewManager, ViewOutput
-from oakvale.controlplane.views import (
-    Replica,
-    View,
-    unpack_replica,
-    unpack_view,
-)
-from oakvale.dissemination.table import NO_VERSION, Entry, Version, pack
-from oakvale.dissemination.table import unpack as unpack_entries
+from oakvale.controlplane.views import Replica, View
+from oakvale.dissemination.table import NO_VERSION, Entry, Version
 
-BASE_TIMEOUT_US = 1_000_000  # for a backup to sync a change
-TIMEOUT_PER_BYTE_US = 16  # allows for links of 0.5 Mbit/s
 MAX_CHUNKS_IN_FLIGHT = 2  # to one backup; on a slow link, heartbeats queue behind them
 
 
-@dataclass(slots=True)
-class Transfer:
-    """What is being sent to a backup: the whole state, or only the chunks of a staged change."""
-
-    chunked: ChunkedState
-    up_to: Version
-    is_full_state: bool = True
-    held: set[bytes] = field(default_factory=set)  # digests of chunks that the backup holds
-    unsent: list[bytes] = field(default_factory=list)
-    in_flight: set[bytes] = field(default_factory=set)  # sent, and not acknowledged yet
-
-
-@dataclass(slots=True)
-class StagedChange:
-    """A change too large for one message. It is proposed once the backups hold its chunks."""
-
-    changes: dict[str, Any]
-    on_done: Callback
-    waiting_for: set[Replica] = field(default_factory=set)
-
-
 class Replicator:
     """One replica, for one run of its process."""
 
@@ -114,7 +98,7 @@
         self.active = False
         self._released_in_view = 0  # the newest view whose primary allowed this replica to stop
         self._last_request_number = 0  # to backups, in this run
-        self._newest_request = (0, 0, 0)  # as a backup: view, start number and request number
+        self._newest_request = (0, 0, 0)  # as a backup: its `RequestHeader.order`
         self._synced_backups: set[Replica] = set()  # those that have synced the state in this view
         self._caught_up: set[Replica] = set()  # backups that hold the state and accept changes
         self._transfers: dict[Replica, Transfer] = {}
@@ -301,8 +285,7 @@
         small = [entry for entry in entries if entry[0] not in {row[0] for row in large}]
         for backup in view.backups:
             if backup in self._caught_up:
-                body = [list(before), pack(small), large]
-                self._request(AppendSent(backup, view, up_to), body, BASE_TIMEOUT_US)
+                self._request(AppendSent(backup, view, up_to), AppendRequest(before, small, large), BASE_TIMEOUT_US)
 
     def _retry_later(self, backup: Replica, view: View) -> None:
         """The backup did not accept a request; the whole state is sent to it after a delay."""
@@ -333,7 +316,8 @@
         transfer.held.update(map(chunks.chunk_digest, inline))
         manifest = transfer.chunked.manifest()
         size = sum(map(len, inline)) + len(transfer.chunked.chunks) * chunks.DIGEST_BYTES
-        self._request(SyncSent(backup, view, transfer.up_to), [manifest, inline], _transfer_timeout_us(size))
+        request = SyncRequest(manifest, inline)
+        self._request(SyncSent(backup, view, transfer.up_to), request, transfer_timeout_us(size))
 
     def _sync_answered(self, backup: Replica, view: View, up_to: Version, answer: Any) -> None:
         transfer = self._transfers.get(backup)
@@ -367,7 +351,8 @@
             digest = transfer.unsent.pop(0)
             transfer.in_flight.add(digest)
             packed = zlib.compress(transfer.chunked.chunks[digest], 1)
-            self._request(ChunkSent(backup, view, digest), [packed], _transfer_timeout_us(len(packed)))
+            timeout = transfer_timeout_us(len(packed))
+            self._request(ChunkSent(backup, view, digest), ChunkRequest(packed), timeout)
         if transfer.in_flight:
             return
         if transfer.is_full_state:
@@ -401,8 +386,8 @@
             if staged.waiting_for:
                 for backup in sorted(staged.waiting_for):
                     self._transfers[backup] = Transfer(chunked, NO_VERSION, is_full_state=False)
-                    timeout = _transfer_timeout_us(len(chunked.chunks) * chunks.DIGEST_BYTES)
-                    self._request(OfferSent(backup, view), [chunked.manifest()], timeout)
+                    timeout = transfer_timeout_us(len(chunked.chunks) * chunks.DIGEST_BYTES)
+                    self._request(OfferSent(backup, view), OfferRequest(chunked.manifest()), timeout)
                 return
             self._staged_changes.popleft()
             self.replicated_state.staged_changes.pop(0)
@@ -454,28 +439,25 @@
 
     def append(self, body: Any, ticket: Any) -> list[Action]:
         """Handles a request to append changes."""
-        self._append(body, ticket)
+        self._append(decode_header(body), decode_append(body), ticket)
         return self.flush()
 
     def sync(self, body: Any, ticket: Any) -> list[Action]:
         """Handles a request to replace the whole state."""
-        self._sync(body, ticket)
+        self._sync(decode_header(body), decode_sync(body), ticket)
         return self.flush()
 
-    def _append(self, body: Any, ticket: Any) -> None:
-        view, sender, large = unpack_view(body[0]), unpack_replica(body[1]), [1, body[5], []]
-        if not self._in_order(view, sender, body[2]) or self.view_manager.state.complete != view.number:
+    def _append(self, header: RequestHeader, request: AppendRequest, ticket: Any) -> None:
+        if not self._in_order(header) or self.view_manager.state.complete != header.view.number:
             return self._out.append(Reply(ticket, False))
-        if not self._is_contiguous((int(body[3][0]), int(body[3][1]))) or chunks.missing_digests(
-            large, self._received_chunks
-        ):
+        large = [1, request.large, []]
+        if not self._is_contiguous(request.before) or chunks.missing_digests(large, self._received_chunks):
             return self._out.append(Reply(ticket, False))
-        entries = sorted(
-            unpack_entries(body[4]) + chunks.join_chunks(large, self._received_chunks), key=lambda entry: entry[1]
-        )
+        joined = chunks.join_chunks(large, self._received_chunks)
+        entries = sorted(request.entries + joined, key=lambda entry: entry[1])
         self.replicated_state.apply(entries)
-        self._write(("rows", _encode_rows(entries)), RowsAppended(view, sender, ticket))
-        if body[5]:
+        self._write(("rows", _encode_rows(entries)), RowsAppended(header.view, header.sender, ticket))
+        if request.large:
             self._discard_chunks(set())
         self._delete_forgotten_rows()
 
@@ -483,12 +465,12 @@
         """Whether no earlier change is missing here: accepting this one would acknowledge those before it as well."""
         return self.replicated_state.table.highest_version == before
 
-    def _sync(self, body: Any, ticket: Any) -> None:
-        view, sender, manifest = unpack_view(body[0]), unpack_replica(body[1]), body[3]
-        self._apply_view_outputs(self.view_manager.learn(view))
-        if not self._in_order(view, sender, body[2]):
+    def _sync(self, header: RequestHeader, request: SyncRequest, ticket: Any) -> None:
+        manifest = request.manifest
+        self._apply_view_outputs(self.view_manager.learn(header.view))
+        if not self._in_order(header):
             return self._out.append(Reply(ticket, False))
-        available = self._received_chunks | {chunks.chunk_digest(chunk): bytes(chunk) for chunk in body[4]}
+        available = self._received_chunks | {chunks.chunk_digest(chunk): chunk for chunk in request.inline}
         missing = chunks.missing_digests(manifest, available)
         if missing and manifest[0]:
             available |= chunks.split_state(self.replicated_state.all_entries(), int(manifest[0])).chunks
@@ -501,7 +483,7 @@
         self.replicated_state.table.put(entries)
         self._received_chunks, self._expected_digests = {}, set()
         self._out.append(StateReplaced())
-        self._write(("whole", _encode_rows(entries)), StateStored(view, sender, ticket))
+        self._write(("whole", _encode_rows(entries)), StateStored(header.view, header.sender, ticket))
 
     def _request_missing(self, manifest: Any, missing: list[bytes], ticket: Any) -> None:
         """Answers with the missing digests, and discards received chunks that are not in the manifest."""
@@ -518,8 +500,8 @@
 
     def offer(self, body: Any, ticket: Any) -> list[Action]:
         """Handles the manifest of a staged change."""
-        view, sender, manifest = unpack_view(body[0]), unpack_replica(body[1]), body[3]
-        if not self._in_order(view, sender, body[2]):
+        header, manifest = decode_header(body), decode_offer(body).manifest
+        if not self._in_order(header):
             self._out.append(Reply(ticket, False))
         else:
             self._request_missing(manifest, chunks.missing_digests(manifest, self._received_chunks), ticket)
@@ -527,10 +509,10 @@
 
     def piece(self, body: Any, ticket: Any) -> list[Action]:
         """Handles a chunk. Its order and the primary's run do not matter, as its digest identifies it."""
-        view, sender = unpack_view(body[0]), unpack_replica(body[1])
-        data = zlib.decompressobj().decompress(body[3], chunks.MAX_CHUNK_BYTES)
+        header, request = decode_header(body), decode_chunk(body)
+        data = zlib.decompressobj().decompress(request.compressed, chunks.MAX_CHUNK_BYTES)
         digest = chunks.chunk_digest(data)
-        if not self._is_backup_in(view, sender) or digest not in self._expected_digests:
+        if not self._is_backup_in(header.view, header.sender) or digest not in self._expected_digests:
             self._out.append(Reply(ticket, False))
         else:
             self._received_chunks[digest] = data
@@ -546,13 +528,12 @@
             and self.self_id in view.backups
         )
 
-    def _in_order(self, view: View, sender: Replica, sequence: Any) -> bool:
+    def _in_order(self, header: RequestHeader) -> bool:
         """Whether the request is newer than all before it. An abandoned connection may deliver late, and an older state
         would undo changes that this replica has acknowledged."""
-        number = (view.number, int(sequence[0]), int(sequence[1]))
-        if not self._is_backup_in(view, sender) or number <= self._newest_request:
+        if not self._is_backup_in(header.view, header.sender) or header.order <= self._newest_request:
             return False
-        self._newest_request = number
+        self._newest_request = header.order
         return True
 
     # ---- views
@@ -607,18 +588,14 @@
         self._pending_writes[self._last_write_number] = continuation
         self._out.append(Write(self._last_write_number, what))
 
-    def _request(self, continuation: AfterAnswer, body: list[Any], timeout: int) -> None:
+    def _request(self, continuation: AfterAnswer, request: BackupRequest, timeout: int) -> None:
         """Sends a request to a backup, which replies within `timeout` microseconds or counts as silent."""
         self._last_request_number += 1
-        self._requests[self._last_request_number] = continuation
-        sequence = [self.start_number, self._last_request_number]
-        body = [continuation.view.pack(), list(self.self_id), sequence, *body]
-        self._out.append(SendRequest(self._last_request_number, continuation.backup, continuation.kind, body, timeout))
-
-
-def _transfer_timeout_us(size: int) -> int:
-    """How long a backup may take to receive and store `size` bytes, in microseconds."""
-    return 2 * BASE_TIMEOUT_US + TIMEOUT_PER_BYTE_US * size
+        number = self._last_request_number
+        self._requests[number] = continuation
+        header = RequestHeader(continuation.view, self.self_id, self.start_number, number)
+        body = [*header.encode(), *request.encode()]
+        self._out.append(SendRequest(number, continuation.backup, continuation.kind, body, timeout))
 
 
 def _encode_rows(entries: list[Entry]) -> list[tuple[str, bytes]]:
--- a/oakvale/lab/modelcheck/breakages.py
+++ b/oakvale/lab/modelcheck/breakages.py
@@ -8,15 +8,15 @@
 from typing import Any
 
 from oakvale.controlplane import actions, chunks, replication, start_state
+from oakvale.controlplane.backup_requests import AppendRequest, RequestHeader
 from oakvale.controlplane.continuations import ChunkStored, NothingFollows
 from oakvale.controlplane.leases import Leases
 from oakvale.controlplane.replicated_state import Callback, ReplicatedState
 from oakvale.controlplane.replication import Replicator
 from oakvale.controlplane.start_state import StartState
 from oakvale.controlplane.view_change import ElectionMessage, ViewAdopted, ViewManager, ViewOutput
-from oakvale.controlplane.views import Ballot, Replica, View, bootstrap_view, unpack_replica, unpack_view
+from oakvale.controlplane.views import Ballot, Replica, View, bootstrap_view, unpack_view
 from oakvale.dissemination.table import Entry
-from oakvale.dissemination.table import unpack as unpack_entries
 from oakvale.lab.modelcheck.machine import Machine
 from oakvale.lab.modelcheck.model import Bounds
 
@@ -56,12 +56,11 @@
     return real(self, changes, {min(owed)}, then)
 
 
-def _append_before_sync(self: Replicator, body: Any, ticket: Any) -> None:
-    view, sender, entries = unpack_view(body[0]), unpack_replica(body[1]), unpack_entries(body[4])
-    if not self._in_order(view, sender, body[2]) or self.view_manager.state.complete != view.number:
+def _append_before_sync(self: Replicator, header: RequestHeader, request: AppendRequest, ticket: Any) -> None:
+    if not self._in_order(header) or self.view_manager.state.complete != header.view.number:
         return self._out.append(actions.Reply(ticket, False))
-    self.replicated_state.apply(entries)
-    self._write(("rows", replication._encode_rows(entries)), NothingFollows())
+    self.replicated_state.apply(request.entries)
+    self._write(("rows", replication._encode_rows(request.entries)), NothingFollows())
     self._out.append(actions.Reply(ticket, True))
 
 
@@ -119,8 +118,8 @@
         self._persist(replace(self.state, complete=view.number), [ViewAdopted(view)])
 
 
-def _no_order(self: Replicator, view: View, sender: Replica, order: Any) -> bool:
-    return self._is_backup_in(view, sender)
+def _no_order(self: Replicator, header: RequestHeader) -> bool:
+    return self._is_backup_in(header.view, header.sender)
 
 
 def _refusal_counts(
