Laboratory: a soak of real gateways, judged by what clients and backends have seen

This one has clients on kept connections, backends that hang, end or leave, changes of the configuration, and series of SIGTERM, SIGHUP, SIGKILL and freezes that overlap; at the end all is calm.

--- a/oakvale/cli.py
+++ b/oakvale/cli.py
@@ -236,14 +236,14 @@
 def laboratory(arguments: Sequence[str]) -> None:
     """Runs a command of the laboratory, which parses its own arguments."""
     try:
-        from oakvale.lab import commands
+        from oakvale.lab import command_parts, commands
     except ModuleNotFoundError as error:
         fail(f"lab needs {error.name}: pip install -r requirements-lab.txt")
     try:
         sys.exit(commands.main(arguments))
-    except commands.Wrong as error:
+    except command_parts.Wrong as error:
         fail(error)
-    except commands.Failed as error:
+    except command_parts.Failed as error:
         fail(error, 1)
 
 
--- a/oakvale/lab/commands.py
+++ b/oakvale/lab/commands.py
@@ -14,23 +14,15 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from oakvale.lab.command_parts import BROKEN, INTERRUPTED, Failed, Progress, Wrong, above, whole_number
+from oakvale.lab.soak import commands as soak_commands
+
 if TYPE_CHECKING:
     from oakvale.lab.days import Day
     from oakvale.lab.experiments.outcome import Outcome
     from oakvale.lab.experiments.variants import Spec
     from oakvale.lab.loadgen.tally import Tally
 
-BROKEN = 1
-INTERRUPTED = 130
-
-
-class Wrong(Exception):
-    """One line: the file or argument, the place, the field, what is wrong with it."""
-
-
-class Failed(Exception):
-    """One line: what could not be done, though nothing was wrong with what was asked."""
-
 
 def day(args: argparse.Namespace) -> int:
     """Play a day and judge it: each rule, what was earned of what was owed, the worst seconds."""
@@ -251,57 +243,10 @@
     return INTERRUPTED if tally.partial else 0
 
 
-def soak(args: argparse.Namespace) -> int:
-    """Play soaks of real core machines under drawn series of signals; 1 if a rule is broken."""
-    from oakvale.lab.soak import run
-    from oakvale.lab.soak.plan import EpisodeKind
-
-    try:
-        kinds = tuple(EpisodeKind(kind) for kind in args.kinds.split(",")) if args.kinds else tuple(EpisodeKind)
-    except ValueError as error:
-        raise Wrong(f"--kinds: {error} (there are {', '.join(EpisodeKind)})") from error
-    first, count = args.seeds
-    output = Path(args.out) if args.out else None
-    options = run.Options(args.seconds, args.cores, args.gateways, args.workloads, kinds, output)
-    failed = 0
-    with Progress(count, "soaks", args.quiet) as bar:
-        for number, seed in enumerate(range(first, first + count)):
-            try:
-                report = run.play(seed, options)
-            except (run.NeverServed, OSError) as error:
-                raise Failed(f"seed {seed}: {error}") from error
-            failed += bool(report.violations)
-            print("\n".join(report.lines()), flush=True)
-            bar.show(number + 1, f"{failed} with findings")
-    print(f"{count} soaks from seed {first}, {failed} with findings")
-    return BROKEN if failed else 0
-
-
 def _short(tally: Tally) -> str:
     return f"{tally.due} due, {tally.done()} done"
 
 
-class Progress:
-    """A bar on standard error, where that is a terminal."""
-
-    def __init__(self, total: float, unit: str, quiet: bool) -> None:
-        from tqdm import tqdm
-
-        form = "{percentage:3.0f}%|{bar}| {n:.4g}/{total:.4g} {unit} [{elapsed}<{remaining}] {postfix}"
-        self._bar = tqdm(total=total, unit=unit, disable=quiet or not sys.stderr.isatty(), leave=False, bar_format=form)
-
-    def __enter__(self) -> Progress:
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._bar.close()
-
-    def show(self, done: float, text: str = "") -> None:
-        self._bar.n = done
-        self._bar.set_postfix_str(text, refresh=False)
-        self._bar.refresh()
-
-
 def _write(path: str, text: str) -> None:
     if path == "-":
         sys.stdout.write(text)
@@ -312,23 +257,6 @@
         raise Wrong(f"{path}: cannot be written: {error.strerror}") from error
 
 
-def _over(least: float) -> Callable[[str], float]:
-    def number(text: str) -> float:
-        value = float(text)
-        if not least < value < 1e9:
-            raise argparse.ArgumentTypeError(f"not above {least:g}: {text}")
-        return value
-
-    return number
-
-
-def _whole(text: str) -> int:
-    value = int(text)
-    if value < 1:
-        raise argparse.ArgumentTypeError(f"not a whole number from 1 on: {text}")
-    return value
-
-
 def _header(text: str) -> tuple[str, str]:
     name, colon, value = text.partition(":")
     if not colon or not name or not name.isascii() or any(c.isspace() for c in name):
@@ -349,7 +277,7 @@
     def over(command: argparse.ArgumentParser) -> None:
         command.add_argument(
             "--jobs",
-            type=_whole,
+            type=whole_number,
             default=len(os.sched_getaffinity(0)),
             help="runs at once (default: the cores, %(default)s)",
         )
@@ -369,8 +297,8 @@
     tried.add_argument("--out", metavar="FOLDER", help="of report.md, report.html, outcomes.json (NAME-report)")
     over(tried)
     hunted = add("hunt", hunt, "play drawn days until a rule breaks; ends with 1 if one does")
-    hunted.add_argument("--days", type=_whole, default=40, help="at most (default: %(default)s)")
-    hunted.add_argument("--first-seed", type=_whole, default=1, help="of the first day (default: %(default)s)")
+    hunted.add_argument("--days", type=whole_number, default=40, help="at most (default: %(default)s)")
+    hunted.add_argument("--first-seed", type=whole_number, default=1, help="of the first day (default: %(default)s)")
     hunted.add_argument("--like", metavar="FILE", help="a day whose site is kept; its troubles are drawn")
     hunted.add_argument("--kinds", metavar="KIND,...", help="the kinds of trouble to draw from (all)")
     hunted.add_argument("--all", action="store_true", help="go on after the first find")
@@ -381,7 +309,9 @@
     cut.add_argument("--rule", help="the one that has to break (any that the day breaks)")
     cut.add_argument("--out", metavar="FOLDER", help="(that of the day)")
     for command in (hunted, cut):
-        command.add_argument("--most", type=_whole, default=300, help="plays of the shrinking (default: %(default)s)")
+        command.add_argument(
+            "--most", type=whole_number, default=300, help="plays of the shrinking (default: %(default)s)"
+        )
         varied(command)
     over(hunted)
     checked = add("check", check, "search all interleavings of the control state's small core; 1 if one is bad")
@@ -389,15 +319,17 @@
         _checker().arguments(checked)
     generator = add("load", load, "open-loop load on a loopback URL, with latencies from when each request was due")
     generator.add_argument("url", help="http://127.0.0.1:PORT/PATH; anything but loopback is refused")
-    generator.add_argument("--rate", type=_over(0), default=100.0, help="requests a second (default: %(default)g)")
-    generator.add_argument("--seconds", type=_over(0), default=10.0, help="for how long (default: %(default)g)")
-    generator.add_argument("--count", type=_whole, default=10_000_000, help="requests at most")
+    generator.add_argument("--rate", type=above(0), default=100.0, help="requests a second (default: %(default)g)")
+    generator.add_argument("--seconds", type=above(0), default=10.0, help="for how long (default: %(default)g)")
+    generator.add_argument("--count", type=whole_number, default=10_000_000, help="requests at most")
     generator.add_argument("--arrivals", choices=("constant", "poisson"), default="poisson")
     generator.add_argument("--seed", type=int, default=0, help="of the arrivals (default: %(default)s)")
-    generator.add_argument("--connections", type=_whole, default=256, help="at most, at once (default: %(default)s)")
+    generator.add_argument(
+        "--connections", type=whole_number, default=256, help="at most, at once (default: %(default)s)"
+    )
     generator.add_argument("--new-connections", action="store_true", help="one for each request")
     generator.add_argument(
-        "--limit", type=_over(0), default=10.0, help="seconds for each request (default: %(default)g)"
+        "--limit", type=above(0), default=10.0, help="seconds for each request (default: %(default)g)"
     )
     generator.add_argument("--method", default="GET")
     generator.add_argument("--host", help="the Host header, where it is not the URL's")
@@ -409,16 +341,7 @@
     generator.add_argument(
         "--json", metavar="FILE", help="the report as JSON as well; - for JSON alone, on standard output"
     )
-    soaked = add("soak", soak, "signals to real core machines on loopback, with applications; 1 if a rule is broken")
-    soaked.add_argument("--seeds", type=int, nargs=2, default=(1, 1), metavar=("FIRST", "COUNT"))
-    soaked.add_argument(
-        "--seconds", type=_over(0), default=30.0, help="for which episodes begin (default: %(default)g)"
-    )
-    soaked.add_argument("--cores", type=_whole, default=4, help="core machines (default: %(default)s)")
-    soaked.add_argument("--gateways", type=int, default=0, help="gateways beside them (default: %(default)s)")
-    soaked.add_argument("--workloads", type=_whole, default=1, help="of about 20 applications (default: %(default)s)")
-    soaked.add_argument("--out", metavar="FOLDER", help="keeps logs and calls of each seed")
-    soaked.add_argument("--kinds", metavar="KIND,...", help="the kinds of episodes to draw from (all)")
+    soak_commands.add_commands(add)
     return whole
 
 
--- a/oakvale/lab/soak/machines.py
+++ b/oakvale/lab/soak/machines.py
@@ -13,7 +13,7 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -23,7 +23,9 @@
 ZONES = ("a", "b", "c", "d")
 SEED_COUNT = 3
 CORE, GATEWAY = "headworks", "sluice"
-FIRST_GATEWAY_HOST = 101  # last part of its address
+CORE_CLAUSES = ("base", "config", "coord")
+GATEWAY_CLAUSES = ("base", "drain", "config", "cost", "retry", "recover")
+FIRST_GATEWAY_HOST, FIRST_BACKEND_HOST = 101, 201  # last parts of their addresses
 PORT_COUNT = 5
 GRACE_S = 6.0  # from SIGTERM to SIGKILL
 POLL_INTERVAL_S = 0.01
@@ -48,6 +50,7 @@
     ip: str
     ctl: str
     settings_path: Path
+    http: str = ""  # where clients connect
     process: subprocess.Popen[bytes] | None = None
     exit_statuses: list[int] = field(default_factory=list)  # of its processes that were told to stop
     stop_requested_at: float | None = None
@@ -61,12 +64,12 @@
 class Machines:
     """All machines of one soak in a temporary directory. Raises OSError if no loopback addresses are available."""
 
-    def __init__(self, core_count: int, gateway_count: int) -> None:
+    def __init__(self, core_count: int, gateway_count: int, clauses: Sequence[str] = CORE_CLAUSES) -> None:
         self._directory = tempfile.TemporaryDirectory(prefix="oakvale-soak-")
         self._path = Path(self._directory.name)
         self._network = f"127.{64 + secrets.randbelow(128)}.{secrets.randbelow(256)}"
         self._first_port = _free_ports(f"{self._network}.1")
-        self._hosts_used = 0
+        self._hosts_used, self._clauses = 0, clauses
         self.log_paths: list[Path] = []
         self.unexpected_exits: list[str] = []
         self.killed_after_grace: list[str] = []
@@ -74,11 +77,11 @@
         ctl = [f"{self._network}.{number + 1}:{self._first_port}" for number in range(min(core_count, SEED_COUNT))]
         for _ in range(core_count):
             self.core.append(self._new_core(ctl, bootstrap=True))
-        self._gateways = [self._new_gateway(number, ctl) for number in range(gateway_count)]
+        self.gateways = [self._new_gateway(number, ctl) for number in range(gateway_count)]
 
     def start_all(self) -> None:
         """Starts every process."""
-        for machine in [*self.core, *self._gateways]:
+        for machine in [*self.core, *self.gateways]:
             self.start(machine)
 
     def start(self, machine: Machine) -> None:
@@ -136,7 +139,7 @@
         """What processes did that no process may do: exits by itself or with an error, and errors in a log."""
         for name in self.unexpected_exits:
             yield f"{name} exited by itself"
-        for machine in [*self.core, *self._gateways]:
+        for machine in [*self.core, *self.gateways]:
             if machine.process is not None and machine.process.poll() is not None:
                 yield f"{machine.name} exited by itself with {machine.process.returncode}"
             for status in machine.exit_statuses:
@@ -162,9 +165,13 @@
         for path in self.log_paths:
             shutil.copy(path, directory)
 
+    def backend_ip(self, number: int) -> str:
+        """An address for a backend of the test."""
+        return f"{self._network}.{FIRST_BACKEND_HOST + number}"
+
     def close(self) -> None:
         """Kills every process and deletes the directory."""
-        for machine in [*self.core, *self._gateways]:
+        for machine in [*self.core, *self.gateways]:
             self.kill(machine)
         self._directory.cleanup()
 
@@ -191,7 +198,7 @@
         name, http, readyz = f"{GATEWAY}-{number + 1}", f"{ip}:{self._first_port + 1}", f"{ip}:{self._first_port + 2}"
         bind = f'bind = {{ http = "{http}", readyz = "{readyz}" }}'
         path = self._write_settings(name, ip, number, "voting = false\nbootstrap = true\n", seeds, bind)
-        return Machine(name, GATEWAY, ip, "", path)
+        return Machine(name, GATEWAY, ip, "", path, http)
 
     def _write_settings(self, name: str, ip: str, number: int, head: str, seeds: list[str], bind: str) -> Path:
         path = self._path / f"{name}.toml"
@@ -211,7 +218,7 @@
 beat = "1500ms"
 cfg-mode = "highest"
 [terms]
-clauses = ["base", "config", "coord"]
+clauses = [{", ".join(f'"{clause}"' for clause in self._clauses)}]
 [terms.tolerance]
 nodes = 1
 [terms.bounds]
--- a/oakvale/lab/soak/operator.py
+++ b/oakvale/lab/soak/operator.py
@@ -10,15 +10,14 @@
 from random import Random
 from typing import Any
 
-from oakvale.lab.applications.wire import HttpAnswer, HttpRequest
+from oakvale.lab.applications.wire import HttpRequest
 from oakvale.lab.soak.connections import Connections
+from oakvale.lab.soak.core_caller import CoreCaller
 
 LARGE_TENANT_COUNT = 1_800  # more than 100 KB
 SMALL_TENANT_COUNT = 3
 LARGE_SHARE = 0.3
 MIN_PAUSE_S, MAX_PAUSE_S = 0.3, 2.0
-CALL_TIMEOUT_S = 1.0
-RETRY_DELAY_S = 0.05
 CHANGE_PATIENCE_S = 10.0
 REPLACE, READ = "Config.Replace", "Config.Read"
 
@@ -44,7 +43,7 @@
     """Changes the configuration until it is stopped."""
 
     def __init__(self, connections: Connections, rng: Random) -> None:
-        self._connections, self._rng = connections, rng
+        self._caller, self._rng = CoreCaller(connections, rng), rng
         self._version = 0
         self.acknowledged = 0  # the newest version
         self.acknowledged_count = 0
@@ -60,7 +59,7 @@
 
     async def check(self, patience_s: float) -> Iterator[str]:
         """What is wrong with the configuration that is read back."""
-        answer = await self._call(HttpRequest(b"GET", READ, "", "", b""), patience_s)
+        answer = await self._caller.call(HttpRequest(b"GET", READ, "", "", b""), patience_s)
         if not self.acknowledged:
             return iter(())
         if answer is None or answer.status != 200:
@@ -74,7 +73,7 @@
         self._version += 1
         size = LARGE_TENANT_COUNT if self._rng.random() < LARGE_SHARE else SMALL_TENANT_COUNT
         body = json.dumps(configuration(self._version, size)).encode()
-        answer = await self._call(HttpRequest(b"POST", REPLACE, "", "", body), CHANGE_PATIENCE_S)
+        answer = await self._caller.call(HttpRequest(b"POST", REPLACE, "", "", body), CHANGE_PATIENCE_S)
         if answer is None:
             self.given_up.append(self._version)
         elif answer.status == 200:
@@ -82,30 +81,3 @@
             self.acknowledged_count += 1
         else:
             self.rejected.append(f"configuration {self._version}: {answer.status} {answer.body[:200]!r}")
-
-    async def _call(self, request: HttpRequest, patience_s: float) -> HttpAnswer | None:
-        """Repeats a call until a final answer; None if there is none in time."""
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + patience_s
-        address = ""
-        while loop.time() < deadline:
-            answer = await self._send(address or self._rng.choice(self._connections.core_addresses()), request)
-            address = answer.location if answer is not None and answer.status == 307 else ""
-            if answer is not None and (answer.status == 200 or (400 <= answer.status < 500 and answer.status != 429)):
-                return answer
-            if not address:
-                await asyncio.sleep(RETRY_DELAY_S)
-        return None
-
-    async def _send(self, address: str, request: HttpRequest) -> HttpAnswer | None:
-        answered: asyncio.Future[HttpAnswer | None] = asyncio.get_running_loop().create_future()
-
-        def on_answer(answer: HttpAnswer | None) -> None:
-            if not answered.done():
-                answered.set_result(answer)
-
-        self._connections.send(address, request, on_answer)
-        try:
-            return await asyncio.wait_for(answered, CALL_TIMEOUT_S)
-        except TimeoutError:
-            return None
--- a/tests/test_lab_experiments.py
+++ b/tests/test_lab_experiments.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from oakvale.lab import commands, days
+from oakvale.lab import command_parts, commands, days
 from oakvale.lab.days import Day
 from oakvale.lab.experiments import findings, hunt, page, player, report, runs, spec, statistics, variants
 from oakvale.lab.experiments.outcome import Outcome
@@ -134,7 +134,7 @@
 )
 def test_a_bad_experiment_is_told_by_place_and_field(told: Path, old: str, new: str, said: str) -> None:
     told.write_text(FILE.replace(old, new))
-    with pytest.raises(commands.Wrong) as raised:
+    with pytest.raises(command_parts.Wrong) as raised:
         commands.main(["experiment", str(told)])
     assert str(raised.value) == f"{told}: {said}"
 
