An attempt that is called off before the usual time says nothing of its class

Clients that leave early have their attempts called off as well; these were noted as waits in vain, and the next answer then counted for half of the mean. Found by reading; test_expected_latency_follows_waits_in_vain_until_an_answer asks for it.

--- a/oakvale/latency_statistics.py
+++ b/oakvale/latency_statistics.py
@@ -114,8 +114,10 @@
             self.baseline = min(self.baseline or self.mean_latency, self.mean_latency)
 
     def record_wait(self, waited: float, request_class: RequestClass) -> None:
-        """Notes an attempt that was given up or timed out: an answer of its class may take longer than this."""
-        self.waited_in_vain[request_class] = max(waited, self.waited_in_vain.get(request_class, 0.0))
+        """Notes an attempt that was given up or timed out: an answer of its class may take longer than this. One that
+        was called off before the usual time, as its client left, says nothing."""
+        if waited > self.class_latency(request_class):
+            self.waited_in_vain[request_class] = max(waited, self.waited_in_vain.get(request_class, 0.0))
 
     def add_sample(self, backend: Backend, sample: float) -> None:
         """Moves a backend's average by a comparable sample. It starts at that of all: one gateway of many gets few
--- a/tests/test_class_latency.py
+++ b/tests/test_class_latency.py
@@ -199,6 +199,8 @@
         assert health.patience(pending) == expected * MS and health.usual_latency(pending) == 0
     health.record_answer(100 * MS, SLOW_CLASS)
     assert health.patience(pending) == health.usual_latency(pending) == 100 * MS
+    health.record_wait(99 * MS, SLOW_CLASS)
+    assert health.waited_in_vain == {}  # a client that left early
     health.record_wait(900 * MS, SLOW_CLASS)
     health.keep_classes((QUICK_CLASS,))
     assert health.waited_in_vain == {}
