A soak that is ended by SIGTERM ends its processes

Both commands left their core machines and gateways running and their folder behind: SIGTERM ended the interpreter without its finally blocks. It interrupts them as Ctrl+C does now. The test failed before for both.

--- a/oakvale/lab/soak/commands.py
+++ b/oakvale/lab/soak/commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import signal
 from collections.abc import Callable
 from pathlib import Path
 
@@ -38,6 +39,11 @@
     traffic.add_argument("--out", metavar="FOLDER", help="keeps logs, requests and runs of each seed")
 
 
+def end_processes_on_sigterm() -> None:
+    """Has SIGTERM interrupt the command as Ctrl+C does, so that its processes are ended and its folder goes."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+
+
 def _add_seeds(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("--seeds", type=int, nargs=2, default=(1, 1), metavar=("FIRST", "COUNT"))
     parser.add_argument(
@@ -50,6 +56,7 @@
     from oakvale.lab.soak import run
     from oakvale.lab.soak.plan import EpisodeKind
 
+    end_processes_on_sigterm()
     try:
         kinds = tuple(EpisodeKind(kind) for kind in args.kinds.split(",")) if args.kinds else tuple(EpisodeKind)
     except ValueError as error:
@@ -75,6 +82,7 @@
     """Play soaks of real gateways under series of signals, with clients and backends; 1 if a rule is broken."""
     from oakvale.lab.soak import traffic
 
+    end_processes_on_sigterm()
     first, count = args.seeds
     output = Path(args.out) if args.out else None
     options = traffic.TrafficOptions(args.seconds, args.gateways, args.backends, args.clients, output)
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
+import time
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 
@@ -11,6 +15,7 @@
 from oakvale.lab.soak.clients import Exchange, Route
 from oakvale.lab.soak.traffic_judge import APPLY_US, CONTACT_US, GRACE_US, ConfigChange, Seen, Span, judge
 
+ROOT = Path(__file__).parent.parent
 SECOND = 1_000_000
 SENT, STOPPED = 100 * SECOND, 101 * SECOND
 
@@ -96,3 +101,28 @@
     exchanges = [exchange(), *(exchange(traffic.QUICK, status=status) for status in statuses)]
     seen = Seen(exchanges=exchanges, added_route=traffic.QUICK.name, calm=Span(SENT, SENT + 9 * SECOND))
     assert [violation.partition(":")[0] for violation in judge(seen)] == ["CONFIG"] * broken
+
+
+@pytest.mark.parametrize("command", ["soak", "soak-gateways"])
+def test_a_soak_that_is_ended_leaves_no_process(command: str) -> None:
+    """Guards against core machines and gateways that go on after SIGTERM to the command that started them."""
+    words = [sys.executable, "-m", "oakvale", "lab", command, "--quiet", "--seconds", "60"]
+    soak = subprocess.Popen(words, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    try:
+        started = _children_once_started(soak.pid)
+        soak.terminate()
+        soak.wait(20)
+    finally:
+        soak.kill()
+        soak.wait()
+    assert started and not [child for child in started if Path(f"/proc/{child}").exists()]
+
+
+def _children_once_started(parent: int) -> list[int]:
+    """The processes that a soak has started, once there are some, after a moment for the others."""
+    for _ in range(200):
+        if Path(f"/proc/{parent}/task/{parent}/children").read_text().strip():
+            break
+        time.sleep(0.1)
+    time.sleep(1)
+    return [int(child) for child in Path(f"/proc/{parent}/task/{parent}/children").read_text().split()]
