Laboratory: models of clients and callers in the words of the field

asks, walk and ways become client_requests, core_calls and exchanges; their classes, constants and functions say what they are, with units.

--- a/oakvale/lab/models/backend.py
+++ b/oakvale/lab/models/backend.py
@@ -12,8 +12,8 @@
 
 from oakvale.base.address import Address, format_address, parse_address
 from oakvale.base.loop import READ, TIMED_OUT, Coroutine, Loop, Priority, Step, Task
-from oakvale.lab.models.walk import Walk, walk
-from oakvale.lab.models.ways import Ended, Late, Reply, read, reset, send, value
+from oakvale.lab.models.core_calls import CallSequence, call_core
+from oakvale.lab.models.exchanges import ConnectionEnded, Reply, TimedOut, header_value, read, reset, send
 from oakvale.lab.models.workshop import Do, Job, Outcome, Terms, Workshop
 from oakvale.lab.record import Answered, Arrived, Declined, Dropped, Fate, Ran, Record, Said, State, digest
 
@@ -82,7 +82,7 @@
         self._accepting = self.loop.start(self._accept(), self._listener.fileno(), Priority.CLIENT)
         self._beat_url: Address | None = None
         self._drained = False
-        self._ready: Walk | None = None  # the latest beat, under way or over
+        self._ready: CallSequence | None = None  # the latest beat, under way or over
         self._beat()
 
     def end(self, _: Any = None) -> None:
@@ -128,7 +128,7 @@
 
     def _say(self, state: State) -> None:
         at = self.loop.now
-        steps = Walk(
+        steps = CallSequence(
             self.ways.ctl,
             self.rng,
             at + (self.ways.beat if state is State.READY else UNANSWERED),
@@ -149,7 +149,9 @@
         def body() -> bytes:
             return self._report(state)
 
-        walk(self.loop, steps, "POST", f"/oakvale/Backends.Heartbeat/{self.terms.id}", body, said, self.ways.passes)
+        call_core(
+            self.loop, steps, "POST", f"/oakvale/Backends.Heartbeat/{self.terms.id}", body, said, self.ways.passes
+        )
 
     def _taken(self, state: State, at: int, reply: Reply, by: Address) -> None:
         self.record.add(Said(at, self.terms.id, state, reply.at, self.ways.machine(by[0])))
@@ -179,9 +181,9 @@
                 )
             )
 
-        walk(
+        call_core(
             self.loop,
-            Walk(self.ways.ctl, self.rng, at + UNANSWERED, first=self._beat_url),
+            CallSequence(self.ways.ctl, self.rng, at + UNANSWERED, first=self._beat_url),
             "POST",
             f"/oakvale/Backends.Leave/{self.terms.id}",
             None,
@@ -222,7 +224,7 @@
                 peer.start_next_cycle()
         except Quit as error:
             rst = error.rst
-        except (Ended, Late, h11.ProtocolError):
+        except (ConnectionEnded, TimedOut, h11.ProtocolError):
             pass
         finally:
             self._visits.discard(visit)
@@ -236,8 +238,8 @@
         headers = [(bytes(n), bytes(v)) for n, v in asked.headers]
         target, method = bytes(asked.target), asked.method.decode()
         probe = method == "GET" and target == HEALTH
-        name, host = value(headers, b"attempt-id") or "", value(headers, b"host") or ""
-        left, named = value(headers, b"time-left"), value(headers, b"backend")
+        name, host = header_value(headers, b"attempt-id") or "", header_value(headers, b"host") or ""
+        left, named = header_value(headers, b"time-left"), header_value(headers, b"backend")
         now = self.loop.now
         until = now + (int(left) * MS if left and left.isdigit() else PATIENCE)
         job = Job(name, self.ways.work(host, target.decode("latin-1")), until, named, probe)
@@ -248,8 +250,8 @@
                     name,
                     self.terms.id,
                     self.terms.service,
-                    value(headers, b"tenant"),
-                    value(headers, b"authorization"),
+                    header_value(headers, b"tenant"),
+                    header_value(headers, b"authorization"),
                     host,
                     target.decode("latin-1"),
                     method,
@@ -313,9 +315,9 @@
                 flags = yield READ, job.due if job.began else 0
                 if flags > 0 and (data := read(visit.sock)) is not None:
                     if not data:
-                        raise Ended(False)
+                        raise ConnectionEnded(False)
                     peer.receive_data(data)
-        except Ended:
+        except ConnectionEnded:
             if self.shop.drop(self.loop.now, job):
                 self._dropped(job, noted, own=False)
             else:
--- a/oakvale/lab/models/walk.py
+++ b/oakvale/lab/models/core_calls.py
@@ -1,5 +1,6 @@
-"""Whom callers of `ctl` call next: backends for their beats, the operator for its orders. Decisions alone: `Walk` is
-told how a step ended and says what the next one is."""
+"""Which core machine a caller calls next: a backend with its heartbeats, the operator with its changes. `CallSequence`
+decides without I/O or a clock; `call_core` carries out what it decides.
+"""
 
 from __future__ import annotations
 
@@ -10,32 +11,36 @@
 
 from oakvale.base.address import Address, parse_address
 from oakvale.base.loop import Loop
-from oakvale.lab.models.ways import Reply, ask, value
+from oakvale.lab.models.exchanges import Reply, exchange, header_value
 
 MS, SECOND = 1_000, 1_000_000
-SILENCE = SECOND  # after which a caller moves on; longer for large bodies
-BYTES = 1_000_000  # of a body, for which another second is given
-FOLLOWS = 2  # 307 in a row
-FINAL = frozenset({400, 409, 412, 413, 422})
-AGAIN = frozenset({408, 429})
-OTHERS = 3  # other 4xx until they are final
-PAUSE, LONGEST = 50 * MS, SECOND
-BEAT_ANSWER = 4096  # bytes
+SILENCE_TIMEOUT_US = SECOND  # after which a caller moves on; longer for large bodies
+BYTES_PER_TIMEOUT = 1_000_000  # of a body, for which another second is given
+MAX_REDIRECTS = 2  # 307 in a row
+FINAL_STATUSES = frozenset({400, 409, 412, 413, 422})
+RETRYABLE_STATUSES = frozenset({408, 429})
+MAX_OTHER_ERRORS = 3  # other 4xx until they are final
+FIRST_PAUSE_US, MAX_PAUSE_US = 50 * MS, SECOND
+MAX_HEARTBEAT_ANSWER_BYTES = 4096
 
 
 @dataclass(frozen=True, slots=True)
-class Step:
+class NextCall:
+    """The call that is to be made."""
+
     address: Address
-    pause: int  # before it
+    pause: int  # before it, in microseconds
 
 
 @dataclass(frozen=True, slots=True)
-class Over:
+class CallEnded:
+    """No further call is made."""
+
     reply: Reply | None  # None: it was given up
 
 
-class Walk:
-    """One call, from gateway to gateway, until an answer that counts."""
+class CallSequence:
+    """One call, repeated at one machine after another until an answer that counts."""
 
     def __init__(
         self,
@@ -51,16 +56,16 @@
         self._addresses, self._rng, self._until, self._beat = addresses, rng, until, beat
         self._hard = hard
         self._met: set[Address] = set()  # while answers are lost: other machines are called first
-        self.address = first or self._another(None)
+        self.address = first or self._other_address(None)
         self._follows = self._others = 0
-        self._pause = PAUSE
+        self._pause = FIRST_PAUSE_US
 
-    def _another(self, last: Address | None) -> Address:
+    def _other_address(self, last: Address | None) -> Address:
         known = self._addresses()
         fresh = [a for a in known if a not in self._met]
         return self._rng.choice([a for a in fresh if a != last] or [a for a in known if a != last] or known)
 
-    def lost(self) -> None:
+    def answer_lost(self) -> None:
         """The answer that came from where it is was lost on its way."""
         self._met.add(self.address)
 
@@ -72,58 +77,63 @@
     def given_up(self) -> bool:
         return self._until == 0
 
-    def heard(self, now: int, reply: Reply | None) -> Step | Over:
+    def on_answer(self, now: int, reply: Reply | None) -> NextCall | CallEnded:
         status = 0 if reply is None else reply.status
-        if reply is not None and 200 <= status < 300 and not (self._beat and len(reply.body) > BEAT_ANSWER):
-            return Over(reply)
-        if reply is not None and status == 307 and self._follows < FOLLOWS:
-            place = parse_address(urlsplit(value(reply.headers, b"location") or "").netloc)
+        if (
+            reply is not None
+            and 200 <= status < 300
+            and not (self._beat and len(reply.body) > MAX_HEARTBEAT_ANSWER_BYTES)
+        ):
+            return CallEnded(reply)
+        if reply is not None and status == 307 and self._follows < MAX_REDIRECTS:
+            place = parse_address(urlsplit(header_value(reply.headers, b"location") or "").netloc)
             if place is not None:
                 self._follows += 1
                 self.address = place
-                return Step(place, 0)
-        if status in FINAL:
-            return Over(reply)
-        if 400 <= status < 500 and status not in AGAIN:
+                return NextCall(place, 0)
+        if status in FINAL_STATUSES:
+            return CallEnded(reply)
+        if 400 <= status < 500 and status not in RETRYABLE_STATUSES:
             self._others += 1
-            if self._others >= OTHERS:
-                return Over(reply)
+            if self._others >= MAX_OTHER_ERRORS:
+                return CallEnded(reply)
         if now + self._pause >= self._until:
-            return Over(None)
+            return CallEnded(None)
         self._follows = 0
         if reply is None and self._hard:
-            return Step(self.address, PAUSE)
+            return NextCall(self.address, FIRST_PAUSE_US)
         self._hard = False
-        self.address = self._another(self.address)
-        pause, self._pause = self._pause, min(LONGEST, self._pause * 2)
-        return Step(self.address, round(pause * self._rng.uniform(0.5, 1)))
+        self.address = self._other_address(self.address)
+        pause, self._pause = self._pause, min(MAX_PAUSE_US, self._pause * 2)
+        return NextCall(self.address, round(pause * self._rng.uniform(0.5, 1)))
 
 
-def walk(
+def call_core(
     loop: Loop,
-    steps: Walk,
+    steps: CallSequence,
     method: str,
     target: str,
     body: Callable[[], bytes] | None,
     then: Callable[[Reply | None, Address], None],
     passes: Callable[[Reply, Address, int], int] = lambda reply, address, sent: -1,
 ) -> None:
-    """Takes the steps; each has a body of its own. `then` gets the answer that counts and who gave it. `passes` is
-    asked of each answer, with the time of its call: -1, or it is lost, and the caller knows so much later."""
+    """Makes the calls of a sequence, each with a body of its own. `then` gets the answer that counts and who gave it.
+    `passes` gets each answer with the time of its call, and returns -1, or how much later the caller learns that the
+    answer was lost."""
     sent = loop.now
 
     def heard(reply: Reply | None) -> None:
         after = -1 if reply is None else passes(reply, steps.address, sent)
         if after < 0:
             return goes_on(reply)
-        steps.lost()
+        steps.answer_lost()
         loop.at(loop.now + after, goes_on, None)
 
     def goes_on(reply: Reply | None) -> None:
-        match steps.heard(loop.now, reply):
-            case Over(last):
+        match steps.on_answer(loop.now, reply):
+            case CallEnded(last):
                 then(last, steps.address)
-            case Step(address, pause):
+            case NextCall(address, pause):
                 loop.at(loop.now + pause, call, address)
 
     def call(address: Address) -> None:
@@ -132,6 +142,14 @@
             return then(None, address)
         sent = loop.now
         data = None if body is None else body()
-        ask(loop, address, method, target, data, SILENCE + (len(data or b"") // BYTES) * SECOND, heard)
+        exchange(
+            loop,
+            address,
+            method,
+            target,
+            data,
+            SILENCE_TIMEOUT_US + (len(data or b"") // BYTES_PER_TIMEOUT) * SECOND,
+            heard,
+        )
 
     call(steps.address)
--- a/oakvale/lab/models/crowd.py
+++ b/oakvale/lab/models/crowd.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from oakvale.base.loop import Loop
-from oakvale.lab.models.asks import Ask
+from oakvale.lab.models.client_requests import ClientRequest
 from oakvale.lab.models.platform import Edge, Platform
 from oakvale.lab.models.senders import Senders
 from oakvale.lab.record import Record
@@ -82,8 +82,8 @@
         for flow in self._flows:
             self.loop.at(at + self._gap(flow, at), self._come, flow)
 
-    def _lead(self, ask: Ask) -> Edge:
-        return self._platform.lead(ask.zone, ask.client, len(ask.tries), set(ask.met))
+    def _lead(self, ask: ClientRequest) -> Edge:
+        return self._platform.lead(ask.zone, ask.client, len(ask.tries), set(ask.gateways))
 
     def _gap(self, flow: Flow, now: int) -> int:
         """Poisson arrivals: the time to the next one of a flow. A tenant's swell adds its own share."""
@@ -106,7 +106,7 @@
         tenant = None if flow.public or not self._tenants else self._tenant(now)
         host, prefix = self._place(flow.route)
         body = b"" if flow.safe else self.rng.randbytes(max(1, round(self.rng.expovariate(1 / max(1, flow.body)))))
-        ask = Ask(
+        ask = ClientRequest(
             flow.route,
             host,
             f"{prefix}{self.rng.getrandbits(24):x}?q={self.rng.getrandbits(8)}",
--- a/oakvale/lab/models/ways.py
+++ b/oakvale/lab/models/exchanges.py
@@ -1,5 +1,6 @@
-"""The steps that all models take on sockets: connect, send, read, one whole exchange by `h11`. As parts of coroutines
-of the loop; none waits longer than it is told to."""
+"""What all models do on sockets: connect, send, read, and one whole HTTP exchange. These are parts of coroutines of the
+event loop; none waits longer than its deadline.
+"""
 
 from __future__ import annotations
 
@@ -15,12 +16,12 @@
 from oakvale.base.loop import READ, TIMED_OUT, WRITE, Coroutine, Loop, Priority, Step
 from oakvale.wire.tcp import reset_on_close
 
-PIECE = 64 * 1024
-MOST = 4 * 1024 * 1024  # of one answer
+READ_BYTES = 64 * 1024
+MAX_ANSWER_BYTES = 4 * 1024 * 1024  # of one answer
 Headers = list[tuple[bytes, bytes]]
 
 
-class Ended(Exception):
+class ConnectionEnded(Exception):
     """The other side closed or reset; `reset` where it did so with a RST, as with unread bytes."""
 
     def __init__(self, reset: bool) -> None:
@@ -28,60 +29,60 @@
         self.reset = reset
 
 
-class Late(Exception):
-    """Its time is over."""
+class TimedOut(Exception):
+    """The deadline has passed."""
 
 
 def connect(sock: Any, address: Address, due: int) -> Step[None]:
-    """Raises Ended, Late."""
+    """Raises ConnectionEnded, TimedOut."""
     error = sock.connect_ex(address)
     if error == errno.EINPROGRESS:
         flags = yield WRITE, due
         while flags < 0:
             flags = yield WRITE, due
         if flags == TIMED_OUT:
-            raise Late
+            raise TimedOut
         error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if error:
-        raise Ended(True)
+        raise ConnectionEnded(True)
 
 
 def send(sock: Any, data: bytes, due: int) -> Step[None]:
-    """Raises Ended, Late."""
+    """Raises ConnectionEnded, TimedOut."""
     view = memoryview(data)
     while view:
         try:
             view = view[sock.send(view) :]
         except BlockingIOError:
             if (yield WRITE, due) == TIMED_OUT:
-                raise Late from None
+                raise TimedOut from None
         except OSError as error:
-            raise Ended(True) from error
+            raise ConnectionEnded(True) from error
 
 
 def read(sock: Any) -> bytes | None:
-    """What is there; b"" at the end, None if nothing is there yet. Raises Ended."""
+    """The bytes received; b"" at the end, None if there are none yet. Raises ConnectionEnded."""
     try:
-        return bytes(sock.recv(PIECE))
+        return bytes(sock.recv(READ_BYTES))
     except BlockingIOError:
         return None
     except OSError as error:
-        raise Ended(True) from error
+        raise ConnectionEnded(True) from error
 
 
 def reset(sock: Any) -> None:
-    """Closes without a farewell."""
+    """Closes with a reset."""
     reset_on_close(sock)
     sock.close()
 
 
-def untaken(sock: Any) -> int | None:
+def unread_bytes(sock: Any) -> int | None:
     """Bytes sent that the peer's process has not read yet; None where the sockets can't tell, as the kernel's."""
     tell = getattr(sock, "untaken", None)
     return None if tell is None else int(tell())
 
 
-def value(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
+def header_value(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
     return next((v.decode("latin-1") for n, v in headers if n == name), None)
 
 
@@ -93,7 +94,7 @@
     at: int
 
 
-def ask(
+def exchange(
     loop: Loop,
     address: Address,
     method: str,
@@ -108,10 +109,12 @@
     except OSError:
         loop.at(loop.now, then)
         return
-    loop.start(_ask(loop, sock, address, method, target, body, loop.now + within, then), sock.fileno(), Priority.CLIENT)
+    loop.start(
+        _exchange(loop, sock, address, method, target, body, loop.now + within, then), sock.fileno(), Priority.CLIENT
+    )
 
 
-def _ask(
+def _exchange(
     loop: Loop,
     sock: Any,
     address: Address,
@@ -133,15 +136,15 @@
             data += peer.send(h11.Data(data=body)) or b""
         data += peer.send(h11.EndOfMessage()) or b""
         yield from send(sock, data, due)
-        reply = yield from _reply(loop, sock, peer, due)
-    except (Ended, Late, h11.ProtocolError):
+        reply = yield from _read_reply(loop, sock, peer, due)
+    except (ConnectionEnded, TimedOut, h11.ProtocolError):
         pass
     finally:
         sock.close()
         loop.at(loop.now, then, reply)
 
 
-def _reply(loop: Loop, sock: Any, peer: h11.Connection, due: int) -> Step[Reply]:
+def _read_reply(loop: Loop, sock: Any, peer: h11.Connection, due: int) -> Step[Reply]:
     status, headers, body = 0, Headers(), b""
     while True:
         event = peer.next_event()
@@ -150,14 +153,14 @@
             if data is not None:
                 peer.receive_data(data)
             elif (yield READ, due) == TIMED_OUT:
-                raise Late
+                raise TimedOut
         elif isinstance(event, h11.Response):
             status, headers = event.status_code, [(bytes(n), bytes(v)) for n, v in event.headers]
         elif isinstance(event, h11.Data):
             body += bytes(event.data)
-            if len(body) > MOST:
-                raise Late
+            if len(body) > MAX_ANSWER_BYTES:
+                raise TimedOut
         elif isinstance(event, h11.EndOfMessage):
             return Reply(status, headers, body, loop.now)
         elif isinstance(event, h11.ConnectionClosed):
-            raise Ended(False)
+            raise ConnectionEnded(False)
--- a/oakvale/lab/models/operator.py
+++ b/oakvale/lab/models/operator.py
@@ -9,12 +9,12 @@
 
 from oakvale.base.address import Address
 from oakvale.base.loop import Loop
-from oakvale.lab.models.asks import Ask
+from oakvale.lab.models.client_requests import ClientRequest
+from oakvale.lab.models.core_calls import SILENCE_TIMEOUT_US, CallSequence, call_core
+from oakvale.lab.models.exchanges import Reply, exchange
 from oakvale.lab.models.orders import Books, Order
 from oakvale.lab.models.platform import LOOK, Edge, Platform
 from oakvale.lab.models.senders import Senders
-from oakvale.lab.models.walk import SILENCE, Walk, walk
-from oakvale.lab.models.ways import Reply, ask
 from oakvale.lab.record import Looked, Ordered, ReadBack, Record, Replied, Told, digest
 
 MS, SECOND = 1_000, 1_000_000
@@ -39,7 +39,7 @@
         """-1: it is not lost. Else how much later its caller knows: at once, by a reset, or after its silence."""
         if now >= self.until or self.rng.random() >= self.share:
             return -1
-        return self.rng.choice((0, SILENCE))
+        return self.rng.choice((0, SILENCE_TIMEOUT_US))
 
 
 class Operator:
@@ -69,7 +69,7 @@
         self.done = self._reading = False
         self._senders = Senders(loop, record, rng, self._none, "operator")
 
-    def _none(self, asked: Ask) -> Edge:
+    def _none(self, asked: ClientRequest) -> Edge:
         raise LookupError("probes go where they are sent")
 
     # ---- orders
@@ -119,9 +119,9 @@
             )
             return after
 
-        walk(
+        call_core(
             self.loop,
-            Walk(self._ctl, self._rng, self._stops, first=first, hard=hard),
+            CallSequence(self._ctl, self._rng, self._stops, first=first, hard=hard),
             "POST",
             "/oakvale/Config.Replace",
             lambda: order.text,
@@ -152,7 +152,7 @@
             if edge.machine in reached or self._platform.inside(edge.machine):
                 for host, path, key in order.probes:
                     now = self.loop.now
-                    asked = Ask(
+                    asked = ClientRequest(
                         "", host, path, "GET", b"", key, None, True, "operator", edge.zone, now, now + PROBE_WAITS
                     )
                     self._senders.send(asked, edge=edge)
@@ -168,7 +168,7 @@
                 self.record.add(Looked(self.loop.now, machine, ready))
                 self._platform.looked(machine, ready)
 
-            ask(self.loop, edge.readyz, "GET", "/oakvale/readyz", None, LOOK - 10 * MS, looked)
+            exchange(self.loop, edge.readyz, "GET", "/oakvale/readyz", None, LOOK - 10 * MS, looked)
 
     # ---- readings in the day
 
@@ -188,7 +188,7 @@
                 read = self._read(reply) if reply.status != 404 else ReadBack(reply.at, -1, "")
                 self.record.add(Told(reply.at, sent, read.gen, read.content_digest, self._machine(address[0])))
 
-        ask(self.loop, address, "GET", "/oakvale/Config.Read", None, SILENCE, heard)
+        exchange(self.loop, address, "GET", "/oakvale/Config.Read", None, SILENCE_TIMEOUT_US, heard)
 
     # ---- the end
 
@@ -199,8 +199,8 @@
         last: ReadBack | None = None
 
         def again(_: object = None) -> None:
-            steps = Walk(self._ctl, self._rng, began + READ_LONGEST)
-            walk(self.loop, steps, "GET", "/oakvale/Config.Read", None, heard)
+            steps = CallSequence(self._ctl, self._rng, began + READ_LONGEST)
+            call_core(self.loop, steps, "GET", "/oakvale/Config.Read", None, heard)
 
         def heard(reply: Reply | None, by: Address) -> None:
             nonlocal last
--- a/oakvale/lab/models/senders.py
+++ b/oakvale/lab/models/senders.py
@@ -13,9 +13,18 @@
 import h11
 
 from oakvale.base.loop import READ, TIMED_OUT, Coroutine, Loop, Priority, Step, Task
-from oakvale.lab.models.asks import UP, Ask, End
+from oakvale.lab.models.client_requests import CONNECT_TIMEOUT_US, ClientRequest, TryEnd
+from oakvale.lab.models.exchanges import (
+    ConnectionEnded,
+    TimedOut,
+    connect,
+    header_value,
+    read,
+    reset,
+    send,
+    unread_bytes,
+)
 from oakvale.lab.models.platform import Edge
-from oakvale.lab.models.ways import Ended, Late, connect, read, reset, send, untaken, value
 from oakvale.lab.record import Closed, Got, Record, Sent, Wrote, digest
 
 MS, SECOND = 1_000, 1_000_000
@@ -32,7 +41,7 @@
     edge: Edge
     client: str
     number: int
-    ask: Ask | None
+    ask: ClientRequest | None
     keep: bool  # by the client's habit
     task: Task | None = None
     peer: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
@@ -43,14 +52,16 @@
 class Senders:
     """Sends asks and tells the record what became of them."""
 
-    def __init__(self, loop: Loop, record: Record, rng: Random, lead: Callable[[Ask], Edge], name: str) -> None:
+    def __init__(
+        self, loop: Loop, record: Record, rng: Random, lead: Callable[[ClientRequest], Edge], name: str
+    ) -> None:
         """`name` makes the numbers of its connections its own."""
         self.loop, self.record, self.rng, self._lead, self._name = loop, record, rng, lead, name
         self._numbers = 0
         self._idle: dict[str, list[Line]] = {}
         self.out = 0  # asks that are not over
 
-    def send(self, ask: Ask, keep: bool = False, edge: Edge | None = None) -> None:
+    def send(self, ask: ClientRequest, keep: bool = False, edge: Edge | None = None) -> None:
         """One more try of an ask, on a kept connection only if it is the first."""
         lines = self._idle.get(ask.client, [])
         if keep and not ask.tries and edge is None and lines:
@@ -67,15 +78,15 @@
         try:
             sock = self.loop.net.stream()
         except OSError:
-            self._over(ask, End.UNREACHED, number)
+            self._over(ask, TryEnd.UNREACHED, number)
             return
         line = Line(sock, edge, ask.client, number, ask, keep)
         line.task = self.loop.start(self._live(line), sock.fileno(), Priority.CLIENT)
 
-    def _note(self, ask: Ask, edge: Edge, number: int) -> None:
+    def _note(self, ask: ClientRequest, edge: Edge, number: int) -> None:
         name = f"{self.rng.getrandbits(64):016x}"
         ask.tries.append(name)
-        ask.met.append(edge.machine)
+        ask.gateways.append(edge.machine)
         self.out += len(ask.tries) == 1
         self.record.add(
             Sent(
@@ -98,13 +109,13 @@
         )
 
     def _over(
-        self, ask: Ask, end: End | int, number: int, retry_after: float | None = None, read: bool = False
+        self, ask: ClientRequest, end: TryEnd | int, number: int, retry_after: float | None = None, read: bool = False
     ) -> None:
         now = self.loop.now
-        if isinstance(end, End):
-            by_client = end in (End.OVER, End.GIVEN_UP, End.LEFT)
+        if isinstance(end, TryEnd):
+            by_client = end in (TryEnd.OVER, TryEnd.GIVEN_UP, TryEnd.LEFT)
             self.record.add(Closed(now, ask.tries[-1], number, read, by_client))
-        due = ask.again(now, end, retry_after) if ask.route else None
+        due = ask.next_try_at(now, end, retry_after) if ask.route else None
         if due is None:
             self.out -= 1
         else:
@@ -118,11 +129,13 @@
             ask = line.ask
             assert ask is not None
             try:
-                yield from connect(line.sock, line.edge.http, min(self.loop.now + UP, ask.ends()))
-            except (Ended, Late):
+                yield from connect(
+                    line.sock, line.edge.http, min(self.loop.now + CONNECT_TIMEOUT_US, ask.waits_until())
+                )
+            except (ConnectionEnded, TimedOut):
                 line.ask = None
-                late = self.loop.now >= ask.ends()
-                self._over(ask, ask.late(self.loop.now) if late else End.UNREACHED, line.number)
+                late = self.loop.now >= ask.waits_until()
+                self._over(ask, ask.end_when_given_up(self.loop.now) if late else TryEnd.UNREACHED, line.number)
                 return
             while line.ask is not None:
                 ask, line.ask = line.ask, None
@@ -137,28 +150,28 @@
             if line in self._idle.get(line.client, ()):
                 self._idle[line.client].remove(line)
             if line.ask is not None:  # given to it while it ended
-                self._over(line.ask, End.UNREACHED, line.number)
+                self._over(line.ask, TryEnd.UNREACHED, line.number)
             if rst and not line.closes_in_order:
                 reset(line.sock)
             else:
                 line.sock.close()
 
-    def _exchange(self, line: Line, ask: Ask) -> Step[bool]:
+    def _exchange(self, line: Line, ask: ClientRequest) -> Step[bool]:
         """One try on it; False where the connection is no more use."""
         name, now = ask.tries[-1], self.loop.now
         try:
-            yield from send(line.sock, self._request(line.peer, ask, name), ask.ends())
+            yield from send(line.sock, self._request(line.peer, ask, name), ask.waits_until())
             self.record.add(Wrote(self.loop.now, name))
             response, body, whole = yield from self._answer(line, ask, ask.give_up_unread(now))
-        except Ended as error:
+        except ConnectionEnded as error:
             # with unread bytes a closing is a reset: the kernel tells so much of whether it was read
-            left = untaken(line.sock)
+            left = unread_bytes(line.sock)
             taken = not error.reset if left is None else left == 0
-            self._over(ask, End.BROKEN if taken else End.UNREACHED, line.number, read=taken)
+            self._over(ask, TryEnd.BROKEN if taken else TryEnd.UNREACHED, line.number, read=taken)
             return False
-        except Late:
-            left, end = untaken(line.sock), ask.late(self.loop.now)
-            line.closes_in_order = end is End.LEFT and line.number % 2 == 0
+        except TimedOut:
+            left, end = unread_bytes(line.sock), ask.end_when_given_up(self.loop.now)
+            line.closes_in_order = end is TryEnd.LEFT and line.number % 2 == 0
             self._over(ask, end, line.number, read=left == 0)
             return False
         except h11.RemoteProtocolError:
@@ -166,7 +179,7 @@
             self._over(ask, 0, line.number)
             return False
         headers = [(bytes(n), bytes(v)) for n, v in response.headers]
-        told = value(headers, b"retry-after")
+        told = header_value(headers, b"retry-after")
         try:
             wait = float(told) if told else None
         except ValueError:
@@ -176,19 +189,19 @@
                 self.loop.now,
                 name,
                 response.status_code,
-                value(headers, b"seal"),
+                header_value(headers, b"seal"),
                 digest(body),
                 whole,
                 wait,
                 line.number,
-                value(headers, b"attempt-id"),
-                value(headers, b"content-encoding") is not None,
+                header_value(headers, b"attempt-id"),
+                header_value(headers, b"content-encoding") is not None,
             )
         )
         self._over(ask, response.status_code if whole else 0, line.number, wait)
         return whole
 
-    def _request(self, peer: h11.Connection, ask: Ask, name: str) -> bytes:
+    def _request(self, peer: h11.Connection, ask: ClientRequest, name: str) -> bytes:
         headers = [
             ("Host", ask.host),
             ("Attempt-Id", name),
@@ -204,8 +217,8 @@
             data += peer.send(h11.Data(data=ask.body[at : at + 1000])) or b""
         return data + (peer.send(h11.EndOfMessage()) or b"")
 
-    def _answer(self, line: Line, ask: Ask, give_up: int) -> Step[tuple[h11.Response, bytes, bool]]:
-        """The answer and whether it ended as its head promised. Raises Ended, Late, RemoteProtocolError before its
+    def _answer(self, line: Line, ask: ClientRequest, give_up: int) -> Step[tuple[h11.Response, bytes, bool]]:
+        """The answer and whether it ended as its head promised. Raises ConnectionEnded, TimedOut, RemoteProtocolError before its
         head is there."""
         response, body, peer = None, b"", line.peer
         try:
@@ -216,7 +229,7 @@
                 elif isinstance(event, h11.Response):
                     response = event
                     line.closing |= (
-                        value([(bytes(n), bytes(v)) for n, v in event.headers], b"connection") or ""
+                        header_value([(bytes(n), bytes(v)) for n, v in event.headers], b"connection") or ""
                     ).lower() == "close"
                 elif isinstance(event, h11.Data):
                     body += bytes(event.data)
@@ -225,26 +238,26 @@
                     line.closing |= peer.our_state is h11.MUST_CLOSE
                     return response, body, True
                 elif isinstance(event, h11.ConnectionClosed):
-                    raise Ended(False)
-        except (Ended, Late, h11.RemoteProtocolError):
+                    raise ConnectionEnded(False)
+        except (ConnectionEnded, TimedOut, h11.RemoteProtocolError):
             if response is None:
                 raise
             return response, body, False
 
-    def _more(self, line: Line, ask: Ask, give_up: int) -> Step[None]:
+    def _more(self, line: Line, ask: ClientRequest, give_up: int) -> Step[None]:
         """Hands the next bytes to `h11`."""
         while True:
             data = read(line.sock)
             if data is not None:
                 if not data and line.peer.their_state is h11.SEND_RESPONSE:
-                    raise Ended(False)  # nothing of an answer came, or a part of its head: it is none
+                    raise ConnectionEnded(False)  # nothing of an answer came, or a part of its head: it is none
                 line.peer.receive_data(data)
                 return
             now = self.loop.now
-            looks = bool(give_up) and bool(untaken(line.sock))
-            if now >= ask.ends() or looks and now >= give_up:
-                raise Late
-            yield READ, min(ask.ends(), give_up, now + LOOKS) if looks else ask.ends()
+            looks = bool(give_up) and bool(unread_bytes(line.sock))
+            if now >= ask.waits_until() or looks and now >= give_up:
+                raise TimedOut
+            yield READ, min(ask.waits_until(), give_up, now + LOOKS) if looks else ask.waits_until()
 
     def _wait(self, line: Line) -> Step[None]:
         """Until its client has another request for it, or it is of no more use."""
@@ -258,7 +271,7 @@
                 break
             try:
                 data = read(line.sock)
-            except Ended:
+            except ConnectionEnded:
                 break
             if data is None:
                 continue
@@ -279,7 +292,11 @@
             event = peer.next_event()
             if isinstance(event, h11.Response):
                 headers = [(bytes(n), bytes(v)) for n, v in event.headers]
-                status, seal, shown = event.status_code, value(headers, b"seal"), value(headers, b"attempt-id")
+                status, seal, shown = (
+                    event.status_code,
+                    header_value(headers, b"seal"),
+                    header_value(headers, b"attempt-id"),
+                )
         except h11.RemoteProtocolError:
             pass
         self.record.add(Got(self.loop.now, None, status, seal, digest(data), False, None, line.number, shown))
--- a/tests/test_coordination_takeover.py
+++ b/tests/test_coordination_takeover.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from oakvale.lab.models.ways import Reply, ask
+from oakvale.lab.models.exchanges import Reply, exchange
 from oakvale.lab.simulation.works import CTL, Layout, Station, Works
 
 MS, SECOND = 1_000, 1_000_000
@@ -63,7 +63,7 @@
             on_result(reply.status, json.loads(reply.body) if reply.body.startswith(b"{") else {})
 
         data = None if body is None else json.dumps(body).encode()
-        ask(self.loop, address, method, target, data, TIMEOUT + wait, on_reply)
+        exchange(self.loop, address, method, target, data, TIMEOUT + wait, on_reply)
 
     def later(self, call: Callable[[], None], delay: int = RETRY_DELAY) -> None:
         self.loop.at(self.loop.now + delay, lambda _: call())
@@ -312,7 +312,7 @@
 
     for _ in range(3):
         target = "/oakvale/watch/quiet.?after=1&wait-ms=30000"
-        ask(app.loop, (primary.machine.ip, CTL), "GET", target, None, 20 * SECOND, on_reply)
+        exchange(app.loop, (primary.machine.ip, CTL), "GET", target, None, 20 * SECOND, on_reply)
     world.works.run_for(SECOND)
     assert not results
     primary.terminate()
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -13,8 +13,8 @@
 
 from oakvale.controlplane.core import PEER_TIMEOUT_US
 from oakvale.dissemination.feed import STALE_AFTER_US
+from oakvale.lab.models.exchanges import Reply, exchange
 from oakvale.lab.models.orders import Books
-from oakvale.lab.models.ways import Reply, ask
 from oakvale.lab.simulation.sockets import Stream
 from oakvale.lab.simulation.works import CTL, PORTS, Layout, Station, Works
 from tests.test_simulation import day
@@ -103,7 +103,7 @@
                     self.highest = current
                     self.acked.append((self.loop.now, current))
 
-        ask(self.loop, (station.machine.ip, CTL), method, f"/oakvale/{verb}", body, 5 * SECOND, on_reply)
+        exchange(self.loop, (station.machine.ip, CTL), method, f"/oakvale/{verb}", body, 5 * SECOND, on_reply)
 
     def _check_gateways(self, _: Any = None) -> None:
         """A gateway that counts as fresh must have everything acknowledged before the latest pulse was sent."""
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -11,13 +11,13 @@
 
 from oakvale.lab.days import decode
 from oakvale.lab.judge.verdict import judge
-from oakvale.lab.models.asks import Ask, End
 from oakvale.lab.models.backend import Backend, Ways
+from oakvale.lab.models.client_requests import ClientRequest, TryEnd
+from oakvale.lab.models.core_calls import CallEnded, CallSequence, NextCall
 from oakvale.lab.models.crowd import Crowd, Flow
+from oakvale.lab.models.exchanges import Reply
 from oakvale.lab.models.orders import CHANGES, SPOILS, Books
 from oakvale.lab.models.platform import Edge, Platform
-from oakvale.lab.models.walk import Over, Step, Walk
-from oakvale.lab.models.ways import Reply
 from oakvale.lab.models.workshop import Do, Job, Outcome, Terms, Workshop
 from oakvale.lab.record import Fate, Kind, Record
 from tests.loopback import Loopback
@@ -117,8 +117,8 @@
 # ---- a client's and a caller's decisions
 
 
-def ask(safe: bool, **more: Any) -> Ask:
-    made = Ask("r", "h", "/p/", "GET", b"", None, None, safe, "c", "a", 0, 3 * SECOND, **more)
+def ask(safe: bool, **more: Any) -> ClientRequest:
+    made = ClientRequest("r", "h", "/p/", "GET", b"", None, None, safe, "c", "a", 0, 3 * SECOND, **more)
     made.tries.append("t")
     return made
 
@@ -131,36 +131,40 @@
         (502, True, False),
         (503, True, True),
         (429, True, True),
-        (End.UNREACHED, True, True),
-        (End.BROKEN, True, False),
-        (End.GIVEN_UP, True, False),
-        (End.OVER, False, False),
+        (TryEnd.UNREACHED, True, True),
+        (TryEnd.BROKEN, True, False),
+        (TryEnd.GIVEN_UP, True, False),
+        (TryEnd.OVER, False, False),
     ],
 )
-def test_who_tries_again(end: End | int, safe: bool, unsafe: bool) -> None:
-    assert (ask(True).again(0, end) is not None, ask(False).again(0, end) is not None) == (safe, unsafe)
+def test_who_tries_again(end: TryEnd | int, safe: bool, unsafe: bool) -> None:
+    assert (ask(True).next_try_at(0, end) is not None, ask(False).next_try_at(0, end) is not None) == (safe, unsafe)
 
 
 def test_a_client_waits_as_told_up_to_a_third_of_its_time_unless_it_is_eager() -> None:
-    assert ask(False).again(0, 429, 0.5) == 500 * MS
-    assert ask(False).again(0, 429, 60) == SECOND
-    assert ask(False, eager=True).again(0, 429, 60) == 2 * MS
+    assert ask(False).next_try_at(0, 429, 0.5) == 500 * MS
+    assert ask(False).next_try_at(0, 429, 60) == SECOND
+    assert ask(False, eager=True).next_try_at(0, 429, 60) == 2 * MS
 
 
 def test_a_caller_of_ctl_follows_twice_moves_on_and_ends() -> None:
     places = [("10.0.0.1", 1), ("10.0.0.2", 1)]
     elsewhere = Reply(307, [(b"location", b"http://10.0.0.9:1/x")], b"", 0)
-    steps = Walk(lambda: places, Random(1), 10 * SECOND, first=places[0])
-    assert steps.heard(0, elsewhere) == steps.heard(0, elsewhere) == Step(("10.0.0.9", 1), 0)
-    moved = steps.heard(0, elsewhere)
-    assert isinstance(moved, Step) and moved.address in places and moved.pause > 0
-    assert isinstance(steps.heard(0, None), Step) and isinstance(steps.heard(0, Reply(503, [], b"", 0)), Step)
-    assert steps.heard(0, Reply(400, [], b"", 0)) == Over(Reply(400, [], b"", 0))
-    others = [steps.heard(0, Reply(404, [], b"", 0)) for _ in range(3)]
-    assert [type(o) for o in others] == [Step, Step, Over]
-    beat = Walk(lambda: places, Random(1), 10 * SECOND, beat=True)
-    assert isinstance(beat.heard(0, Reply(200, [], b"x" * 5000, 0)), Step), "an answer to a beat holds 4 KiB at most"
-    assert beat.heard(20 * SECOND, None) == Over(None)
+    steps = CallSequence(lambda: places, Random(1), 10 * SECOND, first=places[0])
+    assert steps.on_answer(0, elsewhere) == steps.on_answer(0, elsewhere) == NextCall(("10.0.0.9", 1), 0)
+    moved = steps.on_answer(0, elsewhere)
+    assert isinstance(moved, NextCall) and moved.address in places and moved.pause > 0
+    assert isinstance(steps.on_answer(0, None), NextCall) and isinstance(
+        steps.on_answer(0, Reply(503, [], b"", 0)), NextCall
+    )
+    assert steps.on_answer(0, Reply(400, [], b"", 0)) == CallEnded(Reply(400, [], b"", 0))
+    others = [steps.on_answer(0, Reply(404, [], b"", 0)) for _ in range(3)]
+    assert [type(o) for o in others] == [NextCall, NextCall, CallEnded]
+    beat = CallSequence(lambda: places, Random(1), 10 * SECOND, beat=True)
+    assert isinstance(beat.on_answer(0, Reply(200, [], b"x" * 5000, 0)), NextCall), (
+        "an answer to a beat holds 4 KiB at most"
+    )
+    assert beat.on_answer(20 * SECOND, None) == CallEnded(None)
 
 
 def test_the_platform_leads_to_gateways_that_are_ready() -> None:
