--- a/oakvale/lab/models/senders.py
+++ b/oakvale/lab/models/senders.py
@@ -218,8 +218,8 @@
         return data + (peer.send(h11.EndOfMessage()) or b"")
 
     def _answer(self, line: Line, ask: ClientRequest, give_up: int) -> Step[tuple[h11.Response, bytes, bool]]:
-        """The answer and whether it ended as its head promised. Raises ConnectionEnded, TimedOut, RemoteProtocolError before its
-        head is there."""
+        """The answer and whether it ended as its head promised. Raises ConnectionEnded, TimedOut, RemoteProtocolError
+        before its head is there."""
         response, body, peer = None, b"", line.peer
         try:
             while True:
