Latencies of classes are found once a request, and limits are added up only where they matter

Decisions are the same: with no class forgotten, the digests of all 32 drawn runs equal those before byte for byte; three of them change as the requests of a class that is removed go by its latency to their end.

--- /dev/null
+++ b/oakvale/class_latency.py
@@ -0,0 +1,39 @@
+"""What is known of the latency of one request class. No decisions live here.
+
+Latencies are in microseconds per unit of a request's cost; a request costs one unit unless its client says more.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+SECOND_US = 1_000_000
+EWMA_WEIGHT = 0.1  # of the newest sample in moving averages: about the last ten answers
+CLASS_PATIENCE_US = SECOND_US  # an answer of a class is overdue this long after its latency
+CLASS_HALF_LIFE_US = SECOND_US  # of what is known of a class while an answer is overdue
+WEIGHT_AFTER_WAIT = 0.5  # of an answer that follows attempts which waited in vain: what was known misled them
+
+
+@dataclass(slots=True)
+class ClassLatency:
+    """The latency of one request class."""
+
+    mean: float = 0.0  # moving average
+    recent: float = 0.0  # the same, but what was known before counts for less the longer an answer was overdue
+    answered_at: int = 0  # 0: no answer yet, and so no average
+    waited_in_vain: float = 0.0  # longest wait without an answer since the last answer
+
+    def known_share(self, now: int) -> float:
+        """How much of what is known still counts: all of it, or less the longer an answer is overdue."""
+        overdue = now - self.answered_at - self.recent - CLASS_PATIENCE_US
+        return float(0.5 ** (overdue / CLASS_HALF_LIFE_US)) if overdue > 0 else 1.0
+
+    def add(self, sample: float, now: int) -> None:
+        """Takes an answer into both averages. It replaces `recent` where less than half of that still counts."""
+        if not self.answered_at:
+            self.mean = self.recent = sample
+        weight = WEIGHT_AFTER_WAIT if self.waited_in_vain else EWMA_WEIGHT
+        recent_weight = min(1.0, max(weight, 2 - 2 * self.known_share(now)))
+        self.recent += recent_weight * (sample - self.recent)
+        self.mean += weight * (sample - self.mean)
+        self.answered_at, self.waited_in_vain = now, 0.0
--- a/oakvale/policy/admission.py
+++ b/oakvale/policy/admission.py
@@ -1,7 +1,7 @@
 """Admission: the way of a request from its arrival to its first attempt or its refusal."""
 
+from oakvale.class_latency import EWMA_WEIGHT
 from oakvale.interface import Counted, Ending, Refuse, Request, RequestClass
-from oakvale.latency_statistics import EWMA_WEIGHT
 from oakvale.policy.attempts import Attempts
 from oakvale.policy.records import BATCH_INTERVAL_US, quota_window
 from oakvale.policy_records import EPOCH_US, REJECTED, SECOND_US, Context, Customer, PendingRequest
@@ -26,7 +26,7 @@
         customer.last_seen, customer.gateways = now, max(1, min(request.gateway_count, settings.fleet))
         request_class = settings.classes[request.class_index]
         sent_at = now if settings.late_earns else now - self.age(request, request_class)
-        pending = context.pending[request.id] = PendingRequest(request, request_class, customer, sent_at)
+        pending = context.add_pending(request, request_class, customer, sent_at)
         if self.limits.time_left(pending) < self.limits.health.recent_latency(pending):
             return self.limits.refuse(pending, SECOND_US)  # too late to be answered in time
         self.quota.refill(customer)
--- a/oakvale/policy/attempts.py
+++ b/oakvale/policy/attempts.py
@@ -1,7 +1,7 @@
 """Attempts: which backend a request is sent to, when an attempt is cancelled, and whether another follows."""
 
+from oakvale.class_latency import EWMA_WEIGHT
 from oakvale.interface import NEVER_RAN, Attempt, Cancel, Effect, Ended, Ending, Head, Wake
-from oakvale.latency_statistics import EWMA_WEIGHT
 from oakvale.policy.choice import BackendSelector
 from oakvale.policy.lending import Lending
 from oakvale.policy.records import BATCH_INTERVAL_US
@@ -54,10 +54,10 @@
         if pending is None or pending.finished or pending.responding or hop not in pending.in_flight:
             return
         (backend, sent_at), health, now = pending.in_flight[hop], self.health, self.context.now
-        request_class, units, stalled = pending.request_class, pending.request.units, health.stalled(backend)
+        aim, units, stalled = pending.request_class.aim, pending.request.units, health.stalled(backend)
         expected = health.expected_latency(backend, pending)
         waited = now - max(sent_at, self.context.resumed_at)
-        lost = stalled or waited > max(4 * expected, 0.5 * request_class.aim)
+        lost = stalled or waited > max(4 * expected, 0.5 * aim)
         if stalled:
             health.eject(backend)
         in_time = self.limits.time_left(pending) >= health.usual_latency(pending)
@@ -67,9 +67,9 @@
                 return self.hedge(pending, hop)
             return self.context.actions.append(Cancel(request_id, hop))
         if not lost:
-            return self.schedule_check(pending, hop, int(max(0.2 * request_class.aim, 0.25 * expected)))
+            return self.schedule_check(pending, hop, int(max(0.2 * aim, 0.25 * expected)))
         if backend.in_flight.pop((request_id, hop), None):  # lost answers would block a small limit
-            health.add_sample(backend, health.comparable_sample((now - sent_at) / units, request_class))
+            health.add_sample(backend, health.comparable_sample((now - sent_at) / units, pending.latency))
 
     def hedge(self, pending: PendingRequest, hop: int) -> None:
         """A stopping gateway ends no attempt that may be at work: it makes another one beside it, and keeps
@@ -104,7 +104,7 @@
             pending.customer.balance -= excess
             pending.customer.unsent += excess * self.quota.scale(pending.customer)
         learned = context.now > context.resumed_at and (counted is not None or event.ending is Ending.SERVED)
-        if learned and self.health.learn(backend, event, pending.request.units, pending.request_class):
+        if learned and self.health.learn(backend, event, pending):
             self.limits.adapt(backend, event.ending)
         self.budget.record_attempt_end(pending.retry_cost, event.ending, learned, context.now)
         if event.over or pending.finished:
--- a/oakvale/policy/choice.py
+++ b/oakvale/policy/choice.py
@@ -1,7 +1,7 @@
 """Choice of backend: the one that is likely to answer first, of those that may take the request."""
 
+from oakvale.class_latency import EWMA_WEIGHT
 from oakvale.interface import Effect, State
-from oakvale.latency_statistics import EWMA_WEIGHT
 from oakvale.policy.limits import Limits
 from oakvale.policy.records import BATCH_INTERVAL_US
 from oakvale.policy_records import SECOND_US, Backend, Context, PendingRequest
@@ -38,13 +38,13 @@
         if pending.request.preferred_backend and not pending.attempts_made and (
                 preferred := context.backends.get(pending.request.preferred_backend)) in usable:
             return preferred
-        in_flight, limit = sum(len(x.in_flight) for x in usable), sum(map(self.limits.limit_of, usable))
-        if in_flight >= max(self.limits.total.size, limit):
+        in_flight = sum(len(x.in_flight) for x in usable)
+        if in_flight >= self.limits.total.size and in_flight >= sum(map(self.limits.limit_of, usable)):
             return None  # limits below one each add up; attempts stuck at unusable backends do not count
         best, best_cost = None, 0.0
         for backend in [x for x in usable if x.entry.backend not in pending.tried] or usable:
             in_flight, entry = len(backend.in_flight), backend.entry
-            if in_flight >= (1 if backend.failures else max(1.0, self.limits.limit_of(backend))):
+            if in_flight and (backend.failures or in_flight >= self.limits.limit_of(backend)):
                 continue
             age = (context.now - entry.started) / settings.ramp if entry.started and settings.ramp else 1.0
             warmth = min(1.0, settings.cold_from + (1 - settings.cold_from) * max(0.0, age))  # a lower bound
--- a/oakvale/policy/health.py
+++ b/oakvale/policy/health.py
@@ -1,8 +1,8 @@
 """Health: backend latencies and failures, learned passively from how attempts ended. Nothing is probed."""
 
-from oakvale.interface import Ended, Ending, RequestClass
+from oakvale.interface import Ended, Ending
 from oakvale.latency_statistics import LatencyStatistics
-from oakvale.policy_records import REJECTED, SECOND_US, Backend
+from oakvale.policy_records import REJECTED, SECOND_US, Backend, PendingRequest
 
 MIN_AIM_US = 1_000  # a shorter aim says nothing about a backend, also before its latency is known
 
@@ -19,20 +19,20 @@
         return work >= 0 and context.now - max(backend.answered_at, context.resumed_at) > max(
             3 * work, 0.25 * context.min_aim)
 
-    def learn(self, backend: Backend, event: Ended, units: float, request_class: RequestClass) -> bool:
+    def learn(self, backend: Backend, event: Ended, pending: PendingRequest) -> bool:
         """Updates the statistics from the end of an attempt; returns whether it gave a latency sample."""
-        now, latency = self.context.now, event.latency / max(units, 1.0)  # per unit
-        sample = self.comparable_sample(latency, request_class)
+        now, latency = self.context.now, event.latency / max(pending.request.units, 1.0)  # per unit
+        sample = self.comparable_sample(latency, pending.latency)
         if event.ending is Ending.SERVED:
             backend.answered_at, backend.ejected_until = now, backend.ejected_until * (backend.failures > 1)
             backend.failures = max(0, backend.failures - 1)  # each answer takes one failure off
             self.add_sample(backend, sample)
-            self.record_answer(latency, request_class)
+            self.record_answer(latency, pending.latency)
             return True
         if event.ending in (*REJECTED, Ending.RESET) or event.ending is Ending.ERROR and not event.over:
             self.eject(backend)
         elif event.ending in (Ending.TIMEOUT, Ending.CANCELLED):
-            self.record_wait(latency, request_class)
+            self.record_wait(latency, pending.latency)
             if sample > backend.latency:
                 self.add_sample(backend, sample)
                 return True
--- a/oakvale/policy/quota.py
+++ b/oakvale/policy/quota.py
@@ -3,8 +3,8 @@
 from collections import deque
 from math import exp
 
+from oakvale.class_latency import EWMA_WEIGHT
 from oakvale.interface import Charge, Counted, Ending
-from oakvale.latency_statistics import EWMA_WEIGHT
 from oakvale.policy_records import EPOCH_US, REJECTED, SECOND_US, Context, Customer, PendingRequest
 
 MAX_SCALE_EXPONENT = 16  # e^16, the largest scale of a unit, is a hundredth of the 1e9 that a counter takes
--- a/oakvale/policy_records.py
+++ b/oakvale/policy_records.py
@@ -8,6 +8,7 @@
 import random
 from dataclasses import replace
 
+from oakvale.class_latency import ClassLatency
 from oakvale.interface import (
     Action,
     Backends,
@@ -76,8 +77,11 @@
 class PendingRequest:
     """A request that awaits its final answer or still has attempts in flight."""
 
-    def __init__(self, request: Request, request_class: RequestClass, customer: Customer, sent_at: int) -> None:
+    def __init__(
+        self, request: Request, request_class: RequestClass, customer: Customer, sent_at: int, latency: ClassLatency
+    ) -> None:
         self.request, self.request_class, self.customer = request, request_class, customer
+        self.latency = latency  # of its class
         self.sent_at = sent_at  # when its client first sent it
         self.within_quota = True
         self.pending_calls = 0  # counter calls that it waits for
@@ -110,6 +114,15 @@
         self.pending = dict[str, PendingRequest]()
         self.customers = dict[str, Customer]()
         self.backends = dict[int, Backend]()
+        self.class_latencies = list[ClassLatency]()  # in the order of `Settings.classes`
+
+    def add_pending(
+        self, request: Request, request_class: RequestClass, customer: Customer, sent_at: int
+    ) -> PendingRequest:
+        """Registers a request that has come."""
+        latency = self.class_latencies[request.class_index]
+        pending = self.pending[request.id] = PendingRequest(request, request_class, customer, sent_at, latency)
+        return pending
 
     def update_backends(self, update: Backends, min_limit: float) -> None:
         """Takes an update of the backend list; `min_limit` is the concurrency limit of a backend that has just started.
--- a/tests/test_class_latency.py
+++ b/tests/test_class_latency.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from oakvale.class_latency import EWMA_WEIGHT, ClassLatency
 from oakvale.interface import Attempt, Effect, Refuse, RequestClass
-from oakvale.latency_statistics import EWMA_WEIGHT, ClassLatency
 from tests.backend_pool_simulation import MS, SECOND, BackendPoolSimulation, SimulatedBackend
 from tests.helpers import CLASS, SETTINGS, GatewayHarness, of
 
@@ -113,7 +113,8 @@
         request_id, actions = harness.request(customer="a", plan=1, cls=route)
         [attempt] = of(actions, Attempt)
         harness.end(request_id, attempt.backend, latency=latency)
-    assert harness.gateway.health.class_latency(QUICK_CLASS) == 0
+    known = harness.gateway.health.by_class[QUICK_CLASS]
+    assert known.answered_at and harness.gateway.health.class_latency(known) == 0
 
 
 def test_latencies_of_removed_classes_are_forgotten() -> None:
@@ -123,16 +124,18 @@
         [attempt] = of(actions, Attempt)
         harness.end(request_id, attempt.backend)
     assert set(harness.gateway.health.by_class) == {SLOW_CLASS, QUICK_CLASS}
+    known = harness.gateway.health.by_class[QUICK_CLASS]
     harness.gateway.update_settings(replace(SETTINGS, classes=(QUICK_CLASS,)))
-    assert set(harness.gateway.health.by_class) == {QUICK_CLASS}
+    assert harness.gateway.health.by_class == {QUICK_CLASS: known} and known.answered_at
 
 
 def test_what_is_known_of_a_class_fades_only_while_an_answer_is_overdue() -> None:
-    known = ClassLatency(1_000.0 * MS, 1_000.0 * MS, 0)
-    assert [known.known_share(second * SECOND) for second in (1, 2, 3, 5)] == [1, 1, 0.5, 0.125]
-    known.add(2_000.0 * MS, 2_000 * MS)
+    start = 100 * SECOND
+    known = ClassLatency(1_000.0 * MS, 1_000.0 * MS, start)
+    assert [known.known_share(start + second * SECOND) for second in (1, 2, 3, 5)] == [1, 1, 0.5, 0.125]
+    known.add(2_000.0 * MS, start + 2_000 * MS)
     assert known.mean == known.recent == pytest.approx((1_000 + EWMA_WEIGHT * 1_000) * MS)
-    known.add(100.0 * MS, 60_000 * MS)
+    known.add(100.0 * MS, start + 60_000 * MS)
     assert known.recent == pytest.approx(100 * MS, rel=1e-6) and known.mean == pytest.approx(1_000 * MS)
 
 
@@ -195,15 +198,16 @@
     request_id, _ = harness.request(customer="a", plan=1, cls=SLOW)
     pending = harness.gateway.context.pending[request_id]
     for waited, expected in ((400, 200), (900, 450), (300, 450)):
-        health.record_wait(waited * MS, SLOW_CLASS)
+        health.record_wait(waited * MS, pending.latency)
         assert health.patience(pending) == expected * MS and health.usual_latency(pending) == 0
-    health.record_answer(100 * MS, SLOW_CLASS)
+    health.record_answer(100 * MS, pending.latency)
     assert health.patience(pending) == health.usual_latency(pending) == 100 * MS
-    health.record_wait(99 * MS, SLOW_CLASS)
-    assert health.waited_in_vain == {}  # a client that left early
-    health.record_wait(900 * MS, SLOW_CLASS)
+    health.record_wait(99 * MS, pending.latency)
+    assert pending.latency.waited_in_vain == 0  # a client that left early
+    health.record_wait(900 * MS, pending.latency)
     health.keep_classes((QUICK_CLASS,))
-    assert health.waited_in_vain == {}
+    health.keep_classes((SLOW_CLASS,))
+    assert health.by_class[SLOW_CLASS] == ClassLatency()
 
 
 @pytest.mark.parametrize("seed", range(30))
--- a/tests/test_import_order.py
+++ b/tests/test_import_order.py
@@ -15,6 +15,7 @@
     ("__init__",),
     ("interface", "numbers"),
     ("settings", "retry_budget"),
+    ("class_latency",),
     ("policy_records",),
     ("latency_statistics",),
     ("base", "policy"),
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -15,7 +15,7 @@
 
 EVENTS = 300
 DIGESTS = (
-    "3b869dd8",
+    "1950a89b",
     "4e132ddd",
     "30008642",
     "4084d9b4",
@@ -37,12 +37,12 @@
     "ff398d66",
     "b47d4edf",
     "0999286d",
-    "de33d343",
+    "785ffb0e",
     "c3b8a14d",
     "5d4e7b8d",
     "3252b1db",
     "99f7dc57",
-    "46edf1cd",
+    "7100889c",
     "df6a3601",
     "08a5e653",
     "4dd30ad5",
