--- a/oakvale/wire/backends.py
+++ b/oakvale/wire/backends.py
@@ -348,7 +348,9 @@
                 if skipped > limits.interims:
                     raise InvalidAnswer("too many interim answers")
             elif type(event) is h11.Response:
-                yield from self._reserve_body(declared_length(event, limits.answer), deadline)
+                length = declared_length(event, limits.answer)
+                if not self._share.grow(length):
+                    yield from self._await_memory(length, deadline)
                 answer.status, answer.headers = event.status_code, list(event.headers)
                 duplicate = not self.host.dialect.matches_attempt(attempt, answer.status, answer.headers)
                 if not duplicate:
@@ -359,7 +361,8 @@
                 size += len(parts[-1])
                 if size > limits.answer:
                     raise InvalidAnswer("body exceeds the limit")
-                yield from self._reserve_body(size, min(deadline, self.host.loop.now + limits.answer_rest))
+                if not self._share.grow(size):
+                    yield from self._await_memory(size, min(deadline, self.host.loop.now + limits.answer_rest))
             elif type(event) is h11.EndOfMessage:
                 if not duplicate:
                     answer.body = parts[0] if len(parts) == 1 else b"".join(parts)
@@ -393,7 +396,7 @@
                 raise InvalidAnswer("timed out waiting for the rest of the answer") from lost
             yield from read_more(self._sock, self._http, host.buffers, attempt.deadline)
 
-    def _reserve_body(self, size: int, until: int) -> Step[None]:
+    def _await_memory(self, size: int, until: int) -> Step[None]:
         """Waits until there is memory for an answer of this size; meanwhile its backend is held up by not being read.
 
         One without a declared length holds what has come, so it waits for less long: several could wait for each other.
--- a/oakvale/wire/clients.py
+++ b/oakvale/wire/clients.py
@@ -267,7 +267,9 @@
         if body:
             http.send(h11.Data(data=body))
         http.send(END_OF_MESSAGE)
-        parts = deque([first + body[:size]])
+        if len(body) <= size:
+            return deque((first + body,))
+        parts = deque((first + body[:size],))
         parts.extend(body[offset : offset + size] for offset in range(size, len(body), size))
         return parts
 
@@ -276,8 +278,9 @@
         deadline, left = self.host.loop.now + self.host.limits.client_take, sum(map(len, parts))
         while parts:
             self._answer_share.hold(left)
-            left -= len(parts[0])
-            yield from write_all(self._sock, parts.popleft(), deadline)
+            part = parts.popleft()
+            left -= len(part)
+            yield from write_all(self._sock, part, deadline)
         self._answer_share.hold(0)
 
     def _sendable_head(self, answer: Answer, close_after: bool) -> tuple[Answer, h11.Response]:
