Only an answer that took longer than attempts were given moves the mean of its class at once

Each answer after a wait in vain counted for half of both averages, also where one backend was at fault: admission then refused by single slow answers. The reading of admission moves as before now, and the mean takes such an answer for half only if it took longer than the waits.

--- a/oakvale/class_latency.py
+++ b/oakvale/class_latency.py
@@ -11,7 +11,7 @@
 EWMA_WEIGHT = 0.1  # of the newest sample in moving averages: about the last ten answers
 CLASS_PATIENCE_US = SECOND_US  # an answer of a class is overdue this long after its latency
 CLASS_HALF_LIFE_US = SECOND_US  # of what is known of a class while an answer is overdue
-WEIGHT_AFTER_WAIT = 0.5  # of an answer that follows attempts which waited in vain: what was known misled them
+MISLED_WEIGHT = 0.5  # of an answer that took longer than attempts were given before it: what was known misled them
 
 
 @dataclass(slots=True)
@@ -32,8 +32,8 @@
         """Takes an answer into both averages. It replaces `recent` where less than half of that still counts."""
         if not self.answered_at:
             self.mean = self.recent = sample
-        weight = WEIGHT_AFTER_WAIT if self.waited_in_vain else EWMA_WEIGHT
-        recent_weight = min(1.0, max(weight, 2 - 2 * self.known_share(now)))
+        recent_weight = min(1.0, max(EWMA_WEIGHT, 2 - 2 * self.known_share(now)))
         self.recent += recent_weight * (sample - self.recent)
-        self.mean += weight * (sample - self.mean)
+        misled = 0 < self.waited_in_vain < sample
+        self.mean += (MISLED_WEIGHT if misled else EWMA_WEIGHT) * (sample - self.mean)
         self.answered_at, self.waited_in_vain = now, 0.0
--- a/tests/test_class_latency.py
+++ b/tests/test_class_latency.py
@@ -205,6 +205,12 @@
     health.record_wait(99 * MS, pending.latency)
     assert pending.latency.waited_in_vain == 0  # a client that left early
     health.record_wait(900 * MS, pending.latency)
+    health.record_answer(300 * MS, pending.latency)  # others are answered sooner: one backend was at fault
+    assert pending.latency.mean == pytest.approx(120 * MS)
+    health.record_wait(200 * MS, pending.latency)
+    health.record_answer(300 * MS, pending.latency)  # nobody could have been answered in the time given
+    assert pending.latency.mean == pytest.approx(210 * MS) and pending.latency.recent < 150 * MS
+    health.record_wait(900 * MS, pending.latency)
     health.keep_classes((QUICK_CLASS,))
     health.keep_classes((SLOW_CLASS,))
     assert health.by_class[SLOW_CLASS] == ClassLatency()
