--- a/oakvale/class_latency.py
+++ b/oakvale/class_latency.py
@@ -28,12 +28,17 @@
         overdue = now - self.answered_at - self.recent - CLASS_PATIENCE_US
         return float(0.5 ** (overdue / CLASS_HALF_LIFE_US)) if overdue > 0 else 1.0
 
+    def backed_off(self, now: int) -> float:
+        """The least latency to expect while no answer comes and attempts wait in vain: whoever gives up after a multiple
+        of it waits longer each time. Otherwise all attempts could be given up too soon, and no answer would say so."""
+        return self.waited_in_vain / 2 if self.known_share(now) < 1 else 0.0
+
     def add(self, sample: float, now: int) -> None:
         """Takes an answer into both averages. It replaces `recent` where less than half of that still counts."""
         if not self.answered_at:
             self.mean = self.recent = sample
-        recent_weight = min(1.0, max(EWMA_WEIGHT, 2 - 2 * self.known_share(now)))
-        self.recent += recent_weight * (sample - self.recent)
-        misled = 0 < self.waited_in_vain < sample
+        share = self.known_share(now)
+        misled = share < 1 and 0 < self.waited_in_vain < sample
+        self.recent += min(1.0, max(EWMA_WEIGHT, 2 - 2 * share)) * (sample - self.recent)
         self.mean += (MISLED_WEIGHT if misled else EWMA_WEIGHT) * (sample - self.mean)
         self.answered_at, self.waited_in_vain = now, 0.0
--- a/oakvale/latency_statistics.py
+++ b/oakvale/latency_statistics.py
@@ -53,16 +53,12 @@
     def expected_latency(self, backend: Backend, pending: PendingRequest) -> float:
         """Expected time of a request at a backend, for those who would give its attempt up."""
         at_backend = self.latency_of(backend) * self._class_factor(pending.latency) * pending.request.units
-        return max(at_backend, self._backed_off(pending))
+        return max(at_backend, pending.latency.backed_off(self.context.now) * pending.request.units)
 
     def patience(self, pending: PendingRequest) -> float:
         """Expected time of a request at whichever backend, for those who would take that backend for stalled."""
-        return max(self.usual_latency(pending), self._backed_off(pending))
-
-    def _backed_off(self, pending: PendingRequest) -> float:
-        """The least time to expect while attempts of the class wait in vain: whoever gives up after a multiple of it
-        waits longer each time. Otherwise all attempts could be given up too soon, and no answer would ever say so."""
-        return pending.latency.waited_in_vain / 2 * pending.request.units
+        backed_off = pending.latency.backed_off(self.context.now)
+        return max(self.usual_latency(pending), backed_off * pending.request.units)
 
     def comparable_sample(self, sample: float, known: ClassLatency) -> float:
         """A latency as it would be for a usual request: backends are not to be compared by what they were sent."""
