--- a/oakvale/class_latency.py
+++ b/oakvale/class_latency.py
@@ -29,8 +29,8 @@
         return float(0.5 ** (overdue / CLASS_HALF_LIFE_US)) if overdue > 0 else 1.0
 
     def backed_off(self, now: int) -> float:
-        """The least latency to expect while no answer comes and attempts wait in vain: whoever gives up after a multiple
-        of it waits longer each time. Otherwise all attempts could be given up too soon, and no answer would say so."""
+        """The least latency to expect while no answer comes and attempts wait in vain: whoever gives up after a
+        multiple of it waits longer each time. Otherwise all could be given up too soon, and no answer would say so."""
         return self.waited_in_vain / 2 if self.known_share(now) < 1 else 0.0
 
     def add(self, sample: float, now: int) -> None:
